--- /dev/null
+++ b/cmd/wheatsaddle/main.go
@@ -0,0 +1,30 @@
+// Command wheatsaddle is the I/O scheduler in front of a fleet of storage nodes.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v2"
+)
+
+const version = "0.1.0"
+
+func main() {
+	app := &cli.App{
+		Name: "wheatsaddle", Usage: "I/O scheduler in front of storage nodes",
+		HideVersion: true, Action: serve,
+		Commands: []*cli.Command{
+			{Name: "serve", Usage: "serve clients until SIGTERM (also without a sub-command)", Action: serve},
+			{Name: "version", Usage: "print the version", Action: func(c *cli.Context) error {
+				_, err := fmt.Fprintln(c.App.Writer, "wheatsaddle", version)
+				return err
+			}},
+			{Name: "check-config", Usage: "read the configuration and name what is wrong with it", ArgsUsage: "[FILE]", Action: checkConfig},
+		},
+	}
+	if err := app.Run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "wheatsaddle:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/wheatsaddle/serve.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v2"
+
+	"wrenfield/choice"
+	"wrenfield/internal/config"
+	"wrenfield/internal/core"
+	"wrenfield/internal/httpfront"
+	"wrenfield/internal/registry"
+)
+
+const (
+	acceptFor    = 450 * time.Millisecond // after SIGTERM new connections still come
+	finishWithin = 4500 * time.Millisecond
+	descriptors  = 32  // kept for the listeners, discovery and the runtime
+	clientShare  = 0.5 // of the other descriptors; the nodes have the rest
+	memoryShare  = 0.6 // of the limit, past which the collector works harder
+)
+
+func load(c *cli.Context) (*config.Config, error) {
+	env := os.Getenv
+	if file := c.Args().First(); file != "" {
+		env = func(key string) string {
+			if key == "ROUTER_CONFIG" {
+				return file
+			}
+			return ""
+		}
+	}
+	return config.Load(env)
+}
+
+func checkConfig(c *cli.Context) error {
+	conf, err := load(c)
+	if err != nil {
+		return err
+	}
+	known, err := knownList(conf)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.App.Writer, "good: %d classes, %d plans, %d known nodes\n",
+		len(conf.Settings.Classes), len(conf.Settings.Plans), len(known.Nodes))
+	return err
+}
+
+func knownList(conf *config.Config) (registry.List, error) {
+	if len(conf.Known) == 0 {
+		return registry.List{}, nil
+	}
+	known, err := registry.Decode(conf.Known)
+	if err != nil {
+		return known, fmt.Errorf("known: %w", err)
+	}
+	return known, nil
+}
+
+func serve(c *cli.Context) error {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	conf, err := load(c)
+	if err != nil {
+		return err
+	}
+	// A bad known list is no reason to stay down: discovery brings another.
+	known, err := knownList(conf)
+	if err != nil {
+		log.WithError(err).Warn("starting without a known list")
+	}
+	for _, bad := range known.Bad {
+		log.WithError(bad).Warn("known entry left out")
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Cores))))
+	debug.SetMemoryLimit(int64(memoryShare * float64(conf.MemoryMB) * (1 << 20)))
+	clients := int(clientShare * float64(conf.Sockets-descriptors))
+	dialer := &httpfront.Dialer{ConnectTimeout: time.Duration(conf.ConnectTimeout * float64(time.Millisecond)),
+		ConnIdle:  time.Duration(conf.ConnIdle * float64(time.Millisecond)),
+		ConnsMost: int64(conf.Sockets - descriptors - clients)}
+	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log})
+	if err != nil {
+		return err
+	}
+	defer co.Stop()
+	co.List(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Tell: co.List, Log: log}
+	go watcher.Run(ctx)
+
+	ln, err := net.Listen("tcp", conf.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	srv := httpfront.NewServer(co, conf.Settings, clients, log)
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(ln, clients) }()
+	log.WithFields(logrus.Fields{"name": conf.Name, "listen": conf.Listen, "nodes": len(known.Nodes), "version": version}).Info("serving")
+	select {
+	case err = <-served:
+		return fmt.Errorf("serve: %w", err)
+	case <-term:
+	}
+	log.Info("stopping: accepting a little longer")
+	time.Sleep(acceptFor)
+	end, stop := context.WithTimeout(context.Background(), finishWithin)
+	defer stop()
+	if err = srv.Shutdown(end); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		log.WithError(err).Warn("shutdown")
+	}
+	log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,217 @@
+// Package config reads, checks and defaults every setting of the program; its errors name
+// the key at fault.
+package config
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+
+	"wrenfield/choice"
+)
+
+// Config is what one scheduler is told at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    int64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Known                   []byte // the list as last held, in discovery's form
+	Settings                choice.Settings
+	ConnIdle                float64 // ms after which a node closes an idle connection
+	ConnectTimeout          float64 // ms
+	MaxOpen                 int
+}
+
+const (
+	defaultCores          = 1.0
+	defaultMemoryMB       = 192
+	defaultSockets        = 1024
+	defaultConnIdle       = 15000.0
+	defaultConnectTimeout = 250.0
+	defaultMaxOpen        = 20000
+)
+
+// Load reads the file that ROUTER_CONFIG names; the other variables stand in for its keys.
+func Load(env func(string) string) (*Config, error) {
+	path := env("ROUTER_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("ROUTER_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	return Parse(text, env)
+}
+
+// Parse reads a configuration.
+func Parse(text []byte, env func(string) string) (*Config, error) {
+	if !gjson.ValidBytes(text) {
+		return nil, fmt.Errorf("configuration: not valid JSON")
+	}
+	r := &reader{root: gjson.ParseBytes(text)}
+	either := func(key, name string) string {
+		if v := env(name); v != "" {
+			return v
+		}
+		return r.text(key, "")
+	}
+	c := &Config{
+		Name: either("name", "ROUTER_NAME"), Listen: either("listen", "ROUTER_LISTEN"),
+		Discovery: either("discovery", "ROUTER_DISCOVERY"),
+		Cores:     r.num("limits.cores", defaultCores, 0.01), MemoryMB: int(r.num("limits.memory_mb", defaultMemoryMB, 16)),
+		Sockets: int(r.num("limits.sockets", defaultSockets, 64)),
+	}
+	for key, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			r.fail("%s: %q is not host:port", key, addr)
+		}
+	}
+	if seed := r.root.Get("seed"); seed.Exists() {
+		n, err := strconv.ParseUint(seed.String(), 16, 64)
+		if err != nil {
+			r.fail("seed: %q is not a hex number", seed.String())
+		}
+		c.Seed = int64(n)
+	}
+	if known := r.root.Get("known"); known.Exists() {
+		if !known.IsObject() {
+			r.fail("known: not an object")
+		}
+		c.Known = []byte(known.Raw)
+	}
+	set := r.root.Get("settings")
+	if !set.IsObject() {
+		r.fail("settings: missing or not an object")
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	sr := &reader{root: set, prefix: "settings."}
+	c.ConnIdle = sr.num("ceilings.conn-idle", defaultConnIdle, 1)
+	c.ConnectTimeout = sr.num("ceilings.connect-timeout", defaultConnectTimeout, 1)
+	c.MaxOpen = int(sr.num("ceilings.max-open", defaultMaxOpen, 1))
+	if sr.err != nil {
+		return nil, sr.err
+	}
+	var err error
+	c.Settings, err = Settings(set)
+	return c, err
+}
+
+// reader reads keys of one object and keeps the first fault.
+type reader struct {
+	root   gjson.Result
+	prefix string
+	err    error
+}
+
+func (r *reader) fail(form string, args ...any) {
+	if r.err == nil {
+		r.err = fmt.Errorf("configuration: "+form, args...)
+	}
+}
+
+func (r *reader) text(key, fallback string) string {
+	v := r.root.Get(key)
+	if !v.Exists() || v.Type == gjson.Null {
+		return fallback
+	}
+	if v.Type != gjson.String {
+		r.fail("%s%s: %s is not text", r.prefix, key, short(v.Raw))
+	}
+	return v.Str
+}
+
+func (r *reader) num(key string, fallback, least float64) float64 {
+	v := r.root.Get(key)
+	if !v.Exists() || v.Type == gjson.Null {
+		return fallback
+	}
+	if v.Type != gjson.Number || math.IsNaN(v.Num) || math.IsInf(v.Num, 0) || v.Num < least || v.Num > 1e12 {
+		r.fail("%s%s: %s is not a number of at least %v", r.prefix, key, short(v.Raw), least)
+		return fallback
+	}
+	return v.Num
+}
+
+func (r *reader) flag(key string) bool {
+	v := r.root.Get(key)
+	if v.Exists() && v.Type != gjson.Null && !v.IsBool() {
+		r.fail("%s%s: %s is not true or false", r.prefix, key, short(v.Raw))
+	}
+	return v.Bool()
+}
+
+func (r *reader) each(key string, f func(*reader)) {
+	v := r.root.Get(key)
+	if !v.IsArray() || len(v.Array()) == 0 {
+		r.fail("%s%s: missing, empty or not a list", r.prefix, key)
+		return
+	}
+	for i, e := range v.Array() {
+		sub := &reader{root: e, prefix: fmt.Sprintf("%s%s.%d.", r.prefix, key, i), err: r.err}
+		f(sub)
+		r.err = sub.err
+	}
+}
+
+func short(raw string) string {
+	if len(raw) > 40 {
+		return raw[:40] + "..."
+	}
+	return raw
+}
+
+var effects = map[string]choice.Effect{"safe": choice.Safe, "keyed": choice.Keyed, "unsafe": choice.Unsafe}
+var groups = map[string]choice.Group{"all": choice.GroupAll, "zone": choice.GroupZone, "cell": choice.GroupShard}
+
+// word finds a key's word in a table.
+func word[T any](r *reader, key, fallback string, table map[string]T) T {
+	v, ok := table[r.text(key, fallback)]
+	if !ok {
+		r.fail("%s%s: unknown word %s", r.prefix, key, short(r.root.Get(key).Raw))
+	}
+	return v
+}
+
+// Settings reads the settings object of the module.
+func Settings(set gjson.Result) (choice.Settings, error) {
+	r := &reader{root: set, prefix: "settings."}
+	s := choice.Settings{
+		Me: int(r.num("me", 0, 0)), Hosts: int(r.num("fleet-size", 1, 1)), Zone: r.text("my-zone", ""),
+		AskMode:   r.text("membership-mode", "push") == "ask",
+		MeanUnits: r.num("extra.usual-units", 1, 0), MostUnits: r.num("extra.largest", 0, 0),
+		ColdUnits: r.num("extra.young-limit", 0, 0), MeterSpan: r.num("extra.metering", 0, 0),
+		TellsOthers: r.flag("extra.says-others"),
+		MaxAttempts: int(r.num("ceilings.max-attempts", 1, 1)), SecondCopies: r.flag("ceilings.second-copies"),
+		MayCancel: r.flag("ceilings.may-cancel"), MayProbe: r.flag("ceilings.probes"), MayTell: r.flag("ceilings.peers"),
+		HoldOff: r.flag("ceilings.retry-after"), MaxHoldOff: r.num("ceilings.max-retry-after", 0, 0),
+		DrainGrace: r.num("rules.stop-sending-within", 0, 0), AskWithin: r.num("rules.ask-within", 0, 0),
+		ColdFrom: r.num("rules.cold-from", 0, 0), ColdSpan: r.num("rules.cold", 0, 0),
+		TipMultiple: r.num("rules.tip-multiple", 0, 0), TipSpan: r.num("rules.overload-for", 0, 0),
+		OrderPause: r.num("rules.order-pause", 0, 0), BudgetShare: r.num("rules.further-ratio", 0, 0),
+		BudgetFree: r.num("rules.extra-floor", 0, 0), BudgetSpan: r.num("rules.counted-over", 0, 0),
+	}
+	r.each("profiles", func(p *reader) {
+		c := choice.Class{Name: p.text("name", ""), Aim: p.num("goal-time", 0, 1e-3), AimStretch: p.num("aim-stretch", 0, 0),
+			Deadline: p.num("deadline", 0, 1e-3), Worth: p.num("worth", 1, 0), LateWorth: p.num("late-worth", 0, 0),
+			Effect: word(p, "repeat", "", effects), Memory: p.num("memory-span", 0, 0),
+			Ordered: p.flag("by-arrival"), Stream: p.flag("stream")}
+		if c.Effect == choice.Keyed {
+			c.Group = word(p, "key-scope", "", groups)
+		}
+		s.Classes = append(s.Classes, c)
+	})
+	r.each("contracts", func(p *reader) {
+		s.Plans = append(s.Plans, choice.Plan{Name: p.text("name", ""), Rate: p.num("usual-rate", 0, 0),
+			Reserve: p.num("reservation", 0, 0), Weight: p.num("shares", 1, 0), Price: p.num("price", 1, 0),
+			Limit: p.num("cap", 0, 0), LimitBurst: p.num("burst", 0, 0)})
+	})
+	return s, r.err
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,545 @@
+// Package core runs the decision module: requests, attempts and their outcomes, timers and
+// the guard that gives each request exactly one final answer. It knows no wire.
+package core
+
+import (
+	"container/heap"
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wrenfield/choice"
+)
+
+const (
+	mailboxSize = 4096 // messages for the module's actor; past it arrivals are refused
+	batchMost   = 1024 // messages taken into one step
+	// clientMargin is taken off the time that a client waits: its figure counts from its own
+	// send, and the answer has still to travel.
+	clientMargin = 15 * time.Millisecond
+	// guardAfter past a request's end the guard fails what the module has left open.
+	guardAfter = 5 * time.Millisecond
+	answerIdle = time.Hour // wait of the loop with no timer set
+)
+
+// Kind tells how a request ended.
+type Kind int
+
+// The kinds of final answers.
+const (
+	Served Kind = iota
+	Refused
+	Failed
+)
+
+// Causes of a failed request that a front may map to its own codes.
+const (
+	CauseGivenUp = "given up"
+	CauseUnknown = "unknown class or plan"
+	CauseTwice   = "request id in use"
+	CauseLate    = "out of time"
+	CauseBroken  = "internal error"
+)
+
+// Answer is a request's one final answer.
+type Answer struct {
+	Kind       Kind
+	Payload    any           // Served: what the node's front made of its answer
+	RetryAfter time.Duration // Refused
+	Cause      string        // Failed
+}
+
+// Request is what a front has taken from a client.
+type Request struct {
+	choice.Request               // NotAfter is core's to set
+	Arrived        time.Time     // its last byte
+	Patience       time.Duration // how long the client waits from then
+	Payload        any           // the front's own, handed to the peers
+	Answer         func(Answer)  // called exactly once unless the client leaves first; must not block
+}
+
+// Attempt is one Send of the module.
+type Attempt struct {
+	Req   *Request
+	No    int
+	Node  string
+	Until time.Time
+	at    float64
+	core  *Core
+	entry *entry
+	once  sync.Once
+	peer  Peer
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Status       choice.Status
+	Used, Others float64
+	Load         *choice.Load
+	Payload      any
+}
+
+// Done reports an attempt's end; only the first report counts. It may wait for the module's
+// mailbox, so it is for the peers' own goroutines.
+func (a *Attempt) Done(r Result) {
+	a.once.Do(func() { a.core.post(message{attempt: a, result: r}) })
+}
+
+// Peer is one storage node as a front reaches it. None of its methods blocks.
+type Peer interface {
+	Send(*Attempt) bool // false: its mailbox is full and nothing was sent
+	Cancel(*Attempt)
+	Probe(func(Result, time.Duration)) bool
+	Drain(bool) // true: nothing more is written to it, also of what waits in its mailbox
+	Close()     // it has left the list: finish what is out
+}
+
+// Node is a list entry with its address.
+type Node struct {
+	choice.Node
+	Address string
+}
+
+// News is word of the list: ListFull, ListStale, ListChange or ListFailed.
+type News struct {
+	Kind  choice.EventKind
+	Nodes []Node
+}
+
+// Options start a Core.
+type Options struct {
+	Settings choice.Settings
+	Seed     int64
+	Connect  func(name, address string) Peer
+	Refetch  func() // the module asks for the list; must not block
+	Log      logrus.FieldLogger
+}
+
+type message struct {
+	arrival *Request
+	depart  *Request
+	attempt *Attempt
+	result  Result
+	news    *News
+	probed  string
+	latency time.Duration
+	call    func()
+}
+
+type entry struct {
+	req      *Request
+	attempts []*Attempt
+	open     int
+	answered bool
+}
+
+type peerAt struct {
+	Peer
+	address string
+}
+
+type due struct {
+	at    float64
+	tag   string
+	guard *entry
+}
+
+type dues []due
+
+func (d dues) Len() int           { return len(d) }
+func (d dues) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)        { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+// Core is the module's actor.
+type Core struct {
+	opt     Options
+	mod     *choice.Scheduler
+	mail    chan message
+	stop    chan struct{}
+	ended   chan struct{}
+	origin  time.Time
+	base    float64 // Unix milliseconds at origin
+	reqs    map[string]*entry
+	peers   map[string]peerAt
+	nodes   map[string]Node
+	classes map[string]bool
+	plans   map[string]bool
+	timers  dues
+	events  []choice.Event
+	actions []choice.Action
+	batch   []message
+}
+
+// New checks the settings and starts the actor.
+func New(opt Options) (*Core, error) {
+	mod, err := choice.New(opt.Settings, opt.Seed)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	c := &Core{opt: opt, mod: mod, mail: make(chan message, mailboxSize), stop: make(chan struct{}),
+		ended: make(chan struct{}), origin: now, base: float64(now.UnixMicro()) / 1000,
+		reqs: map[string]*entry{}, peers: map[string]peerAt{}, nodes: map[string]Node{},
+		classes: map[string]bool{}, plans: map[string]bool{}}
+	for _, k := range opt.Settings.Classes {
+		c.classes[k.Name] = true
+	}
+	for _, p := range opt.Settings.Plans {
+		c.plans[p.Name] = true
+	}
+	go c.run()
+	return c, nil
+}
+
+// clock is the module's time at t: the Unix time of the start, moved on by the monotonic
+// clock alone, so that a list's since_ms needs no conversion and a set clock does no harm.
+func (c *Core) clock(t time.Time) float64 {
+	return c.base + float64(t.Sub(c.origin).Microseconds())/1000
+}
+
+func (c *Core) wall(at float64) time.Time {
+	return c.origin.Add(time.Duration((at - c.base) * float64(time.Millisecond)))
+}
+
+// Submit hands over a request. With the mailbox full it is refused on the spot.
+func (c *Core) Submit(r *Request) {
+	select {
+	case c.mail <- message{arrival: r}:
+	default:
+		r.Answer(Answer{Kind: Refused, RetryAfter: 100 * time.Millisecond})
+	}
+}
+
+// Depart tells that the client of a request has gone.
+func (c *Core) Depart(r *Request) { c.post(message{depart: r}) }
+
+// List hands over news of the list.
+func (c *Core) List(n News) { c.post(message{news: &n}) }
+
+// Open calls back with the number of requests not yet answered.
+func (c *Core) Open() int {
+	got := make(chan int, 1)
+	c.post(message{call: func() {
+		open := 0
+		for _, e := range c.reqs {
+			if !e.answered {
+				open++
+			}
+		}
+		got <- open
+	}})
+	select {
+	case n := <-got:
+		return n
+	case <-c.ended:
+		return 0
+	}
+}
+
+// Stop ends the actor; what is open is failed.
+func (c *Core) Stop() {
+	close(c.stop)
+	<-c.ended
+}
+
+func (c *Core) post(m message) {
+	select {
+	case c.mail <- m:
+	case <-c.ended:
+	}
+}
+
+func (c *Core) run() {
+	defer close(c.ended)
+	wake := time.NewTimer(0)
+	for {
+		wait := answerIdle
+		if len(c.timers) > 0 {
+			wait = max(0, time.Until(c.wall(c.timers[0].at)))
+		}
+		if len(c.events) > 0 {
+			wait = 0
+		}
+		wake.Reset(wait)
+		c.batch = c.batch[:0]
+		select {
+		case m := <-c.mail:
+			c.batch = append(c.batch, m)
+		case <-wake.C:
+		case <-c.stop:
+			for _, e := range c.reqs {
+				c.answer(e, Answer{Kind: Failed, Cause: CauseBroken})
+			}
+			return
+		}
+	gather:
+		for len(c.batch) < batchMost {
+			select {
+			case m := <-c.mail:
+				c.batch = append(c.batch, m)
+			default:
+				break gather
+			}
+		}
+		c.turn(c.clock(time.Now()))
+	}
+}
+
+// turn takes one batch into one step.
+func (c *Core) turn(now float64) {
+	for _, m := range c.batch {
+		c.take(m, now)
+	}
+	for len(c.timers) > 0 && c.timers[0].at <= now {
+		d := heap.Pop(&c.timers).(due)
+		switch {
+		case d.guard == nil:
+			c.events = append(c.events, choice.Event{Kind: choice.Timer, Tag: d.tag})
+		case !d.guard.answered:
+			// Guards against a module that forgets a request: the client still gets one answer.
+			c.answer(d.guard, Answer{Kind: Failed, Cause: CauseLate})
+			c.events = append(c.events, choice.Event{Kind: choice.Departed, ID: d.guard.req.ID})
+			c.settle(d.guard)
+		}
+	}
+	if len(c.events) == 0 {
+		return
+	}
+	events := c.events
+	c.events = nil
+	if !c.step(now, events) {
+		return
+	}
+	for i := range c.actions {
+		c.do(&c.actions[i], now)
+	}
+	if c.events == nil {
+		c.events = events[:0]
+	}
+}
+
+// step runs the module. Should it panic, all that is open is failed and a new module starts
+// with the list as it is held: a fault in a decision must not end the process.
+func (c *Core) step(now float64, events []choice.Event) (ok bool) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		c.opt.Log.WithField("stack", string(debug.Stack())).Errorf("module panicked: %v", p)
+		for id, e := range c.reqs {
+			c.answer(e, Answer{Kind: Failed, Cause: CauseBroken})
+			delete(c.reqs, id)
+		}
+		c.timers = c.timers[:0]
+		mod, err := choice.New(c.opt.Settings, c.opt.Seed+1)
+		if err != nil {
+			panic(fmt.Sprintf("settings that were good no longer are: %v", err))
+		}
+		c.mod = mod
+		stale := choice.Event{Kind: choice.ListStale}
+		for _, n := range c.nodes {
+			stale.Nodes = append(stale.Nodes, n.Node)
+		}
+		c.events = []choice.Event{stale}
+	}()
+	c.actions = c.mod.Step(now, events, c.actions[:0])
+	return true
+}
+
+func (c *Core) take(m message, now float64) {
+	switch {
+	case m.arrival != nil:
+		c.arrive(m.arrival, now)
+	case m.depart != nil:
+		e := c.reqs[m.depart.ID]
+		if e == nil || e.req != m.depart || e.answered {
+			return
+		}
+		e.answered = true // nobody is left to answer
+		c.events = append(c.events, choice.Event{Kind: choice.Departed, ID: e.req.ID})
+		c.settle(e)
+	case m.attempt != nil:
+		c.outcome(m.attempt, m.result, now)
+	case m.news != nil:
+		c.list(m.news)
+	case m.probed != "":
+		c.events = append(c.events, choice.Event{Kind: choice.Probed, Node: m.probed, Status: m.result.Status,
+			Latency: float64(m.latency.Microseconds()) / 1000, Load: m.result.Load})
+	case m.call != nil:
+		m.call()
+	}
+}
+
+func (c *Core) arrive(r *Request, now float64) {
+	cause := ""
+	switch {
+	case !c.classes[r.Class] || !c.plans[r.Plan]:
+		cause = CauseUnknown
+	case c.reqs[r.ID] != nil:
+		cause = CauseTwice // guards an open request against another with its id
+	}
+	if cause != "" {
+		r.Answer(Answer{Kind: Failed, Cause: cause})
+		return
+	}
+	r.NotAfter = c.clock(r.Arrived.Add(r.Patience - clientMargin))
+	e := &entry{req: r}
+	c.reqs[r.ID] = e
+	heap.Push(&c.timers, due{at: r.NotAfter + float64(guardAfter.Milliseconds()), guard: e})
+	c.events = append(c.events, choice.Event{Kind: choice.Arrival, Req: r.Request})
+}
+
+// outcome takes the end of an attempt; the first that was served ends the request.
+func (c *Core) outcome(a *Attempt, r Result, now float64) {
+	e := a.entry
+	e.open--
+	if r.Status == choice.OK && !e.answered {
+		c.answer(e, Answer{Kind: Served, Payload: r.Payload})
+	}
+	if c.reqs[e.req.ID] != e {
+		return // of before a module's restart
+	}
+	c.events = append(c.events, choice.Event{Kind: choice.Outcome, ID: e.req.ID, Attempt: a.No, Node: a.Node,
+		Status: r.Status, Latency: now - a.at, Finished: e.answered, Used: r.Used, Others: r.Others, Load: r.Load})
+	c.settle(e)
+}
+
+// answer gives the one final answer.
+func (c *Core) answer(e *entry, a Answer) {
+	if !e.answered {
+		e.answered = true
+		e.req.Answer(a)
+	}
+}
+
+// settle forgets a request once it is answered and nothing of it is out.
+func (c *Core) settle(e *entry) {
+	if e.answered && e.open == 0 && c.reqs[e.req.ID] == e {
+		delete(c.reqs, e.req.ID)
+	}
+}
+
+func (c *Core) do(a *choice.Action, now float64) {
+	switch a.Kind {
+	case choice.Send:
+		c.send(a, now)
+	case choice.Refuse, choice.Fail:
+		e := c.reqs[a.ID]
+		if e == nil {
+			return
+		}
+		if a.Kind == choice.Refuse {
+			c.answer(e, Answer{Kind: Refused, RetryAfter: time.Duration(a.Wait * float64(time.Millisecond))})
+		} else if cause := CauseGivenUp; now >= e.req.NotAfter {
+			c.answer(e, Answer{Kind: Failed, Cause: CauseLate})
+		} else {
+			c.answer(e, Answer{Kind: Failed, Cause: cause})
+		}
+		c.settle(e)
+	case choice.Cancel:
+		if e := c.reqs[a.ID]; e != nil && a.Attempt >= 0 && a.Attempt < len(e.attempts) {
+			if t := e.attempts[a.Attempt]; t.peer != nil {
+				t.peer.Cancel(t)
+			}
+		}
+	case choice.SetTimer:
+		heap.Push(&c.timers, due{at: now + a.Wait, tag: a.Tag})
+	case choice.Probe:
+		name := a.Node
+		if p, ok := c.peers[name]; !ok || !p.Probe(func(r Result, took time.Duration) {
+			c.post(message{probed: name, result: r, latency: took})
+		}) {
+			c.events = append(c.events, choice.Event{Kind: choice.Probed, Node: name, Status: choice.NoConn})
+		}
+	case choice.Subscribe, choice.FetchList:
+		if c.opt.Refetch != nil {
+			c.opt.Refetch()
+		}
+	case choice.Log:
+		c.opt.Log.Info(a.Text)
+	}
+}
+
+// send starts an attempt. Guards the rule that an ended request is never sent again.
+func (c *Core) send(a *choice.Action, now float64) {
+	e := c.reqs[a.ID]
+	if e == nil {
+		return
+	}
+	until := e.req.NotAfter
+	if a.Until > 0 && a.Until < until {
+		until = a.Until
+	}
+	t := &Attempt{Req: e.req, No: len(e.attempts), Node: a.Node, Until: c.wall(until), at: now, core: c, entry: e}
+	e.attempts = append(e.attempts, t)
+	e.open++
+	p, ok := c.peers[a.Node]
+	if ok {
+		t.peer = p.Peer
+	}
+	if !ok || e.answered || !p.Send(t) {
+		// Never written: told to the module in the next step, so that no mailbox is waited for.
+		t.once.Do(func() {})
+		e.open--
+		status := choice.NoConn
+		if e.answered {
+			status = choice.Moot
+		}
+		c.events = append(c.events, choice.Event{Kind: choice.Outcome, ID: a.ID, Attempt: t.No, Node: a.Node,
+			Status: status, Finished: e.answered})
+		c.settle(e)
+	}
+}
+
+// list applies news to the peers before the module hears of it.
+func (c *Core) list(n *News) {
+	ev := choice.Event{Kind: n.Kind}
+	seen := map[string]bool{}
+	for _, x := range n.Nodes {
+		seen[x.ID] = true
+		ev.Nodes = append(ev.Nodes, x.Node)
+		p, ok := c.peers[x.ID]
+		if x.State == choice.NodeGone {
+			c.leave(x.ID)
+			continue
+		}
+		if ok && p.address != x.Address {
+			c.leave(x.ID)
+			ok = false
+		}
+		if !ok {
+			p = peerAt{c.opt.Connect(x.ID, x.Address), x.Address}
+			c.peers[x.ID] = p
+		}
+		p.Drain(x.State != choice.NodeUp)
+		c.nodes[x.ID] = x
+	}
+	if n.Kind == choice.ListFull || n.Kind == choice.ListStale {
+		for id := range c.peers {
+			if !seen[id] {
+				c.leave(id) // a removal may show only as a missing entry
+			}
+		}
+	}
+	c.events = append(c.events, ev)
+}
+
+func (c *Core) leave(id string) {
+	if p, ok := c.peers[id]; ok {
+		p.Drain(true)
+		p.Close()
+		delete(c.peers, id)
+		delete(c.nodes, id)
+	}
+}
--- /dev/null
+++ b/internal/httpfront/codec.go
@@ -0,0 +1,232 @@
+// Package httpfront is the platform's protocol: clients in front, storage nodes behind.
+package httpfront
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wrenfield/choice"
+	"wrenfield/internal/core"
+)
+
+const (
+	bodyMost     = 64 << 10
+	idMost       = 128
+	patienceMost = 10 * time.Minute
+	unitsMost    = 1e6
+)
+
+// call is a client's request as it goes on to a storage node: decoded once, and encoded
+// before each attempt with the time that this attempt has.
+type call struct {
+	head []byte // request line and the headers that stay the same
+	body []byte
+}
+
+// Malformed names what is wrong with a request.
+type Malformed struct {
+	Code int
+	What string
+}
+
+func (m *Malformed) Error() string { return m.What }
+
+func malformed(form string, args ...any) error {
+	return &Malformed{fasthttp.StatusBadRequest, fmt.Sprintf(form, args...)}
+}
+
+// token says whether a header value may go on in a header without harm.
+func token(v []byte, most int) bool {
+	if len(v) == 0 || len(v) > most {
+		return false
+	}
+	for _, b := range v {
+		if b <= ' ' || b >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func hex16(v []byte) bool {
+	if len(v) != 16 {
+		return false
+	}
+	for _, b := range v {
+		if !('0' <= b && b <= '9' || 'a' <= b && b <= 'f' || 'A' <= b && b <= 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// decode reads a client's request. Only what it returns is kept of the message.
+func decode(m *fasthttp.Request, keyed func(class string) bool) (*core.Request, error) {
+	h := &m.Header
+	r := &core.Request{}
+	if !h.IsGet() && !h.IsPut() {
+		return nil, &Malformed{fasthttp.StatusMethodNotAllowed, "method is neither GET nor PUT"}
+	}
+	id := h.Peek("X-Request-Id")
+	if !token(id, idMost) {
+		return nil, malformed("X-Request-Id: missing or malformed")
+	}
+	uri := h.RequestURI()
+	if len(uri) < 2 || uri[0] != '/' || !token(uri, 4096) {
+		return nil, malformed("path: %.40q names no class", uri)
+	}
+	class := uri[1:]
+	if end := bytes.IndexAny(class, "/?#"); end >= 0 {
+		class = class[:end]
+	}
+	tier := h.Peek("Tier")
+	if !token(tier, idMost) {
+		return nil, malformed("Tier: missing or malformed")
+	}
+	key := h.Cookie("extent")
+	if !hex16(key) {
+		return nil, malformed("Cookie: extent: missing or not 16 hex digits")
+	}
+	patience, err := strconv.ParseUint(string(h.Peek("X-Deadline-Ms")), 10, 32)
+	if err != nil || patience == 0 || time.Duration(patience)*time.Millisecond > patienceMost {
+		return nil, malformed("X-Deadline-Ms: missing or not a number of milliseconds")
+	}
+	if len(m.Body()) > bodyMost {
+		return nil, &Malformed{fasthttp.StatusRequestEntityTooLarge, "body: over 64 KiB"}
+	}
+	if h.IsGet() && len(m.Body()) > 0 {
+		return nil, malformed("body: a read has none")
+	}
+	r.ID, r.Class, r.Plan, r.Key = string(id), string(class), string(tier), string(key)
+	r.Patience = time.Duration(patience) * time.Millisecond
+	r.Repeat = string(h.Peek("X-Retry")) == "1"
+	if err := decodeInfo(string(h.Peek("IO-Info")), &r.Request); err != nil {
+		return nil, err
+	}
+	idem := h.Peek("Idempotency-Key")
+	if len(idem) > 0 && !token(idem, 1024) || len(idem) == 0 && keyed(r.Class) {
+		return nil, malformed("Idempotency-Key: missing or malformed")
+	}
+	c := &call{body: bytes.Clone(m.Body())}
+	c.head = append(append(append(c.head, h.Method()...), ' '), uri...)
+	c.head = append(append(c.head, " HTTP/1.1\r\nX-Request-Id: "...), id...)
+	if len(idem) > 0 {
+		c.head = append(append(c.head, "\r\nIdempotency-Key: "...), idem...)
+	}
+	if h.IsPut() {
+		c.head = strconv.AppendInt(append(c.head, "\r\nContent-Length: "...), int64(len(c.body)), 10)
+	}
+	r.Payload = c
+	return r, nil
+}
+
+// decodeInfo reads IO-Info: volume, units, shard and hosts, in any order.
+func decodeInfo(text string, r *choice.Request) error {
+	seen := map[string]bool{}
+	for _, part := range strings.Split(text, ",") {
+		name, v, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seen[name] {
+			return malformed("IO-Info: %.20q twice", name)
+		}
+		seen[name] = true
+		var err error
+		switch name {
+		case "volume":
+			if r.Volume = v; !hex16([]byte(v)) {
+				err = errors.New("not 16 hex digits")
+			}
+		case "units":
+			r.Units, err = strconv.ParseFloat(v, 64)
+			if err == nil && !(r.Units > 0 && r.Units <= unitsMost) {
+				err = errors.New("not a size")
+			}
+		case "shard":
+			r.Shard, err = strconv.Atoi(v)
+			if err == nil && (r.Shard < -1 || r.Shard > 1e6) {
+				err = errors.New("not a shard")
+			}
+		case "hosts":
+			r.Hosts, err = strconv.Atoi(v)
+			if err == nil && (r.Hosts < 1 || r.Hosts > 1e6) {
+				err = errors.New("not a number of hosts")
+			}
+		}
+		if err != nil {
+			return malformed("IO-Info: %s: %v", name, err)
+		}
+	}
+	for _, name := range []string{"volume", "units", "shard", "hosts"} {
+		if !seen[name] {
+			return malformed("IO-Info: %s: missing", name)
+		}
+	}
+	return nil
+}
+
+// encode appends the message of one attempt.
+func (c *call) encode(dst []byte, host string, left time.Duration) []byte {
+	dst = append(dst, c.head...)
+	dst = append(append(dst, "\r\nHost: "...), host...)
+	dst = strconv.AppendInt(append(dst, "\r\nX-Deadline-Ms: "...), max(1, left.Milliseconds()), 10)
+	return append(append(dst, "\r\n\r\n"...), c.body...)
+}
+
+// reply is a storage node's answer.
+type reply struct{ body []byte }
+
+// decodeReply reads what an answer says of its attempt.
+func decodeReply(m *fasthttp.Response) core.Result {
+	h := &m.Header
+	r := core.Result{Status: choice.Errored, Used: figure(h.Peek("Volume-Load")), Others: figure(h.Peek("Other-Hosts")),
+		Load: decodeLoad(string(h.Peek("X-Load")))}
+	if len(h.Peek("Volume-Load")) > 0 {
+		r.Used++
+	}
+	switch code := m.StatusCode(); {
+	case code == fasthttp.StatusOK:
+		r.Status, r.Payload = choice.OK, &reply{bytes.Clone(m.Body())}
+	case (code == 503 || code == 504) && string(h.Peek("X-Not-Run")) == "1":
+		r.Status = choice.Full
+	}
+	return r
+}
+
+// figure reads a non-negative number; anything else counts as absent.
+func figure(text []byte) float64 {
+	v, err := strconv.ParseFloat(string(bytes.TrimSpace(text)), 64)
+	if err != nil || math.IsNaN(v) || v < 0 || v > 1e12 {
+		return 0
+	}
+	return v
+}
+
+// decodeLoad reads a load report such as "inflight=7,queue=2,util=0.61".
+func decodeLoad(text string) *choice.Load {
+	l, any := &choice.Load{Inflight: -1, Queue: -1, Util: -1}, false
+	for _, part := range strings.Split(text, ",") {
+		name, v, _ := strings.Cut(strings.TrimSpace(part), "=")
+		x, err := strconv.ParseFloat(v, 64)
+		if err != nil || math.IsNaN(x) || x < 0 || x > 1e12 {
+			continue
+		}
+		switch name {
+		case "inflight", "outstanding":
+			l.Inflight, any = x, true
+		case "queue", "backlog":
+			l.Queue, any = x, true
+		case "util", "utilization":
+			l.Util, any = x, true
+		}
+	}
+	if !any {
+		return nil
+	}
+	return l
+}
--- /dev/null
+++ b/internal/httpfront/node.go
@@ -0,0 +1,335 @@
+package httpfront
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wrenfield/choice"
+	"wrenfield/internal/core"
+)
+
+const (
+	nodeMailbox   = 512
+	connsMost     = 64  // connections to one node: past any window
+	retireShare   = 0.6 // of the node's idle limit
+	retireEvery   = time.Second
+	probeTimeout  = time.Second
+	connReadSpace = 4096
+)
+
+// Dialer makes node actors that share one budget of descriptors.
+type Dialer struct {
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration
+	ConnsMost      int64 // over all nodes
+	open           atomic.Int64
+}
+
+// Connect starts the actor of one storage node.
+func (d *Dialer) Connect(name, address string) core.Peer {
+	n := &node{dialer: d, address: address, mail: make(chan nodeMessage, nodeMailbox), busy: map[*core.Attempt]*conn{}}
+	go n.run()
+	return n
+}
+
+type nodeMessage struct {
+	send, cancel *core.Attempt
+	back         *conn // is free again, or done with if broken
+	broken       bool
+	probe        func(core.Result, time.Duration)
+	close        bool
+}
+
+// node is the actor of one storage node: it owns the connections to it.
+type node struct {
+	dialer   *Dialer
+	address  string
+	mail     chan nodeMessage
+	draining atomic.Bool
+	idle     []*conn // the longest idle first
+	busy     map[*core.Attempt]*conn
+	conns    int
+	closing  bool
+}
+
+func (n *node) put(m nodeMessage) bool {
+	select {
+	case n.mail <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+// Send implements core.Peer.
+func (n *node) Send(a *core.Attempt) bool { return n.put(nodeMessage{send: a}) }
+
+// Cancel implements core.Peer. With the mailbox full the attempt runs to its time limit.
+func (n *node) Cancel(a *core.Attempt) { n.put(nodeMessage{cancel: a}) }
+
+// Probe implements core.Peer.
+func (n *node) Probe(f func(core.Result, time.Duration)) bool { return n.put(nodeMessage{probe: f}) }
+
+// Drain implements core.Peer: it binds at once, also what waits in the mailbox.
+func (n *node) Drain(on bool) { n.draining.Store(on) }
+
+// Close implements core.Peer. A full mailbox is waited for aside.
+func (n *node) Close() {
+	if !n.put(nodeMessage{close: true}) {
+		go func() { n.mail <- nodeMessage{close: true} }()
+	}
+}
+
+func (n *node) run() {
+	tick := time.NewTicker(retireEvery)
+	defer tick.Stop()
+	for !n.closing || n.conns > 0 || len(n.mail) > 0 {
+		select {
+		case m := <-n.mail:
+			n.take(m)
+		case <-tick.C:
+			old := time.Now().Add(-time.Duration(retireShare * float64(n.dialer.ConnIdle)))
+			for len(n.idle) > 0 && n.idle[0].idleAt.Before(old) {
+				n.drop(n.idle[0])
+			}
+		}
+	}
+}
+
+func (n *node) take(m nodeMessage) {
+	switch {
+	case m.send != nil:
+		n.send(m.send)
+	case m.cancel != nil:
+		if c := n.busy[m.cancel]; c != nil {
+			c.cancel()
+		}
+	case m.back != nil:
+		delete(n.busy, m.back.attempt)
+		m.back.attempt = nil
+		if m.back.stop != nil {
+			m.back.stop()
+		}
+		if m.broken {
+			n.gone()
+		} else {
+			m.back.idleAt = time.Now()
+			n.idle = append(n.idle, m.back)
+			if n.closing {
+				n.drop(m.back)
+			}
+		}
+	case m.probe != nil:
+		if c := n.conn(); c != nil {
+			c.jobs <- job{probe: m.probe}
+		} else {
+			go m.probe(core.Result{Status: choice.NoConn}, 0)
+		}
+	case m.close:
+		n.closing = true
+		for len(n.idle) > 0 {
+			n.drop(n.idle[0])
+		}
+	}
+}
+
+// gone counts a connection out.
+func (n *node) gone() {
+	n.conns--
+	n.dialer.open.Add(-1)
+}
+
+func (n *node) drop(c *conn) {
+	n.idle = slices.DeleteFunc(n.idle, func(o *conn) bool { return o == c })
+	close(c.jobs)
+	n.gone()
+}
+
+// conn takes the connection used last that still stands, or a new one; nil: none is left.
+func (n *node) conn() *conn {
+	for len(n.idle) > 0 {
+		c := n.idle[len(n.idle)-1]
+		if c.stands() {
+			n.idle = n.idle[:len(n.idle)-1]
+			return c
+		}
+		n.drop(c)
+	}
+	if n.conns >= connsMost {
+		return nil
+	}
+	if n.dialer.open.Add(1) > n.dialer.ConnsMost {
+		n.dialer.open.Add(-1)
+		return nil
+	}
+	n.conns++
+	c := &conn{node: n, jobs: make(chan job, 1)}
+	go c.run()
+	return c
+}
+
+func (n *node) send(a *core.Attempt) {
+	c := n.conn()
+	if c == nil {
+		go a.Done(core.Result{Status: choice.NoConn}) // the core's mailbox may have to be waited for
+		return
+	}
+	c.attempt = a
+	n.busy[a] = c
+	c.ctx, c.stop = context.WithDeadline(context.Background(), a.Until)
+	c.jobs <- job{attempt: a, ctx: c.ctx}
+}
+
+type job struct {
+	attempt *core.Attempt
+	ctx     context.Context
+	probe   func(core.Result, time.Duration)
+}
+
+// conn is one connection; it carries one attempt at a time. attempt, idleAt, ctx and stop
+// are the node actor's; nc is set once by the connection's goroutine.
+type conn struct {
+	node    *node
+	jobs    chan job
+	attempt *core.Attempt
+	idleAt  time.Time
+	ctx     context.Context
+	stop    context.CancelFunc
+	nc      *net.TCPConn
+	br      *bufio.Reader
+	out     []byte
+	resp    fasthttp.Response
+}
+
+// cancel gives the attempt up: its connection is closed and never used again.
+func (c *conn) cancel() { c.stop() }
+
+// stands says whether an idle connection was neither closed nor written to by the node.
+func (c *conn) stands() bool {
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && quiet
+}
+
+func (c *conn) run() {
+	defer func() {
+		if c.nc != nil {
+			c.nc.Close()
+		}
+	}()
+	for j := range c.jobs {
+		if j.probe != nil {
+			start := time.Now()
+			r, reuse := c.probe()
+			c.node.mail <- nodeMessage{back: c, broken: !reuse}
+			j.probe(r, time.Since(start))
+			if !reuse {
+				return
+			}
+			continue
+		}
+		r, reuse := c.carry(j)
+		// The actor hears first, so that the module's next send finds the connection free.
+		c.node.mail <- nodeMessage{back: c, broken: !reuse}
+		j.attempt.Done(r)
+		if !reuse {
+			return
+		}
+	}
+}
+
+func (c *conn) dial(ctx context.Context) error {
+	if c.nc != nil {
+		return nil
+	}
+	nc, err := (&net.Dialer{Timeout: c.node.dialer.ConnectTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", c.node.address)
+	if err != nil {
+		return err
+	}
+	c.nc = nc.(*net.TCPConn)
+	c.br = bufio.NewReaderSize(c.nc, connReadSpace)
+	return nil
+}
+
+// carry takes one attempt over the connection and tells exactly how it ended.
+func (c *conn) carry(j job) (r core.Result, reuse bool) {
+	a := j.attempt
+	ended := func(otherwise choice.Status) core.Result {
+		if errors.Is(j.ctx.Err(), context.Canceled) {
+			return core.Result{Status: choice.Cancelled}
+		}
+		return core.Result{Status: otherwise}
+	}
+	if !time.Now().Before(a.Until) {
+		return core.Result{Status: choice.Moot}, c.nc != nil
+	}
+	if err := c.dial(j.ctx); err != nil {
+		return ended(choice.NoConn), false
+	}
+	if c.node.draining.Load() { // guards the drain rule for what waited in a mailbox or for a connection
+		return ended(choice.NoConn), j.ctx.Err() == nil
+	}
+	nc := c.nc
+	unwatch := context.AfterFunc(j.ctx, func() { nc.Close() })
+	c.out = a.Req.Payload.(*call).encode(c.out[:0], c.node.address, time.Until(a.Until))
+	n, err := nc.Write(c.out)
+	if err != nil || n < len(c.out) {
+		unwatch()
+		return ended(choice.NoConn), false // the last byte was not written: it has not run
+	}
+	c.resp.Reset()
+	err = c.resp.ReadLimitBody(c.br, bodyMost)
+	whole := unwatch() // false: the context ended first and the connection is closed
+	if err != nil {
+		switch {
+		case errors.Is(j.ctx.Err(), context.Canceled):
+			return core.Result{Status: choice.Cancelled}, false
+		case j.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded):
+			return core.Result{Status: choice.TimedOut}, false
+		}
+		return core.Result{Status: choice.Reset}, false
+	}
+	return decodeReply(&c.resp), whole && !c.resp.ConnectionClose() && c.br.Buffered() == 0
+}
+
+// probe asks the node for its load.
+func (c *conn) probe() (core.Result, bool) {
+	ctx, stop := context.WithTimeout(context.Background(), probeTimeout)
+	defer stop()
+	if err := c.dial(ctx); err != nil {
+		return core.Result{Status: choice.NoConn}, false
+	}
+	unwatch := context.AfterFunc(ctx, func() { c.nc.Close() })
+	c.out = append(append(append(c.out[:0], "GET /stats HTTP/1.1\r\nHost: "...), c.node.address...), "\r\n\r\n"...)
+	if _, err := c.nc.Write(c.out); err != nil {
+		unwatch()
+		return core.Result{Status: choice.NoConn}, false
+	}
+	c.resp.Reset()
+	err := c.resp.ReadLimitBody(c.br, bodyMost)
+	if whole := unwatch(); err != nil || !whole {
+		return core.Result{Status: choice.Reset}, false
+	}
+	r := core.Result{Status: choice.Errored, Load: decodeLoad(string(c.resp.Body()))}
+	if c.resp.StatusCode() == fasthttp.StatusOK {
+		r.Status = choice.OK
+	}
+	return r, !c.resp.ConnectionClose() && c.br.Buffered() == 0
+}
