--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"wrenfield/choice"
+	"wheatsaddle/choice"
 )
 
 // One host, one node, one request in and the action out.
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -16,11 +16,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v2"
 
-	"wrenfield/choice"
-	"wrenfield/internal/config"
-	"wrenfield/internal/core"
-	"wrenfield/internal/httpfront"
-	"wrenfield/internal/registry"
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/httpfront"
+	"wheatsaddle/internal/registry"
 )
 
 const (
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,8 +10,8 @@
 	"io"
 	"os"
 
-	"wrenfield/choice"
-	"wrenfield/internal/wire"
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/wire"
 )
 
 // host holds the running instances and the numbered lists.
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"wrenfield/choice"
+	"wheatsaddle/choice"
 )
 
 const up = `["UP","i0",7,{"fleet-size":1,"membership-mode":"push","ceilings":{"max-attempts":3},` +
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,7 +11,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"wrenfield/choice"
+	"wheatsaddle/choice"
 )
 
 // Config is what one scheduler is told at its start.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,7 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"wrenfield/choice"
+	"wheatsaddle/choice"
 )
 
 const (
--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -12,8 +12,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wrenfield/choice"
-	"wrenfield/internal/core"
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
 )
 
 const (
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -13,8 +13,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wrenfield/choice"
-	"wrenfield/internal/core"
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
 )
 
 const (
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -12,8 +12,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
-	"wrenfield/choice"
-	"wrenfield/internal/core"
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
 )
 
 const (
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -16,8 +16,8 @@
 	"github.com/tidwall/gjson"
 	"github.com/valyala/fasthttp"
 
-	"wrenfield/choice"
-	"wrenfield/internal/core"
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
 )
 
 const (
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"strconv"
 
-	"wrenfield/choice"
+	"wheatsaddle/choice"
 )
 
 // Line is one decoded input line.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"wrenfield/choice"
+	"wheatsaddle/choice"
 )
 
 func TestDecode(t *testing.T) {
