Core tests; iSCSI front started: PDUs, login, target, initiator, its configuration

Core: tests of one answer a request, keyed repeats, drains that show as a missing entry, full mailboxes, a module that panics, and the guard behind the module.

--- /dev/null
+++ b/cmd/wheatsaddle/blocks.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/iscsi"
+)
+
+const initiatorName = "iqn.2026-12.fj.lautoka:wheatsaddle-"
+
+// blockFront is the iSCSI front with a core of its own: its storage targets are no nodes of
+// the platform, and a new object of the platform must never be placed on one.
+type blockFront struct {
+	file   string
+	core   *core.Core
+	target *iscsi.Target
+}
+
+func startBlocks(file string, conf *config.Config, log logrus.FieldLogger) (*blockFront, error) {
+	ic, err := config.LoadISCSI(file, conf.Settings)
+	if err != nil {
+		return nil, err
+	}
+	d := iscsi.NewDialer(ic, initiatorName+conf.Name, time.Duration(conf.ConnectTimeout*float64(time.Millisecond)), log)
+	set := iscsi.Settings(conf.Settings, ic)
+	co, err := core.New(core.Options{Settings: set, Seed: conf.Seed, Connect: d.Connect, Log: log})
+	if err != nil {
+		return nil, err
+	}
+	d.Report(co.List)
+	co.List(core.News{Kind: choice.ListStale, Nodes: iscsi.Nodes(ic)})
+	ln, err := net.Listen("tcp", ic.Listen)
+	if err != nil {
+		co.Stop()
+		return nil, fmt.Errorf("iscsi: listen: %w", err)
+	}
+	f := &blockFront{file: file, core: co, target: iscsi.NewTarget(ic, co, set, log)}
+	go func() {
+		if err := f.target.Serve(ln); err != nil {
+			log.WithError(err).Error("iscsi front ended")
+		}
+	}()
+	log.WithFields(logrus.Fields{"listen": ic.Listen, "targets": len(ic.Targets), "storage": len(ic.Storage)}).Info("serving iscsi")
+	return f, nil
+}
+
+// reload reads the storage targets again: one that leaves gets nothing new from then on.
+func (f *blockFront) reload(conf *config.Config, log logrus.FieldLogger) {
+	if f == nil {
+		return
+	}
+	ic, err := config.LoadISCSI(f.file, conf.Settings)
+	if err != nil {
+		log.WithError(err).Warn("the storage targets stay as they are")
+		return
+	}
+	f.core.List(core.News{Kind: choice.ListFull, Nodes: iscsi.Nodes(ic)})
+}
+
+func (f *blockFront) shutdown(ctx context.Context) {
+	if f != nil {
+		f.target.Shutdown(ctx)
+	}
+}
--- a/cmd/wheatsaddle/main.go
+++ b/cmd/wheatsaddle/main.go
@@ -11,16 +11,17 @@
 const version = "0.1.0"
 
 func main() {
+	flags := []cli.Flag{&cli.StringFlag{Name: "iscsi", Usage: "also serve the iSCSI front that `FILE` describes"}}
 	app := &cli.App{
 		Name: "wheatsaddle", Usage: "I/O scheduler in front of storage nodes",
-		HideVersion: true, Action: serve,
+		HideVersion: true, Action: serve, Flags: flags,
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve clients until SIGTERM (also without a sub-command)", Action: serve},
+			{Name: "serve", Usage: "serve clients until SIGTERM (also without a sub-command)", Action: serve, Flags: flags},
 			{Name: "version", Usage: "print the version", Action: func(c *cli.Context) error {
 				_, err := fmt.Fprintln(c.App.Writer, "wheatsaddle", version)
 				return err
 			}},
-			{Name: "check-config", Usage: "read the configuration and name what is wrong with it", ArgsUsage: "[FILE]", Action: checkConfig},
+			{Name: "check-config", Usage: "read the configuration and name what is wrong with it", ArgsUsage: "[FILE]", Action: checkConfig, Flags: flags},
 		},
 	}
 	if err := app.Run(os.Args); err != nil {
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -97,6 +97,14 @@
 	defer co.Stop()
 	co.List(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
 
+	var blocks *blockFront
+	if file := c.String("iscsi"); file != "" {
+		if blocks, err = startBlocks(file, conf, log); err != nil {
+			return err
+		}
+		defer blocks.core.Stop()
+	}
+
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Tell: co.List, Log: log}
@@ -112,18 +120,31 @@
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(ln, clients) }()
 	log.WithFields(logrus.Fields{"name": conf.Name, "listen": conf.Listen, "nodes": len(known.Nodes), "version": version}).Info("serving")
-	select {
-	case err = <-served:
-		return fmt.Errorf("serve: %w", err)
-	case <-term:
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for stopping := false; !stopping; {
+		select {
+		case err = <-served:
+			return fmt.Errorf("serve: %w", err)
+		case <-hup:
+			blocks.reload(conf, log)
+		case <-term:
+			stopping = true
+		}
 	}
 	log.Info("stopping: accepting a little longer")
 	time.Sleep(acceptFor)
 	end, stop := context.WithTimeout(context.Background(), finishWithin)
 	defer stop()
+	blocksDone := make(chan struct{})
+	go func() {
+		defer close(blocksDone)
+		blocks.shutdown(end)
+	}()
 	if err = srv.Shutdown(end); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		log.WithError(err).Warn("shutdown")
 	}
+	<-blocksDone
 	log.Info("stopped")
 	return nil
 }
--- /dev/null
+++ b/internal/config/iscsi.go
@@ -0,0 +1,168 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"os"
+
+	"github.com/tidwall/gjson"
+
+	"wheatsaddle/choice"
+)
+
+// ISCSI is the second front's file.
+type ISCSI struct {
+	Listen       string
+	QueueDepth   int // commands in the window of a session
+	Sessions     int
+	MaxTransfer  uint32 // bytes of one command
+	DropsRepeats bool   // the storage targets drop a repeat of a write by its key
+	Login        float64
+	Targets      []Target
+	Storage      []StorageTarget
+}
+
+// Target is one that clients log in to.
+type Target struct {
+	Name  string
+	Units []Unit
+}
+
+// Unit is a logical unit and how its commands map to requests.
+type Unit struct {
+	LUN, StorageLUN        uint16
+	Shard, Hosts           int
+	Volume, Plan           string
+	BlockSize, MaxTransfer uint32
+	Blocks                 uint64
+	UnitBytes              float64 // bytes that count as one unit
+	ReadOnly               bool
+	Rules                  []Rule
+}
+
+// Rule maps commands of one direction, up to a size, to a class.
+type Rule struct {
+	Write    bool
+	UpTo     float64 // bytes
+	Class    string
+	Deadline float64 // ms
+}
+
+// StorageTarget is one that holds data.
+type StorageTarget struct {
+	Name, Address, Target string
+	Shard                 int
+	State                 choice.NodeState
+}
+
+// LoadISCSI reads the second front's file against the settings.
+func LoadISCSI(path string, set choice.Settings) (*ISCSI, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("iscsi: %w", err)
+	}
+	return ParseISCSI(text, set)
+}
+
+var storageStates = map[string]choice.NodeState{"active": choice.NodeUp, "leaving": choice.NodeDraining, "left": choice.NodeGone}
+
+// ParseISCSI reads and checks the second front's configuration.
+func ParseISCSI(text []byte, set choice.Settings) (*ISCSI, error) {
+	if !gjson.ValidBytes(text) {
+		return nil, fmt.Errorf("iscsi: not valid JSON")
+	}
+	r := &reader{root: gjson.ParseBytes(text), prefix: "iscsi."}
+	c := &ISCSI{Listen: r.text("listen", "127.0.0.1:3260"), QueueDepth: int(r.whole("queue_depth", 32, 1, 1024)),
+		Sessions: int(r.whole("sessions", 32, 1, 256)), MaxTransfer: uint32(r.whole("max_transfer", 64<<10, 512, 1<<20)),
+		DropsRepeats: r.flag("drops_repeats"), Login: r.num("login_timeout_ms", 5000, 1)}
+	r.address("listen", c.Listen)
+	shards, names := map[int]bool{}, map[string]bool{}
+	r.each("storage", func(s *reader) {
+		t := StorageTarget{Name: s.text("name", ""), Address: s.text("address", ""), Target: s.text("target", ""),
+			Shard: int(s.whole("group", -1, 0, 1e6)), State: word(s, "status", "active", storageStates)}
+		s.address("address", t.Address)
+		s.unique("name", t.Name, names)
+		if t.Target == "" {
+			s.fail("%starget: missing", s.prefix)
+		}
+		shards[t.Shard] = true
+		c.Storage = append(c.Storage, t)
+	})
+	targets := map[string]bool{}
+	r.each("targets", func(s *reader) {
+		t := Target{Name: s.text("name", "")}
+		s.unique("name", t.Name, targets)
+		luns := map[string]bool{}
+		s.each("luns", func(u *reader) {
+			x := u.unit(set, c.MaxTransfer)
+			u.unique("lun", fmt.Sprint(x.LUN), luns)
+			if !shards[x.Shard] {
+				u.fail("%sgroup: no storage target holds group %d", u.prefix, x.Shard)
+			}
+			t.Units = append(t.Units, x)
+		})
+		c.Targets = append(c.Targets, t)
+	})
+	return c, r.err
+}
+
+func (r *reader) unit(set choice.Settings, most uint32) Unit {
+	u := Unit{LUN: uint16(r.whole("lun", -1, 0, 16383)), StorageLUN: uint16(r.whole("storage_lun", 0, 0, 16383)),
+		Shard: int(r.whole("group", -1, 0, 1e6)), Hosts: int(r.whole("hosts", float64(set.Hosts), 1, 1e6)),
+		Volume: r.text("volume", ""), Plan: r.text("plan", ""), BlockSize: uint32(r.whole("block_size", 512, 512, 4096)),
+		MaxTransfer: most, Blocks: uint64(r.whole("blocks", -1, 1, 1e12)), UnitBytes: r.num("unit_bytes", 8192, 512),
+		ReadOnly: r.flag("read_only")}
+	if len(u.Volume) != 16 {
+		r.fail("%svolume: %q is not 16 hex digits", r.prefix, u.Volume)
+	}
+	known := false
+	for _, p := range set.Plans {
+		known = known || p.Name == u.Plan
+	}
+	if !known {
+		r.fail("%splan: the settings have no plan %q", r.prefix, u.Plan)
+	}
+	covered := map[bool]bool{}
+	r.each("rules", func(s *reader) {
+		rule := Rule{Write: word(s, "command", "", map[string]bool{"read": false, "write": true}),
+			UpTo: s.num("up_to", math.MaxInt32, 1), Class: s.text("class", "")}
+		fallback := 0.0
+		for _, c := range set.Classes {
+			if c.Name == rule.Class {
+				fallback = c.Deadline
+			}
+		}
+		if fallback == 0 {
+			s.fail("%sclass: the settings have no class %q", s.prefix, rule.Class)
+		}
+		rule.Deadline = s.num("deadline_ms", fallback, 50)
+		covered[rule.Write] = covered[rule.Write] || rule.UpTo >= float64(most)
+		u.Rules = append(u.Rules, rule)
+	})
+	if !covered[false] || !covered[true] && !u.ReadOnly {
+		r.fail("%srules: reads and writes of up to max_transfer need a rule each", r.prefix)
+	}
+	return u
+}
+
+func (r *reader) whole(key string, fallback, least, most float64) float64 {
+	v := r.num(key, fallback, least)
+	if v != math.Trunc(v) || v < least || v > most {
+		r.fail("%s%s: missing, or not a whole number from %v to %v", r.prefix, key, least, most)
+	}
+	return v
+}
+
+func (r *reader) address(key, value string) {
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		r.fail("%s%s: %q is not host:port", r.prefix, key, value)
+	}
+}
+
+func (r *reader) unique(key, value string, seen map[string]bool) {
+	if value == "" || seen[value] {
+		r.fail("%s%s: %q is empty or twice there", r.prefix, key, value)
+	}
+	seen[value] = true
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,254 @@
+package core
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"wheatsaddle/choice"
+)
+
+func settings() choice.Settings {
+	return choice.Settings{Hosts: 1, MeanUnits: 2, MostUnits: 6, MaxAttempts: 4, MayCancel: true, HoldOff: true, MaxHoldOff: 1000,
+		DrainGrace: 250, ColdUnits: 100, TipSpan: 3000, TipMultiple: 3, ColdFrom: 0.25, ColdSpan: 17000,
+		Classes: []choice.Class{
+			{Name: "read", Aim: 60e3, Deadline: 120e3, Worth: 3},
+			{Name: "record", Aim: 60e3, Deadline: 120e3, Worth: 2, Effect: choice.Keyed, Group: choice.GroupShard, Memory: 2500}},
+		Plans: []choice.Plan{{Name: "basic", Rate: 100, Reserve: 100, Weight: 1, Price: 1}}}
+}
+
+// fake is a peer that hands its attempts to the test.
+type fake struct {
+	mu      sync.Mutex
+	sent    chan *Attempt
+	cancels chan *Attempt
+	full    bool
+	drained bool
+	closed  bool
+}
+
+func (f *fake) Send(a *Attempt) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.full {
+		f.sent <- a
+	}
+	return !f.full
+}
+func (f *fake) Cancel(a *Attempt)                      { f.cancels <- a }
+func (f *fake) Probe(func(Result, time.Duration)) bool { return false }
+func (f *fake) Drain(on bool)                          { f.mu.Lock(); f.drained = on; f.mu.Unlock() }
+func (f *fake) Close()                                 { f.mu.Lock(); f.closed = true; f.mu.Unlock() }
+
+type rig struct {
+	*Core
+	t     *testing.T
+	peers sync.Map
+}
+
+func start(t *testing.T, set choice.Settings) *rig {
+	t.Helper()
+	r := &rig{t: t}
+	var log *logrus.Logger
+	log, _ = logtest.NewNullLogger()
+	c, err := New(Options{Settings: set, Seed: 7, Log: log, Connect: func(name, _ string) Peer {
+		f := &fake{sent: make(chan *Attempt, 64), cancels: make(chan *Attempt, 64)}
+		r.peers.Store(name, f)
+		return f
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Core = c
+	t.Cleanup(c.Stop)
+	return r
+}
+
+func (r *rig) list(kind choice.EventKind, nodes ...Node) {
+	r.List(News{Kind: kind, Nodes: nodes})
+	r.Open() // has been taken
+}
+
+func (r *rig) peer(name string) *fake {
+	f, ok := r.peers.Load(name)
+	if !ok {
+		r.t.Fatalf("no peer %s", name)
+	}
+	return f.(*fake)
+}
+
+func node(name string, shard int, state choice.NodeState) Node {
+	return Node{Node: choice.Node{ID: name, Shard: shard, State: state, Weight: 1}, Address: "127.0.0.1:1"}
+}
+
+// ask submits a request and returns the channel of all its answers.
+func (r *rig) ask(id, class string, patience time.Duration) (*Request, chan Answer) {
+	got := make(chan Answer, 8)
+	q := &Request{Request: choice.Request{ID: id, Class: class, Plan: "basic", Key: "k" + id, Volume: "v", Units: 1, Hosts: 1},
+		Arrived: time.Now(), Patience: patience, Answer: func(a Answer) { got <- a }}
+	r.Submit(q)
+	return q, got
+}
+
+func one(t *testing.T, got chan Answer, want Kind) Answer {
+	t.Helper()
+	a := <-got
+	if a.Kind != want {
+		t.Errorf("answer %+v, want kind %d", a, want)
+	}
+	return a
+}
+
+func none(t *testing.T, r *rig, got chan Answer) {
+	t.Helper()
+	r.Open()
+	if len(got) > 0 {
+		t.Errorf("a second answer: %+v", <-got)
+	}
+}
+
+func TestServedOnce(t *testing.T) {
+	r := start(t, settings())
+	r.list(choice.ListStale, node("n", 0, choice.NodeUp))
+	_, got := r.ask("a", "read", time.Minute)
+	a := <-r.peer("n").sent
+	a.Done(Result{Status: choice.OK, Payload: "body"})
+	a.Done(Result{Status: choice.Reset}) // guards against a peer that reports twice
+	if x := one(t, got, Served); x.Payload != "body" {
+		t.Errorf("payload %v", x.Payload)
+	}
+	none(t, r, got)
+	if n := r.Open(); n != 0 {
+		t.Errorf("%d open", n)
+	}
+}
+
+// A write that may have run is not sent again once its group's memory could have ended, and
+// never to another shard; it ends as failed, not as refused, as a refusal invites a repeat.
+func TestKeyedResetStaysInItsGroup(t *testing.T) {
+	r := start(t, settings())
+	r.list(choice.ListStale, node("n", 0, choice.NodeUp), node("m", 1, choice.NodeUp))
+	_, got := r.ask("a", "record", time.Minute)
+	first := <-r.peer("n").sent
+	first.Done(Result{Status: choice.Reset})
+	again := <-r.peer("n").sent
+	again.Done(Result{Status: choice.Reset})
+	third := <-r.peer("n").sent
+	third.Done(Result{Status: choice.Reset})
+	(<-r.peer("n").sent).Done(Result{Status: choice.Reset})
+	one(t, got, Failed)
+	none(t, r, got)
+	if len(r.peer("m").sent) > 0 {
+		t.Error("sent to another shard")
+	}
+}
+
+func TestDepartedCancels(t *testing.T) {
+	r := start(t, settings())
+	r.list(choice.ListStale, node("n", 0, choice.NodeUp))
+	q, got := r.ask("a", "read", time.Minute)
+	a := <-r.peer("n").sent
+	r.Depart(q)
+	if b := <-r.peer("n").cancels; b != a {
+		t.Error("another attempt was cancelled")
+	}
+	a.Done(Result{Status: choice.Cancelled})
+	none(t, r, got)
+}
+
+// An id that is open, or a class or plan that no setting names, gets a plain failure.
+func TestBadRequests(t *testing.T) {
+	r := start(t, settings())
+	r.list(choice.ListStale, node("n", 0, choice.NodeUp))
+	_, first := r.ask("a", "read", time.Minute)
+	_, got := r.ask("a", "read", time.Minute)
+	if x := one(t, got, Failed); x.Cause != CauseTwice {
+		t.Errorf("cause %q", x.Cause)
+	}
+	_, got = r.ask("b", "other", time.Minute)
+	if x := one(t, got, Failed); x.Cause != CauseUnknown {
+		t.Errorf("cause %q", x.Cause)
+	}
+	(<-r.peer("n").sent).Done(Result{Status: choice.OK})
+	one(t, first, Served)
+}
+
+// The guard behind the module: a request that it has forgotten gets its answer all the same.
+func TestGuardAnswers(t *testing.T) {
+	r := start(t, settings())
+	got := make(chan Answer, 2)
+	r.post(message{call: func() {
+		q := &Request{Request: choice.Request{ID: "lost"}, Answer: func(a Answer) { got <- a }}
+		e := &entry{req: q}
+		r.reqs["lost"] = e
+		r.timers.Push(due{at: 0, guard: e})
+	}})
+	if a := one(t, got, Failed); a.Cause != CauseLate {
+		t.Errorf("cause %q", a.Cause)
+	}
+	if r.Open() != 0 {
+		t.Error("still open")
+	}
+}
+
+// A full mailbox proves that an attempt never ran; the module hears of it and goes on.
+func TestFullMailbox(t *testing.T) {
+	r := start(t, settings())
+	r.list(choice.ListStale, node("n", 0, choice.NodeUp))
+	f := r.peer("n")
+	f.mu.Lock()
+	f.full = true
+	f.mu.Unlock()
+	_, got := r.ask("a", "record", time.Minute)
+	r.Open()
+	f.mu.Lock()
+	f.full = false
+	f.mu.Unlock()
+	(<-f.sent).Done(Result{Status: choice.OK})
+	one(t, got, Served)
+}
+
+// A removal may show only as a missing entry of a snapshot, and binds the peer at once.
+func TestMissingEntryDrains(t *testing.T) {
+	r := start(t, settings())
+	r.list(choice.ListStale, node("n", 0, choice.NodeUp), node("m", 1, choice.NodeUp))
+	r.list(choice.ListChange, node("m", 1, choice.NodeDraining))
+	if !r.peer("m").drained || r.peer("n").drained || r.peer("m").closed {
+		t.Error("a change drained the wrong peer")
+	}
+	r.list(choice.ListFull, node("m", 1, choice.NodeUp))
+	if !r.peer("n").drained || !r.peer("n").closed || r.peer("m").drained {
+		t.Error("a missing entry did not drain its peer")
+	}
+}
+
+// A panic in the module fails what is open, and a new module takes over with the list.
+func TestPanicIsSurvived(t *testing.T) {
+	r := start(t, settings())
+	r.list(choice.ListStale, node("n", 0, choice.NodeUp))
+	_, got := r.ask("a", "read", time.Minute)
+	<-r.peer("n").sent
+	r.post(message{call: func() {
+		r.mod = nil
+		r.events = append(r.events, choice.Event{Kind: choice.Timer, Tag: "tick"})
+	}})
+	one(t, got, Failed)
+	_, got = r.ask("b", "read", time.Minute)
+	(<-r.peer("n").sent).Done(Result{Status: choice.OK})
+	one(t, got, Served)
+}
+
+func TestStopFailsWhatIsOpen(t *testing.T) {
+	c, err := New(Options{Settings: settings(), Log: logrus.New(), Connect: func(string, string) Peer { return nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{Core: c, t: t}
+	_, got := r.ask("a", "read", time.Minute)
+	r.Open()
+	c.Stop()
+	one(t, got, Failed)
+}
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -8,13 +8,13 @@
 	"os"
 	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/sock"
 )
 
 const (
@@ -158,7 +158,7 @@
 func (n *node) conn() *conn {
 	for len(n.idle) > 0 {
 		c := n.idle[len(n.idle)-1]
-		if c.stands() {
+		if sock.Quiet(c.nc) { // neither closed nor written to by the node
 			n.idle = n.idle[:len(n.idle)-1]
 			return c
 		}
@@ -213,21 +213,6 @@
 // cancel gives the attempt up: its connection is closed and never used again.
 func (c *conn) cancel() { c.stop() }
 
-// stands says whether an idle connection was neither closed nor written to by the node.
-func (c *conn) stands() bool {
-	raw, err := c.nc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
-}
-
 func (c *conn) run() {
 	defer func() {
 		if c.nc != nil {
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -5,8 +5,6 @@
 	"errors"
 	"net"
 	"strconv"
-	"sync"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,6 +12,7 @@
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/sock"
 )
 
 const (
@@ -21,7 +20,6 @@
 	headMost    = 16 << 10
 	idleTimeout = 90 * time.Second
 	readTimeout = 20 * time.Second
-	acceptPause = 5 * time.Millisecond
 	retryLeast  = 10 * time.Millisecond // a refusal always says when to come back
 )
 
@@ -71,7 +69,7 @@
 
 // Serve runs until Shutdown.
 func (s *Server) Serve(ln net.Listener, conns int) error {
-	return s.http.Serve(&listener{Listener: ln, most: conns, open: map[*clientConn]bool{}})
+	return s.http.Serve(sock.Limit(ln, conns))
 }
 
 // Shutdown stops accepting, closes connections between requests and waits for the answers.
@@ -95,16 +93,16 @@
 	r.Arrived = time.Now()
 	got := make(chan core.Answer, 1)
 	r.Answer = func(a core.Answer) { got <- a }
-	cc, _ := ctx.Conn().(*clientConn)
-	left := cc.watch()
+	conn := ctx.Conn().(*sock.Conn) // Serve wraps its listener
+	left := conn.Watch()
 	s.Core.Submit(r)
 	select {
 	case a := <-got:
-		cc.unwatch()
+		conn.Unwatch()
 		write(ctx, a)
 	case <-left:
 		s.Core.Depart(r)
-		cc.unwatch()
+		conn.Unwatch()
 		ctx.SetConnectionClose()
 		ctx.SetStatusCode(499) // nobody reads it
 	}
@@ -133,104 +131,3 @@
 		ctx.SetBodyString(a.Cause)
 	}
 }
-
-// listener survives a lack of descriptors and caps the open connections. At the cap it
-// leaves newcomers in the backlog until one is closed.
-type listener struct {
-	net.Listener
-	most int
-	mu   sync.Mutex
-	open map[*clientConn]bool
-}
-
-func (l *listener) full() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.open) >= l.most
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		for l.full() {
-			time.Sleep(acceptPause)
-		}
-		nc, err := l.Listener.Accept()
-		if err == nil {
-			c := &clientConn{TCPConn: nc.(*net.TCPConn), from: l}
-			l.mu.Lock()
-			l.open[c] = true
-			l.mu.Unlock()
-			return c, nil
-		}
-		// The server takes most errors as its end; a lack of descriptors passes.
-		for _, passing := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM} {
-			if errors.Is(err, passing) {
-				err = nil
-			}
-		}
-		if err != nil {
-			return nil, err
-		}
-		time.Sleep(acceptPause)
-	}
-}
-
-// clientConn is a client's connection; while a request is at work it is watched for the
-// client's going, which the server itself would see only when it writes.
-type clientConn struct {
-	*net.TCPConn
-	from  *listener
-	ended chan struct{}
-}
-
-// Close implements net.Conn.
-func (c *clientConn) Close() error {
-	c.from.mu.Lock()
-	delete(c.from.open, c)
-	c.from.mu.Unlock()
-	return c.TCPConn.Close()
-}
-
-// watch returns a channel that closes when the client has gone. It takes no bytes: what a
-// client sends ahead stays for the server. The server does not read meanwhile.
-func (c *clientConn) watch() <-chan struct{} {
-	if c == nil {
-		return nil
-	}
-	left := make(chan struct{})
-	ended := make(chan struct{})
-	c.ended = ended
-	go func() {
-		defer close(ended)
-		raw, err := c.SyscallConn()
-		if err != nil {
-			return
-		}
-		gone := false
-		err = raw.Read(func(fd uintptr) bool {
-			var b [1]byte
-			n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
-				return false
-			}
-			gone = err != nil || n == 0
-			return true
-		})
-		if err == nil && gone {
-			close(left)
-		}
-	}()
-	return left
-}
-
-// unwatch ends the watch before the server uses the connection again.
-func (c *clientConn) unwatch() {
-	if c == nil || c.ended == nil {
-		return
-	}
-	_ = c.SetReadDeadline(time.Unix(1, 0))
-	<-c.ended
-	c.ended = nil
-	_ = c.SetReadDeadline(time.Time{})
-}
