--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,10 +68,15 @@
 	Node  string
 	Until time.Time
 	at    float64
-	core  *Core
 	entry *entry
 	once  sync.Once
 	peer  Peer
+	done  func(Result)
+}
+
+// NewAttempt makes an attempt whose one result goes to done.
+func NewAttempt(r *Request, until time.Time, done func(Result)) *Attempt {
+	return &Attempt{Req: r, Until: until, done: done}
 }
 
 // Result is how an attempt ended.
@@ -85,7 +90,7 @@
 // Done reports an attempt's end; only the first report counts. It may wait for the module's
 // mailbox, so it is for the peers' own goroutines.
 func (a *Attempt) Done(r Result) {
-	a.once.Do(func() { a.core.post(message{attempt: a, result: r}) })
+	a.once.Do(func() { a.done(r) })
 }
 
 // Peer is one storage node as a front reaches it. None of its methods blocks.
@@ -481,7 +486,9 @@
 	if a.Until > 0 && a.Until < until {
 		until = a.Until
 	}
-	t := &Attempt{Req: e.req, No: len(e.attempts), Node: a.Node, Until: c.wall(until), at: now, core: c, entry: e}
+	t := NewAttempt(e.req, c.wall(until), nil)
+	t.No, t.Node, t.at, t.entry = len(e.attempts), a.Node, now, e
+	t.done = func(r Result) { c.post(message{attempt: t, result: r}) }
 	e.attempts = append(e.attempts, t)
 	e.open++
 	p, ok := c.peers[a.Node]
--- /dev/null
+++ b/internal/httpfront/httpfront_test.go
@@ -0,0 +1,458 @@
+package httpfront
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for k, v := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
+		if err := flag.Set(k, v); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const good = "PUT /new-record/x?y=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\nTier: basic\r\n" +
+	"Cookie: extent=7f3a9c21e0b4d655\r\nX-Deadline-Ms: 60000\r\nIdempotency-Key: k1\r\nContent-Length: 5\r\n" +
+	"IO-Info: volume=00000003b4d60021,units=2,shard=0,hosts=3\r\n\r\nhello"
+
+// standin is a storage node: each whole request goes to its script, which answers or cuts.
+type standin struct {
+	ln       net.Listener
+	requests atomic.Int64
+	conns    atomic.Int64
+	last     atomic.Pointer[fasthttp.Request]
+	ended    chan bool // a connection was closed by the script
+}
+
+type script func(nc net.Conn) (goOn bool)
+
+func newStandin(t *testing.T, do script) *standin {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	s := &standin{ln: ln, ended: make(chan bool, 64)}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go func() {
+				defer nc.Close()
+				br := bufio.NewReader(nc)
+				for {
+					q := &fasthttp.Request{}
+					if q.Read(br) != nil {
+						return
+					}
+					s.last.Store(q)
+					s.requests.Add(1)
+					if !do(nc) {
+						nc.Close()
+						s.ended <- true
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func say(text string) script {
+	return func(nc net.Conn) bool { _, err := io.WriteString(nc, text); return err == nil }
+}
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nVolume-Load: 85\r\nOther-Hosts: 4\r\n\r\nabc"
+
+func dialer() *Dialer {
+	return &Dialer{ConnectTimeout: 5 * time.Second, ConnIdle: time.Minute, ConnsMost: 100}
+}
+
+// attempt makes an attempt and the channel of its results.
+func attempt(t *testing.T, until time.Time) (*core.Attempt, chan core.Result) {
+	t.Helper()
+	var m fasthttp.Request
+	if err := m.Read(bufio.NewReader(strings.NewReader(good))); err != nil {
+		t.Fatal(err)
+	}
+	r, err := decode(&m, func(string) bool { return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan core.Result, 4)
+	return core.NewAttempt(r, until, func(x core.Result) { got <- x }), got
+}
+
+func later() time.Time { return time.Now().Add(time.Minute) }
+
+func try(t *testing.T, p core.Peer) core.Result {
+	t.Helper()
+	a, got := attempt(t, later())
+	if !p.Send(a) {
+		t.Fatal("not sent")
+	}
+	return <-got
+}
+
+func TestNodeOutcomes(t *testing.T) {
+	for name, x := range map[string]struct {
+		do   script
+		want choice.Status
+	}{
+		"served":           {say(fine), choice.OK},
+		"error":            {say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), choice.Errored},
+		"full":             {say("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"), choice.Full},
+		"over":             {say("HTTP/1.1 504 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"), choice.Full},
+		"503 may have run": {say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), choice.Errored},
+		"cut":              {func(net.Conn) bool { return false }, choice.Reset},
+		"cut in answer":    {func(nc net.Conn) bool { io.WriteString(nc, fine[:len(fine)-1]); return false }, choice.Reset},
+		"garbage":          {func(nc net.Conn) bool { io.WriteString(nc, "what?\r\n\r\n"); return false }, choice.Reset},
+		"too long":         {say("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000)), choice.Reset},
+	} {
+		n := newStandin(t, x.do)
+		p := dialer().Connect("n", n.ln.Addr().String())
+		r := try(t, p)
+		if r.Status != x.want || n.requests.Load() != 1 {
+			t.Errorf("%s: status %d, want %d; %d requests came", name, r.Status, x.want, n.requests.Load())
+		}
+		if r.Status == choice.OK && (r.Used != 86 || r.Others != 4 || string(r.Payload.(*reply).body) != "abc") {
+			t.Errorf("%s: %+v", name, r)
+		}
+		p.Close()
+	}
+}
+
+// A connection is used again, and one that the node closed meanwhile is not: the attempt
+// must not end as a reset for it.
+func TestStaleConnection(t *testing.T) {
+	closeAfter := make(chan bool, 3)
+	n := newStandin(t, func(nc net.Conn) bool { io.WriteString(nc, fine); return <-closeAfter })
+	p := dialer().Connect("n", n.ln.Addr().String())
+	closeAfter <- true
+	try(t, p)
+	closeAfter <- false
+	try(t, p)
+	if c := n.conns.Load(); c != 1 {
+		t.Errorf("%d connections for two attempts in turn", c)
+	}
+	<-n.ended // the node has closed it
+	closeAfter <- true
+	if r := try(t, p); r.Status != choice.OK {
+		t.Errorf("status %d", r.Status)
+	}
+}
+
+func TestRefusedConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	if r := try(t, dialer().Connect("n", ln.Addr().String())); r.Status != choice.NoConn {
+		t.Errorf("status %d", r.Status)
+	}
+}
+
+// What waits in a mailbox when its node drains is not written.
+func TestDrainBindsMailbox(t *testing.T) {
+	n := newStandin(t, say(fine))
+	p := dialer().Connect("n", n.ln.Addr().String())
+	p.Drain(true)
+	if r := try(t, p); r.Status != choice.NoConn || n.requests.Load() != 0 {
+		t.Errorf("status %d, %d came", r.Status, n.requests.Load())
+	}
+	p.Drain(false)
+	if r := try(t, p); r.Status != choice.OK {
+		t.Errorf("status %d", r.Status)
+	}
+}
+
+// A cancelled or timed-out attempt closes its connection: nothing may come over it later.
+func TestGivenUpConnectionsClose(t *testing.T) {
+	came, closed := make(chan bool, 4), make(chan bool, 4)
+	n := newStandin(t, func(nc net.Conn) bool {
+		came <- true
+		var b [1]byte
+		_, err := nc.Read(b[:])
+		closed <- err != nil
+		return false
+	})
+	p := dialer().Connect("n", n.ln.Addr().String())
+	a, got := attempt(t, later())
+	p.Send(a)
+	<-came
+	p.Cancel(a)
+	if r := <-got; r.Status != choice.Cancelled || !<-closed {
+		t.Errorf("cancelled: %+v", r)
+	}
+	a, got = attempt(t, time.Now().Add(200*time.Millisecond))
+	p.Send(a)
+	if r := <-got; r.Status != choice.TimedOut && r.Status != choice.NoConn {
+		t.Errorf("timed out: %+v", r)
+	}
+	a, got = attempt(t, time.Now().Add(-time.Second))
+	p.Send(a)
+	if r := <-got; r.Status != choice.Moot {
+		t.Errorf("too late: %+v", r)
+	}
+}
+
+// With the descriptors used up an attempt ends as one that never ran, and nothing breaks.
+func TestConnectionBudget(t *testing.T) {
+	hold := make(chan bool)
+	n := newStandin(t, func(nc net.Conn) bool { <-hold; io.WriteString(nc, fine); return true })
+	d := dialer()
+	d.ConnsMost = 1
+	p := d.Connect("n", n.ln.Addr().String())
+	a, got := attempt(t, later())
+	p.Send(a)
+	if r := try(t, p); r.Status != choice.NoConn {
+		t.Errorf("status %d", r.Status)
+	}
+	close(hold)
+	if r := <-got; r.Status != choice.OK {
+		t.Errorf("status %d", r.Status)
+	}
+}
+
+// front is a server, its core and one node.
+type front struct {
+	*standin
+	srv     *Server
+	address string
+	served  chan error
+}
+
+func newFront(t *testing.T, do script) *front {
+	n := newStandin(t, do)
+	set := choice.Settings{Hosts: 1, MeanUnits: 2, MostUnits: 6, MaxAttempts: 1, MayCancel: true, HoldOff: true, MaxHoldOff: 1000,
+		Classes: []choice.Class{{Name: "balance-read", Aim: 30e3, Deadline: 60e3, Worth: 3},
+			{Name: "new-record", Aim: 30e3, Deadline: 60e3, Worth: 2, Effect: choice.Keyed, Group: choice.GroupShard, Memory: 2500}},
+		Plans: []choice.Plan{{Name: "basic", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}}}
+	var log *logrus.Logger
+	log, _ = logtest.NewNullLogger()
+	c, err := core.New(core.Options{Settings: set, Seed: 1, Connect: dialer().Connect, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Stop)
+	c.List(core.News{Kind: choice.ListStale, Nodes: []core.Node{{Node: choice.Node{ID: "n", Weight: 1}, Address: n.ln.Addr().String()}}})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	f := &front{standin: n, srv: NewServer(c, set, 50, log), address: ln.Addr().String(), served: make(chan error, 1)}
+	go func() { f.served <- f.srv.Serve(ln, 50) }()
+	return f
+}
+
+// send writes raw bytes on a new connection and reads one response.
+func (f *front) send(t *testing.T, text string) *fasthttp.Response {
+	t.Helper()
+	nc, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	io.WriteString(nc, text)
+	r := &fasthttp.Response{}
+	if err := r.Read(bufio.NewReader(nc)); err != nil {
+		t.Fatalf("%.80q: %v", text, err)
+	}
+	return r
+}
+
+func TestWholePath(t *testing.T) {
+	f := newFront(t, say(fine))
+	if r := f.send(t, good); r.StatusCode() != 200 || string(r.Body()) != "abc" {
+		t.Errorf("%d %q", r.StatusCode(), r.Body())
+	}
+	q := f.last.Load()
+	for name, want := range map[string]string{"X-Request-Id": "9b1f03aa5c7e2d41", "Idempotency-Key": "k1"} {
+		if v := string(q.Header.Peek(name)); v != want {
+			t.Errorf("%s: %q", name, v)
+		}
+	}
+	if string(q.Header.Method()) != "PUT" || string(q.Header.RequestURI()) != "/new-record/x?y=1" || string(q.Body()) != "hello" {
+		t.Errorf("passed on as %s", q)
+	}
+	if r := f.send(t, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"); r.StatusCode() != 200 {
+		t.Errorf("ready: %d", r.StatusCode())
+	}
+}
+
+// Bad input never reaches a node and never ends the program.
+func TestBadInput(t *testing.T) {
+	f := newFront(t, say(fine))
+	edit := func(old, new string) string { return strings.Replace(good, old, new, 1) }
+	for _, x := range []struct {
+		text string
+		code int
+	}{
+		{edit("X-Request-Id: 9b1f03aa5c7e2d41\r\n", ""), 400},
+		{edit("9b1f03aa5c7e2d41", strings.Repeat("9", 200)), 400},
+		{edit("Tier: basic\r\n", ""), 400},
+		{edit("extent=7f3a9c21e0b4d655", "extent=7f3a"), 400},
+		{edit("60000", "soon"), 400}, {edit("60000", "-5"), 400}, {edit("60000", "99999999999"), 400},
+		{edit("units=2,", ""), 400}, {edit("units=2", "units=NaN"), 400}, {edit("units=2", "units=0"), 400},
+		{edit("shard=0", "shard=-2"), 400}, {edit("hosts=3", "hosts=0"), 400}, {edit("hosts=3", "hosts=3,hosts=4"), 400},
+		{edit("volume=00000003b4d60021", "volume=xx"), 400},
+		{edit("Idempotency-Key: k1\r\n", ""), 400},
+		{edit("PUT", "DELETE"), 405},
+		{edit("/new-record", "/other"), 404}, {edit("Tier: basic", "Tier: none"), 404},
+		{edit("PUT ", "GET "), 400},
+		{edit("Content-Length: 5", "Content-Length: 70000") + strings.Repeat("x", 69995), 413},
+		{"nonsense\r\n\r\n", 400},
+	} {
+		if r := f.send(t, x.text); r.StatusCode() != x.code {
+			t.Errorf("%.60q...: %d %q, want %d", x.text, r.StatusCode(), r.Body(), x.code)
+		}
+	}
+	if n := f.requests.Load(); n != 0 {
+		t.Errorf("%d reached the node", n)
+	}
+}
+
+// A refusal is a 503 that says when to come back; a failure is neither 429 nor 503.
+func TestRefuseAndFail(t *testing.T) {
+	f := newFront(t, say("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+	r := f.send(t, good)
+	if wait := string(r.Header.Peek("Retry-After")); r.StatusCode() != 503 || !strings.Contains(wait, ".") {
+		t.Errorf("%d, Retry-After %q", r.StatusCode(), wait)
+	}
+	f = newFront(t, func(net.Conn) bool { return false })
+	if r := f.send(t, good); r.StatusCode() != 502 {
+		t.Errorf("a write in doubt: %d", r.StatusCode())
+	}
+}
+
+// The client's going is seen while the node still works, and the attempt is called off.
+func TestClientGone(t *testing.T) {
+	came, closed := make(chan bool, 1), make(chan bool, 1)
+	f := newFront(t, func(nc net.Conn) bool {
+		came <- true
+		_, err := nc.Read(make([]byte, 1))
+		closed <- err != nil
+		return false
+	})
+	nc, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(nc, good)
+	<-came
+	nc.Close()
+	if !<-closed {
+		t.Error("the attempt goes on")
+	}
+}
+
+// A request sent ahead of an answer is served after it, the watch having taken none of it.
+func TestSentAhead(t *testing.T) {
+	f := newFront(t, say(fine))
+	nc, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	for i := range 20 {
+		io.WriteString(nc, strings.Replace(good, "9b1f", fmt.Sprintf("%04d", i), 1))
+	}
+	br := bufio.NewReader(nc)
+	for i := range 20 {
+		r := &fasthttp.Response{}
+		if err := r.Read(br); err != nil || r.StatusCode() != 200 {
+			t.Fatalf("%d: %v %d", i, err, r.StatusCode())
+		}
+	}
+}
+
+// Shutdown answers what was taken before it returns.
+func TestShutdownAnswers(t *testing.T) {
+	came, hold := make(chan bool, 1), make(chan bool)
+	f := newFront(t, func(nc net.Conn) bool { came <- true; <-hold; return say(fine)(nc) })
+	nc, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	io.WriteString(nc, good)
+	<-came
+	down := make(chan error, 1)
+	go func() { down <- f.srv.Shutdown(context.Background()) }()
+	<-f.served // it accepts no more
+	close(hold)
+	r := &fasthttp.Response{}
+	if err := r.Read(bufio.NewReader(nc)); err != nil || string(r.Body()) != "abc" {
+		t.Errorf("%v %q", err, r.Body())
+	}
+	if err := <-down; err != nil {
+		t.Error(err)
+	}
+}
+
+// A cut message is never taken for a whole one, and garbage never panics.
+func TestParsers(t *testing.T) {
+	whole := &call{}
+	rapid.Check(t, func(rt *rapid.T) {
+		var m fasthttp.Request
+		cut := rapid.IntRange(0, len(good)-1).Draw(rt, "cut")
+		if err := m.Read(bufio.NewReader(strings.NewReader(good[:cut]))); err == nil {
+			rt.Fatalf("cut at %d passed", cut)
+		}
+		noise := rapid.SliceOfN(rapid.Byte(), 0, 80).Draw(rt, "noise")
+		at := rapid.IntRange(0, len(good)).Draw(rt, "at")
+		text := append(append([]byte(good[:at]), noise...), good[min(len(good), at+len(noise)):]...)
+		m.Reset()
+		if m.Read(bufio.NewReader(bytes.NewReader(text))) == nil {
+			if r, err := decode(&m, func(string) bool { return true }); err == nil {
+				whole = r.Payload.(*call)
+				if !(r.Units > 0) || r.Hosts < 1 || r.Shard < -1 || r.Patience <= 0 || !hex16([]byte(r.Volume)) {
+					rt.Fatalf("taken: %+v", r.Request)
+				}
+				var back fasthttp.Request
+				if err := back.Read(bufio.NewReader(bytes.NewReader(whole.encode(nil, "h", time.Second)))); err != nil ||
+					!bytes.Equal(back.Body(), m.Body()) || !bytes.Equal(back.Header.RequestURI(), m.Header.RequestURI()) {
+					rt.Fatalf("encoded as another message: %v", err)
+				}
+			}
+		}
+		_ = decodeInfo(string(noise), &choice.Request{})
+		if l := decodeLoad(string(noise)); l != nil && (l.Util < -1 || l.Queue < -1 || l.Inflight < -1) {
+			rt.Fatalf("load %+v", l)
+		}
+		if v := figure(noise); !(v >= 0 && v <= 1e12) {
+			rt.Fatalf("figure %v", v)
+		}
+	})
+	if l := decodeLoad("inflight=7,queue=2,util=0.61"); l == nil || l.Inflight != 7 || l.Queue != 2 || l.Util != 0.61 {
+		t.Errorf("load %+v", l)
+	}
+}
--- /dev/null
+++ b/internal/iscsi/standin_test.go
@@ -0,0 +1,485 @@
+package iscsi
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/core"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for k, v := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
+		if err := flag.Set(k, v); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// The stages of a command at which the stand-in can cut its connection.
+const (
+	cutLogin    = "login"    // before the session stands
+	cutCommand  = "command"  // the command has come, its data has not
+	cutData     = "data"     // some of its data has come
+	cutExecuted = "executed" // it has run, its response has not gone out
+)
+
+// standin is a storage target that counts what comes and what is executed.
+type standin struct {
+	t        *testing.T
+	ln       net.Listener
+	answer   []pair // to the login
+	drops    bool   // repeats of a write by their key
+	mu       sync.Mutex
+	cut      string
+	cuts     int // connections still to be cut
+	status   byte
+	sense    []byte
+	hold     chan struct{} // a command waits here before its response
+	held     chan struct{} // tells that one does
+	disk     map[uint64][]byte
+	came     int // command PDUs
+	ran      int // executions
+	keys     map[string]bool
+	aborts   int
+	logouts  chan struct{}
+	pongs    chan struct{}
+	conn     net.Conn
+	statSN   uint32
+	expCmdSN uint32
+}
+
+func newStandin(t *testing.T) *standin {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &standin{t: t, ln: ln, disk: map[uint64][]byte{}, keys: map[string]bool{}, held: make(chan struct{}, 64),
+		logouts: make(chan struct{}, 64), pongs: make(chan struct{}, 64),
+		answer: []pair{{"InitialR2T", "Yes"}, {"ImmediateData", "No"}, {"MaxBurstLength", "16384"},
+			{"FirstBurstLength", "8192"}, {"MaxRecvDataSegmentLength", "4096"}}}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(nc)
+		}
+	}()
+	return s
+}
+
+func (s *standin) counts() (came, ran int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.came, s.ran
+}
+
+// cutting says whether the connection is to be cut at this stage.
+func (s *standin) cutting(stage string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut != stage || s.cuts == 0 {
+		return false
+	}
+	s.cuts--
+	return true
+}
+
+// say sends a PDU with the session's numbers.
+func (s *standin) say(p *pdu, status bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.put32(24, s.statSN)
+	if status {
+		s.statSN++
+	}
+	p.put32(28, s.expCmdSN)
+	p.put32(32, s.expCmdSN+31)
+	s.conn.Write(framing{}.append(nil, p))
+}
+
+// leave asks for logout, and returns once the initiator has heard of it.
+func (s *standin) leave() {
+	a := newPDU(opAsync, noTag)
+	a.bhs[1], a.bhs[36] = flagF, 1
+	s.say(a, true)
+	n := newPDU(opNopIn, noTag)
+	n.bhs[1] = flagF
+	n.put32(20, 7)
+	s.say(n, false)
+	<-s.pongs
+}
+
+func (s *standin) serve(nc net.Conn) {
+	defer nc.Close()
+	br, in := bufio.NewReader(nc), framing{most: 8192}
+	p, err := in.read(br)
+	if err != nil || s.cutting(cutLogin) {
+		return
+	}
+	s.mu.Lock()
+	s.conn, s.statSN, s.expCmdSN = nc, p.u32(28), p.u32(24)
+	s.mu.Unlock()
+	r := newPDU(opLoginResp, p.tag())
+	r.bhs[1], r.bhs[15], r.data = p.bhs[1], 1, encodeText(s.answer)
+	s.say(r, true)
+	in.most = 4096
+	for {
+		if p, err = in.read(br); err != nil {
+			return
+		}
+		if !p.immediate() && p.op() != opDataOut {
+			s.mu.Lock()
+			s.expCmdSN++
+			s.mu.Unlock()
+		}
+		switch p.op() {
+		case opSCSICommand:
+			if !s.command(p, br, in) {
+				return
+			}
+		case opNopOut:
+			if p.tag() == noTag {
+				s.pongs <- struct{}{}
+			}
+		case opTaskMgmtReq:
+			s.mu.Lock()
+			s.aborts++
+			s.mu.Unlock()
+			a := newPDU(opTaskMgmtResp, p.tag())
+			a.bhs[1] = flagF
+			s.say(a, true)
+		case opLogoutReq:
+			a := newPDU(opLogoutResp, p.tag())
+			a.bhs[1] = flagF
+			s.say(a, true)
+			s.logouts <- struct{}{}
+			return
+		}
+	}
+}
+
+// command takes one command to its end; false: the connection is to be cut.
+func (s *standin) command(p *pdu, br *bufio.Reader, in framing) bool {
+	s.mu.Lock()
+	s.came++
+	s.mu.Unlock()
+	if s.cutting(cutCommand) {
+		return false
+	}
+	b, _ := decodeBlock(p.bhs[32:48])
+	size := b.blocks * 512
+	var data []byte
+	for at := uint32(0); b.write && at < size; {
+		n := min(size-at, 16384)
+		r := newPDU(opR2T, p.tag())
+		r.bhs[1] = flagF
+		r.put32(20, 99)
+		r.put32(40, at)
+		r.put32(44, n)
+		s.say(r, false)
+		for end := at + n; at < end; {
+			d, err := in.read(br)
+			if err != nil {
+				return false
+			}
+			if d.op() != opDataOut || d.u32(20) != 99 || d.u32(40) != at {
+				s.t.Errorf("stand-in: %v at %d, want Data-Out at %d", d, d.u32(40), at)
+				return false
+			}
+			data, at = append(data, d.data...), at+uint32(len(d.data))
+			if s.cutting(cutData) {
+				return false
+			}
+		}
+	}
+	s.mu.Lock()
+	status, raw, hold := s.status, s.sense, s.hold
+	if key := p.key(); status == statusGood && !(s.drops && key != "" && s.keys[key]) {
+		s.ran++ // an execution
+		s.keys[key] = true
+		for i := uint32(0); b.write && i < b.blocks; i++ {
+			s.disk[b.lba+uint64(i)] = data[i*512 : i*512+512]
+		}
+	}
+	if !b.write && status == statusGood {
+		for i := uint64(0); i < uint64(b.blocks); i++ {
+			block := s.disk[b.lba+i]
+			data = append(data, append(block, make([]byte, 512-len(block))...)...)
+		}
+	}
+	s.mu.Unlock()
+	if s.cutting(cutExecuted) {
+		return false
+	}
+	respond := func() { s.respond(p.tag(), b.write, data, status, raw) }
+	if hold == nil {
+		respond()
+		return true
+	}
+	go func() {
+		s.held <- struct{}{}
+		<-hold
+		respond()
+	}()
+	return true
+}
+
+func (s *standin) respond(tag uint32, write bool, data []byte, status byte, raw []byte) {
+	if !write {
+		for at, sn := 0, uint32(0); at < len(data); sn++ {
+			n := min(len(data)-at, 3000)
+			d := newPDU(opDataIn, tag)
+			d.data = data[at : at+n]
+			d.put32(20, noTag)
+			d.put32(36, sn)
+			d.put32(40, uint32(at))
+			at += n
+			s.say(d, false)
+		}
+	}
+	r := newPDU(opSCSIResponse, tag)
+	r.bhs[1], r.bhs[3] = flagF, status
+	if len(raw) > 0 {
+		r.data = append([]byte{0, byte(len(raw))}, raw...)
+	}
+	s.say(r, true)
+}
+
+// initiator is a client of the target under test.
+type initiator struct {
+	t            *testing.T
+	nc           net.Conn
+	br           *bufio.Reader
+	in, out      framing
+	p            params
+	cmdSN, expSN uint32
+	itt          uint32
+	responses    map[uint32]int
+}
+
+func connect(t *testing.T, address string) *initiator {
+	t.Helper()
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	return &initiator{t: t, nc: nc, br: bufio.NewReader(nc), in: framing{most: 1 << 20}, p: defaults(), cmdSN: 1,
+		itt: 100, responses: map[uint32]int{}}
+}
+
+// login sends one login request and returns the status and the text of its response.
+func (c *initiator) login(stages byte, pairs ...pair) (uint16, []pair) {
+	c.t.Helper()
+	p := newPDU(opLoginReq, 1)
+	p.bhs[0] |= immediate
+	p.bhs[1] = flagF | stages
+	p.put32(24, c.cmdSN)
+	p.data = encodeText(pairs)
+	c.send(p)
+	r := c.read()
+	text, err := decodeText(r.data)
+	if err != nil || r.op() != opLoginResp {
+		c.t.Fatalf("login: %v %v", r, err)
+	}
+	if err := c.p.adopt(text); err != nil {
+		c.t.Fatal(err)
+	}
+	if r.bhs[1]&3 == stageFull {
+		c.out = framing{headerDigest: c.p.headerDigest, dataDigest: c.p.dataDigest}
+		c.in.headerDigest, c.in.dataDigest = c.p.headerDigest, c.p.dataDigest
+	}
+	return be.Uint16(r.bhs[36:]), text
+}
+
+func (c *initiator) send(p *pdu) {
+	c.t.Helper()
+	if _, err := c.nc.Write(c.out.append(nil, p)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *initiator) read() *pdu {
+	c.t.Helper()
+	p, err := c.in.read(c.br)
+	if err != nil {
+		c.t.Fatalf("read: %v", err)
+	}
+	if p.op() == opSCSIResponse {
+		if c.responses[p.tag()]++; c.responses[p.tag()] > 1 {
+			c.t.Errorf("a second response to task 0x%x", p.tag())
+		}
+	}
+	return p
+}
+
+// start sends a command without waiting for its end.
+func (c *initiator) start(cdb []byte, lun uint16, flags byte, expected uint32, data []byte) uint32 {
+	c.t.Helper()
+	c.itt++
+	p := newPDU(opSCSICommand, c.itt)
+	p.bhs[1] = flagF | flags | 1
+	encodeLUN(p.bhs[8:], lun)
+	p.put32(20, expected)
+	p.put32(24, c.cmdSN)
+	c.cmdSN++
+	copy(p.bhs[32:], cdb)
+	p.data = data
+	c.send(p)
+	return c.itt
+}
+
+type ended struct {
+	status    byte
+	key       byte
+	qualifier uint16
+	flags     byte
+	residual  uint32
+	data      []byte
+	bursts    int
+}
+
+// finish follows a command to its response, with data for each R2T.
+func (c *initiator) finish(itt uint32, data []byte) (e ended) {
+	c.t.Helper()
+	for {
+		p := c.read()
+		if p.tag() != itt {
+			c.t.Fatalf("%v while task 0x%x is waited for", p, itt)
+		}
+		switch p.op() {
+		case opDataIn:
+			if int(p.u32(40)) != len(e.data) {
+				c.t.Fatalf("Data-In at %d, want %d", p.u32(40), len(e.data))
+			}
+			e.data = append(e.data, p.data...)
+		case opR2T:
+			e.bursts++
+			c.answerR2T(p, data)
+		case opSCSIResponse:
+			e.status, e.flags, e.residual, e.qualifier = p.bhs[3], p.bhs[1], p.u32(44), be.Uint16(p.bhs[8:])
+			if len(p.data) > 2 {
+				e.key = senseKey(p.data[2:])
+			}
+			return e
+		default:
+			c.t.Fatalf("unexpected %v", p)
+		}
+	}
+}
+
+func (c *initiator) answerR2T(p *pdu, data []byte) {
+	c.t.Helper()
+	at, end, sn := p.u32(40), p.u32(40)+p.u32(44), uint32(0)
+	for ; at < end; sn++ {
+		n := min(end-at, 5000)
+		d := newPDU(opDataOut, p.tag())
+		d.put32(20, p.u32(20))
+		d.put32(36, sn)
+		d.put32(40, at)
+		d.data = data[at : at+n]
+		if at += n; at == end {
+			d.bhs[1] = flagF
+		}
+		c.send(d)
+	}
+}
+
+func (c *initiator) write(lba uint64, data []byte) ended {
+	c.t.Helper()
+	return c.finish(c.startWrite(lba, data), data)
+}
+
+func (c *initiator) startWrite(lba uint64, data []byte) uint32 {
+	c.t.Helper()
+	cdb := block{true, lba, uint32(len(data) / 512)}.cdb()
+	return c.start(cdb[:], 0, 0x20, uint32(len(data)), nil)
+}
+
+func (c *initiator) readBlocks(lba uint64, blocks uint32) ended {
+	c.t.Helper()
+	cdb := block{false, lba, blocks}.cdb()
+	return c.finish(c.start(cdb[:], 0, 0x40, blocks*512, nil), nil)
+}
+
+const targetName = "iqn.2026-12.fj.lautoka:test"
+
+func testSettings(aim float64) choice.Settings {
+	return choice.Settings{Hosts: 1, MeanUnits: 2, MostUnits: 6, MaxAttempts: 4, MayCancel: true, HoldOff: true, MaxHoldOff: 1000,
+		DrainGrace: 250, ColdUnits: 100, TipSpan: 3000, TipMultiple: 3, ColdFrom: 0.25, ColdSpan: 17000,
+		Classes: []choice.Class{
+			{Name: "balance-read", Aim: aim, Deadline: 2 * aim, Worth: 3},
+			{Name: "new-record", Aim: aim, Deadline: 2 * aim, Worth: 2, Effect: choice.Keyed, Group: choice.GroupShard, Memory: 1e6}},
+		Plans: []choice.Plan{{Name: "basic", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}}}
+}
+
+// path is the whole way: initiator, target, core and module, initiator, stand-in.
+type path struct {
+	*standin
+	target  *Target
+	core    *core.Core
+	address string
+}
+
+func newPath(t *testing.T, aim float64, drops bool) *path {
+	t.Helper()
+	s := newStandin(t)
+	s.drops = drops
+	set := testSettings(aim)
+	conf, err := config.ParseISCSI([]byte(fmt.Sprintf(`{"listen":"127.0.0.1:0","drops_repeats":%v,"queue_depth":8,
+		"storage":[{"name":"st","address":%q,"target":"iqn.st","group":0}],
+		"targets":[{"name":%q,"luns":[{"lun":0,"group":0,"volume":"00000000000a0000","plan":"basic","blocks":4096,
+			"rules":[{"command":"read","class":"balance-read"},{"command":"write","class":"new-record"}]},
+			{"lun":3,"group":0,"volume":"00000000000a0003","plan":"basic","blocks":16,"read_only":true,
+			"rules":[{"command":"read","class":"balance-read"}]}]}]}`, drops, s.ln.Addr(), targetName)), set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var log *logrus.Logger
+	log, _ = logtest.NewNullLogger()
+	d := NewDialer(conf, "iqn.me", 5*time.Second, log)
+	set = Settings(set, conf)
+	co, err := core.New(core.Options{Settings: set, Seed: 1, Connect: d.Connect, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(co.Stop)
+	d.Report(co.List)
+	co.List(core.News{Kind: choice.ListStale, Nodes: Nodes(conf)})
+	ln, err := net.Listen("tcp", conf.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	p := &path{standin: s, core: co, target: NewTarget(conf, co, set, log), address: ln.Addr().String()}
+	go p.target.Serve(ln)
+	return p
+}
+
+// initiator logs in to the path's target.
+func (p *path) initiator(t *testing.T, more ...pair) *initiator {
+	t.Helper()
+	c := connect(t, p.address)
+	status, _ := c.login(stageOperational<<2|stageFull, append([]pair{{"InitiatorName", "iqn.client"},
+		{"TargetName", targetName}, {"MaxRecvDataSegmentLength", "4096"}, {"MaxBurstLength", "16384"}}, more...)...)
+	if status != 0 {
+		t.Fatalf("login status 0x%04x", status)
+	}
+	return c
+}
--- a/internal/iscsi/target.go
+++ b/internal/iscsi/target.go
@@ -441,10 +441,10 @@
 	switch {
 	case !b.within(k.unit.Blocks):
 		bad = &senseOutOfRange
-	case size > uint64(k.unit.MaxTransfer) || rule == nil && size > 0:
-		bad = &senseBadField
 	case b.write && k.unit.ReadOnly:
 		bad = &senseProtected
+	case size > uint64(k.unit.MaxTransfer) || rule == nil && size > 0:
+		bad = &senseBadField
 	case b.write && uint64(k.expected) < size, b.write != (p.bhs[1]&0x20 != 0) && size > 0,
 		len(p.data) > 0 && (!b.write || !s.p.immediateData || len(p.data) > int(s.p.firstBurst) || uint64(len(p.data)) > size):
 		bad = &senseDataLength
