--- a/cmd/wheatsaddle/blocks.go
+++ b/cmd/wheatsaddle/blocks.go
@@ -19,9 +19,10 @@
 // blockFront is the iSCSI front with a core of its own: its storage targets are no nodes of
 // the platform, and a new object of the platform must never be placed on one.
 type blockFront struct {
-	file   string
-	core   *core.Core
-	target *iscsi.Target
+	file    string
+	core    *core.Core
+	target  *iscsi.Target
+	sockets int // that it may hold
 }
 
 func startBlocks(file string, conf *config.Config, log logrus.FieldLogger) (*blockFront, error) {
@@ -42,7 +43,7 @@
 		co.Stop()
 		return nil, fmt.Errorf("iscsi: listen: %w", err)
 	}
-	f := &blockFront{file: file, core: co, target: iscsi.NewTarget(ic, co, set, log)}
+	f := &blockFront{file: file, core: co, target: iscsi.NewTarget(ic, co, set, log), sockets: ic.Sessions + 2*len(ic.Storage)}
 	go func() {
 		if err := f.target.Serve(ln); err != nil {
 			log.WithError(err).Error("iscsi front ended")
--- a/cmd/wheatsaddle/main.go
+++ b/cmd/wheatsaddle/main.go
@@ -22,6 +22,7 @@
 				return err
 			}},
 			{Name: "check-config", Usage: "read the configuration and name what is wrong with it", ArgsUsage: "[FILE]", Action: checkConfig, Flags: flags},
+			replayCommand(),
 		},
 	}
 	if err := app.Run(os.Args); err != nil {
--- /dev/null
+++ b/cmd/wheatsaddle/main_test.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// TestMain lets the test program stand in for the real one, so that signals and exit codes
+// are seen from outside.
+func TestMain(m *testing.M) {
+	if os.Getenv("WHEATSADDLE_AS_PROGRAM") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func program(env []string, args ...string) *exec.Cmd {
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append([]string{"WHEATSADDLE_AS_PROGRAM=1"}, env...)
+	return c
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// configure writes a configuration with one known node.
+func configure(t *testing.T, node string) (file, listen string) {
+	t.Helper()
+	listen, file = freeAddress(t), filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":256},
+"known":{"index":1,"snapshot":true,"endpoints":[{"name":"s","address":%q,"group":0,"status":"active","weight":1,"since_ms":0}]},
+"settings":{"fleet-size":1,"ceilings":{"max-attempts":2,"may-cancel":true},"extra":{"usual-units":2,"largest":6},
+"profiles":[{"name":"balance-read","goal-time":30000,"deadline":60000,"repeat":"safe","worth":3}],
+"contracts":[{"name":"basic","reservation":1000,"usual-rate":1000}]}}`, listen, freeAddress(t), node)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file, listen
+}
+
+const read = "GET /balance-read/x HTTP/1.1\r\nHost: o\r\nX-Request-Id: r1\r\nTier: basic\r\nCookie: extent=7f3a9c21e0b4d655\r\n" +
+	"X-Deadline-Ms: 50000\r\nIO-Info: volume=00000003b4d60021,units=2,shard=0,hosts=1\r\n\r\n"
+
+// With discovery down the program serves from the known list; at SIGTERM it answers what it
+// has taken, and exits 0.
+func TestServeAndStop(t *testing.T) {
+	node, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	came, release := make(chan bool, 1), make(chan bool)
+	go func() {
+		nc, err := node.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		var q fasthttp.Request
+		if q.Read(bufio.NewReader(nc)) == nil {
+			came <- true
+			<-release
+			fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}()
+	file, listen := configure(t, node.Addr().String())
+	var log bytes.Buffer
+	c := program([]string{"ROUTER_CONFIG=" + file})
+	c.Stderr = &log
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Process.Kill()
+	var nc net.Conn
+	for nc == nil {
+		if nc, err = net.Dial("tcp", listen); err != nil {
+			time.Sleep(10 * time.Millisecond) // not up yet
+		}
+	}
+	defer nc.Close()
+	fmt.Fprint(nc, read)
+	<-came
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	var r fasthttp.Response
+	if err := r.Read(bufio.NewReader(nc)); err != nil || r.StatusCode() != 200 || string(r.Body()) != "ok" {
+		t.Errorf("%v %d %q", err, r.StatusCode(), r.Body())
+	}
+	if err := c.Wait(); err != nil {
+		t.Errorf("%v\n%s", err, log.String())
+	}
+}
+
+func TestCommands(t *testing.T) {
+	file, _ := configure(t, "127.0.0.1:1")
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(bad, bytes.Replace(text, []byte(`"sockets":256`), []byte(`"sockets":"x"`), 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"version"}, 0, version},
+		{[]string{"check-config", file}, 0, "good: 1 classes, 1 plans, 1 known nodes"},
+		{[]string{"check-config", bad}, 1, "limits.sockets"},
+		{[]string{"check-config"}, 1, "ROUTER_CONFIG"},
+		{[]string{"serve", "--iscsi", bad}, 1, "ROUTER_CONFIG"},
+		{[]string{"check-config", "--iscsi", "../../deploy/iscsi.json", file}, 1, "iscsi.targets.0.luns.0.plan"},
+		{[]string{"replay", "../../internal/replay/testdata/access.log"}, 0, "balance-read"},
+		{[]string{"replay", "--config", file, "../../internal/replay/testdata/access.log"}, 0, "line 8: class \"new-record\" is unknown"},
+		{[]string{"replay", "--out", "-", "--as", "http", "../../internal/replay/testdata/small.har"}, 0, "PUT /new-record/cards/9?v=2 HTTP/1.1"},
+		{[]string{"replay", "--out", "-", "../../internal/replay/testdata/small.har"}, 0, `"at_ms":250`},
+		{[]string{"replay", "none"}, 1, "none"},
+	} {
+		c := program(nil, x.args...)
+		out, _ := c.CombinedOutput()
+		if code := c.ProcessState.ExitCode(); code != x.code || !strings.Contains(string(out), x.says) {
+			t.Errorf("%v: exit %d\n%s", x.args, code, out)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/wheatsaddle/replay.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/replay"
+)
+
+const badShown = 20
+
+func replayCommand() *cli.Command {
+	return &cli.Command{
+		Name: "replay", Usage: "report on a HAR file or access log, and write its requests", ArgsUsage: "FILE", Action: replayFile,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "take classes and deadlines from the configuration `FILE`"},
+			&cli.StringSliceFlag{Name: "class", Usage: "`PREFIX=CLASS`: the class of paths that start so"},
+			&cli.StringFlag{Name: "plan", Value: "basic", Usage: "plan where none was recorded"},
+			&cli.Float64Flag{Name: "unit-bytes", Value: 8192, Usage: "bytes that count as one unit"},
+			&cli.IntFlag{Name: "shards", Value: 8, Usage: "shards that keys are spread over"},
+			&cli.IntFlag{Name: "hosts", Value: 1, Usage: "hosts that a volume's requests come through"},
+			&cli.StringFlag{Name: "out", Usage: "write the requests to `FILE`, - for standard output"},
+			&cli.StringFlag{Name: "as", Value: "jsonl", Usage: "form of the requests: jsonl, or http for the platform's messages"},
+		},
+	}
+}
+
+func replayFile(c *cli.Context) error {
+	if c.NArg() != 1 {
+		return fmt.Errorf("replay: name one file")
+	}
+	m := replay.Mapping{Plan: c.String("plan"), Deadline: 1500 * time.Millisecond, UnitBytes: c.Float64("unit-bytes"),
+		Shards: c.Int("shards"), Hosts: c.Int("hosts"), Prefixes: map[string]string{}}
+	if !(m.UnitBytes > 0) || m.Shards < 1 || m.Hosts < 1 {
+		return fmt.Errorf("replay: unit-bytes, shards and hosts must be above 0")
+	}
+	for _, rule := range c.StringSlice("class") {
+		prefix, class, ok := strings.Cut(rule, "=")
+		if !ok || !strings.HasPrefix(prefix, "/") || class == "" {
+			return fmt.Errorf("replay: class: %q is no /PREFIX=CLASS", rule)
+		}
+		m.Prefixes[prefix] = class
+	}
+	if file := c.String("config"); file != "" {
+		conf, err := config.Load(only("ROUTER_CONFIG", file))
+		if err != nil {
+			return err
+		}
+		m.Classes, m.MostUnits = map[string]time.Duration{}, conf.Settings.MostUnits
+		for _, k := range conf.Settings.Classes {
+			m.Classes[k.Name] = time.Duration(k.Deadline * float64(time.Millisecond))
+		}
+	}
+	form := c.String("as")
+	if form != "jsonl" && form != "http" {
+		return fmt.Errorf("replay: as: %q is neither jsonl nor http", form)
+	}
+	in, err := os.Open(c.Args().First())
+	if err != nil {
+		return fmt.Errorf("replay: %w", err)
+	}
+	defer in.Close()
+	r, err := replay.Read(in, m)
+	if err != nil {
+		return err
+	}
+	report(c, r)
+	return writeRequests(c, r, form)
+}
+
+// report goes to standard error, so that requests can go to standard output.
+func report(c *cli.Context, r *replay.Recording) {
+	out := c.App.ErrWriter
+	classes, span := r.Classes()
+	fmt.Fprintf(out, "%d requests in %v, %d bad lines\n", len(r.Entries), span, len(r.Bad))
+	fmt.Fprintf(out, "%-20s %8s %8s %8s %8s %10s %10s\n", "class", "count", "writes", "per s", "units", "mean bytes", "most bytes")
+	for _, k := range classes {
+		fmt.Fprintf(out, "%-20s %8d %8d %8.2f %8.0f %10d %10d\n", k.Name, k.Count, k.Writes, k.Rate, k.Units, k.MeanBytes, k.MostBytes)
+	}
+	for i, b := range r.Bad {
+		if i == badShown {
+			fmt.Fprintf(out, "and %d more\n", len(r.Bad)-badShown)
+			break
+		}
+		fmt.Fprintln(out, b.Error())
+	}
+}
+
+func writeRequests(c *cli.Context, r *replay.Recording, form string) (err error) {
+	name := c.String("out")
+	if name == "" {
+		return nil
+	}
+	to := c.App.Writer
+	if name != "-" {
+		f, err := os.Create(name)
+		if err != nil {
+			return fmt.Errorf("replay: out: %w", err)
+		}
+		defer func() {
+			if cerr := f.Close(); err == nil {
+				err = cerr
+			}
+		}()
+		to = f
+	}
+	w := bufio.NewWriter(to)
+	var text []byte
+	for i := range r.Entries {
+		e := &r.Entries[i]
+		if text = text[:0]; form == "http" {
+			text = e.HTTP(text, e.Request.ID)
+		} else {
+			text = e.JSON(text)
+		}
+		if _, err = w.Write(text); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -27,21 +27,25 @@
 	acceptFor    = 450 * time.Millisecond // after SIGTERM new connections still come
 	finishWithin = 4500 * time.Millisecond
 	descriptors  = 32  // kept for the listeners, discovery and the runtime
-	clientShare  = 0.5 // of the other descriptors; the nodes have the rest
+	clientShare  = 0.7 // of the other descriptors; the nodes have the rest
 	memoryShare  = 0.6 // of the limit, past which the collector works harder
 )
 
 func load(c *cli.Context) (*config.Config, error) {
-	env := os.Getenv
 	if file := c.Args().First(); file != "" {
-		env = func(key string) string {
-			if key == "ROUTER_CONFIG" {
-				return file
-			}
-			return ""
+		return config.Load(only("ROUTER_CONFIG", file))
+	}
+	return config.Load(os.Getenv)
+}
+
+// only is an environment of one variable.
+func only(name, value string) func(string) string {
+	return func(key string) string {
+		if key == name {
+			return value
 		}
+		return ""
 	}
-	return config.Load(env)
 }
 
 func checkConfig(c *cli.Context) error {
@@ -53,6 +57,14 @@
 	if err != nil {
 		return err
 	}
+	for _, bad := range known.Bad {
+		return fmt.Errorf("known: %w", bad)
+	}
+	if file := c.String("iscsi"); file != "" {
+		if _, err = config.LoadISCSI(file, conf.Settings); err != nil {
+			return err
+		}
+	}
 	_, err = fmt.Fprintf(c.App.Writer, "good: %d classes, %d plans, %d known nodes\n",
 		len(conf.Settings.Classes), len(conf.Settings.Plans), len(known.Nodes))
 	return err
@@ -86,10 +98,19 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Cores))))
 	debug.SetMemoryLimit(int64(memoryShare * float64(conf.MemoryMB) * (1 << 20)))
-	clients := int(clientShare * float64(conf.Sockets-descriptors))
+	var blocks *blockFront
+	sockets := conf.Sockets - descriptors
+	if file := c.String("iscsi"); file != "" {
+		if blocks, err = startBlocks(file, conf, log); err != nil {
+			return err
+		}
+		defer blocks.core.Stop()
+		sockets -= blocks.sockets
+	}
+	clients := int(clientShare * float64(sockets))
 	dialer := &httpfront.Dialer{ConnectTimeout: time.Duration(conf.ConnectTimeout * float64(time.Millisecond)),
 		ConnIdle:  time.Duration(conf.ConnIdle * float64(time.Millisecond)),
-		ConnsMost: int64(conf.Sockets - descriptors - clients)}
+		ConnsMost: int64(sockets - clients)}
 	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log})
 	if err != nil {
 		return err
@@ -97,14 +118,6 @@
 	defer co.Stop()
 	co.List(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
 
-	var blocks *blockFront
-	if file := c.String("iscsi"); file != "" {
-		if blocks, err = startBlocks(file, conf, log); err != nil {
-			return err
-		}
-		defer blocks.core.Stop()
-	}
-
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Tell: co.List, Log: log}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"wheatsaddle/choice"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for k, v := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
+		if err := flag.Set(k, v); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const good = `{"name":"n3","listen":"127.0.0.1:8443","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"index":41,"snapshot":true,"endpoints":[]},
+"settings":{"fleet-size":3,"me":1,"ceilings":{"conn-idle":15000.0,"max-attempts":4,"may-cancel":true},
+"extra":{"usual-units":1.98,"largest":6},"rules":{"cold":17000.0},
+"profiles":[{"name":"balance-read","goal-time":250.0,"deadline":1500.0,"repeat":"safe","key-scope":"all","worth":3.0},
+{"name":"new-record","goal-time":300.0,"deadline":1500.0,"repeat":"keyed","key-scope":"cell","memory-span":2500.0,"worth":2.0}],
+"contracts":[{"name":"basic","cap":27.0,"burst":38.0,"reservation":1.0,"shares":1.0,"price":0.96,"usual-rate":3.4}]}}`
+
+func none(string) string { return "" }
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings
+	if c.Name != "n3" || c.Sockets != 1024 || c.ConnIdle != 15000 || c.ConnectTimeout != defaultConnectTimeout || c.Seed == 0 ||
+		s.Hosts != 3 || s.Me != 1 || s.ColdSpan != 17000 || s.MaxAttempts != 4 || !s.MayCancel || s.MayProbe {
+		t.Errorf("%+v", c)
+	}
+	if k := s.Classes[1]; k.Effect != choice.Keyed || k.Group != choice.GroupShard || k.Memory != 2500 || s.Plans[0].Limit != 27 {
+		t.Errorf("%+v", s)
+	}
+	if c, err = Parse([]byte(good), func(k string) string { return map[string]string{"ROUTER_LISTEN": "127.0.0.1:9"}[k] }); err != nil || c.Listen != "127.0.0.1:9" {
+		t.Errorf("%v %v", c, err)
+	}
+}
+
+// Each message names the key at fault.
+func TestFaults(t *testing.T) {
+	for _, x := range [][3]string{
+		{`"127.0.0.1:8443"`, `"here"`, "listen"}, {`"127.0.0.1:8500"`, `7`, "discovery"}, {`"8c1f30d27a5be964"`, `"zz"`, "seed"},
+		{`"memory_mb":192`, `"memory_mb":"much"`, "limits.memory_mb"}, {`"sockets":1024`, `"sockets":3`, "limits.sockets"},
+		{`"known":{`, `"known":7,"k":{`, "known"}, {`"settings":{`, `"set":{`, "settings"},
+		{`"fleet-size":3`, `"fleet-size":0`, "settings.fleet-size"}, {`"max-attempts":4`, `"max-attempts":true`, "settings.ceilings.max-attempts"},
+		{`"may-cancel":true`, `"may-cancel":1`, "settings.ceilings.may-cancel"}, {`"goal-time":300.0`, `"goal-time":-1`, "settings.profiles.1.goal-time"},
+		{`"repeat":"keyed"`, `"repeat":"often"`, "settings.profiles.1.repeat"}, {`"key-scope":"cell"`, `"key-scope":"x"`, "settings.profiles.1.key-scope"},
+		{`"contracts":[`, `"contracts":7,"c":[`, "settings.contracts"}, {`"cap":27.0`, `"cap":[]`, "settings.contracts.0.cap"},
+		{`"conn-idle":15000.0`, `"conn-idle":0`, "settings.ceilings.conn-idle"}, {`}]}}`, `}]}`, "JSON"},
+	} {
+		text := strings.Replace(good, x[0], x[1], 1)
+		if _, err := Parse([]byte(text), none); err == nil || !strings.Contains(err.Error(), x[2]) {
+			t.Errorf("%s: %v, want %s", x[1], err, x[2])
+		}
+	}
+	if _, err := Load(none); err == nil || !strings.Contains(err.Error(), "ROUTER_CONFIG") {
+		t.Errorf("%v", err)
+	}
+}
+
+// The file that is shipped is good, and faults in it are named.
+func TestISCSI(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := c.Settings
+	set.Classes = append(set.Classes, choice.Class{Name: "bulk-export", Aim: 1200, Deadline: 4000})
+	set.Plans = append(set.Plans, choice.Plan{Name: "standard"})
+	ic, err := LoadISCSI("../../deploy/iscsi.json", set)
+	if err != nil || len(ic.Targets) != 1 || len(ic.Targets[0].Units) != 2 || ic.Targets[0].Units[0].Rules[0].Deadline != 1500 {
+		t.Fatalf("%+v %v", ic, err)
+	}
+	text, err := os.ReadFile("../../deploy/iscsi.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range [][3]string{
+		{`"127.0.0.1:3260"`, `"x"`, "iscsi.listen"}, {`"queue_depth": 32`, `"queue_depth": 0`, "iscsi.queue_depth"},
+		{`"group": 0`, `"group": 1.5`, "iscsi.storage.0.group"}, {`"archive-1", "address"`, `"archive-0", "address"`, "iscsi.storage.1.name"},
+		{`"plan": "standard"`, `"plan": "gold"`, "iscsi.targets.0.luns.0.plan"}, {`"class": "new-record"`, `"class": "x"`, "luns.0.rules.2.class"},
+		{`"lun": 1`, `"lun": 0`, "luns.1.lun"}, {`"lun": 1, "storage_lun": 0, "group": 1`, `"lun": 1, "group": 9`, "luns.1.group"},
+		{`{"command": "read", "class": "bulk-export"},`, ``, "luns.0.rules"}, {`"00000000000a0000"`, `""`, "luns.0.volume"},
+	} {
+		edited := strings.Replace(string(text), x[0], x[1], 1)
+		if _, err := ParseISCSI([]byte(edited), set); edited == string(text) || err == nil || !strings.Contains(err.Error(), x[2]) {
+			t.Errorf("%s: %v, want %s", x[1], err, x[2])
+		}
+	}
+}
+
+func TestNoise(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if _, err := Parse([]byte(good[:rapid.IntRange(0, len(good)-1).Draw(rt, "cut")]), none); err == nil {
+			rt.Fatal("a cut configuration passed")
+		}
+		b := []byte(good)
+		for range rapid.IntRange(1, 4).Draw(rt, "edits") {
+			b[rapid.IntRange(0, len(b)-1).Draw(rt, "at")] = rapid.Byte().Draw(rt, "byte")
+		}
+		if c, err := Parse(b, none); err == nil && (c.Sockets < 64 || len(c.Settings.Classes) == 0 || c.Settings.Hosts < 1) {
+			rt.Fatalf("%+v", c)
+		}
+		_, _ = ParseISCSI(b, choice.Settings{})
+	})
+}
--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -21,6 +21,7 @@
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/replay"
 )
 
 func TestMain(m *testing.M) {
@@ -456,3 +457,29 @@
 		t.Errorf("load %+v", l)
 	}
 }
+
+// A recorded access log and a HAR file as load: each of their requests is served.
+func TestReplayedFiles(t *testing.T) {
+	f := newFront(t, say(fine))
+	for name, want := range map[string]int{"access.log": 4, "small.har": 2} {
+		in, err := os.Open("../replay/testdata/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rec, err := replay.Read(in, replay.Mapping{Plan: "basic", UnitBytes: 4096, MostUnits: 6, Shards: 1, Hosts: 1,
+			Classes: map[string]time.Duration{"balance-read": time.Minute, "new-record": time.Minute}})
+		in.Close()
+		if err != nil || len(rec.Entries) != want {
+			t.Fatalf("%s: %d entries, %v", name, len(rec.Entries), err)
+		}
+		for _, e := range rec.Entries {
+			e.Request.Plan, e.Request.Shard, e.Request.Patience = "basic", 0, time.Minute
+			if r := f.send(t, string(e.HTTP(nil, name+e.Request.ID))); r.StatusCode() != 200 {
+				t.Errorf("%s: line %d: %d %q", name, e.Line, r.StatusCode(), r.Body())
+			}
+		}
+	}
+	if n := f.requests.Load(); n != 6 {
+		t.Errorf("%d requests at the node", n)
+	}
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -40,11 +40,18 @@
 		Handler: s.handle, ErrorHandler: reject, Concurrency: 2 * conns, MaxRequestBodySize: bodyMost,
 		ReadBufferSize: headMost, WriteBufferSize: 4096, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true,
-		SecureErrorLogMessage: true, Logger: quiet{log},
+		SecureErrorLogMessage: true, Logger: quiet{log}, ConnState: state,
 	}
 	return s
 }
 
+// state tells the listener which connections are between requests.
+func state(nc net.Conn, st fasthttp.ConnState) {
+	if c, ok := nc.(*sock.Conn); ok {
+		c.Idle(st == fasthttp.StateIdle)
+	}
+}
+
 // quiet keeps the server's lines, of which a client can cause many, at debug level.
 type quiet struct{ log logrus.FieldLogger }
 
--- a/internal/iscsi/target.go
+++ b/internal/iscsi/target.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"math"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,6 +88,9 @@
 		t.mu.Unlock()
 		go func() {
 			defer func() {
+				if p := recover(); p != nil { // one session's fault must not end the others
+					t.log.WithField("stack", string(debug.Stack())).Errorf("iscsi session panicked: %v", p)
+				}
 				t.mu.Lock()
 				delete(t.sessions, s)
 				t.mu.Unlock()
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,159 @@
+package registry
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for k, v := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
+		if err := flag.Set(k, v); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const entry = `{"name":"s-1","address":"127.0.0.1:8443","zone":"a","type":"m2","group":3,"status":"leaving","weight":2.0,"since_ms":1700000000000}`
+
+func list(index int, full bool, entries ...string) string {
+	return fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[%s]}`, index, full, strings.Join(entries, ","))
+}
+
+func TestDecode(t *testing.T) {
+	l, err := Decode([]byte(list(43, true, entry)))
+	n := l.Nodes[0]
+	if err != nil || l.Index != 43 || !l.Full || n.ID != "s-1" || n.Shard != 3 || n.State != choice.NodeDraining || n.Weight != 2 ||
+		n.Since != 1.7e12 || n.Address != "127.0.0.1:8443" || n.Zone != "a" {
+		t.Errorf("%+v %v", l, err)
+	}
+	// a bad entry is named and left out, and its list can no longer remove anything
+	for bad, word := range map[string]string{`7`: "object", `{"name":""}`: "name", strings.Replace(entry, "leaving", "gone", 1): "status",
+		strings.Replace(entry, "127.0.0.1:8443", "here", 1): "address", strings.Replace(entry, "3,", `"x",`, 1): "group"} {
+		l, err = Decode([]byte(list(44, true, bad, entry)))
+		if err != nil || len(l.Nodes) != 1 || len(l.Bad) != 1 || l.Full || !strings.Contains(l.Bad[0].Error(), word) ||
+			!strings.Contains(l.Bad[0].Error(), "endpoints.0") {
+			t.Errorf("%s: %+v %v", bad, l, err)
+		}
+	}
+	for bad, word := range map[string]string{`{`: "JSON", `{"endpoints":[]}`: "index", `{"index":1}`: "endpoints", `[]`: "index"} {
+		if _, err := Decode([]byte(bad)); err == nil || !strings.Contains(err.Error(), word) {
+			t.Errorf("%s: %v", bad, err)
+		}
+	}
+}
+
+func TestDecodeNoise(t *testing.T) {
+	whole := list(43, true, entry, entry)
+	rapid.Check(t, func(rt *rapid.T) {
+		if _, err := Decode([]byte(whole[:rapid.IntRange(0, len(whole)-1).Draw(rt, "cut")])); err == nil {
+			rt.Fatal("a cut list passed")
+		}
+		b := []byte(whole)
+		for range rapid.IntRange(1, 5).Draw(rt, "edits") {
+			b[rapid.IntRange(0, len(b)-1).Draw(rt, "at")] = rapid.Byte().Draw(rt, "byte")
+		}
+		l, err := Decode(b)
+		for _, n := range l.Nodes {
+			if err != nil || n.ID == "" || n.Shard < 0 {
+				rt.Fatalf("%+v %v", n, err)
+			}
+		}
+	})
+}
+
+// discovery answers watches: each connection gets the lines of its turn, then an end or silence.
+func discovery(t *testing.T, turns ...[]string) (address string, asked chan string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	asked = make(chan string, 100)
+	go func() {
+		for i := 0; ; i++ {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func(i int) {
+				defer nc.Close()
+				var q fasthttp.Request
+				if q.Read(bufio.NewReader(nc)) != nil {
+					return
+				}
+				asked <- string(q.RequestURI())
+				io.WriteString(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				silent := i >= len(turns)
+				if !silent {
+					for _, line := range turns[i] {
+						if silent = line == "silence"; !silent {
+							fmt.Fprintf(nc, "%x\r\n%s\n\r\n", len(line)+1, line)
+						}
+					}
+				}
+				if silent {
+					nc.Read(make([]byte, 1)) // until the watcher gives up
+				}
+			}(i)
+		}
+	}()
+	return ln.Addr().String(), asked
+}
+
+// Guards the list through what can happen to a watch: its end, silence past the beat, and a
+// bad line, after none of which anything told is lost or told twice.
+func TestWatch(t *testing.T) {
+	address, asked := discovery(t,
+		[]string{list(41, true, entry), "", list(42, false, entry)}, // then it ends
+		[]string{list(43, false, entry), "silence"},
+		[]string{"nonsense", list(44, true)}, // nothing after a bad line is believed on this connection
+		[]string{list(45, false, entry)})
+	news := make(chan core.News, 100)
+	log, hook := logtest.NewNullLogger()
+	w := &Watcher{Address: address, Index: 40, Log: log, Beat: 2 * time.Second, Tell: func(n core.News) { news <- n }}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan bool)
+	go func() { w.Run(ctx); close(ended) }()
+	var kinds []choice.EventKind
+	for len(kinds) < 7 {
+		kinds = append(kinds, (<-news).Kind)
+	}
+	for _, want := range []string{"40", "42", "43", "43"} {
+		if uri := <-asked; uri != path+"?watch=1&after="+want {
+			t.Errorf("asked %s, want after=%s", uri, want)
+		}
+	}
+	full, change, failed := choice.ListFull, choice.ListChange, choice.ListFailed
+	for i, want := range []choice.EventKind{full, change, failed, change, failed, failed, change} {
+		if kinds[i] != want {
+			t.Errorf("news %v", kinds)
+			break
+		}
+	}
+	stop()
+	<-ended
+	named := false
+	for _, e := range hook.AllEntries() {
+		named = named || strings.Contains(e.Message, "bad watch line")
+	}
+	if !named {
+		t.Error("the bad line was not named")
+	}
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,123 @@
+package replay
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for k, v := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
+		if err := flag.Set(k, v); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var mapping = Mapping{Classes: map[string]time.Duration{"balance-read": 1500 * time.Millisecond, "new-record": 1500 * time.Millisecond,
+	"bulk-export": 4 * time.Second}, Prefixes: map[string]string{"/export": "bulk-export"}, Plan: "basic", UnitBytes: 4096, MostUnits: 6, Shards: 4}
+
+func read(t *testing.T, name string) *Recording {
+	t.Helper()
+	f, err := os.Open("testdata/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	r, err := Read(f, mapping)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestAccessLog(t *testing.T) {
+	r := read(t, "access.log")
+	classes, span := r.Classes()
+	if len(r.Entries) != 5 || len(classes) != 3 || span != 4*time.Second {
+		t.Fatalf("%d entries, %v over %v", len(r.Entries), classes, span)
+	}
+	if c := classes[0]; c.Name != "balance-read" || c.Count != 3 || c.Rate != 0.75 || c.MostBytes != 900 || c.MeanBytes != 433 {
+		t.Errorf("%+v", c)
+	}
+	export, record := r.Entries[2], r.Entries[3]
+	if export.URI != "/bulk-export/export/2026?part=1" || export.Request.Units != 6 || export.Request.Patience != 4*time.Second {
+		t.Errorf("%+v", export)
+	}
+	if !record.Write || record.Request.Plan != "basic" || record.Request.Volume == r.Entries[0].Request.Volume {
+		t.Errorf("%+v", record)
+	}
+	var bad []string
+	for _, b := range r.Bad {
+		bad = append(bad, b.Error())
+	}
+	for i, want := range []string{"line 4: neither", "line 5: time", "line 6: method", "line 7: class"} {
+		if i >= len(bad) || !strings.HasPrefix(bad[i], want) {
+			t.Errorf("bad line %d: %v, want %s", i, bad, want)
+		}
+	}
+}
+
+func TestHAR(t *testing.T) {
+	r := read(t, "small.har")
+	if len(r.Entries) != 2 || len(r.Bad) != 1 || !strings.Contains(r.Bad[0].Error(), "line 3: startedDateTime") {
+		t.Fatalf("%+v %v", r.Entries, r.Bad)
+	}
+	first, second := r.Entries[0], r.Entries[1]
+	if first.Line != 2 || second.Line != 1 || second.At != 250*time.Millisecond {
+		t.Errorf("not in the order of time: %+v", r.Entries)
+	}
+	q := second.Request
+	if q.Plan != "premium" || q.Key != "7f3a9c21e0b4d655" || q.Volume != "00000003b4d60021" || q.Units != 2 || q.Shard != 5 ||
+		q.Hosts != 3 || q.Patience != 480*time.Millisecond || !second.Write || second.Bytes != 12 {
+		t.Errorf("%+v", second)
+	}
+	if text := string(second.HTTP(nil, "id1")); !strings.HasSuffix(text, "\r\n\r\n............") || strings.Contains(text, "secret") {
+		t.Errorf("%q", text)
+	}
+	if text := string(first.JSON(nil)); !strings.Contains(text, `"class":"balance-read"`) || !strings.HasSuffix(text, "}\n") {
+		t.Errorf("%q", text)
+	}
+}
+
+func TestNotAFile(t *testing.T) {
+	for text, want := range map[string]string{"": "empty", `{"log":{"version":"9"}}`: "log.version",
+		`{"log":{"version":"1.2"}}`: "log.entries", `{"log":`: "JSON", strings.Repeat("x", lineMost+1): "line 1"} {
+		if _, err := Read(strings.NewReader(text), mapping); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%.20q: %v", text, err)
+		}
+	}
+}
+
+// Cut and noisy files give entries or named lines, never a panic, and never a class unknown.
+func TestNoise(t *testing.T) {
+	for _, name := range []string{"access.log", "small.har"} {
+		text, err := os.ReadFile("testdata/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rapid.Check(t, func(rt *rapid.T) {
+			b := append([]byte(nil), text[:rapid.IntRange(0, len(text)).Draw(rt, "cut")]...)
+			for range rapid.IntRange(0, 4).Draw(rt, "edits") {
+				if len(b) > 0 {
+					b[rapid.IntRange(0, len(b)-1).Draw(rt, "at")] = rapid.Byte().Draw(rt, "byte")
+				}
+			}
+			r, err := Read(strings.NewReader(string(b)), mapping)
+			if err != nil {
+				return
+			}
+			for _, e := range r.Entries {
+				if _, ok := mapping.Classes[e.Request.Class]; !ok || e.Request.Units <= 0 || e.At < 0 || e.Request.Patience <= 0 {
+					rt.Fatalf("%+v", e)
+				}
+			}
+		})
+	}
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -15,21 +16,21 @@
 // passing are the accept errors that time heals.
 var passing = []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM}
 
-// Listener caps the open connections: at the cap newcomers stay in the backlog until one is
-// closed. It does not end for a lack of descriptors, as servers do that take any accept
+// Listener caps the open connections: at the cap the one that has been idle the longest is
+// closed for a newcomer, and while none is idle newcomers stay in the backlog. It does not end for a lack of descriptors, as servers do that take any accept
 // error for their end.
 type Listener struct {
 	net.Listener
 	most int
 	mu   sync.Mutex
-	open int
+	open map[*Conn]bool
 	done chan struct{}
 	once sync.Once
 }
 
 // Limit wraps a TCP listener.
 func Limit(ln net.Listener, most int) *Listener {
-	return &Listener{Listener: ln, most: most, done: make(chan struct{})}
+	return &Listener{Listener: ln, most: most, open: map[*Conn]bool{}, done: make(chan struct{})}
 }
 
 // Close implements net.Listener.
@@ -41,19 +42,38 @@
 func (l *Listener) full() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.open >= l.most
+	return len(l.open) >= l.most
+}
+
+// shed closes the connection that has been idle the longest.
+func (l *Listener) shed() {
+	l.mu.Lock()
+	var oldest *Conn
+	for c := range l.open {
+		if at := c.idle.Load(); at > 0 && (oldest == nil || at < oldest.idle.Load()) {
+			oldest = c
+		}
+	}
+	l.mu.Unlock()
+	if oldest != nil {
+		oldest.Close()
+	}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
+		if l.full() {
+			l.shed()
+		}
 		if !l.full() {
 			nc, err := l.Listener.Accept()
 			if err == nil {
+				c := &Conn{Conn: nc, from: l}
 				l.mu.Lock()
-				l.open++
+				l.open[c] = true
 				l.mu.Unlock()
-				return &Conn{Conn: nc, from: l}, nil
+				return c, nil
 			}
 			if !heals(err) {
 				return nil, err
@@ -80,17 +100,24 @@
 type Conn struct {
 	net.Conn
 	from  *Listener
-	once  sync.Once
+	idle  atomic.Int64 // since when it carries nothing; 0: it does
 	ended chan struct{}
 }
 
+// Idle says whether the connection carries a request now.
+func (c *Conn) Idle(idle bool) {
+	if idle {
+		c.idle.Store(time.Now().UnixNano())
+	} else {
+		c.idle.Store(0)
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	c.once.Do(func() {
-		c.from.mu.Lock()
-		c.from.open--
-		c.from.mu.Unlock()
-	})
+	c.from.mu.Lock()
+	delete(c.from.open, c)
+	c.from.mu.Unlock()
 	return c.Conn.Close()
 }
 
