iSCSI: session reinstatement, a window that never falls, RefCmdSN and ExpDataSN

What was seen in reading against RFC 7143: an initiator port that logged in again left its old session and the writes there at work; MaxCmdSN fell when an immediate command took a place, so that a command already offered would have been ignored in ordered(); ABORT TASK carried the next CmdSN, not the command's; a write's response counted no R2T. Tests: TestSessionReinstatement, TestWindowNeverFalls.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"flag"
 	"os"
 	"strings"
 	"testing"
@@ -9,17 +8,10 @@
 	"pgregory.net/rapid"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for k, v := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
-		if err := flag.Set(k, v); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 const good = `{"name":"n3","listen":"127.0.0.1:8443","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"index":41,"snapshot":true,"endpoints":[]},
--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -21,18 +20,11 @@
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/rapidtest"
 	"wheatsaddle/internal/replay"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for k, v := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
-		if err := flag.Set(k, v); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 const good = "PUT /new-record/x?y=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\nTier: basic\r\n" +
 	"Cookie: extent=7f3a9c21e0b4d655\r\nX-Deadline-Ms: 60000\r\nIdempotency-Key: k1\r\nContent-Length: 5\r\n" +
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -103,6 +103,7 @@
 	try     *core.Attempt // nil: given up, its end is waited for
 	job     *transfer
 	itt     uint32
+	cmdSN   uint32
 	timer   *time.Timer
 	data    []byte // of a read
 	dataSN  uint32
@@ -382,6 +383,7 @@
 	encodeLUN(q.bhs[8:], c.job.lun)
 	q.put32(20, c.job.size)
 	p.stamp(q)
+	c.cmdSN = p.cmdSN
 	p.cmdSN++
 	cdb := c.job.block.cdb()
 	copy(q.bhs[32:], cdb[:])
@@ -459,7 +461,7 @@
 	encodeLUN(q.bhs[8:], c.job.lun)
 	q.put32(20, c.itt)
 	p.stamp(q)
-	q.put32(32, p.cmdSN)
+	q.put32(32, c.cmdSN)
 	if _, ok := p.write(framing{}.append(nil, q)); !ok {
 		p.down()
 	}
--- a/internal/iscsi/iscsi_test.go
+++ b/internal/iscsi/iscsi_test.go
@@ -243,6 +243,66 @@
 	}
 }
 
+// An initiator port that logs in again ends its old session: the write in flight there is
+// called off, and the new session is served.
+func TestSessionReinstatement(t *testing.T) {
+	p := newPath(t, long, false)
+	p.hold = make(chan struct{})
+	old := p.initiator(t)
+	data := pattern(512)
+	itt := old.startWrite(0, data)
+	old.answerR2T(old.read(), data)
+	<-p.held
+	c := p.initiator(t)
+	if _, err := old.in.read(old.br); err == nil {
+		t.Error("the old session goes on")
+	}
+	close(p.hold)
+	if e := c.readBlocks(0, 1); e.status != statusGood || old.responses[itt] != 0 {
+		t.Errorf("ended %+v, %d responses in the old session", e, old.responses[itt])
+	}
+	if n := p.core.Open(); n != 0 {
+		t.Errorf("%d requests open", n)
+	}
+}
+
+// What the command window offered once stands, though immediate commands take places in it.
+func TestWindowNeverFalls(t *testing.T) {
+	p := newPath(t, long, false)
+	c := p.initiator(t)
+	ping := func() uint32 {
+		q := newPDU(opNopOut, 4242)
+		q.bhs[0] |= immediate
+		q.bhs[1] = flagF
+		q.put32(20, noTag)
+		q.put32(24, c.cmdSN)
+		q.data = []byte("ping")
+		c.send(q)
+		r := c.read()
+		if r.op() != opNopIn || string(r.data) != "ping" {
+			t.Fatalf("%v %q", r, r.data)
+		}
+		return r.u32(32)
+	}
+	first := ping()
+	cdb := block{true, 0, 1}.cdb()
+	for i := range 3 { // immediate writes that wait for their data
+		q := newPDU(opSCSICommand, uint32(900+i))
+		q.bhs[0] |= immediate
+		q.bhs[1] = flagF | 0x21
+		q.put32(20, 512)
+		q.put32(24, c.cmdSN)
+		copy(q.bhs[32:], cdb[:])
+		c.send(q)
+		if r := c.read(); r.op() != opR2T {
+			t.Fatalf("%v", r)
+		}
+	}
+	if last := ping(); last != first || last != c.cmdSN+7 {
+		t.Errorf("MaxCmdSN %d, before %d", last, first)
+	}
+}
+
 func TestLocalCommands(t *testing.T) {
 	p := newPath(t, long, false)
 	c := p.initiator(t)
--- a/internal/iscsi/login.go
+++ b/internal/iscsi/login.go
@@ -50,6 +50,7 @@
 		}
 		if round == 0 {
 			s.expCmdSN, s.statSN = p.u32(24), p.u32(28)
+			s.maxCmdSN = s.expCmdSN - 1
 		}
 		r := newPDU(opLoginResp, p.tag())
 		copy(r.bhs[8:16], p.bhs[8:16]) // ISID and TSIH
@@ -83,6 +84,14 @@
 				s.t.tsih = 1
 			}
 			be.PutUint16(r.bhs[14:], s.t.tsih)
+			s.nexus = fmt.Sprintf("%s %x %s", s.initiator, p.bhs[8:14], s.target)
+			for o := range s.t.sessions {
+				// Session reinstatement (6.3.5): the same initiator port is back, so the old
+				// session ends and what it had at work is called off.
+				if o != s && !s.discovery && o.nexus == s.nexus {
+					o.nc.Close()
+				}
+			}
 			s.t.mu.Unlock()
 		}
 		s.emit(r, true)
@@ -114,6 +123,8 @@
 	if s.units == nil && !s.discovery { // the first text names both sides
 		if name, ok := find(pairs, "InitiatorName"); !ok || name == "" {
 			return loginMissing, nil
+		} else {
+			s.initiator = name
 		}
 		if kind, _ := find(pairs, "SessionType"); kind == "Discovery" {
 			s.discovery = true
--- a/internal/iscsi/standin_test.go
+++ b/internal/iscsi/standin_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"flag"
 	"fmt"
 	"net"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -16,17 +14,10 @@
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for k, v := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
-		if err := flag.Set(k, v); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 // The stages of a command at which the stand-in can cut its connection.
 const (
@@ -271,6 +262,7 @@
 	cmdSN, expSN uint32
 	itt          uint32
 	responses    map[uint32]int
+	isid         string
 }
 
 func connect(t *testing.T, address string) *initiator {
@@ -291,6 +283,7 @@
 	p.bhs[0] |= immediate
 	p.bhs[1] = flagF | stages
 	p.put32(24, c.cmdSN)
+	copy(p.bhs[8:14], c.isid)
 	p.data = encodeText(pairs)
 	c.send(p)
 	r := c.read()
--- a/internal/iscsi/target.go
+++ b/internal/iscsi/target.go
@@ -180,9 +180,12 @@
 	p         params
 	units     map[uint16]*unit
 	target    string
+	initiator string
 	discovery bool
 	statSN    uint32
 	expCmdSN  uint32
+	maxCmdSN  uint32
+	nexus     string // initiator, ISID and target; under the target's mu
 	nextTTT   uint32
 	tasks     map[uint32]*task
 	wbuf      []byte
@@ -284,10 +287,19 @@
 		s.statSN++
 	}
 	p.put32(28, s.expCmdSN)
-	p.put32(32, s.expCmdSN+uint32(max(0, s.t.conf.QueueDepth-len(s.tasks)))-1)
+	p.put32(32, s.window())
 	s.wbuf = s.out.append(s.wbuf, p)
 }
 
+// window is MaxCmdSN. It never falls: what was offered once stands, though an immediate
+// command has since taken a place.
+func (s *session) window() uint32 {
+	if last := s.expCmdSN + uint32(max(0, s.t.conf.QueueDepth-len(s.tasks))) - 1; int32(last-s.maxCmdSN) > 0 {
+		s.maxCmdSN = last
+	}
+	return s.maxCmdSN
+}
+
 // reject returns the header of a PDU that cannot be served.
 func (s *session) reject(p *pdu, reason byte) error {
 	r := newPDU(opReject, noTag)
@@ -341,8 +353,7 @@
 	if p.immediate() {
 		return true, nil
 	}
-	last := s.expCmdSN + uint32(max(0, s.t.conf.QueueDepth-len(s.tasks))) - 1
-	if int32(sn-s.expCmdSN) < 0 || int32(sn-last) > 0 {
+	if int32(sn-s.expCmdSN) < 0 || int32(sn-s.window()) > 0 {
 		return false, nil // outside the window: ignored (4.2.2.1)
 	}
 	if sn != s.expCmdSN {
@@ -678,7 +689,7 @@
 		r.bhs[1] |= 0x02
 		r.put32(44, k.expected-moved)
 	}
-	r.put32(36, dataSN)
+	r.put32(36, dataSN+k.r2tSN) // Data-In or R2T PDUs sent
 	if s.p.protocolLevel >= 2 {
 		be.PutUint16(r.bhs[8:], qualifier) // RFC 7144, 4.2
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,11 +3,9 @@
 import (
 	"bufio"
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -18,17 +16,10 @@
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for k, v := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
-		if err := flag.Set(k, v); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 const entry = `{"name":"s-1","address":"127.0.0.1:8443","zone":"a","type":"m2","group":3,"status":"leaving","weight":2.0,"since_ms":1700000000000}`
 
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -1,24 +1,17 @@
 package replay
 
 import (
-	"flag"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"wheatsaddle/internal/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for k, v := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
-		if err := flag.Set(k, v); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
 
 var mapping = Mapping{Classes: map[string]time.Duration{"balance-read": 1500 * time.Millisecond, "new-record": 1500 * time.Millisecond,
 	"bulk-export": 4 * time.Second}, Prefixes: map[string]string{"/export": "bulk-export"}, Plan: "basic", UnitBytes: 4096, MostUnits: 6, Shards: 4}
