--- a/cmd/wheatsaddle/main_test.go
+++ b/cmd/wheatsaddle/main_test.go
@@ -112,6 +112,43 @@
 	}
 }
 
+// The second front listens only where its file says, outlives a reload, and stops with the
+// program.
+func TestServeISCSI(t *testing.T) {
+	file, listen := configure(t, "127.0.0.1:1")
+	blocks, blockFile := freeAddress(t), filepath.Join(t.TempDir(), "iscsi.json")
+	text := fmt.Sprintf(`{"listen":%q,"storage":[{"name":"st","address":"127.0.0.1:1","target":"iqn.st","group":0}],
+"targets":[{"name":"iqn.t","luns":[{"lun":0,"group":0,"volume":"00000000000a0000","plan":"basic","blocks":8,"read_only":true,
+"rules":[{"command":"read","class":"balance-read"}]}]}]}`, blocks)
+	if err := os.WriteFile(blockFile, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var log bytes.Buffer
+	c := program([]string{"ROUTER_CONFIG=" + file}, "serve", "--iscsi", blockFile)
+	c.Stderr = &log
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Process.Kill()
+	for _, address := range []string{listen, blocks} {
+		nc, err := net.Dial("tcp", address)
+		for ; err != nil; nc, err = net.Dial("tcp", address) {
+			time.Sleep(10 * time.Millisecond) // not up yet
+		}
+		defer nc.Close()
+		fmt.Fprintf(nc, "%048d\r\n\r\n", 7) // neither HTTP nor a login: an answer or a close, and no crash
+		nc.Read(make([]byte, 1))
+	}
+	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		if err := c.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := c.Wait(); err != nil {
+		t.Errorf("%v\n%s", err, log.String())
+	}
+}
+
 func TestCommands(t *testing.T) {
 	file, _ := configure(t, "127.0.0.1:1")
 	bad := filepath.Join(t.TempDir(), "bad.json")
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -25,7 +25,9 @@
 
 const (
 	acceptFor    = 450 * time.Millisecond // after SIGTERM new connections still come
-	finishWithin = 4500 * time.Millisecond
+	killedAfter  = 700 * time.Millisecond // and the longest deadline: SIGKILL
+	leastPatient = 3 * time.Second        // that deadline counts as this at least
+	exitMargin   = 100 * time.Millisecond
 	descriptors  = 32  // kept for the listeners, discovery and the runtime
 	clientShare  = 0.7 // of the other descriptors; the nodes have the rest
 	memoryShare  = 0.6 // of the limit, past which the collector works harder
@@ -120,7 +122,7 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Tell: co.List, Log: log}
+	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Known: known.Nodes, Tell: co.List, Log: log}
 	go watcher.Run(ctx)
 
 	ln, err := net.Listen("tcp", conf.Listen)
@@ -147,7 +149,11 @@
 	}
 	log.Info("stopping: accepting a little longer")
 	time.Sleep(acceptFor)
-	end, stop := context.WithTimeout(context.Background(), finishWithin)
+	longest := leastPatient
+	for _, k := range conf.Settings.Classes {
+		longest = max(longest, time.Duration(k.Deadline*float64(time.Millisecond)))
+	}
+	end, stop := context.WithTimeout(context.Background(), longest+killedAfter-acceptFor-exitMargin)
 	defer stop()
 	blocksDone := make(chan struct{})
 	go func() {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -194,6 +194,20 @@
 	}
 }
 
+// The module's clock is the Unix time of the start moved on by the monotonic clock: a list's
+// since_ms stands on it as it is, also that of a node that started before this program.
+func TestClock(t *testing.T) {
+	r := start(t, settings())
+	now := time.Now()
+	at := r.clock(now)
+	if off := at - float64(now.UnixMilli()); off < -1000 || off > 1000 {
+		t.Errorf("%v ms off the Unix time", off)
+	}
+	if back := r.wall(at).Sub(now); back > time.Millisecond || back < -time.Millisecond {
+		t.Errorf("comes back %v off", back)
+	}
+}
+
 // A full mailbox proves that an attempt never ran; the module hears of it and goes on.
 func TestFullMailbox(t *testing.T) {
 	r := start(t, settings())
