iSCSI: a reload reaches the initiators; a drained target stays drained when it is back

What was seen in reading: a storage target that SIGHUP added was dialled without its target name, as the dialer kept the list of its start; and one that the file drains was told as up again once it came back after a logout of its own. The dialer now holds the list read last. Test: TestReload.

--- a/cmd/wheatsaddle/blocks.go
+++ b/cmd/wheatsaddle/blocks.go
@@ -20,6 +20,7 @@
 // the platform, and a new object of the platform must never be placed on one.
 type blockFront struct {
 	file    string
+	dialer  *iscsi.Dialer
 	core    *core.Core
 	target  *iscsi.Target
 	sockets int // that it may hold
@@ -43,7 +44,7 @@
 		co.Stop()
 		return nil, fmt.Errorf("iscsi: listen: %w", err)
 	}
-	f := &blockFront{file: file, core: co, target: iscsi.NewTarget(ic, co, set, log), sockets: ic.Sessions + 2*len(ic.Storage)}
+	f := &blockFront{file: file, dialer: d, core: co, target: iscsi.NewTarget(ic, co, set, log), sockets: ic.Sessions + 2*len(ic.Storage)}
 	go func() {
 		if err := f.target.Serve(ln); err != nil {
 			log.WithError(err).Error("iscsi front ended")
@@ -63,6 +64,7 @@
 		log.WithError(err).Warn("the storage targets stay as they are")
 		return
 	}
+	f.dialer.Update(ic)
 	f.core.List(core.News{Kind: choice.ListFull, Nodes: iscsi.Nodes(ic)})
 }
 
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,17 +37,34 @@
 	ConnectTimeout time.Duration
 	DropsRepeats   bool
 	Log            logrus.FieldLogger
+	mu             sync.Mutex
 	storage        map[string]config.StorageTarget
 	news           atomic.Pointer[func(core.News)]
 }
 
 // NewDialer knows the storage targets of a configuration.
 func NewDialer(conf *config.ISCSI, name string, connect time.Duration, log logrus.FieldLogger) *Dialer {
-	d := &Dialer{Name: name, ConnectTimeout: connect, DropsRepeats: conf.DropsRepeats, Log: log, storage: map[string]config.StorageTarget{}}
+	d := &Dialer{Name: name, ConnectTimeout: connect, DropsRepeats: conf.DropsRepeats, Log: log}
+	d.Update(conf)
+	return d
+}
+
+// Update takes the storage targets of a configuration that was read again; it comes before
+// the core is told of them.
+func (d *Dialer) Update(conf *config.ISCSI) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.storage = map[string]config.StorageTarget{}
 	for _, s := range conf.Storage {
 		d.storage[s.Name] = s
 	}
-	return d
+}
+
+func (d *Dialer) lookup(name string) (config.StorageTarget, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.storage[name]
+	return s, ok
 }
 
 // Report sets where a storage target's own word that it goes, or is back, is to be told.
@@ -75,7 +93,8 @@
 
 // Connect starts the actor of one storage target.
 func (d *Dialer) Connect(name, address string) core.Peer {
-	p := &peer{d: d, name: name, address: address, target: d.storage[name].Target, mail: make(chan mail, peerMailbox),
+	conf, _ := d.lookup(name)
+	p := &peer{d: d, name: name, address: address, target: conf.Target, mail: make(chan mail, peerMailbox),
 		done: make(chan struct{}), byTry: map[*core.Attempt]*command{}, byTag: map[uint32]*command{}}
 	go p.run()
 	return p
@@ -333,11 +352,16 @@
 	}
 }
 
-// tell passes on what a storage target says of itself, as news of the list.
+// tell passes on what a storage target says of itself, as news of the list. One that the
+// configuration drains or has dropped is not up, whatever it says.
 func (p *peer) tell(state choice.NodeState, since float64) {
+	conf, ok := p.d.lookup(p.name)
+	if !ok || state == choice.NodeUp && conf.State != choice.NodeUp {
+		return
+	}
 	if f := p.d.news.Load(); f != nil {
 		n := core.News{Kind: choice.ListChange, Nodes: []core.Node{{Address: p.address, Node: choice.Node{ID: p.name,
-			Shard: p.d.storage[p.name].Shard, State: state, Weight: 1, Since: since}}}}
+			Shard: conf.Shard, State: state, Weight: 1, Since: since}}}}
 		go (*f)(n)
 	}
 }
--- a/internal/iscsi/iscsi_test.go
+++ b/internal/iscsi/iscsi_test.go
@@ -13,6 +13,9 @@
 
 	"pgregory.net/rapid"
 
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/replay"
 )
 
@@ -156,6 +159,37 @@
 	}
 }
 
+// A storage target that the configuration drains stays drained, though it says it is back;
+// one that a reload adds is reached under its own target name.
+func TestReload(t *testing.T) {
+	p := newPath(t, long, false)
+	c := p.initiator(t)
+	if e := c.readBlocks(0, 1); e.status != statusGood {
+		t.Fatalf("ended %+v", e)
+	}
+	told := make(chan core.News, 8)
+	p.dialer.Report(func(n core.News) { told <- n })
+	conf := *p.target.conf
+	conf.Storage = []config.StorageTarget{conf.Storage[0]}
+	conf.Storage[0].State = choice.NodeDraining
+	p.dialer.Update(&conf)
+	pe := &peer{d: p.dialer, name: "st"}
+	pe.tell(choice.NodeUp, 1)
+	pe.tell(choice.NodeDraining, 0)
+	if n := <-told; n.Nodes[0].State != choice.NodeDraining || len(told) > 0 {
+		t.Errorf("told %+v", n)
+	}
+	conf.Storage = []config.StorageTarget{{Name: "new", Address: p.ln.Addr().String(), Target: "iqn.new", Shard: 0}}
+	p.dialer.Update(&conf)
+	p.core.List(core.News{Kind: choice.ListFull, Nodes: Nodes(&conf)})
+	if e := c.readBlocks(0, 1); e.status != statusGood {
+		t.Errorf("ended %+v", e)
+	}
+	if name := p.loggedInTo(); name != "iqn.new" {
+		t.Errorf("logged in to %q", name)
+	}
+}
+
 func TestStatusMapping(t *testing.T) {
 	for _, x := range []struct {
 		status         byte
--- a/internal/iscsi/standin_test.go
+++ b/internal/iscsi/standin_test.go
@@ -50,6 +50,7 @@
 	conn     net.Conn
 	statSN   uint32
 	expCmdSN uint32
+	login    []pair // the last
 }
 
 func newStandin(t *testing.T) *standin {
@@ -80,6 +81,14 @@
 	return s.came, s.ran
 }
 
+// loggedInTo is the target name of the last login.
+func (s *standin) loggedInTo() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name, _ := find(s.login, "TargetName")
+	return name
+}
+
 // cutting says whether the connection is to be cut at this stage.
 func (s *standin) cutting(stage string) bool {
 	s.mu.Lock()
@@ -125,6 +134,7 @@
 	}
 	s.mu.Lock()
 	s.conn, s.statSN, s.expCmdSN = nc, p.u32(28), p.u32(24)
+	s.login, _ = decodeText(p.data)
 	s.mu.Unlock()
 	r := newPDU(opLoginResp, p.tag())
 	r.bhs[1], r.bhs[15], r.data = p.bhs[1], 1, encodeText(s.answer)
@@ -427,6 +437,7 @@
 	*standin
 	target  *Target
 	core    *core.Core
+	dialer  *Dialer
 	address string
 }
 
@@ -460,7 +471,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	p := &path{standin: s, core: co, target: NewTarget(conf, co, set, log), address: ln.Addr().String()}
+	p := &path{standin: s, core: co, dialer: d, target: NewTarget(conf, co, set, log), address: ln.Addr().String()}
 	go p.target.Serve(ln)
 	return p
 }
