--- a/internal/config/iscsi.go
+++ b/internal/config/iscsi.go
@@ -116,6 +116,9 @@
 	if len(u.Volume) != 16 {
 		r.fail("%svolume: %q is not 16 hex digits", r.prefix, u.Volume)
 	}
+	if u.BlockSize&(u.BlockSize-1) != 0 || u.BlockSize > most {
+		r.fail("%sblock_size: %d is no power of two up to max_transfer", r.prefix, u.BlockSize)
+	}
 	known := false
 	for _, p := range set.Plans {
 		known = known || p.Name == u.Plan
--- a/internal/iscsi/pdu.go
+++ b/internal/iscsi/pdu.go
@@ -44,7 +44,6 @@
 
 const (
 	bhsLen    = 48
-	ahsMost   = 255 * 4
 	flagF     = 0x80
 	noTag     = 0xffffffff
 	immediate = 0x40
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	fileMost = 256 << 20
+	fileMost = 256 << 20 // of a HAR file, which is held whole; a log is read line by line
 	lineMost = 64 << 10
 	bodyMost = 64 << 10
 	// logTime is the time of an access log's line.
@@ -84,7 +84,7 @@
 
 // Read reads a file; a HAR file starts with a brace.
 func Read(in io.Reader, m Mapping) (*Recording, error) {
-	br := bufio.NewReader(io.LimitReader(in, fileMost+1))
+	br := bufio.NewReader(in)
 	for {
 		b, err := br.Peek(1)
 		if err != nil {
@@ -268,7 +268,7 @@
 }
 
 func readHAR(in io.Reader, m Mapping) (*Recording, error) {
-	text, err := io.ReadAll(in)
+	text, err := io.ReadAll(io.LimitReader(in, fileMost+1))
 	if err != nil {
 		return nil, fmt.Errorf("replay: %w", err)
 	}
