--- a/cmd/wheatsaddle/main_test.go
+++ b/cmd/wheatsaddle/main_test.go
@@ -149,6 +149,15 @@
 	}
 }
 
+func TestDescriptorLimit(t *testing.T) {
+	if n := descriptorLimit(8); n != 8 {
+		t.Errorf("%d, the configuration says 8", n)
+	}
+	if n := descriptorLimit(1 << 40); n >= 1<<40 {
+		t.Errorf("%d is over what the process may hold", n)
+	}
+}
+
 func TestCommands(t *testing.T) {
 	file, _ := configure(t, "127.0.0.1:1")
 	bad := filepath.Join(t.TempDir(), "bad.json")
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -50,6 +50,15 @@
 	}
 }
 
+// descriptorLimit is what the process may hold, should that be less than the configuration says.
+func descriptorLimit(most int) int {
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err == nil && r.Cur < uint64(most) {
+		return int(r.Cur)
+	}
+	return most
+}
+
 func checkConfig(c *cli.Context) error {
 	conf, err := load(c)
 	if err != nil {
@@ -101,7 +110,7 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Cores))))
 	debug.SetMemoryLimit(int64(memoryShare * float64(conf.MemoryMB) * (1 << 20)))
 	var blocks *blockFront
-	sockets := conf.Sockets - descriptors
+	sockets := max(descriptorLimit(conf.Sockets)-descriptors, 2)
 	if file := c.String("iscsi"); file != "" {
 		if blocks, err = startBlocks(file, conf, log); err != nil {
 			return err
@@ -109,10 +118,10 @@
 		defer blocks.core.Stop()
 		sockets -= blocks.sockets
 	}
-	clients := int(clientShare * float64(sockets))
+	clients := max(1, int(clientShare*float64(sockets)))
 	dialer := &httpfront.Dialer{ConnectTimeout: time.Duration(conf.ConnectTimeout * float64(time.Millisecond)),
 		ConnIdle:  time.Duration(conf.ConnIdle * float64(time.Millisecond)),
-		ConnsMost: int64(sockets - clients)}
+		ConnsMost: int64(max(1, sockets-clients))}
 	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log})
 	if err != nil {
 		return err
--- a/internal/iscsi/iscsi_test.go
+++ b/internal/iscsi/iscsi_test.go
@@ -130,12 +130,8 @@
 func TestDrainWithWriteInFlight(t *testing.T) {
 	for _, back := range []bool{true, false} {
 		p := newPath(t, 4000, false)
-		p.hold = make(chan struct{})
 		c := p.initiator(t)
-		data := pattern(1024)
-		first := c.startWrite(0, data)
-		c.answerR2T(c.read(), data)
-		<-p.held
+		first, data := p.heldWrite(c)
 		if p.leave(); !back {
 			p.ln.Close()
 		}
@@ -238,12 +234,8 @@
 // An aborted task has no response, and the storage target is told.
 func TestAbortTask(t *testing.T) {
 	p := newPath(t, long, false)
-	p.hold = make(chan struct{})
 	c := p.initiator(t)
-	data := pattern(512)
-	itt := c.startWrite(0, data)
-	c.answerR2T(c.read(), data)
-	<-p.held
+	itt, _ := p.heldWrite(c)
 	abort := func(of uint32) byte {
 		q := newPDU(opTaskMgmtReq, 9000+of)
 		q.bhs[0] |= immediate
@@ -281,12 +273,8 @@
 // called off, and the new session is served.
 func TestSessionReinstatement(t *testing.T) {
 	p := newPath(t, long, false)
-	p.hold = make(chan struct{})
 	old := p.initiator(t)
-	data := pattern(512)
-	itt := old.startWrite(0, data)
-	old.answerR2T(old.read(), data)
-	<-p.held
+	itt, _ := p.heldWrite(old)
 	c := p.initiator(t)
 	if _, err := old.in.read(old.br); err == nil {
 		t.Error("the old session goes on")
@@ -477,12 +465,8 @@
 // Shutdown asks for logout, answers what was taken, and only then closes.
 func TestShutdown(t *testing.T) {
 	p := newPath(t, long, false)
-	p.hold = make(chan struct{})
 	c := p.initiator(t)
-	data := pattern(512)
-	itt := c.startWrite(0, data)
-	c.answerR2T(c.read(), data)
-	<-p.held
+	itt, _ := p.heldWrite(c)
 	done := make(chan struct{})
 	go func() {
 		ctx, stop := context.WithTimeout(context.Background(), time.Minute)
--- a/internal/iscsi/standin_test.go
+++ b/internal/iscsi/standin_test.go
@@ -476,6 +476,20 @@
 	return p
 }
 
+// heldWrite starts a write and returns once it has run at the stand-in, which holds back its
+// response until p.hold is closed.
+func (p *path) heldWrite(c *initiator) (itt uint32, data []byte) {
+	c.t.Helper()
+	p.mu.Lock()
+	p.hold = make(chan struct{})
+	p.mu.Unlock()
+	data = pattern(1024)
+	itt = c.startWrite(0, data)
+	c.answerR2T(c.read(), data)
+	<-p.held
+	return itt, data
+}
+
 // initiator logs in to the path's target.
 func (p *path) initiator(t *testing.T, more ...pair) *initiator {
 	t.Helper()
