iSCSI tests: logout, stalled Data-Out, the data budget, digest errors, StatSN in order

What was seen: all of them hold as the program stood; the stand-in initiator now checks the StatSN of every PDU that carries status, in every test.

--- a/internal/iscsi/iscsi_test.go
+++ b/internal/iscsi/iscsi_test.go
@@ -462,6 +462,88 @@
 	}
 }
 
+// Logout ends the session with what was at work in it; recovery is not for level 0.
+func TestLogout(t *testing.T) {
+	p := newPath(t, long, false)
+	c := p.initiator(t)
+	itt, _ := p.heldWrite(c)
+	logout := func(reason byte) *pdu {
+		q := newPDU(opLogoutReq, 50)
+		q.bhs[0] |= immediate
+		q.bhs[1] = flagF | reason
+		q.put32(24, c.cmdSN)
+		c.send(q)
+		return c.read()
+	}
+	if r := logout(2); r.op() != opLogoutResp || r.bhs[2] != 2 {
+		t.Errorf("for recovery: %v, response %d", r, r.bhs[2])
+	}
+	if r := logout(0); r.op() != opLogoutResp || r.bhs[2] != 0 {
+		t.Errorf("%v, response %d", r, r.bhs[2])
+	}
+	if _, err := c.in.read(c.br); !errors.Is(err, io.EOF) || c.responses[itt] != 0 {
+		t.Errorf("%v, %d responses", err, c.responses[itt])
+	}
+	close(p.hold)
+	if n := p.core.Open(); n != 0 {
+		t.Errorf("%d requests open", n)
+	}
+}
+
+// A write whose data does not come ends by its deadline and never reaches the storage target.
+func TestDataOutStalls(t *testing.T) {
+	p := newPath(t, 100, false)
+	c := p.initiator(t)
+	itt := c.startWrite(0, pattern(512))
+	if q := c.read(); q.op() != opR2T {
+		t.Fatalf("%v", q)
+	}
+	if e := c.finish(itt, nil); e.status != statusCheckCondition || e.key != senseAborted {
+		t.Errorf("ended %+v", e)
+	}
+	if came, _ := p.counts(); came != 0 || p.target.buffered.Load() != 0 {
+		t.Errorf("%d came, %d bytes still held", came, p.target.buffered.Load())
+	}
+}
+
+// With the budget of data used up a command is refused before anything is allocated.
+func TestBufferBudget(t *testing.T) {
+	p := newPath(t, long, false)
+	c := p.initiator(t)
+	p.target.buffered.Store(bufferMost)
+	if e := c.write(0, pattern(512)); e.status != statusBusy {
+		t.Errorf("ended %+v", e)
+	}
+	p.target.buffered.Store(0)
+	if e := c.write(0, pattern(512)); e.status != statusGood {
+		t.Errorf("ended %+v", e)
+	}
+}
+
+// A digest that does not fit ends the session: at level 0 nothing repairs it.
+func TestDigestError(t *testing.T) {
+	p := newPath(t, long, false)
+	for _, at := range []int{5, bhsLen + 4 + 1} { // in the header, in the data
+		c := p.initiator(t, pair{"HeaderDigest", "CRC32C"}, pair{"DataDigest", "CRC32C"})
+		q := newPDU(opNopOut, 7)
+		q.bhs[0] |= immediate
+		q.bhs[1] = flagF
+		q.data = []byte("ping")
+		wire := c.out.append(nil, q)
+		wire[at] ^= 0x10
+		if at < bhsLen {
+			wire = append(wire, make([]byte, 1<<13)...) // the length is what was changed
+		}
+		c.nc.Write(wire)
+		if r := c.read(); r.op() != opReject {
+			t.Errorf("%v", r)
+		}
+		if _, err := c.in.read(c.br); err == nil {
+			t.Error("the session goes on")
+		}
+	}
+}
+
 // Shutdown asks for logout, answers what was taken, and only then closes.
 func TestShutdown(t *testing.T) {
 	p := newPath(t, long, false)
--- a/internal/iscsi/standin_test.go
+++ b/internal/iscsi/standin_test.go
@@ -324,6 +324,17 @@
 	if err != nil {
 		c.t.Fatalf("read: %v", err)
 	}
+	switch p.op() {
+	case opNopIn, opSCSIResponse, opTaskMgmtResp, opLoginResp, opTextResp, opLogoutResp, opAsync, opReject:
+		// each status has the next StatSN, also that of a Reject and a second login request
+		if p.op() == opNopIn && p.tag() == noTag {
+			break
+		}
+		if p.u32(24) != c.expSN {
+			c.t.Errorf("%v: StatSN %d, expected %d", p, p.u32(24), c.expSN)
+		}
+		c.expSN++
+	}
 	if p.op() == opSCSIResponse {
 		if c.responses[p.tag()]++; c.responses[p.tag()] > 1 {
 			c.t.Errorf("a second response to task 0x%x", p.tag())
