--- a/internal/iscsi/iscsi_test.go
+++ b/internal/iscsi/iscsi_test.go
@@ -335,7 +335,7 @@
 	if e := run(0, 8, scsiReadCapacity10); be.Uint32(e.data) != 4095 || be.Uint32(e.data[4:]) != 512 {
 		t.Errorf("READ CAPACITY(10): %x", e.data)
 	}
-	if e := run(0, 100, scsiReportLUNs, 0, 0, 0, 0, 0, 0, 0, 0, 100); be.Uint32(e.data) != 16 || e.data[17] != 3 || e.residual != 76 {
+	if e := run(0, 100, scsiReportLUNs, 0, 0, 0, 0, 0, 0, 0, 0, 100); be.Uint32(e.data) != 24 || e.data[17] != 3 || e.residual != 68 {
 		t.Errorf("REPORT LUNS: %x, residual %d", e.data, e.residual)
 	}
 	if e := run(0, 36, scsiInquiry, 0, 0, 0, 36); len(e.data) != 36 || e.data[0] != 0 {
@@ -520,6 +520,23 @@
 	}
 }
 
+// The limit of a plan binds commands as it binds requests: with nothing in its store a volume's
+// command is refused and never sent, while another volume's is served.
+func TestPlanLimit(t *testing.T) {
+	p := newPath(t, 1000, false)
+	c := p.initiator(t)
+	cdb := block{false, 0, 1}.cdb()
+	if e := c.finish(c.start(cdb[:], 4, 0x40, 512, nil), nil); e.status != statusBusy {
+		t.Errorf("past its limit: %+v", e)
+	}
+	if e := c.readBlocks(0, 1); e.status != statusGood {
+		t.Errorf("another volume: %+v", e)
+	}
+	if came, _ := p.counts(); came != 1 {
+		t.Errorf("%d came", came)
+	}
+}
+
 // A digest that does not fit ends the session: at level 0 nothing repairs it.
 func TestDigestError(t *testing.T) {
 	p := newPath(t, long, false)
--- a/internal/iscsi/standin_test.go
+++ b/internal/iscsi/standin_test.go
@@ -440,7 +440,8 @@
 		Classes: []choice.Class{
 			{Name: "balance-read", Aim: aim, Deadline: 2 * aim, Worth: 3},
 			{Name: "new-record", Aim: aim, Deadline: 2 * aim, Worth: 2, Effect: choice.Keyed, Group: choice.GroupShard, Memory: 1e6}},
-		Plans: []choice.Plan{{Name: "basic", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}}}
+		Plans: []choice.Plan{{Name: "basic", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1},
+			{Name: "capped", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1, Limit: 0.001, LimitBurst: 10}}}
 }
 
 // path is the whole way: initiator, target, core and module, initiator, stand-in.
@@ -462,6 +463,8 @@
 		"targets":[{"name":%q,"luns":[{"lun":0,"group":0,"volume":"00000000000a0000","plan":"basic","blocks":4096,
 			"rules":[{"command":"read","class":"balance-read"},{"command":"write","class":"new-record"}]},
 			{"lun":3,"group":0,"volume":"00000000000a0003","plan":"basic","blocks":16,"read_only":true,
+			"rules":[{"command":"read","class":"balance-read"}]},
+			{"lun":4,"group":0,"volume":"00000000000a0004","plan":"capped","blocks":16,"read_only":true,
 			"rules":[{"command":"read","class":"balance-read"}]}]}]}`, drops, s.ln.Addr(), targetName)), set)
 	if err != nil {
 		t.Fatal(err)
