SIGHUP reads the platform's file again and moves the watch to its discovery

Checked: the drain itself (node actors hold sends back the moment the list says so) and the watch's reconnects work; the list never came, since the watcher went on dialling the old address. Ruled out: lines lost in a broken watch, since the version held is asked for again. At fault: serve.go handled SIGHUP for the iSCSI file alone, config.Load let ROUTER_DISCOVERY stand over the file for good, and registry.Watcher had one address for life. Now: the file is checked whole (list and settings too) before it counts; a bad one is logged and changes nothing. The watcher opens the new watch beside the old, which counts until the new one speaks or it ends by itself; a source that lags behind takes nothing back. Cores and memory apply; other keys are named as needing a restart. Signal handlers stand before anything else.

--- a/cmd/wheatsaddle/main_test.go
+++ b/cmd/wheatsaddle/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -13,7 +14,10 @@
 	"testing"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/internal/config"
 )
 
 // TestMain lets the test program stand in for the real one, so that signals and exit codes
@@ -149,6 +153,56 @@
 	}
 }
 
+// A reload takes the file's discovery over the start's environment, keeps what stands when the
+// file is bad, and names what needs a restart.
+func TestReload(t *testing.T) {
+	file, _ := configure(t, "127.0.0.1:1")
+	env := func(k string) string {
+		return map[string]string{"ROUTER_CONFIG": file, "ROUTER_DISCOVERY": "127.0.0.1:1"}[k]
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	held, err := config.Load(env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := held.MemoryMB
+	log, hook := logtest.NewNullLogger()
+	moved := ""
+	move := func(_ context.Context, address string) bool { moved = address; return true }
+	for _, x := range []struct{ from, to, says string }{
+		{`"sockets":256`, `"sockets":"x"`, "limits.sockets"}, {`"index":1`, `"index":"x"`, "known"}, {`"discovery":"`, `"discovery":7,"was":"`, "discovery"},
+		{`"max-attempts":2`, `"max-attempts":0`, "max-attempts"}, {`}]}}`, `}]}`, "JSON"},
+	} {
+		bad := bytes.Replace(text, []byte(x.from), []byte(x.to), 1)
+		bad = bytes.Replace(bad, []byte(`"memory_mb":192`), []byte(`"memory_mb":64`), 1)
+		if err := os.WriteFile(file, bad, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got := reload(context.Background(), held, env, move, log); got != held || moved != "" || held.MemoryMB != before {
+			t.Errorf("%s took effect: moved %q", x.to, moved)
+		}
+		if e := hook.LastEntry(); e == nil || !strings.Contains(fmt.Sprint(e.Data["error"]), x.says) {
+			t.Errorf("%s: %+v", x.to, e)
+		}
+	}
+	text = bytes.Replace(text, []byte(`"sockets":256`), []byte(`"sockets":512`), 1)
+	text = bytes.Replace(text, []byte(`"memory_mb":192`), []byte(`"memory_mb":128`), 1)
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hook.Reset()
+	got := reload(context.Background(), held, env, move, log)
+	if moved == "" || moved == "127.0.0.1:1" || got.Discovery != moved || got.MemoryMB != 128 || got.Sockets != 256 {
+		t.Errorf("moved to %q, %+v", moved, got)
+	}
+	if e := hook.AllEntries(); len(e) != 2 || e[0].Data["keys"] != "limits.sockets" {
+		t.Errorf("%+v", e)
+	}
+}
+
 func TestDescriptorLimit(t *testing.T) {
 	if n := descriptorLimit(8); n != 8 {
 		t.Errorf("%d, the configuration says 8", n)
--- /dev/null
+++ b/cmd/wheatsaddle/reload.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"math"
+	"reflect"
+	"runtime"
+	"runtime/debug"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/config"
+)
+
+// applyLimits sets what the runtime keeps to.
+func applyLimits(conf *config.Config) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Cores))))
+	debug.SetMemoryLimit(int64(memoryShare * float64(conf.MemoryMB) * (1 << 20)))
+}
+
+// reload reads the platform's file again and returns the configuration that holds from now
+// on. The file is checked whole before any of it counts; a bad one changes nothing.
+func reload(ctx context.Context, held *config.Config, env func(string) string, move func(context.Context, string) bool, log logrus.FieldLogger) *config.Config {
+	conf, err := config.Reload(env)
+	if err == nil {
+		_, err = knownList(conf)
+	}
+	if err == nil {
+		_, err = choice.New(conf.Settings, conf.Seed)
+	}
+	if err != nil {
+		log.WithError(err).Error("the configuration stays as it was")
+		return held
+	}
+	if later := restartKeys(held, conf); len(later) > 0 {
+		log.WithField("keys", strings.Join(later, " ")).Warn("changed, and need a restart")
+	}
+	next := *held
+	next.Discovery, next.Cores, next.MemoryMB = conf.Discovery, conf.Cores, conf.MemoryMB
+	applyLimits(&next)
+	if !move(ctx, next.Discovery) {
+		return held
+	}
+	log.WithFields(logrus.Fields{"discovery": next.Discovery, "cores": next.Cores, "memory_mb": next.MemoryMB}).Info("configuration read again")
+	return &next
+}
+
+// restartKeys names the keys of a new configuration that only a restart applies. The seed and
+// the known list are a start's own and are passed over.
+func restartKeys(held, conf *config.Config) (keys []string) {
+	for _, k := range []struct {
+		name     string
+		old, new any
+	}{
+		{"name", held.Name, conf.Name}, {"listen", held.Listen, conf.Listen}, {"limits.sockets", held.Sockets, conf.Sockets},
+		{"settings", []any{held.Settings, held.ConnIdle, held.ConnectTimeout, held.MaxOpen},
+			[]any{conf.Settings, conf.ConnIdle, conf.ConnectTimeout, conf.MaxOpen}},
+	} {
+		if !reflect.DeepEqual(k.old, k.new) {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -4,12 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"net"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -95,6 +92,10 @@
 func serve(c *cli.Context) error {
 	log := logrus.New()
 	log.SetOutput(os.Stderr)
+	// Before all else: a SIGHUP that finds no handler ends the program.
+	term, hup := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	conf, err := load(c)
 	if err != nil {
 		return err
@@ -107,8 +108,7 @@
 	for _, bad := range known.Bad {
 		log.WithError(bad).Warn("known entry left out")
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Cores))))
-	debug.SetMemoryLimit(int64(memoryShare * float64(conf.MemoryMB) * (1 << 20)))
+	applyLimits(conf)
 	var blocks *blockFront
 	sockets := max(descriptorLimit(conf.Sockets)-descriptors, 2)
 	if file := c.String("iscsi"); file != "" {
@@ -139,22 +139,24 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	srv := httpfront.NewServer(co, conf.Settings, clients, log)
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(ln, clients) }()
 	log.WithFields(logrus.Fields{"name": conf.Name, "listen": conf.Listen, "nodes": len(known.Nodes), "version": version}).Info("serving")
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	for stopping := false; !stopping; {
-		select {
-		case err = <-served:
-			return fmt.Errorf("serve: %w", err)
-		case <-hup:
-			blocks.reload(conf, log)
-		case <-term:
-			stopping = true
+	go func() { // also while it stops: what is open still needs the list
+		for held := conf; ; {
+			select {
+			case <-hup:
+				held = reload(ctx, held, os.Getenv, watcher.Move, log)
+				blocks.reload(conf, log)
+			case <-ctx.Done():
+				return
+			}
 		}
+	}()
+	select {
+	case err = <-served:
+		return fmt.Errorf("serve: %w", err)
+	case <-term:
 	}
 	log.Info("stopping: accepting a little longer")
 	time.Sleep(acceptFor)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -49,6 +50,23 @@
 	return Parse(text, env)
 }
 
+// Reload reads the file again. Its discovery counts now: ROUTER_DISCOVERY tells only where
+// that was at the start, and stands in where the file names none.
+func Reload(env func(string) string) (*Config, error) {
+	c, err := Load(func(key string) string {
+		if key == "ROUTER_DISCOVERY" {
+			return ""
+		}
+		return env(key)
+	})
+	if errors.Is(err, errNoDiscovery) {
+		return Load(env)
+	}
+	return c, err
+}
+
+var errNoDiscovery = errors.New("not set")
+
 // Parse reads a configuration.
 func Parse(text []byte, env func(string) string) (*Config, error) {
 	if !gjson.ValidBytes(text) {
@@ -67,10 +85,13 @@
 		Cores:     r.num("limits.cores", defaultCores, 0.01), MemoryMB: int(r.num("limits.memory_mb", defaultMemoryMB, 16)),
 		Sockets: int(r.num("limits.sockets", defaultSockets, 64)),
 	}
-	for key, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			r.fail("%s: %q is not host:port", key, addr)
-		}
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		r.fail("listen: %q is not host:port", c.Listen)
+	}
+	if c.Discovery == "" {
+		r.fail("discovery: %w", errNoDiscovery)
+	} else if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+		r.fail("discovery: %q is not host:port", c.Discovery)
 	}
 	if seed := r.root.Get("seed"); seed.Exists() {
 		n, err := strconv.ParseUint(seed.String(), 16, 64)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -110,3 +111,26 @@
 		_, _ = ParseISCSI(b, choice.Settings{})
 	})
 }
+
+// At a reload the file's discovery counts, not the start's; without one the start's stands.
+func TestReload(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	env := func(k string) string {
+		return map[string]string{"ROUTER_CONFIG": file, "ROUTER_DISCOVERY": "127.0.0.1:1", "ROUTER_LISTEN": "127.0.0.1:2"}[k]
+	}
+	for _, x := range []struct{ from, to, want string }{
+		{"", "", "127.0.0.1:8500"}, {`"discovery":"127.0.0.1:8500",`, "", "127.0.0.1:1"}, {`"127.0.0.1:8500"`, `"here"`, "error"},
+	} {
+		if err := os.WriteFile(file, []byte(strings.Replace(good, x.from, x.to, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c, err := Reload(env)
+		if x.want == "error" {
+			if err == nil || !strings.Contains(err.Error(), "discovery") {
+				t.Errorf("%v", err)
+			}
+		} else if err != nil || c.Discovery != x.want || c.Listen != "127.0.0.1:2" {
+			t.Errorf("%+v %v, want %s", c, err, x.want)
+		}
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -12,6 +12,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -143,7 +144,7 @@
 	return n, nil
 }
 
-// Watcher is the list's actor.
+// Watcher is the list's actor. It alone applies what its watches read.
 type Watcher struct {
 	Address string
 	Index   int64       // version held
@@ -152,41 +153,152 @@
 	Log     logrus.FieldLogger
 	Beat    time.Duration // 0: the default
 	held    map[string]core.Node
+	moves   chan string
+	mail    chan line
+	once    sync.Once
+	old     *session // the watch at the address before, until the new one speaks
+	now     *session // the watch at Address
+	down    bool     // told already that no watch stands
+}
+
+// session is one connection's watch.
+type session struct {
+	stop context.CancelFunc
+	live bool // it has spoken
+}
+
+// line is what a session read, or its end.
+type line struct {
+	from *session
+	list *List // nil: an empty line, or the end
+	err  error // the session has ended
+}
+
+func (w *Watcher) init() {
+	w.once.Do(func() { w.moves, w.mail = make(chan string), make(chan line, 1) })
+}
+
+// Move watches at another address from now on. The watch that stands stays, and counts, until
+// the new one speaks or the old one ends by itself. It returns false once the context ended.
+func (w *Watcher) Move(ctx context.Context, address string) bool {
+	w.init()
+	select {
+	case w.moves <- address:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
+	w.init()
 	if w.Beat == 0 {
 		w.Beat = beat
 	}
-	for down := false; ctx.Err() == nil; {
-		err := w.watch(ctx, func() { down = false })
-		if ctx.Err() != nil {
-			return
-		}
-		if !down { // once for each time it goes down, not for each try
-			w.Log.WithError(err).Warn("watch ended, connecting again")
-			w.Tell(core.News{Kind: choice.ListFailed})
-		}
-		down = true
+	w.now = w.open(ctx)
+	retry := time.NewTimer(time.Hour)
+	defer retry.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryWait):
+			return
+		case address := <-w.moves:
+			w.move(ctx, address)
+		case <-retry.C:
+			if w.now == nil {
+				w.now = w.open(ctx)
+			}
+		case l := <-w.mail:
+			if l.from != w.now && l.from != w.old {
+				continue // of a watch that is over
+			}
+			if l.err == nil {
+				w.spoke(l)
+				continue
+			}
+			if l.from == w.old {
+				w.old = nil
+			} else {
+				w.now = nil
+				retry.Reset(retryWait)
+			}
+			if w.old == nil && (w.now == nil || !w.now.live) && !w.down {
+				// once for each time it goes down, not for each try
+				w.Log.WithError(l.err).Warn("watch ended, connecting again")
+				w.Tell(core.News{Kind: choice.ListFailed})
+				w.down = true
+			}
 		}
 	}
 }
 
+// move opens a watch at the new address beside the one that stands.
+func (w *Watcher) move(ctx context.Context, address string) {
+	if address == w.Address {
+		return
+	}
+	w.Address = address
+	switch {
+	case w.now != nil && w.now.live:
+		w.over(w.old)
+		w.old = w.now
+	case w.now != nil:
+		w.over(w.now) // never spoke: of no use
+	}
+	w.now = w.open(ctx)
+}
+
+func (w *Watcher) over(s *session) {
+	if s != nil {
+		s.stop()
+	}
+}
+
+// spoke takes a line. The new watch's first one, be it empty, ends the old watch.
+func (w *Watcher) spoke(l line) {
+	l.from.live, w.down = true, false
+	if l.from == w.now && w.old != nil {
+		w.over(w.old)
+		w.old = nil
+	}
+	// Guards the held list against a source that lags behind the watch it replaces.
+	if l.list == nil || !l.list.Full && l.list.Index < w.Index {
+		return
+	}
+	w.Index = l.list.Index
+	w.Tell(w.apply(*l.list))
+}
+
+// open starts a watch at the present address from the version held.
+func (w *Watcher) open(ctx context.Context) *session {
+	in, stop := context.WithCancel(ctx)
+	s := &session{stop: stop}
+	go func(address string, index int64) {
+		defer stop()
+		put := func(l line) {
+			l.from = s
+			select {
+			case w.mail <- l:
+			case <-in.Done():
+			}
+		}
+		put(line{err: w.watch(in, address, index, put)})
+	}(w.Address, w.Index)
+	return s
+}
+
 // watch holds one connection: it asks for what came after the version held, and reads lines.
-func (w *Watcher) watch(ctx context.Context, good func()) error {
-	nc, err := (&net.Dialer{Timeout: dialWait}).DialContext(ctx, "tcp", w.Address)
+func (w *Watcher) watch(ctx context.Context, address string, index int64, put func(line)) error {
+	nc, err := (&net.Dialer{Timeout: dialWait}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	var req fasthttp.Request
-	req.SetRequestURI(path + "?watch=1&after=" + strconv.FormatInt(w.Index, 10))
-	req.Header.SetHost(w.Address)
+	req.SetRequestURI(path + "?watch=1&after=" + strconv.FormatInt(index, 10))
+	req.Header.SetHost(address)
 	if err = nc.SetDeadline(time.Now().Add(w.Beat)); err != nil {
 		return err
 	}
@@ -208,30 +320,30 @@
 	if resp.BodyStream() == nil {
 		return errors.New("watch: not a stream")
 	}
-	return w.lines(resp.BodyStream(), good)
+	return w.lines(resp.BodyStream(), put)
 }
 
 // lines reads a watch. A bad line is named and passed over: the list held stays, and the
 // version too, so that the next connection asks for what was missed.
-func (w *Watcher) lines(in io.Reader, good func()) error {
+func (w *Watcher) lines(in io.Reader, put func(line)) error {
 	sc := bufio.NewScanner(in)
 	sc.Buffer(make([]byte, 0, 4096), lineMost)
 	for sc.Scan() {
-		good()
 		text := sc.Bytes()
 		if len(text) == 0 {
+			put(line{})
 			continue
 		}
 		l, err := Decode(text)
 		if err != nil {
 			w.Log.WithError(err).Warn("bad watch line passed over")
+			put(line{})
 			return err
 		}
 		for _, bad := range l.Bad {
 			w.Log.WithError(bad).Warn("list entry left out")
 		}
-		w.Index = l.Index
-		w.Tell(w.apply(l))
+		put(line{list: &l})
 	}
 	if err := sc.Err(); err != nil {
 		return err
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -175,3 +175,34 @@
 		t.Error("the bad line was not named")
 	}
 }
+
+// Guards the list through a move of discovery: the old watch counts until the new one speaks,
+// an address that does not answer costs nothing, and what lags behind takes nothing back.
+func TestMove(t *testing.T) {
+	old, _ := discovery(t, []string{list(41, true, entry), "silence"})
+	later, asked := discovery(t, []string{list(40, false, entry), list(42, false, entry), "silence"})
+	news := make(chan core.News, 100)
+	log, _ := logtest.NewNullLogger()
+	w := &Watcher{Address: old, Log: log, Beat: time.Minute, Tell: func(n core.News) { news <- n }}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan bool)
+	go func() { w.Run(ctx); close(ended) }()
+	<-news
+	if !w.Move(ctx, "127.0.0.1:1") || !w.Move(ctx, later) {
+		t.Error("the move was not taken")
+	}
+	if n := <-news; n.Kind != choice.ListChange {
+		t.Errorf("%+v, want the change of the new watch", n)
+	}
+	if uri := <-asked; uri != path+"?watch=1&after=41" {
+		t.Errorf("asked %s", uri)
+	}
+	stop()
+	<-ended
+	if w.Index != 42 || w.old != nil || len(news) != 0 {
+		t.Errorf("index %d, old watch %v, %d more news", w.Index, w.old, len(news))
+	}
+	if w.Move(ctx, old) {
+		t.Error("a watcher that ended took a move")
+	}
+}
