Silent clients give way at once; strict request heads; descriptors split evenly

The way in took up to a second: newcomers waited in the backlog. At fault: sock.shed closed only what fasthttp had called idle, so connections that never sent a byte held the cap for the 20 s read limit; server.go's state hook also marked each new connection as in use. Limits of 20 s and 90 s were far over the 3 s owed. A probe of the parser showed that Content-Length beside Transfer-Encoding, repeated fields, bare line feeds and odd versions passed. Now: a connection is fresh, active or idle; at the cap the longest silent one goes, from half the cap on idle ones over 2 s go, and one with bytes waiting is never closed. A request is read within 2.5 s. Heads are checked strictly beside fasthttp and closed on; units over the largest and shards that do not exist are turned away (each would have made a queue of its own). Clients and nodes have half of the descriptors each.

--- a/choice/types.go
+++ b/choice/types.go
@@ -11,6 +11,7 @@
 	Plans        []Plan
 	MeanUnits    float64 // mean units of a request
 	MostUnits    float64 // most units of a request
+	Shards       int     // shards in all, 0: not told
 	ColdUnits    float64 // units a cold node bears from all hosts within TipSpan
 	MeterSpan    float64 // period of the use meter, 0: none
 	TellsOthers  bool    // answers carry units served through other hosts
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -26,7 +26,7 @@
 	leastPatient = 3 * time.Second        // that deadline counts as this at least
 	exitMargin   = 100 * time.Millisecond
 	descriptors  = 32  // kept for the listeners, discovery and the runtime
-	clientShare  = 0.7 // of the other descriptors; the nodes have the rest
+	clientShare  = 0.5 // of the other descriptors; clients with requests hold a third at most, nodes have the rest
 	memoryShare  = 0.6 // of the limit, past which the collector works harder
 )
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -208,7 +208,7 @@
 		Me: int(r.num("me", 0, 0)), Hosts: int(r.num("fleet-size", 1, 1)), Zone: r.text("my-zone", ""),
 		AskMode:   r.text("membership-mode", "push") == "ask",
 		MeanUnits: r.num("extra.usual-units", 1, 0), MostUnits: r.num("extra.largest", 0, 0),
-		ColdUnits: r.num("extra.young-limit", 0, 0), MeterSpan: r.num("extra.metering", 0, 0),
+		Shards: int(r.num("extra.slots-total", 0, 0)), ColdUnits: r.num("extra.young-limit", 0, 0), MeterSpan: r.num("extra.metering", 0, 0),
 		TellsOthers: r.flag("extra.says-others"),
 		MaxAttempts: int(r.num("ceilings.max-attempts", 1, 1)), SecondCopies: r.flag("ceilings.second-copies"),
 		MayCancel: r.flag("ceilings.may-cancel"), MayProbe: r.flag("ceilings.probes"), MayTell: r.flag("ceilings.peers"),
--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -67,10 +67,25 @@
 	return true
 }
 
+// bounds are what a request may say here.
+type bounds struct {
+	keyed  map[string]bool // by class
+	units  float64         // of the largest request; 0: not told
+	shards int             // 0: not told
+	hosts  int             // that there are; 0: not told
+}
+
 // decode reads a client's request. Only what it returns is kept of the message.
-func decode(m *fasthttp.Request, keyed func(class string) bool) (*core.Request, error) {
+func decode(m *fasthttp.Request, b *bounds) (*core.Request, error) {
 	h := &m.Header
 	r := &core.Request{}
+	if p := h.Protocol(); string(p) != "HTTP/1.1" && string(p) != "HTTP/1.0" {
+		return nil, malformed("version: %.20q", p)
+	}
+	framing, err := strictHead(h.RawHeaders(), onceOnly)
+	if err != nil {
+		return nil, malformed("%v", err)
+	}
 	if !h.IsGet() && !h.IsPut() {
 		return nil, &Malformed{fasthttp.StatusMethodNotAllowed, "method is neither GET nor PUT"}
 	}
@@ -101,7 +116,7 @@
 	if len(m.Body()) > bodyMost {
 		return nil, &Malformed{fasthttp.StatusRequestEntityTooLarge, "body: over 64 KiB"}
 	}
-	if h.IsGet() && len(m.Body()) > 0 {
+	if h.IsGet() && (len(m.Body()) > 0 || framing.chunked) {
 		return nil, malformed("body: a read has none")
 	}
 	r.ID, r.Class, r.Plan, r.Key = string(id), string(class), string(tier), string(key)
@@ -110,8 +125,18 @@
 	if err := decodeInfo(string(h.Peek("IO-Info")), &r.Request); err != nil {
 		return nil, err
 	}
+	// Beyond the largest, a request would stand in the way of all behind it in its queue.
+	if b.units > 0 && r.Units > b.units {
+		return nil, malformed("IO-Info: units: over the largest request")
+	}
+	if b.shards > 0 && r.Shard >= b.shards { // nor may made-up shards each get a line of their own
+		return nil, malformed("IO-Info: shard: there is none")
+	}
+	if b.hosts > 0 {
+		r.Hosts = min(r.Hosts, b.hosts)
+	}
 	idem := h.Peek("Idempotency-Key")
-	if len(idem) > 0 && !token(idem, 1024) || len(idem) == 0 && keyed(r.Class) {
+	if len(idem) > 0 && !token(idem, 1024) || len(idem) == 0 && b.keyed[r.Class] {
 		return nil, malformed("Idempotency-Key: missing or malformed")
 	}
 	c := &call{body: bytes.Clone(m.Body())}
@@ -184,10 +209,10 @@
 // decodeReply reads what an answer says of its attempt.
 func decodeReply(m *fasthttp.Response) core.Result {
 	h := &m.Header
-	r := core.Result{Status: choice.Errored, Used: figure(h.Peek("Volume-Load")), Others: figure(h.Peek("Other-Hosts")),
-		Load: decodeLoad(string(h.Peek("X-Load")))}
-	if len(h.Peek("Volume-Load")) > 0 {
-		r.Used++
+	r := core.Result{Status: choice.Errored, Load: decodeLoad(string(h.Peek("X-Load")))}
+	r.Others, _ = figure(h.Peek("Other-Hosts"))
+	if used, ok := figure(h.Peek("Volume-Load")); ok {
+		r.Used = used + 1
 	}
 	switch code := m.StatusCode(); {
 	case code == fasthttp.StatusOK:
@@ -198,13 +223,13 @@
 	return r
 }
 
-// figure reads a non-negative number; anything else counts as absent.
-func figure(text []byte) float64 {
+// figure reads a non-negative number; anything else is absent.
+func figure(text []byte) (float64, bool) {
 	v, err := strconv.ParseFloat(string(bytes.TrimSpace(text)), 64)
 	if err != nil || math.IsNaN(v) || v < 0 || v > 1e12 {
-		return 0
+		return 0, false
 	}
-	return v
+	return v, true
 }
 
 // decodeLoad reads a load report such as "inflight=7,queue=2,util=0.61".
@@ -214,7 +239,7 @@
 		name, v, _ := strings.Cut(strings.TrimSpace(part), "=")
 		x, err := strconv.ParseFloat(v, 64)
 		if err != nil || math.IsNaN(x) || x < 0 || x > 1e12 {
-			continue
+			return nil // spoilt: none of it is believed
 		}
 		switch name {
 		case "inflight", "outstanding":
--- /dev/null
+++ b/internal/httpfront/head.go
@@ -0,0 +1,109 @@
+package httpfront
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// fasthttp reads heads leniently: it takes Content-Length beside Transfer-Encoding, repeated
+// fields and bare line feeds. Where two readers may disagree on where a message ends, a body
+// can hide another message; so heads are checked here as well, and what is in doubt is not
+// passed on.
+
+// onceOnly are the fields of a request of which a second one would leave it open which counts.
+var onceOnly = fields("Host", "X-Request-Id", "Tier", "Cookie", "X-Deadline-Ms", "IO-Info", "Idempotency-Key", "X-Retry")
+
+func fields(names ...string) map[string]bool {
+	set := map[string]bool{"content-length": true, "transfer-encoding": true}
+	for _, n := range names {
+		set[strings.ToLower(n)] = true
+	}
+	return set
+}
+
+// frame is how a head says that its message ends.
+type frame struct{ length, chunked bool }
+
+var errFraming = errors.New("head: both a length and an encoding")
+
+// strictHead reads the header lines of a message, each with its CRLF; a last empty one may follow.
+func strictHead(lines []byte, once map[string]bool) (f frame, err error) {
+	var seen [16]string // names are few; no map for each message
+	n := 0
+	for len(lines) > 0 {
+		line, rest, ok := bytes.Cut(lines, []byte("\r\n"))
+		if !ok {
+			return f, errors.New("head: a line without its end")
+		}
+		if lines = rest; len(line) == 0 {
+			if len(rest) > 0 {
+				return f, errors.New("head: lines after its end")
+			}
+			break
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !fieldName(name) || bytes.ContainsAny(value, "\r\n\x00") {
+			return f, fmt.Errorf("head: %.40q is no field", line)
+		}
+		var low [24]byte
+		if len(name) > len(low) {
+			continue
+		}
+		key := low[:copy(low[:], name)]
+		for i, b := range key {
+			if 'A' <= b && b <= 'Z' {
+				key[i] = b | 0x20
+			}
+		}
+		if !once[string(key)] {
+			continue
+		}
+		for _, s := range seen[:n] {
+			if s == string(key) {
+				return f, fmt.Errorf("head: %s twice", key)
+			}
+		}
+		if n < len(seen) {
+			seen[n] = string(key)
+			n++
+		}
+		value = bytes.Trim(value, " \t")
+		switch string(key) {
+		case "content-length":
+			f.length = true
+			if !digits(value) {
+				return f, fmt.Errorf("head: Content-Length: %.20q is no length", value)
+			}
+		case "transfer-encoding":
+			f.chunked = true
+			if !bytes.EqualFold(value, []byte("chunked")) {
+				return f, fmt.Errorf("head: Transfer-Encoding: %.20q is not known", value)
+			}
+		}
+	}
+	if f.length && f.chunked {
+		return f, errFraming
+	}
+	return f, nil
+}
+
+func digits(v []byte) bool {
+	for _, b := range v {
+		if b < '0' || b > '9' {
+			return false
+		}
+	}
+	return len(v) > 0 && len(v) <= 18
+}
+
+// fieldName says whether a name is a token of RFC 9110.
+func fieldName(v []byte) bool {
+	for _, b := range v {
+		if !('a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || '0' <= b && b <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0) {
+			return false
+		}
+	}
+	return len(v) > 0
+}
--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -94,7 +94,7 @@
 	if err := m.Read(bufio.NewReader(strings.NewReader(good))); err != nil {
 		t.Fatal(err)
 	}
-	r, err := decode(&m, func(string) bool { return true })
+	r, err := decode(&m, &allKeyed)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,6 +102,8 @@
 	return core.NewAttempt(r, until, func(x core.Result) { got <- x }), got
 }
 
+var allKeyed = bounds{keyed: map[string]bool{"new-record": true}, units: 1e6}
+
 func later() time.Time { return time.Now().Add(time.Minute) }
 
 func try(t *testing.T, p core.Peer) core.Result {
@@ -244,7 +246,7 @@
 
 func newFront(t *testing.T, do script) *front {
 	n := newStandin(t, do)
-	set := choice.Settings{Hosts: 1, MeanUnits: 2, MostUnits: 6, MaxAttempts: 1, MayCancel: true, HoldOff: true, MaxHoldOff: 1000,
+	set := choice.Settings{Hosts: 1, MeanUnits: 2, MostUnits: 6, Shards: 8, MaxAttempts: 1, MayCancel: true, HoldOff: true, MaxHoldOff: 1000,
 		Classes: []choice.Class{{Name: "balance-read", Aim: 30e3, Deadline: 60e3, Worth: 3},
 			{Name: "new-record", Aim: 30e3, Deadline: 60e3, Worth: 2, Effect: choice.Keyed, Group: choice.GroupShard, Memory: 2500}},
 		Plans: []choice.Plan{{Name: "basic", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}}}
@@ -262,6 +264,7 @@
 	}
 	t.Cleanup(func() { ln.Close() })
 	f := &front{standin: n, srv: NewServer(c, set, 50, log), address: ln.Addr().String(), served: make(chan error, 1)}
+	f.srv.http.ReadTimeout = time.Hour // no test may pass because somebody's time ran out
 	go func() { f.served <- f.srv.Serve(ln, 50) }()
 	return f
 }
@@ -315,7 +318,7 @@
 		{edit("extent=7f3a9c21e0b4d655", "extent=7f3a"), 400},
 		{edit("60000", "soon"), 400}, {edit("60000", "-5"), 400}, {edit("60000", "99999999999"), 400},
 		{edit("units=2,", ""), 400}, {edit("units=2", "units=NaN"), 400}, {edit("units=2", "units=0"), 400},
-		{edit("shard=0", "shard=-2"), 400}, {edit("hosts=3", "hosts=0"), 400}, {edit("hosts=3", "hosts=3,hosts=4"), 400},
+		{edit("shard=0", "shard=-2"), 400}, {edit("shard=0", "shard=8"), 400}, {edit("hosts=3", "hosts=0"), 400}, {edit("hosts=3", "hosts=3,hosts=4"), 400},
 		{edit("volume=00000003b4d60021", "volume=xx"), 400},
 		{edit("Idempotency-Key: k1\r\n", ""), 400},
 		{edit("PUT", "DELETE"), 405},
@@ -323,16 +326,52 @@
 		{edit("PUT ", "GET "), 400},
 		{edit("Content-Length: 5", "Content-Length: 70000") + strings.Repeat("x", 69995), 413},
 		{"nonsense\r\n\r\n", 400},
+		// what could hide another request, or leave it open which of two counts
+		{edit("Content-Length: 5", "Content-Length: 5\r\nTransfer-Encoding: chunked") + "5\r\nhello\r\n0\r\n\r\n" + good, 400},
+		{edit("Content-Length: 5", "Transfer-Encoding: chunked\r\nContent-Length: 5"), 400},
+		{edit("Content-Length: 5", "Content-Length: 5\r\ncontent-length: 5"), 400},
+		{edit("Content-Length: 5", "Content-Length: +5"), 400}, {edit("Content-Length: 5", "Content-Length: -5"), 400},
+		{edit("Content-Length: 5", "Content-Length: 5, 5"), 400}, {edit("Content-Length: 5", "Content-Length: 99999999999999999999"), 400},
+		{edit("Content-Length: 5", "Content-Length : 5"), 400}, {edit("Content-Length: 5", "Transfer-Encoding: xchunked"), 400},
+		{strings.Replace(edit("PUT ", "GET "), "Content-Length: 5", "Transfer-Encoding: chunked", 1) + "0\r\n\r\n", 400},
+		{edit("Tier: basic", "Tier: basic\r\ntier: none"), 400}, {edit("X-Request-Id: 9", "X-Request-Id: 8\r\nX-Request-Id: 9"), 400},
+		{edit("Tier: basic\r\n", "Tier: basic\n"), 400}, {edit("HTTP/1.1", "HTTP/2.7"), 400},
+		{edit("units=2", "units=7"), 400}, {edit("Host: origin.svc", "X-Long: "+strings.Repeat("x", 2*headMost)), 431},
 	} {
-		if r := f.send(t, x.text); r.StatusCode() != x.code {
+		r := f.send(t, x.text)
+		if r.StatusCode() != x.code {
 			t.Errorf("%.60q...: %d %q, want %d", x.text, r.StatusCode(), r.Body(), x.code)
 		}
+		if r.StatusCode() != 404 && !r.ConnectionClose() {
+			t.Errorf("%.60q...: the connection stays open", x.text)
+		}
 	}
 	if n := f.requests.Load(); n != 0 {
 		t.Errorf("%d reached the node", n)
 	}
 }
 
+// Clients that say nothing, half of something or ask once and stay cannot keep another out.
+func TestSilentClients(t *testing.T) {
+	f := newFront(t, say(fine))
+	for i := range 120 { // the cap is 50
+		nc, err := net.Dial("tcp", f.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		if i%10 == 0 {
+			io.WriteString(nc, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		}
+		if i%40 == 1 {
+			io.WriteString(nc, good[:60])
+		}
+	}
+	if r := f.send(t, good); r.StatusCode() != 200 {
+		t.Errorf("%d", r.StatusCode())
+	}
+}
+
 // A refusal is a 503 that says when to come back; a failure is neither 429 nor 503.
 func TestRefuseAndFail(t *testing.T) {
 	f := newFront(t, say("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
@@ -425,7 +464,7 @@
 		text := append(append([]byte(good[:at]), noise...), good[min(len(good), at+len(noise)):]...)
 		m.Reset()
 		if m.Read(bufio.NewReader(bytes.NewReader(text))) == nil {
-			if r, err := decode(&m, func(string) bool { return true }); err == nil {
+			if r, err := decode(&m, &allKeyed); err == nil {
 				whole = r.Payload.(*call)
 				if !(r.Units > 0) || r.Hosts < 1 || r.Shard < -1 || r.Patience <= 0 || !hex16([]byte(r.Volume)) {
 					rt.Fatalf("taken: %+v", r.Request)
@@ -441,7 +480,7 @@
 		if l := decodeLoad(string(noise)); l != nil && (l.Util < -1 || l.Queue < -1 || l.Inflight < -1) {
 			rt.Fatalf("load %+v", l)
 		}
-		if v := figure(noise); !(v >= 0 && v <= 1e12) {
+		if v, ok := figure(noise); !(v >= 0 && v <= 1e12) || !ok && v != 0 {
 			rt.Fatalf("figure %v", v)
 		}
 	})
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -17,38 +17,38 @@
 
 const (
 	readyPath   = "/health/ready"
-	headMost    = 16 << 10
-	idleTimeout = 90 * time.Second
-	readTimeout = 20 * time.Second
-	retryLeast  = 10 * time.Millisecond // a refusal always says when to come back
+	headMost    = 8 << 10
+	idleTimeout = 90 * time.Second        // the listener closes idle ones sooner when it is half full
+	readTimeout = 2500 * time.Millisecond // from the connection's start, or a request's first byte
+	retryLeast  = 10 * time.Millisecond   // a refusal always says when to come back
 )
 
 // Server answers the platform's clients.
 type Server struct {
 	Core *core.Core
 	http *fasthttp.Server
-	keys map[string]bool
+	b    bounds
 }
 
 // NewServer makes the front; conns caps the clients' connections.
 func NewServer(c *core.Core, set choice.Settings, conns int, log logrus.FieldLogger) *Server {
-	s := &Server{Core: c, keys: map[string]bool{}}
+	s := &Server{Core: c, b: bounds{keyed: map[string]bool{}, units: set.MostUnits, shards: set.Shards, hosts: set.Hosts}}
 	for _, k := range set.Classes {
-		s.keys[k.Name] = k.Effect == choice.Keyed
+		s.b.keyed[k.Name] = k.Effect == choice.Keyed
 	}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: reject, Concurrency: 2 * conns, MaxRequestBodySize: bodyMost,
 		ReadBufferSize: headMost, WriteBufferSize: 4096, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true,
-		SecureErrorLogMessage: true, Logger: quiet{log}, ConnState: state,
+		SecureErrorLogMessage: true, DisablePreParseMultipartForm: true, Logger: quiet{log}, ConnState: state,
 	}
 	return s
 }
 
 // state tells the listener which connections are between requests.
 func state(nc net.Conn, st fasthttp.ConnState) {
-	if c, ok := nc.(*sock.Conn); ok {
-		c.Idle(st == fasthttp.StateIdle)
+	if c, ok := nc.(*sock.Conn); ok && (st == fasthttp.StateIdle || st == fasthttp.StateActive) {
+		c.Idle(st == fasthttp.StateIdle) // a new one is neither: nothing has come yet
 	}
 }
 
@@ -87,7 +87,7 @@
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		return
 	}
-	r, err := decode(&ctx.Request, func(class string) bool { return s.keys[class] })
+	r, err := decode(&ctx.Request, &s.b)
 	if err != nil {
 		code := fasthttp.StatusBadRequest
 		var m *Malformed
@@ -95,6 +95,7 @@
 			code = m.Code
 		}
 		ctx.Error(err.Error(), code)
+		ctx.SetConnectionClose() // what follows may be the rest of it
 		return
 	}
 	r.Arrived = time.Now()
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -11,13 +11,21 @@
 	"time"
 )
 
-const acceptPause = 5 * time.Millisecond
+const (
+	acceptPause = 5 * time.Millisecond
+	// A connection on which nothing is asked may go: at the cap after a moment, in which a
+	// request that was written at once has come; from half the cap on when it is stale.
+	shedAfter  = 30 * time.Millisecond
+	staleAfter = 2 * time.Second
+	mutedAfter = 500 * time.Millisecond // never a byte for this long: the first to go at the cap
+)
 
 // passing are the accept errors that time heals.
 var passing = []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM}
 
-// Listener caps the open connections: at the cap the one that has been idle the longest is
-// closed for a newcomer, and while none is idle newcomers stay in the backlog. It does not end for a lack of descriptors, as servers do that take any accept
+// Listener caps the open connections. Silent ones cannot fill it: at the cap one on which
+// nothing is asked is closed for a newcomer, and only while there is none newcomers stay in
+// the backlog. It does not end for a lack of descriptors, as servers do that take any accept
 // error for their end.
 type Listener struct {
 	net.Listener
@@ -45,31 +53,55 @@
 	return len(l.open) >= l.most
 }
 
-// shed closes the connection that has been idle the longest.
-func (l *Listener) shed() {
+// shed closes what is stale from half the cap on, and at the cap one connection more.
+func (l *Listener) shed(now time.Time) {
+	var stale []*Conn
+	var best *Conn
+	rank := func(c *Conn) (int, time.Duration) {
+		age := now.Sub(time.Unix(0, c.since.Load()))
+		switch p := c.phase.Load(); {
+		case p == fresh && age >= mutedAfter:
+			return 3, age
+		case p == idle && age >= staleAfter:
+			return 2, age
+		case p == fresh && age >= shedAfter:
+			return 1, age
+		case p == idle && age >= shedAfter:
+			return 0, age
+		}
+		return -1, age
+	}
 	l.mu.Lock()
-	var oldest *Conn
+	spare, most, held := len(l.open)-l.most/2, -1, time.Duration(0)
+	full := len(l.open) >= l.most
 	for c := range l.open {
-		if at := c.idle.Load(); at > 0 && (oldest == nil || at < oldest.idle.Load()) {
-			oldest = c
+		switch r, age := rank(c); {
+		case r == 2 && len(stale) < spare:
+			stale = append(stale, c)
+		case r > most || r == most && r >= 0 && age > held:
+			if full && c.asks() != waiting {
+				best, most, held = c, r, age
+			}
 		}
 	}
 	l.mu.Unlock()
-	if oldest != nil {
-		oldest.Close()
+	if len(stale) == 0 && best != nil {
+		stale = append(stale, best)
+	}
+	for _, c := range stale {
+		c.doom()
 	}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		if l.full() {
-			l.shed()
-		}
+		l.shed(time.Now())
 		if !l.full() {
 			nc, err := l.Listener.Accept()
 			if err == nil {
 				c := &Conn{Conn: nc, from: l}
+				c.since.Store(time.Now().UnixNano())
 				l.mu.Lock()
 				l.open[c] = true
 				l.mu.Unlock()
@@ -96,21 +128,74 @@
 	return false
 }
 
+// The phases of a connection.
+const (
+	fresh  int32 = iota // nothing has come yet
+	active              // a request is arriving or open
+	idle                // between requests
+	doomed              // shed: nothing more is read
+)
+
 // Conn is an accepted connection.
 type Conn struct {
 	net.Conn
 	from  *Listener
-	idle  atomic.Int64 // since when it carries nothing; 0: it does
+	phase atomic.Int32
+	since atomic.Int64 // start of a fresh or idle phase
 	ended chan struct{}
 }
 
-// Idle says whether the connection carries a request now.
-func (c *Conn) Idle(idle bool) {
-	if idle {
-		c.idle.Store(time.Now().UnixNano())
-	} else {
-		c.idle.Store(0)
+// Read implements net.Conn. A byte that comes makes the connection active, unless it was
+// shed at that moment: then the byte was never taken.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.rouse() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *Conn) rouse() bool {
+	for {
+		switch p := c.phase.Load(); {
+		case p == active:
+			return true
+		case p == doomed:
+			return false
+		case c.phase.CompareAndSwap(p, active):
+			return true
+		}
+	}
+}
+
+// Idle says whether the connection is between requests.
+func (c *Conn) Idle(on bool) {
+	if !on {
+		c.rouse()
+		return
+	}
+	c.since.Store(time.Now().UnixNano())
+	c.phase.CompareAndSwap(active, idle)
+}
+
+// asks peeks whether something waits to be read.
+func (c *Conn) asks() (s state) {
+	s = open
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { s = peek(fd) })
+		}
+	}
+	return s
+}
+
+// doom closes the connection unless something is being asked on it.
+func (c *Conn) doom() {
+	p := c.phase.Load()
+	if p != fresh && p != idle || c.asks() == waiting || !c.phase.CompareAndSwap(p, doomed) {
+		return
 	}
+	c.Close()
 }
 
 // Close implements net.Conn.
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -4,8 +4,10 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"syscall"
 	"testing"
+	"time"
 )
 
 func pair(t *testing.T, most int) (*Listener, *Conn, net.Conn) {
@@ -76,6 +78,62 @@
 	}
 }
 
+// What is closed for a newcomer has nothing asked on it, and silent ones go before idle ones.
+func TestShed(t *testing.T) {
+	l, asked, out := pair(t, 4)
+	io.WriteString(out, "GET")
+	conns := []*Conn{asked}
+	for range 3 {
+		nc, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		in, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, in.(*Conn))
+	}
+	begun, between, silent := conns[1], conns[2], conns[3]
+	begun.phase.Store(active)
+	between.rouse()
+	between.Idle(true)
+	for asked.asks() != waiting {
+		runtime.Gosched() // until the bytes have come
+	}
+	now := time.Now()
+	l.shed(now)
+	for _, c := range conns {
+		if c.phase.Load() == doomed {
+			t.Error("closed at once")
+		}
+	}
+	for i, gone := range []*Conn{silent, between} { // at the cap, then as stale past half the cap
+		l.shed(now.Add(time.Duration(i+1) * time.Second))
+		if gone.phase.Load() != doomed {
+			t.Errorf("round %d: not closed", i)
+		}
+		if n, err := gone.Read(make([]byte, 1)); n > 0 || err == nil {
+			t.Error("a closed connection was read")
+		}
+	}
+	for range 3 {
+		l.shed(now.Add(time.Hour))
+	}
+	b := make([]byte, 3)
+	if n, err := asked.Read(b); err != nil || string(b[:n]) != "GET" || begun.phase.Load() != active {
+		t.Errorf("a connection with a request was closed: %q %v", b[:n], err)
+	}
+	// A byte that comes while its connection is shed is not taken; a shed loses to one that came before.
+	begun.Idle(true)
+	begun.rouse()
+	begun.doom()
+	if begun.phase.Load() != active || between.rouse() {
+		t.Error("roused and shed at once")
+	}
+}
+
 type failing struct {
 	net.Listener
 	errs []error
