Nodes' answers are read strictly; a begun answer that stops is spoilt in 300 ms

Ruled out: memory for huge answers (fasthttp stops at 64 KiB) and repeated lengths (it refuses them). At fault: conn.carry left all judgement to fasthttp; decodeReply made an unreadable Volume-Load a fresh figure of 1 by Used++. Grown buffers are not kept with idle connections.

--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -143,6 +143,67 @@
 	}
 }
 
+// What cannot be an answer made whole for its request is a failed attempt that may have run,
+// on a connection that stays open as well; a good answer is kept whatever comes with it, and
+// its connection is used again only if nothing did.
+func TestSpoiltAnswers(t *testing.T) {
+	edit := func(old, new string) string { return strings.Replace(fine, old, new, 1) }
+	for _, x := range []struct {
+		text  string
+		want  choice.Status
+		again bool // the connection serves the next attempt
+	}{
+		{fine, choice.OK, true},
+		{strings.NewReplacer("Content-Length: 3", "Transfer-Encoding: chunked", "abc", "3\r\nabc\r\n0\r\n\r\n").Replace(fine), choice.OK, true},
+		{"HTTP/1.1 100 Continue\r\n\r\n" + "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + fine, choice.OK, true},
+		{fine + fine, choice.OK, false}, {fine + "\x00noise", choice.OK, false},
+		{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", interimMost+1) + fine, choice.Reset, false},
+		{edit("Content-Length: 3", "Content-Length: 9"), choice.Reset, false}, // the rest never comes
+		{fine[:60], choice.Reset, false}, // nor does the end of the head
+		{edit("Content-Length: 3\r\n", ""), choice.Reset, false},
+		{edit("Content-Length: 3", "Content-Length: 3\r\nContent-Length: 2"), choice.Reset, false},
+		{edit("Content-Length: 3", "Content-Length: 3\r\nTransfer-Encoding: chunked"), choice.Reset, false},
+		{edit("Content-Length: 3", "Content-Length: +3"), choice.Reset, false},
+		{edit("Content-Length: 3", "Content-Length : 3"), choice.Reset, false},
+		{edit("Content-Length: 3", "Content-Length: 3221225472"), choice.Reset, false},
+		{edit("Content-Length: 3", "Transfer-Encoding: chunked"), choice.Reset, false},
+		{edit("HTTP/1.1 200 OK", "HTTP/1.1 2x0 OK"), choice.Reset, false}, {edit("HTTP/1.1", "HTTP/7.1"), choice.Reset, false},
+		{edit("HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\n"), choice.Reset, false}, {"noise" + fine, choice.Reset, false},
+		{edit("Volume-Load: 85", "what"), choice.Reset, false},
+		{edit("Volume-Load: 85", "X: "+strings.Repeat("x", 2*connReadSpace)), choice.Reset, false},
+		{edit("200 OK", "101 Switching Protocols"), choice.Reset, false},
+	} {
+		n := newStandin(t, say(x.text))
+		p := dialer().Connect("n", n.ln.Addr().String())
+		r := try(t, p)
+		if r.Status != x.want || r.Status == choice.OK && string(r.Payload.(*reply).body) != "abc" {
+			t.Errorf("%.90q: %+v, want %d", x.text, r, x.want)
+		}
+		try(t, p)
+		if used := n.conns.Load() == 1; used != x.again {
+			t.Errorf("%.90q: %d connections", x.text, n.conns.Load())
+		}
+		p.Close()
+	}
+}
+
+// A load report or a figure on use that cannot be read is absent, never zero or fresh.
+func TestSpoiltFigures(t *testing.T) {
+	for _, x := range []struct {
+		used, load string
+		want       float64
+		report     bool
+	}{{"85", "util=0.5", 86, true}, {"0", "util=0", 1, true}, {"much", "util=much", 0, false}, {"-3", "util=0.5,queue=-1", 0, false},
+		{"NaN", "", 0, false}, {"1e99", "util=1e99", 0, false}, {"", "what", 0, false}, {"8 5", "inflight=3,util=NaN", 0, false}} {
+		var m fasthttp.Response
+		m.Header.Set("Volume-Load", x.used)
+		m.Header.Set("X-Load", x.load)
+		if r := decodeReply(&m); r.Used != x.want || (r.Load != nil) != x.report {
+			t.Errorf("%+v: %+v", x, r)
+		}
+	}
+}
+
 // A connection is used again, and one that the node closed meanwhile is not: the attempt
 // must not end as a reset for it.
 func TestStaleConnection(t *testing.T) {
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -2,10 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net"
-	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -23,9 +23,16 @@
 	retireShare   = 0.6 // of the node's idle limit
 	retireEvery   = time.Second
 	probeTimeout  = time.Second
-	connReadSpace = 4096
+	connReadSpace = 4096    // also the longest head
+	keptSpace     = 8 << 10 // a larger send buffer is not kept with its connection
+	interimMost   = 16      // 1xx answers ahead of one
+	// answerSpan is how long an answer may take that has begun: nodes write one in one go, and
+	// a spoilt one may stop halfway on a connection that stays open.
+	answerSpan = 300 * time.Millisecond
 )
 
+var errSpoilt = errors.New("answer: cannot be read")
+
 // Dialer makes node actors that share one budget of descriptors.
 type Dialer struct {
 	ConnectTimeout time.Duration
@@ -279,19 +286,90 @@
 		unwatch()
 		return ended(choice.NoConn), false // the last byte was not written: it has not run
 	}
-	c.resp.Reset()
-	err = c.resp.ReadLimitBody(c.br, bodyMost)
+	if cap(c.out) > keptSpace {
+		c.out = nil
+	}
+	clean, err := c.read()
 	whole := unwatch() // false: the context ended first and the connection is closed
+	defer c.resp.Reset()
 	if err != nil {
 		switch {
 		case errors.Is(j.ctx.Err(), context.Canceled):
 			return core.Result{Status: choice.Cancelled}, false
-		case j.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded):
+		case j.ctx.Err() != nil:
 			return core.Result{Status: choice.TimedOut}, false
 		}
 		return core.Result{Status: choice.Reset}, false
 	}
-	return decodeReply(&c.resp), whole && !c.resp.ConnectionClose() && c.br.Buffered() == 0
+	return decodeReply(&c.resp), whole && clean
+}
+
+// read reads one answer; clean says that the connection may carry another request. Where an
+// answer may be cut or another's bytes may pass for its body, it is spoilt: its attempt may
+// have run, and nothing of it is served.
+func (c *conn) read() (clean bool, err error) {
+	if _, err = c.br.Peek(1); err != nil {
+		return false, err
+	}
+	if err = c.nc.SetReadDeadline(time.Now().Add(answerSpan)); err != nil {
+		return false, err
+	}
+	for range interimMost {
+		lines, err := c.head()
+		if err != nil {
+			return false, err
+		}
+		f, err := strictHead(lines, answerOnce)
+		if err != nil {
+			return false, err
+		}
+		c.resp.Reset()
+		if err = c.resp.Header.Read(c.br); err != nil {
+			return false, err
+		}
+		switch code := c.resp.StatusCode(); {
+		case code == fasthttp.StatusSwitchingProtocols || code < 100:
+			return false, errSpoilt
+		case code < 200:
+			continue // the answer is still to come
+		case code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified:
+		case !f.length && !f.chunked:
+			return false, errSpoilt // it would end with the connection, and a cut one as well
+		default:
+			if err = c.resp.ReadBody(c.br, bodyMost); err == nil && f.chunked {
+				err = c.resp.Header.ReadTrailer(c.br)
+			}
+			if err != nil {
+				return false, err
+			}
+		}
+		err = c.nc.SetReadDeadline(time.Time{})
+		return err == nil && !c.resp.ConnectionClose() && c.br.Buffered() == 0, nil
+	}
+	return false, errSpoilt
+}
+
+var answerOnce = fields()
+
+// head waits for a whole head and returns its lines behind a good status line; nothing of it
+// is taken from the reader.
+func (c *conn) head() ([]byte, error) {
+	for n := 1; ; n = c.br.Buffered() + 1 {
+		if _, err := c.br.Peek(n); err != nil {
+			return nil, err // also for a head that is longer than the buffer
+		}
+		b, _ := c.br.Peek(c.br.Buffered())
+		end := bytes.Index(b, []byte("\r\n\r\n"))
+		if end < 0 {
+			continue
+		}
+		status, lines, _ := bytes.Cut(b[:end+2], []byte("\r\n"))
+		if len(status) < 12 || string(status[:9]) != "HTTP/1.1 " || !digits(status[9:12]) ||
+			len(status) > 12 && status[12] != ' ' || bytes.IndexByte(status, '\n') >= 0 {
+			return nil, errSpoilt
+		}
+		return lines, nil
+	}
 }
 
 // probe asks the node for its load.
@@ -307,8 +385,8 @@
 		unwatch()
 		return core.Result{Status: choice.NoConn}, false
 	}
-	c.resp.Reset()
-	err := c.resp.ReadLimitBody(c.br, bodyMost)
+	defer c.resp.Reset()
+	clean, err := c.read()
 	if whole := unwatch(); err != nil || !whole {
 		return core.Result{Status: choice.Reset}, false
 	}
@@ -316,5 +394,5 @@
 	if c.resp.StatusCode() == fasthttp.StatusOK {
 		r.Status = choice.OK
 	}
-	return r, !c.resp.ConnectionClose() && c.br.Buffered() == 0
+	return r, clean
 }
