An attempt that three later answers overtook gets a copy beside it

Checked: a lost attempt was found only after 8 later answers and 300 ms, past the scaled aims of 180 and 210 ms, so the cancel at the aim always came first; keyed writes were never sent again at all. At fault: lose() and its thresholds in choice.go; again() allowed no copy beside an open attempt though the settings do. Now: after 3 later answers and 4 times the usual latency (50 ms at least) another goes out beside it where class, group, memory and count allow.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -49,8 +49,9 @@
 	silentLeast = 1200.0 // no answer for this long, with work out: silent; past any usual pause
 	silentTimes = 6.0    // ... or for this multiple of the usual latency, if longer
 	stallSpan   = 300.0  // ... and this long: stalled, no slope is refitted across it
-	lostAfter   = 8.0    // answers to later attempts that make one lost: past any slots' scatter
-	lostTimes   = 4.0    // ... once it is out for this multiple of the usual latency
+	lostAfter   = 3.0    // answers to later attempts that make one lost: past most slots' scatter
+	lostTimes   = 4.0    // ... once it is out for this multiple of the usual latency ...
+	lostLeast   = 50.0   // ... and for this long: small figures scatter more
 	stuckTimes  = 2.0    // past its aim and out for this multiple of the pool's latency: called off
 	gateFirst   = 50.0   // rest after a node proved not to take work ...
 	gateMost    = 500.0  // ... doubling to this, so that its return is soon seen
@@ -315,8 +316,10 @@
 			if early || late || s.now >= r.aimAt || base > s.roomFor(r) ||
 				s.now+hopeShare*base > r.aimAt {
 				s.dequeue(r)
-				s.end(r, wait)
 				mine -= r.units
+				if r.open == 0 { // else its first attempt may still serve it
+					s.end(r, wait)
+				}
 			}
 		}
 	}
@@ -533,7 +536,7 @@
 			r := n.out[0]
 			age := s.now - r.lastAt()
 			usual := s.usual(n) * math.Max(1, r.units/s.set.MeanUnits)
-			if n.overtaken(r) < lostAfter || age < math.Max(stallSpan, lostTimes*usual) {
+			if n.overtaken(r) < lostAfter || age < math.Max(lostLeast, lostTimes*usual) {
 				break
 			}
 			s.lose(n)
@@ -568,10 +571,22 @@
 	}
 }
 
-// lose writes off the oldest attempt out at a node.
+// lose writes off the oldest attempt out at a node. Where copies are allowed another goes out
+// beside it, as an answer to either serves: a connection may have fallen silent, and its time
+// limit is past any aim. The copy is bound as if the first had run. Harm: large work twice.
 func (s *Scheduler) lose(n *node) {
 	r := n.out[0]
 	n.out, n.units, r.lost = n.out[1:], n.units-r.units, true
+	r.tries[len(r.tries)-1].lost = true
+	if s.set.SecondCopies && !r.done && !r.streaming && !r.called && !r.queued {
+		if r.mayRan == nil {
+			r.mayRan, r.mayRanAt = n, r.lastAt()
+		}
+		if s.again(r) {
+			s.enqueue(r)
+			return
+		}
+	}
 	if r.class.Effect == Safe && s.set.MayCancel && !r.done && !r.streaming {
 		s.act(Action{Kind: Cancel, ID: r.id, Attempt: len(r.tries) - 1})
 	}
@@ -706,7 +721,10 @@
 
 // again says whether a further attempt is allowed: count, effect and budget.
 func (s *Scheduler) again(r *request) bool {
-	if len(r.tries) >= s.set.MaxAttempts || r.open > 0 || r.class.Effect == Unsafe && r.mayRan != nil {
+	if copied := r.open == 1 && r.lost && s.set.SecondCopies; r.open > 0 && !copied {
+		return false
+	}
+	if len(r.tries) >= s.set.MaxAttempts || r.class.Effect == Unsafe && r.mayRan != nil {
 		return false
 	}
 	if r.class.Effect == Keyed && r.mayRan != nil && s.now >= r.mayRanAt+r.class.Memory {
@@ -783,9 +801,11 @@
 	t.open = false
 	r.open--
 	n := t.node
-	n.takeBack(r)
+	if !t.lost {
+		n.takeBack(r)
+	}
 	n.next = math.Max(n.next, s.now+s.rest(n))
-	s.learn(n, r, ev)
+	s.learn(n, r, t, ev)
 	if slices.Contains([]Status{Errored, TimedOut, Reset, Cancelled}, ev.Status) {
 		r.mayRan = n
 		if r.mayRanAt == 0 {
@@ -808,7 +828,7 @@
 		return
 	}
 	switch {
-	case r.open > 0:
+	case r.open > 0 || r.queued: // a copy is out or waits
 	case !r.called && !r.streaming && s.now+math.Max(s.usual(n), lastMargin) < r.notAfter && s.again(r):
 		s.enqueue(r) // it can meet its end, and the rules allow it
 	default:
@@ -817,7 +837,7 @@
 }
 
 // learn takes what an outcome says of the node's health.
-func (s *Scheduler) learn(n *node, r *request, ev *Event) {
+func (s *Scheduler) learn(n *node, r *request, t *try, ev *Event) {
 	bad := 0.0
 	switch ev.Status {
 	case OK:
@@ -828,7 +848,9 @@
 		n.silent = false
 		n.good = ev.Latency < roomShare*s.tightest
 		n.heard, n.gateGap = s.now, 0
-		s.answered(n, ev.Latency, r.units)
+		if !t.lost { // it told of its own fate, not of the node's
+			s.answered(n, ev.Latency, r.units)
+		}
 		s.count(n, r)
 	case Errored:
 		bad, n.heard, n.silent = 1, s.now, false
@@ -845,7 +867,7 @@
 		}
 	case TimedOut, Reset:
 		bad = 1
-		if r.lost {
+		if t.lost {
 			return
 		}
 		s.answered(n, ev.Latency, r.units)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -255,6 +255,58 @@
 }
 
 // A class refused early must not look healthy.
+// An overtaken attempt gets one copy beside it where its class allows a repeat, neither earlier
+// nor elsewhere; the answer that comes first serves, and its lateness is no word on the node.
+func TestOvertakenAttemptGetsACopy(t *testing.T) {
+	for _, x := range []struct {
+		class  string
+		answer int // attempt that is served
+		copies int
+	}{{"safe", 0, 1}, {"safe", 1, 1}, {"keyed", 1, 1}, {"once", 0, 0}} {
+		set := testSettings()
+		set.SecondCopies, set.MayCancel = true, true
+		set.Classes = append(set.Classes, Class{Name: "keyed", Aim: 400, Deadline: 2000, Worth: 1, Effect: Keyed, Group: GroupShard, Memory: 2500})
+		r := newRig(t, set)
+		r.step(call("slow", x.class, 0, 3000))
+		r.s.nodes["a"].usual, r.s.nodes["a"].told = 20, r.now
+		copies := func(acts []Action) (n int) {
+			for _, a := range acts {
+				if a.ID == "slow" && a.Kind == Send && a.Node == "a" {
+					n++
+				} else if a.ID == "slow" && a.Kind != SetTimer {
+					t.Errorf("%s: %+v", x.class, a)
+				}
+			}
+			return n
+		}
+		sent := 0
+		for i := range 4 {
+			id := fmt.Sprint("q", i)
+			r.at(1000+float64(i)*40, call(id, "safe", 0, 3000))
+			sent += copies(r.at(1020+float64(i)*40, done(id, 0, OK, true)))
+			if i < 2 && sent > 0 {
+				t.Errorf("%s: a copy after %d later answers", x.class, i+1)
+			}
+		}
+		if sent != x.copies {
+			t.Errorf("%s: %d copies", x.class, sent)
+		}
+		usual := r.s.nodes["a"].usual
+		ev := done("slow", x.answer, OK, true)
+		ev.Latency = 160
+		r.at(1160, ev)
+		if x.answer == 0 && r.s.nodes["a"].usual != usual {
+			t.Errorf("%s: the node's usual latency went from %v to %v", x.class, usual, r.s.nodes["a"].usual)
+		}
+		if x.copies > 0 {
+			r.at(1170, done("slow", 1-x.answer, Moot, true))
+		}
+		if len(r.s.reqs) != 0 || r.s.waiting != 0 || len(r.s.nodes["a"].out) != 0 {
+			t.Errorf("%s: %d requests, %d waiting, %d out", x.class, len(r.s.reqs), r.s.waiting, len(r.s.nodes["a"].out))
+		}
+	}
+}
+
 func TestEarlyRefusalCountsWithTheWaitItWasSpared(t *testing.T) {
 	r := newRig(t, testSettings())
 	c := r.s.classOf["safe"]
--- a/choice/fuzz_test.go
+++ b/choice/fuzz_test.go
@@ -61,6 +61,7 @@
 		set.OrderPause = 80
 		set.AskMode, set.TellsOthers = true, true
 	}
+	set.SecondCopies = i%3 > 0
 	set.MayTell = i%4 == 2
 	set.MeterSpan = float64(i%3) * 500
 	return set
--- a/choice/state.go
+++ b/choice/state.go
@@ -85,6 +85,7 @@
 	node *node
 	at   float64
 	open bool
+	lost bool // written off: overtaken
 }
 
 // lane is the line before the node (or nodes) that hold one shard.
@@ -324,7 +325,7 @@
 
 // putOut counts a request as out at the node.
 func (s *Scheduler) putOut(r *request, n *node) {
-	r.tries = append(r.tries, try{n, s.now, true})
+	r.tries = append(r.tries, try{n, s.now, true, false})
 	r.open++
 	r.called, r.lost, r.mark, r.ahead = false, false, n.answers, float64(len(n.out))
 	n.out = append(n.out, r)
