After SIGTERM what would take the last free connections is refused at once

Checked with a trace of every connection and request after SIGTERM: at each of the four schedulers the last request came at the very moment when its last free connection was taken (6 of 6 at 0.88 s, 12 of 12 at 1.69 s, 19 of 19 at 0.46 s, 12 of 12 at 1.20 s); clients open no more then, find none free and take the scheduler for gone. Ruled out: closes by this side (the first came at 1.5 s, by the clients) and slow answers. At fault: server.go took every request while it stopped, also the one that left none. Now: from 0.2 s after SIGTERM, where a request leaves fewer than three connections free (or a third of a few), it gets 503 with Retry-After and goes nowhere.

--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	acceptFor    = 450 * time.Millisecond // after SIGTERM new connections still come
+	newcomersFor = 200 * time.Millisecond // after SIGTERM clients still open connections, at least
+	acceptFor    = 450 * time.Millisecond // ... and at most
 	killedAfter  = 700 * time.Millisecond // and the longest deadline: SIGKILL
 	mostPatient  = 3 * time.Second        // that deadline counts as this at most
 	closeMargin  = 400 * time.Millisecond // before the kill: connections close between requests ...
@@ -175,7 +176,9 @@
 	}
 	kill := time.Now().Add(graceOf(conf))
 	log.Info("stopping: accepting a little longer")
-	time.Sleep(acceptFor)
+	time.Sleep(newcomersFor)
+	srv.KeepFree()
+	time.Sleep(acceptFor - newcomersFor)
 	end, stop := context.WithDeadline(context.Background(), kill.Add(-exitMargin))
 	defer stop()
 	blocksDone := make(chan struct{})
--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -561,6 +562,56 @@
 	}
 }
 
+// While the program stops, what would take the last free connection is refused, so that
+// clients, who open no more, find one for what comes next; what is out stays out.
+func TestKeepFree(t *testing.T) {
+	came, hold := make(chan bool, 2), make(chan bool)
+	var f *front
+	f = newFront(t, func(nc net.Conn) bool {
+		if f.requests.Load() <= 2 {
+			came <- true
+			<-hold
+		}
+		return say(fine)(nc)
+	})
+	var conns [3]net.Conn
+	for i := range conns {
+		nc, err := net.Dial("tcp", f.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		conns[i] = nc
+	}
+	for f.srv.ln.Load() == nil || f.srv.ln.Load().Held() < len(conns) {
+		runtime.Gosched()
+	}
+	f.srv.KeepFree()
+	ask := func(i int) { io.WriteString(conns[i], strings.Replace(good, "9b1f", fmt.Sprintf("%04d", i), 1)) }
+	ask(0)
+	<-came
+	ask(1)
+	<-came
+	ask(2)
+	read := func(i int) *fasthttp.Response {
+		r := &fasthttp.Response{}
+		if err := r.Read(bufio.NewReader(conns[i])); err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if r := read(2); r.StatusCode() != 503 || len(r.Header.Peek("Retry-After")) == 0 {
+		t.Errorf("on the last free connection: %d", r.StatusCode())
+	}
+	close(hold)
+	if a, b := read(0).StatusCode(), read(1).StatusCode(); a != 200 || b != 200 {
+		t.Errorf("on the others: %d, %d", a, b)
+	}
+	if f.requests.Load() != 2 {
+		t.Errorf("%d requests came to the node", f.requests.Load())
+	}
+}
+
 // A cut message is never taken for a whole one, and garbage never panics.
 func TestParsers(t *testing.T) {
 	whole := &call{}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -22,6 +22,7 @@
 	idleTimeout = 90 * time.Second        // the listener closes idle ones sooner when it is half full
 	readTimeout = 2500 * time.Millisecond // from the connection's start, or a request's first byte
 	writeMargin = time.Second
+	scarceWait  = 50 * time.Millisecond // a usual answer or two
 	retryLeast  = 10 * time.Millisecond // a refusal always says when to come back
 )
 
@@ -31,6 +32,7 @@
 	http *fasthttp.Server
 	ln   atomic.Pointer[sock.Listener]
 	b    bounds
+	keep atomic.Bool // some connections free
 }
 
 // NewServer makes the front; conns caps the clients' connections.
@@ -97,6 +99,10 @@
 	return l.Held()
 }
 
+// KeepFree refuses from now on what would take the last free connections: clients open no more
+// to a program that stops, and one that finds all of its in use takes it for gone.
+func (s *Server) KeepFree() { s.keep.Store(true) }
+
 // Shutdown stops accepting, closes connections between requests and waits for the answers.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
@@ -116,6 +122,10 @@
 		ctx.SetConnectionClose() // what follows may be the rest of it
 		return
 	}
+	if s.keep.Load() && s.ln.Load().Scarce() {
+		write(ctx, core.Answer{Kind: core.Refused, RetryAfter: scarceWait})
+		return
+	}
 	r.Arrived = time.Now()
 	got := make(chan core.Answer, 1)
 	var gone atomic.Bool
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -22,8 +22,10 @@
 	shedEvery  = 50 * time.Millisecond
 	// idleFrom is the share of the cap from which on idle connections go: clients have a limit
 	// of their own, and one that asks once and stays takes the place of one that would ask.
-	idleFrom   = 0.4
-	mutedAfter = 500 * time.Millisecond // never a byte for this long: the first to go at the cap
+	idleFrom = 0.4
+	// Where no new connection comes any more, this many stay free, or this part of a few.
+	spareMost, spareShare = 3, 3
+	mutedAfter            = 500 * time.Millisecond // never a byte for this long: the first to go at the cap
 )
 
 // passing are the accept errors that time heals.
@@ -77,6 +79,20 @@
 	return len(l.open)
 }
 
+// Scarce says that too few connections are free for the requests still to come: one that finds
+// them all in use has to open another.
+func (l *Listener) Scarce() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	free := 0
+	for c := range l.open {
+		if c.phase.Load() != active {
+			free++
+		}
+	}
+	return free < min(spareMost, len(l.open)/spareShare)
+}
+
 func (l *Listener) full() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
