A storage node's 400 is final: the request is not tried again, the node not blamed

At fault: decodeReply in codec.go made each 4xx an error that may be tried again. Now: 4xx but 408 and 429 ends the request as failed, with 400 to its client; the module hears that the attempt never ran.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,6 +41,7 @@
 	CauseUnknown = "unknown class or plan"
 	CauseTwice   = "request id in use"
 	CauseLate    = "out of time"
+	CauseBad     = "the storage node cannot use it"
 	CauseBroken  = "internal error"
 )
 
@@ -88,6 +89,9 @@
 	Used, Others float64
 	Load         *choice.Load
 	Payload      any
+	// Bad says that the node turned the request away for what it is. That is final: another
+	// attempt would end the same, and it tells nothing of the node's health.
+	Bad bool
 }
 
 // Done reports an attempt's end; only the first report counts. It may wait for the module's
@@ -433,6 +437,8 @@
 	e.open--
 	if r.Status == choice.OK && !e.answered {
 		c.answer(e, Answer{Kind: Served, Payload: r.Payload})
+	} else if r.Bad {
+		c.answer(e, Answer{Kind: Failed, Cause: CauseBad})
 	} else if h, ok := r.Payload.(Held); ok {
 		h.Drop() // nobody is left to serve
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -110,6 +110,23 @@
 	}
 }
 
+// What a node turns away for what it is, a bad client's request, is not tried again.
+func TestBadIsFinal(t *testing.T) {
+	r := start(t, settings())
+	r.list(choice.ListStale, node("n", 0, choice.NodeUp))
+	for _, class := range []string{"read", "record"} {
+		_, got := r.ask(class, class, time.Minute)
+		(<-r.peer("n").sent).Done(Result{Status: choice.Moot, Bad: true})
+		if a := one(t, got, Failed); a.Cause != CauseBad {
+			t.Errorf("%s: %+v", class, a)
+		}
+		none(t, r, got)
+		if len(r.peer("n").sent) > 0 {
+			t.Errorf("%s: sent again", class)
+		}
+	}
+}
+
 func TestServedOnce(t *testing.T) {
 	r := start(t, settings())
 	r.list(choice.ListStale, node("n", 0, choice.NodeUp))
--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -244,6 +244,8 @@
 		return r
 	case (code == 503 || code == 504) && string(h.Peek("X-Not-Run")) == "1":
 		r.Status = choice.Full
+	case code >= 400 && code < 500 && code != fasthttp.StatusRequestTimeout && code != fasthttp.StatusTooManyRequests:
+		r.Status, r.Bad = choice.Moot, true
 	}
 	rep.Drop()
 	return r
--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -126,6 +126,8 @@
 		"error":            {say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), choice.Errored},
 		"full":             {say("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"), choice.Full},
 		"over":             {say("HTTP/1.1 504 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"), choice.Full},
+		"bad request":      {say("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"), choice.Moot},
+		"too many":         {say("HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n"), choice.Errored},
 		"503 may have run": {say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), choice.Errored},
 		"cut":              {func(net.Conn) bool { return false }, choice.Reset},
 		"cut in answer":    {func(nc net.Conn) bool { io.WriteString(nc, fine[:len(fine)-1]); return false }, choice.Reset},
@@ -495,6 +497,10 @@
 	if r := f.send(t, good); r.StatusCode() != 502 {
 		t.Errorf("a write in doubt: %d", r.StatusCode())
 	}
+	f = newFront(t, say("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"))
+	if r := f.send(t, good); r.StatusCode() != 400 {
+		t.Errorf("turned away as bad: %d", r.StatusCode())
+	}
 }
 
 // The client's going is seen while the node still works, and the attempt is called off.
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -180,6 +180,8 @@
 	case core.Failed:
 		code := fasthttp.StatusBadGateway
 		switch a.Cause {
+		case core.CauseBad:
+			code = fasthttp.StatusBadRequest
 		case core.CauseUnknown:
 			code = fasthttp.StatusNotFound
 		case core.CauseTwice:
