--- /dev/null
+++ b/internal/address/addr.go
@@ -0,0 +1,268 @@
+package address
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"path"
+	"strconv"
+	"strings"
+)
+
+// Kind is the family of an address.
+type Kind uint8
+
+// The families. Name is a host name, which the operating system resolves at each connect.
+const (
+	Unix Kind = iota
+	IPv6
+	IPv4
+	Name
+	kinds
+)
+
+var kindWords = [kinds]string{Unix: "unix", IPv6: "ipv6", IPv4: "ipv4", Name: "name"}
+
+func (k Kind) String() string {
+	if k < kinds {
+		return kindWords[k]
+	}
+	return "kind " + strconv.Itoa(int(k))
+}
+
+// ParseKind reads the word of a family: unix, ipv6, ipv4 or name.
+func ParseKind(word string) (Kind, error) {
+	for k, w := range kindWords {
+		if w == word {
+			return Kind(k), nil
+		}
+	}
+	return 0, fmt.Errorf("%.20q is none of unix, ipv6, ipv4, name", word)
+}
+
+// pathMost is the longest path of a socket: sun_path of unix(7) holds 108 bytes, the last a NUL.
+const pathMost = 107
+
+// schemeUnix marks the path of a socket, as in unix:/run/x.sock.
+const schemeUnix = "unix:"
+
+// Addr is a parsed address in its one spelling: two that mean the same are equal with ==.
+type Addr struct {
+	kind Kind
+	ip   netip.AddrPort
+	text string // Unix: the path; Name: host:port
+}
+
+// Kind is the family.
+func (a Addr) Kind() Kind { return a.kind }
+
+// IsZero says that it is no address.
+func (a Addr) IsZero() bool { return a == Addr{} }
+
+// String is the one spelling, which Parse reads again.
+func (a Addr) String() string {
+	switch {
+	case a.IsZero():
+		return ""
+	case a.kind == Unix:
+		return schemeUnix + a.text
+	case a.kind == Name:
+		return a.text
+	}
+	return a.ip.String()
+}
+
+// Dial gives the network and the address as package net wants them.
+func (a Addr) Dial() (network, address string) {
+	switch a.kind {
+	case Unix:
+		return "unix", a.text
+	case IPv6:
+		return "tcp6", a.ip.String()
+	case IPv4:
+		return "tcp4", a.ip.String()
+	}
+	return "tcp", a.text
+}
+
+// Path is the file of a Unix socket, or empty.
+func (a Addr) Path() string {
+	if a.kind == Unix {
+		return a.text
+	}
+	return ""
+}
+
+// Parse reads the address of a node to connect to: host:port with an IPv4 address, an IPv6
+// address in brackets (a zone only where it is link-local) or a host name, or unix:PATH with an
+// absolute path. The error says what is wrong with it and does not repeat it.
+func Parse(text string) (Addr, error) {
+	a, err := parse(text, 1)
+	if err != nil {
+		return Addr{}, err
+	}
+	if a.ip.IsValid() {
+		switch ip := a.ip.Addr(); {
+		case ip.IsUnspecified():
+			return Addr{}, errors.New("no host to connect to")
+		case ip.IsMulticast() || ip == netip.AddrFrom4([4]byte{255, 255, 255, 255}):
+			return Addr{}, errors.New("a group of hosts, not one")
+		}
+	}
+	return a, nil
+}
+
+// ParseListen reads an address to listen on: as Parse does, and also hosts that stand for all
+// of this machine's and the port 0, but no name.
+func ParseListen(text string) (Addr, error) {
+	if strings.HasPrefix(text, ":") {
+		text = "[::]" + text
+	}
+	a, err := parse(text, 0)
+	switch {
+	case err != nil:
+		return Addr{}, err
+	case a.kind == Name:
+		return Addr{}, errors.New("host: not an IP address")
+	case a.ip.IsValid() && a.ip.Addr().IsMulticast():
+		return Addr{}, errors.New("a group of hosts, not one")
+	}
+	return a, nil
+}
+
+func parse(text string, least uint64) (Addr, error) {
+	if file, ok := strings.CutPrefix(text, schemeUnix); ok {
+		return parseUnix(file)
+	}
+	if strings.HasPrefix(text, "/") {
+		return Addr{}, errors.New("a path is written unix:PATH")
+	}
+	host, port, err := net.SplitHostPort(text)
+	if err != nil {
+		return Addr{}, errors.New("neither host:port nor unix:PATH")
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || n < least {
+		return Addr{}, fmt.Errorf("port: not a number from %d to 65535", least)
+	}
+	if strings.ContainsRune(host, ':') || strings.HasPrefix(text, "[") {
+		return parse6(host, uint16(n))
+	}
+	if ip, err := netip.ParseAddr(host); err == nil {
+		return Addr{kind: IPv4, ip: netip.AddrPortFrom(ip, uint16(n))}, nil
+	}
+	if err := hostName(host); err != nil {
+		return Addr{}, err
+	}
+	return Addr{kind: Name, text: strings.ToLower(strings.TrimSuffix(host, ".")) + ":" + strconv.FormatUint(n, 10)}, nil
+}
+
+func parse6(host string, port uint16) (Addr, error) {
+	ip, err := netip.ParseAddr(host)
+	switch {
+	case err != nil || !ip.Is6():
+		return Addr{}, errors.New("host: not an IPv6 address")
+	case ip.Is4In6() && ip.Zone() != "":
+		return Addr{}, errors.New("zone: an IPv4 address has none")
+	case ip.Is4In6():
+		return Addr{kind: IPv4, ip: netip.AddrPortFrom(ip.Unmap(), port)}, nil
+	case ip.Zone() != "" && !ip.IsLinkLocalUnicast() && !ip.IsLinkLocalMulticast():
+		return Addr{}, errors.New("zone: the address is not link-local")
+	case ip.IsLinkLocalUnicast() && ip.Zone() == "":
+		return Addr{}, errors.New("zone: missing, and the address is link-local")
+	case len(ip.Zone()) > 15 || strings.ContainsAny(ip.Zone(), "%/] \t\r\n\x00"):
+		return Addr{}, errors.New("zone: not the name of an interface")
+	}
+	return Addr{kind: IPv6, ip: netip.AddrPortFrom(ip, port)}, nil
+}
+
+func parseUnix(file string) (Addr, error) {
+	switch {
+	case strings.HasPrefix(file, "@"):
+		return Addr{}, errors.New("path: an abstract name has no file and no mode")
+	case strings.ContainsRune(file, 0):
+		return Addr{}, errors.New("path: holds a zero byte")
+	case !strings.HasPrefix(file, "/"):
+		return Addr{}, errors.New("path: not absolute")
+	case strings.HasSuffix(file, "/"):
+		return Addr{}, errors.New("path: a folder, not a socket")
+	}
+	if file = path.Clean(file); len(file) > pathMost {
+		return Addr{}, fmt.Errorf("path: %d bytes long, and a socket's has %d at most", len(file), pathMost)
+	}
+	return Addr{kind: Unix, text: file}, nil
+}
+
+// hostName checks a name as RFC 1123 section 2.1 has it. One of digits and points alone would be
+// a misspelt IPv4 address.
+func hostName(host string) error {
+	host = strings.TrimSuffix(host, ".")
+	if len(host) == 0 || len(host) > 253 {
+		return errors.New("host: empty or too long")
+	}
+	if strings.Trim(host, "0123456789.") == "" {
+		return errors.New("host: not an IPv4 address")
+	}
+	for _, label := range strings.Split(host, ".") {
+		if len(label) == 0 || len(label) > 63 || label[0] == '-' || label[len(label)-1] == '-' {
+			return errors.New("host: not a name")
+		}
+		for _, r := range label {
+			if r != '-' && r != '_' && (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') {
+				return errors.New("host: not a name")
+			}
+		}
+	}
+	return nil
+}
+
+// Most is how many addresses one node may have.
+const Most = 16
+
+// List reads the addresses of one node. One that is bad, in twice (also in another spelling) or
+// beyond Most is left out and named in errs; the others stay, in their order.
+func List(texts []string) (list []Addr, errs []error) {
+	seen := map[Addr]string{}
+	for i, text := range texts {
+		a, err := Parse(text)
+		if first, twice := seen[a]; err == nil && twice {
+			err = fmt.Errorf("the same as %q", first)
+		} else if err == nil && len(list) == Most {
+			err = fmt.Errorf("a node has %d addresses at most", Most)
+		}
+		if err != nil {
+			errs = append(errs, fmt.Errorf("addresses.%d (%.60q): %w", i, text, err))
+			continue
+		}
+		seen[a] = text
+		list = append(list, a)
+	}
+	return list, errs
+}
+
+// Interleave puts addresses in the order of RFC 8305 section 4: the families by preference, one
+// address of each in turn, and within a family as listed. Families that the preference does not
+// name come last, in the order of their constants. It returns indices into list.
+func Interleave(list []Addr, preference []Kind) []int {
+	rank := [kinds]int{}
+	for k := range rank {
+		rank[k] = len(preference) + k
+	}
+	for i := len(preference) - 1; i >= 0; i-- {
+		rank[preference[i]] = i
+	}
+	families := make([][]int, len(preference)+int(kinds))
+	for i, a := range list {
+		families[rank[a.kind]] = append(families[rank[a.kind]], i)
+	}
+	var order []int
+	for turn := 0; len(order) < len(list); turn++ {
+		for _, f := range families {
+			if turn < len(f) {
+				order = append(order, f[turn])
+			}
+		}
+	}
+	return order
+}
--- /dev/null
+++ b/internal/address/addr_test.go
@@ -0,0 +1,146 @@
+package address
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"wheatsaddle/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m) }
+
+// parsed are spellings and what they come to; an empty one is an error with these words.
+var parsed = []struct{ text, want, err string }{
+	{"127.0.0.1:7001", "127.0.0.1:7001", ""},
+	{"127.0.0.1:07001", "127.0.0.1:7001", ""},
+	{"[::1]:7001", "[::1]:7001", ""},
+	{"[0:0:0:0:0:0:0:1]:7001", "[::1]:7001", ""},
+	{"[2001:DB8::1]:1", "[2001:db8::1]:1", ""},
+	{"[::ffff:10.0.0.1]:80", "10.0.0.1:80", ""},
+	{"[::ffff:10.0.0.1%eth0]:80", "", "zone"},
+	{"[fe80::1%eth0]:9", "[fe80::1%eth0]:9", ""},
+	{"[fe80::1]:9", "", "zone: missing"},
+	{"[::1%lo]:9", "", "zone: the address is not link-local"},
+	{"[fe80::1%a/b]:9", "", "zone"},
+	{"unix:/run/x.sock", "unix:/run/x.sock", ""},
+	{"unix:///run//./x.sock", "unix:/run/x.sock", ""},
+	{"unix:/run/a/../x.sock", "unix:/run/x.sock", ""},
+	{"unix:x.sock", "", "not absolute"},
+	{"unix:@x", "", "abstract"},
+	{"unix:/run/", "", "folder"},
+	{"unix:/a\x00b", "", "zero byte"},
+	{"unix:/" + strings.Repeat("x", pathMost-1), "unix:/" + strings.Repeat("x", pathMost-1), ""},
+	{"unix:/" + strings.Repeat("x", pathMost), "", "108 bytes"},
+	{"/run/x.sock", "", "unix:PATH"},
+	{"localhost:7001", "localhost:7001", ""},
+	{"LocalHost.:7001", "localhost:7001", ""},
+	{"a_b-c.d:1", "a_b-c.d:1", ""},
+	{"-a:1", "", "not a name"},
+	{"1.2.3:1", "", "IPv4"},
+	{"256.1.1.1:1", "", "IPv4"},
+	{"127.0.0.1:0", "", "port"},
+	{"127.0.0.1:65536", "", "port"},
+	{"127.0.0.1:http", "", "port"},
+	{"127.0.0.1:+1", "", "port"},
+	{"127.0.0.1", "", "neither"},
+	{"::1:7001", "", "neither"},
+	{"[127.0.0.1]:1", "", "IPv6"},
+	{"[]:1", "", "IPv6"},
+	{":1", "", "host"},
+	{"0.0.0.0:1", "", "no host"},
+	{"[::]:1", "", "no host"},
+	{"224.0.0.1:1", "", "group"},
+	{"[ff02::1%eth0]:1", "", "group"},
+	{"255.255.255.255:1", "", "group"},
+	{"", "", "neither"},
+}
+
+func TestParse(t *testing.T) {
+	for _, x := range parsed {
+		a, err := Parse(x.text)
+		if (err == nil) != (x.err == "") || err != nil && !strings.Contains(err.Error(), x.err) || err == nil && a.String() != x.want {
+			t.Errorf("%q: %v, %v; want %q %q", x.text, a, err, x.want, x.err)
+		}
+		if err == nil {
+			if b, err := Parse(a.String()); err != nil || b != a {
+				t.Errorf("%q: its spelling %q reads as %v, %v", x.text, a, b, err)
+			}
+		}
+	}
+}
+
+func TestParseListen(t *testing.T) {
+	for text, want := range map[string]string{
+		"0.0.0.0:80": "0.0.0.0:80", ":80": "[::]:80", "[::]:0": "[::]:0", "127.0.0.1:0": "127.0.0.1:0",
+		"unix:/run/x": "unix:/run/x", "localhost:1": "", "224.0.0.1:1": "", "x": "",
+	} {
+		if a, err := ParseListen(text); a.String() != want || (err == nil) != (want != "") {
+			t.Errorf("%q: %q, %v", text, a, err)
+		}
+	}
+}
+
+// One that is bad, or there twice in another spelling, is named, and costs only itself.
+func TestList(t *testing.T) {
+	list, errs := List([]string{"127.0.0.1:1", "what", "[::ffff:127.0.0.1]:1", "unix:/a", "unix:/./a"})
+	if fmt.Sprint(list) != "[127.0.0.1:1 unix:/a]" || len(errs) != 3 {
+		t.Fatalf("%v %v", list, errs)
+	}
+	for i, want := range []string{`addresses.1 ("what")`, `addresses.2 ("[::ffff:127.0.0.1]:1"): the same as "127.0.0.1:1"`, "addresses.4"} {
+		if !strings.Contains(errs[i].Error(), want) {
+			t.Errorf("%v", errs[i])
+		}
+	}
+	var many []string
+	for i := range Most + 2 {
+		many = append(many, fmt.Sprintf("127.0.0.1:%d", i+1))
+	}
+	if list, errs := List(many); len(list) != Most || len(errs) != 2 {
+		t.Errorf("%d kept, %d named", len(list), len(errs))
+	}
+}
+
+func TestInterleave(t *testing.T) {
+	list, _ := List([]string{"127.0.0.1:1", "127.0.0.1:2", "[::1]:1", "name:1", "unix:/a", "unix:/b", "unix:/c"})
+	for _, x := range []struct {
+		pref []Kind
+		want string
+	}{
+		{[]Kind{Unix, IPv6, IPv4}, "[4 2 0 3 5 1 6]"}, {[]Kind{IPv4}, "[0 4 2 3 1 5 6]"}, {nil, "[4 2 0 3 5 1 6]"},
+	} {
+		if got := fmt.Sprint(Interleave(list, x.pref)); got != x.want {
+			t.Errorf("%v: %v, want %v", x.pref, got, x.want)
+		}
+	}
+}
+
+// FuzzParse: what is read has one spelling, which reads as itself and which package net takes.
+func FuzzParse(f *testing.F) {
+	for _, x := range parsed {
+		f.Add(x.text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		a, err := Parse(text)
+		if err != nil {
+			if !a.IsZero() {
+				t.Errorf("%q: both %v and %v", text, a, err)
+			}
+			return
+		}
+		if b, err := Parse(a.String()); err != nil || b != a {
+			t.Errorf("%q: %q reads as %v, %v", text, a, b, err)
+		}
+		switch network, to := a.Dial(); network {
+		case "unix":
+			if len(to) > pathMost || !strings.HasPrefix(to, "/") {
+				t.Errorf("%q: path %q", text, to)
+			}
+		case "tcp4", "tcp6":
+			if _, err := net.ResolveTCPAddr(network, to); err != nil && !strings.Contains(to, "%") {
+				t.Errorf("%q: %v", text, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/address/book.go
@@ -0,0 +1,569 @@
+// Package address decides by which of a storage node's addresses a request goes: which
+// connection it is written on, where the next one is opened, which address is tried again and
+// when. A Book is the state of one node. It opens no socket and reads no clock: events and the
+// time come in by Step, actions go out, and the driver around it does what they say.
+//
+// Invariants, as Check and the tests word them:
+//
+//  1. A request is written on one connection at most, and a connection carries one at most. Only
+//     a connection that the driver found ended before a byte was written gives its request back.
+//  2. Nothing is written and nothing connected while the node drains or has left the list;
+//     connections that come up then are closed.
+//  3. The connects started in any span are at most the burst and the rate times the span.
+//  4. While there is a better address, one that failed, is suspect or wrong has one connection
+//     under trial at most; while all are down the whole node has one.
+//  5. A connection of an address that went from the list carries nothing new, and what it
+//     carries is not cut.
+//  6. The primary goes back to a preferred address at most once in ReturnSpan, and only after
+//     ReturnAfter connections on which an answer came in time.
+//  7. A preferred address that answers again becomes primary in the end, as long as work comes.
+//  8. What waits has a connect, a connection in use or a time that will wake it.
+//
+// Source: RFC 8305 (Happy Eyeballs v2) sections 4 and 5 for the order and the stagger, RFC 6298
+// section 2 for the smoothed connect time, and the circuit breaker's half-open state for trials.
+// It sends no health calls, resolves no names and never repeats a request.
+package address
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Conn names a connection from its Connect action on; it is never 0 and never used again.
+type Conn uint64
+
+// Req names a request; the caller's own, not 0.
+type Req uint64
+
+// EventKind tells which fields of an Event count.
+type EventKind uint8
+
+// The kinds of events.
+const (
+	Want      EventKind = iota // Req, Safe, Named: it wants to be written
+	Drop                       // Req, Conn (0: it waits): its owner has given it up
+	Connected                  // Conn
+	Failed                     // Conn, Why: it did not come up
+	Answered                   // Conn, Verdict, Keep: a whole answer has come
+	Broken                     // Conn, Why: it ended while it carried a request
+	Lost                       // Conn: it ended, or the driver ended it, while idle
+	Tick                       // the time of Next has come
+	Drain                      // On
+	Closing                    // the node has left the list
+	Listed                     // Addrs: the node's addresses from now on
+)
+
+// Why tells how a connection ended.
+type Why uint8
+
+// The ways. Those up to NoFamily are of connects.
+const (
+	Refused    Why = iota // nobody listens, or no such file
+	TimedOut              // it did not come up in time
+	NoResource            // this program lacks descriptors or ports: the address is not at fault
+	NoFamily              // this machine lacks the address's family
+	Reset                 // it broke after the request, or gave what is no answer
+	Cut                   // it broke before the request's last byte
+	Unwritten             // it was found ended before a byte of the request was written
+	Silent                // nothing was heard in time
+	Slow                  // an answer came too late
+	Outrun                // another address came up first, though it started later
+	TurnedAway            // requests turned away in a row
+	Misled                // it leads to another node
+	whys
+)
+
+var whyWords = [whys]string{"refused", "timed out", "no resource", "no family", "reset", "cut", "unwritten", "silent",
+	"slow", "outrun", "turned away", "another node"}
+
+func (w Why) String() string {
+	if w < whys {
+		return whyWords[w]
+	}
+	return fmt.Sprint("why ", uint8(w))
+}
+
+// Verdict is what an answer says of its address.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served      Verdict = iota // the node served it
+	Other                      // it answered otherwise
+	Turned                     // turned away without running it
+	Misdirected                // it says that it is another node
+)
+
+// Event is one thing that happened.
+type Event struct {
+	Kind    EventKind
+	Conn    Conn
+	Req     Req
+	Why     Why
+	Verdict Verdict
+	Safe    bool // the request's class may be repeated
+	Named   bool // the request names a shard, so that a wrong node turns it away
+	Keep    bool // the connection may carry another request; else the driver has closed it
+	On      bool
+	Addrs   []Addr
+}
+
+// ActionKind tells which fields of an Action count.
+type ActionKind uint8
+
+// The kinds of actions.
+const (
+	Connect ActionKind = iota // Conn, Addr: answer with Connected or Failed
+	Write                     // Conn, Req: answer with Answered, Broken or Drop
+	Close                     // Conn: also one that is coming up; no event follows
+	Fail                      // Req: no connection; it was never written
+	Say                       // Addr, State, Why: for the log
+)
+
+// Action is one thing to do.
+type Action struct {
+	Kind  ActionKind
+	Conn  Conn
+	Req   Req
+	Addr  Addr
+	State State
+	Why   Why
+}
+
+type phase uint8
+
+const (
+	none phase = iota
+	connecting
+	idle
+	busy
+)
+
+type conn struct {
+	id      Conn
+	at      *entry
+	phase   phase
+	trial   bool // the one connection by which an address is tried again
+	any     bool // a trial that any request may carry
+	fresh   bool // nothing was answered on it yet
+	told    bool // its silence has been counted
+	safe    bool // the request on it
+	named   bool
+	req     Req   // busy
+	race    *race // connecting, nil: for nobody in particular
+	since   time.Duration
+	restart uint64 // generation of the slot
+}
+
+type waiter struct {
+	req         Req
+	safe, named bool
+}
+
+// Book is the state of one node's addresses.
+type Book struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	order    []*entry // as preferred
+	primary  *entry
+	conns    []conn
+	free     []int
+	used     int // connections, with those coming up
+	coming   int // those coming up
+	unproven int // those with no answer yet
+	ramp     int // how many may be so
+	waiting  []waiter
+	races    []*race
+	spare    []*race
+	draining bool
+	closing  bool
+	demand   bool // a request came in this step
+
+	tokens float64
+	filled time.Duration
+
+	measured  bool // a connect was
+	mean, dev float64
+	bound     time.Duration // of silence
+	silentAt  time.Duration // no connection has been silent for that long before
+	downAt    time.Duration // next walk while all are down
+	returnAt  time.Duration // no return before
+	hold      time.Duration // between a change and a return
+	returned  time.Duration // the last return
+	homeAt    time.Duration // next connect that moves idle connections home
+}
+
+// New makes a book for a node with no address yet. The error names the setting at fault.
+func New(set Settings, seed uint64) (*Book, error) {
+	if err := set.Check(); err != nil {
+		return nil, err
+	}
+	b := &Book{set: set, rng: rand.New(rand.NewPCG(seed, 0x61646472657373)), conns: make([]conn, set.Conns),
+		silentAt: never, ramp: set.Conns, tokens: float64(set.Burst), bound: set.SuspectLeast, hold: set.ReturnSpan,
+		returned: math.MinInt64 / 2, waiting: make([]waiter, 0, 16)}
+	for i := set.Conns - 1; i >= 0; i-- {
+		b.free = append(b.free, i)
+	}
+	return b, nil
+}
+
+// Step takes one event that came at now and appends what is to be done to actions.
+func (b *Book) Step(now time.Duration, e Event, actions []Action) []Action {
+	b.now, b.out, b.demand = max(b.now, now), actions, false
+	switch e.Kind {
+	case Want:
+		b.want(e)
+	case Drop:
+		b.drop(e)
+	case Connected:
+		b.connected(e.Conn)
+	case Failed:
+		b.failed(e.Conn, e.Why)
+	case Answered:
+		b.answered(e)
+	case Broken:
+		b.broken(e)
+	case Lost:
+		if c := b.find(e.Conn); c != nil && c.phase == idle {
+			b.unIdle(c)
+			b.forget(c)
+		}
+	case Drain:
+		if b.draining = e.On; e.On {
+			b.halt()
+		}
+	case Closing:
+		b.closing = true
+		b.halt()
+		for i := range b.conns {
+			if c := &b.conns[i]; c.phase == idle {
+				b.end(c)
+			}
+		}
+	case Listed:
+		b.list(e.Addrs)
+	}
+	b.review()
+	b.serve()
+	if b.demand && !b.draining && !b.closing && b.primary != nil {
+		b.tryAgain()
+	}
+	out := b.out
+	b.out = nil
+	return out
+}
+
+func (b *Book) act(a Action) { b.out = append(b.out, a) }
+
+func (b *Book) want(e Event) {
+	if len(b.waiting) >= b.set.Requests {
+		b.act(Action{Kind: Fail, Req: e.Req})
+		return
+	}
+	b.demand = true
+	b.waiting = append(b.waiting, waiter{e.Req, e.Safe, e.Named})
+}
+
+// drop forgets a request. One that was written closes its connection, and a trial that ends so
+// too early to tell anything may soon be made again.
+func (b *Book) drop(e Event) {
+	c := b.find(e.Conn)
+	if c == nil || c.phase != busy || c.req != e.Req {
+		b.waiting = slices.DeleteFunc(b.waiting, func(w waiter) bool { return w.req == e.Req })
+		return
+	}
+	at, trial, told := c.at, c.trial, c.told
+	late := b.now-c.since >= b.bound && at.heard < c.since
+	b.end(c)
+	switch {
+	case late && !told:
+		b.blame(at, Silent, trial)
+	case trial && !told:
+		at.until = b.now + b.jitter(b.set.TrialGap)
+	}
+}
+
+// find is the connection of that name, or nil for one that is over.
+func (b *Book) find(id Conn) *conn {
+	if i := int(id&0xffff) - 1; i >= 0 && i < len(b.conns) && b.conns[i].phase != none && b.conns[i].id == id {
+		return &b.conns[i]
+	}
+	return nil
+}
+
+// open starts a connect; there must be room and a token.
+func (b *Book) open(e *entry, r *race, trial bool) *conn {
+	i := b.free[len(b.free)-1]
+	b.free = b.free[:len(b.free)-1]
+	c := &b.conns[i]
+	gen := c.restart + 1
+	*c = conn{id: Conn(gen<<16 | uint64(i+1)), at: e, phase: connecting, trial: trial, fresh: true, race: r, since: b.now, restart: gen}
+	b.used++
+	b.coming++
+	b.unproven++
+	b.tokens--
+	e.conns++
+	e.tried = b.now
+	if trial {
+		e.trying = c
+	}
+	b.act(Action{Kind: Connect, Conn: c.id, Addr: e.Addr})
+	return c
+}
+
+// forget counts a connection out; end closes it as well.
+func (b *Book) forget(c *conn) {
+	if c.phase == connecting {
+		b.coming--
+	}
+	if c.fresh {
+		b.unproven--
+	}
+	if c.at.trying == c {
+		c.at.trying = nil
+	}
+	c.at.conns--
+	b.used--
+	b.free = append(b.free, int(c.id&0xffff)-1)
+	*c = conn{restart: c.restart}
+}
+
+func (b *Book) end(c *conn) {
+	if c.phase == idle {
+		b.unIdle(c)
+	}
+	b.act(Action{Kind: Close, Conn: c.id})
+	b.forget(c)
+}
+
+func (b *Book) unIdle(c *conn) {
+	if i := slices.Index(c.at.idle, c); i >= 0 {
+		c.at.idle = slices.Delete(c.at.idle, i, i+1)
+	}
+}
+
+func (b *Book) park(c *conn) {
+	c.phase, c.since, c.req = idle, b.now, 0
+	c.at.idle = append(c.at.idle, c)
+}
+
+// halt ends what waits and what is coming up.
+func (b *Book) halt() {
+	for i := range b.conns {
+		if c := &b.conns[i]; c.phase == connecting {
+			b.end(c)
+		}
+	}
+	b.dropRaces()
+	b.failWaiting(0)
+}
+
+// failWaiting ends what waits, but for the first so many.
+func (b *Book) failWaiting(keep int) {
+	for _, w := range b.waiting[min(keep, len(b.waiting)):] {
+		b.act(Action{Kind: Fail, Req: w.req})
+	}
+	b.waiting = b.waiting[:min(keep, len(b.waiting))]
+}
+
+// connected takes a connection that came up: it wins its race, and the others of that are closed.
+func (b *Book) connected(id Conn) {
+	c := b.find(id)
+	if c == nil || c.phase != connecting {
+		b.act(Action{Kind: Close, Conn: id}) // a late winner
+		return
+	}
+	b.measure(b.now - c.since)
+	if r := c.race; r != nil {
+		if !c.trial && c.at.shut() && b.rank(c.at) > b.best() { // blamed while it came up
+			b.end(c)
+			r.live--
+			r.next = b.now
+			return
+		}
+		c.race = nil
+		c.any = c.trial // it was the way that this race had left
+		for i := range b.conns {
+			if o := &b.conns[i]; o.phase == connecting && o.race == r {
+				slow, trial, outrun := o.at, o.trial, o.since < c.since
+				b.end(o)
+				if outrun {
+					b.blame(slow, Outrun, trial)
+				}
+			}
+		}
+		b.endRace(r)
+	}
+	b.coming--
+	b.park(c)
+}
+
+// failed takes a connect that did not come up.
+func (b *Book) failed(id Conn, why Why) {
+	c := b.find(id)
+	if c == nil || c.phase != connecting {
+		return
+	}
+	at, r, trial := c.at, c.race, c.trial
+	b.forget(c)
+	if why == NoResource {
+		at.until = max(at.until, b.now+b.jitter(b.set.TrialGap))
+	} else {
+		b.blame(at, why, trial)
+	}
+	if r != nil {
+		r.live--
+		r.stopped = r.stopped || why == NoResource
+		r.next = b.now
+		b.advance(r)
+	}
+}
+
+// answered takes a whole answer.
+func (b *Book) answered(e Event) {
+	c := b.find(e.Conn)
+	if c == nil || c.phase != busy {
+		return
+	}
+	at, took := c.at, b.now-c.since
+	first, trial := c.fresh, c.trial
+	if c.fresh {
+		c.fresh = false
+		b.unproven--
+	}
+	c.trial, c.any, c.req = false, false, 0
+	if at.trying == c {
+		at.trying = nil
+	}
+	b.judge(at, took, e.Verdict, c.named, first, trial)
+	switch {
+	case !e.Keep:
+		b.forget(c)
+	case at.gone || b.closing || at.shut() && b.rank(at) > b.best():
+		b.end(c)
+	default:
+		b.park(c)
+	}
+}
+
+// broken takes a connection that ended with a request on it. What had not been touched waits
+// again, at the head; else its owner knows the end of it.
+func (b *Book) broken(e Event) {
+	c := b.find(e.Conn)
+	if c == nil || c.phase != busy {
+		return
+	}
+	at, first, trial := c.at, c.fresh, c.trial
+	if e.Why == Unwritten {
+		b.waiting = slices.Insert(b.waiting, 0, waiter{c.req, c.safe, c.named})
+		b.demand = true
+	}
+	b.forget(c)
+	if at.gone {
+		return
+	}
+	// A kept connection may break because it was kept too long; one alone says nothing.
+	if at.breaks++; first || at.breaks > 1 {
+		if e.Why != Unwritten || first {
+			b.blame(at, Reset, trial)
+		}
+	} else if trial {
+		at.until = b.now + b.jitter(b.set.TrialGap)
+	}
+}
+
+// list puts the addresses in place of those held. What stays keeps its state; what went
+// finishes what it carries.
+func (b *Book) list(addrs []Addr) {
+	held := map[Addr]*entry{}
+	for _, e := range b.order {
+		held[e.Addr] = e
+	}
+	next := make([]*entry, 0, len(addrs))
+	for _, i := range Interleave(addrs, b.set.Preference) {
+		e := held[addrs[i]]
+		if e == nil {
+			e = &entry{Addr: addrs[i], heard: math.MinInt64 / 2, tried: math.MinInt64 / 2}
+		}
+		delete(held, addrs[i])
+		next = append(next, e)
+	}
+	b.order = next
+	for _, e := range held {
+		e.gone = true
+	}
+	for i := range b.conns { // in the order of the slots: the same events give the same actions
+		if c := &b.conns[i]; c.phase != none && c.at.gone && c.phase != busy {
+			r := c.race
+			b.end(c)
+			if r != nil {
+				r.live--
+				r.next = b.now
+			}
+		}
+	}
+	if b.primary != nil && b.primary.gone {
+		b.primary = nil
+	}
+	b.choose()
+	for _, r := range slices.Clone(b.races) {
+		b.advance(r)
+	}
+}
+
+// Next is the time of the next Tick, or a very late one where nothing depends on time.
+func (b *Book) Next() time.Duration {
+	next := time.Duration(math.MaxInt64)
+	for _, r := range b.races {
+		next = min(next, r.next)
+	}
+	next = min(next, b.silentAt)
+	if len(b.waiting) > 0 {
+		for _, e := range b.order {
+			if c := e.trying; c != nil && c.phase == idle {
+				next = min(next, c.since+b.set.TrialPatience)
+			}
+		}
+	}
+	return next
+}
+
+// Doubted says whether what a connection's address turns away is likely not this node's word:
+// the address has come under suspicion for that, or leads to another node.
+func (b *Book) Doubted(id Conn) bool {
+	c := b.find(id)
+	return c != nil && (c.at.state == Wrong || c.at.turned >= b.set.WrongAfter && c.at.state != Good && c.at.state != Untried)
+}
+
+// Primary is the address by which requests go now.
+func (b *Book) Primary() Addr {
+	if b.primary == nil {
+		return Addr{}
+	}
+	return b.primary.Addr
+}
+
+// Waiting is how many requests have no connection yet.
+func (b *Book) Waiting() int { return len(b.waiting) }
+
+// Status is one address as it stands.
+type Status struct {
+	Addr    Addr
+	State   State
+	Primary bool
+	Conns   int
+	Until   time.Duration // end of its back-off
+}
+
+// Snapshot appends the addresses in the order of preference.
+func (b *Book) Snapshot(dst []Status) []Status {
+	for _, e := range b.order {
+		dst = append(dst, Status{e.Addr, e.state, e == b.primary, e.conns, e.until})
+	}
+	return dst
+}
--- /dev/null
+++ b/internal/address/book_test.go
@@ -0,0 +1,484 @@
+package address
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	unixA = "unix:/run/a"
+	six   = "[::1]:1"
+	four  = "127.0.0.1:1"
+)
+
+var three = []string{four, six, unixA}
+
+func (r *rig) must(t *testing.T) {
+	t.Helper()
+	if r.err != nil {
+		t.Fatal(r.err)
+	}
+}
+
+func want(t *testing.T, what string, got, want any) {
+	t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Fatalf("%s: %v, want %v", what, got, want)
+	}
+}
+
+// serveOne plays one request by a connection that has to be opened first.
+func (r *rig) serveOne() Conn {
+	r.want(true)
+	if c, _ := r.last(Connect); c != 0 && r.count(Write) == 0 {
+		r.up(c)
+	}
+	c, _ := r.last(Write)
+	r.answer(c, Served)
+	return c
+}
+
+func TestOrdinaryWay(t *testing.T) {
+	r := newRig(Defaults(), three...)
+	r.want(true)
+	c, to := r.last(Connect)
+	want(t, "first by preference", to, unixA)
+	r.up(c)
+	_, on := r.last(Write)
+	want(t, "written by", on, unixA)
+	r.answer(c, Served)
+	r.want(false)
+	again, _ := r.last(Write)
+	want(t, "the connection again", again, c)
+	want(t, "connects", len(r.connects), 1)
+	r.must(t)
+}
+
+// A race goes on at a failure at once, and at silence after the delay; the first to come up
+// carries the request, the other is closed, and a winner that is late is closed as well.
+func TestRace(t *testing.T) {
+	r := newRig(Defaults(), three...)
+	r.want(true)
+	a, _ := r.last(Connect)
+	want(t, "before the first sample", r.b.Next(), 250*ms)
+	r.wait(249 * ms)
+	want(t, "too early", r.count(Connect), 0)
+	r.wait(ms)
+	b, to := r.last(Connect)
+	want(t, "second", to, six)
+	r.refuse(b, Refused)
+	c, to := r.last(Connect)
+	want(t, "third, at once", to, four)
+	r.up(c)
+	w, _ := r.last(Write)
+	want(t, "written on the first that came up", w, c)
+	closed, _ := r.last(Close)
+	want(t, "closed", closed, a)
+	r.up(a)
+	closed, _ = r.last(Close)
+	want(t, "the late winner is closed", closed, a)
+	want(t, "the outrun address is not primary", r.b.Primary(), four)
+	r.must(t)
+}
+
+// The delay between connects follows what connects take, within the bounds of the RFC.
+func TestDelayFollowsConnects(t *testing.T) {
+	for _, x := range []struct{ took, want time.Duration }{{ms / 10, 100 * ms}, {80 * ms, 240 * ms}, {3 * time.Second, 2 * time.Second}} {
+		s := Defaults()
+		s.ReturnAfter = 1
+		r := newRig(s, four)
+		r.want(true)
+		c, _ := r.last(Connect)
+		r.now += x.took
+		r.up(c)
+		want(t, "delay", r.b.delay(), x.want)
+		r.must(t)
+	}
+}
+
+// An address that accepts and hangs: those caught there end by their own time limit, the others
+// go by the next address at once, and it is tried again by one connection with one request that
+// is safe to repeat.
+func TestHungAddress(t *testing.T) {
+	s := newSim(Defaults(), three...)
+	s.run(time.Second, 10*ms, mostly)
+	want(t, "before", s.b.Primary(), unixA)
+	s.reset()
+	s.mode[unixA] = "silent"
+	s.run(10*time.Second, 10*ms, mostly)
+	s.must(t)
+	tally := s.tally()
+	if caught := tally["late"]; caught > 30 || tally["failed"] > 0 || tally["served"] < 960 {
+		t.Errorf("%v", tally)
+	}
+	want(t, "now", s.b.Primary(), six)
+	// After the first 200 ms, with 20 requests, only trials go there, one at a time, fewer and fewer.
+	if n := s.conns[unixA]; n > 20+7 {
+		t.Errorf("%d connects to the hung address", n)
+	}
+	for q, to := range s.went {
+		if to == unixA && s.done[q] == "late" && int(q) > 125 && !mostly(int(q)-100) {
+			t.Errorf("request %d, not to be repeated, went by the hung address", q)
+		}
+	}
+	s.mode[unixA] = "ok"
+	s.run(40*time.Second, 10*ms, mostly)
+	s.must(t)
+	want(t, "in the end", s.b.Primary(), unixA)
+}
+
+// A trial takes work that must not be repeated only where nothing else comes for long.
+func TestTrialWithUnsafeWork(t *testing.T) {
+	set := Defaults()
+	s := newSim(set, unixA, six)
+	s.mode[unixA] = "silent"
+	s.run(time.Second, 20*ms, func(int) bool { return false })
+	s.mode[unixA] = "ok"
+	s.reset()
+	s.run(2*time.Second, 20*ms, func(int) bool { return false })
+	want(t, "so far", s.b.Primary(), six)
+	s.run(30*time.Second, 20*ms, func(int) bool { return false })
+	s.must(t)
+	want(t, "not starved", s.b.Primary(), unixA)
+}
+
+// All are down, then one is back: one connect at a time, each request that finds none ends at
+// once, and the connections come back one, two, four.
+func TestAllDownThenBack(t *testing.T) {
+	s := newSim(Defaults(), three...)
+	s.run(time.Second, 5*ms, always)
+	s.reset()
+	for _, a := range three {
+		s.mode[a] = "refused"
+	}
+	for _, c := range append([]Conn(nil), s.busy...) {
+		s.breaks(c, Reset)
+	}
+	for i := range s.b.conns { // the dead node's connections are found ended
+		if c := &s.b.conns[i]; c.phase == idle {
+			s.do(Event{Kind: Lost, Conn: c.id})
+		}
+	}
+	s.run(5*time.Second, ms, always)
+	s.must(t)
+	if n := len(s.connects); n > 3*(50+15)+5 { // a walk over three a DownEvery, less the jitter
+		t.Errorf("%d connects in 5 s while all were down", n)
+	}
+	if open := len(s.coming); open > 1 {
+		t.Errorf("%d connects at a time", open)
+	}
+	want(t, "waiting", s.b.Waiting(), 0)
+	s.mode[four] = "late" // it is back, and connects take 150 ms: what piles up shows
+	s.reset()
+	s.run(400*ms, ms, always)
+	if n := s.conns[four]; n > 1+2+4 { // rounds of 150 ms
+		t.Errorf("%d connects in the first 400 ms of its return", n)
+	}
+	want(t, "primary", s.b.Primary(), four)
+	s.run(5*time.Second, ms, always)
+	s.must(t)
+	if tally := s.tally(); tally["served"] < 4000 {
+		t.Errorf("%v", tally)
+	}
+}
+
+// Falling is at once; a return takes good connections and time, and more of it each time that
+// it did not last.
+func TestNoFlapping(t *testing.T) {
+	set := Defaults()
+	s := newSim(set, three...)
+	s.run(time.Second, 10*ms, always)
+	var returns []time.Duration
+	for i := range 120 { // the preferred address comes and goes every half second
+		s.mode[unixA] = []string{"refused", "ok"}[i%2]
+		for j := range s.b.conns {
+			if c := &s.b.conns[j]; i%2 == 0 && c.phase == idle && c.at.kind == Unix {
+				s.do(Event{Kind: Lost, Conn: c.id})
+				break
+			}
+		}
+		s.run(500*ms, 10*ms, always)
+	}
+	s.must(t)
+	for _, m := range s.moves {
+		if m.to.kind == Unix && !m.from.IsZero() {
+			returns = append(returns, m.at)
+		}
+	}
+	for i := 1; i < len(returns); i++ {
+		if gap := returns[i] - returns[i-1]; gap < set.ReturnSpan {
+			t.Errorf("returns at %v and %v", returns[i-1], returns[i])
+		}
+	}
+	if len(returns) == 0 || len(returns) > 15 {
+		t.Errorf("%d returns in a minute: %v", len(returns), returns)
+	}
+}
+
+// A port that another node has taken over turns away what names a shard: the address is wrong,
+// and what it turned away last is not the node's word.
+func TestWrongNode(t *testing.T) {
+	s := newSim(Defaults(), three...)
+	s.run(time.Second, 10*ms, always)
+	s.mode[unixA] = "wrong"
+	s.reset()
+	s.run(4*time.Second, 10*ms, always)
+	s.must(t)
+	if tally := s.tally(); tally["turned"] > 100 || tally["served"] < 300 {
+		t.Errorf("%v", tally)
+	}
+	if snap := s.b.Snapshot(nil); snap[0].State != Wrong || snap[1].State != Good {
+		t.Errorf("%+v", snap)
+	}
+	s.mode[unixA] = "ok"
+	s.run(60*time.Second, 10*ms, always)
+	s.must(t)
+	want(t, "its own node again", s.b.Primary(), unixA)
+}
+
+// The node's own word that it is another makes the address wrong at once.
+func TestMisdirected(t *testing.T) {
+	r := newRig(Defaults(), three...)
+	c := r.serveOne()
+	r.want(true)
+	r.answer(c, Misdirected)
+	want(t, "closed", r.count(Close), 1)
+	want(t, "state", r.b.Snapshot(nil)[0].State, Wrong)
+	want(t, "primary", r.b.Primary(), six)
+	r.must(t)
+}
+
+// A full node turns away by all its addresses: none of them is wrong.
+func TestFullNodeIsNotWrong(t *testing.T) {
+	s := newSim(Defaults(), three...)
+	s.run(time.Second, 10*ms, always)
+	for _, a := range three {
+		s.mode[a] = "wrong"
+	}
+	s.run(3*time.Second, 10*ms, always)
+	for _, x := range s.b.Snapshot(nil) {
+		if x.State == Wrong || x.State == Down {
+			t.Errorf("%+v", x)
+		}
+	}
+	s.must(t)
+}
+
+// A node that pauses is silent by all its addresses, and a short pause changes nothing.
+func TestPauses(t *testing.T) {
+	s := newSim(Defaults(), three...)
+	s.run(time.Second, 10*ms, always)
+	s.reset()
+	s.took = 120 * ms
+	s.run(150*ms, 10*ms, always)
+	s.took = 5 * ms
+	s.run(time.Second, 10*ms, always)
+	s.must(t)
+	want(t, "primary after a pause of 120 ms", s.b.Primary(), unixA)
+	want(t, "moves", len(s.moves), 0)
+	// A node that is slow by all its addresses for long: the bound follows, and connections are
+	// not opened again and again.
+	s.took = 300 * ms
+	s.run(2*time.Second, 20*ms, always)
+	s.reset()
+	s.run(5*time.Second, 20*ms, always)
+	s.must(t)
+	if n := len(s.connects); n > 25 {
+		t.Errorf("%d connects while the node is slow", n)
+	}
+	if tally := s.tally(); tally["served"] < 230 {
+		t.Errorf("%v", tally)
+	}
+}
+
+// An address whose answers come late is left for the others, though it is not silent.
+func TestSlowAddress(t *testing.T) {
+	s := newSim(Defaults(), three...)
+	s.run(time.Second, 10*ms, always)
+	s.reset()
+	s.mode[unixA] = "slow"
+	s.run(10*time.Second, 10*ms, always)
+	s.must(t)
+	slow := 0
+	for q, to := range s.went {
+		if to == unixA && s.done[q] == "served" && q > 100 {
+			slow++
+		}
+	}
+	if slow > 40 || s.b.Primary().String() != six {
+		t.Errorf("%d went by the slow address; primary %v", slow, s.b.Primary())
+	}
+}
+
+// Nothing is connected or written while the node drains; what comes up then is closed.
+func TestDrainDuringRace(t *testing.T) {
+	r := newRig(Defaults(), three...)
+	q := r.want(true)
+	a, _ := r.last(Connect)
+	r.wait(250 * ms)
+	b, _ := r.last(Connect)
+	r.do(Event{Kind: Drain, On: true})
+	want(t, "closed", r.count(Close), 2)
+	want(t, "failed", r.failed[q], true)
+	for _, c := range []Conn{a, b} {
+		r.up(c)
+		want(t, "late winner closed", r.count(Close), 1)
+	}
+	q = r.want(true)
+	want(t, "failed at once", r.failed[q], true)
+	r.do(Event{Kind: Drain})
+	r.want(true)
+	want(t, "after the drain", r.count(Connect), 1)
+	r.do(Event{Kind: Closing})
+	want(t, "closed", r.count(Close), 1)
+	r.must(t)
+}
+
+// A list that changes in place: what is out on an address that went is finished, idle
+// connections there end, and the others stay as they are.
+func TestListInPlace(t *testing.T) {
+	r := newRig(Defaults(), three...)
+	r.want(true)
+	a, _ := r.last(Connect)
+	r.up(a)
+	r.want(true)
+	b, _ := r.last(Connect)
+	r.up(b)
+	r.answer(b, Served) // a is out, b idles; both by the Unix socket
+	r.want(true)
+	r.answer(b, Served)
+	r.list(six, four)
+	closed, _ := r.last(Close)
+	want(t, "idle ones there end", closed, b)
+	want(t, "and no other", r.count(Close), 1)
+	want(t, "primary", r.b.Primary(), six)
+	r.want(true)
+	c, to := r.last(Connect)
+	want(t, "by", to, six)
+	r.up(c)
+	r.answer(a, Served)
+	closed, _ = r.last(Close)
+	want(t, "finished, then closed", closed, a)
+	r.answer(c, Served)
+	r.list(four, six, unixA) // back, and in another order
+	want(t, "nothing is closed", r.count(Close), 0)
+	want(t, "the primary stays", r.b.Primary(), six)
+	r.must(t)
+	r.list()
+	q := r.want(true)
+	want(t, "no address: failed at once", r.failed[q], true)
+	r.must(t)
+}
+
+// A kept connection found ended gives its request back untouched; one that took a part of it
+// does not.
+func TestUnwrittenGoesOn(t *testing.T) {
+	r := newRig(Defaults(), three...)
+	c := r.serveOne()
+	q := r.want(true)
+	r.breaks(c, Unwritten)
+	d, to := r.last(Connect)
+	want(t, "by a new connection to", to, unixA)
+	r.up(d)
+	w, _ := r.last(Write)
+	want(t, "written", r.carries[w], q)
+	r.answer(w, Served)
+	r.want(true)
+	r.breaks(w, Cut)
+	want(t, "nothing goes on", len(r.acts), 0)
+	want(t, "one break of a kept connection says nothing", r.b.Primary(), unixA)
+	r.must(t)
+}
+
+// Descriptors run out halfway: the address is not blamed, no more is opened of that race, and
+// what is coming up may still win.
+func TestNoResources(t *testing.T) {
+	r := newRig(Defaults(), three...)
+	r.want(true)
+	a, _ := r.last(Connect)
+	r.wait(250 * ms)
+	b, _ := r.last(Connect)
+	r.refuse(b, NoResource)
+	want(t, "no more connects", r.count(Connect), 0)
+	r.wait(10 * time.Second)
+	want(t, "still none", r.count(Connect), 0)
+	r.up(a)
+	want(t, "written", r.count(Write), 1)
+	q := r.want(true)
+	c, _ := r.last(Connect)
+	r.refuse(c, NoResource)
+	want(t, "ended as never ran", r.failed[q], true)
+	for _, x := range r.b.Snapshot(nil) {
+		if x.State != Untried && x.State != Good {
+			t.Errorf("blamed: %+v", x)
+		}
+	}
+	r.must(t)
+}
+
+// A family that the machine lacks is passed over for long.
+func TestNoFamily(t *testing.T) {
+	s := newRig(Defaults(), six, four)
+	s.want(true)
+	a, _ := s.last(Connect)
+	s.refuse(a, NoFamily)
+	_, to := s.last(Connect)
+	want(t, "at once by", to, four)
+	want(t, "state", s.b.Snapshot(nil)[0].State, Absent)
+	b, _ := s.last(Connect)
+	s.up(b)
+	s.answer(b, Served)
+	for range 100 {
+		s.wait(100 * ms)
+		s.want(true)
+		c, _ := s.last(Write)
+		s.answer(c, Served)
+	}
+	want(t, "connects", len(s.connects), 2)
+	s.must(t)
+}
+
+// Connects are bounded by the burst and the rate; what finds no token waits for one.
+func TestConnectsBounded(t *testing.T) {
+	set := Defaults()
+	set.Burst, set.Rate = 4, 10
+	r := newRig(set, three...)
+	for range 20 {
+		r.want(true)
+	}
+	want(t, "at once", len(r.connects), 4)
+	for len(r.connects) < 10 {
+		next := r.b.Next()
+		if next == never || next <= r.now && len(r.connects) < 4 {
+			t.Fatal("nothing wakes it")
+		}
+		r.wait(next - r.now)
+	}
+	if r.now < 550*ms {
+		t.Errorf("10 connects in %v", r.now)
+	}
+	r.must(t)
+}
+
+func TestSettings(t *testing.T) {
+	for _, x := range []struct {
+		key string
+		set func(*Settings)
+	}{
+		{"delay_least_ms: 9 is not from 10 to 2000", func(s *Settings) { s.DelayLeast = 9 * ms }},
+		{"delay_ms", func(s *Settings) { s.Delay = 3 * time.Second }},
+		{"preference", func(s *Settings) { s.Preference = []Kind{Unix, Unix} }},
+		{"preference", func(s *Settings) { s.Preference = nil }},
+		{"jitter", func(s *Settings) { s.Jitter = 1.5 }},
+		{"connects_per_second", func(s *Settings) { s.Rate = 0 }},
+		{"backoff_most_ms", func(s *Settings) { s.BackoffMost = ms }},
+	} {
+		s := Defaults()
+		x.set(&s)
+		if _, err := New(s, 1); err == nil || !strings.HasPrefix(err.Error(), x.key) {
+			t.Errorf("%s: %v", x.key, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/address/health.go
@@ -0,0 +1,387 @@
+package address
+
+import (
+	"fmt"
+	"time"
+)
+
+// State is what is held of an address.
+type State uint8
+
+// The states.
+const (
+	Untried State = iota
+	Good
+	Suspect // silent, breaking, or turning all away: it may be the address or the node
+	Down    // its connects fail, or its trial did
+	Wrong   // it leads to another node
+	Absent  // this machine lacks its family
+	states
+)
+
+var stateWords = [states]string{"untried", "good", "suspect", "down", "wrong", "absent"}
+
+func (s State) String() string {
+	if s < states {
+		return stateWords[s]
+	}
+	return fmt.Sprint("state ", uint8(s))
+}
+
+// entry is one address of the node.
+type entry struct {
+	Addr
+	state   State
+	why     Why
+	proving bool // good again, but not often enough
+	refuses bool // only new connections fail: what stands may be used
+	gone    bool // off the list
+	conns   int
+	idle    []*conn // used last at the end
+	trying  *conn
+	fails   int
+	until   time.Duration // end of its back-off
+	run     int           // connections in a row whose first answer came in time
+	breaks  int           // connections broken since the last answer
+	turned  int           // requests turned away since the last that was served
+	served  time.Duration
+	heard   time.Duration // last answer
+	tried   time.Duration // last connect
+	usual   float64       // smoothed time of an answer, ns; 0: none
+}
+
+const (
+	rankGood = iota
+	rankProving
+	rankSuspect
+	rankOver // down, but its back-off is over
+	rankDown
+)
+
+const (
+	usualShare   = 0.1 // of one answer in the usual time: some ten answers
+	relapseSpans = 4   // a return that lasted fewer holds did not last
+	backoffSteps = 20
+)
+
+func (b *Book) rank(e *entry) int {
+	switch e.state {
+	case Untried:
+		return rankGood
+	case Good:
+		if e.proving {
+			return rankProving
+		}
+		return rankGood
+	case Suspect:
+		return rankSuspect
+	}
+	if b.now >= e.until {
+		return rankOver
+	}
+	return rankDown
+}
+
+// shut says that connections to the address are of no use.
+func (e *entry) shut() bool {
+	return (e.state == Suspect || e.state == Down || e.state == Wrong) && !e.refuses
+}
+
+// best is the rank of the best address.
+func (b *Book) best() int {
+	best := rankDown
+	for _, e := range b.order {
+		best = min(best, b.rank(e))
+	}
+	return best
+}
+
+// down says that no address is known to be of use.
+func (b *Book) down() bool { return b.best() >= rankOver }
+
+// guarded says that an address takes one connection at a time, for a trial.
+func (b *Book) guarded(e *entry) bool {
+	r := b.rank(e)
+	return r >= rankOver || r > b.best()
+}
+
+func (b *Book) jitter(d time.Duration) time.Duration {
+	return d - time.Duration(b.set.Jitter*b.rng.Float64()*float64(d))
+}
+
+func (b *Book) backoff(first time.Duration, fails int) time.Duration {
+	d := first
+	for range min(fails, backoffSteps) - 1 {
+		d = min(2*d, max(first, b.set.BackoffMost))
+	}
+	return b.jitter(d)
+}
+
+// blame takes trouble on an address into its state. What comes from connections that stood
+// before it was suspect counts no more, or one incident would be many.
+func (b *Book) blame(e *entry, why Why, trial bool) {
+	if e.gone {
+		return
+	}
+	was := e.state
+	connect := why == Refused || why == TimedOut || why == Outrun || why == NoFamily
+	if (was == Suspect && why != Refused && why != TimedOut || was == Down || was == Wrong) && !trial {
+		if connect { // a race's last resort, or one that was under way
+			e.until = max(e.until, b.now+b.backoff(b.set.Backoff, e.fails))
+		}
+		return
+	}
+	wasDown := b.down()
+	e.fails++
+	e.run, e.why, e.proving = 0, why, true
+	switch {
+	case why == NoFamily:
+		e.state, e.until = Absent, b.now+b.jitter(b.set.AbsentFor)
+	case why == Misled:
+		e.state, e.until = Wrong, b.now+b.backoff(b.set.WrongFor, e.fails)
+	case was == Wrong || why == TurnedAway && was == Suspect:
+		e.until = b.now + b.backoff(b.set.WrongFor, e.fails)
+	case why == Refused || why == TimedOut || was == Suspect || was == Down:
+		e.state, e.until = Down, b.now+b.backoff(b.set.Backoff, e.fails)
+	default:
+		e.state, e.until = Suspect, b.now+b.backoff(b.set.Backoff, e.fails)
+	}
+	e.refuses = connect && (was == Good || was == Untried || e.refuses)
+	if e.shut() && b.rank(e) > b.best() {
+		for len(e.idle) > 0 {
+			b.end(e.idle[len(e.idle)-1])
+		}
+	}
+	if e.state != was {
+		b.act(Action{Kind: Say, Addr: e.Addr, State: e.state, Why: why})
+		b.hurry()
+	}
+	if !wasDown && b.down() {
+		b.ramp = 1
+		b.downAt = b.now + b.jitter(b.set.DownEvery)
+	}
+	b.choose()
+}
+
+// judge takes what an answer says of its address.
+func (b *Book) judge(e *entry, took time.Duration, v Verdict, named, first, trial bool) {
+	since := e.heard
+	e.heard, e.breaks = b.now, 0
+	if e.gone {
+		return
+	}
+	switch {
+	case v == Misdirected:
+		b.blame(e, Misled, true)
+		return
+	case v == Served && named:
+		e.turned, e.served = 0, b.now
+		for _, o := range b.order {
+			if o != e && o.turned >= b.set.WrongAfter && (o.state == Suspect || o.state == Down) {
+				b.blame(o, Misled, true) // the node serves, and this one turned all away
+			}
+		}
+	case v == Turned && named:
+		e.turned++
+		if trial && (e.state == Wrong || e.why == TurnedAway) {
+			b.blame(e, TurnedAway, true)
+			return
+		}
+		if e.turned >= b.set.WrongAfter && b.now-e.served >= b.set.WrongSpan && b.rank(e) == rankGood && b.another(e) {
+			b.blame(e, TurnedAway, false)
+			return
+		}
+	}
+	if took >= b.bound {
+		if trial {
+			b.blame(e, Slow, true)
+		}
+		b.usually(e, took)
+		return
+	}
+	b.usually(e, took)
+	if e.state == Wrong && !(v == Served && named) {
+		if trial {
+			e.until = b.now + b.jitter(b.set.TrialGap)
+		}
+		return
+	}
+	if v == Turned && (first || e.state != Good) {
+		if trial {
+			e.until = b.now + b.jitter(b.set.TrialGap)
+		}
+		return // it stands, but this is no service
+	}
+	b.good(e, first, trial, since)
+}
+
+// another says that another address is as good as it was until now.
+func (b *Book) another(e *entry) bool {
+	for _, o := range b.order {
+		if o != e && b.rank(o) == rankGood {
+			return true
+		}
+	}
+	return false
+}
+
+// good takes an answer in time.
+func (b *Book) good(e *entry, first, trial bool, since time.Duration) {
+	wasDown := b.down()
+	switch e.state {
+	case Suspect, Down, Wrong, Absent:
+		if e.state != Suspect && !trial {
+			return // of a connection that stood before; what fails is new ones
+		}
+		e.state, e.refuses, e.proving = Good, false, true
+		b.act(Action{Kind: Say, Addr: e.Addr, State: Good})
+	case Untried:
+		e.state = Good
+	}
+	if first {
+		e.run = min(e.run+1, b.set.ReturnAfter)
+	}
+	if e.until = b.now + b.jitter(b.set.TrialGap); e.run >= b.set.ReturnAfter {
+		e.proving, e.fails = false, 0
+	}
+	if wasDown { // there is no other: it serves from now on
+		e.proving = false
+	}
+	if b.ramp < b.set.Conns && first { // as many again for each round of first answers
+		b.ramp++
+	}
+	b.choose()
+}
+
+// usually takes a time into what is usual, and moves the bound of silence: it follows the best
+// address, so that a slow one does not set its own measure.
+func (b *Book) usually(e *entry, took time.Duration) {
+	if e.usual == 0 {
+		e.usual = float64(took)
+	}
+	e.usual += usualShare * (float64(took) - e.usual)
+	best, some := 0.0, false
+	for _, o := range b.order {
+		if o.usual > 0 && (!some || o.usual < best) {
+			best, some = o.usual, true
+		}
+	}
+	was := b.bound
+	b.bound = min(max(time.Duration(b.set.SuspectTimes*best), b.set.SuspectLeast), b.set.SuspectMost)
+	if b.bound < was {
+		b.silentAt = 0
+	}
+}
+
+// choose sets the primary: away from one that is worse than another at once, back to a preferred
+// one by the rule of returns.
+func (b *Book) choose() {
+	was := b.primary
+	if was == nil {
+		for _, e := range b.order {
+			if b.primary == nil || b.rank(e) < b.rank(b.primary) {
+				b.primary = e
+			}
+		}
+		if b.primary != nil {
+			b.returnAt = b.now + b.hold
+		}
+		return
+	}
+	for _, e := range b.order {
+		if b.rank(e) < b.rank(b.primary) && b.rank(e) < rankOver {
+			b.primary = e
+		}
+	}
+	if b.primary != was {
+		if b.now-b.returned < relapseSpans*b.hold {
+			b.hold = min(2*b.hold, b.set.ReturnMost)
+		} else {
+			b.hold = b.set.ReturnSpan
+		}
+		b.returnAt = b.now + b.hold
+		return
+	}
+	if b.now < b.returnAt || b.rank(was) != rankGood {
+		return
+	}
+	for _, e := range b.order {
+		if e == was {
+			return
+		}
+		if e.state == Good && !e.proving && e.run >= b.set.ReturnAfter && b.now-e.heard <= b.set.ReturnSpan {
+			b.primary, b.returned, b.returnAt = e, b.now, b.now+b.hold
+			return
+		}
+	}
+}
+
+// listen looks for connections that have been silent for too long.
+func (b *Book) listen() {
+	b.silentAt = never
+	for i := range b.conns {
+		c := &b.conns[i]
+		if c.phase != busy || c.told || c.at.heard >= c.since {
+			continue
+		}
+		if at := c.since + b.bound; at > b.now {
+			b.silentAt = min(b.silentAt, at)
+			continue
+		}
+		c.told = true
+		b.blame(c.at, Silent, c.trial)
+	}
+}
+
+// review looks for what only time shows: silence, races to be led on, and returns.
+func (b *Book) review() {
+	if b.now >= b.silentAt {
+		b.listen()
+	}
+	for i := 0; i < len(b.races); i++ {
+		r := b.races[i]
+		if r.live == 0 && r.next == never {
+			r.next = b.now // it stood aside for a connect that is over
+		}
+		n := len(b.races)
+		b.advance(r)
+		i -= n - len(b.races)
+	}
+	if b.primary != nil && b.now >= b.returnAt {
+		b.choose()
+	}
+}
+
+// tryAgain opens the trial connections that are due, beside the way that requests go now.
+func (b *Book) tryAgain() {
+	if b.down() {
+		// The walks of what waits are the trials; with none, a kept connection still serves.
+		if len(b.waiting) == 0 && b.now >= b.downAt && b.coming == 0 && !b.tryingAny() && len(b.free) > 0 && b.token() {
+			if e := b.candidate(&race{}); e != nil {
+				b.downAt = b.now + b.jitter(b.set.DownEvery)
+				b.open(e, nil, true)
+			}
+		}
+		return
+	}
+	lost := b.rank(b.primary) > rankGood // then every other may be better
+	before := true
+	for _, e := range b.order {
+		if e == b.primary {
+			before = false
+			continue
+		}
+		if (!before && !lost) || e.trying != nil || b.now < e.until || len(b.free) == 0 {
+			continue
+		}
+		if e.state == Good && !e.proving && e.run >= b.set.ReturnAfter && (b.now < b.returnAt || b.now-e.heard < b.set.ReturnSpan) {
+			continue // it has shown enough
+		}
+		if n := len(e.idle); n > 0 && e.state == Good && e.run >= b.set.ReturnAfter {
+			e.trying, e.idle[n-1].trial = e.idle[n-1], true // one that stands will do: it only has to show that it still is
+			e.idle[n-1].since = b.now
+		} else if b.token() {
+			b.open(e, nil, true)
+		}
+	}
+}
--- /dev/null
+++ b/internal/address/machine_test.go
@@ -0,0 +1,325 @@
+package address
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// moves are what may happen next in a small world, for the machine and the walk alike.
+func (r *rig) options() (out []string) {
+	out = append(out, "want", "want unsafe", "short", "long")
+	if len(r.coming) > 0 {
+		out = append(out, "up", "refuse", "hang", "no resource")
+	}
+	if len(r.coming) > 1 {
+		out = append(out, "up last", "refuse last")
+	}
+	if len(r.busy) > 0 {
+		out = append(out, "answer", "turned", "reset", "unwritten", "give up")
+	}
+	if !r.drained {
+		out = append(out, "drain")
+	} else {
+		out = append(out, "undrain")
+	}
+	return append(out, "list")
+}
+
+var lists = [][]string{{unixA, six, four}, {four, unixA}, {six}}
+
+func (r *rig) play(what string) {
+	switch what {
+	case "want":
+		r.want(true)
+	case "want unsafe":
+		r.want(false)
+	case "short":
+		r.wait(100 * ms)
+	case "long":
+		r.wait(3 * time.Second)
+	case "up":
+		r.up(r.coming[0])
+	case "up last":
+		r.up(r.coming[len(r.coming)-1])
+	case "refuse":
+		r.refuse(r.coming[0], Refused)
+	case "refuse last":
+		r.refuse(r.coming[len(r.coming)-1], Refused)
+	case "hang":
+		r.refuse(r.coming[0], TimedOut)
+	case "no resource":
+		r.refuse(r.coming[0], NoResource)
+	case "answer":
+		r.answer(r.busy[0], Served)
+	case "turned":
+		r.answer(r.busy[0], Turned)
+	case "reset":
+		r.breaks(r.busy[0], Reset)
+	case "unwritten":
+		r.breaks(r.busy[0], Unwritten)
+	case "give up":
+		r.giveUp(r.carries[r.busy[0]])
+	case "drain":
+		r.do(Event{Kind: Drain, On: true})
+	case "undrain":
+		r.do(Event{Kind: Drain})
+	case "list":
+		r.list(lists[(int(r.seq)+len(r.moves))%len(lists)]...)
+	}
+}
+
+// bounded checks the invariants over time: connects in any span, and returns.
+func (r *rig) bounded(set Settings) error {
+	for i := range r.connects {
+		for j := i; j < len(r.connects); j++ {
+			span := r.connects[j] - r.connects[i]
+			if most := float64(set.Burst) + set.Rate*span.Seconds() + 1e-6; float64(j-i+1) > most {
+				return fmt.Errorf("%d connects in %v", j-i+1, span)
+			}
+		}
+	}
+	last := time.Duration(-1)
+	rank := func(a Addr) int {
+		for i, x := range r.b.Snapshot(nil) {
+			if x.Addr == a {
+				return i
+			}
+		}
+		return -1
+	}
+	for _, m := range r.moves {
+		if from, to := rank(m.from), rank(m.to); from < 0 || to < 0 || to > from {
+			continue // a fall
+		}
+		if last >= 0 && m.at-last < set.ReturnSpan {
+			return fmt.Errorf("moves home at %v and %v", last, m.at)
+		}
+		last = m.at
+	}
+	return nil
+}
+
+func small() Settings {
+	s := Defaults()
+	s.Conns, s.Burst, s.Rate, s.Requests, s.WrongAfter, s.ReturnAfter = 4, 6, 5, 3, 2, 2
+	return s
+}
+
+// Any events in any order keep the invariants.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := small()
+		r := newRig(set, three...)
+		fixed := rapid.Bool().Draw(t, "fixed list")
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			what := rapid.SampledFrom(r.options()).Draw(t, "what")
+			if fixed && what == "list" {
+				continue
+			}
+			if r.play(what); r.err != nil {
+				t.Fatal(r.err)
+			}
+		}
+		if err := r.bounded(set); err != nil {
+			t.Fatal(err)
+		}
+		// All that waits comes to an end once its owners give up.
+		for _, q := range slices.Sorted(maps.Keys(r.open)) {
+			if r.open[q] {
+				r.giveUp(q)
+			}
+		}
+		if r.err != nil || r.b.Waiting() != 0 || len(r.busy) != 0 {
+			t.Fatal(r.err, r.b.Waiting(), r.busy)
+		}
+	})
+}
+
+// Whatever the faults and their order, once all addresses are good again the most preferred one
+// is primary in the end, and while one is good requests are served.
+func TestNoneStarved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(Defaults(), three...)
+		modes := []string{"ok", "refused", "hang", "silent", "reset", "slow", "wrong"}
+		for range rapid.IntRange(1, 6).Draw(t, "spells") {
+			for _, a := range three {
+				s.mode[a] = rapid.SampledFrom(modes).Draw(t, a)
+			}
+			s.run(time.Duration(rapid.IntRange(100, 3000).Draw(t, "ms"))*ms, 20*ms, mostly)
+		}
+		good := rapid.SampledFrom(three).Draw(t, "good one")
+		for _, a := range three {
+			if s.mode[a] = "refused"; a == good {
+				s.mode[a] = "ok"
+			}
+		}
+		s.run(25*time.Second, 20*ms, mostly) // back-offs run out
+		s.reset()
+		s.run(5*time.Second, 20*ms, mostly)
+		if tally := s.tally(); tally["served"] < 240 {
+			t.Fatalf("one address is good: %v", tally)
+		}
+		for _, a := range three {
+			s.mode[a] = "ok"
+		}
+		s.run(150*time.Second, 50*ms, mostly)
+		if s.err != nil {
+			t.Fatal(s.err)
+		}
+		if p := s.b.Primary().String(); p != unixA {
+			t.Fatalf("primary %s: %+v", p, s.b.Snapshot(nil))
+		}
+	})
+}
+
+// clone copies a rig with its book, so that a walk can take each way from one state.
+func (r *rig) clone() *rig {
+	n := *r
+	n.acts, n.coming, n.busy = nil, slices.Clone(r.coming), slices.Clone(r.busy)
+	n.at, n.carries, n.writes = maps.Clone(r.at), maps.Clone(r.carries), maps.Clone(r.writes)
+	n.failed, n.open = maps.Clone(r.failed), maps.Clone(r.open)
+	n.connects, n.moves, n.said = slices.Clone(r.connects), slices.Clone(r.moves), nil
+	b := *r.b
+	rng := *r.b.rng
+	b.rng = &rng
+	entries, races := map[*entry]*entry{}, map[*race]*race{}
+	copyOf := func(e *entry) *entry {
+		if e == nil {
+			return nil
+		}
+		if entries[e] == nil {
+			c := *e
+			entries[e] = &c
+		}
+		return entries[e]
+	}
+	b.conns = slices.Clone(r.b.conns)
+	at := func(c *conn) *conn {
+		if c == nil {
+			return nil
+		}
+		return &b.conns[int(c.id&0xffff)-1]
+	}
+	b.order = nil
+	for _, e := range r.b.order {
+		b.order = append(b.order, copyOf(e))
+	}
+	b.races, b.spare = nil, nil
+	for _, x := range r.b.races {
+		c := *x
+		c.tried = nil
+		for _, e := range x.tried {
+			c.tried = append(c.tried, copyOf(e))
+		}
+		races[x] = &c
+		b.races = append(b.races, &c)
+	}
+	for i := range b.conns {
+		if c := &b.conns[i]; c.phase != none {
+			c.at, c.race = copyOf(c.at), races[c.race]
+		}
+	}
+	for _, e := range entries {
+		e.trying = at(e.trying)
+		idle := e.idle
+		e.idle = nil
+		for _, c := range idle {
+			e.idle = append(e.idle, at(c))
+		}
+	}
+	b.primary = copyOf(r.b.primary)
+	b.free, b.waiting = slices.Clone(r.b.free), slices.Clone(r.b.waiting)
+	n.b = &b
+	return &n
+}
+
+// sum is what of a state matters to what may follow: times count from now.
+func (r *rig) sum() string {
+	b := r.b
+	s := fmt.Sprint(r.drained, len(b.waiting), b.ramp, int(b.tokens*4), b.Primary(), len(b.races), b.returnAt > r.now, b.downAt > r.now)
+	for _, e := range b.order {
+		s += fmt.Sprint("|", e.Addr, e.state, e.proving, e.refuses, len(e.idle), e.fails, e.run, e.turned, e.breaks, e.until > r.now, e.trying != nil)
+	}
+	for _, x := range b.races {
+		s += fmt.Sprint("/", x.live, len(x.tried), x.stopped, x.next > r.now)
+	}
+	for _, c := range append(slices.Clone(r.coming), r.busy...) {
+		x := b.find(c)
+		s += fmt.Sprint(",", x.at.Addr, x.phase, x.trial, x.any, x.fresh, x.told, r.now-x.since, x.at.heard < x.since)
+	}
+	for _, w := range b.waiting {
+		s += fmt.Sprint(w.safe)
+	}
+	return s
+}
+
+const walkDepth = 7
+
+// Every order of events for three addresses, to a depth; states that do not differ in what may
+// follow are walked once.
+func TestWalk(t *testing.T) {
+	set := small()
+	seen := map[string]bool{}
+	level := []*rig{newRig(set, three...)}
+	states, steps := 1, 0
+	for depth := range walkDepth {
+		var next []*rig
+		for _, r := range level {
+			for _, what := range r.options() {
+				n := r.clone()
+				n.play(what)
+				steps++
+				err := n.err
+				if err == nil {
+					err = n.bounded(set)
+				}
+				if err != nil {
+					t.Fatalf("depth %d, %s: %v", depth+1, what, err)
+				}
+				if k := n.sum(); !seen[k] {
+					seen[k] = true
+					states++
+					if depth+1 < walkDepth {
+						next = append(next, n)
+					}
+				}
+			}
+		}
+		level = next
+	}
+	t.Logf("depth %d: %d states, %d steps", walkDepth, states, steps)
+}
+
+// BenchmarkPick is a request by a kept connection and its answer.
+func BenchmarkPick(b *testing.B) {
+	book, err := New(Defaults(), 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	list, _ := List(three)
+	acts := book.Step(0, Event{Kind: Listed, Addrs: list}, nil)
+	acts = book.Step(0, Event{Kind: Want, Req: 1, Safe: true, Named: true}, acts[:0])
+	c := acts[0].Conn
+	book.Step(0, Event{Kind: Connected, Conn: c}, acts[:0])
+	book.Step(ms, Event{Kind: Answered, Conn: c, Keep: true}, acts[:0])
+	now := ms
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now += ms
+		acts = book.Step(now, Event{Kind: Want, Req: Req(i + 2), Safe: true, Named: true}, acts[:0])
+		acts = book.Step(now+ms/2, Event{Kind: Answered, Conn: acts[0].Conn, Keep: true}, acts[:0])
+	}
+}
+
+// TestPickAllocates: picking an address costs no allocation.
+func TestPickAllocates(t *testing.T) {
+	r := testing.Benchmark(BenchmarkPick)
+	if r.AllocsPerOp() != 0 {
+		t.Errorf("%d allocations a request", r.AllocsPerOp())
+	}
+}
