Node actors go by a book of addresses where a node has several

Need: the list may give a node several addresses, and a change of them must not make a new node. Change: core hands a node's addresses to its peer and changes them in place; httpfront's actor drives a book once a list names a second address, and serves one address by the code it had. The list reads "addresses" beside "address" and leaves a bad one out, named. sock.Dial tells what a connect's error says of the address.

--- a/internal/address/book.go
+++ b/internal/address/book.go
@@ -258,6 +258,27 @@
 	return out
 }
 
+// Adjust takes other settings, which must be good, but for the numbers of connections and of
+// requests; what they decide from now on follows them.
+func (b *Book) Adjust(set Settings) {
+	set.Conns, set.Requests = b.set.Conns, b.set.Requests
+	b.set = set
+	b.tokens = min(b.tokens, float64(set.Burst))
+	b.bound = min(max(b.bound, set.SuspectLeast), set.SuspectMost)
+	b.hold = min(max(b.hold, set.ReturnSpan), set.ReturnMost)
+	b.silentAt = 0
+	addrs := make([]Addr, 0, len(b.order))
+	for _, e := range b.order {
+		addrs = append(addrs, e.Addr)
+		e.run = min(e.run, set.ReturnAfter)
+	}
+	held := b.order
+	b.order = make([]*entry, 0, len(held))
+	for _, i := range Interleave(addrs, set.Preference) {
+		b.order = append(b.order, held[i])
+	}
+}
+
 func (b *Book) act(a Action) { b.out = append(b.out, a) }
 
 func (b *Book) want(e Event) {
--- a/internal/config/iscsi.go
+++ b/internal/config/iscsi.go
@@ -5,10 +5,12 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 
 	"github.com/tidwall/gjson"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
 )
 
 // ISCSI is the second front's file.
@@ -51,9 +53,10 @@
 
 // StorageTarget is one that holds data.
 type StorageTarget struct {
-	Name, Address, Target string
-	Shard                 int
-	State                 choice.NodeState
+	Name, Target string
+	Addresses    []address.Addr
+	Shard        int
+	State        choice.NodeState
 }
 
 // LoadISCSI reads the second front's file against the settings.
@@ -79,9 +82,8 @@
 	r.address("listen", c.Listen)
 	shards, names := map[int]bool{}, map[string]bool{}
 	r.each("storage", func(s *reader) {
-		t := StorageTarget{Name: s.text("name", ""), Address: s.text("address", ""), Target: s.text("target", ""),
+		t := StorageTarget{Name: s.text("name", ""), Addresses: s.portals(), Target: s.text("target", ""),
 			Shard: int(s.whole("group", -1, 0, 1e6)), State: word(s, "status", "active", storageStates)}
-		s.address("address", t.Address)
 		s.unique("name", t.Name, names)
 		if t.Target == "" {
 			s.fail("%starget: missing", s.prefix)
@@ -163,6 +165,35 @@
 	}
 }
 
+// portals reads "addresses" and "address" as an entry of the list has them; here, in a file that
+// somebody writes by hand, a bad one is an error.
+func (r *reader) portals() []address.Addr {
+	var texts []string
+	more := r.root.Get("addresses")
+	if more.Exists() && !more.IsArray() {
+		r.fail("%saddresses: not a list", r.prefix)
+	}
+	for i, x := range more.Array() {
+		if x.Type != gjson.String {
+			r.fail("%saddresses.%d: not text", r.prefix, i)
+		}
+		texts = append(texts, x.Str)
+	}
+	list, errs := address.List(texts)
+	for _, err := range errs {
+		r.fail("%s%w", r.prefix, err)
+	}
+	if one := r.text("address", ""); one != "" || len(texts) == 0 {
+		a, err := address.Parse(one)
+		if err != nil {
+			r.fail("%saddress: %q: %w", r.prefix, one, err)
+		} else if !slices.Contains(list, a) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 func (r *reader) unique(key, value string, seen map[string]bool) {
 	if value == "" || seen[value] {
 		r.fail("%s%s: %q is empty or twice there", r.prefix, key, value)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,12 +6,14 @@
 	"container/heap"
 	"fmt"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
 )
 
 const (
@@ -106,13 +108,16 @@
 	Cancel(*Attempt)
 	Probe(func(Result, time.Duration)) bool
 	Drain(bool) // true: nothing more is written to it, also of what waits in its mailbox
-	Close()     // it has left the list: finish what is out
+	// Readdress gives the node's addresses from now on: connections to one that went finish
+	// what they carry.
+	Readdress([]address.Addr)
+	Close() // it has left the list: finish what is out
 }
 
-// Node is a list entry with its address.
+// Node is a list entry with its addresses, none twice.
 type Node struct {
 	choice.Node
-	Address string
+	Addresses []address.Addr
 }
 
 // News is word of the list: ListFull, ListStale, ListChange or ListFailed.
@@ -125,7 +130,7 @@
 type Options struct {
 	Settings choice.Settings
 	Seed     int64
-	Connect  func(name, address string) Peer
+	Connect  func(name string, addresses []address.Addr) Peer
 	Refetch  func() // the module asks for the list; must not block
 	Log      logrus.FieldLogger
 }
@@ -148,11 +153,6 @@
 	answered bool
 }
 
-type peerAt struct {
-	Peer
-	address string
-}
-
 type due struct {
 	at    float64
 	tag   string
@@ -182,7 +182,7 @@
 	origin  time.Time
 	base    float64 // Unix milliseconds at origin
 	reqs    map[string]*entry
-	peers   map[string]peerAt
+	peers   map[string]Peer
 	nodes   map[string]Node
 	classes map[string]bool
 	plans   map[string]bool
@@ -201,7 +201,7 @@
 	now := time.Now()
 	c := &Core{opt: opt, mod: mod, mail: make(chan message, mailboxSize), stop: make(chan struct{}),
 		ended: make(chan struct{}), origin: now, base: float64(now.UnixMicro()) / 1000,
-		reqs: map[string]*entry{}, peers: map[string]peerAt{}, nodes: map[string]Node{},
+		reqs: map[string]*entry{}, peers: map[string]Peer{}, nodes: map[string]Node{},
 		classes: map[string]bool{}, plans: map[string]bool{}}
 	for _, k := range opt.Settings.Classes {
 		c.classes[k.Name] = true
@@ -523,7 +523,7 @@
 	e.open++
 	p, ok := c.peers[a.Node]
 	if ok {
-		t.peer = p.Peer
+		t.peer = p
 	}
 	if !ok || e.answered || !p.Send(t) {
 		// Never written: told to the module in the next step, so that no mailbox is waited for.
@@ -551,13 +551,12 @@
 			c.leave(x.ID)
 			continue
 		}
-		if ok && p.address != x.Address {
-			c.leave(x.ID)
-			ok = false
-		}
-		if !ok {
-			p = peerAt{c.opt.Connect(x.ID, x.Address), x.Address}
+		switch {
+		case !ok:
+			p = c.opt.Connect(x.ID, x.Addresses)
 			c.peers[x.ID] = p
+		case !slices.Equal(c.nodes[x.ID].Addresses, x.Addresses):
+			p.Readdress(x.Addresses) // the node stays: its windows and its warmth are the same
 		}
 		p.Drain(x.State != choice.NodeUp)
 		c.nodes[x.ID] = x
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -9,6 +9,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
 )
 
 func settings() choice.Settings {
@@ -28,6 +29,15 @@
 	full    bool
 	drained bool
 	closed  bool
+	to      [][]address.Addr // changes of its addresses
+}
+
+func addrs(texts ...string) []address.Addr {
+	list, errs := address.List(texts)
+	if len(errs) > 0 {
+		panic(errs)
+	}
+	return list
 }
 
 func (f *fake) Send(a *Attempt) bool {
@@ -41,6 +51,7 @@
 func (f *fake) Cancel(a *Attempt)                      { f.cancels <- a }
 func (f *fake) Probe(func(Result, time.Duration)) bool { return false }
 func (f *fake) Drain(on bool)                          { f.mu.Lock(); f.drained = on; f.mu.Unlock() }
+func (f *fake) Readdress(to []address.Addr)            { f.mu.Lock(); f.to = append(f.to, to); f.mu.Unlock() }
 func (f *fake) Close()                                 { f.mu.Lock(); f.closed = true; f.mu.Unlock() }
 
 type rig struct {
@@ -54,7 +65,7 @@
 	r := &rig{t: t}
 	var log *logrus.Logger
 	log, _ = logtest.NewNullLogger()
-	c, err := New(Options{Settings: set, Seed: 7, Log: log, Connect: func(name, _ string) Peer {
+	c, err := New(Options{Settings: set, Seed: 7, Log: log, Connect: func(name string, _ []address.Addr) Peer {
 		f := &fake{sent: make(chan *Attempt, 64), cancels: make(chan *Attempt, 64)}
 		r.peers.Store(name, f)
 		return f
@@ -81,7 +92,7 @@
 }
 
 func node(name string, shard int, state choice.NodeState) Node {
-	return Node{Node: choice.Node{ID: name, Shard: shard, State: state, Weight: 1}, Address: "127.0.0.1:1"}
+	return Node{Node: choice.Node{ID: name, Shard: shard, State: state, Weight: 1}, Addresses: addrs("127.0.0.1:1")}
 }
 
 // ask submits a request and returns the channel of all its answers.
@@ -273,7 +284,7 @@
 }
 
 func TestStopFailsWhatIsOpen(t *testing.T) {
-	c, err := New(Options{Settings: settings(), Log: logrus.New(), Connect: func(string, string) Peer { return nil }})
+	c, err := New(Options{Settings: settings(), Log: logrus.New(), Connect: func(string, []address.Addr) Peer { return nil }})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -21,6 +21,7 @@
 	"pgregory.net/rapid"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/rapidtest"
 	"wheatsaddle/internal/replay"
@@ -85,6 +86,15 @@
 
 const fine = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nVolume-Load: 85\r\nOther-Hosts: 4\r\n\r\nabc"
 
+// at is where a listener is to be found.
+func at(ln net.Listener) []address.Addr {
+	a, err := address.Parse(ln.Addr().String())
+	if err != nil {
+		panic(err)
+	}
+	return []address.Addr{a}
+}
+
 func dialer() *Dialer {
 	return &Dialer{ConnectTimeout: 5 * time.Second, ConnIdle: time.Minute, ConnsMost: 100}
 }
@@ -135,7 +145,7 @@
 		"too long":         {say("HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n" + strings.Repeat("x", 1048577)), choice.Reset},
 	} {
 		n := newStandin(t, x.do)
-		p := dialer().Connect("n", n.ln.Addr().String())
+		p := dialer().Connect("n", at(n.ln))
 		r := try(t, p)
 		if r.Status != x.want || n.requests.Load() != 1 {
 			t.Errorf("%s: status %d, want %d; %d requests came", name, r.Status, x.want, n.requests.Load())
@@ -178,7 +188,7 @@
 		{edit("200 OK", "101 Switching Protocols"), choice.Reset, false},
 	} {
 		n := newStandin(t, say(x.text))
-		p := dialer().Connect("n", n.ln.Addr().String())
+		p := dialer().Connect("n", at(n.ln))
 		r := try(t, p)
 		if r.Status != x.want || r.Status == choice.OK && string(r.Payload.(*reply).body) != "abc" {
 			t.Errorf("%.90q: %+v, want %d", x.text, r, x.want)
@@ -208,7 +218,7 @@
 		{fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, body), choice.OK},
 	} {
 		n := newStandin(t, say(x.text))
-		p := d.Connect("n", n.ln.Addr().String())
+		p := d.Connect("n", at(n.ln))
 		r := try(t, p)
 		rep, ok := r.Payload.(*reply)
 		if r.Status != x.want || ok && string(rep.body) != body {
@@ -260,7 +270,7 @@
 func TestStaleConnection(t *testing.T) {
 	closeAfter := make(chan bool, 3)
 	n := newStandin(t, func(nc net.Conn) bool { io.WriteString(nc, fine); return <-closeAfter })
-	p := dialer().Connect("n", n.ln.Addr().String())
+	p := dialer().Connect("n", at(n.ln))
 	closeAfter <- true
 	try(t, p)
 	closeAfter <- false
@@ -281,7 +291,7 @@
 		t.Fatal(err)
 	}
 	ln.Close()
-	if r := try(t, dialer().Connect("n", ln.Addr().String())); r.Status != choice.NoConn {
+	if r := try(t, dialer().Connect("n", at(ln))); r.Status != choice.NoConn {
 		t.Errorf("status %d", r.Status)
 	}
 }
@@ -289,7 +299,7 @@
 // What waits in a mailbox when its node drains is not written.
 func TestDrainBindsMailbox(t *testing.T) {
 	n := newStandin(t, say(fine))
-	p := dialer().Connect("n", n.ln.Addr().String())
+	p := dialer().Connect("n", at(n.ln))
 	p.Drain(true)
 	if r := try(t, p); r.Status != choice.NoConn || n.requests.Load() != 0 {
 		t.Errorf("status %d, %d came", r.Status, n.requests.Load())
@@ -310,7 +320,7 @@
 		closed <- err != nil
 		return false
 	})
-	p := dialer().Connect("n", n.ln.Addr().String())
+	p := dialer().Connect("n", at(n.ln))
 	a, got := attempt(t, later())
 	p.Send(a)
 	<-came
@@ -336,7 +346,7 @@
 	n := newStandin(t, func(nc net.Conn) bool { <-hold; io.WriteString(nc, fine); return true })
 	d := dialer()
 	d.ConnsMost = 1
-	p := d.Connect("n", n.ln.Addr().String())
+	p := d.Connect("n", at(n.ln))
 	a, got := attempt(t, later())
 	p.Send(a)
 	if r := try(t, p); r.Status != choice.NoConn {
@@ -371,7 +381,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Stop)
-	c.List(core.News{Kind: choice.ListStale, Nodes: []core.Node{{Node: choice.Node{ID: "n", Weight: 1}, Address: n.ln.Addr().String()}}})
+	c.List(core.News{Kind: choice.ListStale, Nodes: []core.Node{{Node: choice.Node{ID: "n", Weight: 1}, Addresses: at(n.ln)}}})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -11,10 +11,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/semaphore"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/sock"
 )
@@ -45,12 +47,16 @@
 	ConnIdle       time.Duration
 	ConnsMost      int64               // over all nodes
 	Bodies         *semaphore.Weighted // bytes of long bodies held at once, till their clients have them
+	Safe           map[string]bool     // classes that may be repeated freely
+	Routes         *Routes             // of nodes with several addresses; nil: the defaults
+	Log            logrus.FieldLogger  // nil: silence
 	open           atomic.Int64
 }
 
 // Connect starts the actor of one storage node.
-func (d *Dialer) Connect(name, address string) core.Peer {
-	n := &node{dialer: d, address: address, mail: make(chan nodeMessage, nodeMailbox), busy: map[*core.Attempt]*conn{}}
+func (d *Dialer) Connect(name string, addresses []address.Addr) core.Peer {
+	n := &node{dialer: d, name: name, mail: make(chan nodeMessage, nodeMailbox), busy: map[*core.Attempt]*conn{}}
+	n.readdress(addresses)
 	go n.run()
 	return n
 }
@@ -61,12 +67,16 @@
 	broken       bool
 	probe        func(core.Result, time.Duration)
 	close        bool
+	path         *pathMessage
 }
 
 // node is the actor of one storage node: it owns the connections to it.
 type node struct {
 	dialer   *Dialer
-	address  string
+	name     string
+	address  address.Addr // the one, where paths is nil
+	host     string
+	paths    *paths // of a node with several addresses
 	mail     chan nodeMessage
 	draining atomic.Bool
 	idle     []*conn // the longest idle first
@@ -94,7 +104,50 @@
 func (n *node) Probe(f func(core.Result, time.Duration)) bool { return n.put(nodeMessage{probe: f}) }
 
 // Drain implements core.Peer: it binds at once, also what waits in the mailbox.
-func (n *node) Drain(on bool) { n.draining.Store(on) }
+func (n *node) Drain(on bool) {
+	if n.draining.Swap(on) != on {
+		n.put(nodeMessage{}) // the paths look at it whenever something comes
+	}
+}
+
+// Readdress implements core.Peer. A full mailbox is waited for aside.
+func (n *node) Readdress(addresses []address.Addr) {
+	m := nodeMessage{path: &pathMessage{addresses: addresses}}
+	if !n.put(m) {
+		go func() { n.mail <- m }()
+	}
+}
+
+// readdress takes the node's addresses. One alone needs no book of them; with the first second
+// one a book is made, and stays.
+func (n *node) readdress(list []address.Addr) {
+	if n.paths == nil && len(list) == 1 {
+		if n.address != list[0] {
+			n.address, n.host = list[0], hostOf(list[0], n.name)
+			for len(n.idle) > 0 {
+				n.drop(n.idle[0]) // those that are out finish, and are not used again
+			}
+		}
+		return
+	}
+	if n.paths == nil {
+		n.address = address.Addr{}
+		for len(n.idle) > 0 {
+			n.drop(n.idle[0])
+		}
+		n.paths = newPaths(n)
+	}
+	n.paths.step(address.Event{Kind: address.Listed, Addrs: list})
+}
+
+// hostOf is the Host of a message: a socket file has none, and the node's name stands for it.
+func hostOf(a address.Addr, name string) string {
+	if a.Kind() == address.Unix {
+		return name
+	}
+	_, host := a.Dial()
+	return host
+}
 
 // Close implements core.Peer. A full mailbox is waited for aside.
 func (n *node) Close() {
@@ -106,21 +159,50 @@
 func (n *node) run() {
 	tick := time.NewTicker(retireEvery)
 	defer tick.Stop()
+	var wake <-chan time.Time // of the paths
 	for !n.closing || n.conns > 0 || len(n.mail) > 0 {
 		select {
 		case m := <-n.mail:
 			n.take(m)
+		case <-wake:
+			n.paths.step(address.Event{Kind: address.Tick})
 		case <-tick.C:
 			old := time.Now().Add(-time.Duration(retireShare * float64(n.dialer.ConnIdle)))
 			for len(n.idle) > 0 && n.idle[0].idleAt.Before(old) {
 				n.drop(n.idle[0])
 			}
+			if n.paths != nil {
+				n.paths.retire(old)
+			}
 		}
+		if n.paths != nil {
+			wake = n.paths.settle()
+		}
+	}
+	if n.paths != nil {
+		n.paths.timer.Stop()
 	}
 }
 
 func (n *node) take(m nodeMessage) {
 	switch {
+	case m.path != nil && m.path.addresses != nil:
+		n.readdress(m.path.addresses)
+	case m.back != nil && m.back.address != n.address: // of an address that went, or before the paths
+		delete(n.busy, m.back.attempt)
+		if m.back.stop != nil {
+			m.back.stop()
+		}
+		if !m.broken {
+			close(m.back.jobs)
+		}
+		n.gone()
+	case n.paths != nil:
+		if m.cancel != nil && n.busy[m.cancel] != nil {
+			n.busy[m.cancel].cancel()
+			return
+		}
+		n.paths.take(m)
 	case m.send != nil:
 		n.send(m.send)
 	case m.cancel != nil:
@@ -186,7 +268,7 @@
 		return nil
 	}
 	n.conns++
-	c := &conn{node: n, jobs: make(chan job, 1)}
+	c := &conn{node: n, address: n.address, host: n.host, jobs: make(chan job, 1)}
 	go c.run()
 	return c
 }
@@ -204,6 +286,7 @@
 }
 
 type job struct {
+	doubted bool // a turning away is likely not this node's word
 	attempt *core.Attempt
 	ctx     context.Context
 	probe   func(core.Result, time.Duration)
@@ -213,16 +296,20 @@
 // are the node actor's; nc is set once by the connection's goroutine.
 type conn struct {
 	node    *node
+	address address.Addr
+	host    string
 	jobs    chan job
 	attempt *core.Attempt
 	idleAt  time.Time
 	ctx     context.Context
 	stop    context.CancelFunc
-	nc      *net.TCPConn
+	nc      sock.Stream
 	br      *bufio.Reader
 	in      *steady
 	out     []byte
 	resp    fasthttp.Response
+	// identity is the header in which a node says its name, and says is what the last answer had.
+	identity, says string
 }
 
 // cancel gives the attempt up: its connection is closed and never used again.
@@ -259,19 +346,23 @@
 	if c.nc != nil {
 		return nil
 	}
-	nc, err := (&net.Dialer{Timeout: c.node.dialer.ConnectTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", c.node.address)
+	nc, _, err := sock.Dial(ctx, c.address, c.node.dialer.ConnectTimeout)
 	if err != nil {
 		return err
 	}
-	c.nc = nc.(*net.TCPConn)
+	c.up(nc)
+	return nil
+}
+
+func (c *conn) up(nc sock.Stream) {
+	c.nc = nc
 	c.in = &steady{nc: c.nc}
 	c.br = bufio.NewReaderSize(c.in, connReadSpace)
-	return nil
 }
 
 // steady reads from a connection; once an answer has begun no read may take longer than a span.
 type steady struct {
-	nc    *net.TCPConn
+	nc    net.Conn
 	begun bool
 	until time.Time // of the heads; zero: reading a body
 }
@@ -303,31 +394,40 @@
 	return s.nc.SetReadDeadline(time.Time{})
 }
 
+// ended is the result of an attempt of which nothing, or not all, was written.
+func ended(ctx context.Context, otherwise choice.Status) core.Result {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return core.Result{Status: choice.Cancelled}
+	}
+	return core.Result{Status: otherwise}
+}
+
 // carry takes one attempt over the connection and tells exactly how it ended.
 func (c *conn) carry(j job) (r core.Result, reuse bool) {
 	a := j.attempt
-	ended := func(otherwise choice.Status) core.Result {
-		if errors.Is(j.ctx.Err(), context.Canceled) {
-			return core.Result{Status: choice.Cancelled}
-		}
-		return core.Result{Status: otherwise}
-	}
 	if !time.Now().Before(a.Until) {
 		return core.Result{Status: choice.Moot}, c.nc != nil
 	}
 	if err := c.dial(j.ctx); err != nil {
-		return ended(choice.NoConn), false
+		return ended(j.ctx, choice.NoConn), false
 	}
 	if c.node.draining.Load() { // guards the drain rule for what waited in a mailbox or for a connection
-		return ended(choice.NoConn), j.ctx.Err() == nil
+		return ended(j.ctx, choice.NoConn), j.ctx.Err() == nil
 	}
-	nc := c.nc
+	r, reuse, _ = c.exchange(j)
+	return r, reuse
+}
+
+// exchange writes an attempt on the connection that stands and reads its answer. cut: its last
+// byte was not written.
+func (c *conn) exchange(j job) (r core.Result, reuse, cut bool) {
+	a, nc := j.attempt, c.nc
 	unwatch := context.AfterFunc(j.ctx, func() { nc.Close() })
-	c.out = a.Req.Payload.(*call).encode(c.out[:0], c.node.address, time.Until(a.Until))
+	c.out = a.Req.Payload.(*call).encode(c.out[:0], c.host, time.Until(a.Until))
 	n, err := nc.Write(c.out)
 	if err != nil || n < len(c.out) {
 		unwatch()
-		return ended(choice.NoConn), false // the last byte was not written: it has not run
+		return ended(j.ctx, choice.NoConn), false, true // the last byte was not written: it has not run
 	}
 	if cap(c.out) > keptSpace {
 		c.out = nil
@@ -338,13 +438,16 @@
 	if err != nil {
 		switch {
 		case errors.Is(j.ctx.Err(), context.Canceled):
-			return core.Result{Status: choice.Cancelled}, false
+			return core.Result{Status: choice.Cancelled}, false, false
 		case j.ctx.Err() != nil:
-			return core.Result{Status: choice.TimedOut}, false
+			return core.Result{Status: choice.TimedOut}, false, false
 		}
-		return core.Result{Status: choice.Reset}, false
+		return core.Result{Status: choice.Reset}, false, false
+	}
+	if c.identity != "" {
+		c.says = string(c.resp.Header.Peek(c.identity))
 	}
-	return decodeReply(&c.resp, rep), whole && clean
+	return decodeReply(&c.resp, rep), whole && clean, false
 }
 
 // read reads one answer; clean says that the connection may carry another request. Where an
@@ -456,7 +559,7 @@
 		return core.Result{Status: choice.NoConn}, false
 	}
 	unwatch := context.AfterFunc(ctx, func() { c.nc.Close() })
-	c.out = append(append(append(c.out[:0], "GET /stats HTTP/1.1\r\nHost: "...), c.node.address...), "\r\n\r\n"...)
+	c.out = append(append(append(c.out[:0], "GET /stats HTTP/1.1\r\nHost: "...), c.host...), "\r\n\r\n"...)
 	if _, err := c.nc.Write(c.out); err != nil {
 		unwatch()
 		return core.Result{Status: choice.NoConn}, false
--- /dev/null
+++ b/internal/httpfront/paths.go
@@ -0,0 +1,429 @@
+package httpfront
+
+import (
+	"context"
+	"hash/fnv"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/sock"
+)
+
+// Routes is what the nodes with several addresses share: the settings, which may change while
+// they run, and what is to be said but once.
+type Routes struct {
+	Seed     uint64
+	set      atomic.Pointer[RouteSettings]
+	familyNo [8]sync.Once // by family
+}
+
+// RouteSettings are those of the books, and the header in which the nodes say their name, if any.
+type RouteSettings struct {
+	Book     address.Settings
+	Identity string
+}
+
+// Set changes the settings from now on, of nodes that are connected too.
+func (r *Routes) Set(s RouteSettings) { r.set.Store(&s) }
+
+func (r *Routes) settings() *RouteSettings {
+	if s := r.set.Load(); s != nil {
+		return s
+	}
+	r.set.CompareAndSwap(nil, &RouteSettings{Book: address.Defaults()})
+	return r.set.Load()
+}
+
+// paths is the part of a node's actor that keeps to its book of addresses: it does what the
+// book says, tells it what came of it, and holds no rule of its own.
+type paths struct {
+	n      *node
+	routes *Routes
+	set    *RouteSettings
+	book   *address.Book
+	origin time.Time
+	conns  map[address.Conn]*path
+	works  map[address.Req]*work
+	byTry  map[*core.Attempt]*work
+	seq    address.Req
+	acts   []address.Action
+	queue  []address.Event // that came while actions were carried out
+	active bool
+	drains bool
+	ends   bool
+	timer  *time.Timer
+	at     time.Duration // what the timer is set to
+}
+
+// work is what is to be written on some connection: an attempt, or a probe.
+type work struct {
+	req     address.Req
+	attempt *core.Attempt
+	probe   func(core.Result, time.Duration)
+	ctx     context.Context
+	stop    context.CancelFunc
+	unwatch func() bool
+	on      *path
+	began   time.Time
+}
+
+// path is one connection, or one that comes up.
+type path struct {
+	conn
+	id     address.Conn
+	quit   context.CancelFunc // ends its coming up, or its idling
+	ready  bool
+	work   *work
+	parked time.Time // last use
+}
+
+// pathMessage is what the paths' own goroutines tell the actor.
+type pathMessage struct {
+	addresses []address.Addr // from now on
+	up        *path          // it has come up
+	failed    *path          // it has not
+	why       address.Why
+	late      *work // its time is up and it may still wait
+	back      *path // done with its work
+	event     address.Event
+	probed    core.Result
+}
+
+func newPaths(n *node) *paths {
+	r := n.dialer.Routes
+	if r == nil {
+		r = &Routes{}
+	}
+	p := &paths{n: n, routes: r, set: r.settings(), origin: time.Now(), conns: map[address.Conn]*path{},
+		works: map[address.Req]*work{}, byTry: map[*core.Attempt]*work{}, timer: time.NewTimer(time.Hour), at: math.MaxInt64}
+	set := p.set.Book
+	set.Conns, set.Requests = connsMost, nodeMailbox
+	h := fnv.New64a() // each node draws its own back-offs
+	h.Write([]byte(n.name))
+	book, err := address.New(set, r.Seed^h.Sum64())
+	if err != nil { // they were checked when they were read
+		panic("address settings: " + err.Error())
+	}
+	p.book = book
+	return p
+}
+
+func (p *paths) log() logrus.FieldLogger {
+	if p.n.dialer.Log == nil {
+		l := logrus.New()
+		l.SetLevel(logrus.PanicLevel)
+		return l
+	}
+	return p.n.dialer.Log
+}
+
+// take takes one of the node's messages.
+func (p *paths) take(m nodeMessage) {
+	switch {
+	case m.send != nil:
+		w := p.add(&work{attempt: m.send})
+		w.ctx, w.stop = context.WithDeadline(context.Background(), m.send.Until)
+		p.byTry[m.send] = w
+		p.want(w, p.n.dialer.Safe[m.send.Req.Class], m.send.Req.Shard >= 0)
+	case m.probe != nil:
+		w := p.add(&work{probe: m.probe})
+		w.ctx, w.stop = context.WithTimeout(context.Background(), probeTimeout)
+		p.want(w, true, false)
+	case m.cancel != nil:
+		if w := p.byTry[m.cancel]; w != nil {
+			w.stop()
+		}
+	case m.close:
+		p.n.closing = true
+	case m.path != nil:
+		p.hear(m.path)
+	}
+}
+
+func (p *paths) add(w *work) *work {
+	p.seq++
+	w.req, w.began = p.seq, time.Now()
+	p.works[w.req] = w
+	return w
+}
+
+func (p *paths) want(w *work, safe, named bool) {
+	p.step(address.Event{Kind: address.Want, Req: w.req, Safe: safe, Named: named})
+	if p.works[w.req] == w && w.on == nil { // it waits
+		w.unwatch = context.AfterFunc(w.ctx, func() { p.n.mail <- nodeMessage{path: &pathMessage{late: w}} })
+	}
+}
+
+func (p *paths) hear(m *pathMessage) {
+	switch {
+	case m.up != nil:
+		m.up.ready = p.conns[m.up.id] == m.up // else a late winner, and told to quit
+		p.step(address.Event{Kind: address.Connected, Conn: m.up.id})
+	case m.failed != nil:
+		if p.conns[m.failed.id] == m.failed {
+			p.forget(m.failed)
+			p.absent(m.failed.address, m.why)
+		}
+		p.step(address.Event{Kind: address.Failed, Conn: m.failed.id, Why: m.why})
+	case m.late != nil:
+		if w := m.late; p.works[w.req] == w && w.on == nil {
+			p.finish(w, ended(w.ctx, choice.NoConn))
+			p.step(address.Event{Kind: address.Drop, Req: w.req})
+		}
+	case m.back != nil:
+		p.back(m)
+	}
+}
+
+// back takes a connection whose work is over, and what that says.
+func (p *paths) back(m *pathMessage) {
+	t := m.back
+	w := t.work
+	t.work, t.parked = nil, time.Now()
+	w.on = nil
+	p.over(w)
+	if p.conns[t.id] != t {
+		return // the book has closed it
+	}
+	if e := m.event; e.Kind != address.Answered || !e.Keep {
+		t.quit()
+		p.forget(t)
+	}
+	m.event.Conn, m.event.Req = t.id, w.req
+	p.step(m.event)
+}
+
+// over forgets a work.
+func (p *paths) over(w *work) {
+	if w.unwatch != nil {
+		w.unwatch()
+	}
+	w.stop()
+	delete(p.works, w.req)
+	if w.attempt != nil {
+		delete(p.byTry, w.attempt)
+	}
+}
+
+// finish ends a work that was never written.
+func (p *paths) finish(w *work, r core.Result) {
+	p.over(w)
+	if w.probe != nil {
+		go w.probe(r, time.Since(w.began))
+		return
+	}
+	go w.attempt.Done(r) // the core's mailbox may have to be waited for
+}
+
+// forget counts a connection out; its goroutine has ended or will.
+func (p *paths) forget(t *path) {
+	delete(p.conns, t.id)
+	p.n.gone()
+}
+
+// absent says once that this machine lacks a family.
+func (p *paths) absent(a address.Addr, why address.Why) {
+	if why == address.NoFamily {
+		p.routes.familyNo[a.Kind()].Do(func() {
+			p.log().WithField("family", a.Kind().String()).Info("this machine has none: such addresses are passed over")
+		})
+	}
+}
+
+// retire ends the connections that idle for long.
+func (p *paths) retire(before time.Time) {
+	for _, t := range p.conns {
+		if t.ready && t.work == nil && !t.parked.IsZero() && t.parked.Before(before) {
+			p.shut(t)
+			p.step(address.Event{Kind: address.Lost, Conn: t.id})
+		}
+	}
+}
+
+// settle tells the book of a drain and of new settings, and sets the timer; it runs after each
+// message.
+func (p *paths) settle() <-chan time.Time {
+	if on := p.n.draining.Load(); on != p.drains {
+		p.drains = on
+		p.step(address.Event{Kind: address.Drain, On: on})
+	}
+	if p.n.closing && !p.ends {
+		p.ends = true
+		p.step(address.Event{Kind: address.Closing})
+	}
+	if s := p.routes.settings(); s != p.set {
+		p.set = s
+		p.book.Adjust(s.Book)
+	}
+	if next := p.book.Next(); next != p.at {
+		p.at = next
+		p.timer.Reset(min(time.Until(p.origin.Add(min(next, 1<<60))), time.Hour))
+	}
+	return p.timer.C
+}
+
+// step gives the book an event and does what it says.
+func (p *paths) step(e address.Event) {
+	p.queue = append(p.queue, e)
+	if p.active {
+		return
+	}
+	p.active = true
+	for len(p.queue) > 0 {
+		e := p.queue[0]
+		p.queue = p.queue[1:]
+		if e.Kind == address.Tick {
+			p.at = -1 // the timer has run out
+		}
+		p.acts = p.book.Step(time.Since(p.origin), e, p.acts[:0])
+		for _, a := range p.acts {
+			p.do(a)
+		}
+	}
+	p.queue, p.active = p.queue[:0], false
+}
+
+func (p *paths) do(a address.Action) {
+	switch a.Kind {
+	case address.Connect:
+		p.connect(a)
+	case address.Write:
+		p.write(p.conns[a.Conn], p.works[a.Req])
+	case address.Close:
+		if t := p.conns[a.Conn]; t != nil {
+			p.shut(t)
+		}
+	case address.Fail:
+		if w := p.works[a.Req]; w != nil {
+			p.finish(w, ended(w.ctx, choice.NoConn))
+		}
+	case address.Say:
+		p.log().WithFields(logrus.Fields{"node": p.n.name, "address": a.Addr.String(), "state": a.State.String(), "why": a.Why.String()}).
+			Info("address")
+	}
+}
+
+func (p *paths) connect(a address.Action) {
+	t := &path{id: a.Conn, conn: conn{node: p.n, address: a.Addr, host: hostOf(a.Addr, p.n.name), jobs: make(chan job, 1),
+		identity: p.set.Identity}}
+	if p.n.dialer.open.Add(1) > p.n.dialer.ConnsMost {
+		p.n.dialer.open.Add(-1)
+		p.step(address.Event{Kind: address.Failed, Conn: a.Conn, Why: address.NoResource})
+		return
+	}
+	p.n.conns++
+	p.conns[t.id] = t
+	ctx, quit := context.WithCancel(context.Background())
+	t.quit = quit
+	go t.run(ctx)
+}
+
+// shut closes a connection, also one that comes up or carries something.
+func (p *paths) shut(t *path) {
+	t.quit()
+	if t.work != nil {
+		t.work.stop()
+	}
+	p.forget(t)
+}
+
+// write gives a connection its work, unless it has ended meanwhile: then the work has not been
+// touched and goes by another.
+func (p *paths) write(t *path, w *work) {
+	if t == nil || w == nil {
+		panic("the book writes what it has been told is over")
+	}
+	if !t.parked.IsZero() && !sock.Quiet(t.nc) { // neither closed nor written to by the node
+		p.shut(t)
+		p.step(address.Event{Kind: address.Broken, Conn: t.id, Why: address.Unwritten})
+		return
+	}
+	if w.unwatch != nil {
+		w.unwatch()
+		w.unwatch = nil
+	}
+	w.on, t.work = t, w
+	t.jobs <- job{attempt: w.attempt, ctx: w.ctx, probe: w.probe, doubted: p.book.Doubted(t.id)}
+}
+
+// run brings the connection up and carries its works.
+func (t *path) run(ctx context.Context) {
+	nc, why, err := sock.Dial(ctx, t.address, t.node.dialer.ConnectTimeout)
+	if err != nil {
+		t.node.mail <- nodeMessage{path: &pathMessage{failed: t, why: why}}
+		return
+	}
+	defer nc.Close()
+	t.up(nc)
+	t.node.mail <- nodeMessage{path: &pathMessage{up: t}}
+	for {
+		var j job
+		select {
+		case j = <-t.jobs:
+		case <-ctx.Done():
+			return
+		}
+		start := time.Now()
+		r, e := t.serve(j)
+		// The actor hears first, so that the module's next send finds the connection free.
+		t.node.mail <- nodeMessage{path: &pathMessage{back: t, event: e}}
+		if j.probe != nil {
+			j.probe(r, time.Since(start))
+		} else {
+			j.attempt.Done(r)
+		}
+		if e.Kind != address.Answered || !e.Keep {
+			return
+		}
+	}
+}
+
+// serve carries one work, and tells its result and what it says of the address.
+func (t *path) serve(j job) (r core.Result, e address.Event) {
+	given := address.Event{Kind: address.Drop}
+	if j.probe != nil {
+		r, reuse := t.conn.probe()
+		e = address.Event{Kind: address.Answered, Verdict: address.Other, Keep: reuse}
+		if r.Status == choice.NoConn || r.Status == choice.Reset {
+			e = address.Event{Kind: address.Broken, Why: address.Reset}
+		}
+		return r, e
+	}
+	switch {
+	case !time.Now().Before(j.attempt.Until):
+		return core.Result{Status: choice.Moot}, given
+	case t.node.draining.Load() || j.ctx.Err() != nil: // guards the drain rule for what waited
+		return ended(j.ctx, choice.NoConn), given
+	}
+	r, reuse, cut := t.exchange(j)
+	switch {
+	case cut && j.ctx.Err() == nil:
+		return r, address.Event{Kind: address.Broken, Why: address.Cut}
+	case cut || r.Status == choice.Cancelled || r.Status == choice.TimedOut:
+		return r, given
+	case r.Status == choice.Reset:
+		return r, address.Event{Kind: address.Broken, Why: address.Reset}
+	}
+	e = address.Event{Kind: address.Answered, Keep: reuse}
+	switch {
+	case t.says != "" && t.says != t.node.name:
+		e.Verdict, e.Keep = address.Misdirected, false
+	case r.Status == choice.OK:
+		e.Verdict = address.Served
+	case r.Status == choice.Full:
+		e.Verdict = address.Turned
+	default:
+		e.Verdict = address.Other
+	}
+	if r.Status == choice.Full && (j.doubted || e.Verdict == address.Misdirected) {
+		r.Status = choice.Moot // another node's word: it never ran, and nobody is full
+	}
+	return r, e
+}
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -15,8 +15,10 @@
 	"github.com/sirupsen/logrus"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/sock"
 )
 
 const (
@@ -73,7 +75,7 @@
 // Nodes is the list that a configuration gives.
 func Nodes(conf *config.ISCSI) (out []core.Node) {
 	for _, s := range conf.Storage {
-		out = append(out, core.Node{Node: choice.Node{ID: s.Name, Shard: s.Shard, State: s.State, Weight: 1}, Address: s.Address})
+		out = append(out, core.Node{Node: choice.Node{ID: s.Name, Shard: s.Shard, State: s.State, Weight: 1}, Addresses: s.Addresses})
 	}
 	return out
 }
@@ -92,9 +94,9 @@
 }
 
 // Connect starts the actor of one storage target.
-func (d *Dialer) Connect(name, address string) core.Peer {
+func (d *Dialer) Connect(name string, addresses []address.Addr) core.Peer {
 	conf, _ := d.lookup(name)
-	p := &peer{d: d, name: name, address: address, target: conf.Target, mail: make(chan mail, peerMailbox),
+	p := &peer{d: d, name: name, addresses: addresses, target: conf.Target, mail: make(chan mail, peerMailbox),
 		done: make(chan struct{}), byTry: map[*core.Attempt]*command{}, byTag: map[uint32]*command{}}
 	go p.run()
 	return p
@@ -106,6 +108,7 @@
 	pdu                *pdu
 	from               *link
 	err                error
+	addresses          []address.Addr
 	close              bool
 }
 
@@ -132,7 +135,8 @@
 // peer is the actor of one storage target: a session of one connection, many commands.
 type peer struct {
 	d                     *Dialer
-	name, address, target string
+	name, target          string
+	addresses             []address.Addr
 	mail                  chan mail
 	done                  chan struct{}
 	draining              atomic.Bool
@@ -180,6 +184,13 @@
 // Drain implements core.Peer: it binds at once, also what waits in the mailbox.
 func (p *peer) Drain(on bool) { p.draining.Store(on) }
 
+// Readdress implements core.Peer.
+func (p *peer) Readdress(addresses []address.Addr) {
+	if m := (mail{addresses: addresses}); !p.put(m) {
+		go p.post(m)
+	}
+}
+
 // Close implements core.Peer.
 func (p *peer) Close() {
 	if !p.put(mail{close: true}) {
@@ -232,6 +243,8 @@
 		} else if m.from == p.link {
 			p.down()
 		}
+	case m.addresses != nil:
+		p.addresses = m.addresses
 	case m.close:
 		p.closing = true
 	}
@@ -295,10 +308,11 @@
 		return
 	}
 	p.dialing = true
+	to := p.addresses[0]
 	go func() {
 		ctx, stop := context.WithTimeout(context.Background(), p.d.ConnectTimeout)
 		defer stop()
-		nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.address)
+		nc, _, err := sock.Dial(ctx, to, p.d.ConnectTimeout)
 		if err != nil {
 			p.post(mail{err: err})
 			return
@@ -360,7 +374,7 @@
 		return
 	}
 	if f := p.d.news.Load(); f != nil {
-		n := core.News{Kind: choice.ListChange, Nodes: []core.Node{{Address: p.address, Node: choice.Node{ID: p.name,
+		n := core.News{Kind: choice.ListChange, Nodes: []core.Node{{Addresses: p.addresses, Node: choice.Node{ID: p.name,
 			Shard: conf.Shard, State: state, Weight: 1, Since: since}}}}
 		go (*f)(n)
 	}
--- a/internal/iscsi/iscsi_test.go
+++ b/internal/iscsi/iscsi_test.go
@@ -175,7 +175,7 @@
 	if n := <-told; n.Nodes[0].State != choice.NodeDraining || len(told) > 0 {
 		t.Errorf("told %+v", n)
 	}
-	conf.Storage = []config.StorageTarget{{Name: "new", Address: p.ln.Addr().String(), Target: "iqn.new", Shard: 0}}
+	conf.Storage = []config.StorageTarget{{Name: "new", Addresses: conf.Storage[0].Addresses, Target: "iqn.new", Shard: 0}}
 	p.dialer.Update(&conf)
 	p.core.List(core.News{Kind: choice.ListFull, Nodes: Nodes(&conf)})
 	if e := c.readBlocks(0, 1); e.status != statusGood {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/core"
 )
 
@@ -41,9 +42,11 @@
 	Index int64
 	Full  bool
 	Nodes []core.Node
-	Bad   []error         // entries left out, each named
-	named map[string]bool // names of those, as far as they could be read
-	blind bool            // one of them has no name
+	Bad   []error // entries left out, each named
+	// Partly names what was left out of entries that stay: an address that cannot be used.
+	Partly []error
+	named  map[string]bool // names of those, as far as they could be read
+	blind  bool            // one of them has no name
 }
 
 // Decode reads one message. A bad entry is left out and named.
@@ -62,7 +65,10 @@
 	}
 	l.Index, l.Full = index.Int(), root.Get("snapshot").Bool()
 	for i, e := range entries.Array() {
-		n, err := decodeNode(e)
+		n, bad, err := decodeNode(e)
+		for _, x := range bad {
+			l.Partly = append(l.Partly, fmt.Errorf("list: endpoints.%d (%.40q): %w", i, n.ID, x))
+		}
 		if err != nil {
 			name := e.Get("name").String()
 			l.Bad = append(l.Bad, fmt.Errorf("list: endpoints.%d (%.40q): %w", i, name, err))
@@ -114,34 +120,71 @@
 	return news
 }
 
-func decodeNode(e gjson.Result) (n core.Node, err error) {
+// decodeNode reads an entry; bad names the addresses that were left out of it.
+func decodeNode(e gjson.Result) (n core.Node, bad []error, err error) {
 	if !e.IsObject() {
-		return n, errors.New("not an object")
+		return n, nil, errors.New("not an object")
 	}
 	if n.ID = e.Get("name").String(); n.ID == "" {
-		return n, errors.New("name: missing")
+		return n, nil, errors.New("name: missing")
 	}
 	var ok bool
 	if n.State, ok = states[e.Get("status").String()]; !ok {
-		return n, fmt.Errorf("status: unknown word %.20q", e.Get("status").String())
+		return n, nil, fmt.Errorf("status: unknown word %.20q", e.Get("status").String())
 	}
-	n.Address = e.Get("address").String()
-	if _, _, err = net.SplitHostPort(n.Address); err != nil && n.State != choice.NodeGone {
-		return n, fmt.Errorf("address: %.40q is not host:port", n.Address)
+	if n.Addresses, bad, err = decodeAddresses(e); err != nil && n.State != choice.NodeGone {
+		return n, bad, err
 	}
 	group := e.Get("group")
 	if (group.Type != gjson.Number || group.Num < 0 || group.Num > 1e6) && n.State != choice.NodeGone {
-		return n, errors.New("group: missing or not a shard")
+		return n, nil, errors.New("group: missing or not a shard")
 	}
 	since := e.Get("since_ms")
 	if since.Exists() && since.Type != gjson.Number {
-		return n, errors.New("since_ms: not a number")
+		return n, nil, errors.New("since_ms: not a number")
 	}
 	n.Shard, n.Zone, n.Since, n.Weight = int(group.Num), e.Get("zone").String(), since.Num, 1
 	if w := e.Get("weight"); w.Type == gjson.Number {
 		n.Weight = w.Num
 	}
-	return n, nil
+	return n, bad, nil
+}
+
+// decodeAddresses reads "addresses", and "address" where it is not among them: the platform's
+// lists have that one alone. A bad one is named and left out, unless none is left.
+func decodeAddresses(e gjson.Result) (list []address.Addr, bad []error, err error) {
+	var texts []string
+	one, more := e.Get("address"), e.Get("addresses")
+	if !more.Exists() {
+		a, err := address.Parse(one.String())
+		if err != nil {
+			return nil, nil, fmt.Errorf("address: %.60q: %w", one.String(), err)
+		}
+		return []address.Addr{a}, nil, nil
+	}
+	if !more.IsArray() {
+		return nil, nil, errors.New("addresses: not a list")
+	}
+	for i, x := range more.Array() {
+		if x.Type != gjson.String {
+			bad = append(bad, fmt.Errorf("addresses.%d: not text", i))
+			continue
+		}
+		texts = append(texts, x.Str)
+	}
+	list, errs := address.List(texts)
+	bad = append(bad, errs...)
+	if one.Type == gjson.String {
+		if a, err := address.Parse(one.Str); err != nil {
+			bad = append(bad, fmt.Errorf("address: %.60q: %w", one.Str, err))
+		} else if !slices.Contains(list, a) && len(list) < address.Most {
+			list = append(list, a)
+		}
+	}
+	if len(list) == 0 {
+		return nil, bad, fmt.Errorf("addresses: none of them can be used: %w", errors.Join(bad...))
+	}
+	return list, bad, nil
 }
 
 // Watcher is the list's actor. It alone applies what its watches read.
@@ -343,6 +386,9 @@
 		for _, bad := range l.Bad {
 			w.Log.WithError(bad).Warn("list entry left out")
 		}
+		for _, bad := range l.Partly {
+			w.Log.WithError(bad).Warn("address left out")
+		}
 		put(line{list: &l})
 	}
 	if err := sc.Err(); err != nil {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -31,7 +31,7 @@
 	l, err := Decode([]byte(list(43, true, entry)))
 	n := l.Nodes[0]
 	if err != nil || l.Index != 43 || !l.Full || n.ID != "s-1" || n.Shard != 3 || n.State != choice.NodeDraining || n.Weight != 2 ||
-		n.Since != 1.7e12 || n.Address != "127.0.0.1:8443" || n.Zone != "a" {
+		n.Since != 1.7e12 || fmt.Sprint(n.Addresses) != "[127.0.0.1:8443]" || n.Zone != "a" {
 		t.Errorf("%+v %v", l, err)
 	}
 	// a bad entry is named and left out
--- /dev/null
+++ b/internal/sock/dial.go
@@ -0,0 +1,67 @@
+package sock
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"wheatsaddle/internal/address"
+)
+
+// Stream is a connection whose socket may be looked at.
+type Stream interface {
+	net.Conn
+	syscall.Conn
+}
+
+// Dial connects to one address within the time. An error comes with what it says of the address.
+func Dial(ctx context.Context, a address.Addr, within time.Duration) (Stream, address.Why, error) {
+	network, to := a.Dial()
+	nc, err := (&net.Dialer{Timeout: within, KeepAlive: -1}).DialContext(ctx, network, to)
+	if err != nil {
+		return nil, WhyNot(err, a.Kind()), err
+	}
+	return nc.(Stream), 0, nil // TCP and Unix connections both are
+}
+
+var (
+	scarce   = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
+	familyNo = []error{syscall.EAFNOSUPPORT, syscall.EPROTONOSUPPORT, syscall.ESOCKTNOSUPPORT}
+)
+
+func among(err error, list []error) bool {
+	for _, x := range list {
+		if errors.Is(err, x) {
+			return true
+		}
+	}
+	return false
+}
+
+// WhyNot reads a connect's error. EADDRNOTAVAIL and ENETUNREACH come of IPv6 where the machine
+// has none, or no route; of IPv4 the first is a lack of local ports. EAGAIN is a Unix socket
+// whose backlog is full (connect(2)).
+func WhyNot(err error, k address.Kind) address.Why {
+	var late net.Error
+	switch {
+	case among(err, scarce):
+		return address.NoResource
+	case among(err, familyNo):
+		return address.NoFamily
+	case errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENETUNREACH):
+		if k == address.IPv6 {
+			return address.NoFamily
+		}
+		if errors.Is(err, syscall.EADDRNOTAVAIL) {
+			return address.NoResource
+		}
+		return address.Refused
+	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) ||
+		errors.As(err, &late) && late.Timeout():
+		return address.TimedOut
+	}
+	return address.Refused
+}
