--- a/cmd/wheatsaddle/blocks.go
+++ b/cmd/wheatsaddle/blocks.go
@@ -26,12 +26,14 @@
 	sockets int // that it may hold
 }
 
-func startBlocks(file string, conf *config.Config, log logrus.FieldLogger) (*blockFront, error) {
+func startBlocks(file string, conf *config.Config, at *site, log logrus.FieldLogger) (*blockFront, error) {
 	ic, err := config.LoadISCSI(file, conf.Settings)
 	if err != nil {
 		return nil, err
 	}
 	d := iscsi.NewDialer(ic, initiatorName+conf.Name, time.Duration(conf.ConnectTimeout*float64(time.Millisecond)), log)
+	at.blocks = d
+	at.apply()
 	set := iscsi.Settings(conf.Settings, ic)
 	co, err := core.New(core.Options{Settings: set, Seed: conf.Seed, Connect: d.Connect, Log: log})
 	if err != nil {
@@ -44,6 +46,10 @@
 		co.Stop()
 		return nil, fmt.Errorf("iscsi: listen: %w", err)
 	}
+	if ln, err = at.listen("iscsi", ln); err != nil {
+		co.Stop()
+		return nil, err
+	}
 	f := &blockFront{file: file, dialer: d, core: co, target: iscsi.NewTarget(ic, co, set, log), sockets: ic.Sessions + 2*len(ic.Storage)}
 	go func() {
 		if err := f.target.Serve(ln); err != nil {
--- a/cmd/wheatsaddle/main.go
+++ b/cmd/wheatsaddle/main.go
@@ -6,12 +6,15 @@
 	"os"
 
 	"github.com/urfave/cli/v2"
+
+	"wheatsaddle/internal/config"
 )
 
 const version = "0.1.0"
 
 func main() {
-	flags := []cli.Flag{&cli.StringFlag{Name: "iscsi", Usage: "also serve the iSCSI front that `FILE` describes"}}
+	flags := []cli.Flag{&cli.StringFlag{Name: "iscsi", Usage: "also serve the iSCSI front that `FILE` describes"},
+		&cli.StringFlag{Name: "site", Usage: "turn on what the installation has, as `FILE` says"}}
 	app := &cli.App{
 		Name: "wheatsaddle", Usage: "I/O scheduler in front of storage nodes",
 		HideVersion: true, Action: serve, Flags: flags,
@@ -22,6 +25,10 @@
 				return err
 			}},
 			{Name: "check-config", Usage: "read the configuration and name what is wrong with it", ArgsUsage: "[FILE]", Action: checkConfig, Flags: flags},
+			{Name: "schema", Usage: "print the JSON Schema of the site's file", Action: func(c *cli.Context) error {
+				_, err := c.App.Writer.Write(config.SiteSchema)
+				return err
+			}},
 			replayCommand(),
 		},
 	}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -71,9 +71,14 @@
 	if err != nil {
 		return err
 	}
-	for _, bad := range known.Bad {
+	for _, bad := range append(known.Bad, known.Partly...) {
 		return fmt.Errorf("known: %w", bad)
 	}
+	if file := c.String("site"); file != "" {
+		if _, err = config.LoadSite(file); err != nil {
+			return err
+		}
+	}
 	if file := c.String("iscsi"); file != "" {
 		if _, err = config.LoadISCSI(file, conf.Settings); err != nil {
 			return err
@@ -123,11 +128,18 @@
 	for _, bad := range known.Bad {
 		log.WithError(bad).Warn("known entry left out")
 	}
+	for _, bad := range known.Partly {
+		log.WithError(bad).Warn("known address left out")
+	}
+	at, err := openSite(c, conf.Seed, log)
+	if err != nil {
+		return err
+	}
 	applyLimits(conf)
 	var blocks *blockFront
 	sockets := max(descriptorLimit(conf.Sockets)-descriptors, 2)
 	if file := c.String("iscsi"); file != "" {
-		if blocks, err = startBlocks(file, conf, log); err != nil {
+		if blocks, err = startBlocks(file, conf, at, log); err != nil {
 			return err
 		}
 		defer blocks.core.Stop()
@@ -137,7 +149,8 @@
 	dialer := &httpfront.Dialer{ConnectTimeout: time.Duration(conf.ConnectTimeout * float64(time.Millisecond)),
 		ConnIdle:  time.Duration(conf.ConnIdle * float64(time.Millisecond)),
 		ConnsMost: int64(max(1, sockets-clients)),
-		Bodies:    semaphore.NewWeighted(int64(conf.MemoryMB) << 20 / bodyShare)}
+		Bodies:    semaphore.NewWeighted(int64(conf.MemoryMB) << 20 / bodyShare),
+		Safe:      safeClasses(conf.Settings), Routes: at.routes, Log: log}
 	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log})
 	if err != nil {
 		return err
@@ -154,6 +167,9 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if ln, err = at.listen("http", ln); err != nil {
+		return err
+	}
 	srv := httpfront.NewServer(co, conf.Settings, clients, log)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(ln, clients) }()
@@ -163,6 +179,7 @@
 			select {
 			case <-hup:
 				held = reload(ctx, held, os.Getenv, watcher.Move, log)
+				at.reload()
 				blocks.reload(conf, log)
 			case <-ctx.Done():
 				return
--- /dev/null
+++ b/cmd/wheatsaddle/site.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"reflect"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v2"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/httpfront"
+	"wheatsaddle/internal/iscsi"
+	"wheatsaddle/internal/sock"
+)
+
+// site is the site's file while the program runs. Without the file all of it is off.
+type site struct {
+	file   string
+	held   *config.Site
+	routes *httpfront.Routes
+	blocks *iscsi.Dialer // nil: no iSCSI front
+	log    logrus.FieldLogger
+}
+
+func openSite(c *cli.Context, seed int64, log logrus.FieldLogger) (*site, error) {
+	s := &site{file: c.String("site"), held: &config.Site{}, log: log, routes: &httpfront.Routes{Seed: uint64(seed)}}
+	if s.file == "" {
+		return s, nil
+	}
+	held, err := config.LoadSite(s.file)
+	if err != nil {
+		return nil, err
+	}
+	s.held = held
+	s.apply()
+	return s, nil
+}
+
+// apply sets what holds from now on.
+func (s *site) apply() {
+	a := s.held.Addresses
+	if a == nil {
+		a = config.DefaultAddresses()
+	}
+	s.routes.Set(httpfront.RouteSettings{Book: a.Book, Identity: a.Identity})
+	if s.blocks != nil {
+		s.blocks.Addresses(a.Book)
+	}
+}
+
+// reload reads the file again. It is checked whole first; a bad one changes nothing.
+func (s *site) reload() {
+	if s.file == "" {
+		return
+	}
+	next, err := config.LoadSite(s.file)
+	if err != nil {
+		s.log.WithError(err).Error("the site's file counts as it was")
+		return
+	}
+	if !reflect.DeepEqual(next.Listen, s.held.Listen) {
+		s.log.WithField("keys", "listen").Warn("changed, and need a restart")
+		next.Listen = s.held.Listen
+	}
+	s.held = next
+	s.apply()
+	s.log.Info("site's file read again")
+}
+
+// listen adds a front's further addresses to the one it has.
+func (s *site) listen(front string, first net.Listener) (net.Listener, error) {
+	all := []net.Listener{first}
+	for i, l := range s.held.Listen[front] {
+		ln, err := sock.Listen(l.Address, l.Mode)
+		if err != nil {
+			for _, open := range all {
+				open.Close()
+			}
+			return nil, fmt.Errorf("site: listen.%s.%d: %w", front, i, err)
+		}
+		s.log.WithFields(logrus.Fields{"front": front, "address": ln.Addr().String()}).Info("listening")
+		all = append(all, ln)
+	}
+	return sock.Merge(all...), nil
+}
+
+// safeClasses are those that may be repeated freely.
+func safeClasses(set choice.Settings) map[string]bool {
+	safe := map[string]bool{}
+	for _, k := range set.Classes {
+		safe[k.Name] = k.Effect == choice.Safe
+	}
+	return safe
+}
--- /dev/null
+++ b/internal/config/site.go
@@ -0,0 +1,171 @@
+package config
+
+import (
+	"bytes"
+	_ "embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/tidwall/gjson"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"wheatsaddle/internal/address"
+)
+
+// SiteSchema is the JSON Schema of the site's file (draft 2020-12).
+//
+//go:embed site.schema.json
+var SiteSchema []byte
+
+// Site is what an installation has that the platform does not give. Without the file, and
+// without a section, the feature is off.
+type Site struct {
+	Addresses *SiteAddresses
+	Listen    map[string][]Listener // by front: http, iscsi
+}
+
+// SiteAddresses is the section addresses.
+type SiteAddresses struct {
+	Book     address.Settings
+	Identity string // header in which nodes say their name; empty: they do not
+}
+
+// Listener is one further address of a front.
+type Listener struct {
+	Address address.Addr
+	Mode    fs.FileMode // of a socket file
+}
+
+const socketMode = 0o600
+
+var siteSchema = sync.OnceValues(func() (*jsonschema.Schema, error) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(SiteSchema))
+	if err != nil {
+		return nil, err
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("wheatsaddle:site", doc); err != nil {
+		return nil, err
+	}
+	return c.Compile("wheatsaddle:site")
+})
+
+// LoadSite reads the site's file. The error names the key and what it must be.
+func LoadSite(path string) (*Site, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("site: %w", err)
+	}
+	return ParseSite(text)
+}
+
+// ParseSite checks a text against the schema and what a schema cannot say, and reads it.
+func ParseSite(text []byte) (*Site, error) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return nil, fmt.Errorf("site: not valid JSON: %w", err)
+	}
+	schema, err := siteSchema()
+	if err != nil {
+		return nil, fmt.Errorf("site: schema: %w", err)
+	}
+	if err := schema.Validate(doc); err != nil {
+		return nil, schemaError("site", err)
+	}
+	r := &reader{root: gjson.ParseBytes(text)}
+	s := &Site{Listen: map[string][]Listener{}}
+	if r.root.Get("addresses").Exists() {
+		if s.Addresses, err = siteAddresses(r); err != nil {
+			return nil, fmt.Errorf("site: addresses.%w", err)
+		}
+	}
+	seen := map[address.Addr]string{}
+	for _, front := range []string{"http", "iscsi"} {
+		for i, e := range r.root.Get("listen." + front).Array() {
+			key := fmt.Sprintf("listen.%s.%d", front, i)
+			l := Listener{Mode: socketMode}
+			text := e.Get("address").Str
+			if l.Address, err = address.ParseListen(text); err != nil {
+				return nil, fmt.Errorf("site: %s.address: %q: %w", key, text, err)
+			}
+			if first, twice := seen[l.Address]; twice {
+				return nil, fmt.Errorf("site: %s.address: %q: the same as %s", key, text, first)
+			}
+			seen[l.Address] = key
+			if m := e.Get("mode"); m.Exists() {
+				if l.Address.Path() == "" {
+					return nil, fmt.Errorf("site: %s.mode: only a socket file has one", key)
+				}
+				n, err := strconv.ParseUint(m.Str, 8, 12)
+				if err != nil {
+					return nil, fmt.Errorf("site: %s.mode: %q is not octal", key, m.Str)
+				}
+				l.Mode = fs.FileMode(n)
+			}
+			s.Listen[front] = append(s.Listen[front], l)
+		}
+	}
+	return s, r.err
+}
+
+// DefaultAddresses are those of a site without the section.
+func DefaultAddresses() *SiteAddresses { return &SiteAddresses{Book: address.Defaults()} }
+
+func siteAddresses(r *reader) (*SiteAddresses, error) {
+	s := address.Defaults()
+	span := func(key string, to *time.Duration) {
+		*to = time.Duration(r.num("addresses."+key, float64(*to)/float64(time.Millisecond), 0) * float64(time.Millisecond))
+	}
+	if p := r.root.Get("addresses.preference"); p.Exists() {
+		s.Preference = nil
+		for _, w := range p.Array() {
+			k, err := address.ParseKind(w.Str)
+			if err != nil {
+				return nil, fmt.Errorf("preference: %w", err)
+			}
+			s.Preference = append(s.Preference, k)
+		}
+	}
+	for key, to := range map[string]*time.Duration{
+		"delay_ms": &s.Delay, "delay_least_ms": &s.DelayLeast, "delay_most_ms": &s.DelayMost,
+		"backoff_ms": &s.Backoff, "backoff_most_ms": &s.BackoffMost, "wrong_ms": &s.WrongFor, "absent_ms": &s.AbsentFor,
+		"down_every_ms": &s.DownEvery, "suspect_least_ms": &s.SuspectLeast, "suspect_most_ms": &s.SuspectMost,
+		"trial_gap_ms": &s.TrialGap, "trial_patience_ms": &s.TrialPatience, "return_span_ms": &s.ReturnSpan,
+		"return_most_ms": &s.ReturnMost, "wrong_span_ms": &s.WrongSpan,
+	} {
+		span(key, to)
+	}
+	s.Jitter, s.SuspectTimes = r.num("addresses.jitter", s.Jitter, 0), r.num("addresses.suspect_times", s.SuspectTimes, 1)
+	s.ReturnAfter = int(r.num("addresses.return_after", float64(s.ReturnAfter), 1))
+	s.WrongAfter = int(r.num("addresses.wrong_after", float64(s.WrongAfter), 1))
+	s.Rate = r.num("addresses.connects_per_second", s.Rate, 0)
+	s.Burst = int(r.num("addresses.connects_at_once", float64(s.Burst), 1))
+	if r.err != nil {
+		return nil, r.err
+	}
+	return &SiteAddresses{Book: s, Identity: r.text("addresses.identity_header", "")}, s.Check()
+}
+
+// schemaError words a schema's complaint as "file: key: what it must be", the deepest first.
+func schemaError(file string, err error) error {
+	var v *jsonschema.ValidationError
+	if !errors.As(err, &v) {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	for len(v.Causes) > 0 {
+		v = v.Causes[0]
+	}
+	key := strings.Join(v.InstanceLocation, ".")
+	if key == "" {
+		key = "the file"
+	}
+	return fmt.Errorf("%s: %s: %s", file, key, v.ErrorKind.LocalizedString(message.NewPrinter(language.English)))
+}
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -42,6 +42,7 @@
 	mu             sync.Mutex
 	storage        map[string]config.StorageTarget
 	news           atomic.Pointer[func(core.News)]
+	book           atomic.Pointer[address.Settings]
 }
 
 // NewDialer knows the storage targets of a configuration.
@@ -69,6 +70,9 @@
 	return s, ok
 }
 
+// Addresses sets how portals are tried, from now on.
+func (d *Dialer) Addresses(set address.Settings) { d.book.Store(&set) }
+
 // Report sets where a storage target's own word that it goes, or is back, is to be told.
 func (d *Dialer) Report(f func(core.News)) { d.news.Store(&f) }
 
--- /dev/null
+++ b/internal/sock/listen_test.go
@@ -0,0 +1,163 @@
+package sock
+
+import (
+	"errors"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"wheatsaddle/internal/address"
+)
+
+func unixAddr(t *testing.T, path string) address.Addr {
+	t.Helper()
+	a, err := address.Parse("unix:" + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// deadSocket leaves the file of a socket whose process is gone.
+func deadSocket(t *testing.T, path string) {
+	t.Helper()
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.SetUnlinkOnClose(false)
+	ln.Close()
+}
+
+func TestListenOnFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	deadSocket(t, path)
+	ln, err := Listen(unixAddr(t, path), 0o640)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Lstat(path); err != nil || info.Mode().Perm() != 0o640 || info.Mode()&fs.ModeSocket == 0 {
+		t.Errorf("%v %v", info.Mode(), err)
+	}
+	if _, err := Listen(unixAddr(t, path), 0o600); !errors.Is(err, ErrInUse) {
+		t.Errorf("a second one: %v", err)
+	}
+	got := make(chan error, 1)
+	go func() { _, err := ln.Accept(); got <- err }()
+	nc, err := net.Dial("unix", path)
+	if err != nil || <-got != nil {
+		t.Fatal(err)
+	}
+	nc.Close()
+	ln.Close()
+	if _, err := os.Lstat(path); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("left behind: %v", err)
+	}
+}
+
+// A file at which somebody answers stays, also where they take no lock; and one that is no
+// socket stays.
+func TestListenRemovesNothingAlive(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "alive")
+	other, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	if _, err := Listen(unixAddr(t, path), 0o600); !errors.Is(err, ErrInUse) {
+		t.Errorf("alive: %v", err)
+	}
+	plain := filepath.Join(dir, "plain")
+	if err := os.WriteFile(plain, []byte("data"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Listen(unixAddr(t, plain), 0o600); err == nil || !strings.Contains(err.Error(), "no socket") {
+		t.Errorf("a plain file: %v", err)
+	}
+	if text, _ := os.ReadFile(plain); string(text) != "data" {
+		t.Error("the plain file was touched")
+	}
+	// A listener whose file another has taken removes nothing of theirs.
+	mine := filepath.Join(dir, "mine")
+	ln, err := Listen(unixAddr(t, mine), 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	os.Remove(mine)
+	if err := os.WriteFile(mine, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	if _, err := os.Stat(mine); err != nil {
+		t.Errorf("another's file: %v", err)
+	}
+}
+
+// Several listeners are one: a cap counts over all, and closing ends them all.
+func TestMerge(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	four, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := Listen(unixAddr(t, path), 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := limit(Merge(four, file), 10)
+	for _, to := range [][2]string{{"tcp", four.Addr().String()}, {"unix", path}} {
+		nc, err := net.Dial(to[0], to[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		in, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		left := in.(*Conn).Watch() // both kinds can be watched for their peer's going
+		nc.Close()
+		<-left
+		in.(*Conn).Unwatch()
+	}
+	if l.Held() != 2 {
+		t.Errorf("%d held", l.Held())
+	}
+	ended := make(chan error, 1)
+	go func() { _, err := l.Accept(); ended <- err }()
+	l.Close()
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("%v", err)
+	}
+	for _, to := range [][2]string{{"tcp", four.Addr().String()}, {"unix", path}} {
+		if nc, err := net.DialTimeout(to[0], to[1], time.Second); err == nil {
+			nc.Close()
+			t.Errorf("%v still accepts", to)
+		}
+	}
+}
+
+func TestWhyNot(t *testing.T) {
+	for _, x := range []struct {
+		err  error
+		kind address.Kind
+		want address.Why
+	}{
+		{syscall.ECONNREFUSED, address.IPv4, address.Refused}, {syscall.ENOENT, address.Unix, address.Refused},
+		{syscall.EACCES, address.Unix, address.Refused}, {syscall.EAGAIN, address.Unix, address.TimedOut},
+		{syscall.EMFILE, address.IPv6, address.NoResource}, {syscall.EADDRNOTAVAIL, address.IPv4, address.NoResource},
+		{syscall.EADDRNOTAVAIL, address.IPv6, address.NoFamily}, {syscall.EAFNOSUPPORT, address.IPv6, address.NoFamily},
+		{syscall.ENETUNREACH, address.IPv6, address.NoFamily}, {syscall.ENETUNREACH, address.IPv4, address.Refused},
+		{os.ErrDeadlineExceeded, address.IPv4, address.TimedOut}, {syscall.ETIMEDOUT, address.IPv4, address.TimedOut},
+	} {
+		if got := WhyNot(&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", x.err)}, x.kind); got != x.want {
+			t.Errorf("%v %v: %v, want %v", x.kind, x.err, got, x.want)
+		}
+	}
+}
