--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -51,6 +51,7 @@
 	Routes         *Routes             // of nodes with several addresses; nil: the defaults
 	Log            logrus.FieldLogger  // nil: silence
 	open           atomic.Int64
+	dial           func(context.Context, address.Addr, time.Duration) (sock.Stream, address.Why, error) // nil: sock.Dial
 }
 
 // Connect starts the actor of one storage node.
@@ -346,12 +347,22 @@
 	if c.nc != nil {
 		return nil
 	}
-	nc, _, err := sock.Dial(ctx, c.address, c.node.dialer.ConnectTimeout)
-	if err != nil {
-		return err
+	_, err := c.come(ctx)
+	return err
+}
+
+// come brings the connection up; why tells of an error what it says of the address.
+func (c *conn) come(ctx context.Context) (why address.Why, err error) {
+	d := c.node.dialer
+	dial := d.dial
+	if dial == nil {
+		dial = sock.Dial
+	}
+	nc, why, err := dial(ctx, c.address, d.ConnectTimeout)
+	if err == nil {
+		c.up(nc)
 	}
-	c.up(nc)
-	return nil
+	return why, err
 }
 
 func (c *conn) up(nc sock.Stream) {
--- a/internal/httpfront/paths.go
+++ b/internal/httpfront/paths.go
@@ -355,13 +355,12 @@
 
 // run brings the connection up and carries its works.
 func (t *path) run(ctx context.Context) {
-	nc, why, err := sock.Dial(ctx, t.address, t.node.dialer.ConnectTimeout)
+	why, err := t.come(ctx)
 	if err != nil {
 		t.node.mail <- nodeMessage{path: &pathMessage{failed: t, why: why}}
 		return
 	}
-	defer nc.Close()
-	t.up(nc)
+	defer t.nc.Close()
 	t.node.mail <- nodeMessage{path: &pathMessage{up: t}}
 	for {
 		var j job
