Loopback tests of several addresses, through the stand-in node

Need: the hard cases of several addresses must be caused on sockets, with executions counted. Change: tests over a socket file, ::1 and 127.0.0.1: order and return, hang, no resend, all down, another node, drain in a race, no descriptors, no IPv6, lists changed under load, records in doubt.

--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -367,12 +367,17 @@
 	dialer  *Dialer
 }
 
-func newFront(t *testing.T, do script) *front {
-	n := newStandin(t, do)
-	set := choice.Settings{Hosts: 1, MeanUnits: 2, MostUnits: 6, Shards: 8, MaxAttempts: 1, MayCancel: true, HoldOff: true, MaxHoldOff: 1000,
+// testModule are settings with long times: no test may pass because somebody's ran out.
+func testModule() choice.Settings {
+	return choice.Settings{Hosts: 1, MeanUnits: 2, MostUnits: 6, Shards: 8, MaxAttempts: 1, MayCancel: true, HoldOff: true, MaxHoldOff: 1000,
 		Classes: []choice.Class{{Name: "balance-read", Aim: 30e3, Deadline: 60e3, Worth: 3},
 			{Name: "new-record", Aim: 30e3, Deadline: 60e3, Worth: 2, Effect: choice.Keyed, Group: choice.GroupShard, Memory: 2500}},
 		Plans: []choice.Plan{{Name: "basic", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}}}
+}
+
+func newFront(t *testing.T, do script) *front {
+	n := newStandin(t, do)
+	set := testModule()
 	var log *logrus.Logger
 	log, _ = logtest.NewNullLogger()
 	d := dialer()
--- /dev/null
+++ b/internal/httpfront/paths_test.go
@@ -0,0 +1,541 @@
+package httpfront
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/sock"
+	standnode "wheatsaddle/internal/standin/node"
+)
+
+const ms = time.Millisecond
+
+// routed is a stand-in node on a socket file, ::1 and 127.0.0.1, and a peer of it.
+type routed struct {
+	t     *testing.T
+	n     *standnode.Node
+	at    []address.Addr // as preferred
+	d     *Dialer
+	p     core.Peer
+	hook  *logtest.Hook
+	count atomic.Int64
+}
+
+// quick are settings for tests that wait for a suspicion or a back-off.
+func quick() address.Settings {
+	s := address.Defaults()
+	s.SuspectLeast, s.SuspectMost = 150*ms, 600*ms
+	s.Backoff, s.BackoffMost, s.ReturnSpan, s.TrialGap, s.DownEvery = 50*ms, 200*ms, 100*ms, 10*ms, 20*ms
+	s.TrialPatience, s.WrongFor = time.Minute, 100*ms
+	return s
+}
+
+func newRouted(t *testing.T, set address.Settings) *routed {
+	t.Helper()
+	r := &routed{t: t, n: standnode.New(standnode.Options{Name: "n", Shard: 0, Workers: 64, Identity: "X-Node"})}
+	t.Cleanup(r.n.Close)
+	for _, text := range []string{"unix:" + filepath.Join(t.TempDir(), "s"), "[::1]:0", "127.0.0.1:0"} {
+		a, err := r.n.Listen(text)
+		if err != nil && strings.HasPrefix(text, "[") {
+			t.Skip("no IPv6 on this machine")
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		r.at = append(r.at, a)
+	}
+	r.d = dialer()
+	r.d.ConnectTimeout = 300 * ms
+	r.d.Safe = map[string]bool{"balance-read": true}
+	var log *logrus.Logger
+	log, r.hook = logtest.NewNullLogger()
+	r.d.Log = log
+	r.d.Routes = &Routes{Seed: 1}
+	r.d.Routes.Set(RouteSettings{Book: set})
+	r.p = r.d.Connect("n", r.at)
+	t.Cleanup(r.p.Close)
+	return r
+}
+
+func (r *routed) set(i int, f standnode.Fault) {
+	r.t.Helper()
+	if err := r.n.Set(r.at[i], f); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+const readText = "GET /balance-read/x?shard=0 HTTP/1.1\r\nHost: o\r\nX-Request-Id: %s\r\nTier: basic\r\nCookie: extent=7f3a9c21e0b4d655\r\n" +
+	"X-Deadline-Ms: 60000\r\nIO-Info: volume=00000003b4d60021,units=2,shard=0,hosts=1\r\n\r\n"
+const recordText = "PUT /new-record/x?shard=0 HTTP/1.1\r\nHost: o\r\nX-Request-Id: %[1]s\r\nIdempotency-Key: k%[1]s\r\nTier: basic\r\n" +
+	"Cookie: extent=7f3a9c21e0b4d655\r\nX-Deadline-Ms: 60000\r\nContent-Length: 1\r\nIO-Info: volume=00000003b4d60021,units=2,shard=0,hosts=1\r\n\r\nx"
+
+// send starts an attempt of a new request and returns its id and its result to come.
+func (r *routed) send(text string, until time.Duration) (string, chan core.Result, *core.Attempt) {
+	r.t.Helper()
+	id := fmt.Sprint("q", r.count.Add(1))
+	var m fasthttp.Request
+	if err := m.Read(bufio.NewReader(strings.NewReader(fmt.Sprintf(text, id)))); err != nil {
+		r.t.Fatal(err)
+	}
+	q, err := decode(&m, &allKeyed)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	got := make(chan core.Result, 4)
+	a := core.NewAttempt(q, time.Now().Add(until), func(x core.Result) { got <- x })
+	if !r.p.Send(a) {
+		r.t.Fatal("not sent")
+	}
+	return id, got, a
+}
+
+// served sends a request that must be served and tells by which address.
+func (r *routed) served(text string) address.Addr {
+	r.t.Helper()
+	id, got, _ := r.send(text, time.Minute)
+	if x := <-got; x.Status != choice.OK || string(x.Payload.(*reply).body) != id {
+		r.t.Fatalf("%s: %+v", id, x)
+	}
+	all := r.n.Arrivals(id)
+	if len(all) != 1 || r.n.Ran(id) != 1 {
+		r.t.Fatalf("%s: %+v", id, all)
+	}
+	return all[0].By
+}
+
+// until plays reads until a condition holds.
+func (r *routed) until(what string, ok func(address.Addr) bool) {
+	r.t.Helper()
+	for range 20000 {
+		id, got, _ := r.send(readText, 400*ms) // some are caught on the way
+		x := <-got
+		if x.Status != choice.OK {
+			time.Sleep(ms)
+			continue
+		}
+		if ok(r.n.Arrivals(id)[0].By) {
+			return
+		}
+		time.Sleep(ms)
+	}
+	r.t.Fatal(what, ": it never came to it")
+}
+
+// Requests go by the preferred address on one kept connection, each executed once, and by the
+// next one when it refuses; it is returned to after it is back.
+func TestPathsOrder(t *testing.T) {
+	r := newRouted(t, quick())
+	for range 20 {
+		if by := r.served(recordText); by != r.at[0] {
+			t.Fatalf("went by %v", by)
+		}
+	}
+	if c := r.n.Counts(); c.Conns != 1 || c.Ran != 20 {
+		t.Errorf("%+v", c)
+	}
+	for i, f := range []standnode.Fault{standnode.Refused, standnode.StaleFile, standnode.NoSocket} {
+		r.set(0, f)
+		if by := r.served(recordText); by == r.at[0] {
+			t.Errorf("%v: went by %v", f, by)
+		}
+		r.set(0, standnode.None)
+		r.until("the way back", func(by address.Addr) bool { return by == r.at[0] })
+		if i == 0 {
+			r.set(1, standnode.Refused) // the next one is at fault as well: the third serves
+			r.set(0, standnode.Refused)
+			if by := r.served(recordText); by != r.at[2] {
+				t.Errorf("went by %v", by)
+			}
+			r.set(1, standnode.None)
+			r.set(0, standnode.None)
+			r.until("the way back", func(by address.Addr) bool { return by == r.at[0] })
+		}
+	}
+}
+
+// An address accepts and hangs: the one caught there ends by its own time limit and runs
+// nowhere else; the others go by the next address, and the hung one is tried again by reads
+// alone, one connection at a time.
+func TestPathsHang(t *testing.T) {
+	r := newRouted(t, quick())
+	r.served(readText)
+	r.set(0, standnode.Hang)
+	caught, got, _ := r.send(recordText, 3*time.Second)
+	r.until("the next address", func(by address.Addr) bool { return by == r.at[1] })
+	tried := r.n.Accepted(r.at[0])
+	for range 50 {
+		r.served(recordText) // never by the hung one
+	}
+	for r.n.Accepted(r.at[0]) < tried+2 {
+		_, got, _ := r.send(readText, 300*ms) // some are caught in trials
+		<-got
+		if open := r.n.Open(r.at[0]); open > 1+1 { // the caught one, and one under trial
+			t.Fatalf("%d connections to the hung address", open)
+		}
+	}
+	if x := <-got; x.Status != choice.TimedOut || len(r.n.Arrivals(caught)) != 0 {
+		t.Errorf("caught: %+v, came %v", x, r.n.Arrivals(caught))
+	}
+	r.set(0, standnode.None)
+	r.until("the way back", func(by address.Addr) bool { return by == r.at[0] })
+}
+
+// What was written and never answered is not written again by another address, whatever else
+// the addresses do: that is for the module to decide.
+func TestPathsNeverResend(t *testing.T) {
+	for _, f := range []standnode.Fault{standnode.NoAnswer, standnode.Half, standnode.Reset, standnode.Hang} {
+		r := newRouted(t, quick())
+		r.served(readText)
+		r.set(0, f)
+		var ids []string
+		var results []chan core.Result
+		for range 5 {
+			id, got, _ := r.send(recordText, time.Second)
+			ids, results = append(ids, id), append(results, got)
+		}
+		for i, got := range results {
+			x := <-got
+			if n := len(r.n.Arrivals(ids[i])); n > 1 || r.n.Ran(ids[i]) > 1 || x.Status == choice.OK && n != 1 || len(got) > 0 {
+				t.Errorf("%v: %+v, came %d times", f, x, n)
+			}
+		}
+	}
+}
+
+// All addresses fail at once, then one returns: no burst of connects.
+func TestPathsAllDown(t *testing.T) {
+	r := newRouted(t, quick())
+	r.served(readText)
+	for i := range r.at {
+		r.set(i, standnode.Refused)
+	}
+	ends := 0
+	for ends < 300 {
+		_, got, _ := r.send(readText, time.Minute)
+		if x := <-got; x.Status == choice.OK {
+			t.Fatal("served by nobody")
+		}
+		ends++
+	}
+	r.n.Forget()
+	r.set(2, standnode.None)
+	var wg sync.WaitGroup
+	var ok atomic.Int64
+	for range 200 { // all at once: those that find no connection end as never ran
+		_, got, _ := r.send(recordText, time.Minute)
+		wg.Go(func() {
+			if x := <-got; x.Status == choice.OK {
+				ok.Add(1)
+			} else if x.Status != choice.NoConn {
+				t.Errorf("%+v", x)
+			}
+		})
+	}
+	wg.Wait()
+	if n := r.n.Accepted(r.at[2]); n > 8 {
+		t.Errorf("%d connects at its return", n)
+	}
+	r.until("its return", func(by address.Addr) bool { return by == r.at[2] })
+	if id, _ := r.n.MostRuns(); id > 1 {
+		t.Errorf("%d executions of one request", id)
+	}
+}
+
+// A port that another node has taken over makes the address wrong: what it turns away is told
+// as nobody's word, so that the node is not taken for full. With a header that says the name
+// the first answer tells.
+func TestPathsOtherNode(t *testing.T) {
+	for _, identity := range []string{"", "X-Node"} {
+		r := newRouted(t, quick())
+		r.d.Routes.Set(RouteSettings{Book: quick(), Identity: identity})
+		r.served(readText)
+		r.p.Drain(false)
+		r.set(0, standnode.Refused)
+		r.set(0, standnode.Other)
+		full, moot := 0, 0
+		r.until("another way", func(by address.Addr) bool { return by == r.at[1] })
+		for r.n.Counts().Turned < 12 && identity == "" || moot == 0 {
+			_, got, _ := r.send(readText, time.Minute)
+			switch x := <-got; x.Status {
+			case choice.Full:
+				full++
+			case choice.Moot:
+				moot++
+			case choice.OK:
+				if string(x.Payload.(*reply).body) == "" {
+					t.Error("empty")
+				}
+			}
+			if moot > 2 {
+				break
+			}
+		}
+		if full > 4 || identity != "" && full > 0 {
+			t.Errorf("identity %q: told full %d times", identity, full)
+		}
+		r.set(0, standnode.None)
+		r.until("its own node again", func(by address.Addr) bool { return by == r.at[0] })
+	}
+}
+
+// A drain while connects race: all that waits ends, nothing is written, and what comes up late
+// is closed.
+func TestPathsDrainInRace(t *testing.T) {
+	r := newRouted(t, quick())
+	held := make(chan struct{})
+	var waiting atomic.Int64
+	r.d.dial = func(ctx context.Context, a address.Addr, within time.Duration) (sock.Stream, address.Why, error) {
+		waiting.Add(1)
+		<-held // it comes up late, whatever happens meanwhile
+		return sock.Dial(context.Background(), a, time.Minute)
+	}
+	var results []chan core.Result
+	for range 10 {
+		_, got, _ := r.send(recordText, time.Minute)
+		results = append(results, got)
+	}
+	for waiting.Load() < 10 {
+		time.Sleep(ms)
+	}
+	r.p.Drain(true)
+	for _, got := range results {
+		if x := <-got; x.Status != choice.NoConn {
+			t.Errorf("%+v", x)
+		}
+	}
+	close(held)
+	for r.n.Counts().Conns < int(waiting.Load()) {
+		time.Sleep(ms)
+	}
+	for r.n.Open(r.at[0])+r.n.Open(r.at[1])+r.n.Open(r.at[2]) > 0 {
+		time.Sleep(ms) // late winners are closed, or this never ends
+	}
+	_, got, _ := r.send(recordText, time.Minute)
+	if x := <-got; x.Status != choice.NoConn || r.n.Counts().Requests != 0 {
+		t.Errorf("%+v, %d came", x, r.n.Counts().Requests)
+	}
+	r.p.Drain(false)
+	r.served(recordText)
+}
+
+// The last descriptor goes halfway through a race: the address is not blamed, and serves when
+// there are some again.
+func TestPathsNoDescriptors(t *testing.T) {
+	r := newRouted(t, quick())
+	var lack atomic.Bool
+	r.d.dial = func(ctx context.Context, a address.Addr, within time.Duration) (sock.Stream, address.Why, error) {
+		if lack.Load() {
+			return nil, sock.WhyNot(syscall.EMFILE, a.Kind()), syscall.EMFILE
+		}
+		return sock.Dial(ctx, a, within)
+	}
+	lack.Store(true)
+	for range 20 {
+		_, got, _ := r.send(recordText, time.Minute)
+		if x := <-got; x.Status != choice.NoConn {
+			t.Fatalf("%+v", x)
+		}
+	}
+	lack.Store(false)
+	if by := r.served(recordText); by != r.at[0] {
+		t.Errorf("went by %v", by)
+	}
+	r.d.ConnsMost = 1 // and the scheduler's own bound is no different
+	hold := make(chan bool)
+	go func() { r.set(0, standnode.Hang); close(hold) }()
+	<-hold
+	_, caught, _ := r.send(readText, 500*ms)
+	_, got, _ := r.send(recordText, time.Minute)
+	if x := <-got; x.Status != choice.NoConn {
+		t.Errorf("%+v", x)
+	}
+	<-caught
+	for _, e := range r.hook.AllEntries() {
+		if a := e.Data["address"]; a == r.at[1].String() || a == r.at[2].String() {
+			t.Errorf("blamed: %v", e.Data)
+		}
+	}
+}
+
+// A machine without IPv6: said once for all nodes, at no more than info, and the others serve.
+func TestPathsNoIPv6(t *testing.T) {
+	r := newRouted(t, quick())
+	r.d.dial = func(ctx context.Context, a address.Addr, within time.Duration) (sock.Stream, address.Why, error) {
+		if a.Kind() == address.IPv6 {
+			return nil, sock.WhyNot(syscall.EAFNOSUPPORT, a.Kind()), syscall.EAFNOSUPPORT
+		}
+		return sock.Dial(ctx, a, within)
+	}
+	for i := range 3 {
+		p := r.d.Connect(fmt.Sprint("n", i), r.at[1:])
+		defer p.Close()
+		r.p = p
+		if by := r.served(recordText); by != r.at[2] {
+			t.Errorf("went by %v", by)
+		}
+	}
+	said := 0
+	for _, e := range r.hook.AllEntries() {
+		if e.Data["family"] == "ipv6" {
+			said++
+		}
+		if e.Level < logrus.InfoLevel {
+			t.Errorf("%v %s", e.Level, e.Message)
+		}
+	}
+	if said != 1 {
+		t.Errorf("said %d times", said)
+	}
+}
+
+// One address, then several, then one again, by the same peer: what is out is finished by the
+// connection that carries it.
+func TestReaddress(t *testing.T) {
+	r := newRouted(t, quick())
+	release := make(chan bool)
+	slow := newStandin(t, func(nc net.Conn) bool { <-release; fmt.Fprint(nc, fine); return true })
+	r.p = r.d.Connect("m", at(slow.ln))
+	defer r.p.Close()
+	_, first, _ := r.send(recordText, time.Minute)
+	for slow.requests.Load() < 1 {
+		time.Sleep(ms)
+	}
+	r.p.Readdress(r.at)
+	if by := r.served(recordText); by != r.at[0] {
+		t.Errorf("went by %v", by)
+	}
+	r.p.Readdress(r.at[2:])
+	if by := r.served(recordText); by != r.at[2] {
+		t.Errorf("went by %v", by)
+	}
+	release <- true
+	if x := <-first; x.Status != choice.OK {
+		t.Errorf("cut: %+v", x)
+	}
+	one := r.d.Connect("o", r.at[2:])
+	defer one.Close()
+	r.p = one
+	r.served(recordText)
+	one.Readdress(r.at[1:2]) // one for one, without a book
+	if by := r.served(recordText); by != r.at[1] {
+		t.Errorf("went by %v", by)
+	}
+}
+
+// Addresses are reordered, added and removed while requests are in flight: each gets one
+// answer, whole, and runs once.
+func TestReaddressUnderLoad(t *testing.T) {
+	r := newRouted(t, quick())
+	set := testModule()
+	c, err := core.New(core.Options{Settings: set, Seed: 1, Connect: r.d.Connect, Log: r.d.Log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Stop)
+	list := func(kind choice.EventKind, to ...address.Addr) {
+		c.List(core.News{Kind: kind, Nodes: []core.Node{{Node: choice.Node{ID: "n", Weight: 1}, Addresses: to}}})
+	}
+	list(choice.ListStale, r.at...)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	f := &front{srv: NewServer(c, set, 50, r.d.Log), address: ln.Addr().String(), served: make(chan error, 1), dialer: r.d}
+	f.srv.http.ReadTimeout = time.Hour
+	go func() { f.served <- f.srv.Serve(ln, 50) }()
+	stop := make(chan struct{})
+	var changes sync.WaitGroup
+	changes.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			a := r.at
+			list(choice.ListChange, [][]address.Addr{{a[1], a[0], a[2]}, {a[2]}, {a[0], a[1]}, {a[1], a[2]}, a}[i%5]...)
+			time.Sleep(2 * ms)
+		}
+	})
+	var clients sync.WaitGroup
+	for i := range 8 {
+		clients.Go(func() {
+			for j := range 60 {
+				id := fmt.Sprintf("c%d-%d", i, j)
+				text := recordText
+				if j%2 == 0 {
+					text = readText
+				}
+				if a := f.send(t, fmt.Sprintf(text, id)); a.StatusCode() != 200 || string(a.Body()) != id {
+					t.Errorf("%s: %d %q", id, a.StatusCode(), a.Body())
+				}
+				if n := r.n.Ran(id); n != 1 {
+					t.Errorf("%s: ran %d times", id, n)
+				}
+			}
+		})
+	}
+	clients.Wait()
+	close(stop)
+	changes.Wait()
+}
+
+// A new-record whose answer never comes: through the whole path it is repeated only within 2.5 s
+// of its first byte and runs once by its key; a class that may not be repeated comes once.
+func TestRecordInDoubt(t *testing.T) {
+	r := newRouted(t, quick())
+	set := testModule()
+	set.MaxAttempts, set.SecondCopies = 4, true
+	set.Classes[1].Deadline, set.Classes[1].Aim = 6e3, 300
+	set.Classes = append(set.Classes, choice.Class{Name: "once", Aim: 300, Deadline: 6e3, Worth: 1, Effect: choice.Unsafe})
+	c, err := core.New(core.Options{Settings: set, Seed: 1, Connect: r.d.Connect, Log: r.d.Log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Stop)
+	c.List(core.News{Kind: choice.ListStale, Nodes: []core.Node{{Node: choice.Node{ID: "n", Weight: 1}, Addresses: r.at}}})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	f := &front{srv: NewServer(c, set, 50, r.d.Log), address: ln.Addr().String(), served: make(chan error, 1), dialer: r.d}
+	go func() { f.served <- f.srv.Serve(ln, 50) }()
+	f.send(t, fmt.Sprintf(readText, "warm"))
+	r.set(0, standnode.NoAnswer)
+	var clients sync.WaitGroup
+	for i := range 12 {
+		clients.Go(func() {
+			id := fmt.Sprintf("d%d", i)
+			text := strings.Replace(recordText, "X-Deadline-Ms: 60000", "X-Deadline-Ms: 4000", 1)
+			if i%2 == 1 {
+				text = strings.Replace(text, "new-record", "once", 1)
+			}
+			f.send(t, fmt.Sprintf(text, id))
+			all := r.n.Arrivals(id)
+			if r.n.Ran(id) > 1 || r.n.RanKey("k"+id) > 1 || i%2 == 1 && len(all) > 1 {
+				t.Errorf("%s: %+v", id, all)
+			}
+			if len(all) > 1 && all[len(all)-1].At.Sub(all[0].At) > 2500*ms {
+				t.Errorf("%s: repeated after %v", id, all[len(all)-1].At.Sub(all[0].At))
+			}
+		})
+	}
+	clients.Wait()
+}
