--- a/internal/address/book.go
+++ b/internal/address/book.go
@@ -189,6 +189,8 @@
 
 	measured  bool // a connect was
 	mean, dev float64
+	usual     float64       // time of an answer by the best address, ns
+	known     bool          // it is
 	bound     time.Duration // of silence
 	silentAt  time.Duration // no connection has been silent for that long before
 	downAt    time.Duration // next walk while all are down
@@ -196,6 +198,7 @@
 	hold      time.Duration // between a change and a return
 	returned  time.Duration // the last return
 	homeAt    time.Duration // next connect that moves idle connections home
+	opinionAt time.Duration // next connect for a second opinion
 }
 
 // New makes a book for a node with no address yet. The error names the setting at fault.
@@ -554,11 +557,17 @@
 	return next
 }
 
-// Doubted says whether what a connection's address turns away is likely not this node's word:
-// the address has come under suspicion for that, or leads to another node.
-func (b *Book) Doubted(id Conn) bool {
+// Doubted says, before the answer is told, whether a turning away on a connection is likely not
+// this node's word: its address leads elsewhere, or has served nothing of late while others
+// might. A full node serves all the while, by every address.
+func (b *Book) Doubted(now time.Duration, id Conn) bool {
 	c := b.find(id)
-	return c != nil && (c.at.state == Wrong || c.at.turned >= b.set.WrongAfter && c.at.state != Good && c.at.state != Untried)
+	if c == nil {
+		return false
+	}
+	b.now = max(b.now, now)
+	e := c.at
+	return e.state == Wrong || e.turned > 0 && e.why == TurnedAway && e.shut() || c.named && b.unserving(e)
 }
 
 // Primary is the address by which requests go now.
--- a/internal/address/health.go
+++ b/internal/address/health.go
@@ -48,6 +48,8 @@
 	heard   time.Duration // last answer
 	tried   time.Duration // last connect
 	usual   float64       // smoothed time of an answer, ns; 0: none
+	doubted time.Duration // silent for long enough to ask another address, since then; 0: not
+	refuted time.Duration // another address has answered meanwhile; suspect if silent at this time
 }
 
 const (
@@ -62,6 +64,7 @@
 	usualShare   = 0.1 // of one answer in the usual time: some ten answers
 	relapseSpans = 4   // a return that lasted fewer holds did not last
 	backoffSteps = 20
+	graceLeast   = 10 * time.Millisecond
 )
 
 func (b *Book) rank(e *entry) int {
@@ -133,7 +136,7 @@
 	}
 	wasDown := b.down()
 	e.fails++
-	e.run, e.why, e.proving = 0, why, true
+	e.run, e.why, e.proving, e.doubted, e.refuted = 0, why, true, 0, 0
 	switch {
 	case why == NoFamily:
 		e.state, e.until = Absent, b.now+b.jitter(b.set.AbsentFor)
@@ -165,8 +168,8 @@
 
 // judge takes what an answer says of its address.
 func (b *Book) judge(e *entry, took time.Duration, v Verdict, named, first, trial bool) {
-	since := e.heard
-	e.heard, e.breaks = b.now, 0
+	e.heard, e.breaks, e.doubted, e.refuted = b.now, 0, 0, 0
+	b.refute(e, b.now-took, took)
 	if e.gone {
 		return
 	}
@@ -187,7 +190,7 @@
 			b.blame(e, TurnedAway, true)
 			return
 		}
-		if e.turned >= b.set.WrongAfter && b.now-e.served >= b.set.WrongSpan && b.rank(e) == rankGood && b.another(e) {
+		if e.turned >= b.set.WrongAfter && b.unserving(e) {
 			b.blame(e, TurnedAway, false)
 			return
 		}
@@ -212,7 +215,14 @@
 		}
 		return // it stands, but this is no service
 	}
-	b.good(e, first, trial, since)
+	b.good(e, first, trial)
+}
+
+// unserving says that a good address has served nothing for longer than a node that is only
+// full would take, and that there is another good one to ask.
+func (b *Book) unserving(e *entry) bool {
+	span := min(b.set.WrongSpan, max(2*graceLeast, time.Duration(b.set.SuspectTimes*b.usual)))
+	return b.now-e.served >= span && b.rank(e) == rankGood && b.another(e)
 }
 
 // another says that another address is as good as it was until now.
@@ -226,7 +236,7 @@
 }
 
 // good takes an answer in time.
-func (b *Book) good(e *entry, first, trial bool, since time.Duration) {
+func (b *Book) good(e *entry, first, trial bool) {
 	wasDown := b.down()
 	switch e.state {
 	case Suspect, Down, Wrong, Absent:
@@ -266,6 +276,7 @@
 			best, some = o.usual, true
 		}
 	}
+	b.usual, b.known = best, some
 	was := b.bound
 	b.bound = min(max(time.Duration(b.set.SuspectTimes*best), b.set.SuspectLeast), b.set.SuspectMost)
 	if b.bound < was {
@@ -324,7 +335,17 @@
 		if c.phase != busy || c.told || c.at.heard >= c.since {
 			continue
 		}
-		if at := c.since + b.bound; at > b.now {
+		at := c.since + b.bound
+		if e := c.at; e.refuted > 0 {
+			at = min(at, e.refuted)
+		} else if e.doubted == 0 && b.rank(e) == rankGood && b.another(e) {
+			if ask := c.since + b.patience(); ask > b.now {
+				at = min(at, ask)
+			} else {
+				e.doubted = b.now
+			}
+		}
+		if at > b.now {
 			b.silentAt = min(b.silentAt, at)
 			continue
 		}
@@ -333,6 +354,28 @@
 	}
 }
 
+// patience is the silence after which another address is asked.
+func (b *Book) patience() time.Duration {
+	if !b.known {
+		return b.bound
+	}
+	return max(b.set.DoubtAfter, time.Duration(b.set.SuspectTimes*b.usual))
+}
+
+// refute takes a prompt answer as word against the addresses in doubt: the node does not pause.
+// They get as long again as an answer takes, as theirs may be on its way.
+func (b *Book) refute(by *entry, since, took time.Duration) {
+	if took > b.patience()/2 {
+		return // it may have waited for the end of a pause
+	}
+	for _, e := range b.order {
+		if e != by && e.doubted > 0 && e.doubted <= since && e.refuted == 0 && e.heard < e.doubted {
+			e.refuted = b.now + max(graceLeast, 2*took)
+			b.silentAt = min(b.silentAt, e.refuted)
+		}
+	}
+}
+
 // review looks for what only time shows: silence, races to be led on, and returns.
 func (b *Book) review() {
 	if b.now >= b.silentAt {
--- a/internal/address/race.go
+++ b/internal/address/race.go
@@ -223,6 +223,15 @@
 			return b.take(e, c)
 		}
 	}
+	if o := b.second(); o != nil {
+		if c := b.top(o); c != nil {
+			return c
+		}
+		if b.opinionAt <= b.now && len(b.free) > 0 && b.token() {
+			b.opinionAt = b.now + b.set.TrialGap
+			b.open(o, nil, false)
+		}
+	}
 	if c := b.top(b.primary); c != nil { // with none better, or its idle ones would be closed
 		return c
 	}
@@ -243,6 +252,29 @@
 	return b.top(from)
 }
 
+// second is the address to be asked for a second opinion on the primary, one request at a time.
+func (b *Book) second() *entry {
+	if b.primary.doubted == 0 || b.primary.refuted > 0 {
+		return nil
+	}
+	var o *entry
+	for _, e := range b.order {
+		if e != b.primary && b.rank(e) == rankGood && e.trying == nil {
+			o = e
+			break
+		}
+	}
+	if o == nil {
+		return nil
+	}
+	for i := range b.conns {
+		if c := &b.conns[i]; c.at == o && c.phase == busy && c.since >= b.primary.doubted {
+			return nil // asked
+		}
+	}
+	return o
+}
+
 // top takes the connection of an address that was used last.
 func (b *Book) top(e *entry) *conn {
 	for i := len(e.idle) - 1; i >= 0; i-- {
--- a/internal/address/settings.go
+++ b/internal/address/settings.go
@@ -25,6 +25,9 @@
 	SuspectLeast time.Duration // a request may be unanswered this long before its address is suspect
 	SuspectMost  time.Duration
 	SuspectTimes float64 // ... and this multiple of the usual answer, between the two
+	// DoubtAfter, and that multiple, is the silence after which one request goes by another
+	// address: if that answers while this one stays silent, it is not the node that pauses.
+	DoubtAfter time.Duration
 
 	TrialGap      time.Duration // between trials of an address that shows itself good again
 	TrialPatience time.Duration // after which a trial takes also work that must not be repeated
@@ -34,7 +37,7 @@
 	ReturnMost  time.Duration // ... which doubles to this while returns do not last
 
 	WrongAfter int           // requests turned away in a row ...
-	WrongSpan  time.Duration // ... and none served for this long make an address suspect
+	WrongSpan  time.Duration // ... and none served for some answers' time, at most this, make an address suspect
 
 	Rate  float64 // connects started a second
 	Burst int     // ... and at once
@@ -48,12 +51,12 @@
 	return Settings{
 		Preference: []Kind{Unix, IPv6, IPv4},
 		Delay:      250 * time.Millisecond, DelayLeast: 100 * time.Millisecond, DelayMost: 2 * time.Second,
-		Backoff: 250 * time.Millisecond, BackoffMost: 15 * time.Second, Jitter: 0.3,
+		Backoff: time.Second, BackoffMost: 15 * time.Second, Jitter: 0.3,
 		WrongFor: 5 * time.Second, AbsentFor: time.Minute, DownEvery: 100 * time.Millisecond,
-		SuspectLeast: 200 * time.Millisecond, SuspectMost: time.Second, SuspectTimes: 4,
+		SuspectLeast: 200 * time.Millisecond, SuspectMost: time.Second, SuspectTimes: 4, DoubtAfter: 50 * time.Millisecond,
 		TrialGap: 100 * time.Millisecond, TrialPatience: 5 * time.Second,
 		ReturnAfter: 3, ReturnSpan: 2 * time.Second, ReturnMost: time.Minute,
-		WrongAfter: 4, WrongSpan: 500 * time.Millisecond,
+		WrongAfter: 2, WrongSpan: 100 * time.Millisecond,
 		Rate: 50, Burst: 64, Conns: 64, Requests: 512,
 	}
 }
@@ -92,6 +95,7 @@
 		{"down_every_ms", s.DownEvery, time.Millisecond, time.Minute},
 		{"suspect_least_ms", s.SuspectLeast, time.Millisecond, time.Hour},
 		{"suspect_most_ms", s.SuspectMost, s.SuspectLeast, time.Hour},
+		{"doubt_ms", s.DoubtAfter, time.Millisecond, time.Hour},
 		{"trial_gap_ms", s.TrialGap, time.Millisecond, time.Hour},
 		{"trial_patience_ms", s.TrialPatience, 0, time.Hour},
 		{"return_span_ms", s.ReturnSpan, time.Millisecond, time.Hour},
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -137,7 +137,7 @@
 	for key, to := range map[string]*time.Duration{
 		"delay_ms": &s.Delay, "delay_least_ms": &s.DelayLeast, "delay_most_ms": &s.DelayMost,
 		"backoff_ms": &s.Backoff, "backoff_most_ms": &s.BackoffMost, "wrong_ms": &s.WrongFor, "absent_ms": &s.AbsentFor,
-		"down_every_ms": &s.DownEvery, "suspect_least_ms": &s.SuspectLeast, "suspect_most_ms": &s.SuspectMost,
+		"down_every_ms": &s.DownEvery, "suspect_least_ms": &s.SuspectLeast, "suspect_most_ms": &s.SuspectMost, "doubt_ms": &s.DoubtAfter,
 		"trial_gap_ms": &s.TrialGap, "trial_patience_ms": &s.TrialPatience, "return_span_ms": &s.ReturnSpan,
 		"return_most_ms": &s.ReturnMost, "wrong_span_ms": &s.WrongSpan,
 	} {
--- a/internal/config/site_test.go
+++ b/internal/config/site_test.go
@@ -71,7 +71,7 @@
 		t.Fatal(err)
 	}
 	got, want := s.Addresses.Book, address.Defaults()
-	if got.Preference = nil; len(keys) != 23 {
+	if got.Preference = nil; len(keys) != 24 {
 		t.Errorf("%d keys", len(keys))
 	}
 	want.Preference = nil
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -287,7 +287,6 @@
 }
 
 type job struct {
-	doubted bool // a turning away is likely not this node's word
 	attempt *core.Attempt
 	ctx     context.Context
 	probe   func(core.Result, time.Duration)
--- a/internal/httpfront/paths.go
+++ b/internal/httpfront/paths.go
@@ -93,7 +93,7 @@
 	late      *work // its time is up and it may still wait
 	back      *path // done with its work
 	event     address.Event
-	probed    core.Result
+	turned    *core.Result // of an attempt that was turned away: whether by its node is for the actor to say
 }
 
 func newPaths(n *node) *paths {
@@ -189,6 +189,12 @@
 	t.work, t.parked = nil, time.Now()
 	w.on = nil
 	p.over(w)
+	if m.turned != nil {
+		if m.event.Verdict == address.Misdirected || p.book.Doubted(time.Since(p.origin), t.id) {
+			m.turned.Status = choice.Moot // another node's word: it never ran, and nobody is full
+		}
+		go w.attempt.Done(*m.turned)
+	}
 	if p.conns[t.id] != t {
 		return // the book has closed it
 	}
@@ -350,7 +356,7 @@
 		w.unwatch = nil
 	}
 	w.on, t.work = t, w
-	t.jobs <- job{attempt: w.attempt, ctx: w.ctx, probe: w.probe, doubted: p.book.Doubted(t.id)}
+	t.jobs <- job{attempt: w.attempt, ctx: w.ctx, probe: w.probe}
 }
 
 // run brings the connection up and carries its works.
@@ -372,10 +378,15 @@
 		start := time.Now()
 		r, e := t.serve(j)
 		// The actor hears first, so that the module's next send finds the connection free.
-		t.node.mail <- nodeMessage{path: &pathMessage{back: t, event: e}}
-		if j.probe != nil {
+		m := &pathMessage{back: t, event: e}
+		if j.attempt != nil && r.Status == choice.Full {
+			m.turned = &r
+		}
+		t.node.mail <- nodeMessage{path: m}
+		switch {
+		case j.probe != nil:
 			j.probe(r, time.Since(start))
-		} else {
+		case m.turned == nil:
 			j.attempt.Done(r)
 		}
 		if e.Kind != address.Answered || !e.Keep {
@@ -421,8 +432,5 @@
 	default:
 		e.Verdict = address.Other
 	}
-	if r.Status == choice.Full && (j.doubted || e.Verdict == address.Misdirected) {
-		r.Status = choice.Moot // another node's word: it never ran, and nobody is full
-	}
 	return r, e
 }
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -168,6 +168,15 @@
 	return n.byKey[key]
 }
 
+// Each calls f with all arrivals of each request id, in no order.
+func (n *Node) Each(f func(id string, all []Arrival)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, all := range n.byID {
+		f(id, all)
+	}
+}
+
 // MostRuns is the most executions of any one id and of any one key.
 func (n *Node) MostRuns() (id, key int) {
 	n.mu.Lock()
