iSCSI initiators go by a book of portals; sessions move, commands never do

Need: a storage target may have several portals; the initiator knew one, and a change cut nothing only because it made a new peer. Change: initiator.go is split into the peer, the nexus (one session and its commands) and portals.go, which drives internal/address: a login is the trial of a portal, silence of a session with commands out makes its portal suspect, new commands go by a new session and those out end on the old one. "addresses" in the iSCSI file. A login refused for another target makes the portal wrong.

--- a/internal/address/book.go
+++ b/internal/address/book.go
@@ -53,6 +53,8 @@
 	Tick                       // the time of Next has come
 	Drain                      // On
 	Closing                    // the node has left the list
+	Nudge                      // work goes on, though no request comes: what is due may be tried
+	Heard                      // Conn: a sign of life on a connection whose request goes on
 	Listed                     // Addrs: the node's addresses from now on
 )
 
@@ -248,6 +250,14 @@
 				b.end(c)
 			}
 		}
+	case Nudge:
+		b.demand = true
+	case Heard:
+		if c := b.find(e.Conn); c != nil && c.phase == busy {
+			c.since, c.told = b.now, false
+			c.at.heard, c.at.breaks, c.at.doubted, c.at.refuted = b.now, 0, 0, 0
+			b.silentAt = min(b.silentAt, b.now+b.patience())
+		}
 	case Listed:
 		b.list(e.Addrs)
 	}
@@ -578,6 +588,19 @@
 	return b.primary.Addr
 }
 
+// Better says whether another address is to be used rather than this one.
+func (b *Book) Better(than Addr) bool {
+	if b.primary == nil || b.primary.Addr == than {
+		return false
+	}
+	for _, e := range b.order {
+		if e.Addr == than {
+			return b.rank(b.primary) == rankGood
+		}
+	}
+	return true // it is off the list
+}
+
 // Waiting is how many requests have no connection yet.
 func (b *Book) Waiting() int { return len(b.waiting) }
 
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,8 +101,9 @@
 // Connect starts the actor of one storage target.
 func (d *Dialer) Connect(name string, addresses []address.Addr) core.Peer {
 	conf, _ := d.lookup(name)
-	p := &peer{d: d, name: name, addresses: addresses, target: conf.Target, mail: make(chan mail, peerMailbox),
-		done: make(chan struct{}), byTry: map[*core.Attempt]*command{}, byTag: map[uint32]*command{}}
+	p := &peer{d: d, name: name, target: conf.Target, mail: make(chan mail, peerMailbox), done: make(chan struct{}),
+		byTry: map[*core.Attempt]*command{}, old: map[*nexus]bool{}}
+	p.readdress(addresses)
 	go p.run()
 	return p
 }
@@ -110,16 +112,18 @@
 	send, cancel, late *core.Attempt
 	dialed             *link
 	pdu                *pdu
-	from               *link
-	err                error
+	from               *nexus
+	err                error // of from, or of the dial
 	addresses          []address.Addr
+	portal             *portalMail
 	close              bool
 }
 
-// link is one connection of a session that a reader goroutine serves.
+// link is a connection that has logged in.
 type link struct {
 	nc     net.Conn
 	br     *bufio.Reader
+	at     address.Addr
 	p      params
 	window uint32
 }
@@ -128,6 +132,7 @@
 type command struct {
 	try     *core.Attempt // nil: given up, its end is waited for
 	job     *transfer
+	on      *nexus // once it is written
 	itt     uint32
 	cmdSN   uint32
 	timer   *time.Timer
@@ -136,27 +141,23 @@
 	written bool // the command PDU went out whole: it may run
 }
 
-// peer is the actor of one storage target: a session of one connection, many commands.
+// peer is the actor of one storage target: one session, and while it moves from one portal to
+// another also those before, which finish their commands. A command never moves.
 type peer struct {
-	d                     *Dialer
-	name, target          string
-	addresses             []address.Addr
-	mail                  chan mail
-	done                  chan struct{}
-	draining              atomic.Bool
-	link                  *link
-	dialing, closing      bool
-	leaving               bool // it has asked us to log out
-	logout                time.Time
-	redial                time.Time
-	queue                 []*command
-	byTry                 map[*core.Attempt]*command
-	byTag                 map[uint32]*command
-	zombies               int
-	cmdSN, expStatSN, itt uint32
-	maxCmdSN              uint32
-	heard                 time.Time
-	pinged                bool
+	d                *Dialer
+	name, target     string
+	addresses        []address.Addr
+	portals          *portals // of a target with several
+	mail             chan mail
+	done             chan struct{}
+	draining         atomic.Bool
+	cur              *nexus          // nil: there is none
+	old              map[*nexus]bool // that finish
+	dialing, closing bool
+	leaving          bool // it has asked us to log out
+	redial           time.Time
+	queue            []*command
+	byTry            map[*core.Attempt]*command
 }
 
 func (p *peer) put(m mail) bool {
@@ -186,9 +187,13 @@
 func (p *peer) Probe(func(core.Result, time.Duration)) bool { return false }
 
 // Drain implements core.Peer: it binds at once, also what waits in the mailbox.
-func (p *peer) Drain(on bool) { p.draining.Store(on) }
+func (p *peer) Drain(on bool) {
+	if p.draining.Swap(on) != on {
+		p.put(mail{}) // the portals look at it whenever something comes
+	}
+}
 
-// Readdress implements core.Peer.
+// Readdress implements core.Peer: sessions to a portal that went finish their commands.
 func (p *peer) Readdress(addresses []address.Addr) {
 	if m := (mail{addresses: addresses}); !p.put(m) {
 		go p.post(m)
@@ -206,18 +211,29 @@
 	defer close(p.done)
 	tick := time.NewTicker(peerTick)
 	defer tick.Stop()
+	var wake <-chan time.Time // of the portals
 	for !p.closing || len(p.byTry) > 0 || len(p.mail) > 0 {
 		select {
 		case m := <-p.mail:
 			p.take(m)
+		case <-wake:
+			p.portals.step(address.Event{Kind: address.Tick})
 		case now := <-tick.C:
 			p.tick(now)
 		}
 		p.pump()
+		if p.portals != nil {
+			wake = p.portals.settle()
+		}
+	}
+	for x := range p.old {
+		x.bye()
 	}
-	if p.link != nil {
-		p.sayLogout()
-		p.link.nc.Close()
+	if p.cur != nil {
+		p.cur.bye()
+	}
+	if p.portals != nil {
+		p.portals.end()
 	}
 }
 
@@ -230,30 +246,76 @@
 	case m.late != nil:
 		p.giveUp(m.late, choice.TimedOut)
 	case m.dialed != nil:
-		p.up(m.dialed)
+		p.dialing = false
+		if p.portals != nil || m.dialed.at != p.addresses[0] { // it leads to where we no longer go
+			m.dialed.nc.Close()
+			return
+		}
+		p.use(newNexus(p, m.dialed))
+	case m.portal != nil:
+		if p.portals != nil {
+			p.portals.hear(m.portal)
+		}
 	case m.pdu != nil:
-		if m.from == p.link {
-			p.heard, p.pinged = time.Now(), false
-			if err := p.hear(m.pdu); err != nil {
+		if x := m.from; x.link != nil {
+			x.heard, x.pinged = time.Now(), false
+			if err := x.hear(m.pdu); err != nil {
 				p.d.Log.WithError(err).Warnf("storage target %s: connection dropped", p.name)
-				p.down()
+				x.down()
 			}
+			x.finished()
 		}
 	case m.err != nil:
 		if m.from == nil { // the dial failed
 			p.dialing = false
 			p.redial = time.Now().Add(redialEvery)
 			p.failQueue()
-		} else if m.from == p.link {
-			p.down()
+		} else {
+			m.from.down()
 		}
 	case m.addresses != nil:
-		p.addresses = m.addresses
+		p.readdress(m.addresses)
 	case m.close:
 		p.closing = true
 	}
 }
 
+// readdress takes the portals. One alone needs no book; with the first second one a book is
+// made, and stays.
+func (p *peer) readdress(list []address.Addr) {
+	p.addresses = list
+	if p.portals == nil && len(list) == 1 {
+		if p.cur != nil && p.cur.link.at != list[0] {
+			p.retire()
+		}
+		return
+	}
+	if p.portals == nil {
+		p.portals = newPortals(p)
+		p.retire()
+	}
+	p.portals.step(address.Event{Kind: address.Listed, Addrs: list})
+}
+
+// retire lets the session finish what it carries; nothing new goes by it.
+func (p *peer) retire() {
+	if x := p.cur; x != nil {
+		p.cur = nil
+		p.old[x] = true
+		x.finished()
+	}
+}
+
+// use makes a session the one that new commands go by.
+func (p *peer) use(x *nexus) {
+	p.retire()
+	p.cur = x
+	if p.leaving { // it is back after it had asked us to go: it starts anew, and so cold
+		p.leaving = false
+		p.tell(choice.NodeUp, float64(time.Now().UnixMicro())/1000)
+	}
+}
+
 // report tells the core how an attempt ended, aside: its mailbox may have to be waited for.
 func (p *peer) report(c *command, r core.Result) {
 	a := c.try
@@ -287,17 +349,23 @@
 		p.failQueue()
 		return
 	}
-	if p.link == nil {
+	if p.portals != nil && !p.portals.ready() {
+		return
+	}
+	if p.cur == nil {
 		p.dial()
 		return
 	}
-	for len(p.queue) > 0 && int32(p.maxCmdSN-p.cmdSN) >= 0 && p.link != nil {
+	for len(p.queue) > 0 && p.cur != nil && p.cur.room() {
 		c := p.queue[0]
 		p.queue = p.queue[1:]
 		if c.try != nil {
-			p.start(c)
+			p.cur.start(c)
 		}
 	}
+	if p.cur != nil {
+		p.cur.finished() // all that waited may have been given up
+	}
 }
 
 func (p *peer) failQueue() {
@@ -307,8 +375,9 @@
 	p.queue = p.queue[:0]
 }
 
+// dial opens the session where there is one portal.
 func (p *peer) dial() {
-	if p.dialing {
+	if p.dialing || p.portals != nil {
 		return
 	}
 	p.dialing = true
@@ -316,32 +385,52 @@
 	go func() {
 		ctx, stop := context.WithTimeout(context.Background(), p.d.ConnectTimeout)
 		defer stop()
-		nc, _, err := sock.Dial(ctx, to, p.d.ConnectTimeout)
+		l, _, err := p.login(ctx, to)
 		if err != nil {
 			p.post(mail{err: err})
 			return
 		}
-		l := &link{nc: nc, br: bufio.NewReaderSize(nc, 16<<10)}
-		at, _ := ctx.Deadline()
-		if err = nc.SetDeadline(at); err == nil {
-			l.p, l.window, err = dialLogin(nc, l.br, p.target, p.d.Name, p.isid())
-		}
-		if err == nil {
-			err = nc.SetDeadline(time.Time{})
-		}
-		if err != nil {
-			nc.Close()
-			p.post(mail{err: fmt.Errorf("login: %w", err)})
-			return
-		}
 		select {
 		case p.mail <- mail{dialed: l}:
 		case <-p.done:
-			nc.Close()
+			l.nc.Close()
 		}
 	}()
 }
 
+// login connects and logs in; why tells of an error what it says of the portal.
+func (p *peer) login(ctx context.Context, to address.Addr) (*link, address.Why, error) {
+	nc, why, err := sock.Dial(ctx, to, p.d.ConnectTimeout)
+	if err != nil {
+		return nil, why, err
+	}
+	defer context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })()
+	l := &link{nc: nc, br: bufio.NewReaderSize(nc, 16<<10), at: to}
+	if at, ok := ctx.Deadline(); ok {
+		err = nc.SetDeadline(at)
+	}
+	if err == nil {
+		l.p, l.window, err = dialLogin(nc, l.br, p.target, p.d.Name, p.isid())
+	}
+	if err == nil {
+		err = nc.SetDeadline(time.Time{})
+	}
+	if err != nil {
+		nc.Close()
+		var no refusedLogin
+		switch {
+		case errors.As(err, &no) && no.status == loginNotFound: // another target's portal
+			why = address.Misled
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			why = address.TimedOut
+		default:
+			why = address.Reset
+		}
+		return nil, why, fmt.Errorf("login: %w", err)
+	}
+	return l, 0, nil
+}
+
 // isid is new for each session, so that none takes the place of one still being ended.
 func (p *peer) isid() uint32 {
 	h := fnv.New32a()
@@ -349,27 +438,6 @@
 	return h.Sum32() ^ rand.Uint32()
 }
 
-func (p *peer) up(l *link) {
-	p.dialing = false
-	p.link, p.cmdSN, p.expStatSN, p.maxCmdSN = l, 1, 0, l.window
-	p.heard, p.pinged = time.Now(), false
-	go func() {
-		in := framing{most: ourSegment}
-		for {
-			q, err := in.read(l.br)
-			if err != nil {
-				p.post(mail{err: err, from: l})
-				return
-			}
-			p.post(mail{pdu: q, from: l})
-		}
-	}()
-	if p.leaving { // it is back after it had asked us to go: it starts anew, and so cold
-		p.leaving, p.logout = false, time.Time{}
-		p.tell(choice.NodeUp, float64(time.Now().UnixMicro())/1000)
-	}
-}
-
 // tell passes on what a storage target says of itself, as news of the list. One that the
 // configuration drains or has dropped is not up, whatever it says.
 func (p *peer) tell(state choice.NodeState, since float64) {
@@ -378,110 +446,12 @@
 		return
 	}
 	if f := p.d.news.Load(); f != nil {
-		n := core.News{Kind: choice.ListChange, Nodes: []core.Node{{Addresses: p.addresses, Node: choice.Node{ID: p.name,
+		n := core.News{Kind: choice.ListChange, Nodes: []core.Node{{Addresses: conf.Addresses, Node: choice.Node{ID: p.name,
 			Shard: conf.Shard, State: state, Weight: 1, Since: since}}}}
 		go (*f)(n)
 	}
 }
 
-// down ends the connection. What was written may have run: one outcome each, reset.
-func (p *peer) down() {
-	if p.link == nil {
-		return
-	}
-	p.link.nc.Close()
-	p.link = nil
-	for tag, c := range p.byTag {
-		delete(p.byTag, tag)
-		p.report(c, core.Result{Status: choice.Reset})
-	}
-	p.zombies = 0
-	p.redial = time.Now().Add(redialEvery)
-}
-
-// write sends bytes; n tells how many went out before an error, which ends the connection.
-func (p *peer) write(b []byte) (n int, ok bool) {
-	err := p.link.nc.SetWriteDeadline(time.Now().Add(stallTimeout))
-	if err == nil {
-		n, err = p.link.nc.Write(b)
-	}
-	return n, err == nil
-}
-
-func (p *peer) stamp(q *pdu) {
-	q.put32(24, p.cmdSN)
-	q.put32(28, p.expStatSN)
-}
-
-// start writes a command with the data that may go unsolicited.
-func (p *peer) start(c *command) {
-	p.itt++
-	if p.itt == noTag {
-		p.itt = 1
-	}
-	c.itt = p.itt
-	q := newPDU(opSCSICommand, c.itt)
-	q.bhs[1] = 0x01 // simple task attribute
-	encodeLUN(q.bhs[8:], c.job.lun)
-	q.put32(20, c.job.size)
-	p.stamp(q)
-	c.cmdSN = p.cmdSN
-	p.cmdSN++
-	cdb := c.job.block.cdb()
-	copy(q.bhs[32:], cdb[:])
-	var more []byte
-	neg := &p.link.p
-	if c.job.block.write {
-		q.bhs[1] |= 0x20
-		first, at := min(c.job.size, neg.firstBurst), uint32(0)
-		if neg.immediateData {
-			at = min(first, neg.theirMost)
-			q.data = c.job.data[:at]
-		}
-		if !neg.initialR2T && at < first {
-			more = p.dataOut(nil, c, noTag, at, first-at)
-		} else {
-			q.bhs[1] |= flagF
-		}
-		if p.d.DropsRepeats {
-			q.ahs = keyAHS(c.job.key)
-		}
-	} else {
-		q.bhs[1] |= 0x40 | flagF
-		c.data = make([]byte, 0, c.job.size)
-	}
-	b := framing{}.append(nil, q)
-	whole := len(b)
-	n, ok := p.write(append(b, more...))
-	if c.written = n >= whole; !c.written {
-		p.report(c, core.Result{Status: choice.NoConn})
-	} else {
-		p.byTag[c.itt] = c
-	}
-	if !ok {
-		p.down()
-	}
-}
-
-// dataOut encodes a sequence of Data-Out PDUs.
-func (p *peer) dataOut(dst []byte, c *command, ttt, at, n uint32) []byte {
-	for sn, end := uint32(0), at+n; at < end; sn++ {
-		part := min(end-at, p.link.p.theirMost)
-		d := newPDU(opDataOut, c.itt)
-		encodeLUN(d.bhs[8:], c.job.lun)
-		d.data = c.job.data[at : at+part]
-		d.put32(20, ttt)
-		d.put32(28, p.expStatSN)
-		d.put32(36, sn)
-		d.put32(40, at)
-		if at += part; at == end {
-			d.bhs[1] = flagF
-		}
-		dst = framing{}.append(dst, d)
-	}
-	return dst
-}
-
 // giveUp ends the wait for an attempt. What has been written may still run: its tag stays
 // taken, ABORT TASK is sent, and no answer to it counts any more.
 func (p *peer) giveUp(a *core.Attempt, status choice.Status) {
@@ -490,191 +460,26 @@
 		return
 	}
 	p.report(c, core.Result{Status: status})
-	if !c.written || p.link == nil {
-		return
-	}
-	if p.zombies++; p.zombies > zombieMost {
-		p.down()
-		return
-	}
-	q := newPDU(opTaskMgmtReq, c.itt|1<<31)
-	q.bhs[0] |= immediate
-	q.bhs[1] = flagF | tmAbortTask
-	encodeLUN(q.bhs[8:], c.job.lun)
-	q.put32(20, c.itt)
-	p.stamp(q)
-	q.put32(32, c.cmdSN)
-	if _, ok := p.write(framing{}.append(nil, q)); !ok {
-		p.down()
-	}
-}
-
-// over forgets a command's tag.
-func (p *peer) over(c *command) {
-	if p.byTag[c.itt] == c {
-		delete(p.byTag, c.itt)
-		if c.try == nil {
-			p.zombies--
-		}
+	if x := c.on; c.written && x != nil && x.link != nil {
+		x.abort(c)
+		x.finished()
 	}
 }
 
-// hear takes a PDU of the storage target; an error ends the connection.
-func (p *peer) hear(q *pdu) error {
-	if m := q.u32(32); q.op() != opReject && int32(m-p.maxCmdSN) > 0 {
-		p.maxCmdSN = m
-	}
-	switch q.op() {
-	case opSCSIResponse, opTaskMgmtResp, opLogoutResp, opAsync, opReject, opTextResp:
-		p.expStatSN = q.u32(24) + 1
-	}
-	c := p.byTag[q.tag()]
-	switch q.op() {
-	case opSCSIResponse:
-		if c == nil {
-			return fmt.Errorf("%w: response to no command", errBroken)
-		}
-		return p.response(c, q)
-	case opDataIn:
-		if c == nil {
-			return fmt.Errorf("%w: data for no command", errBroken)
-		}
-		if c.job.block.write || q.u32(36) != c.dataSN || q.u32(40) != uint32(len(c.data)) ||
-			uint64(len(c.data))+uint64(len(q.data)) > uint64(c.job.size) {
-			return fmt.Errorf("%w: Data-In out of sequence", errBroken)
-		}
-		c.data, c.dataSN = append(c.data, q.data...), c.dataSN+1
-		if q.bhs[1]&0x01 != 0 { // status came with the data
-			p.expStatSN = q.u32(24) + 1
-			return p.response(c, q)
-		}
-	case opR2T:
-		if c == nil {
-			return fmt.Errorf("%w: R2T for no command", errBroken)
-		}
-		at, n := q.u32(40), q.u32(44)
-		if !c.job.block.write || n == 0 || at > c.job.size || n > c.job.size-at {
-			return fmt.Errorf("%w: R2T out of bounds", errBroken)
-		}
-		if c.try == nil {
-			return nil // given up: nothing more is sent for it
-		}
-		if _, ok := p.write(p.dataOut(nil, c, q.u32(20), at, n)); !ok {
-			return errors.New("stalled in Data-Out")
-		}
-	case opTaskMgmtResp:
-		if z := p.byTag[q.tag()&^(1<<31)]; z != nil && z.try == nil {
-			p.over(z)
-		}
-	case opNopIn:
-		if ttt := q.u32(20); ttt != noTag {
-			n := newPDU(opNopOut, noTag)
-			n.bhs[0] |= immediate
-			n.bhs[1] = flagF
-			n.put32(20, ttt)
-			p.stamp(n)
-			if _, ok := p.write(framing{}.append(nil, n)); !ok {
-				return errors.New("stalled in NOP-Out")
-			}
-		}
-	case opAsync:
-		if e := q.bhs[36]; e >= 1 && e <= 3 { // it wants us to log out, or drops the session
-			p.leaving = true
-			p.tell(choice.NodeDraining, 0)
-		}
-	case opReject:
-		if len(q.data) < bhsLen {
-			return fmt.Errorf("%w: reject without a header", errBroken)
-		}
-		if r := p.byTag[be.Uint32(q.data[16:])]; r != nil {
-			p.report(r, core.Result{Status: choice.Errored})
-			p.over(r)
-		}
-	case opLogoutResp:
-		return errLogout
-	default:
-		return fmt.Errorf("%w: unexpected %v", errBroken, q)
-	}
-	return nil
-}
-
-// response ends a command: what its status says of whether it ran, and what goes back.
-func (p *peer) response(c *command, q *pdu) error {
-	p.over(c)
-	if c.try == nil {
-		return nil
-	}
-	status, raw := q.bhs[3], []byte(nil)
-	if q.op() == opSCSIResponse && len(q.data) >= 2 {
-		if n := int(be.Uint16(q.data)); n <= len(q.data)-2 {
-			raw = q.data[2 : 2+n]
-		}
-	}
-	r := core.Result{Status: choice.Errored}
-	pass := func() { r.Status, r.Payload = choice.OK, &result{status: status, sense: raw, data: c.data} }
-	switch {
-	case q.op() == opSCSIResponse && q.bhs[2] != 0: // the target failed, not the command
-	case status == statusGood:
-		if !c.job.block.write && uint32(len(c.data)) != c.job.size {
-			break // a short read is no whole answer
-		}
-		if q.bhs[1]&0x06 != 0 { // a residual: not all of it was moved
-			break
-		}
-		pass()
-	case status == statusBusy || status == statusTaskSetFull:
-		r.Status = choice.Full
-	case status == statusConflict:
-		pass()
-	case status == statusCheckCondition:
-		switch senseKey(raw) {
-		case senseIllegalRequest, senseDataProtect:
-			pass() // no other try would end otherwise: the client is told as it is
-		case senseNotReady, senseUnitAttention:
-			r.Status = choice.Full // reported in place of the command, which did not run (SPC-4)
-		}
-	}
-	p.report(c, r)
-	return nil
-}
-
-func (p *peer) sayLogout() {
-	q := newPDU(opLogoutReq, 1<<31)
-	q.bhs[0] |= immediate
-	q.bhs[1] = flagF // reason 0: close the session
-	p.stamp(q)
-	p.write(framing{}.append(nil, q))
-}
-
 func (p *peer) tick(now time.Time) {
-	if p.link == nil {
-		if p.leaving && !p.closing && now.After(p.redial) {
-			p.dial() // to hear that it is back
+	if p.cur != nil {
+		p.cur.tick(now)
+	} else if p.leaving && !p.closing && now.After(p.redial) { // to hear that it is back
+		if p.portals != nil {
+			p.portals.want()
+		} else {
+			p.dial()
 		}
-		return
 	}
-	if p.leaving && len(p.byTag) == 0 {
-		if p.logout.IsZero() {
-			p.logout = now
-			p.sayLogout()
-		} else if now.Sub(p.logout) > logoutWait {
-			p.down()
-		}
-		return
+	for x := range p.old {
+		x.tick(now)
 	}
-	switch quiet := now.Sub(p.heard); {
-	case quiet > peerDeadAfter:
-		p.d.Log.Warnf("storage target %s is silent: connection dropped", p.name)
-		p.down()
-	case quiet > peerPingAfter && !p.pinged:
-		p.pinged = true
-		n := newPDU(opNopOut, 1<<31)
-		n.bhs[0] |= immediate
-		n.bhs[1] = flagF
-		n.put32(20, noTag)
-		p.stamp(n)
-		if _, ok := p.write(framing{}.append(nil, n)); !ok {
-			p.down()
-		}
+	if p.portals != nil {
+		p.portals.nudge()
 	}
 }
--- a/internal/iscsi/standin_test.go
+++ b/internal/iscsi/standin_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/rapidtest"
@@ -29,28 +31,35 @@
 
 // standin is a storage target that counts what comes and what is executed.
 type standin struct {
-	t        *testing.T
-	ln       net.Listener
-	answer   []pair // to the login
-	drops    bool   // repeats of a write by their key
-	mu       sync.Mutex
-	cut      string
-	cuts     int // connections still to be cut
-	status   byte
-	sense    []byte
-	hold     chan struct{} // a command waits here before its response
-	held     chan struct{} // tells that one does
-	disk     map[uint64][]byte
-	came     int // command PDUs
-	ran      int // executions
-	keys     map[string]bool
-	aborts   int
-	logouts  chan struct{}
-	pongs    chan struct{}
-	conn     net.Conn
-	statSN   uint32
-	expCmdSN uint32
-	login    []pair // the last
+	t       *testing.T
+	ln      net.Listener
+	answer  []pair // to the login
+	drops   bool   // repeats of a write by their key
+	mu      sync.Mutex
+	cut     string
+	cuts    int // connections still to be cut
+	status  byte
+	sense   []byte
+	hold    chan struct{} // a command waits here before its response
+	held    chan struct{} // tells that one does
+	disk    map[uint64][]byte
+	came    int // command PDUs
+	ran     int // executions
+	keys    map[string]bool
+	aborts  int
+	logouts chan struct{}
+	pongs   chan struct{}
+	last    *standSession
+	login   []pair // the last
+	logins  int
+	refuse  uint16 // status of logins
+}
+
+// standSession is one session with the stand-in.
+type standSession struct {
+	*standin
+	conn             net.Conn
+	statSN, expCmdSN uint32
 }
 
 func newStandin(t *testing.T) *standin {
@@ -101,7 +110,7 @@
 }
 
 // say sends a PDU with the session's numbers.
-func (s *standin) say(p *pdu, status bool) {
+func (s *standSession) say(p *pdu, status bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p.put32(24, s.statSN)
@@ -117,31 +126,39 @@
 func (s *standin) leave() {
 	a := newPDU(opAsync, noTag)
 	a.bhs[1], a.bhs[36] = flagF, 1
-	s.say(a, true)
+	s.mu.Lock()
+	last := s.last
+	s.mu.Unlock()
+	last.say(a, true)
 	n := newPDU(opNopIn, noTag)
 	n.bhs[1] = flagF
 	n.put32(20, 7)
-	s.say(n, false)
+	last.say(n, false)
 	<-s.pongs
 }
 
-func (s *standin) serve(nc net.Conn) {
+func (in *standin) serve(nc net.Conn) {
+	s := &standSession{standin: in, conn: nc}
 	defer nc.Close()
-	br, in := bufio.NewReader(nc), framing{most: 8192}
-	p, err := in.read(br)
+	br, frames := bufio.NewReader(nc), framing{most: 8192}
+	p, err := frames.read(br)
 	if err != nil || s.cutting(cutLogin) {
 		return
 	}
 	s.mu.Lock()
-	s.conn, s.statSN, s.expCmdSN = nc, p.u32(28), p.u32(24)
+	s.statSN, s.expCmdSN = p.u32(28), p.u32(24)
 	s.login, _ = decodeText(p.data)
+	s.last = s
+	s.logins++
+	refuse := s.refuse
 	s.mu.Unlock()
 	r := newPDU(opLoginResp, p.tag())
 	r.bhs[1], r.bhs[15], r.data = p.bhs[1], 1, encodeText(s.answer)
+	be.PutUint16(r.bhs[36:], refuse)
 	s.say(r, true)
-	in.most = 4096
+	frames.most = 4096
 	for {
-		if p, err = in.read(br); err != nil {
+		if p, err = frames.read(br); err != nil || refuse != 0 {
 			return
 		}
 		if !p.immediate() && p.op() != opDataOut {
@@ -151,7 +168,7 @@
 		}
 		switch p.op() {
 		case opSCSICommand:
-			if !s.command(p, br, in) {
+			if !s.command(p, br, frames) {
 				return
 			}
 		case opNopOut:
@@ -176,7 +193,7 @@
 }
 
 // command takes one command to its end; false: the connection is to be cut.
-func (s *standin) command(p *pdu, br *bufio.Reader, in framing) bool {
+func (s *standSession) command(p *pdu, br *bufio.Reader, in framing) bool {
 	s.mu.Lock()
 	s.came++
 	s.mu.Unlock()
@@ -241,7 +258,7 @@
 	return true
 }
 
-func (s *standin) respond(tag uint32, write bool, data []byte, status byte, raw []byte) {
+func (s *standSession) respond(tag uint32, write bool, data []byte, status byte, raw []byte) {
 	if !write {
 		for at, sn := 0, uint32(0); at < len(data); sn++ {
 			n := min(len(data)-at, 3000)
@@ -455,23 +472,38 @@
 
 func newPath(t *testing.T, aim float64, drops bool) *path {
 	t.Helper()
-	s := newStandin(t)
-	s.drops = drops
+	return pathTo(t, aim, drops, newStandin(t))
+}
+
+// pathTo is a path to a storage target whose portals the stand-ins are, the most wanted first.
+func pathTo(t *testing.T, aim float64, drops bool, portals ...*standin) *path {
+	t.Helper()
+	s := portals[0]
+	var at []string
+	for _, x := range portals {
+		x.drops = drops
+		at = append(at, fmt.Sprintf("%q", x.ln.Addr()))
+	}
 	set := testSettings(aim)
 	conf, err := config.ParseISCSI([]byte(fmt.Sprintf(`{"listen":"127.0.0.1:0","drops_repeats":%v,"queue_depth":8,
-		"storage":[{"name":"st","address":%q,"target":"iqn.st","group":0}],
+		"storage":[{"name":"st","addresses":[%s],"target":"iqn.st","group":0}],
 		"targets":[{"name":%q,"luns":[{"lun":0,"group":0,"volume":"00000000000a0000","plan":"basic","blocks":4096,
 			"rules":[{"command":"read","class":"balance-read"},{"command":"write","class":"new-record"}]},
 			{"lun":3,"group":0,"volume":"00000000000a0003","plan":"basic","blocks":16,"read_only":true,
 			"rules":[{"command":"read","class":"balance-read"}]},
 			{"lun":4,"group":0,"volume":"00000000000a0004","plan":"capped","blocks":16,"read_only":true,
-			"rules":[{"command":"read","class":"balance-read"}]}]}]}`, drops, s.ln.Addr(), targetName)), set)
+			"rules":[{"command":"read","class":"balance-read"}]}]}]}`, drops, strings.Join(at, ","), targetName)), set)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var log *logrus.Logger
 	log, _ = logtest.NewNullLogger()
 	d := NewDialer(conf, "iqn.me", 5*time.Second, log)
+	book := address.Defaults() // quick ones, for tests that wait for a back-off
+	book.Backoff, book.BackoffMost, book.ReturnSpan, book.TrialGap, book.DownEvery = 50*time.Millisecond, 200*time.Millisecond,
+		100*time.Millisecond, 10*time.Millisecond, 20*time.Millisecond
+	book.WrongFor = 50 * time.Millisecond
+	d.Addresses(book)
 	set = Settings(set, conf)
 	co, err := core.New(core.Options{Settings: set, Seed: 1, Connect: d.Connect, Log: log})
 	if err != nil {
@@ -506,8 +538,20 @@
 
 // initiator logs in to the path's target.
 func (p *path) initiator(t *testing.T, more ...pair) *initiator {
+	t.Helper()
+	return p.initiatorAs(t, "", more...)
+}
+
+// another logs in beside it: with the same ISID it would take its place.
+func (p *path) another(t *testing.T) *initiator {
+	t.Helper()
+	return p.initiatorAs(t, "\x80\x00\x00\x00\x00\x02")
+}
+
+func (p *path) initiatorAs(t *testing.T, isid string, more ...pair) *initiator {
 	t.Helper()
 	c := connect(t, p.address)
+	c.isid = isid
 	status, _ := c.login(stageOperational<<2|stageFull, append([]pair{{"InitiatorName", "iqn.client"},
 		{"TargetName", targetName}, {"MaxRecvDataSegmentLength", "4096"}, {"MaxBurstLength", "16384"}}, more...)...)
 	if status != 0 {
