--- a/internal/address/book.go
+++ b/internal/address/book.go
@@ -312,7 +312,7 @@
 		return
 	}
 	at, trial, told := c.at, c.trial, c.told
-	late := b.now-c.since >= b.bound && at.heard < c.since
+	late := b.now-c.since >= b.bound && at.heard <= c.since
 	b.end(c)
 	switch {
 	case late && !told:
@@ -465,7 +465,7 @@
 		return
 	}
 	at, took := c.at, b.now-c.since
-	first, trial := c.fresh, c.trial
+	first, trial, told := c.fresh, c.trial, c.told
 	if c.fresh {
 		c.fresh = false
 		b.unproven--
@@ -474,7 +474,7 @@
 	if at.trying == c {
 		at.trying = nil
 	}
-	b.judge(at, took, e.Verdict, c.named, first, trial)
+	b.judge(at, took, e.Verdict, c.named, first, trial, told)
 	switch {
 	case !e.Keep:
 		b.forget(c)
--- a/internal/address/health.go
+++ b/internal/address/health.go
@@ -167,7 +167,7 @@
 }
 
 // judge takes what an answer says of its address.
-func (b *Book) judge(e *entry, took time.Duration, v Verdict, named, first, trial bool) {
+func (b *Book) judge(e *entry, took time.Duration, v Verdict, named, first, trial, told bool) {
 	e.heard, e.breaks, e.doubted, e.refuted = b.now, 0, 0, 0
 	b.refute(e, b.now-took, took)
 	if e.gone {
@@ -196,7 +196,7 @@
 		}
 	}
 	if took >= b.bound {
-		if trial {
+		if trial && !told { // else its silence was blamed already
 			b.blame(e, Slow, true)
 		}
 		b.usually(e, took)
@@ -332,7 +332,7 @@
 	b.silentAt = never
 	for i := range b.conns {
 		c := &b.conns[i]
-		if c.phase != busy || c.told || c.at.heard >= c.since {
+		if c.phase != busy || c.told || c.at.heard > c.since {
 			continue
 		}
 		at := c.since + b.bound
@@ -362,12 +362,9 @@
 	return max(b.set.DoubtAfter, time.Duration(b.set.SuspectTimes*b.usual))
 }
 
-// refute takes a prompt answer as word against the addresses in doubt: the node does not pause.
-// They get as long again as an answer takes, as theirs may be on its way.
+// refute takes an answer as word against the addresses in doubt: the node does not pause, or no
+// more. They get twice its time, as theirs may be on their way from the end of a pause.
 func (b *Book) refute(by *entry, since, took time.Duration) {
-	if took > b.patience()/2 {
-		return // it may have waited for the end of a pause
-	}
 	for _, e := range b.order {
 		if e != by && e.doubted > 0 && e.doubted <= since && e.refuted == 0 && e.heard < e.doubted {
 			e.refuted = b.now + max(graceLeast, 2*took)
--- a/internal/address/race.go
+++ b/internal/address/race.go
@@ -43,6 +43,10 @@
 	return b.tokens >= 1
 }
 
+// room says whether one more connection may be opened. The last is for trials and second
+// opinions: hung ones must not take the place of the one that shows the way out.
+func (b *Book) room(trial bool) bool { return len(b.free) > 1 || trial && len(b.free) > 0 }
+
 // tokenAt is when the next one may, if none may now.
 func (b *Book) tokenAt() time.Duration {
 	return b.now + time.Duration(math.Ceil((1-b.tokens)/b.set.Rate*1e9))
@@ -76,7 +80,7 @@
 // waits is to wait on.
 func (b *Book) startRace() (started, wait bool) {
 	switch {
-	case len(b.free) == 0:
+	case !b.room(b.down()):
 		return false, b.coming > 0
 	case b.down() && (b.now < b.downAt || b.coming > 0 || b.tryingAny()):
 		return false, false
@@ -116,7 +120,7 @@
 		e := b.candidate(r)
 		idle := len(b.waiting) == 0 && r.live == 0 // nobody waits for it any more
 		switch {
-		case r.stopped || e == nil || idle || len(b.free) == 0:
+		case r.stopped || e == nil || idle || !b.room(b.guarded(e)):
 			if r.live == 0 {
 				b.lose(r)
 			}
@@ -227,7 +231,7 @@
 		if c := b.top(o); c != nil {
 			return c
 		}
-		if b.opinionAt <= b.now && len(b.free) > 0 && b.token() {
+		if b.opinionAt <= b.now && b.room(true) && b.token() {
 			b.opinionAt = b.now + b.set.TrialGap
 			b.open(o, nil, false)
 		}
@@ -297,7 +301,7 @@
 // home opens a connection to the primary where work goes by kept ones of a less preferred
 // address: one at a time, so that a return is no burst of connects.
 func (b *Book) home(from *entry) {
-	if b.rank(b.primary) != rankGood || b.now < b.homeAt || len(b.free) == 0 ||
+	if b.rank(b.primary) != rankGood || b.now < b.homeAt || !b.room(false) ||
 		slices.Index(b.order, b.primary) > slices.Index(b.order, from) {
 		return
 	}
@@ -314,6 +318,6 @@
 
 func (b *Book) write(c *conn, w waiter) {
 	c.phase, c.since, c.req, c.safe, c.named, c.told = busy, b.now, w.req, w.safe, w.named, false
-	b.silentAt = min(b.silentAt, b.now+b.bound)
+	b.silentAt = min(b.silentAt, b.now+min(b.bound, b.patience()))
 	b.act(Action{Kind: Write, Conn: c.id, Req: w.req})
 }
--- a/internal/address/rig_test.go
+++ b/internal/address/rig_test.go
@@ -112,6 +112,13 @@
 	}
 	if to := r.b.Primary(); to != before && e.Kind != Listed {
 		r.moves = append(r.moves, move{r.now, before, to})
+		state := map[Addr]State{}
+		for _, x := range r.b.Snapshot(nil) {
+			state[x.Addr] = x.State
+		}
+		if state[before] <= Good && state[to] > Good {
+			r.fault("from %v, which is %v, to %v, which is %v", before, state[before], to, state[to])
+		}
 	}
 	if err := r.b.Check(); err != nil {
 		r.fault("%w", err)
