--- a/cmd/wheatsaddle/main_test.go
+++ b/cmd/wheatsaddle/main_test.go
@@ -257,3 +257,88 @@
 		}
 	}
 }
+
+// The site's file adds a socket file for clients; a bad one is named before anything starts, and
+// when it is read again changes nothing.
+func TestSite(t *testing.T) {
+	node, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	file, listen := configure(t, node.Addr().String())
+	dir := t.TempDir()
+	path, siteFile := filepath.Join(dir, "c.sock"), filepath.Join(dir, "site.json")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(siteFile, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	good := fmt.Sprintf(`{"addresses":{"delay_ms":100},"listen":{"http":[{"address":"unix:%s","mode":"0640"}]}}`, path)
+	write(`{"addresses":{"delay_ms":1}}`)
+	for _, args := range [][]string{{"check-config", "--site", siteFile}, {"serve", "--site", siteFile}} {
+		if out, err := program([]string{"ROUTER_CONFIG=" + file}, args...).CombinedOutput(); err == nil ||
+			!strings.Contains(string(out), "site: addresses.delay_ms") {
+			t.Errorf("%v: %v %s", args, err, out)
+		}
+	}
+	if out, err := program(nil, "schema").Output(); err != nil || !bytes.Equal(out, config.SiteSchema) {
+		t.Errorf("schema: %v", err)
+	}
+	write(good)
+	c := program([]string{"ROUTER_CONFIG=" + file}, "serve", "--site", siteFile)
+	logs, err := c.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Process.Kill()
+	lines := bufio.NewScanner(logs)
+	until := func(what string) {
+		t.Helper()
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), what) {
+				return
+			}
+		}
+		t.Fatalf("never said: %s", what)
+	}
+	until("msg=serving")
+	for _, to := range [][2]string{{"unix", path}, {"tcp", listen}} {
+		nc, err := net.Dial(to[0], to[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(nc, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		var r fasthttp.Response
+		if err := r.Read(bufio.NewReader(nc)); err != nil || r.StatusCode() != 200 {
+			t.Errorf("%v: %v %d", to, err, r.StatusCode())
+		}
+		nc.Close()
+	}
+	if info, err := os.Lstat(path); err != nil || info.Mode().Perm() != 0o640 {
+		t.Errorf("%v %v", info, err)
+	}
+	for _, x := range [][2]string{{`{"addresses":{"delay_ms":1}}`, "counts as it was"}, {`{"addresses":{"delay_ms":50}}`, "delay_ms"},
+		{strings.Replace(good, "100", "200", 1), "file read again"}} {
+		write(x[0])
+		if err := c.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		until(x[1])
+	}
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for lines.Scan() {
+	}
+	if err := c.Wait(); err != nil {
+		t.Error(err)
+	}
+	if _, err := os.Lstat(path); err == nil {
+		t.Error("the socket file is left behind")
+	}
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -317,3 +317,22 @@
 		t.Errorf("%d open", n)
 	}
 }
+
+// A change of addresses is news for the peer, not another peer: what is out stays out, and the
+// module hears of the same node.
+func TestReaddressInPlace(t *testing.T) {
+	r := start(t, settings())
+	n := node("a", 0, choice.NodeUp)
+	r.list(choice.ListStale, n)
+	p := r.peer("a")
+	_, got := r.ask("1", "read", time.Minute)
+	a := <-p.sent
+	n.Addresses = addrs("unix:/run/a", "127.0.0.1:1")
+	r.list(choice.ListFull, n)
+	r.list(choice.ListChange, n) // nothing new
+	if r.peer("a") != p || p.closed || p.drained || len(p.to) != 1 || len(p.to[0]) != 2 {
+		t.Fatalf("closed %v, drained %v, told %v", p.closed, p.drained, p.to)
+	}
+	a.Done(Result{Status: choice.OK})
+	one(t, got, Served)
+}
--- /dev/null
+++ b/internal/httpfront/bench_test.go
@@ -0,0 +1,63 @@
+package httpfront
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/core"
+)
+
+// BenchmarkSend is one attempt and its answer over loopback: by the path of a node with one
+// address, which has no book, and by one of three.
+func BenchmarkSend(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				text := make([]byte, 4096)
+				for {
+					if _, err := nc.Read(text); err != nil {
+						return
+					}
+					fmt.Fprint(nc, fine)
+				}
+			}()
+		}
+	}()
+	one := at(ln)
+	more, errs := address.List([]string{one[0].String(), "[::1]:1", "unix:/nowhere"})
+	if len(errs) > 0 {
+		b.Fatal(errs)
+	}
+	for _, list := range [][]address.Addr{one, more} {
+		b.Run(fmt.Sprintf("addresses=%d", len(list)), func(b *testing.B) {
+			d := dialer()
+			d.Routes = &Routes{}
+			set := address.Defaults()
+			set.Preference = []address.Kind{address.IPv4}
+			d.Routes.Set(RouteSettings{Book: set})
+			p := d.Connect("n", list)
+			defer p.Close()
+			a, got := attempt(b, later())
+			p.Send(a)
+			<-got
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Send(core.NewAttempt(a.Req, time.Now().Add(time.Minute), func(r core.Result) { got <- r }))
+				<-got
+			}
+		})
+	}
+}
--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -100,7 +100,7 @@
 }
 
 // attempt makes an attempt and the channel of its results.
-func attempt(t *testing.T, until time.Time) (*core.Attempt, chan core.Result) {
+func attempt(t testing.TB, until time.Time) (*core.Attempt, chan core.Result) {
 	t.Helper()
 	var m fasthttp.Request
 	if err := m.Read(bufio.NewReader(strings.NewReader(good))); err != nil {
--- a/internal/httpfront/paths_test.go
+++ b/internal/httpfront/paths_test.go
@@ -46,9 +46,13 @@
 	return s
 }
 
-func newRouted(t *testing.T, set address.Settings) *routed {
+func newRouted(t *testing.T, set address.Settings, slow ...time.Duration) *routed {
 	t.Helper()
-	r := &routed{t: t, n: standnode.New(standnode.Options{Name: "n", Shard: 0, Workers: 64, Identity: "X-Node"})}
+	opt := standnode.Options{Name: "n", Shard: 0, Workers: 64, Identity: "X-Node"}
+	if len(slow) > 0 {
+		opt.Service = func(*fasthttp.Request) time.Duration { return slow[0] }
+	}
+	r := &routed{t: t, n: standnode.New(opt)}
 	t.Cleanup(r.n.Close)
 	for _, text := range []string{"unix:" + filepath.Join(t.TempDir(), "s"), "[::1]:0", "127.0.0.1:0"} {
 		a, err := r.n.Listen(text)
@@ -539,3 +543,72 @@
 	}
 	clients.Wait()
 }
+
+// All addresses are gone for so long that the node may have restarted, then one is back: the
+// work sent to it stays within what a cold node bears, over all its addresses.
+func TestPathsColdBudget(t *testing.T) {
+	r := newRouted(t, quick(), 25*ms) // slow for its aim: a node that shows itself warm by quick answers is not held back
+	set := testModule()
+	set.MaxAttempts, set.ColdUnits, set.TipSpan, set.TipMultiple, set.ColdFrom, set.ColdSpan = 4, 12, 1000, 0, 0.24, 1e6
+	set.Classes[0].Aim, set.Classes[0].Deadline = 40, 900
+	c, err := core.New(core.Options{Settings: set, Seed: 1, Connect: r.d.Connect, Log: r.d.Log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Stop)
+	c.List(core.News{Kind: choice.ListStale, Nodes: []core.Node{{Node: choice.Node{ID: "n", Weight: 1}, Addresses: r.at}}})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	f := &front{srv: NewServer(c, set, 400, r.d.Log), address: ln.Addr().String(), served: make(chan error, 1), dialer: r.d}
+	go func() { f.served <- f.srv.Serve(ln, 400) }()
+	var wg sync.WaitGroup
+	var n atomic.Int64
+	ask := func() {
+		wg.Go(func() {
+			text := strings.Replace(readText, "X-Deadline-Ms: 60000", "X-Deadline-Ms: 900", 1)
+			nc, err := net.Dial("tcp", f.address)
+			if err != nil {
+				return
+			}
+			defer nc.Close()
+			fmt.Fprintf(nc, text, fmt.Sprint("z", n.Add(1)))
+			var a fasthttp.Response
+			_ = a.Read(bufio.NewReader(nc))
+		})
+	}
+	f.send(t, fmt.Sprintf(readText, "warm"))
+	for i := range r.at {
+		r.set(i, standnode.Refused)
+	}
+	for start := time.Now(); time.Since(start) < 4500*ms; time.Sleep(10 * ms) {
+		ask()
+	}
+	r.n.Forget()
+	r.set(1, standnode.None)
+	for start := time.Now(); time.Since(start) < 900*ms; time.Sleep(2 * ms) {
+		ask()
+	}
+	wg.Wait()
+	var first time.Time
+	units := 0
+	r.n.Each(func(_ string, all []standnode.Arrival) {
+		for _, a := range all {
+			if first.IsZero() || a.At.Before(first) {
+				first = a.At
+			}
+		}
+	})
+	r.n.Each(func(_ string, all []standnode.Arrival) {
+		for _, a := range all {
+			if a.At.Sub(first) <= 1000*ms {
+				units += 2
+			}
+		}
+	})
+	if units == 0 || float64(units) > set.ColdUnits+set.MostUnits { // one more at the edge of the second
+		t.Errorf("%d units in the first second of its return, and it bears %v", units, set.ColdUnits)
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -66,15 +66,15 @@
 	l.Index, l.Full = index.Int(), root.Get("snapshot").Bool()
 	for i, e := range entries.Array() {
 		n, bad, err := decodeNode(e)
-		for _, x := range bad {
-			l.Partly = append(l.Partly, fmt.Errorf("list: endpoints.%d (%.40q): %w", i, n.ID, x))
-		}
 		if err != nil {
 			name := e.Get("name").String()
 			l.Bad = append(l.Bad, fmt.Errorf("list: endpoints.%d (%.40q): %w", i, name, err))
 			l.named[name], l.blind = true, l.blind || name == ""
 			continue
 		}
+		for _, x := range bad {
+			l.Partly = append(l.Partly, fmt.Errorf("list: endpoints.%d (%.40q): %w", i, n.ID, x))
+		}
 		l.Nodes = append(l.Nodes, n)
 	}
 	return l, nil
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -206,3 +206,43 @@
 		t.Error("a watcher that ended took a move")
 	}
 }
+
+// An entry may name several addresses. A bad one is named and left out, and the node stays; an
+// entry with none that can be used is left out like any bad entry.
+func TestAddresses(t *testing.T) {
+	for _, x := range []struct{ fields, want, partly, bad string }{
+		{`"address":"127.0.0.1:1"`, "[127.0.0.1:1]", "", ""},
+		{`"address":"127.0.0.1:1","addresses":["unix:/run/a","[::1]:1"]`, "[unix:/run/a [::1]:1 127.0.0.1:1]", "", ""},
+		{`"addresses":["unix:/run/a","[::1]:1"]`, "[unix:/run/a [::1]:1]", "", ""},
+		{`"address":"[::1]:1","addresses":["unix:/run/a","[0::1]:1"]`, "[unix:/run/a [::1]:1]", "", ""},
+		{`"address":"127.0.0.1:1","addresses":["unix:a",7,"127.0.0.1:1","[::ffff:127.0.0.1]:1"]`, "[127.0.0.1:1]",
+			`addresses.1: not text|addresses.0 ("unix:a"): path: not absolute|the same as "127.0.0.1:1"`, ""},
+		{`"address":"what","addresses":["unix:/run/a"]`, "[unix:/run/a]", `address: "what": neither host:port`, ""},
+		{`"address":"127.0.0.1:1","addresses":"unix:/run/a"`, "", "", "addresses: not a list"},
+		{`"address":"what","addresses":[]`, "", "", "none of them can be used"},
+		{`"address":"127.0.0.1:0"`, "", "", `address: "127.0.0.1:0": port`},
+	} {
+		l, err := Decode([]byte(`{"index":1,"snapshot":true,"endpoints":[{"name":"n","group":0,"status":"active",` + x.fields + `}]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, partly, bad := "", "", ""
+		if len(l.Nodes) == 1 {
+			got = fmt.Sprint(l.Nodes[0].Addresses)
+		}
+		for _, e := range l.Partly {
+			partly += e.Error() + "\n"
+		}
+		for _, e := range l.Bad {
+			bad += e.Error() + "\n"
+		}
+		if got != x.want || !strings.Contains(bad, x.bad) || (x.bad == "") != (bad == "") || (x.partly == "") != (partly == "") {
+			t.Errorf("%s: %s, partly %q, bad %q", x.fields, got, partly, bad)
+		}
+		for _, part := range strings.Split(x.partly, "|") {
+			if !strings.Contains(partly, part) {
+				t.Errorf("%s: %q is not named in %q", x.fields, part, partly)
+			}
+		}
+	}
+}
