--- a/internal/httpfront/paths_test.go
+++ b/internal/httpfront/paths_test.go
@@ -35,6 +35,7 @@
 	p     core.Peer
 	hook  *logtest.Hook
 	count atomic.Int64
+	gate  atomic.Pointer[chan struct{}]
 }
 
 // quick are settings for tests that wait for a suspicion or a back-off.
@@ -48,11 +49,17 @@
 
 func newRouted(t *testing.T, set address.Settings, slow ...time.Duration) *routed {
 	t.Helper()
-	opt := standnode.Options{Name: "n", Shard: 0, Workers: 64, Identity: "X-Node"}
-	if len(slow) > 0 {
-		opt.Service = func(*fasthttp.Request) time.Duration { return slow[0] }
-	}
-	r := &routed{t: t, n: standnode.New(opt)}
+	r := &routed{t: t}
+	r.n = standnode.New(standnode.Options{Name: "n", Shard: 0, Workers: 64, Identity: "X-Node",
+		Service: func(*fasthttp.Request) (took time.Duration) {
+			if g := r.gate.Load(); g != nil {
+				<-*g // until the test lets it go on
+			}
+			if len(slow) > 0 {
+				took = slow[0]
+			}
+			return took
+		}})
 	t.Cleanup(r.n.Close)
 	for _, text := range []string{"unix:" + filepath.Join(t.TempDir(), "s"), "[::1]:0", "127.0.0.1:0"} {
 		a, err := r.n.Listen(text)
@@ -237,23 +244,31 @@
 		ends++
 	}
 	r.n.Forget()
+	gate := make(chan struct{})
+	r.gate.Store(&gate) // it is back, and answers nothing yet
 	r.set(2, standnode.None)
-	var wg sync.WaitGroup
-	var ok atomic.Int64
-	for range 200 { // all at once: those that find no connection end as never ran
+	var held chan core.Result
+	for held == nil || r.n.Counts().Requests == 0 {
 		_, got, _ := r.send(recordText, time.Minute)
-		wg.Go(func() {
-			if x := <-got; x.Status == choice.OK {
-				ok.Add(1)
-			} else if x.Status != choice.NoConn {
-				t.Errorf("%+v", x)
-			}
-		})
+		for len(got) == 0 && r.n.Counts().Requests == 0 {
+			time.Sleep(ms)
+		}
+		held = got
 	}
-	wg.Wait()
-	if n := r.n.Accepted(r.at[2]); n > 8 {
+	for range 200 { // while the one trial is out, the others end as never ran, and connect nothing
+		_, got, _ := r.send(recordText, time.Minute)
+		if x := <-got; x.Status != choice.NoConn {
+			t.Errorf("%+v", x)
+		}
+	}
+	if n := r.n.Accepted(r.at[2]); n != 1 {
 		t.Errorf("%d connects at its return", n)
 	}
+	r.gate.Store(nil)
+	close(gate)
+	if x := <-held; x.Status != choice.OK {
+		t.Errorf("the trial: %+v", x)
+	}
 	r.until("its return", func(by address.Addr) bool { return by == r.at[2] })
 	if id, _ := r.n.MostRuns(); id > 1 {
 		t.Errorf("%d executions of one request", id)
--- /dev/null
+++ b/internal/lab/arrival/schedule.go
@@ -0,0 +1,326 @@
+package arrival
+
+import (
+	"encoding/binary"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Request is one arrival. Its numbers stand for names that the shape and the sender give.
+type Request struct {
+	Seq    uint64        // from 0
+	At     time.Duration // after the start
+	Class  int           // index into the shape's
+	Plan   int
+	Volume int
+	Host   int    // which of the volume's hosts, from 0
+	Extent uint64 // the piece of data
+	Units  int
+	Shard  int    // -1: a new object, or a read of one whose place only its write's answer tells
+	Of     uint64 // 1 + Seq of the write that made the object that is read; 0: none
+	Surge  bool   // of a surging volume
+}
+
+// Schedule gives a shape's requests in turn.
+type Schedule struct {
+	shape   Shape
+	rng     *rand.Rand
+	until   time.Duration
+	seq     uint64
+	now     float64 // ms
+	class   []float64
+	units   []float64
+	volume  []float64 // cumulative shares
+	plans   []int     // by volume
+	busiest []swap
+	runs    []run   // by volume: the piece of data asked for in a row
+	made    []maker // new objects of late, a ring
+	nMade   int
+	surge   surge
+	hash    *xxhash.Digest
+	buf     [64]byte
+}
+
+type swap struct {
+	host int
+	at   float64 // of the next change, ms
+}
+
+type run struct {
+	extent uint64
+	left   int
+}
+
+type maker struct {
+	seq    uint64
+	volume int
+	extent uint64
+	at     float64
+}
+
+type surge struct {
+	from, to float64
+	volumes  []int
+}
+
+const (
+	madeMost = 512    // new objects remembered
+	madeSpan = 8000.0 // ms that a new object counts as one
+	madeRest = 300.0  // ms before it is read: its write has to be answered
+	rampStep = 20.0   // ms: a ramp is taken as that fine a stair
+)
+
+// New makes a shape's schedule up to a time; the shape must be good.
+func New(s Shape, seed uint64, until time.Duration) (*Schedule, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	a := &Schedule{shape: s, rng: rand.New(rand.NewPCG(seed, 0x6172726976616c)), until: until, hash: xxhash.New()}
+	for _, c := range s.Classes {
+		a.class = append(a.class, c.Share)
+	}
+	a.class, a.units = cumulate(a.class), cumulate(s.Units)
+	shares := make([]float64, s.Volumes)
+	for i := range shares {
+		shares[i] = math.Pow(float64(i+1), -s.Skew)
+	}
+	a.volume = cumulate(shares)
+	plan := make([]float64, 0, len(s.Plans))
+	for _, p := range s.Plans {
+		plan = append(plan, p.Share)
+	}
+	plan = cumulate(plan)
+	a.plans, a.busiest, a.runs = make([]int, s.Volumes), make([]swap, s.Volumes), make([]run, s.Volumes)
+	for i := range a.plans {
+		a.plans[i] = a.draw(plan)
+		a.busiest[i] = swap{a.rng.IntN(s.Hosts), a.span(s.SwapLow, s.SwapHigh) * a.rng.Float64()}
+	}
+	if u := s.Surges; u != nil {
+		from := u.First
+		if from == 0 {
+			from = a.rng.ExpFloat64() * u.Every
+		}
+		a.nextSurge(from)
+	} else {
+		a.surge.from = math.Inf(1)
+	}
+	return a, nil
+}
+
+func cumulate(w []float64) []float64 {
+	sum := 0.0
+	for _, x := range w {
+		sum += x
+	}
+	out, at := make([]float64, len(w)), 0.0
+	for i, x := range w {
+		at += x / sum
+		out[i] = at
+	}
+	out[len(out)-1] = 1
+	return out
+}
+
+// draw picks an index by cumulative shares.
+func (a *Schedule) draw(shares []float64) int {
+	x := a.rng.Float64()
+	low, high := 0, len(shares)-1
+	for low < high {
+		if mid := (low + high) / 2; shares[mid] > x {
+			high = mid
+		} else {
+			low = mid + 1
+		}
+	}
+	return low
+}
+
+func (a *Schedule) span(low, high float64) float64 { return low + a.rng.Float64()*(high-low) }
+
+func (a *Schedule) nextSurge(from float64) {
+	u := a.shape.Surges
+	a.surge.from, a.surge.to = from, from+a.span(u.Least, u.Most)
+	a.surge.volumes = a.surge.volumes[:0]
+	for range min(u.Volumes, a.shape.Volumes) {
+		a.surge.volumes = append(a.surge.volumes, a.draw(a.volume))
+	}
+}
+
+// rate is the rate at a time in requests a millisecond, and the time up to which it holds.
+func (a *Schedule) rate(at float64) (rate, until float64) {
+	times, end := 1.0, math.Inf(1)
+	for _, t := range a.shape.Steps {
+		switch {
+		case at < t.At:
+			end = math.Min(end, t.At)
+		case at < t.At+t.Over:
+			width := t.Over / math.Ceil(t.Over/rampStep)
+			stair := math.Floor((at-t.At)/width) * width
+			times += (t.Times - times) * math.Min(1, (stair+width/2)/t.Over)
+			end = math.Min(end, t.At+math.Min(stair+width, t.Over))
+		default:
+			times = t.Times
+		}
+		if at < t.At {
+			break
+		}
+	}
+	if at >= a.surge.from {
+		times, end = times*a.shape.Surges.Times, math.Min(end, a.surge.to)
+	} else {
+		end = math.Min(end, a.surge.from)
+	}
+	return a.shape.Rate * times / 1000, end
+}
+
+// Next gives the next request; false: the schedule has ended.
+func (a *Schedule) Next() (Request, bool) {
+	need := 1.0 // of the integral of the rate
+	if a.shape.Process == "poisson" {
+		need = a.rng.ExpFloat64()
+	}
+	limit := float64(a.until) / float64(time.Millisecond)
+	for {
+		if a.shape.Surges != nil && a.now >= a.surge.to {
+			a.nextSurge(a.surge.to + a.rng.ExpFloat64()*a.shape.Surges.Every)
+		}
+		rate, until := a.rate(a.now)
+		until = math.Max(until, math.Nextafter(a.now, math.Inf(1))) // or a rounded stair's end would hold it for ever
+		if step := need / rate; rate > 0 && a.now+step < until {
+			a.now += step
+			break
+		}
+		if until >= limit {
+			return Request{}, false
+		}
+		need -= (until - a.now) * rate
+		a.now = until
+	}
+	if a.now >= limit {
+		return Request{}, false
+	}
+	r := a.fill()
+	a.seq++
+	a.sum(&r)
+	return r, true
+}
+
+// fill draws what a request asks for.
+func (a *Schedule) fill() Request {
+	s := &a.shape
+	r := Request{Seq: a.seq, At: ms(a.now), Class: a.draw(a.class), Units: 1 + a.draw(a.units)}
+	if extra := 1 - 1/a.surgeTimes(); a.now >= a.surge.from && a.rng.Float64() < extra {
+		r.Volume, r.Surge = a.surge.volumes[a.rng.IntN(len(a.surge.volumes))], true
+	} else {
+		r.Volume = a.draw(a.volume)
+	}
+	r.Plan = a.plans[r.Volume]
+	r.Host = a.host(r.Volume)
+	class := &s.Classes[r.Class]
+	switch {
+	case class.Write && a.rng.Float64() < s.NewShare:
+		r.Extent, r.Shard = a.rng.Uint64()|1<<63, -1 // none that the volumes have
+		a.made, a.nMade = ring(a.made, a.nMade, maker{a.seq, r.Volume, r.Extent, a.now})
+		return r
+	case !class.Write && a.rng.Float64() < s.ReadNew:
+		if m, ok := a.lately(); ok {
+			r.Volume, r.Plan, r.Host = m.volume, a.plans[m.volume], a.host(m.volume)
+			r.Extent, r.Of, r.Shard = m.extent, m.seq+1, -1
+			return r
+		}
+	}
+	r.Extent = a.extent(r.Volume)
+	r.Shard = int(mix(r.Extent) % uint64(s.Shards))
+	return r
+}
+
+func (a *Schedule) surgeTimes() float64 {
+	if a.shape.Surges == nil {
+		return 1
+	}
+	return a.shape.Surges.Times
+}
+
+// host is the one that a volume's next request comes through.
+func (a *Schedule) host(volume int) int {
+	s := &a.shape
+	if s.Hosts == 1 {
+		return 0
+	}
+	if s.Uneven == 0 {
+		return a.rng.IntN(s.Hosts)
+	}
+	b := &a.busiest[volume]
+	for a.now >= b.at {
+		b.host = (b.host + 1 + a.rng.IntN(s.Hosts-1)) % s.Hosts
+		b.at += a.span(s.SwapLow, s.SwapHigh)
+	}
+	if a.rng.Float64() < s.Uneven {
+		return b.host
+	}
+	return (b.host + 1 + a.rng.IntN(s.Hosts-1)) % s.Hosts
+}
+
+// extent is the piece of data that a volume's next request is for: runs of them are for one.
+func (a *Schedule) extent(volume int) uint64 {
+	r := &a.runs[volume]
+	if r.left == 0 {
+		r.extent = mix(uint64(volume)<<32|uint64(a.rng.IntN(a.shape.Extents))) >> 1 // not of the new ones
+		r.left = 1 + a.rng.IntN(a.shape.Runs)
+	}
+	r.left--
+	return r.extent
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// lately is an object made a short while ago: any of those that are neither too fresh nor too old.
+func (a *Schedule) lately() (maker, bool) {
+	n := len(a.made)
+	at := func(i int) *maker { return &a.made[(a.nMade-n+i)%n] } // in the order of time
+	from := sort.Search(n, func(i int) bool { return at(i).at >= a.now-madeSpan })
+	to := sort.Search(n, func(i int) bool { return at(i).at > a.now-madeRest })
+	if from >= to {
+		return maker{}, false
+	}
+	return *at(from + a.rng.IntN(to-from)), true
+}
+
+func ring(r []maker, n int, m maker) ([]maker, int) {
+	if len(r) < madeMost {
+		return append(r, m), n + 1
+	}
+	r[n%madeMost] = m
+	return r, n + 1
+}
+
+// sum adds a request to the hash.
+func (a *Schedule) sum(r *Request) {
+	b := a.buf[:0]
+	surge := uint64(0)
+	if r.Surge {
+		surge = 1
+	}
+	for _, x := range [...]uint64{uint64(r.At), uint64(r.Class)<<32 | uint64(r.Plan), uint64(r.Volume)<<16 | uint64(r.Host), r.Extent,
+		uint64(r.Units)<<1 | surge, uint64(int64(r.Shard)), r.Of} {
+		b = binary.LittleEndian.AppendUint64(b, x)
+	}
+	_, _ = a.hash.Write(b)
+}
+
+// Hash is the xxhash of all requests given so far.
+func (a *Schedule) Hash() uint64 { return a.hash.Sum64() }
+
+// Given is how many requests have been given.
+func (a *Schedule) Given() uint64 { return a.seq }
