rehearse load: open-loop traffic against stand-in nodes and two daemons of its own

Need: the schedule and the runner had no command. Recordings, reports and metrics are still to come.

--- /dev/null
+++ b/cmd/rehearse/load.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v2"
+
+	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/lab/arrival"
+	"wheatsaddle/internal/lab/client"
+	"wheatsaddle/internal/lab/fleet"
+	"wheatsaddle/internal/lab/load"
+	"wheatsaddle/internal/pace"
+)
+
+const (
+	serviceUnit = 2 * time.Millisecond // mean work of a unit at a stand-in node
+	nodeWorkers = 4
+	daemonMB    = 192
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name: "load", Usage: "open-loop load against schedulers; without --target on stand-ins and two schedulers of its own",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "target", Usage: "`HOST:PORT` of a scheduler; may be given again"},
+			&cli.StringFlag{Name: "shape", Usage: "traffic from the JSON `FILE`; see rehearse shape-schema"},
+			&cli.Float64Flag{Name: "rate", Usage: "requests a second, over the shape's"},
+			&cli.DurationFlag{Name: "for", Value: 20 * time.Second, Usage: "length"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of the schedule"},
+			&cli.IntFlag{Name: "open", Value: 4096, Usage: "requests out at once, at most"},
+			&cli.IntFlag{Name: "conns", Value: 512, Usage: "connections to one scheduler, at most"},
+			&cli.BoolFlag{Name: "retry", Value: true, Usage: "clients send once more what was refused or reset"},
+			&cli.StringFlag{Name: "json", Usage: "write the results to `FILE`"},
+		},
+		Action: runLoad,
+	}
+}
+
+func readShape(c *cli.Context) (arrival.Shape, error) {
+	s := arrival.Default()
+	if file := c.String("shape"); file != "" {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return s, fmt.Errorf("shape: %w", err)
+		}
+		if err := config.CheckSchema("shape", arrival.Schema, text); err != nil {
+			return s, err
+		}
+		if s, err = arrival.Parse(text); err != nil {
+			return s, err
+		}
+	} else {
+		s.Surges.First = 6000 // so that a short run has one
+	}
+	if c.IsSet("rate") {
+		s.Rate = c.Float64("rate")
+	}
+	return s, s.Check()
+}
+
+func runLoad(c *cli.Context) error {
+	log, err := logger(c)
+	if err == nil {
+		err = noArguments(c)
+	}
+	if err != nil {
+		return err
+	}
+	if c.Duration("for") <= 0 || c.Int("open") < 1 || c.Int("conns") < 1 {
+		return usage{errors.New("for, open and conns must be above 0")}
+	}
+	shape, err := readShape(c)
+	if err != nil {
+		return err
+	}
+	targets := c.StringSlice("target")
+	var own *fleet.Fleet
+	if len(targets) == 0 {
+		own, err = fleet.Start(c.Context, fleet.Options{Shape: shape, Schedulers: 2, Service: serviceUnit, Workers: nodeWorkers,
+			Seed: c.Uint64("seed"), MemoryMB: daemonMB, Log: log})
+		if err != nil {
+			return err
+		}
+		defer own.Close()
+		targets = own.Targets
+		log.WithFields(logrus.Fields{"nodes": len(own.Nodes), "schedulers": len(targets)}).Info("started")
+	}
+	schedule, err := arrival.New(shape, c.Uint64("seed"), c.Duration("for"))
+	if err != nil {
+		return err
+	}
+	opt := load.Options{Shape: shape, Source: schedule, Run: fmt.Sprintf("%x", c.Uint64("seed")), MostOpen: c.Int("open"),
+		Retry: c.Bool("retry"), Wait: 50 * time.Millisecond, Bounds: pace.Defaults()}
+	for _, to := range targets {
+		p := &client.Pool{Address: to, Most: c.Int("conns")}
+		defer p.Close()
+		opt.Pools = append(opt.Pools, p)
+	}
+	log.WithFields(logrus.Fields{"rate": shape.Rate, "for": c.Duration("for"), "seed": c.Uint64("seed")}).Info("sending")
+	res, err := load.Run(c.Context, opt)
+	if err != nil {
+		return err
+	}
+	if err := res.Print(c.App.Writer); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.App.Writer, "schedule of %d requests, hash %016x\n", schedule.Given(), schedule.Hash())
+	if own != nil {
+		if err := own.Stop(); err != nil {
+			return err
+		}
+		fmt.Fprintf(c.App.Writer, "processor time of the schedulers: %v, %v a request\n", own.CPU().Round(time.Millisecond),
+			(own.CPU() / time.Duration(max(1, res.Notes.Sent))).Round(time.Microsecond))
+	}
+	if err := writeJSON(c.String("json"), res); err != nil {
+		return err
+	}
+	if v := res.Notes.Judge(); !v.Valid {
+		return bound("the run is not valid: " + v.Reasons[0])
+	}
+	return nil
+}
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -17,6 +17,7 @@
 	"github.com/urfave/cli/v2"
 
 	"wheatsaddle/internal/lab/addresses"
+	"wheatsaddle/internal/lab/arrival"
 )
 
 // The exit codes.
@@ -70,7 +71,11 @@
 			}
 			return cli.ShowAppHelp(c)
 		},
-		Commands: []*cli.Command{addressesCommand()},
+		Commands: []*cli.Command{addressesCommand(), loadCommand(),
+			{Name: "shape-schema", Usage: "print the JSON Schema of a shape of traffic", Action: func(c *cli.Context) error {
+				_, err := c.App.Writer.Write(arrival.Schema)
+				return err
+			}}},
 	}
 	for _, c := range a.Commands {
 		c.OnUsageError = onUsage
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -9,7 +9,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -46,17 +45,30 @@
 
 const socketMode = 0o600
 
-var siteSchema = sync.OnceValues(func() (*jsonschema.Schema, error) {
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(SiteSchema))
+// CheckSchema holds a JSON text against a schema; the error begins with the file's kind, names
+// the key and says what it must be.
+func CheckSchema(kind string, schema, text []byte) error {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err != nil {
-		return nil, err
+		return fmt.Errorf("%s: not valid JSON: %w", kind, err)
+	}
+	form, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		return fmt.Errorf("%s: schema: %w", kind, err)
 	}
 	c := jsonschema.NewCompiler()
-	if err := c.AddResource("wheatsaddle:site", doc); err != nil {
-		return nil, err
+	if err := c.AddResource("wheatsaddle:"+kind, form); err != nil {
+		return fmt.Errorf("%s: schema: %w", kind, err)
+	}
+	s, err := c.Compile("wheatsaddle:" + kind)
+	if err != nil {
+		return fmt.Errorf("%s: schema: %w", kind, err)
 	}
-	return c.Compile("wheatsaddle:site")
-})
+	if err := s.Validate(doc); err != nil {
+		return schemaError(kind, err)
+	}
+	return nil
+}
 
 // LoadSite reads the site's file. The error names the key and what it must be.
 func LoadSite(path string) (*Site, error) {
@@ -69,16 +81,9 @@
 
 // ParseSite checks a text against the schema and what a schema cannot say, and reads it.
 func ParseSite(text []byte) (*Site, error) {
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	err := CheckSchema("site", SiteSchema, text)
 	if err != nil {
-		return nil, fmt.Errorf("site: not valid JSON: %w", err)
-	}
-	schema, err := siteSchema()
-	if err != nil {
-		return nil, fmt.Errorf("site: schema: %w", err)
-	}
-	if err := schema.Validate(doc); err != nil {
-		return nil, schemaError("site", err)
+		return nil, err
 	}
 	r := &reader{root: gjson.ParseBytes(text)}
 	s := &Site{Listen: map[string][]Listener{}}
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -26,18 +26,19 @@
 
 // Options make a node.
 type Options struct {
-	Name     string
-	Shard    int
-	Workers  int                                   // requests that run at once; 0: 8
-	Queue    int                                   // that wait; 0: 64
-	Service  func(*fasthttp.Request) time.Duration // how long a request runs; nil: no time
-	Memory   time.Duration                         // of keys; 0: 2.5 s
-	Slow     time.Duration                         // added by the fault Slow; 0: 400 ms
-	Answers  int                                   // on one connection, which then closes; 0: any number
-	Conns    int                                   // connections; 0: any number
-	Probes   bool                                  // /health/live and /stats
-	Identity string                                // header in which it says its name; empty: it does not
-	Body     []byte                                // of an answer; nil: the request's id
+	Name      string
+	Shard     int
+	Workers   int                                   // requests that run at once; 0: 8
+	Queue     int                                   // that wait; 0: 64
+	Service   func(*fasthttp.Request) time.Duration // how long a request runs; nil: no time
+	Memory    time.Duration                         // of keys; 0: 2.5 s
+	Slow      time.Duration                         // added by the fault Slow; 0: 400 ms
+	Answers   int                                   // on one connection, which then closes; 0: any number
+	Conns     int                                   // connections; 0: any number
+	Probes    bool                                  // /health/live and /stats
+	Identity  string                                // header in which it says its name; empty: it does not
+	Body      []byte                                // of an answer; nil: the request's id
+	TellShard bool                                  // answers end with shard=N, so that clients know where a new object was put
 }
 
 // Counts are what a node has seen.
@@ -368,6 +369,9 @@
 	if body == nil {
 		body = []byte(id)
 	}
+	if n.opt.TellShard {
+		body = fmt.Appendf(slices.Clip(body), " shard=%d", n.opt.Shard)
+	}
 	return l.answer(fasthttp.StatusOK, body, last, l.name(f))
 }
 
