--- a/internal/lab/addresses/addresses.go
+++ b/internal/lab/addresses/addresses.go
@@ -368,7 +368,8 @@
 		for _, n := range []int{3, 1} {
 			for _, c := range Classes {
 				row := Row{Fault: f.String(), Class: c.Name, Addresses: n, Least: math.Inf(1), Ends: map[string]int{}}
-				var served, inAim, p50, p99, connects, later []float64
+				var served, inAim, p50, p99, connects []float64
+				later, after := 0, 0 // over all rounds: one connect is several hundredths of a round's
 				for round := range opt.Rounds {
 					o := got[scenario{f, n, round}]
 					t := o.classes[c.Name]
@@ -393,10 +394,10 @@
 						whole += x.sent
 					}
 					connects = append(connects, float64(o.connects)/max(1, float64(whole)))
-					later = append(later, float64(o.later)/max(1, float64(o.after)))
+					later, after = later+o.later, after+o.after
 				}
 				row.Served, row.InAim, row.P50, row.P99 = median(served), median(inAim), median(p50), median(p99)
-				row.Connects, row.Later = median(connects), median(later)
+				row.Connects, row.Later = median(connects), float64(later)/max(1, float64(after))
 				row.Failed = 1 - row.Served
 				key := fmt.Sprint(c.Name, n)
 				if f == node.None {
