The clients' listener is the socket passed as ROUTER_PASSED_SOCKET where one is

Change: sock.Passed makes the listener of the inherited descriptor (the variable's number, 3 by default), checks that it is a stream socket and makes it listen if it does not yet; config reads ROUTER_PASSED_SOCKET and the key operator / ROUTER_OPERATOR.

--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -19,6 +19,7 @@
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/httpfront"
 	"wheatsaddle/internal/registry"
+	"wheatsaddle/internal/sock"
 )
 
 const (
@@ -163,9 +164,9 @@
 	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Known: known.Nodes, Tell: co.List, Log: log}
 	go watcher.Run(ctx)
 
-	ln, err := net.Listen("tcp", conf.Listen)
+	ln, err := clientListener(conf, log)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
 	if ln, err = at.listen("http", ln); err != nil {
 		return err
@@ -216,3 +217,20 @@
 	log.Info("stopped")
 	return nil
 }
+
+// clientListener is the clients' socket: the platform's, where it passes one, else bound here.
+func clientListener(conf *config.Config, log logrus.FieldLogger) (net.Listener, error) {
+	if conf.Passed == "" {
+		ln, err := net.Listen("tcp", conf.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return ln, nil
+	}
+	ln, err := sock.Passed(conf.Passed)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	log.WithFields(logrus.Fields{"passed": conf.Passed, "address": ln.Addr().String()}).Info("listening on the passed socket")
+	return ln, nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,8 @@
 // Config is what one scheduler is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Operator                string // the operators' address; "": none
+	Passed                  string // ROUTER_PASSED_SOCKET: the clients' socket is inherited; "": it is bound
 	Seed                    int64
 	Cores                   float64
 	MemoryMB, Sockets       int
@@ -81,13 +83,19 @@
 	}
 	c := &Config{
 		Name: either("name", "ROUTER_NAME"), Listen: either("listen", "ROUTER_LISTEN"),
-		Discovery: either("discovery", "ROUTER_DISCOVERY"),
-		Cores:     r.num("limits.cores", defaultCores, 0.01), MemoryMB: int(r.num("limits.memory_mb", defaultMemoryMB, 16)),
+		Discovery: either("discovery", "ROUTER_DISCOVERY"), Operator: either("operator", "ROUTER_OPERATOR"),
+		Passed: env("ROUTER_PASSED_SOCKET"),
+		Cores:  r.num("limits.cores", defaultCores, 0.01), MemoryMB: int(r.num("limits.memory_mb", defaultMemoryMB, 16)),
 		Sockets: int(r.num("limits.sockets", defaultSockets, 64)),
 	}
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		r.fail("listen: %q is not host:port", c.Listen)
 	}
+	if c.Operator != "" {
+		if _, _, err := net.SplitHostPort(c.Operator); err != nil {
+			r.fail("operator: %q is not host:port", c.Operator)
+		}
+	}
 	if c.Discovery == "" {
 		r.fail("discovery: %w", errNoDiscovery)
 	} else if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
--- /dev/null
+++ b/internal/sock/passed.go
@@ -0,0 +1,52 @@
+package sock
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+)
+
+// PassedDescriptor is the descriptor of a listening socket that the platform hands over, where
+// the variable that names it says no other.
+const PassedDescriptor = 3
+
+// Passed makes a listener of a socket that the process inherited. name is what the platform set
+// in its variable: a descriptor's number, or anything else for PassedDescriptor. The descriptor
+// must be a listening TCP socket; it stays the platform's, and the listener holds a copy.
+func Passed(name string) (net.Listener, error) {
+	fd := PassedDescriptor
+	if n, err := strconv.Atoi(strings.TrimPrefix(strings.TrimSpace(name), "fd:")); err == nil {
+		fd = n
+	}
+	if fd < 0 {
+		return nil, fmt.Errorf("passed socket %q: no descriptor", name)
+	}
+	kind, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_TYPE)
+	if err != nil {
+		return nil, fmt.Errorf("passed socket %q: descriptor %d: %w", name, fd, err)
+	}
+	if kind != syscall.SOCK_STREAM {
+		return nil, fmt.Errorf("passed socket %q: descriptor %d is no stream socket", name, fd)
+	}
+	// One that is bound and not yet listening is made to listen; listen(2) on one that
+	// listens already only sets its backlog.
+	if listening, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil || listening != 1 {
+		if err := syscall.Listen(fd, syscall.SOMAXCONN); err != nil {
+			return nil, fmt.Errorf("passed socket %q: descriptor %d does not listen: %w", name, fd, err)
+		}
+	}
+	f := os.NewFile(uintptr(fd), "passed socket")
+	defer f.Close()
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("passed socket %q: %w", name, err)
+	}
+	if _, ok := ln.(*net.TCPListener); !ok {
+		ln.Close()
+		return nil, fmt.Errorf("passed socket %q: descriptor %d is no TCP socket", name, fd)
+	}
+	return ln, nil
+}
