The operators' door: ready, telemetry counted in core, and its own capped connections

Change: internal/operator serves the four calls on the address of operator / ROUTER_OPERATOR, one call a connection, 700 ms to read it, at most 32 open with the oldest closed for a newcomer. core.Counts counts passed, dropped and bad_gateway at the one final answer, upstream_tries when a node actor has written an attempt's last byte, in_progress between taking and the end, known and skipped nodes at each list and every 100 ms (choice.Avoided: silent or resting nodes), loads and load_errors at SIGHUP. The front's own refusals go through core.Refuse, so they are counted. Exclude and include answer a no for now.

--- a/choice/state.go
+++ b/choice/state.go
@@ -381,3 +381,14 @@
 		n.served = n.served[:0]
 	}
 }
+
+// Avoided counts the listed nodes that the list gives as up and that this instance keeps work
+// from for now: silent ones, and those resting after failures. It decides nothing.
+func (s *Scheduler) Avoided() (n int) {
+	for _, x := range s.listed {
+		if x.State == NodeUp && (x.silent || x.window < 1 && len(x.out) == 0 && s.now < x.next) {
+			n++
+		}
+	}
+	return n
+}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/httpfront"
+	"wheatsaddle/internal/operator"
 	"wheatsaddle/internal/registry"
 	"wheatsaddle/internal/sock"
 )
@@ -31,6 +33,7 @@
 	answerMargin = 200 * time.Millisecond // ... what is open is answered ...
 	stopPoll     = 20 * time.Millisecond
 	exitMargin   = 100 * time.Millisecond // ... and the program ends
+	listWait     = time.Second            // ready without discovery's word after this
 	descriptors  = 32                     // kept for the listeners, discovery and the runtime
 	clientShare  = 0.5                    // of the other descriptors; clients with requests hold a third at most, nodes have the rest
 	bodyShare    = 4                      // one part of the memory is for long bodies
@@ -161,8 +164,24 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Known: known.Nodes, Tell: co.List, Log: log}
+	var listed, serving atomic.Bool // discovery has answered; the clients' listener is taken
+	started := time.Now()
+	tell := func(n core.News) {
+		co.List(n)
+		if n.Kind == choice.ListFull || n.Kind == choice.ListChange {
+			listed.Store(true)
+		}
+	}
+	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Known: known.Nodes, Tell: tell, Log: log}
 	go watcher.Run(ctx)
+	// Ready: the clients' socket is served and the list is discovery's, or discovery has been
+	// waited for long enough.
+	ready := func() bool { return serving.Load() && (listed.Load() || time.Since(started) > listWait) }
+	door, err := openDoor(conf, ready, co, log)
+	if err != nil {
+		return err
+	}
+	defer door.Close()
 
 	ln, err := clientListener(conf, log)
 	if err != nil {
@@ -174,12 +193,15 @@
 	srv := httpfront.NewServer(co, conf.Settings, clients, log)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(ln, clients) }()
+	serving.Store(true)
 	log.WithFields(logrus.Fields{"name": conf.Name, "listen": conf.Listen, "nodes": len(known.Nodes), "version": version}).Info("serving")
 	go func() { // also while it stops: what is open still needs the list
 		for held := conf; ; {
 			select {
 			case <-hup:
-				held = reload(ctx, held, os.Getenv, watcher.Move, log)
+				next := reload(ctx, held, os.Getenv, watcher.Move, log)
+				co.Counts().Loaded(next != held)
+				held = next
 				at.reload()
 				blocks.reload(conf, log)
 			case <-ctx.Done():
@@ -192,6 +214,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-term:
 	}
+	serving.Store(false) // another process is to serve the clients now
 	kill := time.Now().Add(graceOf(conf))
 	log.Info("stopping: accepting a little longer")
 	time.Sleep(newcomersFor)
@@ -234,3 +257,24 @@
 	log.WithFields(logrus.Fields{"passed": conf.Passed, "address": ln.Addr().String()}).Info("listening on the passed socket")
 	return ln, nil
 }
+
+// openDoor starts the operators' door, where the configuration names one.
+func openDoor(conf *config.Config, ready func() bool, co *core.Core, log logrus.FieldLogger) (*operator.Door, error) {
+	door := &operator.Door{Ready: ready, Counts: co.Counts().Read, Log: log,
+		Exclude: func(string) error { return errors.New("excluding is not built yet") },
+		Include: func(string) error { return errors.New("including is not built yet") }}
+	if conf.Operator == "" {
+		return door, nil
+	}
+	ln, err := net.Listen("tcp", conf.Operator)
+	if err != nil {
+		return nil, fmt.Errorf("operator: %w", err)
+	}
+	go func() {
+		if err := door.Serve(ln); err != nil {
+			log.WithError(err).Error("the operators' door has closed")
+		}
+	}()
+	log.WithField("operator", conf.Operator).Info("the operators' door is open")
+	return door, nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,6 +25,9 @@
 	// guardAfter past a request's end the guard fails what the module has left open.
 	guardAfter = 5 * time.Millisecond
 	answerIdle = time.Hour // wait of the loop with no timer set
+	// avoidedEvery is how often the nodes that the module avoids are counted, in ms: telemetry
+	// may lag 0.5 s.
+	avoidedEvery = 100
 )
 
 // Kind tells how a request ended.
@@ -75,6 +78,7 @@
 	Until time.Time
 	at    float64
 	entry *entry
+	count *classCounts // nil: a class that is not counted
 	once  sync.Once
 	peer  Peer
 	done  func(Result)
@@ -96,6 +100,13 @@
 	Bad bool
 }
 
+// Written counts the attempt as written whole to its node: its last byte went out.
+func (a *Attempt) Written() {
+	if a.count != nil {
+		a.count.tries.Add(1)
+	}
+}
+
 // Done reports an attempt's end; only the first report counts. It may wait for the module's
 // mailbox, so it is for the peers' own goroutines.
 func (a *Attempt) Done(r Result) {
@@ -190,6 +201,8 @@
 	events  []choice.Event
 	actions []choice.Action
 	batch   []message
+	counts  *Counts
+	avoided float64 // when the nodes avoided by choice were last counted
 }
 
 // New checks the settings and starts the actor.
@@ -203,9 +216,12 @@
 		ended: make(chan struct{}), origin: now, base: float64(now.UnixMicro()) / 1000,
 		reqs: map[string]*entry{}, peers: map[string]Peer{}, nodes: map[string]Node{},
 		classes: map[string]bool{}, plans: map[string]bool{}}
+	names := []string{}
 	for _, k := range opt.Settings.Classes {
 		c.classes[k.Name] = true
+		names = append(names, k.Name)
 	}
+	c.counts = newCounts(names)
 	for _, p := range opt.Settings.Plans {
 		c.plans[p.Name] = true
 	}
@@ -223,15 +239,25 @@
 	return c.origin.Add(time.Duration((at - c.base) * float64(time.Millisecond)))
 }
 
+// Counts are the figures of this core.
+func (c *Core) Counts() *Counts { return c.counts }
+
 // Submit hands over a request. With the mailbox full it is refused on the spot.
 func (c *Core) Submit(r *Request) {
 	select {
 	case c.mail <- message{arrival: r}:
 	default:
-		r.Answer(Answer{Kind: Refused, RetryAfter: 100 * time.Millisecond})
+		c.Refuse(r, 100*time.Millisecond)
 	}
 }
 
+// Refuse answers a request at once as refused, without the module: a front that keeps some
+// connections free refuses what would take them. It is counted as the module's refusals are.
+func (c *Core) Refuse(r *Request, wait time.Duration) {
+	c.counts.ended(r.Class, Refused)
+	r.Answer(Answer{Kind: Refused, RetryAfter: wait})
+}
+
 // Depart tells that the client of a request has gone.
 func (c *Core) Depart(r *Request) { c.post(message{depart: r}) }
 
@@ -343,6 +369,10 @@
 			c.settle(d.guard)
 		}
 	}
+	if now-c.avoided >= avoidedEvery {
+		c.avoided = now
+		c.tally()
+	}
 	if len(c.events) == 0 {
 		return
 	}
@@ -398,6 +428,7 @@
 			return
 		}
 		e.answered = true // nobody is left to answer
+		c.counts.progress.Add(-1)
 		c.events = append(c.events, choice.Event{Kind: choice.Departed, ID: e.req.ID})
 		c.settle(e)
 	case m.attempt != nil:
@@ -421,9 +452,11 @@
 		cause = CauseTwice // guards an open request against another with its id
 	}
 	if cause != "" {
+		c.counts.ended(r.Class, Failed)
 		r.Answer(Answer{Kind: Failed, Cause: cause})
 		return
 	}
+	c.counts.progress.Add(1)
 	r.NotAfter = c.clock(r.Arrived.Add(r.Patience - clientMargin))
 	e := &entry{req: r}
 	c.reqs[r.ID] = e
@@ -454,6 +487,8 @@
 func (c *Core) answer(e *entry, a Answer) {
 	if !e.answered {
 		e.answered = true
+		c.counts.progress.Add(-1)
+		c.counts.ended(e.req.Class, a.Kind)
 		e.req.Answer(a)
 	}
 }
@@ -517,7 +552,7 @@
 		until = a.Until
 	}
 	t := NewAttempt(e.req, c.wall(until), nil)
-	t.No, t.Node, t.at, t.entry = len(e.attempts), a.Node, now, e
+	t.No, t.Node, t.at, t.entry, t.count = len(e.attempts), a.Node, now, e, c.counts.of(e.req.Class)
 	t.done = func(r Result) { c.post(message{attempt: t, result: r}) }
 	e.attempts = append(e.attempts, t)
 	e.open++
@@ -569,6 +604,20 @@
 		}
 	}
 	c.events = append(c.events, ev)
+	c.tally()
+}
+
+// tally counts the nodes of the list, and those that are avoided: by the list or by hand, or
+// by the module's choice.
+func (c *Core) tally() {
+	skipped := c.mod.Avoided()
+	for _, n := range c.nodes {
+		if n.State != choice.NodeUp {
+			skipped++
+		}
+	}
+	c.counts.known.Store(int64(len(c.nodes)))
+	c.counts.skipped.Store(int64(skipped))
 }
 
 func (c *Core) leave(id string) {
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -439,6 +439,7 @@
 		unwatch()
 		return ended(j.ctx, choice.NoConn), false, true // the last byte was not written: it has not run
 	}
+	a.Written()
 	if cap(c.out) > keptSpace {
 		c.out = nil
 	}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -122,10 +122,6 @@
 		ctx.SetConnectionClose() // what follows may be the rest of it
 		return
 	}
-	if s.keep.Load() && s.ln.Load().Scarce() {
-		write(ctx, core.Answer{Kind: core.Refused, RetryAfter: scarceWait})
-		return
-	}
 	r.Arrived = time.Now()
 	got := make(chan core.Answer, 1)
 	var gone atomic.Bool
@@ -144,6 +140,11 @@
 			drop()
 		}
 	}
+	if s.keep.Load() && s.ln.Load().Scarce() {
+		s.Core.Refuse(r, scarceWait)
+		write(ctx, <-got)
+		return
+	}
 	conn := ctx.Conn().(*sock.Conn) // Serve wraps its listener
 	left := conn.Watch()
 	s.Core.Submit(r)
--- /dev/null
+++ b/internal/operator/door.go
@@ -0,0 +1,203 @@
+// Package operator is the operators' door: a second address, solely for operators, with four
+// calls (ready, telemetry, exclude, include). It decides nothing of the data path; it reads the
+// counts of core and hands excludes and includes to whoever holds them.
+//
+// Every answer is due within a second under any load, beside callers that hold a connection
+// for seconds without a whole call. So the door has its own connections, goroutines and caps:
+// at most connsMost open, the oldest closed for a newcomer, each with readFor to bring its call
+// and writeFor to take the answer, and one call a connection.
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/internal/core"
+)
+
+const (
+	connsMost = 32
+	readFor   = 700 * time.Millisecond
+	writeFor  = 300 * time.Millisecond
+	callMost  = 4 << 10 // bytes of a call's head; calls have no body
+)
+
+// ErrUnknown says that an id was never listed: the call is owed a no, and nothing changes.
+var ErrUnknown = errors.New("no storage node of that id was ever listed")
+
+// Door serves the calls. The funcs must answer within a few hundred milliseconds.
+type Door struct {
+	Ready   func() bool
+	Counts  func() core.Figures
+	Exclude func(id string) error // nil: done; ErrUnknown: a no of 404; else a no of 503
+	Include func(id string) error
+	Log     logrus.FieldLogger
+	srv     *fasthttp.Server
+}
+
+// Serve answers on ln until Close.
+func (d *Door) Serve(ln net.Listener) error {
+	d.srv = &fasthttp.Server{
+		Handler: d.handle, ErrorHandler: refuse, ReadTimeout: readFor, WriteTimeout: writeFor,
+		IdleTimeout: readFor, MaxRequestsPerConn: 1, ReadBufferSize: callMost, MaxRequestBodySize: callMost,
+		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true,
+		DisableKeepalive: true, Logger: quiet{d.Log},
+	}
+	return d.srv.Serve(capped(ln, connsMost))
+}
+
+// Close stops the door; calls under way end.
+func (d *Door) Close() error {
+	if d.srv == nil {
+		return nil
+	}
+	return d.srv.Shutdown()
+}
+
+type quiet struct{ log logrus.FieldLogger }
+
+func (q quiet) Printf(form string, args ...any) {
+	if q.log != nil {
+		q.log.Debugf(form, args...)
+	}
+}
+
+func refuse(ctx *fasthttp.RequestCtx, err error) {
+	ctx.Error("the call cannot be read: "+err.Error(), fasthttp.StatusBadRequest)
+}
+
+func no(ctx *fasthttp.RequestCtx, code int, why string) {
+	ctx.SetStatusCode(code)
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(why + "\n")
+}
+
+func (d *Door) handle(ctx *fasthttp.RequestCtx) {
+	ctx.SetConnectionClose()
+	path, method := string(ctx.Path()), string(ctx.Method())
+	want := map[string]string{"/api/ready": "GET", "/api/telemetry": "GET", "/api/exclude": "PUT", "/api/include": "PUT"}[path]
+	switch {
+	case want == "":
+		no(ctx, fasthttp.StatusNotFound, "no such call: "+path)
+		return
+	case method != want && !(want == "GET" && method == "HEAD"):
+		ctx.Response.Header.Set("Allow", want)
+		no(ctx, fasthttp.StatusMethodNotAllowed, path+" is called with "+want)
+		return
+	}
+	switch path {
+	case "/api/ready":
+		if !d.Ready() {
+			no(ctx, fasthttp.StatusServiceUnavailable, "not ready")
+			return
+		}
+		ctx.SetContentType("text/plain; charset=utf-8")
+		ctx.SetBodyString("ready\n")
+	case "/api/telemetry":
+		ctx.SetContentType("application/json")
+		ctx.SetBody(Encode(d.Counts()))
+	default:
+		args := ctx.QueryArgs()
+		who := args.Peek("who")
+		if len(args.PeekMulti("who")) != 1 || !id(who) {
+			no(ctx, fasthttp.StatusBadRequest, "who: one storage node id is wanted, as in ?who=s-5be2a07c")
+			return
+		}
+		do := d.Exclude
+		if path == "/api/include" {
+			do = d.Include
+		}
+		switch err := do(string(who)); {
+		case errors.Is(err, ErrUnknown):
+			no(ctx, fasthttp.StatusNotFound, string(who)+": "+err.Error())
+		case err != nil:
+			no(ctx, fasthttp.StatusServiceUnavailable, string(who)+": "+err.Error())
+		default:
+			ctx.SetContentType("text/plain; charset=utf-8")
+			ctx.SetBodyString("done\n")
+		}
+	}
+}
+
+// id says whether a text may be a storage node's name.
+func id(v []byte) bool {
+	if len(v) == 0 || len(v) > 256 {
+		return false
+	}
+	for _, b := range v {
+		if b <= ' ' || b >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// Encode writes the figures in the form DAYS.md gives.
+func Encode(f core.Figures) []byte {
+	text, _ := json.Marshal(struct {
+		Passed     map[string]int64 `json:"passed"`
+		Dropped    map[string]int64 `json:"dropped"`
+		BadGateway map[string]int64 `json:"bad_gateway"`
+		Tries      map[string]int64 `json:"upstream_tries"`
+		InProgress int64            `json:"in_progress"`
+		Known      int64            `json:"known_storage_nodes"`
+		Skipped    int64            `json:"skipped_storage_nodes"`
+		Loads      int64            `json:"loads"`
+		LoadErrors int64            `json:"load_errors"`
+	}{f.Passed, f.Dropped, f.BadGateway, f.Tries, f.InProgress, f.Known, f.Skipped, f.Loads, f.LoadErrors})
+	return text
+}
+
+// pool keeps at most most connections open: a newcomer at the cap closes the oldest, which a
+// caller that never finishes its call holds longest.
+type pool struct {
+	net.Listener
+	most int
+	mu   sync.Mutex
+	open []*held
+}
+
+type held struct {
+	net.Conn
+	from *pool
+	once sync.Once
+}
+
+func capped(ln net.Listener, most int) *pool { return &pool{Listener: ln, most: most} }
+
+// Accept implements net.Listener.
+func (c *pool) Accept() (net.Conn, error) {
+	nc, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	h := &held{Conn: nc, from: c}
+	c.mu.Lock()
+	var oldest *held
+	if len(c.open) >= c.most {
+		oldest = c.open[0]
+	}
+	c.open = append(c.open, h)
+	c.mu.Unlock()
+	if oldest != nil {
+		oldest.Close()
+	}
+	return h, nil
+}
+
+// Close implements net.Conn.
+func (h *held) Close() error {
+	h.once.Do(func() {
+		h.from.mu.Lock()
+		h.from.open = slices.DeleteFunc(h.from.open, func(o *held) bool { return o == h })
+		h.from.mu.Unlock()
+	})
+	return h.Conn.Close()
+}
