Exclude and include by hand: a book in core's actor, kept in TMPDIR across processes

Change: internal/exclusion, a book without I/O: ids ever listed (4096), out (1024) and included of late; it shows an excluded node as draining and an included one as started no earlier than its include, so that the module takes it for cold. core owns it, takes operators' calls by a channel before its mailbox (500 ms at most, then a no), drains the peer and tells the module before the yes. internal/exclusion/store keeps it as JSON in TMPDIR, written beside and renamed under an flock; every process reads it back every 100 ms, and a torn, foreign or spoilt file is ignored with a log line.

--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -155,7 +155,8 @@
 		ConnsMost: int64(max(1, sockets-clients)),
 		Bodies:    semaphore.NewWeighted(int64(conf.MemoryMB) << 20 / bodyShare),
 		Safe:      safeClasses(conf.Settings), Routes: at.routes, Log: log}
-	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log})
+	kept, excluded := keptExclusions(conf.Name, log)
+	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log, Excluded: excluded})
 	if err != nil {
 		return err
 	}
@@ -177,7 +178,9 @@
 	// Ready: the clients' socket is served and the list is discovery's, or discovery has been
 	// waited for long enough.
 	ready := func() bool { return serving.Load() && (listed.Load() || time.Since(started) > listWait) }
-	door, err := openDoor(conf, ready, co, log)
+	keep := &keeper{store: kept, core: co, log: log}
+	go keep.watch(ctx)
+	door, err := openDoor(conf, ready, co, keep, log)
 	if err != nil {
 		return err
 	}
@@ -259,10 +262,8 @@
 }
 
 // openDoor starts the operators' door, where the configuration names one.
-func openDoor(conf *config.Config, ready func() bool, co *core.Core, log logrus.FieldLogger) (*operator.Door, error) {
-	door := &operator.Door{Ready: ready, Counts: co.Counts().Read, Log: log,
-		Exclude: func(string) error { return errors.New("excluding is not built yet") },
-		Include: func(string) error { return errors.New("including is not built yet") }}
+func openDoor(conf *config.Config, ready func() bool, co *core.Core, keep *keeper, log logrus.FieldLogger) (*operator.Door, error) {
+	door := &operator.Door{Ready: ready, Counts: co.Counts().Read, Log: log, Exclude: keep.exclude, Include: keep.include}
 	if conf.Operator == "" {
 		return door, nil
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"fmt"
 	"runtime/debug"
 	"slices"
@@ -14,10 +15,14 @@
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/exclusion"
 )
 
 const (
 	mailboxSize = 4096 // messages for the module's actor; past it arrivals are refused
+	controlSize = 64   // operators' calls waiting for the actor
+	// controlWait is how long an operator's call waits for the actor: its answer is due in 1 s.
+	controlWait = 500 * time.Millisecond
 	batchMost   = 1024 // messages taken into one step
 	// clientMargin is taken off the time that a client waits: its figure counts from its own
 	// send, and the answer has still to travel.
@@ -144,6 +149,8 @@
 	Connect  func(name string, addresses []address.Addr) Peer
 	Refetch  func() // the module asks for the list; must not block
 	Log      logrus.FieldLogger
+	// Excluded is the book of nodes out by hand as the scheduler's last process left it.
+	Excluded exclusion.State
 }
 
 type message struct {
@@ -201,6 +208,8 @@
 	events  []choice.Event
 	actions []choice.Action
 	batch   []message
+	control chan message // operators' calls, taken before the mailbox
+	book    *exclusion.Book
 	counts  *Counts
 	avoided float64 // when the nodes avoided by choice were last counted
 }
@@ -211,11 +220,16 @@
 	if err != nil {
 		return nil, err
 	}
+	book, err := exclusion.New(exclusion.Defaults)
+	if err != nil {
+		return nil, err
+	}
 	now := time.Now()
 	c := &Core{opt: opt, mod: mod, mail: make(chan message, mailboxSize), stop: make(chan struct{}),
 		ended: make(chan struct{}), origin: now, base: float64(now.UnixMicro()) / 1000,
 		reqs: map[string]*entry{}, peers: map[string]Peer{}, nodes: map[string]Node{},
-		classes: map[string]bool{}, plans: map[string]bool{}}
+		classes: map[string]bool{}, plans: map[string]bool{}, book: book, control: make(chan message, controlSize)}
+	book.Load(c.clock(now), opt.Excluded)
 	names := []string{}
 	for _, k := range opt.Settings.Classes {
 		c.classes[k.Name] = true
@@ -330,6 +344,8 @@
 		wake.Reset(wait)
 		c.batch = c.batch[:0]
 		select {
+		case m := <-c.control:
+			c.batch = append(c.batch, m)
 		case m := <-c.mail:
 			c.batch = append(c.batch, m)
 		case <-wake.C:
@@ -341,6 +357,12 @@
 		}
 	gather:
 		for len(c.batch) < batchMost {
+			select {
+			case m := <-c.control:
+				c.batch = append(c.batch, m)
+				continue
+			default:
+			}
 			select {
 			case m := <-c.mail:
 				c.batch = append(c.batch, m)
@@ -371,7 +393,7 @@
 	}
 	if now-c.avoided >= avoidedEvery {
 		c.avoided = now
-		c.tally()
+		c.tally(now)
 	}
 	if len(c.events) == 0 {
 		return
@@ -410,7 +432,7 @@
 		c.mod = mod
 		stale := choice.Event{Kind: choice.ListStale}
 		for _, n := range c.nodes {
-			stale.Nodes = append(stale.Nodes, n.Node)
+			stale.Nodes = append(stale.Nodes, c.book.View(now, n.Node))
 		}
 		c.events = []choice.Event{stale}
 	}()
@@ -434,7 +456,7 @@
 	case m.attempt != nil:
 		c.outcome(m.attempt, m.result, now)
 	case m.news != nil:
-		c.list(m.news)
+		c.list(m.news, now)
 	case m.probed != "":
 		c.events = append(c.events, choice.Event{Kind: choice.Probed, Node: m.probed, Status: m.result.Status,
 			Latency: float64(m.latency.Microseconds()) / 1000, Load: m.result.Load})
@@ -574,13 +596,16 @@
 	}
 }
 
-// list applies news to the peers before the module hears of it.
-func (c *Core) list(n *News) {
+// list applies news to the peers before the module hears of it. Both see the entries as the
+// book of exclusions shows them.
+func (c *Core) list(n *News, now float64) {
 	ev := choice.Event{Kind: n.Kind}
 	seen := map[string]bool{}
 	for _, x := range n.Nodes {
 		seen[x.ID] = true
-		ev.Nodes = append(ev.Nodes, x.Node)
+		c.book.Listed(x.ID)
+		view := c.book.View(now, x.Node)
+		ev.Nodes = append(ev.Nodes, view)
 		p, ok := c.peers[x.ID]
 		if x.State == choice.NodeGone {
 			c.leave(x.ID)
@@ -593,7 +618,7 @@
 		case !slices.Equal(c.nodes[x.ID].Addresses, x.Addresses):
 			p.Readdress(x.Addresses) // the node stays: its windows and its warmth are the same
 		}
-		p.Drain(x.State != choice.NodeUp)
+		p.Drain(view.State != choice.NodeUp)
 		c.nodes[x.ID] = x
 	}
 	if n.Kind == choice.ListFull || n.Kind == choice.ListStale {
@@ -604,15 +629,15 @@
 		}
 	}
 	c.events = append(c.events, ev)
-	c.tally()
+	c.tally(now)
 }
 
 // tally counts the nodes of the list, and those that are avoided: by the list or by hand, or
 // by the module's choice.
-func (c *Core) tally() {
+func (c *Core) tally(now float64) {
 	skipped := c.mod.Avoided()
 	for _, n := range c.nodes {
-		if n.State != choice.NodeUp {
+		if c.book.View(now, n.Node).State != choice.NodeUp {
 			skipped++
 		}
 	}
@@ -628,3 +653,92 @@
 		delete(c.nodes, id)
 	}
 }
+
+// Exclude takes a node out by hand: from the return on nothing new is written to it, whatever
+// the list says, until Include. It returns the book to be kept.
+func (c *Core) Exclude(id string) (exclusion.State, error) {
+	return c.call(func(now float64) ([]string, error) {
+		changed, err := c.book.Exclude(now, id)
+		if changed {
+			return []string{id}, err
+		}
+		return nil, err
+	})
+}
+
+// Include puts a node back, as one that may be cold.
+func (c *Core) Include(id string) (exclusion.State, error) {
+	return c.call(func(now float64) ([]string, error) {
+		changed, err := c.book.Include(now, id)
+		if changed {
+			return []string{id}, err
+		}
+		return nil, err
+	})
+}
+
+// LoadExcluded takes the book as another process of the scheduler kept it.
+func (c *Core) LoadExcluded(st exclusion.State) error {
+	_, err := c.call(func(now float64) ([]string, error) { return c.book.Load(now, st), nil })
+	return err
+}
+
+// Known says whether an id was ever listed.
+func (c *Core) Known(id string) bool {
+	known := false
+	c.call(func(float64) ([]string, error) { known = c.book.Known(id); return nil, nil })
+	return known
+}
+
+// errBusy says that the actor did not take an operator's call in time.
+var errBusy = errors.New("the scheduler's actor did not take the call in time; nothing was changed")
+
+// call runs a change of the book in the actor and applies what it changed to peers and module.
+func (c *Core) call(change func(now float64) ([]string, error)) (exclusion.State, error) {
+	type reply struct {
+		st  exclusion.State
+		err error
+	}
+	got := make(chan reply, 1)
+	m := message{call: func() {
+		now := c.clock(time.Now())
+		ids, err := change(now)
+		c.review(now, ids)
+		got <- reply{c.book.State(now), err}
+	}}
+	wait := time.NewTimer(controlWait)
+	defer wait.Stop()
+	select {
+	case c.control <- m:
+	case <-wait.C:
+		return exclusion.State{}, errBusy
+	case <-c.ended:
+		return exclusion.State{}, errBusy
+	}
+	select {
+	case r := <-got:
+		return r.st, r.err
+	case <-c.ended:
+		return exclusion.State{}, errBusy
+	}
+}
+
+// review shows the module and the peers the listed nodes whose view may have changed.
+func (c *Core) review(now float64, ids []string) {
+	ev := choice.Event{Kind: choice.ListChange}
+	for _, id := range ids {
+		n, ok := c.nodes[id]
+		if !ok {
+			continue
+		}
+		view := c.book.View(now, n.Node)
+		if p := c.peers[id]; p != nil {
+			p.Drain(view.State != choice.NodeUp)
+		}
+		ev.Nodes = append(ev.Nodes, view)
+	}
+	if len(ev.Nodes) > 0 {
+		c.events = append(c.events, ev)
+	}
+	c.tally(now)
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -60,16 +60,21 @@
 	peers sync.Map
 }
 
+func nullLog() *logrus.Logger {
+	log, _ := logtest.NewNullLogger()
+	return log
+}
+
+func (r *rig) connect(name string, _ []address.Addr) Peer {
+	f := &fake{sent: make(chan *Attempt, 64), cancels: make(chan *Attempt, 64)}
+	r.peers.Store(name, f)
+	return f
+}
+
 func start(t *testing.T, set choice.Settings) *rig {
 	t.Helper()
 	r := &rig{t: t}
-	var log *logrus.Logger
-	log, _ = logtest.NewNullLogger()
-	c, err := New(Options{Settings: set, Seed: 7, Log: log, Connect: func(name string, _ []address.Addr) Peer {
-		f := &fake{sent: make(chan *Attempt, 64), cancels: make(chan *Attempt, 64)}
-		r.peers.Store(name, f)
-		return f
-	}})
+	c, err := New(Options{Settings: set, Seed: 7, Log: nullLog(), Connect: r.connect})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/core/exclusion_test.go
@@ -0,0 +1,81 @@
+package core
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/exclusion"
+)
+
+// From the yes of an exclude nothing new goes to the node, whatever the list says, until one
+// include; then it is used again.
+func TestExcludeBindsUntilInclude(t *testing.T) {
+	r := start(t, settings())
+	r.list(choice.ListStale, node("n", 0, choice.NodeUp), node("m", 0, choice.NodeUp))
+	if _, err := r.Exclude("x"); !errors.Is(err, exclusion.ErrUnknown) {
+		t.Fatalf("an id never listed: %v", err)
+	}
+	st, err := r.Exclude("n")
+	if err != nil || len(st.Excluded) != 1 {
+		t.Fatalf("exclude: %v %v", st, err)
+	}
+	r.Exclude("n") // a repeat is one
+	if !r.peer("n").drained {
+		t.Fatal("the peer does not drain from the yes")
+	}
+	r.list(choice.ListFull, node("n", 0, choice.NodeUp), node("m", 0, choice.NodeUp)) // discovery says up
+	if !r.peer("n").drained {
+		t.Fatal("a list undid the exclude")
+	}
+	for i := range 20 {
+		_, got := r.ask(string(rune('a'+i)), "read", time.Minute)
+		(<-r.peer("m").sent).Done(Result{Status: choice.OK})
+		one(t, got, Served)
+	}
+	if len(r.peer("n").sent) > 0 {
+		t.Fatal("sent to an excluded node")
+	}
+	if f := r.Counts().Read(); f.Skipped != 1 || f.Known != 2 {
+		t.Fatalf("skipped %d of %d", f.Skipped, f.Known)
+	}
+	st, err = r.Include("n")
+	if err != nil || len(st.Excluded) != 0 || st.Included["n"] == 0 {
+		t.Fatalf("include: %v %v", st, err)
+	}
+	if r.peer("n").drained {
+		t.Fatal("still drained after the include")
+	}
+	// The node comes back cold and is used again: with more work than one node's window, both
+	// nodes get some.
+	var waits []chan Answer
+	for i := range 40 {
+		_, got := r.ask(string(rune('A'+i)), "read", time.Minute)
+		waits = append(waits, got)
+	}
+	r.Open()
+	if len(r.peer("n").sent) == 0 {
+		t.Fatalf("an included node got no work; the other has %d", len(r.peer("m").sent))
+	}
+}
+
+// The book that a process before left binds from the start, before any list.
+func TestExcludedAtTheStart(t *testing.T) {
+	set := settings()
+	r := &rig{t: t}
+	c, err := New(Options{Settings: set, Seed: 7, Log: nullLog(), Connect: r.connect,
+		Excluded: exclusion.State{Excluded: map[string]float64{"n": 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Core = c
+	t.Cleanup(c.Stop)
+	r.list(choice.ListStale, node("n", 0, choice.NodeUp), node("m", 0, choice.NodeUp))
+	if !r.peer("n").drained || r.peer("m").drained {
+		t.Fatal("the kept exclude does not bind at the start")
+	}
+	if !r.Known("n") {
+		t.Fatal("a kept id cannot be included")
+	}
+}
--- /dev/null
+++ b/internal/exclusion/exclusion.go
@@ -0,0 +1,231 @@
+// Package exclusion decides which storage nodes are out by an operator's hand: it turns each
+// listed entry into the one that the module and the peers see. It does no I/O and reads no
+// clock; times are the module's milliseconds, which are Unix milliseconds.
+//
+// Invariants, as the tests word them:
+//  1. An excluded id is never shown as up, whatever the list says, until it is included.
+//  2. A no changes nothing: an id never listed, or an exclude past the bound.
+//  3. Excluding twice is excluding once; one include ends it.
+//  4. An included node is shown as started no earlier than its include, for as long as it may
+//     be cold.
+//  5. Every container is bounded: ids listed, excluded and included.
+//  6. What is stored and loaded again is the same book.
+//
+// It does not decide what a draining node is spared: that is the rule on drains, kept by the
+// peers and the module for every node that the view shows as draining.
+package exclusion
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"wheatsaddle/choice"
+)
+
+// Errors of a call; each leaves the book as it was.
+var (
+	ErrUnknown = errors.New("no storage node of that id was ever listed")
+	ErrFull    = errors.New("too many storage nodes are excluded")
+)
+
+// Settings bound the book.
+type Settings struct {
+	ListedMost   int     // ids remembered as listed
+	ExcludedMost int     // ids out at once
+	ColdSpan     float64 // ms after an include for which the node may be cold
+}
+
+// Defaults are the bounds used where the settings give none.
+var Defaults = Settings{ListedMost: 4096, ExcludedMost: 1024, ColdSpan: 20000}
+
+// State is what is kept of a book over a process's end: the excluded ids with the time of their
+// exclude, and those included of late with the time of their include.
+type State struct {
+	Excluded map[string]float64 `json:"excluded"`
+	Included map[string]float64 `json:"included"`
+}
+
+// Book is the set of nodes out by hand.
+type Book struct {
+	set      Settings
+	listed   map[string]bool
+	order    []string // ids listed, the oldest first
+	excluded map[string]float64
+	included map[string]float64
+}
+
+// New makes an empty book.
+func New(s Settings) (*Book, error) {
+	switch {
+	case s.ListedMost < 1:
+		return nil, fmt.Errorf("exclusion: ListedMost: %d is not a positive number", s.ListedMost)
+	case s.ExcludedMost < 1:
+		return nil, fmt.Errorf("exclusion: ExcludedMost: %d is not a positive number", s.ExcludedMost)
+	case s.ColdSpan < 0:
+		return nil, fmt.Errorf("exclusion: ColdSpan: %v is negative", s.ColdSpan)
+	}
+	return &Book{set: s, listed: map[string]bool{}, excluded: map[string]float64{}, included: map[string]float64{}}, nil
+}
+
+// Listed remembers ids as listed: an operator may name them from now on.
+func (b *Book) Listed(ids ...string) {
+	for _, id := range ids {
+		if !b.listed[id] {
+			b.listed[id] = true
+			b.order = append(b.order, id)
+		}
+	}
+	// The oldest that are not out go first; an excluded id stays named, as it must be included.
+	for len(b.listed) > b.set.ListedMost {
+		old := ""
+		for _, id := range b.order {
+			if _, out := b.excluded[id]; !out {
+				old = id
+				break
+			}
+		}
+		if old == "" {
+			break
+		}
+		b.order = slices.DeleteFunc(b.order, func(id string) bool { return id == old })
+		delete(b.listed, old)
+		delete(b.included, old)
+	}
+}
+
+// Known says whether an id was ever listed.
+func (b *Book) Known(id string) bool {
+	return b.listed[id]
+}
+
+// Exclude takes a node out at now; changed says that it was in.
+func (b *Book) Exclude(now float64, id string) (changed bool, err error) {
+	if !b.Known(id) {
+		return false, ErrUnknown
+	}
+	if _, out := b.excluded[id]; out {
+		return false, nil
+	}
+	if len(b.excluded) >= b.set.ExcludedMost {
+		return false, ErrFull
+	}
+	b.excluded[id] = now
+	delete(b.included, id)
+	return true, nil
+}
+
+// Include puts a node back at now; changed says that it was out.
+func (b *Book) Include(now float64, id string) (changed bool, err error) {
+	if !b.Known(id) {
+		return false, ErrUnknown
+	}
+	if _, out := b.excluded[id]; !out {
+		return false, nil
+	}
+	delete(b.excluded, id)
+	b.included[id] = now
+	b.forget(now)
+	return true, nil
+}
+
+// Excluded says whether an id is out.
+func (b *Book) Excluded(id string) bool {
+	_, out := b.excluded[id]
+	return out
+}
+
+// forget drops the includes that are past the cold span.
+func (b *Book) forget(now float64) {
+	for id, at := range b.included {
+		if now-at > b.set.ColdSpan {
+			delete(b.included, id)
+		}
+	}
+}
+
+// View is the entry that the module and the peers see of a listed one at now.
+func (b *Book) View(now float64, n choice.Node) choice.Node {
+	if n.State == choice.NodeGone {
+		return n
+	}
+	if _, out := b.excluded[n.ID]; out {
+		n.State = choice.NodeDraining
+		return n
+	}
+	if at, ok := b.included[n.ID]; ok && now-at <= b.set.ColdSpan && n.Since < at {
+		n.Since = at
+	}
+	return n
+}
+
+// State is what is to be kept at now: includes past the cold span are forgotten.
+func (b *Book) State(now float64) State {
+	b.forget(now)
+	return State{Excluded: maps.Clone(b.excluded), Included: maps.Clone(b.included)}
+}
+
+// Load takes a kept state in place of the book's own: that of the scheduler's other process,
+// or of the one before. Its ids count as listed. It returns the ids whose view may change.
+func (b *Book) Load(now float64, s State) (changed []string) {
+	for id := range b.excluded {
+		if _, out := s.Excluded[id]; !out {
+			changed = append(changed, id)
+		}
+	}
+	for id := range s.Excluded {
+		if _, out := b.excluded[id]; !out {
+			changed = append(changed, id)
+		}
+	}
+	for id, at := range s.Included {
+		if b.included[id] != at {
+			changed = append(changed, id)
+		}
+	}
+	ids := slices.Sorted(maps.Keys(s.Excluded))
+	if len(ids) > b.set.ExcludedMost {
+		ids = ids[:b.set.ExcludedMost]
+	}
+	b.excluded = map[string]float64{}
+	for _, id := range ids {
+		b.excluded[id] = s.Excluded[id]
+	}
+	b.included = map[string]float64{}
+	for _, id := range slices.Sorted(maps.Keys(s.Included)) {
+		if _, out := b.excluded[id]; !out && now-s.Included[id] <= b.set.ColdSpan && len(b.included) < b.set.ListedMost {
+			b.included[id] = s.Included[id]
+		}
+	}
+	b.Listed(ids...)
+	b.Listed(slices.Sorted(maps.Keys(b.included))...)
+	slices.Sort(changed)
+	return slices.Compact(changed)
+}
+
+// Check tests the invariants that the state itself can show.
+func (b *Book) Check() error {
+	switch {
+	case len(b.excluded) > b.set.ExcludedMost:
+		return fmt.Errorf("%d excluded, the bound is %d", len(b.excluded), b.set.ExcludedMost)
+	case len(b.listed) > max(b.set.ListedMost, len(b.excluded)):
+		return fmt.Errorf("%d listed, the bound is %d", len(b.listed), b.set.ListedMost)
+	case len(b.order) != len(b.listed):
+		return fmt.Errorf("%d in the order of listing, %d listed", len(b.order), len(b.listed))
+	}
+	for id := range b.excluded {
+		if !b.Known(id) {
+			return fmt.Errorf("%s is excluded and not known as listed", id)
+		}
+		if _, ok := b.included[id]; ok {
+			return fmt.Errorf("%s is excluded and included", id)
+		}
+	}
+	for id := range b.included {
+		if !b.Known(id) {
+			return fmt.Errorf("%s is included and not known as listed", id)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/exclusion/store/store.go
@@ -0,0 +1,159 @@
+// Package store keeps the book of exclusions in a file that all processes of one scheduler
+// share: in $TMPDIR, which outlives a process replacement. A write goes to a file beside and is
+// renamed over the old one, so that a reader finds the old whole file or the new one; writers
+// take an flock of a file of its own. A file that cannot be read whole, is of another
+// scheduler's name or of another version is ignored, and says why.
+package store
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"math"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"wheatsaddle/internal/exclusion"
+)
+
+const (
+	version  = 1
+	fileMost = 1 << 20
+	lockWait = 300 * time.Millisecond
+	lockPoll = 2 * time.Millisecond
+)
+
+// ErrForeign says that the file is not this scheduler's book; it is left as it is.
+var ErrForeign = errors.New("not this scheduler's book of exclusions")
+
+// Store is the file of one scheduler's book.
+type Store struct {
+	Path string
+	Name string // the scheduler's name, the same in all its processes
+	seen fs.FileInfo
+}
+
+// In is the store of a scheduler in a folder.
+func In(dir, name string) *Store {
+	return &Store{Path: filepath.Join(dir, "wheatsaddle-exclusions.json"), Name: name}
+}
+
+type file struct {
+	Version int    `json:"version"`
+	Name    string `json:"name"`
+	exclusion.State
+}
+
+// Read reads the book; a missing file is an empty book.
+func (s *Store) Read() (exclusion.State, error) {
+	empty := exclusion.State{Excluded: map[string]float64{}, Included: map[string]float64{}}
+	f, err := os.Open(s.Path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return empty, nil
+	}
+	if err != nil {
+		return empty, err
+	}
+	defer f.Close()
+	if info, err := f.Stat(); err == nil {
+		s.seen = info
+	}
+	text, err := io.ReadAll(io.LimitReader(f, fileMost+1))
+	if err != nil {
+		return empty, err
+	}
+	if len(text) > fileMost {
+		return empty, fmt.Errorf("%s: over %d bytes: %w", s.Path, fileMost, ErrForeign)
+	}
+	var got file
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&got); err != nil {
+		return empty, fmt.Errorf("%s: torn or not JSON (%v): %w", s.Path, err, ErrForeign)
+	}
+	switch {
+	case got.Version != version:
+		return empty, fmt.Errorf("%s: version %d, this program reads %d: %w", s.Path, got.Version, version, ErrForeign)
+	case got.Name != s.Name:
+		return empty, fmt.Errorf("%s: of scheduler %q, this one is %q: %w", s.Path, got.Name, s.Name, ErrForeign)
+	}
+	for what, m := range map[string]map[string]float64{"excluded": got.Excluded, "included": got.Included} {
+		for id, at := range m {
+			if id == "" || math.IsNaN(at) || math.IsInf(at, 0) || at < 0 {
+				return empty, fmt.Errorf("%s: %s: %q at %v: %w", s.Path, what, id, at, ErrForeign)
+			}
+		}
+	}
+	if got.Excluded == nil {
+		got.Excluded = empty.Excluded
+	}
+	if got.Included == nil {
+		got.Included = empty.Included
+	}
+	return got.State, nil
+}
+
+// Write replaces the book whole.
+func (s *Store) Write(st exclusion.State) error {
+	text, err := json.Marshal(file{Version: version, Name: s.Name, State: st})
+	if err != nil {
+		return err
+	}
+	beside := s.Path + fmt.Sprintf(".%d~", os.Getpid())
+	f, err := os.OpenFile(beside, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(text)
+	if err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err == nil {
+		err = os.Rename(beside, s.Path)
+	}
+	if err != nil {
+		os.Remove(beside)
+		return err
+	}
+	if info, err := os.Stat(s.Path); err == nil {
+		s.seen = info
+	}
+	return nil
+}
+
+// Changed says whether the file is another than the one last read or written here. A file
+// that has gone is no change: the book held stays.
+func (s *Store) Changed() bool {
+	info, err := os.Stat(s.Path)
+	if err != nil {
+		return false
+	}
+	return s.seen == nil || !os.SameFile(info, s.seen) || !info.ModTime().Equal(s.seen.ModTime()) || info.Size() != s.seen.Size()
+}
+
+// Lock takes the writers' lock, waiting a little for another process; the func gives it back.
+func (s *Store) Lock() (func(), error) {
+	f, err := os.OpenFile(s.Path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	for until := time.Now().Add(lockWait); ; {
+		err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if err == nil {
+			return func() { f.Close() }, nil
+		}
+		if !errors.Is(err, syscall.EWOULDBLOCK) || time.Now().After(until) {
+			f.Close()
+			return nil, fmt.Errorf("%s.lock: %w", s.Path, err)
+		}
+		time.Sleep(lockPoll)
+	}
+}
--- /dev/null
+++ b/internal/exclusion/store/store_test.go
@@ -0,0 +1,82 @@
+package store
+
+import (
+	"errors"
+	"os"
+	"testing"
+
+	"wheatsaddle/internal/exclusion"
+)
+
+func TestKeptOverAProcess(t *testing.T) {
+	dir := t.TempDir()
+	s := In(dir, "n3")
+	got, err := s.Read()
+	if err != nil || len(got.Excluded) != 0 {
+		t.Fatalf("no file: %v %v", got, err)
+	}
+	st := exclusion.State{Excluded: map[string]float64{"s-1": 1000.5}, Included: map[string]float64{"s-2": 900}}
+	if err := s.Write(st); err != nil {
+		t.Fatal(err)
+	}
+	next := In(dir, "n3") // the next process
+	got, err = next.Read()
+	if err != nil || got.Excluded["s-1"] != 1000.5 || got.Included["s-2"] != 900 {
+		t.Fatalf("read back %v %v", got, err)
+	}
+	if next.Changed() {
+		t.Fatal("a file just read counts as changed")
+	}
+	if err := s.Write(exclusion.State{}); err != nil {
+		t.Fatal(err)
+	}
+	if !next.Changed() {
+		t.Fatal("another process's write is not seen")
+	}
+	entries, _ := os.ReadDir(dir)
+	for _, e := range entries {
+		if e.Name() != "wheatsaddle-exclusions.json" {
+			t.Errorf("left beside: %s", e.Name())
+		}
+	}
+}
+
+// Guards against a torn, foreign or spoilt file: it is ignored with a reason, never taken.
+func TestBadFilesAreIgnored(t *testing.T) {
+	for name, text := range map[string]string{
+		"torn":    `{"version":1,"name":"n3","excluded":{"s-1":10`,
+		"empty":   ``,
+		"foreign": `{"version":1,"name":"n4","excluded":{"s-1":10},"included":{}}`,
+		"version": `{"version":2,"name":"n3","excluded":{"s-1":10},"included":{}}`,
+		"field":   `{"version":1,"name":"n3","excluded":{"s-1":10},"included":{},"more":1}`,
+		"time":    `{"version":1,"name":"n3","excluded":{"s-1":-1},"included":{}}`,
+		"id":      `{"version":1,"name":"n3","excluded":{"":1},"included":{}}`,
+		"array":   `[1,2]`,
+	} {
+		s := In(t.TempDir(), "n3")
+		if err := os.WriteFile(s.Path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		got, err := s.Read()
+		if !errors.Is(err, ErrForeign) || len(got.Excluded) != 0 {
+			t.Errorf("%s: %v %v", name, got, err)
+		}
+	}
+}
+
+func TestLockOrdersWriters(t *testing.T) {
+	s := In(t.TempDir(), "n3")
+	unlock, err := s.Lock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := In(s.Path[:len(s.Path)-len("/wheatsaddle-exclusions.json")], "n3").Lock(); err == nil {
+		t.Fatal("a second writer had the lock")
+	}
+	unlock()
+	again, err := s.Lock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again()
+}
