Long answers are relayed to the client as they come, not held up to 1 MiB

Change: a node's answer of up to 64 KiB is read whole as before; a longer or chunked one is read through fasthttp's body stream, its first 64 KiB taken with the outcome and the rest relayed by the client's server, chunked with each piece flushed; a read from the node may wait 3 s, a write to the client 5 s for each piece. The node's connection is the relay's until its last byte passed, then the node actor has it back before the relay's Close returns; a relay cut off ends with errCut, so the client's answer lacks its last chunk. The spans of a buffered answer go from 100 and 300 ms to 500 ms, as nodes write in pieces. Tests: whole, cut and chunked long answers, a 500 with a long body, the connection used again after a whole relay, four relays through the front.

--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -206,8 +206,9 @@
 // reply is a storage node's answer. A long body takes part of a shared room until it is
 // with the client or dropped.
 type reply struct {
-	body []byte
-	free func()
+	body  []byte
+	free  func()
+	relay *relay // a long body that comes as it is read; nil: body is all of it
 }
 
 // Drop implements core.Held. Each reply has one holder at a time.
@@ -216,6 +217,9 @@
 		r.free()
 		r.free = nil
 	}
+	if r.relay != nil {
+		go r.relay.Close() // it waits for the node actor, which the caller may not
+	}
 }
 
 // stream is a reply on its way to the client; the server closes it when it is through.
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -32,9 +34,9 @@
 	interimMost   = 16      // 1xx answers ahead of one
 	// answerSpan is how long an answer that has begun may stand still: nodes write one in one
 	// go, and a spoilt one may stop halfway on a connection that stays open.
-	answerSpan = 100 * time.Millisecond
+	answerSpan = 500 * time.Millisecond
 	lastLook   = 5 * time.Millisecond
-	headSpan   = 300 * time.Millisecond // for all heads of an answer
+	headSpan   = 500 * time.Millisecond // for all heads of an answer
 	// answerMost is the longest body: the protocol's 64 KiB are exceeded in service.
 	answerMost = 1 << 20
 )
@@ -333,6 +335,18 @@
 			continue
 		}
 		r, reuse := c.carry(j)
+		if rep, ok := r.Payload.(*reply); ok && rep.relay != nil {
+			// A long answer: the connection is the relay's until its last byte has passed.
+			rep.relay.handOut()
+			j.attempt.Done(r)
+			reuse = rep.relay.wait() && reuse
+			c.node.mail <- nodeMessage{back: c, broken: !reuse}
+			rep.relay.handed()
+			if !reuse {
+				return
+			}
+			continue
+		}
 		// The actor hears first, so that the module's next send finds the connection free.
 		c.node.mail <- nodeMessage{back: c, broken: !reuse}
 		j.attempt.Done(r)
@@ -374,7 +388,8 @@
 type steady struct {
 	nc    net.Conn
 	begun bool
-	until time.Time // of the heads; zero: reading a body
+	until time.Time     // of the heads; zero: reading a body
+	span  time.Duration // of a read of a body; 0: answerSpan
 }
 
 func (s *steady) Read(p []byte) (int, error) {
@@ -383,7 +398,7 @@
 	}
 	until := s.until
 	if until.IsZero() {
-		until = time.Now().Add(answerSpan)
+		until = time.Now().Add(cmp.Or(s.span, answerSpan))
 	}
 	if err := s.nc.SetReadDeadline(until); err != nil {
 		return 0, err
@@ -400,7 +415,7 @@
 
 // whole ends the limits at the end of an answer.
 func (s *steady) whole() error {
-	s.begun = false
+	s.begun, s.span = false, 0
 	return s.nc.SetReadDeadline(time.Time{})
 }
 
@@ -445,8 +460,8 @@
 	}
 	rep, clean, err := c.read(j.ctx)
 	whole := unwatch() // false: the context ended first and the connection is closed
-	defer c.resp.Reset()
 	if err != nil {
+		c.resp.Reset()
 		switch {
 		case errors.Is(j.ctx.Err(), context.Canceled):
 			return core.Result{Status: choice.Cancelled}, false, false
@@ -458,7 +473,14 @@
 	if c.identity != "" {
 		c.says = string(c.resp.Header.Peek(c.identity))
 	}
-	return decodeReply(&c.resp, rep), whole && clean, false
+	r = decodeReply(&c.resp, rep)
+	if rep.relay != nil && r.Payload == nil {
+		return r, false, false // not served: its relay was dropped, and the rest of it is not read
+	}
+	if rep.relay == nil {
+		c.resp.Reset() // a relay resets it when it is through
+	}
+	return r, whole && clean, false
 }
 
 // read reads one answer; clean says that the connection may carry another request. Where an
@@ -497,6 +519,9 @@
 				return nil, false, err
 			}
 		}
+		if rep.relay != nil {
+			return rep, !c.resp.ConnectionClose(), nil // the relay ends the limits
+		}
 		if err = c.in.whole(); err != nil {
 			rep.Drop()
 			return nil, false, err
@@ -506,36 +531,50 @@
 	return nil, false, errSpoilt
 }
 
-// body reads a body. A long one waits for its part of the room that all long ones share.
+// body reads a body. One of up to 64 KiB is read whole; a longer one, or a chunked one that
+// goes past 64 KiB, becomes a relay after its first 64 KiB: the rest is read as the client takes
+// it.
 func (c *conn) body(ctx context.Context, f frame) (*reply, error) {
-	rep, room := &reply{}, int64(0)
-	if size := c.resp.Header.ContentLength(); f.chunked {
-		room = answerMost
-	} else if size > answerMost {
-		return nil, fasthttp.ErrBodyTooLarge
-	} else if size > bodyMost {
-		room = int64(size)
-	}
-	if room > 0 && c.node.dialer.Bodies != nil {
-		if err := c.node.dialer.Bodies.Acquire(ctx, room); err != nil {
+	rep := &reply{}
+	if size := c.resp.Header.ContentLength(); !f.chunked && size <= bodyMost {
+		if err := c.resp.ReadBody(c.br, bodyMost); err != nil {
 			return nil, err
 		}
-		rep.free = func() { c.node.dialer.Bodies.Release(room) }
-	}
-	err := c.resp.ReadBody(c.br, answerMost)
-	if err == nil && f.chunked {
-		err = c.resp.Header.ReadTrailer(c.br)
+		rep.body = bytes.Clone(c.resp.Body())
+		return rep, nil
 	}
-	if err != nil {
-		rep.Drop()
+	c.resp.StreamBody = true
+	if err := c.resp.ReadBody(c.br, 0); err != nil {
 		return nil, err
 	}
-	if rep.body = c.resp.Body(); len(rep.body) > bodyMost {
-		c.resp.SwapBody(nil)
-	} else {
-		rep.body = bytes.Clone(rep.body)
-		rep.Drop() // no long one after all
+	stream := c.resp.BodyStream()
+	first := make([]byte, bodyMost+1)
+	n, err := io.ReadFull(stream, first)
+	switch {
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		// All of it came within the first piece: it is held as a short one.
+		if cerr := c.resp.CloseBodyStream(); cerr != nil {
+			return nil, cerr
+		}
+		rep.body = first[:n]
+		return rep, nil
+	case err != nil:
+		return nil, err
 	}
+	c.in.span = streamSpan
+	rep.relay = newRelay(first, stream, func(whole bool) bool {
+		if err := c.resp.CloseBodyStream(); err != nil {
+			whole = false
+		}
+		c.resp.Reset()
+		if whole {
+			whole = c.in.whole() == nil && c.br.Buffered() == 0
+		}
+		if !whole {
+			c.nc.Close() // what is left of the body is never read: the connection goes
+		}
+		return whole
+	})
 	return rep, nil
 }
 
--- a/internal/httpfront/paths.go
+++ b/internal/httpfront/paths.go
@@ -341,6 +341,18 @@
 		}
 		start := time.Now()
 		r, e := t.serve(j)
+		if rep, ok := r.Payload.(*reply); ok && rep.relay != nil && j.attempt != nil {
+			// A long answer: the connection is the relay's until its last byte has passed.
+			rep.relay.handOut()
+			j.attempt.Done(r)
+			e.Keep = rep.relay.wait() && e.Keep
+			t.node.mail <- nodeMessage{path: &pathMessage{back: t, event: e}}
+			rep.relay.handed()
+			if !e.Keep {
+				return
+			}
+			continue
+		}
 		// The actor hears first, so that the module's next send finds the connection free.
 		m := &pathMessage{back: t, event: e}
 		if j.attempt != nil && r.Status == choice.Full {
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -176,6 +176,12 @@
 	switch a.Kind {
 	case core.Served:
 		rep := a.Payload.(*reply)
+		if rep.relay != nil {
+			rep.relay.client = ctx.Conn()
+			ctx.Response.ImmediateHeaderFlush = true
+			ctx.Response.SetBodyStream(rep.relay, -1) // chunked: a cut answer lacks its last chunk
+			return
+		}
 		if rep.free == nil {
 			ctx.Response.SetBodyRaw(rep.body)
 			return
