--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -24,8 +24,8 @@
 // until it is closed; then wait tells whether the body was read to its end.
 type relay struct {
 	first  []byte
-	rest   io.Reader // the node's body, framing taken off
-	client net.Conn  // whose write deadline each piece moves on; nil: none
+	rest   io.Reader             // the node's body, framing taken off
+	client net.Conn              // whose write deadline each piece moves on; nil: none
 	finish func(whole bool) bool // tells whether the connection may carry another
 	once   sync.Once
 	done   chan bool
