Request bodies are read piece by piece, up to 32 MiB, under a shared room

Change: the clients' server streams request bodies; the head keeps 2.5 s, the part of the body that the server reads before the handler gets 2.5 s and the time of its length at 32 kB/s, each later piece 2.5 s. A body over 64 KiB takes room of a semaphore of a quarter of the memory limit as it grows (whole at once where the length is told); with none free the request is refused at once, with Retry-After, counted in core, and the connection closed. The request is taken at its last byte as before, so module and rules see it as any other. Tests: twelve writes of 2 MiB at once against a room for three, chunked or by length, some with Expect: 100-continue, in pieces cut anywhere: each served one comes back byte for byte, the others are 503 with Retry-After, and the room is all free after; a body at 64 kB/s over 3.2 s is read whole, bodies that stand still are cut with 408.

--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -153,7 +153,6 @@
 	dialer := &httpfront.Dialer{ConnectTimeout: time.Duration(conf.ConnectTimeout * float64(time.Millisecond)),
 		ConnIdle:  time.Duration(conf.ConnIdle * float64(time.Millisecond)),
 		ConnsMost: int64(max(1, sockets-clients)),
-		Bodies:    semaphore.NewWeighted(int64(conf.MemoryMB) << 20 / bodyShare),
 		Safe:      safeClasses(conf.Settings), Routes: at.routes, Log: log}
 	kept, excluded := keptExclusions(conf.Name, log)
 	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log, Excluded: excluded})
@@ -194,6 +193,7 @@
 		return err
 	}
 	srv := httpfront.NewServer(co, conf.Settings, clients, log)
+	srv.Bodies = semaphore.NewWeighted(int64(conf.MemoryMB) << 20 / bodyShare)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(ln, clients) }()
 	serving.Store(true)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -437,6 +437,7 @@
 		c.events = []choice.Event{stale}
 	}()
 	c.actions = c.mod.Step(now, events, c.actions[:0])
+
 	return true
 }
 
--- /dev/null
+++ b/internal/httpfront/body_test.go
@@ -0,0 +1,199 @@
+package httpfront
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
+)
+
+// echo is a storage node that answers each request with its own body, whole.
+func echo(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				br, bw := bufio.NewReader(nc), bufio.NewWriter(nc)
+				for {
+					var q fasthttp.Request
+					if q.Read(br) != nil {
+						return
+					}
+					fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(q.Body()))
+					bw.Write(q.Body())
+					if bw.Flush() != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln
+}
+
+// nodesAt lists the front's one node at another place.
+func nodesAt(ln net.Listener) core.News {
+	return core.News{Kind: choice.ListFull, Nodes: []core.Node{{Node: choice.Node{ID: "n", Weight: 1}, Addresses: at(ln)}}}
+}
+
+// put is a write of the given body: framed by its length or chunked, perhaps asking to be
+// told to go on.
+func put(id int, body []byte, chunked, expect bool) (head string, framed []byte) {
+	head = strings.Replace(good, "9b1f03aa5c7e2d41", fmt.Sprintf("%016x", id), 1)
+	head = strings.TrimSuffix(head, "hello")
+	if expect {
+		head = strings.Replace(head, "Content-Length: 5\r\n", "Expect: 100-continue\r\nContent-Length: 5\r\n", 1)
+	}
+	if !chunked {
+		return strings.Replace(head, "Content-Length: 5", fmt.Sprintf("Content-Length: %d", len(body)), 1), body
+	}
+	head = strings.Replace(head, "Content-Length: 5", "Transfer-Encoding: chunked", 1)
+	var b bytes.Buffer
+	for rest := body; len(rest) > 0; {
+		n := min(len(rest), 50000)
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", n, rest[:n])
+		rest = rest[n:]
+	}
+	b.WriteString("0\r\n\r\n")
+	return head, b.Bytes()
+}
+
+// Many long bodies at once, more than the room holds, written in pieces cut anywhere: each
+// comes back byte for byte, or is refused at once and says when to come back; none other.
+func TestLongBodiesUnderARoom(t *testing.T) {
+	const size, writes = 2 << 20, 12
+	f := newFront(t, say(fine))
+	f.srv.Bodies = semaphore.NewWeighted(6 << 20) // three at a time
+	f.dialer.ConnIdle = time.Minute
+	nodes := echo(t)
+	f.srv.Core.List(nodesAt(nodes))
+	var mu sync.Mutex
+	counts := map[int]int{}
+	var all sync.WaitGroup
+	for i := range writes {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			rng := rand.New(rand.NewPCG(uint64(i), 7))
+			body := make([]byte, size)
+			for k := range body {
+				body[k] = byte(rng.IntN(256))
+			}
+			head, framed := put(i+1, body, i%2 == 1, i%3 == 0)
+			nc, err := net.Dial("tcp", f.address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer nc.Close()
+			io.WriteString(nc, head)
+			br := bufio.NewReader(nc)
+			if i%3 == 0 { // told to go on first
+				line, _ := br.ReadString('\n')
+				br.ReadString('\n')
+				if !strings.HasPrefix(line, "HTTP/1.1 100") {
+					t.Errorf("%d: %q before the body", i, line)
+					return
+				}
+			}
+			go func() { // in pieces of any length, with pauses
+				for rest := framed; len(rest) > 0; {
+					n := min(len(rest), 1+rng.IntN(300000))
+					if _, err := nc.Write(rest[:n]); err != nil {
+						return
+					}
+					rest = rest[n:]
+					time.Sleep(time.Duration(rng.IntN(3)) * time.Millisecond)
+				}
+			}()
+			var r fasthttp.Response
+			if err := r.Read(br); err != nil {
+				t.Errorf("%d: %v", i, err)
+				return
+			}
+			mu.Lock()
+			counts[r.StatusCode()]++
+			mu.Unlock()
+			switch {
+			case r.StatusCode() == 200 && !bytes.Equal(r.Body(), body):
+				t.Errorf("%d: %d bytes came back, not the %d sent", i, len(r.Body()), size)
+			case r.StatusCode() == 503 && len(r.Header.Peek("Retry-After")) == 0:
+				t.Errorf("%d: refused without saying when to come back", i)
+			case r.StatusCode() != 200 && r.StatusCode() != 503:
+				t.Errorf("%d: %d %q", i, r.StatusCode(), r.Body())
+			}
+		}()
+	}
+	all.Wait()
+	if counts[200] == 0 {
+		t.Fatalf("none served: %v", counts)
+	}
+	if !f.srv.Bodies.TryAcquire(6 << 20) {
+		t.Fatal("the room is not all free once every write has its answer")
+	}
+	t.Logf("answers: %v", counts)
+}
+
+// A client that sends its body slowly but steadily, at 64 kB a second in pieces, is read to the
+// end, past the time a whole request once had; one that stands still within its body is cut off.
+func TestSlowBodies(t *testing.T) {
+	f := newFront(t, say(fine))
+	f.srv.Bodies = semaphore.NewWeighted(1 << 20)
+	body := bytes.Repeat([]byte("x"), 200<<10)
+	head, framed := put(1, body, false, false)
+	nc, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	io.WriteString(nc, head)
+	for rest := framed; len(rest) > 0; {
+		n := min(len(rest), 6400)
+		nc.Write(rest[:n])
+		rest = rest[n:]
+		time.Sleep(100 * time.Millisecond) // 3.2 s in all
+	}
+	var r fasthttp.Response
+	if err := r.Read(bufio.NewReader(nc)); err != nil || r.StatusCode() != 200 {
+		t.Fatalf("a steady body: %d %v", r.StatusCode(), err)
+	}
+	short, shortFramed := put(2, body[:30], false, false)
+	for _, x := range []struct {
+		head   string
+		framed []byte
+		cut    int
+	}{{short, shortFramed, 10}, {head, framed, 100 << 10}} { // within what the server reads first, and past it
+		still, err := net.Dial("tcp", f.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer still.Close()
+		io.WriteString(still, x.head)
+		still.Write(x.framed[:x.cut])
+		r.Reset()
+		if err := r.Read(bufio.NewReader(still)); err != nil || r.StatusCode() != 408 || !r.ConnectionClose() {
+			t.Fatalf("a body that stands still after %d bytes: %d %v", x.cut, r.StatusCode(), err)
+		}
+	}
+}
--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	bodyMost     = 64 << 10
+	bodyMost     = 64 << 10 // of a body held in one piece, of a request or an answer
+	bodyLargest  = 32 << 20 // of a request's body; a longer one gets 413
 	idMost       = 128
 	patienceMost = 10 * time.Minute
 	unitsMost    = 1e6
@@ -75,8 +76,14 @@
 	hosts  int             // that there are; 0: not told
 }
 
-// decode reads a client's request. Only what it returns is kept of the message.
+// decode reads a client's request whose body fasthttp holds. Only what it returns is kept of the
+// message.
 func decode(m *fasthttp.Request, b *bounds) (*core.Request, error) {
+	return decodeWith(m, bytes.Clone(m.Body()), b)
+}
+
+// decodeWith reads a client's request with its body, which it keeps.
+func decodeWith(m *fasthttp.Request, body []byte, b *bounds) (*core.Request, error) {
 	h := &m.Header
 	r := &core.Request{}
 	if p := h.Protocol(); string(p) != "HTTP/1.1" && string(p) != "HTTP/1.0" {
@@ -113,10 +120,10 @@
 	if err != nil || patience == 0 || time.Duration(patience)*time.Millisecond > patienceMost {
 		return nil, malformed("X-Deadline-Ms: missing or not a number of milliseconds")
 	}
-	if len(m.Body()) > bodyMost {
-		return nil, &Malformed{fasthttp.StatusRequestEntityTooLarge, "body: over 64 KiB"}
+	if len(body) > bodyLargest {
+		return nil, &Malformed{fasthttp.StatusRequestEntityTooLarge, "body: over 32 MiB"}
 	}
-	if h.IsGet() && (len(m.Body()) > 0 || framing.chunked) {
+	if h.IsGet() && (len(body) > 0 || framing.chunked) {
 		return nil, malformed("body: a read has none")
 	}
 	r.ID, r.Class, r.Plan, r.Key = string(id), string(class), string(tier), string(key)
@@ -139,7 +146,7 @@
 	if len(idem) > 0 && !token(idem, 1024) || len(idem) == 0 && b.keyed[r.Class] {
 		return nil, malformed("Idempotency-Key: missing or malformed")
 	}
-	c := &call{body: bytes.Clone(m.Body())}
+	c := &call{body: body}
 	c.head = append(append(append(c.head, h.Method()...), ' '), uri...)
 	c.head = append(append(c.head, " HTTP/1.1\r\nX-Request-Id: "...), id...)
 	if len(idem) > 0 {
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -15,7 +15,6 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/semaphore"
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/address"
@@ -47,11 +46,10 @@
 type Dialer struct {
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration
-	ConnsMost      int64               // over all nodes
-	Bodies         *semaphore.Weighted // bytes of long bodies held at once, till their clients have them
-	Safe           map[string]bool     // classes that may be repeated freely
-	Routes         *Routes             // of nodes with several addresses; nil: the defaults
-	Log            logrus.FieldLogger  // nil: silence
+	ConnsMost      int64              // over all nodes
+	Safe           map[string]bool    // classes that may be repeated freely
+	Routes         *Routes            // of nodes with several addresses; nil: the defaults
+	Log            logrus.FieldLogger // nil: silence
 	open           atomic.Int64
 	dial           func(context.Context, address.Addr, time.Duration) (sock.Stream, address.Why, error) // nil: sock.Dial
 }
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -5,11 +5,13 @@
 	"errors"
 	"net"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/core"
@@ -24,6 +26,7 @@
 	writeMargin = time.Second
 	scarceWait  = 50 * time.Millisecond // a usual answer or two
 	retryLeast  = 10 * time.Millisecond // a refusal always says when to come back
+	slowestBody = 32 << 10              // bytes a second of a client's body, half of the slowest named
 )
 
 // Server answers the platform's clients.
@@ -32,7 +35,10 @@
 	http *fasthttp.Server
 	ln   atomic.Pointer[sock.Listener]
 	b    atomic.Pointer[bounds]
-	keep atomic.Bool // some connections free
+	// Bodies is the room that request bodies over 64 KiB share while they are held; nil: none
+	// is counted.
+	Bodies *semaphore.Weighted
+	keep   atomic.Bool // some connections free
 }
 
 // NewServer makes the front; conns caps the clients' connections.
@@ -44,7 +50,8 @@
 		patience = max(patience, time.Duration(k.Deadline*float64(time.Millisecond)))
 	}
 	s.http = &fasthttp.Server{
-		Handler: s.handle, ErrorHandler: reject, Concurrency: 2 * conns, MaxRequestBodySize: bodyMost,
+		Handler: s.handle, ErrorHandler: reject, Concurrency: 2 * conns, MaxRequestBodySize: bodyLargest, StreamRequestBody: true,
+		HeaderReceived: bodyTime,
 		ReadBufferSize: headMost, WriteBufferSize: 4096, ReadTimeout: readTimeout, WriteTimeout: patience + writeMargin, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true,
 		SecureErrorLogMessage: true, DisablePreParseMultipartForm: true, Logger: quiet{log}, ConnState: state,
@@ -52,6 +59,17 @@
 	return s
 }
 
+// bodyTime is the time for the first part of a body, which the server reads before the handler:
+// the head had readTimeout from its first byte, and a client may send at 64 kB a second. The
+// handler then gives each further piece pieceRead.
+func bodyTime(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	size := max(h.ContentLength(), 0)
+	if h.ContentLength() == -1 { // chunked
+		size = bodyMost
+	}
+	return fasthttp.RequestConfig{ReadTimeout: pieceRead + time.Duration(size)*time.Second/slowestBody}
+}
+
 // state tells the listener which connections are between requests.
 func state(nc net.Conn, st fasthttp.ConnState) {
 	if c, ok := nc.(*sock.Conn); ok && (st == fasthttp.StateIdle || st == fasthttp.StateActive) {
@@ -120,7 +138,13 @@
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		return
 	}
-	r, err := decode(&ctx.Request, s.b.Load())
+	body, err := readBody(ctx, s.Bodies)
+	if err != nil {
+		s.unread(ctx, err)
+		return
+	}
+	defer body.free()
+	r, err := decodeWith(&ctx.Request, body.body, s.b.Load())
 	if err != nil {
 		code := fasthttp.StatusBadRequest
 		var m *Malformed
@@ -171,6 +195,26 @@
 	}
 }
 
+// unread answers a request whose body could not be read: the rest of it is not read, so the
+// connection closes.
+func (s *Server) unread(ctx *fasthttp.RequestCtx, err error) {
+	ctx.SetConnectionClose()
+	var m *Malformed
+	switch {
+	case errors.Is(err, errNoRoom):
+		class, _, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
+		got := make(chan core.Answer, 1)
+		s.Core.Refuse(&core.Request{Request: choice.Request{Class: class}, Answer: func(a core.Answer) { got <- a }}, scarceWait)
+		write(ctx, <-got)
+	case errors.As(err, &m):
+		ctx.Error(m.What, m.Code)
+	case errors.Is(err, errStill):
+		ctx.Error(err.Error(), fasthttp.StatusRequestTimeout)
+	default:
+		ctx.Error("body: "+err.Error(), fasthttp.StatusBadRequest)
+	}
+}
+
 // write encodes the final answer.
 func write(ctx *fasthttp.RequestCtx, a core.Answer) {
 	switch a.Kind {
