A chunked answer that is cut off is a reset, never served as whole

Checked and excluded: another request's answer on a reused connection (the first 16 digits of the bodies are all different), a body changed behind core (it was short in the outcome already), several attempts (each was try 0). At fault: internal/httpfront/node.go, body(): io.ReadFull gives io.ErrUnexpectedEOF both for a whole body that is shorter than the piece and for a stream that was cut, and the latter was held as whole.

Change: a read loop of its own that takes only io.EOF for the end. A test cuts a chunked answer at each of its bytes; without the change 20 of the cuts pass for whole.

--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -156,6 +156,26 @@
 	}
 }
 
+// A chunked answer that its node cuts off, anywhere, is a failed attempt that may have run: what
+// came of it is never served as if it were whole.
+func TestCutChunkedAnswer(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	whole := head + "3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\n\r\n"
+	for cut := len(head); cut <= len(whole); cut++ {
+		n := newStandin(t, func(nc net.Conn) bool { io.WriteString(nc, whole[:cut]); return false })
+		p := dialer().Connect("n", at(n.ln))
+		want := choice.Reset
+		if cut == len(whole) {
+			want = choice.OK
+		}
+		r := try(t, p)
+		if r.Status != want || r.Status == choice.OK && string(r.Payload.(*reply).body) != "abcdefg" {
+			t.Errorf("cut behind %q: %+v, want status %d", whole[:cut], r, want)
+		}
+		p.Close()
+	}
+}
+
 // What cannot be an answer made whole for its request is a failed attempt that may have run,
 // on a connection that stays open as well; a good answer is kept whatever comes with it, and
 // its connection is used again only if nothing did.
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -547,9 +547,9 @@
 	}
 	stream := c.resp.BodyStream()
 	first := make([]byte, bodyMost+1)
-	n, err := io.ReadFull(stream, first)
+	n, err := readUpTo(stream, first)
 	switch {
-	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+	case err == io.EOF:
 		// All of it came within the first piece: it is held as a short one.
 		if cerr := c.resp.CloseBodyStream(); cerr != nil {
 			return nil, cerr
@@ -576,6 +576,21 @@
 	return rep, nil
 }
 
+// readUpTo fills a piece of a body; io.EOF says that the body ended whole before that. A body
+// that is cut off ends with io.ErrUnexpectedEOF, which io.ReadFull also returns for a whole one
+// that is shorter than the piece: so it is not used here.
+func readUpTo(body io.Reader, piece []byte) (n int, err error) {
+	for n < len(piece) && err == nil {
+		var more int
+		more, err = body.Read(piece[n:])
+		n += more
+	}
+	if n == len(piece) && err == io.EOF {
+		err = nil // the next read meets it again
+	}
+	return n, err
+}
+
 var answerOnce = fields()
 
 // head waits for a whole head and returns its lines behind a good status line; nothing of it
