A client's body cut off past the first 8 KiB is an error, not a shorter whole one

Checked: a test with bodies cut behind 60 KiB, 100 KiB and all but one byte of 200 KiB took each for whole; cut within the first 8 KiB, and chunked, they were errors already. At fault: internal/httpfront/body.go, readBody(): io.EOF ended a body that was short of its length.

The test fails without it.

--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -91,7 +91,10 @@
 		_ = nc.SetReadDeadline(time.Now().Add(pieceRead))
 		n, err := stream.Read(h.body[len(h.body):cap(h.body)])
 		h.body = h.body[:len(h.body)+n]
-		if errors.Is(err, io.EOF) {
+		if err == io.EOF && size >= 0 && len(h.body) < size {
+			err = io.ErrUnexpectedEOF // the stream of a body with a length does not tell that it was cut
+		}
+		if err == io.EOF {
 			_ = nc.SetReadDeadline(time.Time{})
 			return h, nil
 		}
--- a/internal/httpfront/body_test.go
+++ b/internal/httpfront/body_test.go
@@ -197,3 +197,45 @@
 		}
 	}
 }
+
+// A body that its client cuts off, within what the server reads first and past it, by length and
+// chunked, is an error: it never goes on as if it were whole.
+func TestCutBodies(t *testing.T) {
+	got := make(chan int, 1) // bytes taken for whole, -1: an error
+	srv := &fasthttp.Server{StreamRequestBody: true, ReadBufferSize: headMost, MaxRequestBodySize: bodyLargest,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			n := -1
+			if h, err := readBody(ctx, nil); err == nil {
+				n = len(h.body)
+			}
+			got <- n
+		},
+		ErrorHandler: func(*fasthttp.RequestCtx, error) { got <- -1 }}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go srv.Serve(ln)
+	body := bytes.Repeat([]byte("x"), 200<<10)
+	for _, chunked := range []bool{false, true} {
+		head, framed := put(1, body, chunked, false)
+		for _, cut := range []int{10, 5000, 60 << 10, 100 << 10, len(framed) - 1, len(framed)} {
+			nc, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(nc, head)
+			nc.Write(framed[:cut])
+			nc.(*net.TCPConn).CloseWrite()
+			want := -1
+			if cut == len(framed) {
+				want = len(body)
+			}
+			if n := <-got; n != want {
+				t.Errorf("cut behind %d of %d bytes, chunked %v: %d bytes taken for whole", cut, len(framed), chunked, n)
+			}
+			nc.Close()
+		}
+	}
+}
