--- /dev/null
+++ b/choice/world_test.go
@@ -0,0 +1,416 @@
+package choice
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+)
+
+// A small world of many hosts and nodes: pure calls, virtual time, a seed. It keeps its own books
+// of what the rules forbid over all hosts together.
+
+const (
+	worldHosts = 80
+	worldNodes = 60
+	worldUnits = 60.0 // units a second that a warm node serves
+	worldQueue = 40   // requests a node holds
+	worldSpan  = 20e3
+	worldRate  = 1400.0 // requests a second: more than a cold node bears
+)
+
+type world struct {
+	t     *testing.T
+	set   Settings
+	rng   *rand.Rand
+	now   float64
+	due   worldDues
+	seq   int
+	hosts []*worldHost
+	nodes map[string]*worldNode
+	shard []*worldNode // who holds it now; nil: nobody
+	vols  []worldVolume
+	reqs  map[string]*worldReq
+	sent  map[string][]flow // by cold node: units within the last TipSpan
+	store map[string]*worldStore
+	ends  map[string]int // by what ended requests
+}
+
+type worldHost struct {
+	w      *world
+	no     int
+	life   int
+	down   bool
+	s      *Scheduler
+	held   map[string]Node // the list as told
+	told   map[string]float64
+	events []Event
+}
+
+type worldNode struct {
+	Node
+	alive bool
+	life  int
+	held  int
+	out   []*worldTry // since its start
+	free  float64     // when its line is through
+}
+
+type worldVolume struct {
+	id    string
+	plan  string
+	hosts []int
+	shard []int
+}
+
+type worldReq struct {
+	host     *worldHost
+	life     int
+	req      Request
+	tries    []*worldTry
+	answered bool
+}
+
+type worldTry struct {
+	over bool // its outcome was told
+	end  func(Status)
+}
+
+type worldStore struct{ units, at, low float64 }
+
+type worldDue struct {
+	at  float64
+	seq int
+	do  func()
+}
+
+type worldDues []worldDue
+
+func (d worldDues) Len() int { return len(d) }
+func (d worldDues) Less(i, j int) bool {
+	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
+}
+func (d worldDues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *worldDues) Push(x any)   { *d = append(*d, x.(worldDue)) }
+func (d *worldDues) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+func (w *world) after(wait float64, do func()) {
+	w.seq++
+	heap.Push(&w.due, worldDue{w.now + wait, w.seq, do})
+}
+
+func newWorld(t *testing.T, seed int64) *world {
+	set := Settings{Hosts: worldHosts, MeanUnits: 2, MostUnits: 6, ColdUnits: 39, MaxAttempts: 4, MaxHoldOff: 1000,
+		HoldOff: true, MayCancel: true, SecondCopies: true, DrainGrace: 250, AskWithin: 10000, ColdFrom: 0.24, ColdSpan: 17000,
+		TipMultiple: 3, TipSpan: 3000, Shards: worldNodes,
+		Classes: []Class{{Name: "safe", Aim: 400, Deadline: 2000, Worth: 3, LateWorth: 0.1},
+			{Name: "once", Aim: 500, Deadline: 2000, Worth: 2, LateWorth: 0.1, Effect: Unsafe}},
+		Plans: []Plan{{Name: "open", Rate: 6, Reserve: 6, Weight: 1, Price: 1},
+			{Name: "capped", Rate: 2, Reserve: 1, Weight: 1, Price: 1, Limit: 6, LimitBurst: 36}}}
+	w := &world{t: t, set: set, rng: rand.New(rand.NewSource(seed)), now: 1e6, nodes: map[string]*worldNode{},
+		reqs: map[string]*worldReq{}, sent: map[string][]flow{}, store: map[string]*worldStore{}, ends: map[string]int{}}
+	for i := range worldNodes {
+		n := &worldNode{Node: Node{ID: fmt.Sprint("n", i), Shard: i, Weight: 1}, alive: true}
+		w.nodes[n.ID] = n
+		w.shard = append(w.shard, n)
+	}
+	for i := range 6 * worldNodes {
+		v := worldVolume{id: fmt.Sprint("v", i), plan: []string{"open", "open", "capped"}[i%3]}
+		for range 1 + w.rng.Intn(3) {
+			v.hosts = append(v.hosts, w.rng.Intn(worldHosts))
+			v.shard = append(v.shard, w.rng.Intn(worldNodes))
+		}
+		w.vols = append(w.vols, v)
+		w.store[v.id] = &worldStore{units: set.Plans[1].LimitBurst, at: w.now}
+	}
+	for i := range worldHosts {
+		h := &worldHost{w: w, no: i, held: map[string]Node{}, told: map[string]float64{}}
+		for id, n := range w.nodes {
+			h.held[id] = n.Node
+		}
+		w.hosts = append(w.hosts, h)
+		h.start()
+	}
+	w.after(0, w.arrive)
+	return w
+}
+
+// start begins a life of the host, with nothing but its last list.
+func (h *worldHost) start() {
+	set := h.w.set
+	set.Me = h.no
+	s, err := New(set, int64(1000*h.life+h.no))
+	if err != nil {
+		h.w.t.Fatal(err)
+	}
+	h.s, h.down = s, false
+	h.life++
+	ev := Event{Kind: ListStale}
+	for i := range worldNodes { // in a fixed order
+		for _, id := range []string{fmt.Sprint("n", i), fmt.Sprint("m", i)} {
+			if n, ok := h.held[id]; ok {
+				ev.Nodes = append(ev.Nodes, n)
+			}
+		}
+	}
+	h.step(ev)
+}
+
+func (h *worldHost) step(evs ...Event) {
+	for _, a := range h.s.Step(h.w.now, evs, nil) {
+		h.do(a)
+	}
+}
+
+// later gives the host an event of its present life.
+func (h *worldHost) later(wait float64, ev func() (Event, bool)) {
+	life := h.life
+	h.w.after(wait, func() {
+		if h.life != life {
+			return
+		}
+		if e, ok := ev(); ok {
+			h.step(e)
+		}
+	})
+}
+
+func (h *worldHost) do(a Action) {
+	w := h.w
+	switch a.Kind {
+	case SetTimer:
+		h.later(math.Max(a.Wait, 1), func() (Event, bool) { return Event{Kind: Timer, Tag: a.Tag}, true })
+	case Refuse, Fail:
+		w.final(a.ID, []string{Refuse: "refused", Fail: "failed"}[a.Kind])
+	case Send:
+		w.send(h, a)
+	case Cancel: // the node works on
+		if r := w.reqs[a.ID]; r != nil {
+			h.later(1, func() (Event, bool) { r.tries[a.Attempt].end(Cancelled); return Event{}, false })
+		}
+	}
+}
+
+// final takes a request's end; each has one.
+func (w *world) final(id, how string) {
+	r := w.reqs[id]
+	if r == nil || r.answered {
+		w.t.Fatalf("at %.0f: a second end for %s: %s", w.now, id, how)
+	}
+	if w.now > r.req.NotAfter+8 {
+		w.t.Errorf("at %.0f: %s ended %.0f ms late", w.now, id, w.now-r.req.NotAfter)
+	}
+	r.answered = true
+	w.ends[how]++
+}
+
+// power is the share of its full speed that a node has.
+func (w *world) power(n *worldNode) float64 {
+	if n.Since == 0 {
+		return 1
+	}
+	return math.Min(1, w.set.ColdFrom+(1-w.set.ColdFrom)*(w.now-n.Since)/w.set.ColdSpan)
+}
+
+// send takes an attempt: the rules are looked at, and the node serves it in turn or does not.
+func (w *world) send(h *worldHost, a Action) {
+	r, n := w.reqs[a.ID], w.nodes[a.Node]
+	if r == nil || r.answered || r.host != h || n == nil || n.Shard != r.req.Shard {
+		w.t.Fatalf("at %.0f: sent %s to %s", w.now, a.ID, a.Node)
+	}
+	if at, ok := h.told[n.ID]; ok && w.now > at+w.set.DrainGrace {
+		w.t.Errorf("at %.0f: sent to %s, told %.0f ms ago that it drains", w.now, n.ID, w.now-at)
+	}
+	no, sent, life := len(r.tries), w.now, n.life
+	t := &worldTry{}
+	t.end = func(status Status) {
+		if t.over || h.life != r.life {
+			return
+		}
+		t.over = true
+		if status == OK && !r.answered {
+			w.final(a.ID, "served")
+		}
+		h.step(Event{Kind: Outcome, ID: a.ID, Attempt: no, Node: n.ID, Status: status, Latency: w.now - sent, Finished: r.answered})
+	}
+	if r.tries = append(r.tries, t); no == 0 {
+		w.take(r)
+	}
+	w.after(math.Min(a.Until, r.req.NotAfter)-w.now, func() { t.end(TimedOut) })
+	switch {
+	case !n.alive:
+		w.after(1, func() { t.end(NoConn) })
+		return
+	case n.State == NodeDraining || n.held >= worldQueue:
+		w.after(1, func() { t.end(Full) })
+	default:
+		n.held++
+		n.free = math.Max(w.now, n.free) + r.req.Units*1000/worldUnits/w.power(n)
+		w.after(n.free-w.now+1, func() {
+			if n.life != life {
+				return
+			}
+			n.held--
+			t.end(OK)
+		})
+		n.out = append(n.out, t)
+	}
+	w.tip(n, r.req.Units)
+}
+
+// tip counts what a cold node got from all hosts within the span, also what it turned away.
+func (w *world) tip(n *worldNode, units float64) {
+	if n.Since == 0 || w.now-n.Since > w.set.ColdSpan {
+		return
+	}
+	fs := append(w.sent[n.ID], flow{w.now, units})
+	sum := sumSince(&fs, w.now-w.set.TipSpan)
+	w.sent[n.ID] = fs
+	if bears := w.set.TipMultiple * w.power(n) * worldUnits * w.set.TipSpan / 1000; sum > bears {
+		w.t.Errorf("at %.0f: %s, up for %.0f ms, got %.0f units within %.0f ms; it bears %.0f", w.now, n.ID, w.now-n.Since, sum, w.set.TipSpan, bears)
+	}
+}
+
+// take counts a limited volume's first sends over all hosts.
+func (w *world) take(r *worldReq) {
+	p := w.set.Plans[1]
+	if r.req.Plan != p.Name {
+		return
+	}
+	s := w.store[r.req.Volume]
+	s.units = math.Min(s.units+p.Limit*(w.now-s.at)/1000, p.LimitBurst) - r.req.Units
+	s.at = w.now
+	if s.units < -0.1*p.LimitBurst {
+		w.t.Errorf("at %.0f: volume %s is %.1f units past its limit", w.now, r.req.Volume, -s.units)
+	}
+}
+
+func (w *world) arrive() {
+	w.after(w.rng.ExpFloat64()*1000/worldRate, w.arrive)
+	v := w.vols[int(float64(len(w.vols))*w.rng.Float64()*w.rng.Float64())] // some ask for much more
+	h := w.hosts[v.hosts[w.rng.Intn(len(v.hosts))]]
+	if h.down {
+		return // what would come through a dead host is lost to its client
+	}
+	class := w.set.Classes[w.rng.Intn(2)]
+	w.seq++
+	hosts := map[int]bool{}
+	for _, x := range v.hosts {
+		hosts[x] = true
+	}
+	q := Request{ID: fmt.Sprint("q", w.seq), Class: class.Name, Plan: v.plan, Key: fmt.Sprint("k", w.seq), Volume: v.id,
+		NotAfter: w.now + class.Deadline, Units: float64(1 + w.rng.Intn(3)), Shard: v.shard[w.rng.Intn(len(v.shard))], Hosts: len(hosts)}
+	r := &worldReq{host: h, life: h.life, req: q}
+	w.reqs[q.ID] = r
+	h.step(Event{Kind: Arrival, Req: q})
+	w.after(class.Deadline+9, func() {
+		if !r.answered && h.life == r.life {
+			w.t.Errorf("%s of class %s has no end", q.ID, q.Class)
+		}
+		delete(w.reqs, q.ID)
+	})
+}
+
+// change makes the list say something new of a node; each host hears of it in its own time.
+func (w *world) change(n Node) {
+	for _, h := range w.hosts {
+		w.after(300+w.rng.Float64()*2000, func() {
+			if old, ok := h.held[n.ID]; ok && (old.State > n.State && n.Since == old.Since || old.Since > n.Since) {
+				return // older news
+			}
+			h.held[n.ID] = n // also while it is down: its last list is what it starts with
+			if n.State == NodeUp {
+				delete(h.told, n.ID)
+			} else if _, ok := h.told[n.ID]; !ok {
+				h.told[n.ID] = w.now
+			}
+			if !h.down {
+				h.step(Event{Kind: ListChange, Nodes: []Node{n}})
+			}
+		})
+	}
+}
+
+// die ends a node's process; back starts it again, cold.
+func (w *world) die(n *worldNode) {
+	n.alive, n.held, n.free = false, 0, 0
+	n.life++
+	out := n.out
+	n.out = nil
+	w.after(1, func() {
+		for _, t := range out {
+			t.end(Reset)
+		}
+	})
+}
+
+func (w *world) back(n *worldNode) {
+	n.alive, n.Since = true, w.now
+	w.sent[n.ID] = nil
+	w.change(n.Node)
+}
+
+func (w *world) run() {
+	for end := w.now + worldSpan; w.due[0].at < end; {
+		d := heap.Pop(&w.due).(worldDue)
+		w.now = d.at
+		d.do()
+	}
+}
+
+// The fleet's three days in small: seven in ten hosts are killed at once and come back, a third of
+// the nodes is lost and returns cold, and six in ten nodes are replaced within 7 s. Over all hosts
+// together no cold node gets more than it bears, no drained one new work after the grace, no
+// limited volume more than its limit, and each request one final answer. Most is served.
+func TestFleetDaysInSmall(t *testing.T) {
+	for name, trouble := range map[string]func(*world){
+		"herd": func(w *world) {
+			w.after(6000, func() {
+				for _, i := range w.rng.Perm(worldHosts)[:worldHosts*7/10] {
+					h := w.hosts[i]
+					h.life, h.down = h.life+1, true // what it held is its clients' to ask for again
+					w.after(500+1000*w.rng.Float64(), h.start)
+				}
+			})
+		},
+		"zone": func(w *world) {
+			w.after(5000, func() {
+				for i := 0; i < worldNodes; i += 3 {
+					n := w.shard[i]
+					w.die(n)
+					w.after(5000, func() { w.back(n) })
+				}
+			})
+		},
+		"join": func(w *world) {
+			for i := range worldNodes * 6 / 10 {
+				old := w.shard[i]
+				w.after(4000+7000*float64(i)/worldNodes/0.6, func() {
+					next := &worldNode{Node: Node{ID: fmt.Sprint("m", i), Shard: i, Weight: 1}, alive: true}
+					w.nodes[next.ID] = next
+					w.back(next)
+					old.State = NodeDraining
+					w.change(old.Node)
+					w.after(1500, func() { old.State = NodeGone; w.die(old); w.change(old.Node) })
+				})
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 7)
+			trouble(w)
+			w.run()
+			all := w.ends["served"] + w.ends["refused"] + w.ends["failed"]
+			t.Logf("%d requests: %v", all, w.ends)
+			if w.ends["served"] < all/2 {
+				t.Errorf("of %d requests %d were served", all, w.ends["served"])
+			}
+		})
+	}
+}
