--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -197,6 +197,7 @@
 	Beat    time.Duration // 0: the default
 	Hosts   int           // schedulers that watch the same list; 0: this one
 	Seed    int64
+	Waits   Waits // between watches; nil: those of backoff for Hosts and Seed
 	held    map[string]core.Node
 	moves   chan string
 	mail    chan line
@@ -206,6 +207,12 @@
 	down    bool     // told already that no watch stands
 }
 
+// Waits says when to watch again after a watch that ended, and hears of those that spoke.
+type Waits interface {
+	Next() time.Duration
+	Spoke()
+}
+
 // session is one connection's watch.
 type session struct {
 	stop context.CancelFunc
@@ -242,7 +249,10 @@
 		w.Beat = beat
 	}
 	w.now = w.open(ctx)
-	again := backoff.New(max(w.Hosts, 1), uint64(w.Seed))
+	again := w.Waits
+	if again == nil {
+		again = backoff.New(max(w.Hosts, 1), uint64(w.Seed))
+	}
 	retry := time.NewTimer(time.Hour)
 	defer retry.Stop()
 	for {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -246,3 +246,52 @@
 		}
 	}
 }
+
+// waits records what a watcher asks of its back-off.
+type waits struct{ said chan string }
+
+func (w waits) Next() time.Duration { w.said <- "next"; return time.Millisecond }
+func (w waits) Spoke()              { w.said <- "spoke" }
+
+// Each watch that is turned away asks the back-off for its wait, and one that speaks tells it so.
+// Meanwhile the list that is held stays: it is said once that the watch ended.
+func TestTurnedAwayWatchBacksOff(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for i := range 4 {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer nc.Close()
+			bufio.NewReader(nc).ReadString('\n')
+			if i < 3 {
+				io.WriteString(nc, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+				continue
+			}
+			line := list(9, true, entry) + "\n"
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(line), line)
+		}
+	}()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	log, _ := logtest.NewNullLogger()
+	said, told := make(chan string, 64), make(chan core.News, 64)
+	w := &Watcher{Address: ln.Addr().String(), Tell: func(n core.News) { told <- n }, Log: log, Waits: waits{said}, Beat: time.Minute}
+	go w.Run(ctx)
+	for i, want := range []string{"next", "next", "next", "spoke"} {
+		if got := <-said; got != want {
+			t.Fatalf("%d: %s, want %s", i, got, want)
+		}
+	}
+	if n := <-told; n.Kind != choice.ListFailed {
+		t.Errorf("told %+v first", n)
+	}
+	if n := <-told; n.Kind != choice.ListFull || len(n.Nodes) != 1 {
+		t.Errorf("told %+v once the list came", n)
+	}
+}
