Hosts that start together adapt at times of their own, drawn from the seed

Change: the first adaptation is drawn from half to one and a half of the settling time. Mechanism, aims and intervals stay.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -101,7 +101,8 @@
 // Step takes the time and the events that came at it, and appends actions.
 func (s *Scheduler) Step(now float64, events []Event, actions []Action) []Action {
 	if math.IsNaN(s.now) {
-		s.now, s.due, s.logged, s.asked, s.woke = now, now+s.settle, now, now, now
+		// Hosts that start together would else move their weights in step, and overshoot.
+		s.now, s.due, s.logged, s.asked, s.woke = now, now+s.settle*(0.5+s.rng.Float64()), now, now, now
 		s.beat = now + beatSpan
 		actions = append(actions, Action{Kind: SetTimer, Wait: beatSpan, Tag: "beat"})
 	}
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -132,3 +132,17 @@
 		}
 	}
 }
+
+// Hosts that start together move their weights at times of their own: in step they would all give
+// at once, and the delays at the nodes they share would answer to all of it.
+func TestHostsAdaptOutOfStep(t *testing.T) {
+	slots := map[int]int{}
+	for _, r := range fleet(t, testSettings(), []Node{{ID: "a", Shard: 0}}) {
+		slots[int(r.s.due)/100]++
+	}
+	for slot, n := range slots {
+		if n > fleetHosts/4 {
+			t.Errorf("%d of %d hosts adapt within the same 100 ms (%d)", n, fleetHosts, slot)
+		}
+	}
+}
