An attempt waits a moment for a node's connection in use where the settings price new ones

At fault: internal/httpfront/node.go, conn(): another was opened at once whatever it costs.

Called off it was never written; where the node drains it ends at once as not sent. Nodes with several addresses keep to their book. Not taken: smaller windows for large fleets, which hold back reserves as well. Tests: the line as a rapid state machine; on sockets order, calling off, drain, the end of the wait and a broken connection.

--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -20,6 +21,7 @@
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/httpfront"
 	"wheatsaddle/internal/operator"
+	"wheatsaddle/internal/pool"
 	"wheatsaddle/internal/registry"
 	"wheatsaddle/internal/sock"
 )
@@ -113,6 +115,15 @@
 	return min(longest, mostPatient) + killedAfter
 }
 
+// tightest is the shortest aim of the classes.
+func tightest(set choice.Settings) time.Duration {
+	aim := math.Inf(1)
+	for _, k := range set.Classes {
+		aim = min(aim, k.Aim)
+	}
+	return time.Duration(aim * float64(time.Millisecond))
+}
+
 func serve(c *cli.Context) error {
 	log := logrus.New()
 	log.SetOutput(os.Stderr)
@@ -152,8 +163,8 @@
 	clients := max(1, int(clientShare*float64(sockets)))
 	dialer := &httpfront.Dialer{ConnectTimeout: time.Duration(conf.ConnectTimeout * float64(time.Millisecond)),
 		ConnIdle:  time.Duration(conf.ConnIdle * float64(time.Millisecond)),
-		ConnsMost: int64(max(1, sockets-clients)),
-		Safe:      safeClasses(conf.Settings), Routes: at.routes, Log: log}
+		ConnsMost: int64(max(1, sockets-clients)), Wait: pool.Wait(conf.Handshake, tightest(conf.Settings)),
+		Safe: safeClasses(conf.Settings), Routes: at.routes, Log: log}
 	kept, excluded := keptExclusions(conf.Name, log)
 	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log, Excluded: excluded})
 	if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,7 +28,8 @@
 	ConnIdle                float64 // ms after which a node closes an idle connection
 	ConnectTimeout          float64 // ms
 	MaxOpen                 int
-	raw                     []byte // the file as read
+	Handshake               float64 // price of a new connection, in worths of a request
+	raw                     []byte  // the file as read
 }
 
 const (
@@ -127,6 +128,7 @@
 	c.ConnIdle = sr.num("ceilings.conn-idle", defaultConnIdle, 1)
 	c.ConnectTimeout = sr.num("ceilings.connect-timeout", defaultConnectTimeout, 1)
 	c.MaxOpen = int(sr.num("ceilings.max-open", defaultMaxOpen, 1))
+	c.Handshake = sr.num("prices.handshake", 0, 0)
 	if sr.err != nil {
 		return nil, sr.err
 	}
--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -725,3 +725,89 @@
 		t.Errorf("%d requests at the node", n)
 	}
 }
+
+// An attempt waits for a connection in use where a new one is dear: first come, first served, on
+// the one connection. Called off, or with the node draining, it was never written.
+func TestWaitsForAConnection(t *testing.T) {
+	open := make(chan bool)
+	n := newStandin(t, func(nc net.Conn) bool { <-open; _, err := io.WriteString(nc, fine); return err == nil })
+	d := dialer()
+	d.Wait = time.Hour
+	p := d.Connect("n", at(n.ln))
+	start := func() (*core.Attempt, chan core.Result) {
+		a, got := attempt(t, later())
+		p.Send(a)
+		return a, got
+	}
+	_, first := start()
+	second, waiting := start()
+	_, beyond := start() // one waits for each in use: this one has its own
+	p.Cancel(second)
+	if r := <-waiting; r.Status != choice.Cancelled {
+		t.Errorf("called off while it waits: %+v", r)
+	}
+	_, behind := start()
+	open <- true
+	open <- true
+	open <- true
+	for _, got := range []chan core.Result{first, beyond, behind} {
+		if r := <-got; r.Status != choice.OK {
+			t.Errorf("%+v", r)
+		}
+	}
+	if n.requests.Load() != 3 || n.conns.Load() != 2 {
+		t.Errorf("%d requests on %d connections, want 3 on 2", n.requests.Load(), n.conns.Load())
+	}
+	p = d.Connect("m", at(n.ln)) // with no connection yet
+	_, out := start()
+	waitFor(t, func() bool { return n.requests.Load() == 4 })
+	_, drained := start()
+	p.Drain(true)
+	if r := <-drained; r.Status != choice.NoConn {
+		t.Errorf("waiting while the node began to drain: %+v", r)
+	}
+	open <- true
+	if r := <-out; r.Status != choice.OK {
+		t.Errorf("%+v", r)
+	}
+}
+
+// Past its wait an attempt has a connection of its own, and so has one whose connection to wait
+// for broke.
+func TestWaitEnds(t *testing.T) {
+	block := make(chan bool)
+	n := newStandin(t, func(nc net.Conn) bool { return <-block })
+	d := dialer()
+	d.Wait = time.Millisecond
+	p := d.Connect("n", at(n.ln))
+	for range 2 {
+		a, _ := attempt(t, later())
+		p.Send(a)
+	}
+	waitFor(t, func() bool { return n.requests.Load() == 2 })
+	d.Wait = time.Hour
+	q := d.Connect("m", at(n.ln))
+	a, cut := attempt(t, later())
+	q.Send(a)
+	b, _ := attempt(t, later())
+	q.Send(b)
+	waitFor(t, func() bool { return n.requests.Load() == 3 })
+	q.Cancel(a) // its connection is closed and never used again
+	if r := <-cut; r.Status != choice.Cancelled {
+		t.Errorf("%+v", r)
+	}
+	waitFor(t, func() bool { return n.requests.Load() == 4 })
+	close(block)
+}
+
+// waitFor polls until what is meant has come about.
+func waitFor(t *testing.T, met func() bool) {
+	t.Helper()
+	for range 20000 {
+		if met() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("it did not come about")
+}
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -19,6 +19,7 @@
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/pool"
 	"wheatsaddle/internal/sock"
 )
 
@@ -47,6 +48,7 @@
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration
 	ConnsMost      int64              // over all nodes
+	Wait           time.Duration      // for a connection in use, before another is opened
 	Safe           map[string]bool    // classes that may be repeated freely
 	Routes         *Routes            // of nodes with several addresses; nil: the defaults
 	Log            logrus.FieldLogger // nil: silence
@@ -56,7 +58,8 @@
 
 // Connect starts the actor of one storage node.
 func (d *Dialer) Connect(name string, addresses []address.Addr) core.Peer {
-	n := &node{dialer: d, name: name, mail: make(chan nodeMessage, nodeMailbox), busy: map[*core.Attempt]*conn{}}
+	n := &node{dialer: d, name: name, mail: make(chan nodeMessage, nodeMailbox), busy: map[*core.Attempt]*conn{},
+		line: pool.New[*core.Attempt](d.Wait), since: time.Now()}
 	n.readdress(addresses)
 	go n.run()
 	return n
@@ -82,6 +85,8 @@
 	draining atomic.Bool
 	idle     []*conn // the longest idle first
 	busy     map[*core.Attempt]*conn
+	line     *pool.Pool[*core.Attempt] // that wait for one of the busy ones
+	since    time.Time                 // the line's time counts from here
 	conns    int
 	closing  bool
 }
@@ -161,10 +166,18 @@
 	tick := time.NewTicker(retireEvery)
 	defer tick.Stop()
 	var wake <-chan time.Time // of the paths
+	due := time.NewTimer(time.Hour)
+	defer due.Stop()
 	for !n.closing || n.conns > 0 || len(n.mail) > 0 {
+		if at, ok := n.line.Next(); ok {
+			due.Reset(time.Until(n.since.Add(at)))
+		}
 		select {
 		case m := <-n.mail:
 			n.take(m)
+			n.tend()
+		case <-due.C:
+			n.tend()
 		case <-wake:
 			n.paths.book.Step(address.Event{Kind: address.Tick})
 		case <-tick.C:
@@ -209,6 +222,8 @@
 	case m.cancel != nil:
 		if c := n.busy[m.cancel]; c != nil {
 			c.cancel()
+		} else if n.line.Remove(m.cancel) {
+			go m.cancel.Done(core.Result{Status: choice.Cancelled})
 		}
 	case m.back != nil:
 		delete(n.busy, m.back.attempt)
@@ -221,7 +236,9 @@
 		} else {
 			m.back.idleAt = time.Now()
 			n.idle = append(n.idle, m.back)
-			if n.closing {
+			if a, ok := n.line.Free(); ok {
+				n.carry(a, n.conn())
+			} else if n.closing {
 				n.drop(m.back)
 			}
 		}
@@ -251,8 +268,23 @@
 	n.gone()
 }
 
-// conn takes the connection used last that still stands, or a new one; nil: none is left.
-func (n *node) conn() *conn {
+// tend opens connections for those that have waited long enough for one in use. Where nothing new
+// may go to the node, nobody waits on.
+func (n *node) tend() {
+	for n.draining.Load() || n.closing {
+		a, ok := n.line.Free()
+		if !ok {
+			return
+		}
+		go a.Done(core.Result{Status: choice.NoConn})
+	}
+	for _, a := range n.line.Due(time.Since(n.since), len(n.busy)) {
+		n.carry(a, n.conn())
+	}
+}
+
+// free takes the idle connection used last that still stands; nil: there is none.
+func (n *node) free() *conn {
 	for len(n.idle) > 0 {
 		c := n.idle[len(n.idle)-1]
 		if sock.Quiet(c.nc) { // neither closed nor written to by the node
@@ -261,6 +293,14 @@
 		}
 		n.drop(c)
 	}
+	return nil
+}
+
+// conn takes an idle connection, or a new one; nil: none is left.
+func (n *node) conn() *conn {
+	if c := n.free(); c != nil {
+		return c
+	}
 	if n.conns >= connsMost {
 		return nil
 	}
@@ -275,7 +315,18 @@
 }
 
 func (n *node) send(a *core.Attempt) {
-	c := n.conn()
+	c := n.free()
+	if c == nil {
+		if n.line.Want(time.Since(n.since), a, len(n.busy)) {
+			return
+		}
+		c = n.conn()
+	}
+	n.carry(a, c)
+}
+
+// carry gives an attempt its connection; nil: there is none.
+func (n *node) carry(a *core.Attempt, c *conn) {
 	if c == nil {
 		go a.Done(core.Result{Status: choice.NoConn}) // the core's mailbox may have to be waited for
 		return
