Test: a write that must not run twice, with its connection broken at every place

Change: eleven breaks, from a close before the first byte to a chunked answer cut in its body, on a new and on a reused connection; the node serves whatever comes after. Each id runs once at most; "full" goes again and is served, what may have run is answered failed. Left: the node's restart under the same id.

--- /dev/null
+++ b/internal/httpfront/once_test.go
@@ -0,0 +1,152 @@
+package httpfront
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
+)
+
+// ledger is a storage node that counts what it runs by the request's id. Its first connection breaks
+// as told; a repeat would be served.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (l *ledger) run(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id]++
+	return l.runs[id]
+}
+
+// breaking is how a node's first connection breaks.
+type breaking struct {
+	early int    // closed after so many bytes of the request; -1: it is read whole
+	full  bool   // turned away unrun
+	cut   string // what is sent of an answer once it has run, before the close
+	keep  bool   // a first request on the connection is served, and the break meets the next
+}
+
+// serve keeps one connection; what is not broken is served.
+func (l *ledger) serve(nc net.Conn, b breaking, first bool) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for n := 0; ; n++ {
+		breaks := first && (!b.keep || n == 1)
+		if breaks && b.early >= 0 {
+			io.ReadFull(br, make([]byte, b.early))
+			return
+		}
+		var q fasthttp.Request
+		if q.Read(br) != nil {
+			return
+		}
+		if breaks && b.full {
+			io.WriteString(nc, "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			first = false
+			continue
+		}
+		l.run(string(q.Header.Peek("X-Request-Id")))
+		if breaks {
+			io.WriteString(nc, b.cut)
+			return
+		}
+		io.WriteString(nc, fine)
+	}
+}
+
+// A write that must never run twice, whose connection breaks at every place: it runs once at most, goes
+// again only where it proves not to have run, and is answered failed where it may have.
+func TestWritesThatMustNotRunTwice(t *testing.T) {
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+	for name, x := range map[string]struct {
+		b       breaking
+		served  bool // else failed
+		perhaps bool // a break so early that the write may fail: then it has not run and may go again
+	}{
+		"no break":                {breaking{early: -1, cut: fine}, true, false},
+		"closed at once":          {breaking{early: 0}, false, true},
+		"cut in the request":      {breaking{early: 40}, false, true},
+		"full":                    {breaking{early: -1, full: true}, true, false},
+		"no answer":               {breaking{early: -1}, false, false},
+		"cut in the head":         {breaking{early: -1, cut: fine[:20]}, false, false},
+		"cut in the body":         {breaking{early: -1, cut: fine[:len(fine)-1]}, false, false},
+		"cut in a chunked body":   {breaking{early: -1, cut: chunked}, false, false},
+		"an error":                {breaking{early: -1, cut: "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"}, false, false},
+		"a reused connection":     {breaking{early: -1, keep: true}, false, false},
+		"a reused one, cut early": {breaking{early: 40, keep: true}, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &ledger{runs: map[string]int{}}
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			go func() {
+				for first := true; ; first = false {
+					nc, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					go l.serve(nc, x.b, first)
+				}
+			}()
+			set := testModule()
+			set.MaxAttempts = 4
+			set.Classes[1].Effect = choice.Unsafe
+			log, _ := logtest.NewNullLogger()
+			c, err := core.New(core.Options{Settings: set, Seed: 1, Connect: dialer().Connect, Log: log})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Stop()
+			c.List(core.News{Kind: choice.ListFull, Nodes: []core.Node{{Node: choice.Node{ID: "n", Weight: 1}, Addresses: at(ln)}}})
+			ask := func(id string) core.Answer {
+				var m fasthttp.Request
+				text := strings.Replace(good, "9b1f03aa5c7e2d41", id, 1)
+				if err := m.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
+					t.Fatal(err)
+				}
+				r, err := decode(&m, &bounds{units: 1e6})
+				if err != nil {
+					t.Fatal(err)
+				}
+				got := make(chan core.Answer, 4)
+				r.Arrived, r.Answer = time.Now(), func(a core.Answer) { got <- a }
+				c.Submit(r)
+				return <-got
+			}
+			if x.b.keep {
+				if a := ask("before"); a.Kind != core.Served {
+					t.Fatalf("the request before: %+v", a)
+				}
+			}
+			a := ask("once")
+			ask("after") // whatever was to be sent again has been by now
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			said := fmt.Sprintf("answered %d %s, ran %v", a.Kind, a.Cause, l.runs)
+			switch {
+			case l.runs["once"] > 1:
+				t.Error(said)
+			case a.Kind == core.Served && l.runs["once"] != 1, a.Kind == core.Refused:
+				t.Error(said)
+			case !x.perhaps && (a.Kind == core.Served) != x.served:
+				t.Error(said)
+			}
+		})
+	}
+}
