--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -6,7 +6,6 @@
 // Invariants:
 //   - All hosts together ask at most CallsMost times a second in the mean, however the watches end.
 //   - Each call in a row that is turned away doubles the wait, up to GrowMost times the first.
-//   - So are the first calls of processes that start at one instant.
 //   - Waits are drawn: hosts whose watches end at one instant do not ask at one instant.
 //   - A watch that spoke ends the growth: the service had room for it.
 //
@@ -43,13 +42,6 @@
 	return &Backoff{first: min(first, Longest), factor: 1, rng: rand.New(rand.NewPCG(seed, 0x6c697374))}
 }
 
-// Start is the wait before the first call of a process. A release or a lost zone starts many
-// schedulers at one instant, and each has a list to serve from: so the first calls of a large fleet
-// are spread over the time that all hosts' calls take. A few hosts ask at once.
-func (b *Backoff) Start() time.Duration {
-	return time.Duration(b.rng.Int64N(int64(b.first-Least) + 1))
-}
-
 // Spoke notes that a watch was answered with a list or a sign of life.
 func (b *Backoff) Spoke() { b.factor = 1 }
 
--- a/internal/backoff/backoff_test.go
+++ b/internal/backoff/backoff_test.go
@@ -18,9 +18,6 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		hosts := rapid.IntRange(1, 5000).Draw(rt, "hosts")
 		b := New(hosts, rapid.Uint64().Draw(rt, "seed"))
-		if w := b.Start(); w < 0 || w > min(max(Least, time.Duration(hosts)*time.Second/CallsMost), Longest)-Least {
-			rt.Fatalf("%d hosts: %v before the first call", hosts, w)
-		}
 		first, factor := max(Least, time.Duration(hosts)*time.Second/CallsMost), time.Duration(1)
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
 			if rapid.Bool().Draw(rt, "spoke") {
@@ -43,7 +40,9 @@
 		second, rounds := map[int]int{}, map[int]int{}
 		for i := range hosts {
 			b := New(hosts, uint64(i))
-			for at := b.Start(); at < time.Minute; at += b.Next() {
+			at := time.Duration(0)
+			for at < time.Minute {
+				at += b.Next()
 				second[int(at/time.Second)]++
 				if at > 30*time.Second {
 					rounds[0]++
@@ -106,13 +105,13 @@
 	return x
 }
 
-// listed plays a fleet whose processes start together, before a service of a tenth of a second a
+// listed plays a fleet whose watches end together, before a service of a tenth of a second a
 // call, and returns when nine in ten hosts have the list.
-func listed(hosts int, start, wait func(host int) time.Duration) time.Duration {
+func listed(hosts int, wait func(host int) time.Duration) time.Duration {
 	s := &service{each: 100 * time.Millisecond, patience: 2 * time.Second, queue: 60}
 	var due calls
 	for i := range hosts {
-		due = append(due, call{start(i), i})
+		due = append(due, call{wait(i), i})
 	}
 	heap.Init(&due)
 	var have int
@@ -136,14 +135,14 @@
 // Before a service with room for a tenth of the fleet a second, calls repeated after a fixed moment
 // mostly wait too long and are worked on for nobody; with waits that grow, all soon have the list.
 func TestOverbookedService(t *testing.T) {
-	fixed := listed(80, func(int) time.Duration { return 0 }, func(int) time.Duration { return Least })
+	fixed := listed(80, func(int) time.Duration { return Least })
 	books := make([]*Backoff, 80)
 	for i := range books {
 		books[i] = New(80, uint64(i))
 	}
-	grown := listed(80, func(i int) time.Duration { return books[i].Start() }, func(i int) time.Duration { return books[i].Next() })
+	grown := listed(80, func(i int) time.Duration { return books[i].Next() })
 	t.Logf("nine in ten hosts have the list after %v; with a fixed wait of %v after %v", grown, Least, fixed)
-	if grown > 30*time.Second || fixed < 2*grown {
+	if grown > 25*time.Second || fixed < 2*grown {
 		t.Errorf("after %v; with a fixed wait after %v", grown, fixed)
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,9 +30,6 @@
 	// guardAfter past a request's end the guard fails what the module has left open.
 	guardAfter = 5 * time.Millisecond
 	answerIdle = time.Hour // wait of the loop with no timer set
-	// drainGuard is the part of the grace after which a draining node's peer is closed to new work,
-	// whatever the module says.
-	drainGuard = 0.7
 	// avoidedEvery is how often the nodes that the module avoids are counted, in ms: telemetry
 	// may lag 0.5 s.
 	avoidedEvery = 100
@@ -178,7 +175,6 @@
 	at    float64
 	tag   string
 	guard *entry
-	drain string // a node whose peer is closed to new work from then on
 }
 
 type dues []due
@@ -216,8 +212,6 @@
 	book    *exclusion.Book
 	counts  *Counts
 	avoided float64 // when the nodes avoided by choice were last counted
-	// standing: the last word of the list came by a watch that stands.
-	standing bool
 }
 
 // New checks the settings and starts the actor.
@@ -388,10 +382,6 @@
 	for len(c.timers) > 0 && c.timers[0].at <= now {
 		d := heap.Pop(&c.timers).(due)
 		switch {
-		case d.drain != "":
-			if p, n := c.peers[d.drain], c.nodes[d.drain]; p != nil {
-				p.Drain(c.book.View(now, n.Node).State != choice.NodeUp)
-			}
 		case d.guard == nil:
 			c.events = append(c.events, choice.Event{Kind: choice.Timer, Tag: d.tag})
 		case !d.guard.answered:
@@ -435,9 +425,6 @@
 			delete(c.reqs, id)
 		}
 		c.timers = c.timers[:0]
-		for id, n := range c.nodes { // the drains' timers are gone with the others
-			c.peers[id].Drain(c.book.View(now, n.Node).State != choice.NodeUp)
-		}
 		mod, err := choice.New(c.opt.Settings, c.opt.Seed+1)
 		if err != nil {
 			panic(fmt.Sprintf("settings that were good no longer are: %v", err))
@@ -632,17 +619,9 @@
 		case !slices.Equal(c.nodes[x.ID].Addresses, x.Addresses):
 			p.Readdress(x.Addresses) // the node stays: its windows and its warmth are the same
 		}
-		was, had := c.nodes[x.ID]
-		if had && c.standing && was.State == choice.NodeUp && x.State == choice.NodeDraining && view == x.Node {
-			// The module may use it for a part of the grace, and decides so itself. The peer is
-			// closed a little later, for what waits in a mailbox then.
-			heap.Push(&c.timers, due{at: now + drainGuard*c.opt.Settings.DrainGrace, drain: x.ID})
-		} else if !had || was.State != choice.NodeDraining || view.State == choice.NodeUp || view != x.Node {
-			p.Drain(view.State != choice.NodeUp)
-		}
+		p.Drain(view.State != choice.NodeUp)
 		c.nodes[x.ID] = x
 	}
-	c.standing = n.Kind == choice.ListFull || n.Kind == choice.ListChange
 	if n.Kind == choice.ListFull || n.Kind == choice.ListStale {
 		for id := range c.peers {
 			if !seen[id] {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -209,7 +209,6 @@
 
 // Waits says when to watch again after a watch that ended, and hears of those that spoke.
 type Waits interface {
-	Start() time.Duration
 	Next() time.Duration
 	Spoke()
 }
@@ -249,11 +248,12 @@
 	if w.Beat == 0 {
 		w.Beat = beat
 	}
+	w.now = w.open(ctx)
 	again := w.Waits
 	if again == nil {
 		again = backoff.New(max(w.Hosts, 1), uint64(w.Seed))
 	}
-	retry := time.NewTimer(again.Start())
+	retry := time.NewTimer(time.Hour)
 	defer retry.Stop()
 	for {
 		select {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -250,9 +250,8 @@
 // waits records what a watcher asks of its back-off.
 type waits struct{ said chan string }
 
-func (w waits) Start() time.Duration { w.said <- "start"; return 0 }
-func (w waits) Next() time.Duration  { w.said <- "next"; return time.Millisecond }
-func (w waits) Spoke()               { w.said <- "spoke" }
+func (w waits) Next() time.Duration { w.said <- "next"; return time.Millisecond }
+func (w waits) Spoke()              { w.said <- "spoke" }
 
 // Each watch that is turned away asks the back-off for its wait, and one that speaks tells it so.
 // Meanwhile the list that is held stays: it is said once that the watch ended.
@@ -284,7 +283,7 @@
 	said, told := make(chan string, 64), make(chan core.News, 64)
 	w := &Watcher{Address: ln.Addr().String(), Tell: func(n core.News) { told <- n }, Log: log, Waits: waits{said}, Beat: time.Minute}
 	go w.Run(ctx)
-	for i, want := range []string{"start", "next", "next", "next", "spoke"} {
+	for i, want := range []string{"next", "next", "next", "spoke"} {
 		if got := <-said; got != want {
 			t.Fatalf("%d: %s, want %s", i, got, want)
 		}
