Node actors take memory, timers and descriptors by need; idle connections give way

Need: a list of some hundreds of nodes. Seen on reading, and measured: - Each node's mailbox was a channel with room for 512 messages of 56 bytes: 28 KiB a listed node, 29 MB at 1,024 nodes, near the collector's limit of a 64 MB process (0.6 of it).

Change: internal/mailbox, a bounded box that grows by what waits in it; what must not be lost (a connection's return, a cancel, a close) is taken past the bound, so nobody waits aside for room. One timer an actor, set only while something is idle or waits. At the bound on descriptors the longest idle connection of any node gives its place to a new one. The way not taken: a share of the descriptors for each node, as most nodes of a long list are not spoken with.

Without eviction TestIdleConnectionsGiveWay fails at its fourth node.

--- /dev/null
+++ b/internal/httpfront/idle_test.go
@@ -0,0 +1,88 @@
+package httpfront
+
+import (
+	"fmt"
+	"net"
+	"runtime"
+	"testing"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
+)
+
+// More nodes than descriptors: each is served in turn, on the place of the longest idle
+// connection, and never more are open than may be.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	n := newStandin(t, say(fine))
+	d := dialer()
+	d.ConnsMost = 3
+	var peers []core.Peer
+	for i := range 9 {
+		peers = append(peers, d.Connect(fmt.Sprint("n", i), at(n.ln)))
+	}
+	for round := range 3 {
+		for i, p := range peers {
+			if r := try(t, p); r.Status != choice.OK {
+				t.Fatalf("round %d, node %d: %v", round, i, r.Status)
+			}
+			if open := d.open.Load(); open > d.ConnsMost {
+				t.Fatalf("%d are open of %d", open, d.ConnsMost)
+			}
+		}
+	}
+	for _, p := range peers {
+		p.Close()
+	}
+	for d.open.Load() > 0 {
+		runtime.Gosched() // until all are counted out
+	}
+	if d.idle.list.Len() != 0 {
+		t.Errorf("%d are still held as idle", d.idle.list.Len())
+	}
+}
+
+// With all connections in use nothing gives way: the attempt certainly did not run.
+func TestUsedConnectionsDoNotGiveWay(t *testing.T) {
+	n := newStandin(t, func(script net.Conn) bool { return true }) // takes requests and says nothing
+	d := dialer()
+	d.ConnsMost = 1
+	one, other := d.Connect("one", at(n.ln)), d.Connect("other", at(n.ln))
+	a, got := attempt(t, later())
+	if !one.Send(a) {
+		t.Fatal("not sent")
+	}
+	for n.requests.Load() == 0 {
+		runtime.Gosched()
+	}
+	if r := try(t, other); r.Status != choice.NoConn {
+		t.Fatalf("%v", r.Status)
+	}
+	one.Cancel(a)
+	if r := <-got; r.Status != choice.Cancelled {
+		t.Fatalf("%v", r.Status)
+	}
+}
+
+// A listed node that is not spoken with takes little: room by need, no timer, no connection.
+func TestListedNodesTakeLittle(t *testing.T) {
+	const nodes = 1024
+	n := newStandin(t, say(fine))
+	d := dialer()
+	held := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc + m.StackInuse
+	}
+	before := held()
+	var peers []core.Peer
+	for i := range nodes {
+		peers = append(peers, d.Connect(fmt.Sprint("n", i), at(n.ln)))
+	}
+	if each := int64(held()-before) / nodes; each > 8<<10 {
+		t.Errorf("%d bytes a node", each)
+	}
+	for _, p := range peers {
+		p.Close()
+	}
+}
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"cmp"
+	"container/list"
 	"context"
 	"errors"
 	"io"
@@ -19,6 +20,7 @@
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/mailbox"
 	"wheatsaddle/internal/pool"
 	"wheatsaddle/internal/sock"
 )
@@ -53,12 +55,13 @@
 	Routes         *Routes            // of nodes with several addresses; nil: the defaults
 	Log            logrus.FieldLogger // nil: silence
 	open           atomic.Int64
+	idle           idleSet
 	dial           func(context.Context, address.Addr, time.Duration) (sock.Stream, address.Why, error) // nil: sock.Dial
 }
 
 // Connect starts the actor of one storage node.
 func (d *Dialer) Connect(name string, addresses []address.Addr) core.Peer {
-	n := &node{dialer: d, name: name, mail: make(chan nodeMessage, nodeMailbox), busy: map[*core.Attempt]*conn{},
+	n := &node{dialer: d, name: name, mail: mailbox.New[nodeMessage](nodeMailbox), busy: map[*core.Attempt]*conn{},
 		line: pool.New[*core.Attempt](d.Wait), since: time.Now()}
 	n.readdress(addresses)
 	go n.run()
@@ -69,6 +72,7 @@
 	send, cancel *core.Attempt
 	back         *conn // is free again, or done with if broken
 	broken       bool
+	evicted      *conn // another node has its place
 	probe        func(core.Result, time.Duration)
 	close        bool
 	path         *pathMessage
@@ -81,7 +85,7 @@
 	address  address.Addr // the one, where paths is nil
 	host     string
 	paths    *paths // of a node with several addresses
-	mail     chan nodeMessage
+	mail     *mailbox.Box[nodeMessage]
 	draining atomic.Bool
 	idle     []*conn // the longest idle first
 	busy     map[*core.Attempt]*conn
@@ -91,37 +95,27 @@
 	closing  bool
 }
 
-func (n *node) put(m nodeMessage) bool {
-	select {
-	case n.mail <- m:
-		return true
-	default:
-		return false
-	}
-}
-
 // Send implements core.Peer.
-func (n *node) Send(a *core.Attempt) bool { return n.put(nodeMessage{send: a}) }
+func (n *node) Send(a *core.Attempt) bool { return n.mail.Put(nodeMessage{send: a}) }
 
-// Cancel implements core.Peer. With the mailbox full the attempt runs to its time limit.
-func (n *node) Cancel(a *core.Attempt) { n.put(nodeMessage{cancel: a}) }
+// Cancel implements core.Peer. There is one for each send at most.
+func (n *node) Cancel(a *core.Attempt) { n.mail.Must(nodeMessage{cancel: a}) }
 
 // Probe implements core.Peer.
-func (n *node) Probe(f func(core.Result, time.Duration)) bool { return n.put(nodeMessage{probe: f}) }
+func (n *node) Probe(f func(core.Result, time.Duration)) bool {
+	return n.mail.Put(nodeMessage{probe: f})
+}
 
 // Drain implements core.Peer: it binds at once, also what waits in the mailbox.
 func (n *node) Drain(on bool) {
 	if n.draining.Swap(on) != on {
-		n.put(nodeMessage{}) // the paths look at it whenever something comes
+		n.mail.Must(nodeMessage{}) // the line and the paths look at it whenever something comes
 	}
 }
 
-// Readdress implements core.Peer. A full mailbox is waited for aside.
+// Readdress implements core.Peer.
 func (n *node) Readdress(addresses []address.Addr) {
-	m := nodeMessage{path: &pathMessage{addresses: addresses}}
-	if !n.put(m) {
-		go func() { n.mail <- m }()
-	}
+	n.mail.Must(nodeMessage{path: &pathMessage{addresses: addresses}})
 }
 
 // readdress takes the node's addresses. One alone needs no book of them; with the first second
@@ -155,39 +149,36 @@
 	return host
 }
 
-// Close implements core.Peer. A full mailbox is waited for aside.
-func (n *node) Close() {
-	if !n.put(nodeMessage{close: true}) {
-		go func() { n.mail <- nodeMessage{close: true} }()
-	}
-}
+// Close implements core.Peer.
+func (n *node) Close() { n.mail.Must(nodeMessage{close: true}) }
 
 func (n *node) run() {
-	tick := time.NewTicker(retireEvery)
-	defer tick.Stop()
 	var wake <-chan time.Time // of the paths
+	var batch []nodeMessage
 	due := time.NewTimer(time.Hour)
 	defer due.Stop()
-	for !n.closing || n.conns > 0 || len(n.mail) > 0 {
-		if at, ok := n.line.Next(); ok {
-			due.Reset(time.Until(n.since.Add(at)))
+	for !n.closing || n.conns > 0 || n.mail.Len() > 0 {
+		// Most nodes of a long list have nothing to do at any time: those set no timer.
+		if at, ok := n.next(); ok {
+			due.Reset(time.Until(at))
+		} else {
+			due.Stop()
 		}
 		select {
-		case m := <-n.mail:
-			n.take(m)
-			n.tend()
+		case <-n.mail.Wake():
+			batch = n.mail.Take(batch)
+			for _, m := range batch {
+				n.take(m)
+				n.tend()
+				if n.paths != nil { // the next message may not overtake what this one changed
+					wake = n.paths.settle()
+				}
+			}
 		case <-due.C:
 			n.tend()
+			n.retire()
 		case <-wake:
 			n.paths.book.Step(address.Event{Kind: address.Tick})
-		case <-tick.C:
-			old := time.Now().Add(-time.Duration(retireShare * float64(n.dialer.ConnIdle)))
-			for len(n.idle) > 0 && n.idle[0].idleAt.Before(old) {
-				n.drop(n.idle[0])
-			}
-			if n.paths != nil {
-				n.paths.retire(old)
-			}
 		}
 		if n.paths != nil {
 			wake = n.paths.settle()
@@ -198,8 +189,46 @@
 	}
 }
 
+// next is when the line or the idle connections have to be looked at.
+func (n *node) next() (at time.Time, ok bool) {
+	if len(n.idle) > 0 {
+		at, ok = n.idle[0].idleAt.Add(n.idleMost()+retireEvery/2), true
+	}
+	if n.paths != nil && n.conns > 0 {
+		if next := time.Now().Add(retireEvery); !ok || next.Before(at) {
+			at, ok = next, true
+		}
+	}
+	if wait, waits := n.line.Next(); waits {
+		if next := n.since.Add(wait); !ok || next.Before(at) {
+			at, ok = next, true
+		}
+	}
+	return at, ok
+}
+
+// idleMost is how long a connection is kept idle: less than the node keeps it.
+func (n *node) idleMost() time.Duration {
+	return time.Duration(retireShare * float64(n.dialer.ConnIdle))
+}
+
+// retire closes the connections that have been idle for long.
+func (n *node) retire() {
+	old := time.Now().Add(-n.idleMost())
+	for len(n.idle) > 0 && n.idle[0].idleAt.Before(old) {
+		n.drop(n.idle[0])
+	}
+	if n.paths != nil {
+		n.paths.retire(old)
+	}
+}
+
 func (n *node) take(m nodeMessage) {
 	switch {
+	case m.evicted != nil: // its descriptor is counted for its successor
+		n.idle = slices.DeleteFunc(n.idle, func(o *conn) bool { return o == m.evicted })
+		close(m.evicted.jobs)
+		n.conns--
 	case m.path != nil && m.path.addresses != nil:
 		n.readdress(m.path.addresses)
 	case m.back != nil && m.back.address != n.address: // of an address that went, or before the paths
@@ -236,6 +265,7 @@
 		} else {
 			m.back.idleAt = time.Now()
 			n.idle = append(n.idle, m.back)
+			n.dialer.idle.put(m.back)
 			if a, ok := n.line.Free(); ok {
 				n.carry(a, n.conn())
 			} else if n.closing {
@@ -264,8 +294,10 @@
 
 func (n *node) drop(c *conn) {
 	n.idle = slices.DeleteFunc(n.idle, func(o *conn) bool { return o == c })
-	close(c.jobs)
-	n.gone()
+	if n.dialer.idle.remove(c) { // else it was evicted, and word of that is on its way
+		close(c.jobs)
+		n.gone()
+	}
 }
 
 // tend opens connections for those that have waited long enough for one in use. Where nothing new
@@ -289,7 +321,10 @@
 		c := n.idle[len(n.idle)-1]
 		if sock.Quiet(c.nc) { // neither closed nor written to by the node
 			n.idle = n.idle[:len(n.idle)-1]
-			return c
+			if n.dialer.idle.remove(c) {
+				return c
+			}
+			continue
 		}
 		n.drop(c)
 	}
@@ -304,8 +339,7 @@
 	if n.conns >= connsMost {
 		return nil
 	}
-	if n.dialer.open.Add(1) > n.dialer.ConnsMost {
-		n.dialer.open.Add(-1)
+	if !n.dialer.place() {
 		return nil
 	}
 	n.conns++
@@ -352,6 +386,7 @@
 	jobs    chan job
 	attempt *core.Attempt
 	idleAt  time.Time
+	place   *list.Element // in the dialer's idle set, whose lock guards it
 	ctx     context.Context
 	stop    context.CancelFunc
 	nc      sock.Stream
@@ -376,7 +411,7 @@
 		if j.probe != nil {
 			start := time.Now()
 			r, reuse := c.probe()
-			c.node.mail <- nodeMessage{back: c, broken: !reuse}
+			c.node.mail.Must(nodeMessage{back: c, broken: !reuse})
 			j.probe(r, time.Since(start))
 			if !reuse {
 				return
@@ -389,7 +424,7 @@
 			rep.relay.handOut()
 			j.attempt.Done(r)
 			reuse = rep.relay.wait() && reuse
-			c.node.mail <- nodeMessage{back: c, broken: !reuse}
+			c.node.mail.Must(nodeMessage{back: c, broken: !reuse})
 			rep.relay.handed()
 			if !reuse {
 				return
@@ -397,7 +432,7 @@
 			continue
 		}
 		// The actor hears first, so that the module's next send finds the connection free.
-		c.node.mail <- nodeMessage{back: c, broken: !reuse}
+		c.node.mail.Must(nodeMessage{back: c, broken: !reuse})
 		j.attempt.Done(r)
 		if !reuse {
 			return
--- a/internal/httpfront/paths.go
+++ b/internal/httpfront/paths.go
@@ -149,7 +149,7 @@
 func (p *paths) want(w *work, safe, named bool) {
 	p.book.Step(address.Event{Kind: address.Want, Req: w.req, Safe: safe, Named: named})
 	if p.works[w.req] == w && w.on == nil { // it waits
-		w.unwatch = context.AfterFunc(w.ctx, func() { p.n.mail <- nodeMessage{path: &pathMessage{late: w}} })
+		w.unwatch = context.AfterFunc(w.ctx, func() { p.n.mail.Must(nodeMessage{path: &pathMessage{late: w}}) })
 	}
 }
 
@@ -283,8 +283,7 @@
 func (p *paths) connect(a address.Action) {
 	t := &path{id: a.Conn, conn: conn{node: p.n, address: a.Addr, host: hostOf(a.Addr, p.n.name), jobs: make(chan job, 1),
 		identity: p.set.Identity}}
-	if p.n.dialer.open.Add(1) > p.n.dialer.ConnsMost {
-		p.n.dialer.open.Add(-1)
+	if !p.n.dialer.place() {
 		p.book.Step(address.Event{Kind: address.Failed, Conn: a.Conn, Why: address.NoResource})
 		return
 	}
@@ -327,11 +326,11 @@
 func (t *path) run(ctx context.Context) {
 	why, err := t.come(ctx)
 	if err != nil {
-		t.node.mail <- nodeMessage{path: &pathMessage{failed: t, why: why}}
+		t.node.mail.Must(nodeMessage{path: &pathMessage{failed: t, why: why}})
 		return
 	}
 	defer t.nc.Close()
-	t.node.mail <- nodeMessage{path: &pathMessage{up: t}}
+	t.node.mail.Must(nodeMessage{path: &pathMessage{up: t}})
 	for {
 		var j job
 		select {
@@ -346,7 +345,7 @@
 			rep.relay.handOut()
 			j.attempt.Done(r)
 			e.Keep = rep.relay.wait() && e.Keep
-			t.node.mail <- nodeMessage{path: &pathMessage{back: t, event: e}}
+			t.node.mail.Must(nodeMessage{path: &pathMessage{back: t, event: e}})
 			rep.relay.handed()
 			if !e.Keep {
 				return
@@ -358,7 +357,7 @@
 		if j.attempt != nil && r.Status == choice.Full {
 			m.turned = &r
 		}
-		t.node.mail <- nodeMessage{path: m}
+		t.node.mail.Must(nodeMessage{path: m})
 		switch {
 		case j.probe != nil:
 			j.probe(r, time.Since(start))
--- /dev/null
+++ b/internal/mailbox/mailbox.go
@@ -0,0 +1,82 @@
+// Package mailbox is the queue of an actor: bounded, and taking memory by what waits in it. A
+// scheduler has an actor for each node of a list of some hundreds, of which most are idle at any
+// time: a buffered channel would hold room for its bound at each of them.
+//
+// Invariants:
+//   - What was put is taken once, in the order in which it was put.
+//   - Put never waits, and never leaves more than the bound in the box.
+//   - Must takes what must not be lost past the bound: its callers bound themselves (one message
+//     for each connection).
+//   - Whenever something waits, Wake is ready, or a Take is about to come.
+//   - A box that was emptied holds no more than Kept messages' room.
+package mailbox
+
+import "sync"
+
+// Kept is how many messages' room an empty box keeps.
+const Kept = 16
+
+// Box is one actor's mailbox; any number put, one takes.
+type Box[T any] struct {
+	most int
+	mu   sync.Mutex
+	list []T
+	wake chan struct{}
+}
+
+// New makes an empty box for so many messages.
+func New[T any](most int) *Box[T] {
+	return &Box[T]{most: most, wake: make(chan struct{}, 1)}
+}
+
+// Put puts a message; false: the box is full, and nothing was put.
+func (b *Box[T]) Put(m T) bool {
+	b.mu.Lock()
+	if len(b.list) >= b.most {
+		b.mu.Unlock()
+		return false
+	}
+	b.list = append(b.list, m)
+	b.mu.Unlock()
+	b.rouse()
+	return true
+}
+
+// Must puts a message whether or not the box is full: for what must not be lost and is bounded
+// elsewhere.
+func (b *Box[T]) Must(m T) {
+	b.mu.Lock()
+	b.list = append(b.list, m)
+	b.mu.Unlock()
+	b.rouse()
+}
+
+func (b *Box[T]) rouse() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Wake is ready when something may wait.
+func (b *Box[T]) Wake() <-chan struct{} { return b.wake }
+
+// Take takes all that waits. The list taken last time may be given back to be filled again.
+func (b *Box[T]) Take(last []T) []T {
+	if cap(last) > Kept {
+		last = nil
+	}
+	clear(last)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	got := b.list
+	b.list = last[:0]
+	return got
+}
+
+// Len is how many wait.
+func (b *Box[T]) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.list)
+}
--- /dev/null
+++ b/internal/mailbox/mailbox_test.go
@@ -0,0 +1,85 @@
+package mailbox
+
+import (
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"wheatsaddle/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m) }
+
+// The box against a plain list: order, bound, wake and the room it keeps.
+func TestBox(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		most := rapid.IntRange(1, 40).Draw(t, "most")
+		b := New[int](most)
+		var model, buf []int
+		next := 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "do") {
+			case 0, 1:
+				next++
+				if ok := b.Put(next); ok != (len(model) < most) {
+					t.Fatalf("put %v with %d of %d", ok, len(model), most)
+				} else if ok {
+					model = append(model, next)
+				}
+			case 2:
+				next++
+				b.Must(next)
+				model = append(model, next)
+			default:
+				select {
+				case <-b.Wake():
+				default:
+					if len(model) > 0 {
+						t.Fatal("something waits and nobody is woken")
+					}
+				}
+				buf = b.Take(buf)
+				if len(buf) != len(model) {
+					t.Fatalf("took %v, want %v", buf, model)
+				}
+				for i := range buf {
+					if buf[i] != model[i] {
+						t.Fatalf("took %v, want %v", buf, model)
+					}
+				}
+				model = nil
+				if cap(b.list) > Kept {
+					t.Fatalf("an empty box keeps room for %d", cap(b.list))
+				}
+			}
+			if b.Len() != len(model) {
+				t.Fatalf("%d wait, want %d", b.Len(), len(model))
+			}
+		}
+	})
+}
+
+// Many put at once; the taker waits on Wake alone and gets everything.
+func TestNothingIsMissed(t *testing.T) {
+	const putters, each = 8, 2000
+	b := New[int](1 << 20)
+	var wg sync.WaitGroup
+	for range putters {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range each {
+				b.Put(i)
+			}
+		}()
+	}
+	got := 0
+	var buf []int
+	for got < putters*each {
+		<-b.Wake()
+		buf = b.Take(buf)
+		got += len(buf)
+	}
+	wg.Wait()
+}
