Test: each taken request ends once, in time, whatever its nodes and connections do

Core, module and node actors run under virtual time (testing/synctest) on connections in memory: connects that fail, hang or come up late, answers lost, cut, stopped halfway, closed behind, turned away, nodes that fall silent for 3 s, list changes, drains and failures, few descriptors, clients that leave. Each request of 300 a world, 100 worlds, ends exactly once, before its client gives up, and what is served is its own node's answer; then nothing is left in core's or the module's table, no guard, no connection counted.

Found by it: core's loop set its timer up to a microsecond short of a module's timer (clock() rounds down) and went round without waiting for the rest of it (run in core.go); under virtual time that never ends. The wait now covers the rounding.

Each of these edits makes it fail: no outcome for a cancelled attempt that waits for a connection, none for those that wait at a node told to drain, an attempt's deadline an hour late, an evicted connection not counted out. Without core's guard it passes: the module answers by itself in all these worlds.

--- a/choice/state.go
+++ b/choice/state.go
@@ -427,3 +427,6 @@
 	}
 	return n
 }
+
+// Held is how many requests the instance holds: open ones, and ended ones of which something is out.
+func (s *Scheduler) Held() int { return len(s.reqs) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,6 +30,8 @@
 	// guardAfter past a request's end the guard fails what the module has left open.
 	guardAfter = 5 * time.Millisecond
 	answerIdle = time.Hour // wait of the loop with no timer set
+	// timerRound covers the rounding of a timer's time: else the loop would spin for the last of it.
+	timerRound = 2 * time.Microsecond
 	// avoidedEvery is how often the nodes that the module avoids are counted, in ms: telemetry
 	// may lag 0.5 s.
 	avoidedEvery = 100
@@ -298,6 +300,29 @@
 	}
 }
 
+// Tables counts what is held for requests: in the core's table, in the module's, and guards set.
+type Tables struct{ Requests, Module, Guards int }
+
+// Tables tells what is held now: nothing, once every request has ended and its guard's time is past.
+func (c *Core) Tables() Tables {
+	got := make(chan Tables, 1)
+	c.post(message{call: func() {
+		t := Tables{Requests: len(c.reqs), Module: c.mod.Held()}
+		for _, d := range c.timers {
+			if d.guard != nil {
+				t.Guards++
+			}
+		}
+		got <- t
+	}})
+	select {
+	case t := <-got:
+		return t
+	case <-c.ended:
+		return Tables{}
+	}
+}
+
 // Finish answers all that is open: the program is about to be killed. What was never sent is
 // refused, as it is harmless to ask for it again.
 func (c *Core) Finish() {
@@ -336,7 +361,7 @@
 	for {
 		wait := answerIdle
 		if len(c.timers) > 0 {
-			wait = max(0, time.Until(c.wall(c.timers[0].at)))
+			wait = max(0, time.Until(c.wall(c.timers[0].at).Add(timerRound)))
 		}
 		if len(c.events) > 0 {
 			wait = 0
--- /dev/null
+++ b/internal/httpfront/ends_test.go
@@ -0,0 +1,258 @@
+package httpfront
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/sock"
+)
+
+// The core, the module and the node actors under virtual time, on connections in memory, with
+// everything that a cut-off zone does to them at once. Each taken request ends exactly once, with a
+// whole answer of a node, a refusal or a failure, before its client gives up; and nothing of it
+// stays in any table, line or count.
+
+// worldNode is a node in memory. What it does is drawn for each connect and each request.
+type worldNode struct {
+	w       *world
+	silence time.Duration // of the world's time: from then on for cutSpan it says nothing
+}
+
+type world struct {
+	t      *rapid.T
+	mu     sync.Mutex
+	rng    *rand.Rand
+	start  time.Time
+	quiet  [2]int // a pair of sockets with nothing to read
+	nodes  map[address.Addr]*worldNode
+	faults float64
+}
+
+const cutSpan = 3 * time.Second
+
+func (w *world) draw() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.Float64()
+}
+
+func (w *world) upTo(n int) int { return int(w.draw() * float64(n)) }
+
+func (w *world) within(most time.Duration) time.Duration {
+	return time.Duration(w.draw()*float64(most)) + 1
+}
+
+func (n *worldNode) silent() bool {
+	at := time.Since(n.w.start)
+	return at >= n.silence && at < n.silence+cutSpan
+}
+
+// memConn is one end of a connection in memory, which looks quiet to who peeks at its socket.
+type memConn struct {
+	net.Conn
+	w *world
+}
+
+func (c memConn) SyscallConn() (syscall.RawConn, error) { return quietSocket{c.w.quiet[0]}, nil }
+func (q quietSocket) Control(f func(uintptr)) error     { f(uintptr(q.fd)); return nil }
+func (quietSocket) Read(func(uintptr) bool) error       { return errors.ErrUnsupported }
+func (quietSocket) Write(func(uintptr) bool) error      { return errors.ErrUnsupported }
+
+type quietSocket struct{ fd int }
+
+// dial comes up, fails, or hangs until it is given up.
+func (w *world) dial(ctx context.Context, a address.Addr, within time.Duration) (sock.Stream, address.Why, error) {
+	n := w.nodes[a]
+	draw, wait := w.draw(), w.within(20*time.Millisecond)
+	ctx, stop := context.WithTimeout(ctx, within)
+	defer stop()
+	if n.silent() || draw < w.faults/4 { // never comes up
+		<-ctx.Done()
+		return nil, address.TimedOut, ctx.Err()
+	}
+	time.Sleep(wait)
+	if ctx.Err() != nil || draw < w.faults/2 {
+		return nil, address.Refused, errors.New("refused")
+	}
+	ours, theirs := net.Pipe()
+	go n.serve(theirs)
+	return memConn{ours, w}, 0, nil
+}
+
+// serve reads requests and does with each what was drawn.
+func (n *worldNode) serve(nc net.Conn) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for {
+		var q fasthttp.Request
+		if q.Header.Read(br) != nil {
+			return
+		}
+		body := "of " + string(q.Header.Peek("X-Request-Id"))
+		whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		time.Sleep(n.w.within(120 * time.Millisecond))
+		draw := n.w.draw() / n.w.faults
+		switch {
+		case n.silent() || draw < 0.1: // the answer is lost, and the connection stays open
+			io.Copy(io.Discard, br)
+			return
+		case draw < 0.2: // cut off
+			io.WriteString(nc, whole[:n.w.upTo(len(whole))])
+			return
+		case draw < 0.3: // stops halfway, and stays open
+			io.WriteString(nc, whole[:n.w.upTo(len(whole))])
+			io.Copy(io.Discard, br)
+			return
+		case draw < 0.4:
+			whole = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+		case draw < 0.6:
+			whole = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		case draw < 0.7: // answers, and closes without saying so
+			io.WriteString(nc, whole)
+			return
+		}
+		if _, err := io.WriteString(nc, whole); err != nil {
+			return
+		}
+	}
+}
+
+func endsSettings(w *world) choice.Settings {
+	return choice.Settings{Hosts: 3, MeanUnits: 2, MostUnits: 6, ColdUnits: 39, MaxAttempts: 1 + w.upTo(4), MaxHoldOff: 1000,
+		HoldOff: true, MayCancel: w.upTo(2) == 0, SecondCopies: w.upTo(2) == 0, DrainGrace: 250, AskWithin: 10000,
+		ColdFrom: 0.24, ColdSpan: 17000, TipMultiple: 3, TipSpan: 3000, Shards: 5,
+		Classes: []choice.Class{{Name: "safe", Aim: 200, Deadline: 1500, Worth: 3, LateWorth: 0.1},
+			{Name: "keyed", Aim: 300, Deadline: 2000, Worth: 2, Effect: choice.Keyed, Group: choice.GroupShard, Memory: 2500},
+			{Name: "once", Aim: 300, Deadline: 4000, Worth: 2, Effect: choice.Unsafe}},
+		Plans: []choice.Plan{{Name: "open", Rate: 60, Reserve: 60, Weight: 1, Price: 1},
+			{Name: "capped", Rate: 20, Reserve: 10, Weight: 1, Price: 1, Limit: 40, LimitBurst: 60}}}
+}
+
+// ending is what became of one request.
+type ending struct {
+	r        *core.Request
+	by       time.Time
+	answered chan core.Answer
+	departed bool
+}
+
+func TestEachRequestEndsOnce(t *testing.T) {
+	var quiet [2]int
+	pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	quiet = pair
+	defer syscall.Close(pair[0])
+	defer syscall.Close(pair[1])
+	kinds := map[core.Kind]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		faults := rapid.Float64Range(0.2, 1).Draw(rt, "faults")
+		synctest.Test(t, func(t *testing.T) {
+			w := &world{t: rt, rng: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), quiet: quiet, faults: faults,
+				nodes: map[address.Addr]*worldNode{}}
+			w.play(kinds)
+		})
+	})
+	for _, k := range []core.Kind{core.Served, core.Refused, core.Failed} {
+		if kinds[k] == 0 {
+			t.Errorf("no request ended as %v: the world shows nothing of that", k)
+		}
+	}
+}
+
+func (w *world) play(kinds map[core.Kind]int) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := &Dialer{ConnectTimeout: 250 * time.Millisecond, ConnIdle: 15 * time.Second, ConnsMost: int64(4 + w.upTo(20)),
+		Wait: w.within(30 * time.Millisecond), dial: w.dial}
+	set := endsSettings(w)
+	co, err := core.New(core.Options{Settings: set, Seed: int64(w.upTo(1 << 30)), Connect: d.Connect, Log: log})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	var list []core.Node
+	for i := range 6 {
+		a, _ := address.Parse(fmt.Sprintf("10.0.0.%d:1", i+1))
+		n := core.Node{Node: choice.Node{ID: fmt.Sprint("n", i), Shard: i % set.Shards, Weight: 1}, Addresses: []address.Addr{a}}
+		list = append(list, n)
+		w.nodes[a] = &worldNode{w: w, silence: w.within(8 * time.Second)}
+	}
+	co.List(core.News{Kind: choice.ListStale, Nodes: list})
+	var all []*ending
+	for i := range 300 {
+		time.Sleep(w.within(30 * time.Millisecond))
+		switch w.upTo(25) {
+		case 0: // a change of the list, or word that there is none
+			n := list[w.upTo(len(list))]
+			n.State = choice.NodeState(w.upTo(3))
+			co.List(core.News{Kind: choice.ListChange, Nodes: []core.Node{n}})
+		case 1:
+			co.List(core.News{Kind: choice.ListFull, Nodes: list[w.upTo(3):]})
+		case 2:
+			co.List(core.News{Kind: choice.ListFailed})
+		}
+		c := set.Classes[w.upTo(len(set.Classes))]
+		id := fmt.Sprintf("%016x", i)
+		e := &ending{answered: make(chan core.Answer, 2)}
+		e.r = &core.Request{Request: choice.Request{ID: id, Class: c.Name, Plan: set.Plans[w.upTo(2)].Name, Key: id,
+			Volume: fmt.Sprint("v", w.upTo(5)), Units: float64(1 + w.upTo(6)), Shard: w.upTo(set.Shards+1) - 1, Hosts: 1},
+			Arrived: time.Now(), Patience: w.within(time.Duration(c.Deadline) * time.Millisecond),
+			Payload: &call{head: []byte("GET /" + c.Name + " HTTP/1.1\r\nX-Request-Id: " + id)},
+			Answer: func(a core.Answer) {
+				if late := time.Since(e.by); late > 0 {
+					w.t.Errorf("%s was answered %v after its client gave up", id, late)
+				}
+				e.answered <- a
+			}}
+		e.by = e.r.Arrived.Add(e.r.Patience)
+		all = append(all, e)
+		co.Submit(e.r)
+		if old := all[w.upTo(len(all))]; w.upTo(12) == 0 && len(old.answered) == 0 && !old.departed {
+			old.departed = true
+			co.Depart(old.r)
+		}
+	}
+	time.Sleep(10 * time.Second) // past every deadline, and every attempt's
+	for _, e := range all {
+		switch got := len(e.answered); {
+		case got > 1 || got == 0 && !e.departed:
+			w.t.Errorf("%s: %d answers", e.r.ID, got)
+		case got == 1:
+			a := <-e.answered
+			kinds[a.Kind]++
+			if a.Kind == core.Served {
+				if body := string(a.Payload.(*reply).body); body != "of "+e.r.ID {
+					w.t.Errorf("%s was served %q", e.r.ID, body)
+				}
+			}
+		}
+	}
+	if left := co.Tables(); left != (core.Tables{}) {
+		w.t.Errorf("left behind: %+v", left)
+	}
+	co.List(core.News{Kind: choice.ListFull})
+	time.Sleep(time.Minute) // all nodes have left: what they hold closes
+	if open := d.open.Load(); open != 0 || d.idle.list.Len() != 0 {
+		w.t.Errorf("%d connections are counted as open, %d as idle", open, d.idle.list.Len())
+	}
+	co.Stop()
+}
