Past the cap on clients a request is refused at once; list waits end before 6 s are over

Client connections. A request that the machine let in while each allowed connection had one open stayed in the backlog, never read, until another ended: taken, and answered late or never (Accept in sock.go, full()). Now eight more connections are taken, out of the descriptors kept back, and a request on one gets 503 with Retry-After while the cap's number are open; the connection closes. At small limits (under 96 descriptors) the cap was under the third of all that clients may hold: at 64 it was 16, now 22.

After a watch that stood had ended, 300 hosts waited 3.75 to 11.25 s before asking again (New and Next in backoff.go), but what discovery has to tell counts as told after 6 s. The wait after a watch that stood is now at most 4.5 s, less where rules.ask-within is shorter; after a call that was turned away at most 22.5 s, inside four times the 6 s (20 s drawn to 30 before). Not taken: the same bound for calls turned away, as 300 hosts would then keep the service full.

--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -37,7 +37,8 @@
 	exitMargin   = 100 * time.Millisecond // ... and the program ends
 	listWait     = time.Second            // ready without discovery's word after this
 	descriptors  = 32                     // kept for the listeners, discovery and the runtime
-	clientShare  = 0.5                    // of the other descriptors; clients with requests hold a third at most, nodes have the rest
+	clientShare  = 0.5                    // of the other descriptors; nodes have the rest
+	clientMost   = 3                      // clients with requests hold one part of all descriptors at most
 	bodyShare    = 4                      // one part of the memory is for long bodies
 	memoryShare  = 0.6                    // of the limit, past which the collector works harder
 )
@@ -115,6 +116,12 @@
 	return min(longest, mostPatient) + killedAfter
 }
 
+// clientConns is how many of the descriptors left are for clients: half, and no less than they may hold
+// with requests open, as long as one in four stays for the nodes.
+func clientConns(left, all int) int {
+	return max(1, min(max(int(clientShare*float64(left)), all/clientMost+1), left*3/4))
+}
+
 // tightest is the shortest aim of the classes.
 func tightest(set choice.Settings) time.Duration {
 	aim := math.Inf(1)
@@ -160,7 +167,7 @@
 		defer blocks.core.Stop()
 		sockets -= blocks.sockets
 	}
-	clients := max(1, int(clientShare*float64(sockets)))
+	clients := clientConns(sockets, descriptorLimit(conf.Sockets))
 	dialer := &httpfront.Dialer{ConnectTimeout: time.Duration(conf.ConnectTimeout * float64(time.Millisecond)),
 		ConnIdle:  time.Duration(conf.ConnIdle * float64(time.Millisecond)),
 		ConnsMost: int64(max(1, sockets-clients)), Wait: pool.Wait(conf.Handshake, tightest(conf.Settings)),
@@ -184,7 +191,7 @@
 		}
 	}
 	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Known: known.Nodes, Tell: tell, Log: log,
-		Hosts: conf.Settings.Hosts, Seed: conf.Seed}
+		Hosts: conf.Settings.Hosts, Seed: conf.Seed, Told: time.Duration(conf.Settings.AskWithin * float64(time.Millisecond))}
 	go watcher.Run(ctx)
 	// Ready: the clients' socket is served and the list is discovery's, or discovery has been
 	// waited for long enough.
--- /dev/null
+++ b/internal/httpfront/crowd_test.go
@@ -0,0 +1,60 @@
+package httpfront
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// With a request open on each of the connections that it may have, the front answers one more at
+// once with a refusal: the machine has let it in, and in the backlog it would wait for another's
+// end. When one has ended, the next is served.
+func TestPastTheCapIsRefused(t *testing.T) {
+	hold := make(chan bool)
+	f := newFront(t, func(nc net.Conn) bool { <-hold; return say(fine)(nc) })
+	ask := func(i int) *bufio.Reader {
+		nc, err := net.Dial("tcp", f.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		_ = nc.SetReadDeadline(time.Now().Add(20 * time.Second)) // only a front that does not answer meets it
+		io.WriteString(nc, strings.Replace(good, "9b1f", fmt.Sprintf("%04d", i), 1))
+		return bufio.NewReader(nc)
+	}
+	read := func(br *bufio.Reader) *fasthttp.Response {
+		r := &fasthttp.Response{}
+		if err := r.Read(br); err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	var open []*bufio.Reader
+	for i := range 50 {
+		open = append(open, ask(i))
+	}
+	for f.srv.Core.Open() < 50 {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 20 { // more than are taken past the cap at a time
+		r := read(ask(100 + i))
+		if r.StatusCode() != 503 || len(r.Header.Peek("Retry-After")) == 0 || !r.ConnectionClose() {
+			t.Fatalf("past the cap: %s", r)
+		}
+	}
+	close(hold)
+	for _, br := range open {
+		if r := read(br); r.StatusCode() != 200 {
+			t.Fatalf("within the cap: %d", r.StatusCode())
+		}
+	}
+	if r := read(ask(200)); r.StatusCode() != 200 {
+		t.Fatalf("after: %d", r.StatusCode())
+	}
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -24,6 +24,7 @@
 	idleTimeout = 90 * time.Second        // the listener closes idle ones sooner when it is half full
 	readTimeout = 2500 * time.Millisecond // from the connection's start, or a request's first byte
 	writeMargin = time.Second
+	connsOver   = 8                     // connections past the cap, taken to be refused; of the descriptors kept back
 	scarceWait  = 50 * time.Millisecond // a usual answer or two
 	retryLeast  = 10 * time.Millisecond // a refusal always says when to come back
 	slowestBody = 32 << 10              // bytes a second of a client's body, half of the slowest named
@@ -110,7 +111,7 @@
 
 // Serve runs until Shutdown.
 func (s *Server) Serve(ln net.Listener, conns int) error {
-	l := sock.Limit(ln, conns)
+	l := sock.LimitOver(ln, conns, connsOver)
 	s.ln.Store(l)
 	return s.http.Serve(l)
 }
@@ -173,9 +174,13 @@
 			drop()
 		}
 	}
-	if s.keep.Load() && s.ln.Load().Scarce() {
+	crowded := s.ln.Load().Crowded()
+	if crowded || s.keep.Load() && s.ln.Load().Scarce() {
 		s.Core.Refuse(r, scarceWait)
 		write(ctx, <-got)
+		if crowded {
+			ctx.SetConnectionClose() // its place is another's
+		}
 		return
 	}
 	conn := ctx.Conn().(*sock.Conn) // Serve wraps its listener
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -196,6 +196,7 @@
 	Log     logrus.FieldLogger
 	Beat    time.Duration // 0: the default
 	Hosts   int           // schedulers that watch the same list; 0: this one
+	Told    time.Duration // when what discovery says counts as told at the latest; 0: the protocol's figure
 	Seed    int64
 	Waits   Waits // between watches; nil: those of backoff for Hosts and Seed
 	held    map[string]core.Node
@@ -251,7 +252,7 @@
 	w.now = w.open(ctx)
 	again := w.Waits
 	if again == nil {
-		again = backoff.New(max(w.Hosts, 1), uint64(w.Seed))
+		again = backoff.New(max(w.Hosts, 1), w.Told, uint64(w.Seed))
 	}
 	retry := time.NewTimer(time.Hour)
 	defer retry.Stop()
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -38,6 +38,7 @@
 type Listener struct {
 	net.Listener
 	most int
+	over int // taken past the cap, to be told no
 	mu   sync.Mutex
 	open map[*Conn]bool
 	done chan struct{}
@@ -45,6 +46,32 @@
 	deaf atomic.Bool // accepts no more
 }
 
+// LimitOver wraps a TCP listener that accepts so many connections past the cap, so that a request on
+// one is answered with a refusal: whoever waits in the backlog has been let in by the machine, and
+// would get no answer until another ends.
+func LimitOver(ln net.Listener, most, over int) *Listener {
+	l := limit(ln, most)
+	l.over = over
+	go l.tend()
+	return l
+}
+
+// Crowded says that more connections than the cap have a request open: another is to be refused.
+func (l *Listener) Crowded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.open) <= l.most {
+		return false
+	}
+	asking := 0
+	for c := range l.open {
+		if c.phase.Load() == active {
+			asking++
+		}
+	}
+	return asking > l.most
+}
+
 // Limit wraps a TCP listener.
 func Limit(ln net.Listener, most int) *Listener {
 	l := limit(ln, most)
@@ -96,7 +123,7 @@
 func (l *Listener) full() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.open) >= l.most
+	return len(l.open) >= l.most+l.over
 }
 
 // shed closes the longest idle connections where many have asked, and at the cap one more.
