A request that ends after its client's time has a line of the log, one a second at most

What ends late is rare and what is looked for: the line has its id, class, how it ended, each attempt with node, times and outcome, and how late this host's timers were of late (internal/core/late.go). Not taken: a line for each request at a debug level, which a full fleet would never have on when it matters.

The new test of core fails without the call in answer.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -87,6 +87,9 @@
 	once  sync.Once
 	peer  Peer
 	done  func(Result)
+	// over and status are how it ended, for the log; over 0: it has not.
+	over   float64
+	status choice.Status
 }
 
 // NewAttempt makes an attempt whose one result goes to done.
@@ -213,6 +216,8 @@
 	counts  *Counts
 	avoided float64 // when the nodes avoided by choice were last counted
 	late    margin.Gauge
+	told    time.Time // when a late end was last logged
+	untold  int       // late ends since
 }
 
 // New checks the settings and starts the actor.
@@ -521,6 +526,7 @@
 func (c *Core) outcome(a *Attempt, r Result, now float64) {
 	e := a.entry
 	e.open--
+	a.over, a.status = now, r.Status
 	if r.Status == choice.OK && !e.answered {
 		c.answer(e, Answer{Kind: Served, Payload: r.Payload})
 	} else if r.Bad {
@@ -543,6 +549,7 @@
 		c.counts.progress.Add(-1)
 		c.counts.ended(e.req.Class, a.Kind)
 		e.req.Answer(a)
+		c.tellLate(e, a, time.Now())
 	}
 }
 
--- a/internal/margin/margin.go
+++ b/internal/margin/margin.go
@@ -52,3 +52,6 @@
 	g.turn(at)
 	return min(max(Least, Times*max(g.now, g.last)), max(Least, patience/Share))
 }
+
+// Worst is the worst lateness that counts now.
+func (g *Gauge) Worst() time.Duration { return max(g.now, g.last) }
