--- a/internal/httpfront/ends_test.go
+++ b/internal/httpfront/ends_test.go
@@ -134,6 +134,14 @@
 	}
 }
 
+// crammed is a node actor whose mailbox is full now and then.
+type crammed struct {
+	core.Peer
+	w *world
+}
+
+func (c crammed) Send(a *core.Attempt) bool { return c.w.draw() > c.w.faults/10 && c.Peer.Send(a) }
+
 func endsSettings(w *world) choice.Settings {
 	return choice.Settings{Hosts: 3, MeanUnits: 2, MostUnits: 6, ColdUnits: 39, MaxAttempts: 1 + w.upTo(4), MaxHoldOff: 1000,
 		HoldOff: true, MayCancel: w.upTo(2) == 0, SecondCopies: w.upTo(2) == 0, DrainGrace: 250, AskWithin: 10000,
@@ -185,7 +193,8 @@
 	d := &Dialer{ConnectTimeout: 250 * time.Millisecond, ConnIdle: 15 * time.Second, ConnsMost: int64(4 + w.upTo(20)),
 		Wait: w.within(30 * time.Millisecond), dial: w.dial}
 	set := endsSettings(w)
-	co, err := core.New(core.Options{Settings: set, Seed: int64(w.upTo(1 << 30)), Connect: d.Connect, Log: log})
+	co, err := core.New(core.Options{Settings: set, Seed: int64(w.upTo(1 << 30)), Log: log,
+		Connect: func(name string, to []address.Addr) core.Peer { return crammed{d.Connect(name, to), w} }})
 	if err != nil {
 		w.t.Fatal(err)
 	}
