An attempt that waits is never written once its request has its final answer

By reading: core gives the answer (another copy served, the guard at the deadline, the client gone) and leaves open attempts to the module, which calls them off only where the settings allow cancels and, after a served copy, not at all. Excluded: the module sending after the end (send drops it in core), and fasthttp or the codec sending again (each attempt has one exchange).

Change: an attempt is claimed for writing (Begin, one compare and swap) right before its first byte; a request's end marks those not begun as moot. They end as Moot, the connection that came up is kept, and none is opened for one that is moot already.

Measured: the world of TestEachRequestEndsOnce has connects that come up late and nodes that check each arrival; without the claim it fails at its first draw (sent on 159 ms after the final answer). go test internal/core, httpfront, iscsi.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -90,8 +91,16 @@
 	// over and status are how it ended, for the log; over 0: it has not.
 	over   float64
 	status choice.Status
+	phase  atomic.Int32
 }
 
+// An attempt's phases: it may go out, it goes or went out, or it may not any more.
+const (
+	waits int32 = iota
+	began
+	moot
+)
+
 // NewAttempt makes an attempt whose one result goes to done.
 func NewAttempt(r *Request, until time.Time, done func(Result)) *Attempt {
 	return &Attempt{Req: r, Until: until, done: done}
@@ -108,6 +117,16 @@
 	Bad bool
 }
 
+// Begin claims the attempt for writing: a peer calls it right before the first byte. False: its
+// request has had its final answer, or its client has gone, while it waited for a connection or in a
+// mailbox; nothing of it may be written, and it ends as Moot.
+func (a *Attempt) Begin() bool {
+	return a.phase.CompareAndSwap(waits, began) || a.phase.Load() == began
+}
+
+// Moot says that the attempt may not begin any more: no connection need be opened for it.
+func (a *Attempt) Moot() bool { return a.phase.Load() == moot }
+
 // Written counts the attempt as written whole to its node: its last byte went out.
 func (a *Attempt) Written() {
 	if a.count != nil {
@@ -485,7 +504,7 @@
 		if e == nil || e.req != m.depart || e.answered {
 			return
 		}
-		e.answered = true // nobody is left to answer
+		e.end() // nobody is left to answer
 		c.counts.progress.Add(-1)
 		c.events = append(c.events, choice.Event{Kind: choice.Departed, ID: e.req.ID})
 		c.settle(e)
@@ -545,7 +564,7 @@
 // answer gives the one final answer.
 func (c *Core) answer(e *entry, a Answer) {
 	if !e.answered {
-		e.answered = true
+		e.end()
 		c.counts.progress.Add(-1)
 		c.counts.ended(e.req.Class, a.Kind)
 		e.req.Answer(a)
@@ -553,6 +572,15 @@
 	}
 }
 
+// end marks a request as answered. What of it has not begun to go out never does: an attempt may
+// still wait for a connection that comes up late, where another served or the time is over.
+func (e *entry) end() {
+	e.answered = true
+	for _, t := range e.attempts {
+		t.phase.CompareAndSwap(waits, moot)
+	}
+}
+
 // settle forgets a request once it is answered and nothing of it is out.
 func (c *Core) settle(e *entry) {
 	if e.answered && e.open == 0 && c.reqs[e.req.ID] == e {
--- a/internal/httpfront/ends_test.go
+++ b/internal/httpfront/ends_test.go
@@ -43,6 +43,7 @@
 	quiet  [2]int // a pair of sockets with nothing to read
 	nodes  map[address.Addr]*worldNode
 	faults float64
+	over   sync.Map // by id: when it had its final answer, or its client went
 }
 
 const cutSpan = 3 * time.Second
@@ -87,6 +88,9 @@
 		<-ctx.Done()
 		return nil, address.TimedOut, ctx.Err()
 	}
+	if w.upTo(4) == 0 { // comes up late
+		wait = w.within(240 * time.Millisecond)
+	}
 	time.Sleep(wait)
 	if ctx.Err() != nil || draw < w.faults/2 {
 		return nil, address.Refused, errors.New("refused")
@@ -105,7 +109,12 @@
 		if q.Header.Read(br) != nil {
 			return
 		}
-		body := "of " + string(q.Header.Peek("X-Request-Id"))
+		id := string(q.Header.Peek("X-Request-Id"))
+		// Guards against what waited for a connection, or in a mailbox, while its request ended.
+		if at, ok := n.w.over.Load(id); ok && at.(time.Time).Before(time.Now()) {
+			n.w.t.Errorf("%s was sent on %v after its final answer", id, time.Since(at.(time.Time)))
+		}
+		body := "of " + id
 		whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 		time.Sleep(n.w.within(120 * time.Millisecond))
 		draw := n.w.draw() / n.w.faults
@@ -230,6 +239,7 @@
 				if late := time.Since(e.by); late > 0 {
 					w.t.Errorf("%s was answered %v after its client gave up", id, late)
 				}
+				w.over.Store(id, time.Now())
 				e.answered <- a
 			}}
 		e.by = e.r.Arrived.Add(e.r.Patience)
@@ -237,6 +247,7 @@
 		co.Submit(e.r)
 		if old := all[w.upTo(len(all))]; w.upTo(12) == 0 && len(old.answered) == 0 && !old.departed {
 			old.departed = true
+			w.over.LoadOrStore(old.r.ID, time.Now())
 			co.Depart(old.r)
 		}
 	}
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -311,6 +311,10 @@
 		go a.Done(core.Result{Status: choice.NoConn})
 	}
 	for _, a := range n.line.Due(time.Since(n.since), len(n.busy)) {
+		if a.Moot() {
+			go a.Done(core.Result{Status: choice.Moot})
+			continue
+		}
 		n.carry(a, n.conn())
 	}
 }
@@ -349,6 +353,10 @@
 }
 
 func (n *node) send(a *core.Attempt) {
+	if a.Moot() {
+		go a.Done(core.Result{Status: choice.Moot})
+		return
+	}
 	c := n.free()
 	if c == nil {
 		if n.line.Want(time.Since(n.since), a, len(n.busy)) {
@@ -523,6 +531,9 @@
 	if c.node.draining.Load() { // guards the drain rule for what waited in a mailbox or for a connection
 		return ended(j.ctx, choice.NoConn), j.ctx.Err() == nil
 	}
+	if !a.Begin() { // guards the final answer: another attempt served meanwhile, or the time is over
+		return core.Result{Status: choice.Moot}, j.ctx.Err() == nil
+	}
 	r, reuse, _ = c.exchange(j)
 	return r, reuse
 }
--- a/internal/httpfront/paths.go
+++ b/internal/httpfront/paths.go
@@ -386,6 +386,8 @@
 		return core.Result{Status: choice.Moot}, given
 	case t.node.draining.Load() || j.ctx.Err() != nil: // guards the drain rule for what waited
 		return ended(j.ctx, choice.NoConn), given
+	case !j.attempt.Begin(): // guards the final answer for what waited
+		return core.Result{Status: choice.Moot}, given
 	}
 	r, reuse, cut := t.exchange(j)
 	switch {
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -359,8 +359,12 @@
 	for len(p.queue) > 0 && p.cur != nil && p.cur.room() {
 		c := p.queue[0]
 		p.queue = p.queue[1:]
-		if c.try != nil {
+		switch {
+		case c.try == nil:
+		case c.try.Begin():
 			p.cur.start(c)
+		default: // its request has been answered while it waited
+			p.report(c, core.Result{Status: choice.Moot})
 		}
 	}
 	if p.cur != nil {
