List clock: a silent list is asked beside, an agent's list every quarter of the grace

Excluded: the module (it sends to what the list shows as up), the node actors' drain flag.

Change: internal/listclock, a decision module, says when to call. Where lists are pushed: a call beside a silent one after a beat and half a second, then one every quarter of the drain grace (20 to 100 ms) until one speaks, unanswered ones kept, no growth and no spread. Where they are asked for: one call at a time with patience, two calls before what was missed counts as told, then the growing, drawn waits.

--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -20,6 +20,7 @@
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/httpfront"
+	"wheatsaddle/internal/listclock"
 	"wheatsaddle/internal/operator"
 	"wheatsaddle/internal/pool"
 	"wheatsaddle/internal/registry"
@@ -191,7 +192,7 @@
 		}
 	}
 	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Known: known.Nodes, Tell: tell, Log: log,
-		Hosts: conf.Settings.Hosts, Seed: conf.Seed, Told: time.Duration(conf.Settings.AskWithin * float64(time.Millisecond))}
+		Clock: listClock(conf)}
 	go watcher.Run(ctx)
 	// Ready: the clients' socket is served and the list is discovery's, or discovery has been
 	// waited for long enough.
@@ -216,7 +217,8 @@
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(ln, clients) }()
 	serving.Store(true)
-	log.WithFields(logrus.Fields{"name": conf.Name, "listen": conf.Listen, "nodes": len(known.Nodes), "version": version}).Info("serving")
+	log.WithFields(logrus.Fields{"name": conf.Name, "listen": conf.Listen, "nodes": len(known.Nodes), "version": version,
+		"list": conf.ListMode, "list_price": conf.ListPrice}).Info("serving")
 	go func() { // also while it stops: what is open still needs the list
 		for held := conf; ; {
 			select {
@@ -263,6 +265,13 @@
 	return nil
 }
 
+// listClock is how the list is asked for, by the settings.
+func listClock(conf *config.Config) listclock.Settings {
+	span := func(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+	set := conf.Settings
+	return listclock.Settings{Pushed: !set.AskMode, Hosts: set.Hosts, Told: span(set.AskWithin), Grace: span(set.DrainGrace), Seed: uint64(conf.Seed)}
+}
+
 // clientListener is the clients' socket: the platform's, where it passes one, else bound here.
 func clientListener(conf *config.Config, log logrus.FieldLogger) (net.Listener, error) {
 	if conf.Passed == "" {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,8 @@
 	ConnectTimeout          float64 // ms
 	MaxOpen                 int
 	Handshake               float64 // price of a new connection, in worths of a request
+	ListMode                string  // push or ask: how the node list comes
+	ListPrice               float64 // of what the list's service sends
 	raw                     []byte  // the file as read
 }
 
@@ -129,6 +131,7 @@
 	c.ConnectTimeout = sr.num("ceilings.connect-timeout", defaultConnectTimeout, 1)
 	c.MaxOpen = int(sr.num("ceilings.max-open", defaultMaxOpen, 1))
 	c.Handshake = sr.num("prices.handshake", 0, 0)
+	c.ListMode, c.ListPrice = sr.text("membership-mode", "push"), sr.num("prices.membership-mode", 0, 0)
 	if sr.err != nil {
 		return nil, sr.err
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,36 +1,26 @@
-// Package registry is the node list's actor: the known list first, then a watch that is
-// opened again whenever it ends or falls silent.
+// Package registry is the node list's actor: the known list first, then a watch. When it is opened
+// again, after its end or beside one that is silent, is listclock's to say.
 package registry
 
 import (
-	"bufio"
-	"context"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
-	"net"
 	"slices"
-	"strconv"
-	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/tidwall/gjson"
-	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/address"
-	"wheatsaddle/internal/backoff"
 	"wheatsaddle/internal/core"
 )
 
 const (
-	path = "/registry/instances"
-	// beat: an idle watch says something every 2 s; a second more is a broken one.
-	beat     = 3 * time.Second
+	path     = "/registry/instances"
 	dialWait = time.Second
-	lineMost = 4 << 20 // bytes in one line of a watch
+	lineMost = 4 << 20     // bytes in one list of a watch
+	badEvery = time.Second // between log lines on bad lists
 )
 
 var states = map[string]choice.NodeState{
@@ -186,241 +176,3 @@
 	}
 	return list, bad, nil
 }
-
-// Watcher is the list's actor. It alone applies what its watches read.
-type Watcher struct {
-	Address string
-	Index   int64       // version held
-	Known   []core.Node // the list held at the start
-	Tell    func(core.News)
-	Log     logrus.FieldLogger
-	Beat    time.Duration // 0: the default
-	Hosts   int           // schedulers that watch the same list; 0: this one
-	Told    time.Duration // when what discovery says counts as told at the latest; 0: the protocol's figure
-	Seed    int64
-	Waits   Waits // between watches; nil: those of backoff for Hosts and Seed
-	held    map[string]core.Node
-	moves   chan string
-	mail    chan line
-	once    sync.Once
-	old     *session // the watch at the address before, until the new one speaks
-	now     *session // the watch at Address
-	down    bool     // told already that no watch stands
-}
-
-// Waits says when to watch again after a watch that ended, and hears of those that spoke.
-type Waits interface {
-	Next() time.Duration
-	Spoke()
-}
-
-// session is one connection's watch.
-type session struct {
-	stop context.CancelFunc
-	live bool // it has spoken
-}
-
-// line is what a session read, or its end.
-type line struct {
-	from *session
-	list *List // nil: an empty line, or the end
-	err  error // the session has ended
-}
-
-func (w *Watcher) init() {
-	w.once.Do(func() { w.moves, w.mail = make(chan string), make(chan line, 1) })
-}
-
-// Move watches at another address from now on. The watch that stands stays, and counts, until
-// the new one speaks or the old one ends by itself. It returns false once the context ended.
-func (w *Watcher) Move(ctx context.Context, address string) bool {
-	w.init()
-	select {
-	case w.moves <- address:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// Run watches until the context ends.
-func (w *Watcher) Run(ctx context.Context) {
-	w.init()
-	if w.Beat == 0 {
-		w.Beat = beat
-	}
-	w.now = w.open(ctx)
-	again := w.Waits
-	if again == nil {
-		again = backoff.New(max(w.Hosts, 1), w.Told, uint64(w.Seed))
-	}
-	retry := time.NewTimer(time.Hour)
-	defer retry.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case address := <-w.moves:
-			w.move(ctx, address)
-		case <-retry.C:
-			if w.now == nil {
-				w.now = w.open(ctx)
-			}
-		case l := <-w.mail:
-			if l.from != w.now && l.from != w.old {
-				continue // of a watch that is over
-			}
-			if l.err == nil {
-				again.Spoke()
-				w.spoke(l)
-				continue
-			}
-			if l.from == w.old {
-				w.old = nil
-			} else {
-				w.now = nil
-				retry.Reset(again.Next())
-			}
-			if w.old == nil && (w.now == nil || !w.now.live) && !w.down {
-				// once for each time it goes down, not for each try
-				w.Log.WithError(l.err).Warn("watch ended, connecting again")
-				w.Tell(core.News{Kind: choice.ListFailed})
-				w.down = true
-			}
-		}
-	}
-}
-
-// move opens a watch at the new address beside the one that stands.
-func (w *Watcher) move(ctx context.Context, address string) {
-	if address == w.Address {
-		return
-	}
-	w.Address = address
-	switch {
-	case w.now != nil && w.now.live:
-		w.over(w.old)
-		w.old = w.now
-	case w.now != nil:
-		w.over(w.now) // never spoke: of no use
-	}
-	w.now = w.open(ctx)
-}
-
-func (w *Watcher) over(s *session) {
-	if s != nil {
-		s.stop()
-	}
-}
-
-// spoke takes a line. The new watch's first one, be it empty, ends the old watch.
-func (w *Watcher) spoke(l line) {
-	l.from.live, w.down = true, false
-	if l.from == w.now && w.old != nil {
-		w.over(w.old)
-		w.old = nil
-	}
-	// Guards the held list against a source that lags behind the watch it replaces.
-	if l.list == nil || !l.list.Full && l.list.Index < w.Index {
-		return
-	}
-	w.Index = l.list.Index
-	w.Tell(w.apply(*l.list))
-}
-
-// open starts a watch at the present address from the version held.
-func (w *Watcher) open(ctx context.Context) *session {
-	in, stop := context.WithCancel(ctx)
-	s := &session{stop: stop}
-	go func(address string, index int64) {
-		defer stop()
-		put := func(l line) {
-			l.from = s
-			select {
-			case w.mail <- l:
-			case <-in.Done():
-			}
-		}
-		put(line{err: w.watch(in, address, index, put)})
-	}(w.Address, w.Index)
-	return s
-}
-
-// watch holds one connection: it asks for what came after the version held, and reads lines.
-func (w *Watcher) watch(ctx context.Context, address string, index int64, put func(line)) error {
-	nc, err := (&net.Dialer{Timeout: dialWait}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	defer nc.Close()
-	defer context.AfterFunc(ctx, func() { nc.Close() })()
-	var req fasthttp.Request
-	req.SetRequestURI(path + "?watch=1&after=" + strconv.FormatInt(index, 10))
-	req.Header.SetHost(address)
-	if err = nc.SetDeadline(time.Now().Add(w.Beat)); err != nil {
-		return err
-	}
-	bw := bufio.NewWriter(nc)
-	if err = req.Write(bw); err == nil {
-		err = bw.Flush()
-	}
-	if err != nil {
-		return err
-	}
-	resp := fasthttp.Response{StreamBody: true}
-	if err = resp.Read(bufio.NewReader(beating{nc, w.Beat})); err != nil {
-		return err
-	}
-	defer resp.CloseBodyStream()
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return fmt.Errorf("watch: status %d", resp.StatusCode())
-	}
-	if resp.BodyStream() == nil {
-		return errors.New("watch: not a stream")
-	}
-	return w.lines(resp.BodyStream(), put)
-}
-
-// lines reads a watch. A bad line is named and passed over: the list held stays, and the
-// version too, so that the next connection asks for what was missed.
-func (w *Watcher) lines(in io.Reader, put func(line)) error {
-	sc := bufio.NewScanner(in)
-	sc.Buffer(make([]byte, 0, 4096), lineMost)
-	for sc.Scan() {
-		text := sc.Bytes()
-		if len(text) == 0 {
-			put(line{})
-			continue
-		}
-		l, err := Decode(text)
-		if err != nil {
-			w.Log.WithError(err).Warn("bad watch line passed over")
-			put(line{})
-			return err
-		}
-		for _, bad := range l.Bad {
-			w.Log.WithError(bad).Warn("list entry left out")
-		}
-		for _, bad := range l.Partly {
-			w.Log.WithError(bad).Warn("address left out")
-		}
-		put(line{list: &l})
-	}
-	if err := sc.Err(); err != nil {
-		return err
-	}
-	return io.EOF
-}
-
-// beating moves the read deadline on with each read.
-type beating struct {
-	net.Conn
-	beat time.Duration
-}
-
-func (b beating) Read(p []byte) (int, error) {
-	if err := b.SetReadDeadline(time.Now().Add(b.beat)); err != nil {
-		return 0, err
-	}
-	return b.Conn.Read(p)
-}
--- /dev/null
+++ b/internal/registry/watch.go
@@ -0,0 +1,262 @@
+package registry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/listclock"
+)
+
+// Watcher is the list's actor. It alone applies what its calls read; when to call is its clock's.
+type Watcher struct {
+	Address string
+	Index   int64       // version held
+	Known   []core.Node // the list held at the start
+	Tell    func(core.News)
+	Log     logrus.FieldLogger
+	Clock   listclock.Settings
+	held    map[string]core.Node
+	moves   chan string
+	mail    chan line
+	once    sync.Once
+	clock   *listclock.Clock
+	calls   map[int]context.CancelFunc
+	start   time.Time
+	logged  atomic.Int64 // when a bad list was last logged, since the start
+}
+
+// line is what a call read, or its end.
+type line struct {
+	call int
+	list *List // nil: a sign of life, or the end
+	err  error // the call has ended
+}
+
+func (w *Watcher) init() {
+	w.once.Do(func() { w.moves, w.mail = make(chan string), make(chan line, 1) })
+}
+
+// Move watches at another address from now on. The call that stands stays, and counts, until
+// a new one speaks or it ends by itself. It returns false once the context ended.
+func (w *Watcher) Move(ctx context.Context, address string) bool {
+	w.init()
+	select {
+	case w.moves <- address:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Run watches until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	w.init()
+	w.clock, w.calls, w.start = listclock.New(w.Clock), map[int]context.CancelFunc{}, time.Now()
+	w.step(ctx, listclock.Event{Kind: listclock.Begin}, nil)
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	for {
+		wake.Reset(w.clock.Wake() - time.Since(w.start))
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-w.moves:
+			if address != w.Address {
+				w.Address = address
+				w.step(ctx, listclock.Event{Kind: listclock.Moved}, nil)
+			}
+		case <-wake.C:
+			w.step(ctx, listclock.Event{Kind: listclock.Passed}, errSilent)
+		case l := <-w.mail:
+			switch {
+			case w.calls[l.call] == nil: // of a call that is over
+			case l.err != nil:
+				w.calls[l.call]()
+				delete(w.calls, l.call)
+				w.step(ctx, listclock.Event{Kind: listclock.Ended, Call: l.call}, l.err)
+			default:
+				w.step(ctx, listclock.Event{Kind: listclock.Spoke, Call: l.call}, nil)
+				w.spoke(l)
+			}
+		}
+	}
+}
+
+var errSilent = errors.New("watch: silent")
+
+func (w *Watcher) step(ctx context.Context, e listclock.Event, why error) {
+	for _, a := range w.clock.Step(time.Since(w.start), e) {
+		switch a.Do {
+		case listclock.Open:
+			w.open(ctx, a.Call)
+		case listclock.Close:
+			w.calls[a.Call]()
+			delete(w.calls, a.Call)
+		case listclock.Down:
+			// once for each time it goes down, not for each try
+			w.Log.WithError(why).Warn("watch ended, connecting again")
+			w.Tell(core.News{Kind: choice.ListFailed})
+		}
+	}
+}
+
+// spoke takes a line.
+func (w *Watcher) spoke(l line) {
+	// Guards the held list against a source that lags behind the watch it replaces.
+	if l.list == nil || !l.list.Full && l.list.Index < w.Index {
+		return
+	}
+	w.Index = l.list.Index
+	w.Tell(w.apply(*l.list))
+}
+
+// open starts a call at the present address from the version held.
+func (w *Watcher) open(ctx context.Context, call int) {
+	in, stop := context.WithCancel(ctx)
+	w.calls[call] = stop
+	go func(address string, index int64) {
+		put := func(l line) {
+			l.call = call
+			select {
+			case w.mail <- l:
+			case <-in.Done():
+			}
+		}
+		put(line{err: w.watch(in, address, index, put)})
+	}(w.Address, w.Index)
+}
+
+// watch holds one connection: it asks for what came after the version held, and reads lines. How
+// long it may be silent is the clock's to say.
+func (w *Watcher) watch(ctx context.Context, address string, index int64, put func(line)) error {
+	nc, err := (&net.Dialer{Timeout: dialWait}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+	var req fasthttp.Request
+	req.SetRequestURI(path + "?watch=1&after=" + strconv.FormatInt(index, 10))
+	req.Header.SetHost(address)
+	bw := bufio.NewWriter(nc)
+	if err = req.Write(bw); err == nil {
+		err = bw.Flush()
+	}
+	if err != nil {
+		return err
+	}
+	resp := fasthttp.Response{StreamBody: true}
+	if err = resp.Read(bufio.NewReader(nc)); err != nil {
+		return err
+	}
+	defer resp.CloseBodyStream()
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("watch: status %d", resp.StatusCode())
+	}
+	if resp.BodyStream() == nil {
+		return errors.New("watch: not a stream")
+	}
+	return w.lines(resp.BodyStream(), put)
+}
+
+// lines reads a watch. A bad line is named and passed over: the list held stays, and the
+// version too, so that the next connection asks for what was missed. A list may come indented, over
+// several lines: it goes on until its first brace is closed. An empty line, or one that begins with a
+// brace, can't be within it: then it was cut.
+func (w *Watcher) lines(in io.Reader, put func(line)) error {
+	sc := bufio.NewScanner(in)
+	sc.Buffer(make([]byte, 0, 4096), lineMost)
+	var object []byte
+	var deep depth
+	for sc.Scan() {
+		raw := sc.Bytes()
+		text := bytes.TrimSpace(raw)
+		cut := object != nil && (len(text) == 0 || raw[0] == '{')
+		if len(text) == 0 && !cut {
+			put(line{})
+			continue
+		}
+		if !cut {
+			open := deep.of(text)
+			if object != nil || open {
+				if object = append(append(object, text...), '\n'); len(object) > lineMost {
+					return fmt.Errorf("watch: a list of over %d bytes", lineMost)
+				}
+				text = object
+			}
+			if open {
+				continue
+			}
+		} else {
+			text = object
+		}
+		l, err := Decode(text)
+		object, deep = nil, depth{}
+		if err != nil {
+			if w.mayLog() {
+				w.Log.WithError(err).Warn("bad watch line passed over")
+			}
+			put(line{})
+			return err
+		}
+		if len(l.Bad)+len(l.Partly) > 0 && w.mayLog() {
+			for _, bad := range l.Bad {
+				w.Log.WithError(bad).Warn("list entry left out")
+			}
+			for _, bad := range l.Partly {
+				w.Log.WithError(bad).Warn("address left out")
+			}
+		}
+		put(line{list: &l})
+	}
+	if err := sc.Err(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// mayLog says that what a list has that is bad may be logged: an agent may be asked many times a
+// second, and have the same each time.
+func (w *Watcher) mayLog() bool {
+	now, last := int64(time.Since(w.start)), w.logged.Load()
+	return (last == 0 || now-last >= int64(badEvery)) && w.logged.CompareAndSwap(last, max(now, 1))
+}
+
+// depth is how deep in objects and lists a JSON text is that comes in pieces.
+type depth struct {
+	level           int
+	inText, escaped bool
+}
+
+// of takes a piece; true: the text goes on.
+func (d *depth) of(piece []byte) bool {
+	for _, b := range piece {
+		switch {
+		case d.escaped:
+			d.escaped = false
+		case d.inText:
+			d.escaped, d.inText = b == '\\', b != '"'
+		case b == '"':
+			d.inText = true
+		case b == '{' || b == '[':
+			d.level++
+		case b == '}' || b == ']':
+			d.level--
+		}
+	}
+	return d.level > 0
+}
