Attempts take the connection that comes first, and one is opened beside a late one

Change: internal/pool decides: attempts wait in one line for what comes first, one in use or one being opened; past four times a connect's usual time (10 ms at least, and the priced wait) a second is opened; who waits longer than the wait and the connect's time-out goes without. The node actor opens connections apart from the attempts they were opened for; one to spare is kept at most.

--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -51,6 +51,7 @@
 	ConnIdle       time.Duration
 	ConnsMost      int64              // over all nodes
 	Wait           time.Duration      // for a connection in use, before another is opened
+	usual          dialTime           // of a connect
 	Safe           map[string]bool    // classes that may be repeated freely
 	Routes         *Routes            // of nodes with several addresses; nil: the defaults
 	Log            logrus.FieldLogger // nil: silence
@@ -62,7 +63,8 @@
 // Connect starts the actor of one storage node.
 func (d *Dialer) Connect(name string, addresses []address.Addr) core.Peer {
 	n := &node{dialer: d, name: name, mail: mailbox.New[nodeMessage](nodeMailbox), busy: map[*core.Attempt]*conn{},
-		line: pool.New[*core.Attempt](d.Wait), since: time.Now()}
+		line:  pool.New[*core.Attempt](pool.Settings{Wait: d.Wait, Patience: d.ConnectTimeout}),
+		since: time.Now()}
 	n.readdress(addresses)
 	go n.run()
 	return n
@@ -72,6 +74,7 @@
 	send, cancel *core.Attempt
 	back         *conn // is free again, or done with if broken
 	broken       bool
+	opened       *conn // has come up, or not if broken
 	evicted      *conn // another node has its place
 	probe        func(core.Result, time.Duration)
 	close        bool
@@ -89,7 +92,7 @@
 	draining atomic.Bool
 	idle     []*conn // the longest idle first
 	busy     map[*core.Attempt]*conn
-	line     *pool.Pool[*core.Attempt] // that wait for one of the busy ones
+	line     *pool.Pool[*core.Attempt] // that wait for a connection
 	since    time.Time                 // the line's time counts from here
 	conns    int
 	closing  bool
@@ -138,6 +141,9 @@
 		n.paths = newPaths(n)
 	}
 	n.paths.book.Step(address.Event{Kind: address.Listed, Addrs: list})
+	for a, ok := n.line.Free(); ok; a, ok = n.line.Free() { // they go by the book too
+		n.paths.take(nodeMessage{send: a})
+	}
 }
 
 // hostOf is the Host of a message: a socket file has none, and the node's name stands for it.
@@ -199,7 +205,7 @@
 			at, ok = next, true
 		}
 	}
-	if wait, waits := n.line.Next(); waits {
+	if wait, waits := n.line.Next(time.Since(n.since), n.late()); waits {
 		if next := n.since.Add(wait); !ok || next.Before(at) {
 			at, ok = next, true
 		}
@@ -229,6 +235,8 @@
 		n.idle = slices.DeleteFunc(n.idle, func(o *conn) bool { return o == m.evicted })
 		close(m.evicted.jobs)
 		n.conns--
+	case m.opened != nil:
+		n.opened(m.opened, m.broken)
 	case m.path != nil && m.path.addresses != nil:
 		n.readdress(m.path.addresses)
 	case m.back != nil && m.back.address != n.address: // of an address that went, or before the paths
@@ -263,17 +271,10 @@
 		if m.broken {
 			n.gone()
 		} else {
-			m.back.idleAt = time.Now()
-			n.idle = append(n.idle, m.back)
-			n.dialer.idle.put(m.back)
-			if a, ok := n.line.Free(); ok {
-				n.carry(a, n.conn())
-			} else if n.closing {
-				n.drop(m.back)
-			}
+			n.park(m.back)
 		}
 	case m.probe != nil:
-		if c := n.conn(); c != nil {
+		if c := n.probing(); c != nil {
 			c.jobs <- job{probe: m.probe}
 		} else {
 			go m.probe(core.Result{Status: choice.NoConn}, 0)
@@ -300,6 +301,57 @@
 	}
 }
 
+// park takes a connection that has become free: the first in the line has it.
+func (n *node) park(c *conn) {
+	for {
+		a, ok := n.line.Free()
+		switch {
+		case ok && a.Moot():
+			go a.Done(core.Result{Status: choice.Moot})
+			continue
+		case ok:
+			n.carry(a, c)
+			return
+		}
+		break
+	}
+	c.idleAt = time.Now()
+	n.idle = append(n.idle, c)
+	n.dialer.idle.put(c)
+	if n.closing {
+		n.drop(c)
+	}
+}
+
+// opened takes a connection that has come up, or has not.
+func (n *node) opened(c *conn, failed bool) {
+	now := time.Since(n.since)
+	switch {
+	case failed:
+		n.gone()
+		if a, ok := n.line.Failed(now, c.opening, len(n.busy)); ok {
+			go a.Done(core.Result{Status: choice.NoConn})
+		}
+	case c.address != n.address: // it went meanwhile: another is opened
+		n.line.Up(now, c.opening)
+		close(c.jobs)
+		n.gone()
+	default:
+		n.dialer.usual.took(n.line.Up(now, c.opening))
+		if n.line.Len() == 0 && len(n.idle) > 0 {
+			close(c.jobs) // one opened beside a late one: one to spare is enough
+			n.gone()
+			return
+		}
+		n.park(c)
+	}
+}
+
+// late is how long a connect may take before another is opened beside it.
+func (n *node) late() time.Duration {
+	return max(pool.LateLeast, pool.LateTimes*n.dialer.usual.best(), n.dialer.Wait)
+}
+
 // tend opens connections for those that have waited long enough for one in use. Where nothing new
 // may go to the node, nobody waits on.
 func (n *node) tend() {
@@ -310,12 +362,20 @@
 		}
 		go a.Done(core.Result{Status: choice.NoConn})
 	}
-	for _, a := range n.line.Due(time.Since(n.since), len(n.busy)) {
-		if a.Moot() {
-			go a.Done(core.Result{Status: choice.Moot})
+	if n.line.Len() == 0 {
+		return
+	}
+	now := time.Since(n.since)
+	for a, ok := n.line.Over(now); ok; a, ok = n.line.Over(now) {
+		go a.Done(core.Result{Status: choice.NoConn})
+	}
+	for range n.line.Open(now, len(n.busy), n.late()) {
+		if n.open(now) {
 			continue
 		}
-		n.carry(a, n.conn())
+		if a, ok := n.line.NoRoom(now, len(n.busy)); ok {
+			go a.Done(core.Result{Status: choice.NoConn})
+		}
 	}
 }
 
@@ -335,20 +395,40 @@
 	return nil
 }
 
-// conn takes an idle connection, or a new one; nil: none is left.
-func (n *node) conn() *conn {
-	if c := n.free(); c != nil {
-		return c
-	}
-	if n.conns >= connsMost {
-		return nil
+// open begins to bring up another connection; false: there is no room for one.
+func (n *node) open(now time.Duration) bool {
+	c := n.fresh()
+	if c == nil {
+		return false
 	}
-	if !n.dialer.place() {
+	c.opening = n.line.Opening(now)
+	go func() {
+		err := c.dial(context.Background())
+		n.mail.Must(nodeMessage{opened: c, broken: err != nil})
+		if err == nil {
+			c.run()
+		}
+	}()
+	return true
+}
+
+// fresh is a connection not yet up; nil: there is no room for one.
+func (n *node) fresh() *conn {
+	if n.conns >= connsMost || !n.dialer.place() {
 		return nil
 	}
 	n.conns++
-	c := &conn{node: n, address: n.address, host: n.host, jobs: make(chan job, 1)}
-	go c.run()
+	return &conn{node: n, address: n.address, host: n.host, jobs: make(chan job, 1)}
+}
+
+// probing takes an idle connection, or a new one; nil: none is left.
+func (n *node) probing() *conn {
+	c := n.free()
+	if c == nil {
+		if c = n.fresh(); c != nil {
+			go c.run()
+		}
+	}
 	return c
 }
 
@@ -357,22 +437,15 @@
 		go a.Done(core.Result{Status: choice.Moot})
 		return
 	}
-	c := n.free()
-	if c == nil {
-		if n.line.Want(time.Since(n.since), a, len(n.busy)) {
-			return
-		}
-		c = n.conn()
+	if c := n.free(); c != nil {
+		n.carry(a, c)
+		return
 	}
-	n.carry(a, c)
+	n.line.Want(time.Since(n.since), a) // tend opens a connection for it
 }
 
-// carry gives an attempt its connection; nil: there is none.
+// carry gives an attempt its connection.
 func (n *node) carry(a *core.Attempt, c *conn) {
-	if c == nil {
-		go a.Done(core.Result{Status: choice.NoConn}) // the core's mailbox may have to be waited for
-		return
-	}
 	c.attempt = a
 	n.busy[a] = c
 	c.ctx, c.stop = context.WithDeadline(context.Background(), a.Until)
@@ -394,6 +467,7 @@
 	jobs    chan job
 	attempt *core.Attempt
 	idleAt  time.Time
+	opening int           // its name in the line, while it comes up
 	place   *list.Element // in the dialer's idle set, whose lock guards it
 	ctx     context.Context
 	stop    context.CancelFunc
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,12 +1,19 @@
-// Package pool owns which attempts wait a moment for a connection that is in use at their node,
-// and which have another opened at once. A new connection costs the node work and the first
-// request on it time, and where the settings price it, it costs the deployment worth as well: so
-// a short wait for one that is about to be free is the cheaper way.
+// Package pool owns which attempts wait for which connection to their node: one in use that will be
+// free, or one that is being opened; and when another is opened. A new connection costs the node
+// work and the first request on it time, and where the settings price it, it costs the deployment
+// worth as well: so a short wait for one in use is the cheaper way. And a connection may come up late: so
+// no attempt is bound to the one opened for it, it takes what comes first, and past a late one another
+// is opened.
 //
 // Invariants:
-//   - Nobody waits longer than Wait, nor where Wait is zero.
-//   - At most one waits for each connection in use: the next is not free sooner than in two turns.
+//   - Nobody waits for one in use alone longer than Wait, nor where Wait is zero: then one is being
+//     opened for it.
+//   - At most one waits for each connection in use, or about to be, without one being opened: the next
+//     is not free sooner than in two turns.
 //   - Who came first goes first; each that waits is given out exactly once, or removed.
+//   - For each for which one is to be opened, at most two are: the second once the first is late.
+//   - Nobody waits longer than Wait and Patience. One whose connection failed is given out as one
+//     without, unless another is being opened for it.
 //
 // It knows no clock and does no I/O: the caller gives the time, and asks when to come again. It does
 // not decide how many connections there may be, nor which node a request goes to.
@@ -17,33 +24,112 @@
 // Share bounds the wait to this part of an aim, however dear a connection is.
 const Share = 4
 
+// LateTimes the usual time of a connect makes one late, and LateLeast at least.
+const (
+	LateTimes = 4
+	LateLeast = 10 * time.Millisecond
+)
+
 // Wait is how long an attempt may wait for a connection in use: the part of the aim that a new
 // connection's price is of a request's worth. Waiting for the whole aim costs the whole worth.
 func Wait(price float64, aim time.Duration) time.Duration {
 	return max(0, min(time.Duration(price*float64(aim)), aim/Share))
 }
 
+// Settings are a pool's.
+type Settings struct {
+	Wait     time.Duration // for a connection in use, before one is opened
+	Patience time.Duration // for one that is being opened
+}
+
 // Pool is the line before one node's connections.
 type Pool[T comparable] struct {
-	wait time.Duration
-	line []waiter[T]
+	set   Settings
+	line  []waiter[T]
+	opens []opening
+	ids   int
 }
 
 type waiter[T comparable] struct {
 	item  T
-	until time.Duration
+	until time.Duration // when one is opened for it
+}
+
+type opening struct {
+	id int
+	at time.Duration
 }
 
 // New makes an empty line.
-func New[T comparable](wait time.Duration) *Pool[T] { return &Pool[T]{wait: wait} }
+func New[T comparable](set Settings) *Pool[T] { return &Pool[T]{set: set} }
+
+// Want puts an item for which no connection is free into the line.
+func (p *Pool[T]) Want(now time.Duration, item T) {
+	p.line = append(p.line, waiter[T]{item, now + p.set.Wait})
+}
+
+// needed is how many connections are to be opened for those that wait, with so many in use: each takes
+// one, and one more may wait for it.
+func (p *Pool[T]) needed(now time.Duration, inUse int) int {
+	due := 0
+	for due < len(p.line) && p.line[due].until <= now {
+		due++
+	}
+	return max(due, (len(p.line)-inUse+1)/2)
+}
+
+// Open says how many connections are to be opened now; late is how long one may take. The caller says
+// Opening for each.
+func (p *Pool[T]) Open(now time.Duration, inUse int, late time.Duration) int {
+	needed, timely := p.needed(now, inUse), 0
+	for _, o := range p.opens {
+		if now < o.at+late {
+			timely++
+		}
+	}
+	return max(0, min(needed-timely, 2*needed-len(p.opens)))
+}
+
+// Opening notes that a connection is being opened, and names it.
+func (p *Pool[T]) Opening(now time.Duration) (id int) {
+	p.ids++
+	p.opens = append(p.opens, opening{p.ids, now})
+	return p.ids
+}
 
-// Want takes an item for which no connection is free while so many are in use; false: open one.
-func (p *Pool[T]) Want(now time.Duration, item T, inUse int) (waits bool) {
-	if p.wait <= 0 || len(p.line) >= inUse {
-		return false
+// took is how long a connection has been opened for; it is no longer.
+func (p *Pool[T]) took(now time.Duration, id int) time.Duration {
+	for i, o := range p.opens {
+		if o.id == id {
+			p.opens = append(p.opens[:i:i], p.opens[i+1:]...)
+			return now - o.at
+		}
+	}
+	return 0
+}
+
+// Up notes that a connection has come up, and says how long it took. It is free: Free gives out
+// whose it is.
+func (p *Pool[T]) Up(now time.Duration, id int) time.Duration { return p.took(now, id) }
+
+// NoRoom gives out the last in the line, if there is no room for the connection that it needs.
+func (p *Pool[T]) NoRoom(now time.Duration, inUse int) (item T, ok bool) {
+	if p.needed(now, inUse) <= len(p.opens) {
+		return item, false
+	}
+	item = p.line[len(p.line)-1].item
+	p.line = p.line[:len(p.line)-1]
+	return item, true
+}
+
+// Failed notes that a connection did not come up, and gives out the first in the line, if none is
+// being opened for it.
+func (p *Pool[T]) Failed(now time.Duration, id, inUse int) (item T, ok bool) {
+	p.took(now, id)
+	if p.needed(now, inUse) <= len(p.opens) {
+		return item, false
 	}
-	p.line = append(p.line, waiter[T]{item, now + p.wait})
-	return true
+	return p.Free()
 }
 
 // Free gives out the first in the line: a connection is free.
@@ -67,22 +153,32 @@
 	return false
 }
 
-// Due gives out those whose wait is over: each has a connection opened. So has each for which
-// there is none in use any more to wait for.
-func (p *Pool[T]) Due(now time.Duration, inUse int) (items []T) {
-	for len(p.line) > 0 && (p.line[0].until <= now || len(p.line) > inUse) {
-		items = append(items, p.line[0].item)
-		p.line = p.line[1:]
+// Over gives out one that has waited too long: it goes without. It is to be asked until there is none.
+func (p *Pool[T]) Over(now time.Duration) (item T, ok bool) {
+	if len(p.line) == 0 || now < p.line[0].until+p.set.Patience {
+		return item, false
 	}
-	return items
+	return p.Free()
 }
 
-// Next is when to ask for those due.
-func (p *Pool[T]) Next() (at time.Duration, ok bool) {
+// Next is when to ask Open and Over again.
+func (p *Pool[T]) Next(now, late time.Duration) (at time.Duration, ok bool) {
 	if len(p.line) == 0 {
 		return 0, false
 	}
-	return p.line[0].until, true
+	at = p.line[0].until + p.set.Patience
+	for _, w := range p.line {
+		if w.until > now {
+			at = min(at, w.until)
+			break
+		}
+	}
+	for _, o := range p.opens {
+		if next := o.at + late; next > now {
+			at = min(at, next)
+		}
+	}
+	return max(at, now), true
 }
 
 // Len is how many wait.
