--- a/cmd/wheatsaddle/large_test.go
+++ b/cmd/wheatsaddle/large_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/internal/standin/discovery"
 )
 
 const (
@@ -51,13 +53,11 @@
 }
 
 // entries are those of nodes from a shard on, at one address.
-func entries(name, address, status string, from, to int) string {
-	var list []string
+func entries(name, address string, status discovery.Status, from, to int) (list []discovery.Entry) {
 	for i := from; i < to; i++ {
-		list = append(list, fmt.Sprintf(`{"name":"%s-%04d","address":%q,"group":%d,"status":%q,"weight":1,"since_ms":0}`,
-			name, i, address, i, status))
+		list = append(list, discovery.Entry{Name: fmt.Sprintf("%s-%04d", name, i), Address: address, Group: i, Status: status, Weight: 1})
 	}
-	return strings.Join(list, ",")
+	return list
 }
 
 // The daemon as one of 1,024 schedulers of 1,024 nodes, with fewer descriptors than nodes: it serves
@@ -66,48 +66,21 @@
 func TestThousandNodes(t *testing.T) {
 	old, oldCame := manyNodes(t)
 	next, nextCame := manyNodes(t)
-	disco, err := net.Listen("tcp", "127.0.0.1:0")
+	disco, err := discovery.New(discovery.Options{Index: 2})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer disco.Close()
-	lines := make(chan string, 4)
-	go func() {
-		nc, err := disco.Accept()
-		if err != nil {
-			return
-		}
-		defer nc.Close()
-		var q fasthttp.Request
-		if q.Read(bufio.NewReader(nc)) != nil {
-			return
-		}
-		fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-		for beat := time.Tick(time.Second); ; {
-			text := "\n"
-			select {
-			case line, ok := <-lines:
-				if !ok {
-					return
-				}
-				text = line + "\n"
-			case <-beat:
-			}
-			if _, err := fmt.Fprintf(nc, "%x\r\n%s\r\n", len(text), text); err != nil {
-				return
-			}
-		}
-	}()
-	defer close(lines)
-	lines <- `{"index":2,"snapshot":true,"endpoints":[` + entries("s", old, "active", 0, largeNodes) + `]}`
+	all := entries("s", old, discovery.Active, 0, largeNodes)
+	disco.Put(all...)
 	listen, file := freeAddress(t), filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":%d,"sockets":%d},
-"known":{"index":1,"snapshot":true,"endpoints":[%s]},
+"known":%s,
 "settings":{"fleet-size":1024,"ceilings":{"max-attempts":4,"may-cancel":true},
 "extra":{"usual-units":2,"largest":6,"slots-total":%d},
 "profiles":[{"name":"balance-read","goal-time":30000,"deadline":60000,"repeat":"safe","worth":3}],
 "contracts":[{"name":"basic","reservation":1000,"usual-rate":1000}]}}`,
-		listen, disco.Addr(), largeMemory, largeSockets, entries("s", old, "active", 0, largeNodes), largeNodes)
+		listen, disco.Addr(), largeMemory, largeSockets, discovery.List{Index: 1, Full: true, Entries: all}.Text(false), largeNodes)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -149,10 +122,13 @@
 	}
 	// Half are replaced; a name without an address, an entry twice and one of no shard change nothing else.
 	half := largeNodes / 2
-	lines <- `{"index":3,"snapshot":false,"endpoints":[` + entries("r", next, "active", 0, half) + "," +
-		entries("s", old, "left", 0, half) + "," + entries("r", next, "active", 0, 1) +
-		`,{"name":"s-0900","address":"nowhere","group":900,"status":"active"},{"name":"s-0901","address":"` + old +
-		`","group":-7,"status":"active"}]}`
+	changes := append(entries("r", next, discovery.Active, 0, half), entries("s", old, discovery.Left, 0, half)...)
+	twice := append(entries("r", next, discovery.Active, 0, 1), changes[0])
+	index := disco.Put(append(changes, discovery.Entry{Name: "s-0900", Address: "nowhere", Group: 900, Status: discovery.Active},
+		discovery.Entry{Name: "s-0901", Address: old, Group: -7, Status: discovery.Active})...)
+	for disco.Say(string(discovery.List{Index: index, Entries: twice}.Text(false))) == 0 {
+		time.Sleep(time.Millisecond) // the watch is not open yet
+	}
 	for nextCame.Load() == 0 {
 		ask(0) // until the list has been taken
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,22 +1,20 @@
 package registry
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"strings"
 	"testing"
+	"time"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
-	"github.com/valyala/fasthttp"
 	"pgregory.net/rapid"
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/listclock"
 	"wheatsaddle/internal/rapidtest"
+	"wheatsaddle/internal/standin/discovery"
 )
 
 func TestMain(m *testing.M) { rapidtest.Main(m) }
@@ -96,75 +94,50 @@
 	})
 }
 
-// discovery answers watches: each connection gets the lines of its turn, then an end or silence.
-func discovery(t *testing.T, turns ...[]string) (address string, asked chan string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+var one = discovery.Entry{Name: "s-1", Address: "127.0.0.1:8443", Group: 3, Status: discovery.Active, Weight: 2}
+
+// service is the stand-in, with one node listed at version index+1, and what was asked of it.
+func service(t *testing.T, index int64) (s *discovery.Service, asked chan string) {
+	asked = make(chan string, 100)
+	s, err := discovery.New(discovery.Options{Index: index, Beat: 100 * time.Millisecond, Heard: func(_, uri string) { asked <- uri }})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { ln.Close() })
-	asked = make(chan string, 100)
-	go func() {
-		for i := 0; ; i++ {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func(i int) {
-				defer nc.Close()
-				var q fasthttp.Request
-				if q.Read(bufio.NewReader(nc)) != nil {
-					return
-				}
-				asked <- string(q.RequestURI())
-				io.WriteString(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-				silent := i >= len(turns)
-				if !silent {
-					for _, line := range turns[i] {
-						if silent = line == "silence"; !silent {
-							fmt.Fprintf(nc, "%x\r\n%s\n\r\n", len(line)+1, line)
-						}
-					}
-				}
-				if silent {
-					nc.Read(make([]byte, 1)) // until the watcher gives up
-				}
-			}(i)
-		}
-	}()
-	return ln.Addr().String(), asked
+	t.Cleanup(s.Close)
+	s.Put(one)
+	return s, asked
 }
 
 // Guards the list through what can happen to a watch: its end, silence past the beat, and a
 // bad line, after none of which anything told is lost or told twice.
 func TestWatch(t *testing.T) {
-	address, asked := discovery(t,
-		[]string{list(41, true, entry), "", list(42, false, entry)}, // then it ends
-		[]string{list(43, false, entry), "silence"},
-		[]string{"nonsense", list(44, true)}, // nothing after a bad line is believed on this connection
-		[]string{list(45, false, entry)})
+	s, asked := service(t, 40)
 	news := make(chan core.News, 100)
 	log, hook := logtest.NewNullLogger()
-	w := &Watcher{Address: address, Index: 40, Log: log, Clock: listclock.Settings{Pushed: true}, Tell: func(n core.News) { news <- n }}
+	w := &Watcher{Address: s.Addr(), Index: 7, Log: log, Clock: listclock.Settings{Pushed: true}, Tell: func(n core.News) { news <- n }}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan bool)
 	go func() { w.Run(ctx); close(ended) }()
-	var kinds []choice.EventKind
-	for len(kinds) < 6 {
-		kinds = append(kinds, (<-news).Kind)
+	full, change, failed := choice.ListFull, choice.ListChange, choice.ListFailed
+	for i, x := range []struct {
+		do   func()
+		want choice.EventKind
+	}{
+		{func() {}, full}, {func() { s.Put(one) }, change},
+		{func() { s.Reset() }, failed}, {func() { s.Put(one) }, change},
+		{func() { s.Set(discovery.Fault{Silent: true, Answers: true}) }, change}, // the first line of a watch opened beside the silent one
+		{func() { s.Say("nonsense"); s.Put(one) }, failed}, {func() {}, change},  // nothing after a bad line is believed on its connection
+	} {
+		x.do()
+		if n := <-news; n.Kind != x.want {
+			t.Fatalf("%d: %+v, want kind %v", i, n, x.want)
+		}
 	}
-	for _, want := range []string{"40", "42", "43", "43"} {
+	for _, want := range []string{"7", "42", "43", "43"} {
 		if uri := <-asked; uri != path+"?watch=1&after="+want {
 			t.Errorf("asked %s, want after=%s", uri, want)
 		}
 	}
-	full, change, failed := choice.ListFull, choice.ListChange, choice.ListFailed
-	for i, want := range []choice.EventKind{full, change, failed, change, failed, change} {
-		if kinds[i] != want {
-			t.Errorf("news %v", kinds)
-			break
-		}
-	}
 	stop()
 	<-ended
 	named := false
@@ -179,19 +152,22 @@
 // Guards the list through a move of discovery: the old watch counts until the new one speaks,
 // an address that does not answer costs nothing, and what lags behind takes nothing back.
 func TestMove(t *testing.T) {
-	old, _ := discovery(t, []string{list(41, true, entry), "silence"})
-	later, asked := discovery(t, []string{list(40, false, entry), list(42, false, entry), "silence"})
+	old, _ := service(t, 40)
+	later, asked := service(t, 40)
 	news := make(chan core.News, 100)
 	log, _ := logtest.NewNullLogger()
-	w := &Watcher{Address: old, Log: log, Tell: func(n core.News) { news <- n }}
+	w := &Watcher{Address: old.Addr(), Log: log, Clock: listclock.Settings{Pushed: true}, Tell: func(n core.News) { news <- n }}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan bool)
 	go func() { w.Run(ctx); close(ended) }()
 	<-news
-	if !w.Move(ctx, "127.0.0.1:1") || !w.Move(ctx, later) {
+	if !w.Move(ctx, "127.0.0.1:1") || !w.Move(ctx, later.Addr()) {
 		t.Error("the move was not taken")
 	}
-	if n := <-news; n.Kind != choice.ListChange {
+	<-news // it speaks
+	later.Say(list(40, false, entry))
+	later.Put(one)
+	if n := <-news; n.Kind != choice.ListChange || n.Nodes[0].State != choice.NodeUp {
 		t.Errorf("%+v, want the change of the new watch", n)
 	}
 	if uri := <-asked; uri != path+"?watch=1&after=41" {
@@ -202,7 +178,7 @@
 	if w.Index != 42 || len(w.calls) != 1 || len(news) != 0 {
 		t.Errorf("index %d, %d calls open, %d more news", w.Index, len(w.calls), len(news))
 	}
-	if w.Move(ctx, old) {
+	if w.Move(ctx, old.Addr()) {
 		t.Error("a watcher that ended took a move")
 	}
 }
@@ -248,39 +224,34 @@
 }
 
 // A watch that is turned away is opened again. Meanwhile the list that is held stays: it is said once
-// that the watch ended. The list that comes is indented, over several lines.
+// that the watch ended. The list that comes is indented, over several lines; an older one after it on
+// the same watch takes nothing back.
 func TestTurnedAwayWatch(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := discovery.New(discovery.Options{Index: 8, IndentWatch: true})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	go func() {
-		for i := range 4 {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			defer nc.Close()
-			bufio.NewReader(nc).ReadString('\n')
-			if i < 3 {
-				io.WriteString(nc, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-				continue
-			}
-			line := strings.NewReplacer(",", ",\n  ", "[", "[\n\t").Replace(list(9, true, entry)) + "\n"
-			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(line), line)
-		}
-	}()
+	t.Cleanup(s.Close)
+	s.Put(one)
+	s.Refuse()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	log, _ := logtest.NewNullLogger()
 	told := make(chan core.News, 64)
-	w := &Watcher{Address: ln.Addr().String(), Tell: func(n core.News) { told <- n }, Log: log, Clock: listclock.Settings{Pushed: true}}
+	w := &Watcher{Address: s.Addr(), Tell: func(n core.News) { told <- n }, Log: log, Clock: listclock.Settings{Pushed: true}}
 	go w.Run(ctx)
 	if n := <-told; n.Kind != choice.ListFailed {
 		t.Errorf("told %+v first", n)
 	}
+	s.Up()
 	if n := <-told; n.Kind != choice.ListFull || len(n.Nodes) != 1 {
 		t.Errorf("told %+v once the list came", n)
 	}
+	s.Say(list(8, true))
+	leaving := one
+	leaving.Status = discovery.Leaving
+	s.Put(leaving)
+	if n := <-told; n.Kind != choice.ListChange || n.Nodes[0].State != choice.NodeDraining {
+		t.Errorf("told %+v, want the change after the old list", n)
+	}
 }
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -182,6 +182,7 @@
 	sc.Buffer(make([]byte, 0, 4096), lineMost)
 	var object []byte
 	var deep depth
+	last := int64(-1)
 	for sc.Scan() {
 		raw := sc.Bytes()
 		text := bytes.TrimSpace(raw)
@@ -221,6 +222,11 @@
 				w.Log.WithError(bad).Warn("address left out")
 			}
 		}
+		if l.Index < last { // guards against an old list after a new one
+			put(line{})
+			continue
+		}
+		last = l.Index
 		put(line{list: &l})
 	}
 	if err := sc.Err(); err != nil {
--- a/internal/standin/discovery/conn.go
+++ b/internal/standin/discovery/conn.go
@@ -92,6 +92,9 @@
 		case !q.Header.IsGet():
 			a.status = fasthttp.StatusMethodNotAllowed
 		}
+		if n.s.opt.Heard != nil {
+			n.s.opt.Heard(n.c.name, string(q.RequestURI()))
+		}
 		select {
 		case n.asks <- a:
 		case <-time.After(writeWait): // calls in a row on one that is held
--- a/internal/standin/discovery/service.go
+++ b/internal/standin/discovery/service.go
@@ -23,17 +23,18 @@
 // Options make a service.
 type Options struct {
 	Mode        Mode
-	Capacity    float64       // calls a second, in turn; opening a watch is a call; 0: calls are free
-	Patience    time.Duration // a call fails that waited longer; 0: 2 s
-	Queue       int           // calls in it; 0: 64
-	Index       int64         // version of the empty list at the start
-	Keep        int           // changed entries in the history; 0: 8192
-	Beat        time.Duration // of an idle watch; 0: 2 s
-	Indent      bool          // answers come over several lines
-	IndentWatch bool          // lines of watches too
-	Callers     int           // known by name at most, others count as one; 0: 4096
-	Conns       int           // at most, more are closed at once; 0: 4096
-	Tolds       int           // kept for each caller; 0: 16384
+	Capacity    float64                  // calls a second, in turn; opening a watch is a call; 0: calls are free
+	Patience    time.Duration            // a call fails that waited longer; 0: 2 s
+	Queue       int                      // calls in it; 0: 64
+	Index       int64                    // version of the empty list at the start
+	Keep        int                      // changed entries in the history; 0: 8192
+	Beat        time.Duration            // of an idle watch; 0: 2 s
+	Indent      bool                     // answers come over several lines
+	IndentWatch bool                     // lines of watches too
+	Callers     int                      // known by name at most, others count as one; 0: 4096
+	Conns       int                      // at most, more are closed at once; 0: 4096
+	Tolds       int                      // kept for each caller; 0: 16384
+	Heard       func(caller, uri string) // of each call, as it comes; nil: nobody hears
 }
 
 func (o *Options) fill() error {
