--- a/internal/standin/discovery/discovery_test.go
+++ b/internal/standin/discovery/discovery_test.go
@@ -73,7 +73,7 @@
 					if ok {
 						give(l).Apply(at)
 					}
-					if ok != (v >= b.Oldest()) || ok && (l.Full || l.Index != w || !reflect.DeepEqual(at, stood[w])) {
+					if ok != (v >= b.Oldest()) || ok && (l.Full || l.Index != w || len(l.Entries) > 4 || !reflect.DeepEqual(at, stood[w])) {
 						rt.Fatalf("%d to %d: %v %+v", v, w, ok, l)
 					}
 				}
@@ -148,7 +148,7 @@
 		r.Fatal(err)
 	}
 	tr := &http.Transport{DisableKeepAlives: true}
-	resp, err := (&http.Client{Transport: tr}).Get("http://" + addr + Path + query)
+	resp, err := (&http.Client{Transport: tr, Timeout: 20 * time.Second}).Get("http://" + addr + Path + query)
 	if err == nil {
 		r.Cleanup(func() { resp.Body.Close() })
 	}
@@ -234,6 +234,9 @@
 			next = r.watch("w", 7)
 			l, err = next()
 			r.want("after a version that is not known", l, err, 42, true, 1)
+			if told = r.s.Told("w"); len(told) != 4 || told[3].Entry.Name != "b" {
+				t.Errorf("told again to one that held less: %+v", told)
+			}
 		}
 		if l, _, err = r.get("x", fmt.Sprintf("?wait=20&after=%d", r.s.Index())); mode == Poll {
 			r.want("a wait where there is none", l, err, 41, true, 2)
