List clock: a service that turns calls away, or is asked for, is not asked beside

The list clock gave calls up after 1.5 s where they wait in turn, counted a watch as silent after 2.5 s, and forced a repeat before 6 s for calls that were turned away, though such a call moves that time off fourfold.

A call that is turned away by status makes a pushed list count as asked for, for a minute.

--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -9,16 +9,20 @@
 // worked on for nothing.
 //
 // Invariants:
-//   - A call that has said nothing for Silent is not believed to stand, and another is opened beside it; it
+//   - A call that has said nothing for Silent (asked: half a second more) is not believed to stand, and another is opened beside it; it
 //     is closed when the other speaks. So no moment is without a call that may bring a change.
 //   - Pushed: with no live call, one is opened at once and then every Every, until one speaks. No wait
 //     grows and none is drawn: it costs nothing. An unanswered one is kept until newer ones need its
 //     place, as an agent that returns may answer those that wait.
+//   - A call that is turned away by word (Refused) shows a service that can be overbooked: for turnedFor after
+//     it the list counts as asked for, whatever the settings say.
 //   - Asked: one call is out at a time, which is given up after Patience. Hosts whose calls are turned
 //     away ask at most CallsMost times a second together, in the mean: each one in a row doubles the
 //     wait, up to GrowMost times the first, and waits are drawn.
-//   - Asked: after a call that stood, the next one and one more are out before Told is over, counted from
-//     what was last heard: the bound goes before the spread over the fleet.
+//   - Asked: after a call that stood, the next one is out before Told is over, counted from what was last
+//     heard; and where it fell silent one more, beside it, if that is not answered: the bound goes before
+//     the spread over the fleet. A call that was turned away moves it off fourfold (the wire's
+//     rules.ask-within), so none is repeated for it.
 //   - At most Most calls are open.
 //   - A call at the address before a move counts until one at the new address speaks.
 //   - A call is opened once, closed or ended once, and never heard of after that.
@@ -35,7 +39,7 @@
 const (
 	// Beat is how often a watch says something, where nothing changes: the protocol's figure.
 	Beat = 2 * time.Second
-	// Silent is when it counts as silent: a beat, and more than a busy host is late by.
+	// Silent is when it counts as silent, where lists are pushed: a beat, and more than a busy host is late by.
 	Silent = Beat + beatSlack
 	// Told is when what the list says counts as told, whether it arrived or not: the protocol's
 	// figure, where the settings name no shorter time.
@@ -43,27 +47,30 @@
 	// Most bounds the calls that are open.
 	Most = 8
 	// Patience is for the first word of a call, where lists are asked for.
-	Patience = 1500 * time.Millisecond
+	Patience = 3 * time.Second
 	// CallsMost is what all hosts whose calls are turned away may ask in a second. A list of some tens
 	// of nodes costs a service milliseconds; a few tens a second leave it room.
 	CallsMost = 40
 	// GrowMost bounds the doubling.
 	GrowMost = 8
 
-	beatSlack = 500 * time.Millisecond
-	waitTold  = 2 * time.Second // past its wait what a call missed that may wait counts as told
+	beatSlack  = 500 * time.Millisecond
+	askedSlack = time.Second
+	waitTold   = 2 * time.Second // past its wait what a call missed that may wait counts as told
 	// A quarter of the drain rule's grace may pass between two calls to the agent: the rest is for the
 	// answer, its reading and what is on its way.
 	graceShare = 4
 	everyLeast = 20 * time.Millisecond
 	everyMost  = 100 * time.Millisecond
+	turnedFor  = time.Minute
 	downAfter  = time.Second // silent for this long past a beat: said to others
 	leastWait  = 200 * time.Millisecond
 	// Longest mean wait, as a part of Told: after a call that stood, and after one turned away, which
 	// moves that time off fourfold (the wire's rules.ask-within).
 	standTold, turnedTold = 0.5, 2.5
-	spread                = 0.5 // a wait is drawn from 1-spread to 1+spread times itself
-	repeatLeft            = Patience + beatSlack
+	spread                = 0.5                    // a wait is drawn from 1-spread to 1+spread times itself
+	answerLeft            = time.Second            // of Told, for the answer
+	repeatLeft            = 500 * time.Millisecond // ... and for that of the one repeat
 	never                 = time.Duration(1<<63 - 1)
 )
 
@@ -93,6 +100,8 @@
 type Event struct {
 	Kind Kind
 	Call int // of Spoke and Ended
+	// Refused, of Ended: the service answered that it will not.
+	Refused bool
 }
 
 // Do is what is to be done.
@@ -129,6 +138,8 @@
 	ids    int
 	moves  int
 	heard  time.Duration // the last word of any call
+	repeat time.Duration // when a call that replaces a silent one is repeated, if not answered
+	turned time.Duration // until then a call was turned away of late; 0: none
 	next   time.Duration // when another call is opened; never: not before something happens
 	factor int
 	down   bool
@@ -144,7 +155,7 @@
 		set.Told = max(set.Told, set.Wait+waitTold)
 	}
 	set.Hosts = max(set.Hosts, 1)
-	return &Clock{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0x6c697374)), next: never, factor: 1}
+	return &Clock{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0x6c697374)), next: never, repeat: never, factor: 1}
 }
 
 // Every is the time between two calls to an agent that does not answer.
@@ -152,8 +163,16 @@
 	return min(max(c.set.Grace/graceShare, everyLeast), everyMost)
 }
 
+// pushed says that asking costs nothing, as far as known.
+func (c *Clock) pushed() bool { return c.set.Pushed && c.now >= c.turned }
+
 // silence is how long a call may say nothing.
-func (c *Clock) silence() time.Duration { return max(Beat, c.set.Wait) + beatSlack }
+func (c *Clock) silence() time.Duration {
+	if c.pushed() {
+		return max(Beat, c.set.Wait) + beatSlack
+	}
+	return max(Beat, c.set.Wait) + askedSlack // the service may be busy, and another call makes it more so
+}
 
 // Step takes one event and returns what is to be done.
 func (c *Clock) Step(now time.Duration, e Event) []Action {
@@ -170,6 +189,9 @@
 			c.spoke(i)
 		}
 	case Ended:
+		if e.Refused {
+			c.turned, c.repeat = c.now+turnedFor, never
+		}
 		if i >= 0 {
 			c.ended(i)
 		}
@@ -181,6 +203,9 @@
 // Wake is when Passed is due.
 func (c *Clock) Wake() time.Duration {
 	at := c.next
+	if !c.pushed() {
+		at = min(at, c.repeat)
+	}
 	for i := range c.calls {
 		k := &c.calls[i]
 		switch {
@@ -188,7 +213,7 @@
 			at = min(at, k.heard+c.silence())
 		case k.spoke && !c.down:
 			at = min(at, k.heard+c.silence()+downAfter)
-		case !k.spoke && !c.set.Pushed:
+		case !k.spoke && !c.pushed():
 			at = min(at, k.opened+c.first())
 		}
 	}
@@ -222,7 +247,7 @@
 	c.calls = append(c.calls, call{id: c.ids, opened: c.now, heard: c.now, moves: c.moves})
 	c.act(Open, c.ids)
 	c.next = never
-	if c.set.Pushed {
+	if c.pushed() {
 		c.next = c.now + c.Every()
 	}
 }
@@ -249,6 +274,7 @@
 func (c *Clock) spoke(i int) {
 	k := &c.calls[i]
 	k.spoke, k.silent, k.heard, c.heard = true, false, c.now, c.now
+	c.repeat = never
 	c.down = false
 	id, here := k.id, k.moves == c.moves
 	for j := len(c.calls) - 1; j >= 0; j-- {
@@ -271,7 +297,7 @@
 	}
 	switch {
 	case k.moves < c.moves: // the calls at the new address have a time of their own
-	case c.set.Pushed:
+	case c.pushed():
 		c.next = min(c.next, max(c.now, k.opened+c.Every()))
 	case !c.calling() && c.next == never:
 		c.next = c.now + c.wait(k.spoke)
@@ -286,15 +312,9 @@
 // wait draws the time before the list is asked for again.
 func (c *Clock) wait(stood bool) time.Duration {
 	w := max(leastWait, time.Duration(c.set.Hosts)*time.Second/CallsMost) * time.Duration(c.factor)
-	left := c.heard + c.set.Told - c.now
-	most := turnedTold
-	switch {
-	case stood:
-		most, left = standTold, left-repeatLeft
-	case c.factor == 2: // the one repeat
-		left -= beatSlack
-	default:
-		left = never
+	most, left := turnedTold, never
+	if stood {
+		most, left = standTold, c.heard+c.set.Told-answerLeft-c.now
 	}
 	c.factor = min(2*c.factor, GrowMost)
 	w = min(w, time.Duration(most*float64(c.set.Told)))
@@ -316,8 +336,10 @@
 			k.silent = true
 			if !c.Live() && k.moves == c.moves {
 				c.next = min(c.next, c.now)
-				if !c.set.Pushed {
+				if !c.pushed() {
 					c.next = c.now + c.wait(true)
+					c.repeat = k.heard + c.set.Told - repeatLeft - time.Duration(c.rng.Float64()*float64(answerLeft))
+					c.repeat = max(c.repeat, c.next+repeatLeft/2)
 				}
 			}
 		}
@@ -326,7 +348,7 @@
 			c.act(Down, 0)
 		}
 	}
-	if !c.set.Pushed {
+	if !c.pushed() {
 		for i := len(c.calls) - 1; i >= 0; i-- {
 			if k := c.calls[i]; !k.spoke && c.now >= k.opened+c.first() {
 				c.close(i)
@@ -338,5 +360,8 @@
 	}
 	if c.now >= c.next {
 		c.open()
+	} else if c.now >= c.repeat && !c.pushed() {
+		c.repeat = never
+		c.open()
 	}
 }
