--- a/cmd/wheatsaddle/blocks.go
+++ b/cmd/wheatsaddle/blocks.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,6 +11,8 @@
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/iscsi"
+	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/sock"
 )
 
 const initiatorName = "iqn.2026-12.fj.lautoka:wheatsaddle-"
@@ -37,11 +38,11 @@
 	set := iscsi.Settings(conf.Settings, ic)
 	co, err := core.New(core.Options{Settings: set, Seed: conf.Seed, Connect: d.Connect, Log: log})
 	if err != nil {
-		return nil, err
+		return nil, config.Refused(err)
 	}
 	d.Report(co.List)
 	co.List(core.News{Kind: choice.ListStale, Nodes: iscsi.Nodes(ic)})
-	ln, err := net.Listen("tcp", ic.Listen)
+	ln, err := sock.ListenTCP(ic.Listen)
 	if err != nil {
 		co.Stop()
 		return nil, fmt.Errorf("iscsi: listen: %w", err)
@@ -53,7 +54,7 @@
 	f := &blockFront{file: file, dialer: d, core: co, target: iscsi.NewTarget(ic, co, set, log), sockets: ic.Sessions + 2*len(ic.Storage)}
 	go func() {
 		if err := f.target.Serve(ln); err != nil {
-			log.WithError(err).Error("iscsi front ended")
+			log.WithFields(operr.Fields(err)).Error("iscsi front ended")
 		}
 	}()
 	log.WithFields(logrus.Fields{"listen": ic.Listen, "targets": len(ic.Targets), "storage": len(ic.Storage)}).Info("serving iscsi")
@@ -67,7 +68,7 @@
 	}
 	ic, err := config.LoadISCSI(f.file, conf.Settings)
 	if err != nil {
-		log.WithError(err).Warn("the storage targets stay as they are")
+		log.WithFields(operr.Fields(err)).Warn("the storage targets stay as they are")
 		return
 	}
 	f.dialer.Update(ic)
--- a/cmd/wheatsaddle/exclusions.go
+++ b/cmd/wheatsaddle/exclusions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 	"sync"
 	"time"
@@ -12,7 +11,7 @@
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/exclusion"
 	"wheatsaddle/internal/exclusion/store"
-	"wheatsaddle/internal/operator"
+	"wheatsaddle/internal/operr"
 )
 
 // pollEvery is how often the book kept in $TMPDIR is looked at for another process's change:
@@ -33,7 +32,7 @@
 	st := store.In(os.TempDir(), name)
 	got, err := st.Read()
 	if err != nil {
-		log.WithError(err).Warn("the kept exclusions are ignored")
+		log.WithFields(operr.Fields(err)).Warn("the kept exclusions are ignored")
 	} else if len(got.Excluded) > 0 {
 		log.WithField("excluded", len(got.Excluded)).Info("storage nodes excluded by hand, as kept")
 	}
@@ -47,20 +46,17 @@
 	defer k.mu.Unlock()
 	unlock, err := k.store.Lock()
 	if err != nil {
-		k.log.WithError(err).Warn("exclusions: the lock of the file is not had; the book of this process counts")
+		k.log.WithFields(operr.Fields(err)).Warn("exclusions: the lock of the file is not had; the book of this process counts")
 	} else {
 		defer unlock()
 		k.sync()
 	}
 	st, err := call(id)
-	if errors.Is(err, exclusion.ErrUnknown) {
-		return operator.ErrUnknown
-	}
 	if err != nil {
 		return err
 	}
 	if err := k.store.Write(st); err != nil {
-		k.log.WithError(err).Error("exclusions: not kept for the next process")
+		k.log.WithFields(operr.Fields(err)).Error("exclusions: not kept for the next process")
 	}
 	return nil
 }
@@ -72,11 +68,11 @@
 	}
 	st, err := k.store.Read()
 	if err != nil {
-		k.log.WithError(err).Warn("exclusions: the file is ignored")
+		k.log.WithFields(operr.Fields(err)).Warn("exclusions: the file is ignored")
 		return
 	}
 	if err := k.core.LoadExcluded(st); err != nil {
-		k.log.WithError(err).Warn("exclusions: not taken from the file")
+		k.log.WithFields(operr.Fields(err)).Warn("exclusions: not taken from the file")
 	}
 }
 
--- a/cmd/wheatsaddle/main.go
+++ b/cmd/wheatsaddle/main.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v2"
 
 	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/operr"
 )
 
 const version = "0.1.0"
@@ -33,7 +34,7 @@
 		},
 	}
 	if err := app.Run(os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "wheatsaddle:", err)
+		fmt.Fprintln(os.Stderr, "wheatsaddle:", operr.Text(err))
 		os.Exit(1)
 	}
 }
--- a/cmd/wheatsaddle/main_test.go
+++ b/cmd/wheatsaddle/main_test.go
@@ -195,7 +195,7 @@
 		if got, taken := reload(context.Background(), held, env, move, log); taken || got != held || moved != "" || held.MemoryMB != before {
 			t.Errorf("%s took effect: moved %q", x.to, moved)
 		}
-		if e := hook.LastEntry(); e == nil || !strings.Contains(fmt.Sprint(e.Data["error"]), x.says) {
+		if e := hook.LastEntry(); e == nil || e.Data["code"] == nil || e.Data["advice"] == nil || !strings.Contains(fmt.Sprint(e.Data["error"]), x.says) {
 			t.Errorf("%s: %+v", x.to, e)
 		}
 	}
@@ -224,7 +224,7 @@
 }
 
 func TestCommands(t *testing.T) {
-	file, _ := configure(t, "127.0.0.1:1")
+	file, listen := configure(t, "127.0.0.1:1")
 	bad := filepath.Join(t.TempDir(), "bad.json")
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -233,14 +233,20 @@
 	if err := os.WriteFile(bad, bytes.Replace(text, []byte(`"sockets":256`), []byte(`"sockets":"x"`), 1), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	taken, err := net.Listen("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
 	for _, x := range []struct {
 		args []string
 		code int
 		says string
 	}{
 		{[]string{"version"}, 0, version},
+		{[]string{"serve", file}, 1, "bind: address already in use\ncode: sock-in-use\nadvice: "},
 		{[]string{"check-config", file}, 0, "good: 1 classes, 1 plans, 1 known nodes"},
-		{[]string{"check-config", bad}, 1, "limits.sockets"},
+		{[]string{"check-config", bad}, 1, "limits.sockets: \"x\" is not a number of at least 64\ncode: config-key\nadvice: Set limits.sockets to "},
 		{[]string{"check-config"}, 1, "ROUTER_CONFIG"},
 		{[]string{"serve", "--iscsi", bad}, 1, "ROUTER_CONFIG"},
 		{[]string{"check-config", "--iscsi", "../../deploy/iscsi.json", file}, 1, "iscsi.targets.0.luns.0.plan"},
--- a/cmd/wheatsaddle/reload.go
+++ b/cmd/wheatsaddle/reload.go
@@ -12,6 +12,7 @@
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/operr"
 )
 
 // applyLimits sets what the runtime keeps to.
@@ -34,9 +35,10 @@
 	}
 	if err == nil {
 		_, err = choice.New(conf.Settings, conf.Seed)
+		err = config.Refused(err)
 	}
 	if err != nil {
-		log.WithError(err).Error("the configuration stays as it was")
+		log.WithFields(operr.Fields(err)).Error("the configuration stays as it was")
 		return held, false
 	}
 	if later := restartKeys(held, conf); len(later) > 0 {
@@ -50,8 +52,8 @@
 	applyLimits(&next)
 	if !reflect.DeepEqual(held.Settings, conf.Settings) {
 		for _, f := range retune {
-			if err := f(conf.Settings); err != nil {
-				log.WithError(err).Error("the settings stay as they were")
+			if err := config.Refused(f(conf.Settings)); err != nil {
+				log.WithFields(operr.Fields(err)).Error("the settings stay as they were")
 				return &next, true
 			}
 		}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -22,6 +22,7 @@
 	"wheatsaddle/internal/httpfront"
 	"wheatsaddle/internal/listclock"
 	"wheatsaddle/internal/operator"
+	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/pool"
 	"wheatsaddle/internal/registry"
 	"wheatsaddle/internal/sock"
@@ -146,13 +147,13 @@
 	// A bad known list is no reason to stay down: discovery brings another.
 	known, err := knownList(conf)
 	if err != nil {
-		log.WithError(err).Warn("starting without a known list")
+		log.WithFields(operr.Fields(err)).Warn("starting without a known list")
 	}
 	for _, bad := range known.Bad {
-		log.WithError(bad).Warn("known entry left out")
+		log.WithFields(operr.Fields(bad)).Warn("known entry left out")
 	}
 	for _, bad := range known.Partly {
-		log.WithError(bad).Warn("known address left out")
+		log.WithFields(operr.Fields(bad)).Warn("known address left out")
 	}
 	at, err := openSite(c, conf.Seed, log)
 	if err != nil {
@@ -176,7 +177,7 @@
 	kept, excluded := keptExclusions(conf.Name, log)
 	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log, Excluded: excluded})
 	if err != nil {
-		return err
+		return config.Refused(err)
 	}
 	defer co.Stop()
 	co.List(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
@@ -275,7 +276,7 @@
 // clientListener is the clients' socket: the platform's, where it passes one, else bound here.
 func clientListener(conf *config.Config, log logrus.FieldLogger) (net.Listener, error) {
 	if conf.Passed == "" {
-		ln, err := net.Listen("tcp", conf.Listen)
+		ln, err := sock.ListenTCP(conf.Listen)
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
@@ -295,7 +296,7 @@
 	if conf.Operator == "" {
 		return door, nil
 	}
-	ln, err := net.Listen("tcp", conf.Operator)
+	ln, err := sock.ListenTCP(conf.Operator)
 	if err != nil {
 		return nil, fmt.Errorf("operator: %w", err)
 	}
--- a/cmd/wheatsaddle/site.go
+++ b/cmd/wheatsaddle/site.go
@@ -12,6 +12,7 @@
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/httpfront"
 	"wheatsaddle/internal/iscsi"
+	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/sock"
 )
 
@@ -57,7 +58,7 @@
 	}
 	next, err := config.LoadSite(s.file)
 	if err != nil {
-		s.log.WithError(err).Error("the site's file counts as it was")
+		s.log.WithFields(operr.Fields(err)).Error("the site's file counts as it was")
 		return
 	}
 	if !reflect.DeepEqual(next.Listen, s.held.Listen) {
--- a/internal/address/addr.go
+++ b/internal/address/addr.go
@@ -232,7 +232,7 @@
 			err = fmt.Errorf("a node has %d addresses at most", Most)
 		}
 		if err != nil {
-			errs = append(errs, fmt.Errorf("addresses.%d (%.60q): %w", i, text, err))
+			errs = append(errs, &ListError{i, text, err})
 			continue
 		}
 		seen[a] = text
--- /dev/null
+++ b/internal/address/errors.go
@@ -0,0 +1,49 @@
+package address
+
+import (
+	"fmt"
+
+	"wheatsaddle/internal/operr"
+)
+
+// SettingError is a setting that is out of bounds.
+type SettingError struct {
+	Key  string
+	Says string
+}
+
+func (e *SettingError) Error() string { return e.Key + ": " + e.Says }
+
+// Code implements operr.Coded.
+func (e *SettingError) Code() string { return "address-setting" }
+
+// Advice implements operr.Coded.
+func (e *SettingError) Advice() string {
+	return "Correct " + e.Key + " in the section addresses of the site's file; wheatsaddle schema prints the bounds."
+}
+
+// ListError is one address of a node's list that is left out; the others count.
+type ListError struct {
+	Index int
+	Text  string
+	Err   error
+}
+
+func (e *ListError) Error() string {
+	return fmt.Sprintf("addresses.%d (%.60q): %v", e.Index, e.Text, e.Err)
+}
+
+// Unwrap gives what was found on reading it.
+func (e *ListError) Unwrap() error { return e.Err }
+
+// Code implements operr.Coded.
+func (e *ListError) Code() string { return "address-list" }
+
+// Advice implements operr.Coded.
+func (e *ListError) Advice() string {
+	return "Have the list name the address as host:port, [IPv6]:port or unix:PATH, once; the node's other addresses are used until then."
+}
+
+func init() {
+	operr.Register(&SettingError{"jitter", "2 is not from 0 to 1"}, &ListError{1, "here", fmt.Errorf("neither host:port nor unix:PATH")})
+}
--- a/internal/address/settings.go
+++ b/internal/address/settings.go
@@ -1,7 +1,6 @@
 package address
 
 import (
-	"errors"
 	"fmt"
 	"time"
 )
@@ -72,11 +71,11 @@
 func (s *Settings) Check() error {
 	seen := [kinds]bool{}
 	if len(s.Preference) == 0 {
-		return errors.New("preference: names no family")
+		return &SettingError{"preference", "names no family"}
 	}
 	for _, k := range s.Preference {
 		if k >= kinds || seen[k] {
-			return fmt.Errorf("preference: %v is unknown or there twice", k)
+			return &SettingError{"preference", fmt.Sprintf("%v is unknown or there twice", k)}
 		}
 		seen[k] = true
 	}
@@ -103,7 +102,7 @@
 		{"wrong_span_ms", s.WrongSpan, 0, time.Hour},
 	} {
 		if x.is < x.least || x.is > x.most {
-			return fmt.Errorf("%s: %d is not from %d to %d", x.key, x.is.Milliseconds(), x.least.Milliseconds(), x.most.Milliseconds())
+			return &SettingError{x.key, fmt.Sprintf("%d is not from %d to %d", x.is.Milliseconds(), x.least.Milliseconds(), x.most.Milliseconds())}
 		}
 	}
 	for _, x := range []struct {
@@ -116,7 +115,7 @@
 		{"connections", float64(s.Conns), 2, 4096}, {"requests", float64(s.Requests), 1, 1 << 20},
 	} {
 		if !(x.is >= x.least && x.is <= x.most) {
-			return fmt.Errorf("%s: %v is not from %v to %v", x.key, x.is, x.least, x.most)
+			return &SettingError{x.key, fmt.Sprintf("%v is not from %v to %v", x.is, x.least, x.most)}
 		}
 	}
 	return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,10 +5,13 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/tidwall/gjson"
 
@@ -41,17 +44,19 @@
 	defaultConnIdle       = 15000.0
 	defaultConnectTimeout = 250.0
 	defaultMaxOpen        = 20000
+
+	hostPort = "host:port"
 )
 
 // Load reads the file that ROUTER_CONFIG names; the other variables stand in for its keys.
 func Load(env func(string) string) (*Config, error) {
 	path := env("ROUTER_CONFIG")
 	if path == "" {
-		return nil, fmt.Errorf("ROUTER_CONFIG is not set")
+		return nil, &UnsetError{"ROUTER_CONFIG"}
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+		return nil, &FileError{"ROUTER_CONFIG", err}
 	}
 	return Parse(text, env)
 }
@@ -76,7 +81,7 @@
 // Parse reads a configuration.
 func Parse(text []byte, env func(string) string) (*Config, error) {
 	if !gjson.ValidBytes(text) {
-		return nil, fmt.Errorf("configuration: not valid JSON")
+		return nil, &JSONError{File: "configuration"}
 	}
 	r := &reader{root: gjson.ParseBytes(text)}
 	either := func(key, name string) string {
@@ -94,34 +99,34 @@
 		Sockets: int(r.num("limits.sockets", defaultSockets, 64)),
 	}
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
-		r.fail("listen: %q is not host:port", c.Listen)
+		r.not("listen", strconv.Quote(c.Listen), hostPort)
 	}
 	if c.Operator != "" {
 		if _, _, err := net.SplitHostPort(c.Operator); err != nil {
-			r.fail("operator: %q is not host:port", c.Operator)
+			r.not("operator", strconv.Quote(c.Operator), hostPort)
 		}
 	}
 	if c.Discovery == "" {
-		r.fail("discovery: %w", errNoDiscovery)
+		r.fail(KeyError{Key: "discovery", Want: hostPort, Err: errNoDiscovery})
 	} else if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
-		r.fail("discovery: %q is not host:port", c.Discovery)
+		r.not("discovery", strconv.Quote(c.Discovery), hostPort)
 	}
 	if seed := r.root.Get("seed"); seed.Exists() {
 		n, err := strconv.ParseUint(seed.String(), 16, 64)
 		if err != nil {
-			r.fail("seed: %q is not a hex number", seed.String())
+			r.not("seed", strconv.Quote(seed.String()), "a hex number")
 		}
 		c.Seed = int64(n)
 	}
 	if known := r.root.Get("known"); known.Exists() {
 		if !known.IsObject() {
-			r.fail("known: not an object")
+			r.fail(KeyError{Key: "known", Want: "an object", Says: "not an object"})
 		}
 		c.Known = []byte(known.Raw)
 	}
 	set := r.root.Get("settings")
 	if !set.IsObject() {
-		r.fail("settings: missing or not an object")
+		r.fail(KeyError{Key: "settings", Want: "an object", Says: "missing or not an object"})
 	}
 	if r.err != nil {
 		return nil, r.err
@@ -147,19 +152,24 @@
 	err    error
 }
 
-func (r *reader) fail(form string, args ...any) {
+// fail keeps a fault of a key of this object.
+func (r *reader) fail(e KeyError) {
 	if r.err == nil {
-		r.err = fmt.Errorf("configuration: "+form, args...)
+		e.File, e.Key = "configuration", r.prefix+e.Key
+		r.err = &e
 	}
 }
 
+// not keeps a value that is not what it must be.
+func (r *reader) not(key, value, want string) { r.fail(KeyError{Key: key, Value: value, Want: want}) }
+
 func (r *reader) text(key, fallback string) string {
 	v := r.root.Get(key)
 	if !v.Exists() || v.Type == gjson.Null {
 		return fallback
 	}
 	if v.Type != gjson.String {
-		r.fail("%s%s: %s is not text", r.prefix, key, short(v.Raw))
+		r.not(key, short(v.Raw), "text")
 	}
 	return v.Str
 }
@@ -170,7 +180,7 @@
 		return fallback
 	}
 	if v.Type != gjson.Number || math.IsNaN(v.Num) || math.IsInf(v.Num, 0) || v.Num < least || v.Num > 1e12 {
-		r.fail("%s%s: %s is not a number of at least %v", r.prefix, key, short(v.Raw), least)
+		r.not(key, short(v.Raw), fmt.Sprintf("a number of at least %v", least))
 		return fallback
 	}
 	return v.Num
@@ -179,7 +189,7 @@
 func (r *reader) flag(key string) bool {
 	v := r.root.Get(key)
 	if v.Exists() && v.Type != gjson.Null && !v.IsBool() {
-		r.fail("%s%s: %s is not true or false", r.prefix, key, short(v.Raw))
+		r.not(key, short(v.Raw), "true or false")
 	}
 	return v.Bool()
 }
@@ -187,7 +197,7 @@
 func (r *reader) each(key string, f func(*reader)) {
 	v := r.root.Get(key)
 	if !v.IsArray() || len(v.Array()) == 0 {
-		r.fail("%s%s: missing, empty or not a list", r.prefix, key)
+		r.fail(KeyError{Key: key, Want: "a list that is not empty", Says: "missing, empty or not a list"})
 		return
 	}
 	for i, e := range v.Array() {
@@ -211,7 +221,9 @@
 func word[T any](r *reader, key, fallback string, table map[string]T) T {
 	v, ok := table[r.text(key, fallback)]
 	if !ok {
-		r.fail("%s%s: unknown word %s", r.prefix, key, short(r.root.Get(key).Raw))
+		raw := short(r.root.Get(key).Raw)
+		words := strings.Join(slices.Sorted(maps.Keys(table)), ", ")
+		r.fail(KeyError{Key: key, Value: raw, Want: "one of " + words, Says: "unknown word " + raw})
 	}
 	return v
 }
--- /dev/null
+++ b/internal/config/errors.go
@@ -0,0 +1,149 @@
+package config
+
+import (
+	"fmt"
+
+	"wheatsaddle/internal/operr"
+)
+
+// KeyError is a key of a file whose value is not right.
+type KeyError struct {
+	File  string // configuration, site, iscsi, or a kit's file
+	Key   string
+	Value string // as it is written there; "": none
+	Want  string // what it must be
+	Says  string // the fault as it is worded; "": Value is not Want
+	Err   error  // what was found on reading the value
+}
+
+func (e *KeyError) Error() string {
+	says := e.Says
+	switch {
+	case says != "":
+	case e.Err != nil && e.Value != "":
+		says = e.Value + ": " + e.Err.Error()
+	case e.Err != nil:
+		says = e.Err.Error()
+	default:
+		says = e.Value + " is not " + e.Want
+	}
+	return e.File + ": " + e.Key + ": " + says
+}
+
+// Unwrap gives what was found on reading the value.
+func (e *KeyError) Unwrap() error { return e.Err }
+
+// Code implements operr.Coded.
+func (e *KeyError) Code() string { return "config-key" }
+
+// Advice implements operr.Coded.
+func (e *KeyError) Advice() string {
+	if e.Want != "" {
+		return fmt.Sprintf("Set %s to %s, run check-config, then start or send SIGHUP; until then what held before counts.", e.Key, e.Want)
+	}
+	return fmt.Sprintf("Correct %s as the error says, run check-config, then start or send SIGHUP; until then what held before counts.", e.Key)
+}
+
+// JSONError is a file that is no JSON.
+type JSONError struct {
+	File string
+	Err  error
+}
+
+func (e *JSONError) Error() string {
+	if e.Err != nil {
+		return e.File + ": not valid JSON: " + e.Err.Error()
+	}
+	return e.File + ": not valid JSON"
+}
+
+// Unwrap gives the reader's word.
+func (e *JSONError) Unwrap() error { return e.Err }
+
+// Code implements operr.Coded.
+func (e *JSONError) Code() string { return "config-json" }
+
+// Advice implements operr.Coded.
+func (e *JSONError) Advice() string {
+	return "The file is torn or was edited badly: write it again whole (to a file beside it, then rename), and run check-config."
+}
+
+// FileError is a file that cannot be read.
+type FileError struct {
+	Named string // what names it: ROUTER_CONFIG, site, iscsi
+	Err   error
+}
+
+func (e *FileError) Error() string { return e.Named + ": " + e.Err.Error() }
+
+// Unwrap gives the system's word.
+func (e *FileError) Unwrap() error { return e.Err }
+
+// Code implements operr.Coded.
+func (e *FileError) Code() string { return "config-file" }
+
+// Advice implements operr.Coded.
+func (e *FileError) Advice() string {
+	return "See that the path given by " + e.Named + " is right and that the program's user may read the file."
+}
+
+// UnsetError is a variable that must be set.
+type UnsetError struct{ Variable string }
+
+func (e *UnsetError) Error() string { return e.Variable + " is not set" }
+
+// Code implements operr.Coded.
+func (e *UnsetError) Code() string { return "config-unset" }
+
+// Advice implements operr.Coded.
+func (e *UnsetError) Advice() string {
+	return "Set " + e.Variable + " to the path of the configuration, or name the file to check-config."
+}
+
+// LostKeyError is a key that the configuration had when it was read before, and now lacks.
+type LostKeyError struct {
+	Key  string
+	Says string
+}
+
+func (e *LostKeyError) Error() string { return "configuration: " + e.Key + ": " + e.Says }
+
+// Code implements operr.Coded.
+func (e *LostKeyError) Code() string { return "config-lost-key" }
+
+// Advice implements operr.Coded.
+func (e *LostKeyError) Advice() string {
+	return "Put " + e.Key + " back and send SIGHUP; to do without it, restart. Nothing of the file was taken."
+}
+
+// RefusedError is a set of settings that the decisions cannot work with, though each key was read.
+type RefusedError struct{ Err error }
+
+func (e *RefusedError) Error() string { return e.Err.Error() }
+
+// Unwrap gives the module's word.
+func (e *RefusedError) Unwrap() error { return e.Err }
+
+// Code implements operr.Coded.
+func (e *RefusedError) Code() string { return "config-refused" }
+
+// Advice implements operr.Coded.
+func (e *RefusedError) Advice() string {
+	return "Correct the settings that the error names and send SIGHUP, or start again; settings that ran before still count."
+}
+
+// Refused is err as one of settings that were refused; nil stays nil.
+func Refused(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &RefusedError{Err: err}
+}
+
+func init() {
+	none := fmt.Errorf("open site.json: no such file or directory")
+	operr.Register(&KeyError{File: "configuration", Key: "limits.sockets", Value: `"x"`, Want: "a number of at least 64"},
+		&JSONError{File: "configuration"}, &FileError{Named: "site", Err: none}, &UnsetError{"ROUTER_CONFIG"},
+		&LostKeyError{"settings.rules", "missing; the configuration before had it"},
+		&RefusedError{fmt.Errorf("settings: MaxAttempts is -1")})
+}
--- a/internal/config/iscsi.go
+++ b/internal/config/iscsi.go
@@ -1,11 +1,13 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net"
 	"os"
 	"slices"
+	"strconv"
 
 	"github.com/tidwall/gjson"
 
@@ -63,7 +65,7 @@
 func LoadISCSI(path string, set choice.Settings) (*ISCSI, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("iscsi: %w", err)
+		return nil, &FileError{"iscsi", err}
 	}
 	return ParseISCSI(text, set)
 }
@@ -73,7 +75,7 @@
 // ParseISCSI reads and checks the second front's configuration.
 func ParseISCSI(text []byte, set choice.Settings) (*ISCSI, error) {
 	if !gjson.ValidBytes(text) {
-		return nil, fmt.Errorf("iscsi: not valid JSON")
+		return nil, &JSONError{File: "iscsi"}
 	}
 	r := &reader{root: gjson.ParseBytes(text), prefix: "iscsi."}
 	c := &ISCSI{Listen: r.text("listen", "127.0.0.1:3260"), QueueDepth: int(r.whole("queue_depth", 32, 1, 1024)),
@@ -86,7 +88,7 @@
 			Shard: int(s.whole("group", -1, 0, 1e6)), State: word(s, "status", "active", storageStates)}
 		s.unique("name", t.Name, names)
 		if t.Target == "" {
-			s.fail("%starget: missing", s.prefix)
+			s.fail(KeyError{Key: "target", Want: "the storage target's iSCSI name", Says: "missing"})
 		}
 		shards[t.Shard] = true
 		c.Storage = append(c.Storage, t)
@@ -100,7 +102,7 @@
 			x := u.unit(set, c.MaxTransfer)
 			u.unique("lun", fmt.Sprint(x.LUN), luns)
 			if !shards[x.Shard] {
-				u.fail("%sgroup: no storage target holds group %d", u.prefix, x.Shard)
+				u.fail(KeyError{Key: "group", Value: strconv.Itoa(x.Shard), Want: "a group of storage", Says: fmt.Sprintf("no storage target holds group %d", x.Shard)})
 			}
 			t.Units = append(t.Units, x)
 		})
@@ -116,17 +118,18 @@
 		MaxTransfer: most, Blocks: uint64(r.whole("blocks", -1, 1, 1e12)), UnitBytes: r.num("unit_bytes", 8192, 512),
 		ReadOnly: r.flag("read_only")}
 	if len(u.Volume) != 16 {
-		r.fail("%svolume: %q is not 16 hex digits", r.prefix, u.Volume)
+		r.not("volume", strconv.Quote(u.Volume), "16 hex digits")
 	}
 	if u.BlockSize&(u.BlockSize-1) != 0 || u.BlockSize > most {
-		r.fail("%sblock_size: %d is no power of two up to max_transfer", r.prefix, u.BlockSize)
+		r.fail(KeyError{Key: "block_size", Value: fmt.Sprint(u.BlockSize), Want: "a power of two up to max_transfer",
+			Says: fmt.Sprintf("%d is no power of two up to max_transfer", u.BlockSize)})
 	}
 	known := false
 	for _, p := range set.Plans {
 		known = known || p.Name == u.Plan
 	}
 	if !known {
-		r.fail("%splan: the settings have no plan %q", r.prefix, u.Plan)
+		r.fail(KeyError{Key: "plan", Value: u.Plan, Want: "a plan of the settings", Says: fmt.Sprintf("the settings have no plan %q", u.Plan)})
 	}
 	covered := map[bool]bool{}
 	r.each("rules", func(s *reader) {
@@ -139,14 +142,14 @@
 			}
 		}
 		if fallback == 0 {
-			s.fail("%sclass: the settings have no class %q", s.prefix, rule.Class)
+			s.fail(KeyError{Key: "class", Value: rule.Class, Want: "a class of the settings", Says: fmt.Sprintf("the settings have no class %q", rule.Class)})
 		}
 		rule.Deadline = s.num("deadline_ms", fallback, 50)
 		covered[rule.Write] = covered[rule.Write] || rule.UpTo >= float64(most)
 		u.Rules = append(u.Rules, rule)
 	})
 	if !covered[false] || !covered[true] && !u.ReadOnly {
-		r.fail("%srules: reads and writes of up to max_transfer need a rule each", r.prefix)
+		r.fail(KeyError{Key: "rules", Says: "reads and writes of up to max_transfer need a rule each"})
 	}
 	return u
 }
@@ -154,14 +157,15 @@
 func (r *reader) whole(key string, fallback, least, most float64) float64 {
 	v := r.num(key, fallback, least)
 	if v != math.Trunc(v) || v < least || v > most {
-		r.fail("%s%s: missing, or not a whole number from %v to %v", r.prefix, key, least, most)
+		want := fmt.Sprintf("a whole number from %v to %v", least, most)
+		r.fail(KeyError{Key: key, Value: short(r.root.Get(key).Raw), Want: want, Says: "missing, or not " + want})
 	}
 	return v
 }
 
 func (r *reader) address(key, value string) {
 	if _, _, err := net.SplitHostPort(value); err != nil {
-		r.fail("%s%s: %q is not host:port", r.prefix, key, value)
+		r.not(key, strconv.Quote(value), hostPort)
 	}
 }
 
@@ -171,22 +175,25 @@
 	var texts []string
 	more := r.root.Get("addresses")
 	if more.Exists() && !more.IsArray() {
-		r.fail("%saddresses: not a list", r.prefix)
+		r.fail(KeyError{Key: "addresses", Want: "a list", Says: "not a list"})
 	}
 	for i, x := range more.Array() {
 		if x.Type != gjson.String {
-			r.fail("%saddresses.%d: not text", r.prefix, i)
+			r.fail(KeyError{Key: fmt.Sprintf("addresses.%d", i), Value: short(x.Raw), Want: "text", Says: "not text"})
 		}
 		texts = append(texts, x.Str)
 	}
 	list, errs := address.List(texts)
 	for _, err := range errs {
-		r.fail("%s%w", r.prefix, err)
+		var a *address.ListError
+		if errors.As(err, &a) {
+			r.fail(KeyError{Key: fmt.Sprintf("addresses.%d", a.Index), Value: strconv.Quote(a.Text), Want: "host:port or unix:PATH", Err: a.Err})
+		}
 	}
 	if one := r.text("address", ""); one != "" || len(texts) == 0 {
 		a, err := address.Parse(one)
 		if err != nil {
-			r.fail("%saddress: %q: %w", r.prefix, one, err)
+			r.fail(KeyError{Key: "address", Value: strconv.Quote(one), Err: err})
 		} else if !slices.Contains(list, a) {
 			list = append(list, a)
 		}
@@ -196,7 +203,7 @@
 
 func (r *reader) unique(key, value string, seen map[string]bool) {
 	if value == "" || seen[value] {
-		r.fail("%s%s: %q is empty or twice there", r.prefix, key, value)
+		r.fail(KeyError{Key: key, Value: value, Want: "a name of its own", Says: fmt.Sprintf("%q is empty or twice there", value)})
 	}
 	seen[value] = true
 }
--- a/internal/config/keys.go
+++ b/internal/config/keys.go
@@ -21,13 +21,13 @@
 	switch {
 	case was.IsObject():
 		if !is.IsObject() {
-			return fmt.Errorf("configuration: %s: missing or not an object", path)
+			return &LostKeyError{path, "missing or not an object"}
 		}
 		var err error
 		was.ForEach(func(k, v gjson.Result) bool {
 			got := is.Get(gjson.Escape(k.String()))
 			if !got.Exists() {
-				err = fmt.Errorf("configuration: %s.%s: missing; the configuration before had it", path, k.String())
+				err = &LostKeyError{path + "." + k.String(), "missing; the configuration before had it"}
 				return false
 			}
 			err = missing(path+"."+k.String(), v, got)
@@ -36,13 +36,13 @@
 		return err
 	case was.IsArray():
 		if !is.IsArray() {
-			return fmt.Errorf("configuration: %s: missing or not a list", path)
+			return &LostKeyError{path, "missing or not a list"}
 		}
 		common := commonKeys(was.Array())
 		for i, e := range is.Array() {
 			for _, k := range common {
 				if !e.Get(gjson.Escape(k)).Exists() {
-					return fmt.Errorf("configuration: %s.%d.%s: missing; every entry before had it", path, i, k)
+					return &LostKeyError{fmt.Sprintf("%s.%d.%s", path, i, k), "missing; every entry before had it"}
 				}
 			}
 		}
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -50,19 +50,19 @@
 func CheckSchema(kind string, schema, text []byte) error {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err != nil {
-		return fmt.Errorf("%s: not valid JSON: %w", kind, err)
+		return &JSONError{kind, err}
 	}
 	form, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
 	if err != nil {
-		return fmt.Errorf("%s: schema: %w", kind, err)
+		return &KeyError{File: kind, Key: "schema", Err: err}
 	}
 	c := jsonschema.NewCompiler()
 	if err := c.AddResource("wheatsaddle:"+kind, form); err != nil {
-		return fmt.Errorf("%s: schema: %w", kind, err)
+		return &KeyError{File: kind, Key: "schema", Err: err}
 	}
 	s, err := c.Compile("wheatsaddle:" + kind)
 	if err != nil {
-		return fmt.Errorf("%s: schema: %w", kind, err)
+		return &KeyError{File: kind, Key: "schema", Err: err}
 	}
 	if err := s.Validate(doc); err != nil {
 		return schemaError(kind, err)
@@ -74,7 +74,7 @@
 func LoadSite(path string) (*Site, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("site: %w", err)
+		return nil, &FileError{"site", err}
 	}
 	return ParseSite(text)
 }
@@ -89,7 +89,7 @@
 	s := &Site{Listen: map[string][]Listener{}}
 	if r.root.Get("addresses").Exists() {
 		if s.Addresses, err = siteAddresses(r); err != nil {
-			return nil, fmt.Errorf("site: addresses.%w", err)
+			return nil, err
 		}
 	}
 	seen := map[address.Addr]string{}
@@ -99,19 +99,19 @@
 			l := Listener{Mode: socketMode}
 			text := e.Get("address").Str
 			if l.Address, err = address.ParseListen(text); err != nil {
-				return nil, fmt.Errorf("site: %s.address: %q: %w", key, text, err)
+				return nil, &KeyError{File: "site", Key: key + ".address", Value: strconv.Quote(text), Want: "IP:port, [IPv6]:port or unix:PATH", Err: err}
 			}
 			if first, twice := seen[l.Address]; twice {
-				return nil, fmt.Errorf("site: %s.address: %q: the same as %s", key, text, first)
+				return nil, &KeyError{File: "site", Key: key + ".address", Value: text, Want: "an address of its own", Says: fmt.Sprintf("%q: the same as %s", text, first)}
 			}
 			seen[l.Address] = key
 			if m := e.Get("mode"); m.Exists() {
 				if l.Address.Path() == "" {
-					return nil, fmt.Errorf("site: %s.mode: only a socket file has one", key)
+					return nil, &KeyError{File: "site", Key: key + ".mode", Value: m.Str, Says: "only a socket file has one"}
 				}
 				n, err := strconv.ParseUint(m.Str, 8, 12)
 				if err != nil {
-					return nil, fmt.Errorf("site: %s.mode: %q is not octal", key, m.Str)
+					return nil, &KeyError{File: "site", Key: key + ".mode", Value: strconv.Quote(m.Str), Want: "octal"}
 				}
 				l.Mode = fs.FileMode(n)
 			}
@@ -134,7 +134,7 @@
 		for _, w := range p.Array() {
 			k, err := address.ParseKind(w.Str)
 			if err != nil {
-				return nil, fmt.Errorf("preference: %w", err)
+				return nil, &KeyError{File: "site", Key: "addresses.preference", Err: err}
 			}
 			s.Preference = append(s.Preference, k)
 		}
@@ -156,14 +156,19 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	return &SiteAddresses{Book: s, Identity: r.text("addresses.identity_header", "")}, s.Check()
+	a := &SiteAddresses{Book: s, Identity: r.text("addresses.identity_header", "")}
+	var bad *address.SettingError
+	if errors.As(s.Check(), &bad) {
+		return nil, &KeyError{File: "site", Key: "addresses." + bad.Key, Says: bad.Says, Err: bad}
+	}
+	return a, nil
 }
 
 // schemaError words a schema's complaint as "file: key: what it must be", the deepest first.
 func schemaError(file string, err error) error {
 	var v *jsonschema.ValidationError
 	if !errors.As(err, &v) {
-		return fmt.Errorf("%s: %w", file, err)
+		return &KeyError{File: file, Key: "schema", Err: err}
 	}
 	for len(v.Causes) > 0 {
 		v = v.Causes[0]
@@ -172,5 +177,5 @@
 	if key == "" {
 		key = "the file"
 	}
-	return fmt.Errorf("%s: %s: %s", file, key, v.ErrorKind.LocalizedString(message.NewPrinter(language.English)))
+	return &KeyError{File: file, Key: key, Says: v.ErrorKind.LocalizedString(message.NewPrinter(language.English))}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,7 +4,6 @@
 
 import (
 	"container/heap"
-	"errors"
 	"fmt"
 	"runtime/debug"
 	"slices"
@@ -756,9 +755,6 @@
 	return known
 }
 
-// errBusy says that the actor did not take an operator's call in time.
-var errBusy = errors.New("the scheduler's actor did not take the call in time; nothing was changed")
-
 // call runs a change of the book in the actor and applies what it changed to peers and module.
 func (c *Core) call(change func(now float64) ([]string, error)) (exclusion.State, error) {
 	type reply struct {
@@ -777,15 +773,15 @@
 	select {
 	case c.control <- m:
 	case <-wait.C:
-		return exclusion.State{}, errBusy
+		return exclusion.State{}, &Busy{controlWait}
 	case <-c.ended:
-		return exclusion.State{}, errBusy
+		return exclusion.State{}, &Busy{controlWait}
 	}
 	select {
 	case r := <-got:
 		return r.st, r.err
 	case <-c.ended:
-		return exclusion.State{}, errBusy
+		return exclusion.State{}, &Busy{controlWait}
 	}
 }
 
@@ -835,6 +831,6 @@
 	case err := <-got:
 		return err
 	case <-c.ended:
-		return errors.New("the module has ended")
+		return &Ended{}
 	}
 }
--- a/internal/exclusion/exclusion.go
+++ b/internal/exclusion/exclusion.go
@@ -16,7 +16,6 @@
 package exclusion
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -24,12 +23,6 @@
 	"wheatsaddle/choice"
 )
 
-// Errors of a call; each leaves the book as it was.
-var (
-	ErrUnknown = errors.New("no storage node of that id was ever listed")
-	ErrFull    = errors.New("too many storage nodes are excluded")
-)
-
 // Settings bound the book.
 type Settings struct {
 	ListedMost   int     // ids remembered as listed
@@ -60,11 +53,11 @@
 func New(s Settings) (*Book, error) {
 	switch {
 	case s.ListedMost < 1:
-		return nil, fmt.Errorf("exclusion: ListedMost: %d is not a positive number", s.ListedMost)
+		return nil, &SettingError{"ListedMost", fmt.Sprint(s.ListedMost), "not a positive number"}
 	case s.ExcludedMost < 1:
-		return nil, fmt.Errorf("exclusion: ExcludedMost: %d is not a positive number", s.ExcludedMost)
+		return nil, &SettingError{"ExcludedMost", fmt.Sprint(s.ExcludedMost), "not a positive number"}
 	case s.ColdSpan < 0:
-		return nil, fmt.Errorf("exclusion: ColdSpan: %v is negative", s.ColdSpan)
+		return nil, &SettingError{"ColdSpan", fmt.Sprint(s.ColdSpan), "negative"}
 	}
 	return &Book{set: s, listed: map[string]bool{}, excluded: map[string]float64{}, included: map[string]float64{}}, nil
 }
@@ -103,13 +96,13 @@
 // Exclude takes a node out at now; changed says that it was in.
 func (b *Book) Exclude(now float64, id string) (changed bool, err error) {
 	if !b.Known(id) {
-		return false, ErrUnknown
+		return false, &Unknown{id}
 	}
 	if _, out := b.excluded[id]; out {
 		return false, nil
 	}
 	if len(b.excluded) >= b.set.ExcludedMost {
-		return false, ErrFull
+		return false, &Full{id, b.set.ExcludedMost}
 	}
 	b.excluded[id] = now
 	delete(b.included, id)
@@ -119,7 +112,7 @@
 // Include puts a node back at now; changed says that it was out.
 func (b *Book) Include(now float64, id string) (changed bool, err error) {
 	if !b.Known(id) {
-		return false, ErrUnknown
+		return false, &Unknown{id}
 	}
 	if _, out := b.excluded[id]; !out {
 		return false, nil
--- a/internal/exclusion/store/store.go
+++ b/internal/exclusion/store/store.go
@@ -28,9 +28,6 @@
 	lockPoll = 2 * time.Millisecond
 )
 
-// ErrForeign says that the file is not this scheduler's book; it is left as it is.
-var ErrForeign = errors.New("not this scheduler's book of exclusions")
-
 // Store is the file of one scheduler's book.
 type Store struct {
 	Path string
@@ -57,7 +54,7 @@
 		return empty, nil
 	}
 	if err != nil {
-		return empty, err
+		return empty, &FileError{s.Path, err}
 	}
 	defer f.Close()
 	if info, err := f.Stat(); err == nil {
@@ -65,27 +62,27 @@
 	}
 	text, err := io.ReadAll(io.LimitReader(f, fileMost+1))
 	if err != nil {
-		return empty, err
+		return empty, &FileError{s.Path, err}
 	}
 	if len(text) > fileMost {
-		return empty, fmt.Errorf("%s: over %d bytes: %w", s.Path, fileMost, ErrForeign)
+		return empty, &Foreign{s.Path, fmt.Sprintf("over %d bytes", fileMost)}
 	}
 	var got file
 	dec := json.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&got); err != nil {
-		return empty, fmt.Errorf("%s: torn or not JSON (%v): %w", s.Path, err, ErrForeign)
+		return empty, &Foreign{s.Path, fmt.Sprintf("torn or not JSON (%v)", err)}
 	}
 	switch {
 	case got.Version != version:
-		return empty, fmt.Errorf("%s: version %d, this program reads %d: %w", s.Path, got.Version, version, ErrForeign)
+		return empty, &Foreign{s.Path, fmt.Sprintf("version %d, this program reads %d", got.Version, version)}
 	case got.Name != s.Name:
-		return empty, fmt.Errorf("%s: of scheduler %q, this one is %q: %w", s.Path, got.Name, s.Name, ErrForeign)
+		return empty, &Foreign{s.Path, fmt.Sprintf("of scheduler %q, this one is %q", got.Name, s.Name)}
 	}
 	for what, m := range map[string]map[string]float64{"excluded": got.Excluded, "included": got.Included} {
 		for id, at := range m {
 			if id == "" || math.IsNaN(at) || math.IsInf(at, 0) || at < 0 {
-				return empty, fmt.Errorf("%s: %s: %q at %v: %w", s.Path, what, id, at, ErrForeign)
+				return empty, &Foreign{s.Path, fmt.Sprintf("%s: %q at %v", what, id, at)}
 			}
 		}
 	}
@@ -102,12 +99,12 @@
 func (s *Store) Write(st exclusion.State) error {
 	text, err := json.Marshal(file{Version: version, Name: s.Name, State: st})
 	if err != nil {
-		return err
+		return &FileError{s.Path, err}
 	}
 	beside := s.Path + fmt.Sprintf(".%d~", os.Getpid())
 	f, err := os.OpenFile(beside, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
-		return err
+		return &FileError{s.Path, err}
 	}
 	_, err = f.Write(text)
 	if err == nil {
@@ -121,7 +118,7 @@
 	}
 	if err != nil {
 		os.Remove(beside)
-		return err
+		return &FileError{s.Path, err}
 	}
 	if info, err := os.Stat(s.Path); err == nil {
 		s.seen = info
@@ -143,7 +140,7 @@
 func (s *Store) Lock() (func(), error) {
 	f, err := os.OpenFile(s.Path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
-		return nil, err
+		return nil, &FileError{s.Path, err}
 	}
 	for until := time.Now().Add(lockWait); ; {
 		err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
@@ -152,7 +149,7 @@
 		}
 		if !errors.Is(err, syscall.EWOULDBLOCK) || time.Now().After(until) {
 			f.Close()
-			return nil, fmt.Errorf("%s.lock: %w", s.Path, err)
+			return nil, &FileError{s.Path, fmt.Errorf("%s.lock: %w", s.Path, err)}
 		}
 		time.Sleep(lockPoll)
 	}
--- a/internal/operator/door.go
+++ b/internal/operator/door.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/operr"
 )
 
 const (
@@ -29,9 +30,6 @@
 	callMost  = 4 << 10 // bytes of a call's head; calls have no body
 )
 
-// ErrUnknown says that an id was never listed: the call is owed a no, and nothing changes.
-var ErrUnknown = errors.New("no storage node of that id was ever listed")
-
 // Door serves the calls. The funcs must answer within a few hundred milliseconds.
 type Door struct {
 	Ready   func() bool
@@ -70,13 +68,15 @@
 }
 
 func refuse(ctx *fasthttp.RequestCtx, err error) {
-	ctx.Error("the call cannot be read: "+err.Error(), fasthttp.StatusBadRequest)
+	no(ctx, fasthttp.StatusBadRequest, "", &Unreadable{err})
 }
 
-func no(ctx *fasthttp.RequestCtx, code int, why string) {
-	ctx.SetStatusCode(code)
+// no answers with what happened in the first line and, where the error has them, its code and
+// advice in a line each.
+func no(ctx *fasthttp.RequestCtx, status int, about string, err error) {
+	ctx.SetStatusCode(status)
 	ctx.SetContentType("text/plain; charset=utf-8")
-	ctx.SetBodyString(why + "\n")
+	ctx.SetBodyString(about + operr.Text(err) + "\n")
 }
 
 func (d *Door) handle(ctx *fasthttp.RequestCtx) {
@@ -85,17 +85,17 @@
 	want := map[string]string{"/api/ready": "GET", "/api/telemetry": "GET", "/api/exclude": "PUT", "/api/include": "PUT"}[path]
 	switch {
 	case want == "":
-		no(ctx, fasthttp.StatusNotFound, "no such call: "+path)
+		no(ctx, fasthttp.StatusNotFound, "", &NoCall{path})
 		return
 	case method != want && !(want == "GET" && method == "HEAD"):
 		ctx.Response.Header.Set("Allow", want)
-		no(ctx, fasthttp.StatusMethodNotAllowed, path+" is called with "+want)
+		no(ctx, fasthttp.StatusMethodNotAllowed, "", &WrongMethod{path, method, want})
 		return
 	}
 	switch path {
 	case "/api/ready":
 		if !d.Ready() {
-			no(ctx, fasthttp.StatusServiceUnavailable, "not ready")
+			no(ctx, fasthttp.StatusServiceUnavailable, "", &NotReady{})
 			return
 		}
 		ctx.SetContentType("text/plain; charset=utf-8")
@@ -106,8 +106,8 @@
 	default:
 		args := ctx.QueryArgs()
 		who := args.Peek("who")
-		if len(args.PeekMulti("who")) != 1 || !id(who) {
-			no(ctx, fasthttp.StatusBadRequest, "who: one storage node id is wanted, as in ?who=s-5be2a07c")
+		if n := len(args.PeekMulti("who")); n != 1 || !id(who) {
+			no(ctx, fasthttp.StatusBadRequest, "", &NoID{n})
 			return
 		}
 		do := d.Exclude
@@ -116,9 +116,9 @@
 		}
 		switch err := do(string(who)); {
 		case errors.Is(err, ErrUnknown):
-			no(ctx, fasthttp.StatusNotFound, string(who)+": "+err.Error())
+			no(ctx, fasthttp.StatusNotFound, string(who)+": ", err)
 		case err != nil:
-			no(ctx, fasthttp.StatusServiceUnavailable, string(who)+": "+err.Error())
+			no(ctx, fasthttp.StatusServiceUnavailable, string(who)+": ", err)
 		default:
 			ctx.SetContentType("text/plain; charset=utf-8")
 			ctx.SetBodyString("done\n")
--- a/internal/operator/door_test.go
+++ b/internal/operator/door_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -65,7 +64,7 @@
 		},
 		Include: func(id string) error {
 			if id == "s-busy" {
-				return errors.New("the module does not answer")
+				return &core.Busy{}
 			}
 			*done = append(*done, "include "+id)
 			return nil
@@ -105,8 +104,10 @@
 		{"PUT", "/api/include?who=s-busy", 503},
 		{"PUT", "/api/include?who=s-1", 200},
 	} {
-		if code, body := call(t, at, c.method, c.path); code != c.code || code != 200 && strings.TrimSpace(body) == "" {
-			t.Errorf("%s %s: %d %q, want %d with a reason", c.method, c.path, code, body, c.code)
+		code, body := call(t, at, c.method, c.path)
+		lines := strings.Split(strings.TrimSpace(body), "\n")
+		if code != c.code || code != 200 && (lines[0] == "" || len(lines) != 3 || !strings.HasPrefix(lines[1], "code: ") || !strings.HasPrefix(lines[2], "advice: ")) {
+			t.Errorf("%s %s: %d %q, want %d with a reason, a code and an advice", c.method, c.path, code, body, c.code)
 		}
 	}
 	if strings.Join(*done, ",") != "exclude s-1,include s-1" {
--- a/internal/operr/operr.go
+++ b/internal/operr/operr.go
@@ -33,6 +33,15 @@
 	return f
 }
 
+// Text is an error for a reader: its text, and code and advice in a line each where it has them.
+func Text(err error) string {
+	var c Coded
+	if errors.As(err, &c) {
+		return fmt.Sprintf("%v\ncode: %s\nadvice: %s", err, c.Code(), c.Advice())
+	}
+	return err.Error()
+}
+
 var (
 	mu         sync.Mutex
 	registered []Coded
--- a/internal/operr/operr_test.go
+++ b/internal/operr/operr_test.go
@@ -17,6 +17,9 @@
 	if f["code"] != "box-full" || f["advice"] != "wait" {
 		t.Errorf("%v", f)
 	}
+	if text := Text(fmt.Errorf("put: %w", &full{"box-full", "wait"})); text != "put: full\ncode: box-full\nadvice: wait" || Text(errors.New("plain")) != "plain" {
+		t.Errorf("%q", text)
+	}
 	if f = Fields(errors.New("plain")); f["code"] != nil || f["error"] == nil {
 		t.Errorf("%v", f)
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -43,27 +43,27 @@
 func Decode(text []byte) (List, error) {
 	l := List{named: map[string]bool{}}
 	if !gjson.ValidBytes(text) {
-		return l, errors.New("list: not valid JSON")
+		return l, &MalformedError{Says: "not valid JSON"}
 	}
 	root := gjson.ParseBytes(text)
 	index, entries := root.Get("index"), root.Get("endpoints")
 	if index.Type != gjson.Number {
-		return l, errors.New("list: index: missing or not a number")
+		return l, &MalformedError{"index", "missing or not a number"}
 	}
 	if !entries.IsArray() {
-		return l, errors.New("list: endpoints: missing or not a list")
+		return l, &MalformedError{"endpoints", "missing or not a list"}
 	}
 	l.Index, l.Full = index.Int(), root.Get("snapshot").Bool()
 	for i, e := range entries.Array() {
 		n, bad, err := decodeNode(e)
 		if err != nil {
 			name := e.Get("name").String()
-			l.Bad = append(l.Bad, fmt.Errorf("list: endpoints.%d (%.40q): %w", i, name, err))
+			l.Bad = append(l.Bad, &EntryError{i, name, err})
 			l.named[name], l.blind = true, l.blind || name == ""
 			continue
 		}
 		for _, x := range bad {
-			l.Partly = append(l.Partly, fmt.Errorf("list: endpoints.%d (%.40q): %w", i, n.ID, x))
+			l.Partly = append(l.Partly, &AddressError{i, n.ID, x})
 		}
 		l.Nodes = append(l.Nodes, n)
 	}
--- a/internal/sock/listen.go
+++ b/internal/sock/listen.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -13,9 +14,6 @@
 	"wheatsaddle/internal/address"
 )
 
-// ErrInUse says that somebody answers, or is about to, where a socket file is to be made.
-var ErrInUse = errors.New("somebody listens there")
-
 const knockFor = time.Second
 
 // Listen listens on one address. A socket file gets its mode before anybody can connect to it.
@@ -25,16 +23,20 @@
 	path := a.Path()
 	if path == "" {
 		network, to := a.Dial()
-		return net.Listen(network, to)
+		ln, err := net.Listen(network, to)
+		if err != nil {
+			return nil, listenError(to, err)
+		}
+		return ln, nil
 	}
 	lock, err := holdLock(path + ".lock")
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, listenError(path, fmt.Errorf("%s: %w", path, err))
 	}
 	l, err := listenFile(path, mode)
 	if err != nil {
 		lock.Close()
-		return nil, err
+		return nil, listenError(path, err)
 	}
 	l.lock = lock
 	return l, nil
@@ -49,7 +51,7 @@
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		f.Close()
-		return nil, ErrInUse
+		return nil, &InUse{Address: strings.TrimSuffix(path, ".lock")}
 	}
 	return f, nil
 }
@@ -114,10 +116,10 @@
 	nc, err := net.DialTimeout("unix", path, knockFor)
 	if err == nil {
 		nc.Close()
-		return ErrInUse
+		return &InUse{Address: path}
 	}
 	if !errors.Is(err, syscall.ECONNREFUSED) { // a full backlog, or no permission: not known to be dead
-		return fmt.Errorf("%w, or so it seems: %w", ErrInUse, err)
+		return &InUse{path, fmt.Errorf("somebody listens there, or so it seems: %w", err)}
 	}
 	return nil
 }
--- a/internal/sock/passed.go
+++ b/internal/sock/passed.go
@@ -22,31 +22,31 @@
 		fd = n
 	}
 	if fd < 0 {
-		return nil, fmt.Errorf("passed socket %q: no descriptor", name)
+		return nil, &PassedError{Name: name, Says: "no descriptor"}
 	}
 	kind, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_TYPE)
 	if err != nil {
-		return nil, fmt.Errorf("passed socket %q: descriptor %d: %w", name, fd, err)
+		return nil, &PassedError{name, fmt.Sprintf("descriptor %d", fd), err}
 	}
 	if kind != syscall.SOCK_STREAM {
-		return nil, fmt.Errorf("passed socket %q: descriptor %d is no stream socket", name, fd)
+		return nil, &PassedError{Name: name, Says: fmt.Sprintf("descriptor %d is no stream socket", fd)}
 	}
 	// One that is bound and not yet listening is made to listen; listen(2) on one that
 	// listens already only sets its backlog.
 	if listening, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil || listening != 1 {
 		if err := syscall.Listen(fd, syscall.SOMAXCONN); err != nil {
-			return nil, fmt.Errorf("passed socket %q: descriptor %d does not listen: %w", name, fd, err)
+			return nil, &PassedError{name, fmt.Sprintf("descriptor %d does not listen", fd), err}
 		}
 	}
 	f := os.NewFile(uintptr(fd), "passed socket")
 	defer f.Close()
 	ln, err := net.FileListener(f)
 	if err != nil {
-		return nil, fmt.Errorf("passed socket %q: %w", name, err)
+		return nil, &PassedError{Name: name, Err: err}
 	}
 	if _, ok := ln.(*net.TCPListener); !ok {
 		ln.Close()
-		return nil, fmt.Errorf("passed socket %q: descriptor %d is no TCP socket", name, fd)
+		return nil, &PassedError{Name: name, Says: fmt.Sprintf("descriptor %d is no TCP socket", fd)}
 	}
 	return ln, nil
 }
