--- a/cmd/wheatsaddle/blocks.go
+++ b/cmd/wheatsaddle/blocks.go
@@ -15,8 +15,6 @@
 	"wheatsaddle/internal/sock"
 )
 
-const initiatorName = "iqn.2026-12.fj.lautoka:wheatsaddle-"
-
 // blockFront is the iSCSI front with a core of its own: its storage targets are no nodes of
 // the platform, and a new object of the platform must never be placed on one.
 type blockFront struct {
@@ -32,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := iscsi.NewDialer(ic, initiatorName+conf.Name, time.Duration(conf.ConnectTimeout*float64(time.Millisecond)), log)
+	d := iscsi.NewDialer(ic, ic.Initiator+conf.Name, time.Duration(conf.ConnectTimeout*float64(time.Millisecond)), log)
 	at.blocks = d
 	at.apply()
 	set := iscsi.Settings(conf.Settings, ic)
--- a/internal/config/iscsi.go
+++ b/internal/config/iscsi.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"os"
+	"regexp"
 	"slices"
 	"strconv"
 
@@ -18,7 +19,9 @@
 // ISCSI is the second front's file.
 type ISCSI struct {
 	Listen       string
-	QueueDepth   int // commands in the window of a session
+	Initiator    string // its iSCSI name, before the scheduler's own
+	Vendor       string // T10 vendor of the logical units
+	QueueDepth   int    // commands in the window of a session
 	Sessions     int
 	MaxTransfer  uint32 // bytes of one command
 	DropsRepeats bool   // the storage targets drop a repeat of a write by its key
@@ -42,6 +45,7 @@
 	Blocks                 uint64
 	UnitBytes              float64 // bytes that count as one unit
 	ReadOnly               bool
+	Vendor                 string // T10 vendor, 8 characters at most
 	Rules                  []Rule
 }
 
@@ -70,6 +74,18 @@
 	return ParseISCSI(text, set)
 }
 
+// The names that the front has where its file gives none: of a domain that nobody can own (RFC 2606).
+const (
+	defaultInitiator = "iqn.2026-12.example:wheatsaddle-"
+	defaultVendor    = "WHEATSDL"
+)
+
+// RFC 7143, section 4.2.7.1; 223 bytes are a whole name, the scheduler's own comes after.
+var (
+	iqn    = regexp.MustCompile(`^iqn\.[0-9]{4}-[0-9]{2}\.[a-z0-9.:-]{1,150}$`)
+	vendor = regexp.MustCompile(`^[!-~]([ -~]{0,6}[!-~])?$`)
+)
+
 var storageStates = map[string]choice.NodeState{"active": choice.NodeUp, "leaving": choice.NodeDraining, "left": choice.NodeGone}
 
 // ParseISCSI reads and checks the second front's configuration.
@@ -80,7 +96,14 @@
 	r := &reader{root: gjson.ParseBytes(text), prefix: "iscsi."}
 	c := &ISCSI{Listen: r.text("listen", "127.0.0.1:3260"), QueueDepth: int(r.whole("queue_depth", 32, 1, 1024)),
 		Sessions: int(r.whole("sessions", 32, 1, 256)), MaxTransfer: uint32(r.whole("max_transfer", 64<<10, 512, 1<<20)),
-		DropsRepeats: r.flag("drops_repeats"), Login: r.num("login_timeout_ms", 5000, 1)}
+		DropsRepeats: r.flag("drops_repeats"), Login: r.num("login_timeout_ms", 5000, 1),
+		Initiator: r.text("initiator", defaultInitiator), Vendor: r.text("vendor", defaultVendor)}
+	if !iqn.MatchString(c.Initiator) {
+		r.not("initiator", strconv.Quote(c.Initiator), "the start of an iSCSI name, as in "+defaultInitiator)
+	}
+	if !vendor.MatchString(c.Vendor) {
+		r.not("vendor", strconv.Quote(c.Vendor), "1 to 8 printable ASCII characters")
+	}
 	r.address("listen", c.Listen)
 	shards, names := map[int]bool{}, map[string]bool{}
 	r.each("storage", func(s *reader) {
@@ -100,6 +123,7 @@
 		luns := map[string]bool{}
 		s.each("luns", func(u *reader) {
 			x := u.unit(set, c.MaxTransfer)
+			x.Vendor = c.Vendor
 			u.unique("lun", fmt.Sprint(x.LUN), luns)
 			if !shards[x.Shard] {
 				u.fail(KeyError{Key: "group", Value: strconv.Itoa(x.Shard), Want: "a group of storage", Says: fmt.Sprintf("no storage target holds group %d", x.Shard)})
--- a/internal/houserules/names.go
+++ b/internal/houserules/names.go
@@ -12,7 +12,7 @@
 // Words are what must not stand in the code: as a whole text, or anywhere (also in comments), whatever
 // the case of their letters.
 type Words struct {
-	Whole    []string // a whole string literal, or a part of one between spaces, slashes and the like
+	Whole    []string // a whole string literal, or a part of one between slashes and the like
 	Anywhere []string
 }
 
@@ -43,8 +43,8 @@
 				if err != nil {
 					return nil, fmt.Errorf("%v: %w", set.Position(pos), err)
 				}
-				if !structTag(value) {
-					for _, part := range append(strings.FieldsFunc(value, func(r rune) bool { return strings.ContainsRune(" /=?&,;\"", r) }), value) {
+				if !prose(value) {
+					for _, part := range append(strings.FieldsFunc(value, func(r rune) bool { return strings.ContainsRune("/=?&,;:\"", r) }), value) {
 						if whole[part] {
 							say(part)
 							break
@@ -62,5 +62,7 @@
 	return found, nil
 }
 
-// structTag: `json:"name"` says how a file names a field, not what is in it.
-func structTag(value string) bool { return strings.HasPrefix(value, `json:"`) }
+// prose: in a text of several words each may be a common one, and a struct's tag names a field.
+func prose(value string) bool {
+	return strings.Contains(value, " ") || strings.HasPrefix(value, `json:"`)
+}
--- a/internal/iscsi/scsi.go
+++ b/internal/iscsi/scsi.go
@@ -186,7 +186,7 @@
 		}
 		b := make([]byte, 36)
 		b[2], b[3], b[4], b[7] = 6, 2, 31, 2 // SPC-4, response format 2, command queuing
-		copy(b[8:], fmt.Sprintf("%-8s%-16s%-4s", "LAUTOKA", "WHEATSADDLE", "1"))
+		copy(b[8:], fmt.Sprintf("%-8.8s%-16s%-4s", u.Vendor, "WHEATSADDLE", "1"))
 		return b, true
 	}
 	page := func(code byte, body []byte) []byte {
@@ -200,7 +200,7 @@
 	case 0x80:
 		return page(0x80, []byte(u.Volume)), true
 	case 0x83: // T10 vendor id
-		id := append([]byte("LAUTOKA "), u.Volume...)
+		id := append(fmt.Appendf(nil, "%-8.8s", u.Vendor), u.Volume...)
 		return page(0x83, append([]byte{2, 1, 0, byte(len(id))}, id...)), true
 	case 0xb0: // block limits
 		b := make([]byte, 60)
--- a/internal/operr/page/main.go
+++ b/internal/operr/page/main.go
@@ -18,6 +18,7 @@
 	_ "wheatsaddle/internal/exclusion/store"
 	_ "wheatsaddle/internal/operator"
 	_ "wheatsaddle/internal/registry"
+	_ "wheatsaddle/internal/replay"
 	_ "wheatsaddle/internal/sock"
 )
 
