Counts by a metrics library, served where the site's file has a section metrics

Why: the parts on many processes need counts beside the door's, and by hand each would bring its own text form.

internal/meter registers counters, gauges and histograms of VictoriaMetrics/metrics in a set of its own and serves GET /metrics; without the section it is nil, with no goroutine and no socket. Series are bounded. A nil meter can be used in every way, so parts need no switch. Changing the section needs a restart, and the log says so.

--- a/cmd/wheatsaddle/main_test.go
+++ b/cmd/wheatsaddle/main_test.go
@@ -283,7 +283,8 @@
 			t.Fatal(err)
 		}
 	}
-	good := fmt.Sprintf(`{"addresses":{"delay_ms":100},"listen":{"http":[{"address":"unix:%s","mode":"0640"}]}}`, path)
+	counts := freeAddress(t)
+	good := fmt.Sprintf(`{"addresses":{"delay_ms":100},"metrics":{"address":"%s"},"listen":{"http":[{"address":"unix:%s","mode":"0640"}]}}`, counts, path)
 	write(`{"addresses":{"delay_ms":1}}`)
 	for _, args := range [][]string{{"check-config", "--site", siteFile}, {"serve", "--site", siteFile}} {
 		if out, err := program([]string{"ROUTER_CONFIG=" + file}, args...).CombinedOutput(); err == nil ||
@@ -327,6 +328,9 @@
 		}
 		nc.Close()
 	}
+	if _, body, err := fasthttp.Get(nil, "http://"+counts+"/metrics"); err != nil || !strings.Contains(string(body), "wheatsaddle_info{") {
+		t.Errorf("counts: %v %s", err, body)
+	}
 	if info, err := os.Lstat(path); err != nil || info.Mode().Perm() != 0o640 {
 		t.Errorf("%v %v", info, err)
 	}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -159,6 +159,7 @@
 	if err != nil {
 		return err
 	}
+	defer at.meter.Close()
 	applyLimits(conf)
 	var blocks *blockFront
 	sockets := max(descriptorLimit(conf.Sockets)-descriptors, 2)
--- a/cmd/wheatsaddle/site.go
+++ b/cmd/wheatsaddle/site.go
@@ -12,6 +12,7 @@
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/httpfront"
 	"wheatsaddle/internal/iscsi"
+	"wheatsaddle/internal/meter"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/sock"
 )
@@ -22,6 +23,7 @@
 	held   *config.Site
 	routes *httpfront.Routes
 	blocks *iscsi.Dialer // nil: no iSCSI front
+	meter  *meter.Meter  // nil: no counts but the door's
 	log    logrus.FieldLogger
 }
 
@@ -36,7 +38,23 @@
 	}
 	s.held = held
 	s.apply()
-	return s, nil
+	return s, s.count()
+}
+
+// count opens the section metrics. Parts register their counts at s.meter, which may be nil.
+func (s *site) count() error {
+	l := s.held.Metrics
+	if l == nil {
+		return nil
+	}
+	ln, err := sock.Listen(l.Address, l.Mode)
+	if err != nil {
+		return fmt.Errorf("site: metrics: %w", err)
+	}
+	s.meter = meter.Serve(ln, s.log)
+	s.meter.Gauge(func() float64 { return 1 }, "info", "version", version)
+	s.log.WithField("address", ln.Addr().String()).Info("counts are served")
+	return nil
 }
 
 // apply sets what holds from now on.
@@ -65,6 +83,10 @@
 		s.log.WithField("keys", "listen").Warn("changed, and need a restart")
 		next.Listen = s.held.Listen
 	}
+	if !reflect.DeepEqual(next.Metrics, s.held.Metrics) {
+		s.log.WithField("keys", "metrics").Warn("changed, and need a restart")
+		next.Metrics = s.held.Metrics
+	}
 	s.held = next
 	s.apply()
 	s.log.Info("site's file read again")
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -29,6 +29,7 @@
 type Site struct {
 	Addresses *SiteAddresses
 	Listen    map[string][]Listener // by front: http, iscsi
+	Metrics   *Listener             // where counts are served; nil: nowhere
 }
 
 // SiteAddresses is the section addresses.
@@ -93,27 +94,18 @@
 		}
 	}
 	seen := map[address.Addr]string{}
+	if e := r.root.Get("metrics"); e.Exists() {
+		l, err := siteListener("metrics", e, seen)
+		if err != nil {
+			return nil, err
+		}
+		s.Metrics = &l
+	}
 	for _, front := range []string{"http", "iscsi"} {
 		for i, e := range r.root.Get("listen." + front).Array() {
-			key := fmt.Sprintf("listen.%s.%d", front, i)
-			l := Listener{Mode: socketMode}
-			text := e.Get("address").Str
-			if l.Address, err = address.ParseListen(text); err != nil {
-				return nil, &KeyError{File: "site", Key: key + ".address", Value: strconv.Quote(text), Want: "IP:port, [IPv6]:port or unix:PATH", Err: err}
-			}
-			if first, twice := seen[l.Address]; twice {
-				return nil, &KeyError{File: "site", Key: key + ".address", Value: text, Want: "an address of its own", Says: fmt.Sprintf("%q: the same as %s", text, first)}
-			}
-			seen[l.Address] = key
-			if m := e.Get("mode"); m.Exists() {
-				if l.Address.Path() == "" {
-					return nil, &KeyError{File: "site", Key: key + ".mode", Value: m.Str, Says: "only a socket file has one"}
-				}
-				n, err := strconv.ParseUint(m.Str, 8, 12)
-				if err != nil {
-					return nil, &KeyError{File: "site", Key: key + ".mode", Value: strconv.Quote(m.Str), Want: "octal"}
-				}
-				l.Mode = fs.FileMode(n)
+			l, err := siteListener(fmt.Sprintf("listen.%s.%d", front, i), e, seen)
+			if err != nil {
+				return nil, err
 			}
 			s.Listen[front] = append(s.Listen[front], l)
 		}
@@ -121,6 +113,34 @@
 	return s, r.err
 }
 
+// siteListener reads one listener; seen holds the addresses of those before it.
+func siteListener(key string, e gjson.Result, seen map[address.Addr]string) (l Listener, err error) {
+	bad := func(e KeyError) (Listener, error) {
+		e.File, e.Key = "site", key+e.Key
+		return l, &e
+	}
+	l.Mode = socketMode
+	text := e.Get("address").Str
+	if l.Address, err = address.ParseListen(text); err != nil {
+		return bad(KeyError{Key: ".address", Value: strconv.Quote(text), Want: "IP:port, [IPv6]:port or unix:PATH", Err: err})
+	}
+	if first, twice := seen[l.Address]; twice {
+		return bad(KeyError{Key: ".address", Value: text, Want: "an address of its own", Says: fmt.Sprintf("%q: the same as %s", text, first)})
+	}
+	seen[l.Address] = key
+	if m := e.Get("mode"); m.Exists() {
+		if l.Address.Path() == "" {
+			return bad(KeyError{Key: ".mode", Value: m.Str, Says: "only a socket file has one"})
+		}
+		n, err := strconv.ParseUint(m.Str, 8, 12)
+		if err != nil {
+			return bad(KeyError{Key: ".mode", Value: strconv.Quote(m.Str), Want: "octal"})
+		}
+		l.Mode = fs.FileMode(n)
+	}
+	return l, nil
+}
+
 // DefaultAddresses are those of a site without the section.
 func DefaultAddresses() *SiteAddresses { return &SiteAddresses{Book: address.Defaults()} }
 
--- /dev/null
+++ b/internal/meter/meter_test.go
@@ -0,0 +1,71 @@
+package meter
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"go.uber.org/goleak"
+)
+
+// Off it can be used in every way and has no goroutine; on it serves each series once, holds its bound,
+// and is gone after Close.
+func TestMeter(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	log, hook := logtest.NewNullLogger()
+	off := Serve(nil, log)
+	off.Counter("x_total").Inc()
+	off.Histogram("h").Update(1)
+	off.Gauge(func() float64 { return 1 }, "g")
+	off.Close()
+	goleak.VerifyNone(t)
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := Serve(ln, log)
+	ask := func(path string) (int, string) {
+		t.Helper()
+		c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		r, err := c.Get("http://" + ln.Addr().String() + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer r.Body.Close()
+		body, _ := io.ReadAll(r.Body)
+		return r.StatusCode, string(body)
+	}
+	m.Counter("merges_total", "rule", `a"b\`, "end", "cut").Inc()
+	m.Counter("merges_total", "rule", `a"b\`, "end", "cut").Add(2)
+	m.Gauge(func() float64 { return 7 }, "peers")
+	m.Histogram("wait_seconds").Update(0.5)
+	for i := range seriesMost {
+		m.Counter("many_total", "n", fmt.Sprint(i)).Inc()
+	}
+	code, text := ask("/metrics")
+	for _, line := range []string{`wheatsaddle_merges_total{rule="a\"b\\",end="cut"} 3`, "wheatsaddle_peers 7", "wheatsaddle_wait_seconds_count 1",
+		"wheatsaddle_meter_left_out 3"} {
+		if !strings.Contains(text, line+"\n") {
+			t.Errorf("%d, no %s in %.600s", code, line, text)
+		}
+	}
+	if n := strings.Count(text, "wheatsaddle_many_total{"); code != 200 || n != seriesMost-3 {
+		t.Errorf("%d, %d series", code, n)
+	}
+	if code, _ := ask("/"); code != 404 {
+		t.Errorf("another path: %d", code)
+	}
+	m.Close()
+	if nc, err := net.Dial("tcp", ln.Addr().String()); err == nil {
+		nc.Close()
+		t.Error("it listens after Close")
+	}
+	if len(hook.AllEntries()) != 0 {
+		t.Errorf("%v", hook.LastEntry())
+	}
+}
--- a/internal/operr/page/main.go
+++ b/internal/operr/page/main.go
@@ -16,6 +16,7 @@
 	_ "wheatsaddle/internal/core"
 	_ "wheatsaddle/internal/exclusion"
 	_ "wheatsaddle/internal/exclusion/store"
+	_ "wheatsaddle/internal/meter"
 	_ "wheatsaddle/internal/operator"
 	_ "wheatsaddle/internal/registry"
 	_ "wheatsaddle/internal/replay"
