--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -18,6 +18,7 @@
 
 	"wheatsaddle/internal/lab/addresses"
 	"wheatsaddle/internal/lab/arrival"
+	"wheatsaddle/internal/operr"
 )
 
 // The exit codes.
@@ -55,7 +56,7 @@
 		fmt.Fprintln(diag, "rehearse:", err)
 		return exitUsage
 	}
-	fmt.Fprintln(diag, "rehearse:", err)
+	fmt.Fprintln(diag, "rehearse:", operr.Text(err))
 	return exitBad
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -149,13 +150,14 @@
 type reader struct {
 	root   gjson.Result
 	prefix string
+	file   string // "": configuration
 	err    error
 }
 
 // fail keeps a fault of a key of this object.
 func (r *reader) fail(e KeyError) {
 	if r.err == nil {
-		e.File, e.Key = "configuration", r.prefix+e.Key
+		e.File, e.Key = cmp.Or(r.file, "configuration"), r.prefix+e.Key
 		r.err = &e
 	}
 }
@@ -201,7 +203,7 @@
 		return
 	}
 	for i, e := range v.Array() {
-		sub := &reader{root: e, prefix: fmt.Sprintf("%s%s.%d.", r.prefix, key, i), err: r.err}
+		sub := &reader{root: e, prefix: fmt.Sprintf("%s%s.%d.", r.prefix, key, i), file: r.file, err: r.err}
 		f(sub)
 		r.err = sub.err
 	}
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &reader{root: gjson.ParseBytes(text)}
+	r := &reader{root: gjson.ParseBytes(text), file: "site"}
 	s := &Site{Listen: map[string][]Listener{}}
 	if r.root.Get("addresses").Exists() {
 		if s.Addresses, err = siteAddresses(r); err != nil {
--- /dev/null
+++ b/internal/httpfront/byhand_test.go
@@ -0,0 +1,91 @@
+package httpfront
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// doubtful are answers of which two readers may disagree on where they end.
+var doubtful = map[string]string{
+	"length and encoding":   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"two lengths":           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n",
+	"the same length twice": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\n",
+	"signed length":         "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\n",
+	"bare line feeds":       "HTTP/1.1 200 OK\nContent-Length: 2\n\n",
+	"space before colon":    "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n",
+	"another encoding":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+	"folded line":           "HTTP/1.1 200 OK\r\nX-A: 1\r\n b\r\nContent-Length: 2\r\n\r\n",
+}
+
+// The reason why heads are checked by hand: each library takes some of what this package does not.
+// The table of docs/design/libraries.md is this test's log (go test -v -run Doubtful).
+func TestDoubtfulHeads(t *testing.T) {
+	byFast, byNet := 0, 0
+	for name, text := range doubtful {
+		c := &conn{br: bufio.NewReader(strings.NewReader(text))}
+		lines, err := c.head()
+		if err == nil {
+			_, err = strictHead(lines, answerOnce)
+		}
+		if err == nil {
+			t.Errorf("%s: taken", name)
+		}
+		var h fasthttp.ResponseHeader
+		fast := h.Read(bufio.NewReader(strings.NewReader(text))) == nil
+		r, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+		if err == nil {
+			r.Body.Close()
+			byNet++
+		}
+		if fast {
+			byFast++
+		}
+		t.Logf("%-22s taken by fasthttp %v, by net/http %v, here false", name, fast, err == nil)
+	}
+	if byFast == 0 || byNet == 0 {
+		t.Errorf("fasthttp takes %d, net/http %d of them: the check by hand may go", byFast, byNet)
+	}
+}
+
+// BenchmarkByHand is what each part by hand costs, beside the library's.
+func BenchmarkByHand(b *testing.B) {
+	text := []byte("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Load: inflight=7,queue=2,util=0.61\r\nOther-Hosts: 12\r\nContent-Length: 2\r\n\r\nok")
+	lines := text[len("HTTP/1.1 200 OK\r\n") : len(text)-4]
+	key, form := []byte("7f3a9c21e0b4d655"), regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
+	rd := bytes.NewReader(nil)
+	br := bufio.NewReader(rd)
+	a, _ := attempt(b, later())
+	made, out, w := a.Req.Payload.(*call), []byte(nil), bufio.NewWriter(io.Discard)
+	var q fasthttp.Request
+	if err := q.Read(bufio.NewReader(strings.NewReader(good))); err != nil {
+		b.Fatal(err)
+	}
+	again := func() { rd.Reset(text); br.Reset(rd) }
+	for _, x := range []struct {
+		name string
+		do   func()
+	}{
+		{"head/here", func() { strictHead(lines, answerOnce) }},
+		{"head/fasthttp", func() { var h fasthttp.ResponseHeader; again(); h.Read(br) }},
+		{"head/net-http", func() { again(); http.ReadResponse(br, nil) }},
+		{"encode/here", func() { out = made.encode(out[:0], "h", time.Second) }},
+		{"encode/fasthttp", func() { q.Header.Set("X-Deadline-Ms", "1000"); q.Write(w) }},
+		{"key/here", func() { hex16(key) }},
+		{"key/regexp", func() { form.Match(key) }},
+	} {
+		b.Run(x.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				x.do()
+			}
+		})
+	}
+}
