Harness: links with seeded faults, fleets of built daemons, one auditor

Tests of several processes need the shipped program, faults between each two parties and one judge. internal/standin/link is a TCP and UDP link whose faults are switched while it runs and counted; internal/lab/procs starts daemons, nodes, lists and the links between them, waits on conditions and leaves none behind; internal/lab/audit checks a history against the platform's rules. The stand-in node records attempts from their first byte on.

--- /dev/null
+++ b/internal/lab/procs/daemon.go
@@ -0,0 +1,198 @@
+package procs
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Build gives the path of the built daemon: beside this program, or built into dir where this is run
+// from its source.
+func Build(ctx context.Context, dir string) (string, error) {
+	if me, err := os.Executable(); err == nil {
+		beside := filepath.Join(filepath.Dir(me), "wheatsaddle")
+		if info, err := os.Stat(beside); err == nil && info.Mode().IsRegular() && info.Mode()&0o111 != 0 {
+			return beside, nil
+		}
+	}
+	built := filepath.Join(dir, "wheatsaddle")
+	c := exec.CommandContext(ctx, "go", "build", "-o", built, "wheatsaddle/cmd/wheatsaddle")
+	if out, err := c.CombinedOutput(); err != nil {
+		return "", &NoDaemon{Err: err, Output: string(out)}
+	}
+	return built, nil
+}
+
+// Config is one daemon's configuration; Settings are the platform's.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	MemoryMB                int
+	Known                   []Entry
+	Settings                map[string]any
+}
+
+// Write writes it as the daemon reads it.
+func (c Config) Write(file string) error {
+	text, err := json.Marshal(map[string]any{
+		"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "seed": fmt.Sprintf("%x", c.Seed),
+		"limits":   map[string]any{"cores": 1, "memory_mb": c.MemoryMB, "sockets": 1024},
+		"known":    map[string]any{"index": 1, "snapshot": true, "endpoints": append([]Entry{}, c.Known...)},
+		"settings": c.Settings})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, text, 0o600)
+}
+
+// FreeAddress is a loopback address that nobody listens on.
+func FreeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// Proc is one process of the daemon, started again as often as it is asked for.
+type Proc struct {
+	Name, Listen   string
+	daemon, config string
+	log            string
+	args, env      []string
+	mu             sync.Mutex
+	cmd            *exec.Cmd
+	ended          chan struct{} // closed when cmd has ended; its error is then in err
+	err            error
+}
+
+// NewProc makes a process that is not started; its log goes to a file.
+func NewProc(daemon, config, log, name, listen string, args ...string) *Proc {
+	return &Proc{Name: name, Listen: listen, daemon: daemon, config: config, log: log, args: args}
+}
+
+// Start starts it. It ends with this program, however that ends.
+func (p *Proc) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	c := exec.Command(p.daemon, p.args...)
+	c.Env = append(append(os.Environ(), "ROUTER_CONFIG="+p.config, "TMPDIR="+filepath.Dir(p.config)), p.env...)
+	c.Stdout, c.Stderr = out, out
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		return &NoDaemon{Err: err}
+	}
+	ended := make(chan struct{})
+	p.cmd, p.ended, p.err = c, ended, nil
+	go func() {
+		err := c.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+func (p *Proc) signal(s syscall.Signal) error {
+	p.mu.Lock()
+	c := p.cmd
+	p.mu.Unlock()
+	if c == nil {
+		return os.ErrProcessDone
+	}
+	return c.Process.Signal(s)
+}
+
+// Alive says whether the process has not ended.
+func (p *Proc) Alive() bool {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended == nil {
+		return false
+	}
+	select {
+	case <-ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// End waits for the process to end and says how it did.
+func (p *Proc) End(ctx context.Context) error {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended == nil {
+		return nil
+	}
+	select {
+	case <-ended:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.err
+	case <-ctx.Done():
+		return fmt.Errorf("%s has not ended: %w", p.Name, ctx.Err())
+	}
+}
+
+// reap ends what is left of it.
+func (p *Proc) reap() {
+	if p.Alive() {
+		_ = p.signal(syscall.SIGKILL) // also where it is stopped
+		_ = p.End(context.Background())
+	}
+}
+
+// CPU is the processor time of a process that has ended.
+func (p *Proc) CPU() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.ProcessState == nil {
+		return 0
+	}
+	return p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
+}
+
+// Log is what it has written, of all its starts.
+func (p *Proc) Log() string {
+	text, _ := os.ReadFile(p.log)
+	return string(text)
+}
+
+// Ready asks the process itself, past all links.
+func (p *Proc) Ready() error {
+	nc, err := net.DialTimeout("tcp", p.Listen, time.Second)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	_ = nc.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(nc, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		return err
+	}
+	line, err := bufio.NewReader(nc).ReadString('\n')
+	if err == nil && !strings.Contains(line, " 200 ") {
+		err = errors.New(strings.TrimSpace(line))
+	}
+	return err
+}
--- /dev/null
+++ b/internal/lab/procs/fleet.go
@@ -0,0 +1,464 @@
+// Package procs starts several processes of the built daemon with stand-in nodes, list services and
+// links between each two parties, on loopback, and ends them all again. Tests wait for conditions
+// and not for time, and end by asking the auditor about what happened.
+//
+// Invariants: after Close no process, goroutine, socket or file of the fleet is left; a process ends
+// with this program, however that ends; every request that a client of the fleet sent is in the
+// history with its end.
+package procs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/internal/lab/audit"
+	"wheatsaddle/internal/standin/link"
+	"wheatsaddle/internal/standin/node"
+)
+
+const (
+	memoryMB  = 128
+	lookEvery = 5 * time.Millisecond
+	logEnd    = 1500 // bytes of a log that an error shows
+)
+
+// Storage is one stand-in node.
+type Storage struct {
+	Name     string
+	Shard    int
+	Workers  int
+	Service  func(*fasthttp.Request) time.Duration
+	Unlisted bool // at the start
+	Cold     bool // it starts with the fleet, cold; else it has long been there
+}
+
+// Options make a fleet.
+type Options struct {
+	Daemon   string // path of the built daemon
+	Dir      string // for files; "": a temporary one, which Close takes away
+	Daemons  int
+	Nodes    []Storage
+	Settings map[string]any // put over the defaults, section by section
+	Seed     uint64
+	Known    bool                                                  // the daemons are started with the list
+	ListDown bool                                                  // nobody listens at the lists' services at first
+	Peers    bool                                                  // links between each two daemons, TCP and UDP
+	Args     func(f *Fleet, i int) []string                        // further arguments of a daemon; nil: none
+	NewList  func(scheduler int, told func([]Entry)) (List, error) // nil: this package's push
+}
+
+// Fleet is what runs.
+type Fleet struct {
+	opt      Options
+	dir      string
+	own      bool // the directory is ours
+	start    time.Time
+	settings map[string]any
+	nodes    []*node.Node
+	real     []string
+	procs    []*Proc
+	lists    []List
+	clients  []*link.Link   // to each daemon
+	listings []*link.Link   // from each daemon to its list
+	storage  [][]*link.Link // from each daemon to each node
+	peers    [][]*link.Link // [i][j], i < j
+	peerAt   []string
+	status   []string // of each node on the list
+	mu       sync.Mutex
+	h        audit.History
+	down     map[int]span // of a daemon that is not up: since when, and why
+	load     sync.WaitGroup
+	next     int
+	ok       map[int]int // requests served, by scheduler
+}
+
+type span struct {
+	from time.Duration
+	kill bool
+}
+
+// Defaults are the settings that a fleet's are put over.
+func Defaults(daemons, me, shards int) map[string]any {
+	class := func(name, repeat string, worth float64) map[string]any {
+		return map[string]any{"name": name, "goal-time": 200, "deadline": 1000, "worth": worth, "late-worth": worth / 2, "repeat": repeat}
+	}
+	return map[string]any{"me": me, "fleet-size": daemons,
+		"ceilings": map[string]any{"max-attempts": 3, "may-cancel": true, "retry-after": true, "max-retry-after": 2000},
+		"rules":    map[string]any{"stop-sending-within": 250, "ask-within": 2000, "overload-for": 3000, "cold-from": 0.24, "cold": 17000, "tip-multiple": 3},
+		"extra":    map[string]any{"usual-units": 1, "largest": 4, "slots-total": shards},
+		"profiles": []map[string]any{class("read", "safe", 2), class("write", "unsafe", 3)},
+		"contracts": []map[string]any{{"name": "basic", "usual-rate": 1e4, "reservation": 1e4, "shares": 1, "price": 1},
+			{"name": "small", "usual-rate": 20, "reservation": 20, "shares": 1, "price": 1, "cap": 20, "burst": 10}},
+	}
+}
+
+// over puts settings over others, section by section.
+func over(base, more map[string]any) map[string]any {
+	for k, v := range more {
+		if section, ok := v.(map[string]any); ok {
+			if old, ok := base[k].(map[string]any); ok {
+				maps.Copy(old, section)
+				continue
+			}
+		}
+		base[k] = v
+	}
+	return base
+}
+
+// Start starts it all and waits until every daemon is ready.
+func Start(ctx context.Context, opt Options) (f *Fleet, err error) {
+	f = &Fleet{opt: opt, dir: opt.Dir, start: time.Now(), down: map[int]span{}, ok: map[int]int{}}
+	defer func() {
+		if err != nil {
+			f.Close()
+			f = nil
+		}
+	}()
+	if f.dir == "" {
+		f.own = true
+		if f.dir, err = os.MkdirTemp("", "procs"); err != nil {
+			return f, err
+		}
+	}
+	if f.opt.Daemon == "" {
+		if f.opt.Daemon, err = Build(ctx, f.dir); err != nil {
+			return f, err
+		}
+	}
+	for _, s := range opt.Nodes {
+		n := node.New(node.Options{Name: s.Name, Shard: s.Shard, Workers: s.Workers, Service: s.Service, Queue: 256, Record: true})
+		f.nodes = append(f.nodes, n)
+		a, err := n.Listen("127.0.0.1:0")
+		if err != nil {
+			return f, err
+		}
+		status := "active"
+		if s.Unlisted {
+			status = "left"
+		}
+		if s.Cold {
+			f.h.Cold = append(f.h.Cold, audit.Change{Node: s.Name, At: f.now()})
+		}
+		f.real, f.status = append(f.real, a.String()), append(f.status, status)
+	}
+	if err = f.connect(); err != nil {
+		return f, err
+	}
+	for i := range f.procs {
+		if err = f.procs[i].Start(); err != nil {
+			return f, err
+		}
+	}
+	for i := range f.procs {
+		if err = f.WaitReady(ctx, i); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// connect makes the lists, the links and the daemons' files.
+func (f *Fleet) connect() error {
+	join := func(network, to, from string) (*link.Link, error) {
+		f.opt.Seed++
+		return link.New(link.Options{Seed: f.opt.Seed, Network: network, To: to, From: from})
+	}
+	shards := 0
+	for _, s := range f.opt.Nodes {
+		shards = max(shards, s.Shard+1)
+	}
+	for range f.opt.Daemons {
+		at, err := FreeAddress()
+		if err != nil {
+			return err
+		}
+		f.peerAt = append(f.peerAt, at)
+	}
+	f.peers = make([][]*link.Link, f.opt.Daemons)
+	for i := range f.opt.Daemons {
+		for j := i + 1; j < f.opt.Daemons && f.opt.Peers; j++ {
+			l, err := join("both", f.peerAt[j], f.peerAt[i])
+			if err != nil {
+				return err
+			}
+			f.peers[i] = append(f.peers[i], l)
+		}
+	}
+	for i := range f.opt.Daemons {
+		told := func(entries []Entry) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, e := range entries {
+				f.h.Told = append(f.h.Told, audit.Told{Scheduler: i, Node: e.Name, Word: words[e.Status], At: f.now()})
+			}
+		}
+		made := f.opt.NewList
+		if made == nil {
+			made = func(_ int, told func([]Entry)) (List, error) { return newList(told) }
+		}
+		list, err := made(i, told)
+		if err != nil {
+			return err
+		}
+		f.lists = append(f.lists, list)
+		listing, err := join("tcp", list.Addr(), "")
+		if err != nil {
+			return err
+		}
+		f.listings = append(f.listings, listing)
+		f.storage = append(f.storage, nil)
+		for _, real := range f.real {
+			l, err := join("tcp", real, "")
+			if err != nil {
+				return err
+			}
+			f.storage[i] = append(f.storage[i], l)
+		}
+		listen, err := FreeAddress()
+		if err != nil {
+			return err
+		}
+		front, err := join("tcp", listen, "")
+		if err != nil {
+			return err
+		}
+		f.clients = append(f.clients, front)
+		var entries, known []Entry
+		for j := range f.nodes {
+			entries = append(entries, f.entry(i, j))
+		}
+		if err := list.Put(entries...); err != nil {
+			return err
+		}
+		if f.opt.ListDown {
+			if err := list.Set(ListDown); err != nil {
+				return err
+			}
+			f.h.Deaf = append(f.h.Deaf, audit.Span{Scheduler: i, From: 0, To: audit.Never})
+		}
+		if f.opt.Known {
+			known = slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.Status == "left" })
+		}
+		name := fmt.Sprint("n", i)
+		conf := Config{Name: name, Listen: listen, Discovery: listing.Addr(), Seed: f.opt.Seed + uint64(i), MemoryMB: memoryMB, Known: known,
+			Settings: over(Defaults(f.opt.Daemons, i, shards), f.opt.Settings)}
+		f.settings = conf.Settings
+		dir := filepath.Join(f.dir, name)
+		if err := os.Mkdir(dir, 0o700); err != nil {
+			return err
+		}
+		file := filepath.Join(dir, "config.json")
+		if err := conf.Write(file); err != nil {
+			return err
+		}
+		var args []string
+		if f.opt.Args != nil {
+			args = f.opt.Args(f, i)
+		}
+		f.procs = append(f.procs, NewProc(f.opt.Daemon, file, filepath.Join(dir, "log"), name, listen, args...))
+	}
+	return nil
+}
+
+func (f *Fleet) entry(i, j int) Entry {
+	e := Entry{Name: f.opt.Nodes[j].Name, Address: f.storage[i][j].Addr(), Group: f.opt.Nodes[j].Shard, Status: f.status[j], Weight: 1}
+	if !f.opt.Nodes[j].Cold {
+		e.SinceMS = -1e6
+	}
+	return e
+}
+
+func (f *Fleet) now() time.Duration { return time.Since(f.start) }
+
+// The parties and the links between them: node j, process i, the list of daemon i; client to daemon i,
+// daemon i to its list, daemon i to node j.
+func (f *Fleet) Node(j int) *node.Node           { return f.nodes[j] }
+func (f *Fleet) Proc(i int) *Proc                { return f.procs[i] }
+func (f *Fleet) List(i int) List                 { return f.lists[i] }
+func (f *Fleet) ClientLink(i int) *link.Link     { return f.clients[i] }
+func (f *Fleet) ListLink(i int) *link.Link       { return f.listings[i] }
+func (f *Fleet) StorageLink(i, j int) *link.Link { return f.storage[i][j] }
+
+// Dir is a directory of daemon i's own, e.g. for its site file.
+func (f *Fleet) Dir(i int) string { return filepath.Join(f.dir, fmt.Sprint("n", i)) }
+
+// PeerLink is the link between daemons i and j; forward is what the lower of them sends.
+func (f *Fleet) PeerLink(i, j int) *link.Link { return f.peers[min(i, j)][max(i, j)-min(i, j)-1] }
+
+// PeerAddr is where daemon i is to listen for peers, by TCP and UDP.
+func (f *Fleet) PeerAddr(i int) string { return f.peerAt[i] }
+
+// PeerSeen is where daemon i reaches daemon j, and what j is known by there.
+func (f *Fleet) PeerSeen(i, j int) string {
+	if i < j {
+		return f.PeerLink(i, j).Addr()
+	}
+	return f.PeerLink(i, j).Back()
+}
+
+// Mark lists a node as active, leaving or left, at all lists.
+func (f *Fleet) Mark(j int, status string) error {
+	f.mu.Lock()
+	f.status[j] = status
+	f.h.Changed = append(f.h.Changed, audit.Change{Node: f.opt.Nodes[j].Name, Word: words[status], At: f.now()})
+	f.mu.Unlock()
+	var errs []error
+	for i, l := range f.lists {
+		errs = append(errs, l.Put(f.entry(i, j)))
+	}
+	return errors.Join(errs...)
+}
+
+// SetList switches the fault of daemon i's list.
+func (f *Fleet) SetList(i int, fault ListFault) error {
+	f.mu.Lock()
+	k := slices.IndexFunc(f.h.Deaf, func(s audit.Span) bool { return s.Scheduler == i && s.To == audit.Never })
+	if fault != ListWell && k < 0 {
+		f.h.Deaf = append(f.h.Deaf, audit.Span{Scheduler: i, From: f.now(), To: audit.Never})
+	}
+	if fault == ListWell && k >= 0 {
+		f.h.Deaf[k].To = f.now()
+	}
+	f.mu.Unlock()
+	return f.lists[i].Set(fault)
+}
+
+// Wait waits until a condition holds: it says nil.
+func (f *Fleet) Wait(ctx context.Context, what string, cond func() error) error {
+	t := time.NewTicker(lookEvery)
+	defer t.Stop()
+	for {
+		err := cond()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return &NotMet{what, err, f.Logs()}
+		}
+	}
+}
+
+// Logs are the ends of the daemons' logs.
+func (f *Fleet) Logs() (text string) {
+	for _, p := range f.procs {
+		log := p.Log()
+		text += fmt.Sprintf("--- %s\n%s\n", p.Name, log[max(0, len(log)-logEnd):])
+	}
+	return text
+}
+
+// WaitReady waits until daemon i says that it is ready.
+func (f *Fleet) WaitReady(ctx context.Context, i int) error {
+	return f.Wait(ctx, fmt.Sprint("daemon ", i, " is ready"), f.procs[i].Ready)
+}
+
+func (f *Fleet) falls(i int, kill bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if was, ok := f.down[i]; ok {
+		f.down[i] = span{was.from, was.kill || kill}
+		return
+	}
+	f.down[i] = span{f.now(), kill}
+}
+
+// Kill kills daemon i.
+func (f *Fleet) Kill(i int) error {
+	f.falls(i, true)
+	if err := f.procs[i].signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-f.procs[i].ended
+	return nil
+}
+
+// Term asks daemon i to end, as an operator does; Proc(i).End waits for it.
+func (f *Fleet) Term(i int) error {
+	f.falls(i, false)
+	return f.procs[i].signal(syscall.SIGTERM)
+}
+
+// Restart starts daemon i again once it has ended, and waits until it is ready.
+func (f *Fleet) Restart(ctx context.Context, i int) error {
+	if err := f.procs[i].Start(); err != nil {
+		return err
+	}
+	if err := f.WaitReady(ctx, i); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rises(i)
+	return nil
+}
+
+// rises writes the span of a daemon that was down. The lock is held.
+func (f *Fleet) rises(i int) {
+	s, ok := f.down[i]
+	if !ok {
+		return
+	}
+	delete(f.down, i)
+	one := audit.Span{Scheduler: i, From: s.from, To: f.now()}
+	if s.kill {
+		f.h.Killed = append(f.h.Killed, one)
+	} else {
+		f.h.Ending = append(f.h.Ending, one)
+	}
+}
+
+// Stop stops daemon i by SIGSTOP, until Continue.
+func (f *Fleet) Stop(i int) error {
+	f.mu.Lock()
+	f.h.Paused = append(f.h.Paused, audit.Span{Scheduler: i, From: f.now(), To: audit.Never})
+	f.mu.Unlock()
+	return f.procs[i].signal(syscall.SIGSTOP)
+}
+
+// Continue lets it run on.
+func (f *Fleet) Continue(i int) error {
+	err := f.procs[i].signal(syscall.SIGCONT)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k := range f.h.Paused {
+		if s := &f.h.Paused[k]; s.Scheduler == i && s.To == audit.Never {
+			s.To = f.now()
+		}
+	}
+	return err
+}
+
+// Close ends all of it.
+func (f *Fleet) Close() {
+	for _, p := range f.procs {
+		p.reap()
+	}
+	for _, all := range slices.Concat([][]*link.Link{f.clients, f.listings}, f.storage, f.peers) {
+		for _, l := range all {
+			l.Close()
+		}
+	}
+	f.load.Wait()
+	for _, l := range f.lists {
+		l.Close()
+	}
+	for _, n := range f.nodes {
+		n.Close()
+	}
+	if f.own {
+		_ = os.RemoveAll(f.dir)
+	}
+}
--- /dev/null
+++ b/internal/lab/procs/history.go
@@ -0,0 +1,102 @@
+package procs
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"wheatsaddle/internal/lab/audit"
+	"wheatsaddle/internal/standin/link"
+)
+
+// History is what has happened so far. An attempt has ended when its node had answered, or when the
+// node or the link before it saw its sender go.
+func (f *Fleet) History() audit.History {
+	f.mu.Lock()
+	h := f.h
+	h.Taken, h.Answered, h.Told = slices.Clone(h.Taken), slices.Clone(h.Answered), slices.Clone(h.Told)
+	h.Changed, h.Cold, h.Deaf = slices.Clone(h.Changed), slices.Clone(h.Cold), slices.Clone(h.Deaf)
+	h.Killed, h.Ending, h.Paused = slices.Clone(h.Killed), slices.Clone(h.Ending), slices.Clone(h.Paused)
+	for i := range f.procs {
+		if s, ok := f.down[i]; ok {
+			one := audit.Span{Scheduler: i, From: s.from, To: audit.Never}
+			if s.kill {
+				h.Killed = append(h.Killed, one)
+			} else {
+				h.Ending = append(h.Ending, one)
+			}
+		}
+	}
+	f.mu.Unlock()
+	at := func(t time.Time) time.Duration {
+		if t.IsZero() {
+			return audit.Never
+		}
+		return t.Sub(f.start)
+	}
+	for j, n := range f.nodes {
+		conns := map[string][]link.Conn{} // in order; a port may come again
+		for i := range f.storage {
+			for _, c := range f.storage[i][j].Conns() {
+				conns[c.Out] = append(conns[c.Out], c)
+			}
+		}
+		name := f.opt.Nodes[j].Name
+		for _, a := range n.Attempts() {
+			s := audit.Sent{ID: a.ID, Node: name, First: at(a.First), Whole: at(a.Whole), Ended: at(a.Ended), Turned: a.Turned}
+			for _, c := range slices.Backward(conns[a.From]) {
+				if c.Opened.After(a.First) {
+					continue
+				}
+				if !c.Ended.IsZero() {
+					s.Ended = min(s.Ended, max(at(c.Ended), s.First))
+				}
+				break
+			}
+			h.Sent = append(h.Sent, s)
+			if !a.Ran.IsZero() {
+				h.Executed = append(h.Executed, audit.Executed{ID: a.ID, Node: name, At: at(a.Ran)})
+			}
+		}
+	}
+	slices.SortStableFunc(h.Sent, func(a, b audit.Sent) int { return cmp.Compare(a.First, b.First) })
+	return h
+}
+
+// Rules are the auditor's figures out of the daemons' settings.
+func (f *Fleet) Rules() audit.Rules {
+	set := f.settings
+	section := func(name string) map[string]any { m, _ := set[name].(map[string]any); return m }
+	num := func(m map[string]any, key string) float64 {
+		switch v := m[key].(type) {
+		case int:
+			return float64(v)
+		case float64:
+			return v
+		}
+		return 0
+	}
+	span := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+	rules, extra := section("rules"), section("extra")
+	second, _ := section("ceilings")["second-copies"].(bool)
+	r := audit.Rules{Unsafe: map[string]bool{}, SecondCopies: second, Grace: span(num(rules, "stop-sending-within")), AskWithin: span(num(rules, "ask-within")),
+		Plans: map[string]audit.Plan{}, MeanUnits: num(extra, "usual-units"), ColdN: num(extra, "young-limit"), ColdFor: span(num(rules, "overload-for")),
+		Slack: slack}
+	for _, p := range entriesOf(set["profiles"]) {
+		r.Unsafe[fmt.Sprint(p["name"])] = p["repeat"] == "unsafe"
+	}
+	for _, p := range entriesOf(set["contracts"]) {
+		if limit := num(p, "cap"); limit > 0 {
+			r.Plans[fmt.Sprint(p["name"])] = audit.Plan{Cap: limit, Burst: num(p, "burst")}
+		}
+	}
+	return r
+}
+
+const slack = 50 * time.Millisecond // the rules' limits are this much longer for an auditor
+
+func entriesOf(v any) []map[string]any { l, _ := v.([]map[string]any); return l }
+
+// Audit asks the auditor about what has happened so far.
+func (f *Fleet) Audit() []audit.Violation { return audit.Check(f.Rules(), f.History()) }
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -38,6 +38,7 @@
 	Probes    bool                                  // /health/live and /stats
 	Identity  string                                // header in which it says its name; empty: it does not
 	Body      []byte                                // of an answer; nil: the request's id
+	Record    bool                                  // every attempt from its first byte on, for Attempts
 	TellShard bool                                  // answers end with shard=N, so that clients know where a new object was put
 }
 
@@ -66,6 +67,7 @@
 	slots    chan struct{}
 	wg       sync.WaitGroup
 	closed   bool
+	attempts []*Attempt
 }
 
 // New makes a node that listens nowhere yet.
@@ -269,6 +271,7 @@
 	port *port
 	nc   net.Conn
 	done chan struct{}
+	rec  *recorder // nil: nothing is recorded
 }
 
 func (n *Node) serve(l *link) {
@@ -281,13 +284,25 @@
 		n.mu.Unlock()
 	}()
 	br := bufio.NewReaderSize(l.nc, 16<<10)
+	if n.opt.Record {
+		l.rec = &recorder{n: n, nc: l.nc}
+		br.Reset(l.rec)
+	}
+	defer l.rec.end()
 	for answers := 1; ; answers++ {
 		q := &fasthttp.Request{}
 		if l.port.fault() == Hang {
 			l.rest()
 			return
 		}
-		if q.Read(br) != nil {
+		if l.rec != nil && l.rec.begin(br) != nil {
+			return
+		}
+		err := q.Read(br)
+		if l.rec != nil {
+			l.rec.came(q, err, l)
+		}
+		if err != nil {
 			return
 		}
 		if !n.one(l, q, n.opt.Answers > 0 && answers >= n.opt.Answers) {
@@ -416,6 +431,7 @@
 	if at, known := n.memory[key]; key != "" && known && now.Sub(at) < n.opt.Memory {
 		n.counts.Repeats++
 		n.mu.Unlock()
+		l.rec.set(func(a *Attempt) { a.Dropped = true })
 		return true
 	}
 	if key != "" {
@@ -431,6 +447,7 @@
 		}
 	}
 	n.mu.Unlock()
+	l.rec.set(func(a *Attempt) { a.Ran = time.Now() })
 	if n.opt.Service != nil {
 		time.Sleep(n.opt.Service(q))
 	}
@@ -442,6 +459,7 @@
 	r.SetStatusCode(code)
 	if code == fasthttp.StatusServiceUnavailable || code == fasthttp.StatusGatewayTimeout {
 		r.Header.Set("X-Not-Run", "1")
+		l.rec.set(func(a *Attempt) { a.Turned = true })
 	}
 	if h := l.port.n.opt.Identity; h != "" && name != "" {
 		r.Header.Set(h, name)
@@ -451,6 +469,7 @@
 	}
 	r.SetBody(body)
 	w := bufio.NewWriter(l.nc)
+	defer l.rec.end()
 	if r.Write(w) != nil || w.Flush() != nil {
 		return false
 	}
