--- a/internal/lab/procs/daemon.go
+++ b/internal/lab/procs/daemon.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -56,14 +57,25 @@
 	return os.WriteFile(file, text, 0o600)
 }
 
-// FreeAddress is a loopback address that nobody listens on.
+// Ports of daemons are below those that the kernel gives to connections (ip_local_port_range), so
+// that no connection takes one between two starts.
+const portFrom, portTo = 20000, 32000
+
+var nextPort atomic.Int64
+
+// FreeAddress is a loopback address that nobody listens on and no connection takes.
 func FreeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portTo - portFrom {
+		port := portFrom + (int64(os.Getpid())*61+nextPort.Add(1))%(portTo-portFrom)
+		ln, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
+		if err == nil {
+			return ln.Addr().String(), ln.Close()
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return "", err
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", &NoDaemon{Err: syscall.EADDRINUSE}
 }
 
 // Proc is one process of the daemon, started again as often as it is asked for.
@@ -181,6 +193,9 @@
 
 // Ready asks the process itself, past all links.
 func (p *Proc) Ready() error {
+	if !p.Alive() {
+		return os.ErrProcessDone
+	}
 	nc, err := net.DialTimeout("tcp", p.Listen, time.Second)
 	if err != nil {
 		return err
--- a/internal/lab/procs/faults_test.go
+++ b/internal/lab/procs/faults_test.go
@@ -112,6 +112,7 @@
 			}
 			w.storage(link.Forward, link.Fault{Hold: true}, func(l *link.Link) bool { l.Reset(); return l.Waiting() > 0 })
 			w.serves(some)
+			w.t.Log("DEBUG lift ", w.now())
 			w.storage(link.Forward, link.Fault{}, func(l *link.Link) bool { return l.Waiting() == 0 && l.Open() > 0 })
 			w.serves(some)
 		}},
--- a/internal/lab/procs/fleet.go
+++ b/internal/lab/procs/fleet.go
@@ -80,6 +80,7 @@
 	load     sync.WaitGroup
 	next     int
 	ok       map[int]int // requests served, by scheduler
+	codes    map[int]int // answers by code, 0: none
 }
 
 type span struct {
@@ -118,7 +119,7 @@
 
 // Start starts it all and waits until every daemon is ready.
 func Start(ctx context.Context, opt Options) (f *Fleet, err error) {
-	f = &Fleet{opt: opt, dir: opt.Dir, start: time.Now(), down: map[int]span{}, ok: map[int]int{}}
+	f = &Fleet{opt: opt, dir: opt.Dir, start: time.Now(), down: map[int]span{}, ok: map[int]int{}, codes: map[int]int{}}
 	defer func() {
 		if err != nil {
 			f.Close()
@@ -363,7 +364,14 @@
 
 // WaitReady waits until daemon i says that it is ready.
 func (f *Fleet) WaitReady(ctx context.Context, i int) error {
-	return f.Wait(ctx, fmt.Sprint("daemon ", i, " is ready"), f.procs[i].Ready)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	return f.Wait(ctx, fmt.Sprint("daemon ", i, " is ready"), func() error {
+		if !f.procs[i].Alive() {
+			stop() // it ended: no use to wait on
+		}
+		return f.procs[i].Ready()
+	})
 }
 
 func (f *Fleet) falls(i int, kill bool) {
--- a/internal/lab/procs/procs_test.go
+++ b/internal/lab/procs/procs_test.go
@@ -36,7 +36,7 @@
 	os.Exit(code)
 }
 
-const rowMost = 60 * time.Second // a row that takes so long has failed
+const rowMost = 15 * time.Second // a row that takes so long has failed
 
 // world is a running fleet of three daemons and four nodes, two of each of two shards.
 type world struct {
@@ -88,6 +88,8 @@
 func (w *world) must(err error) {
 	w.t.Helper()
 	if err != nil {
+		h := w.History()
+		w.t.Log("last ends: ", h.Answered[max(0, len(h.Answered)-6):], "last codes: ", w.codes)
 		w.t.Fatal(err)
 	}
 }
@@ -123,6 +125,11 @@
 	for i, v := range found {
 		if i < 5 {
 			w.t.Error(v)
+			for _, s := range w.History().Sent {
+				if s.ID == v.ID {
+					w.t.Logf("%+v", s)
+				}
+			}
 		}
 	}
 	if h := w.History(); len(h.Executed) == 0 || w.t.Failed() {
--- a/internal/lab/procs/traffic.go
+++ b/internal/lab/procs/traffic.go
@@ -113,6 +113,7 @@
 	if code == fasthttp.StatusOK && end == audit.Whole {
 		f.ok[c.to]++
 	}
+	f.codes[code]++
 	f.mu.Unlock()
 	return o
 }
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -243,7 +243,7 @@
 // same seed loses the same ones.
 func TestDatagrams(t *testing.T) {
 	run := func() (lost []int) {
-		a, b := socket(t), socket(t)
+		a, b := udpSocket(t), udpSocket(t)
 		defer a.Close()
 		defer b.Close()
 		l, err := New(Options{Seed: 5, Network: "both", To: b.LocalAddr().String(), From: a.LocalAddr().String()})
@@ -313,7 +313,7 @@
 	}
 }
 
-func socket(t *testing.T) *net.UDPConn {
+func udpSocket(t *testing.T) *net.UDPConn {
 	t.Helper()
 	u, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
