--- a/internal/lab/audit/audit_test.go
+++ b/internal/lab/audit/audit_test.go
@@ -108,6 +108,7 @@
 		{"turned away", "", History{Deaf: []Span{{To: 100 * ms, Turned: true}}}.with(one("r", "read", 3900*ms), Change{"a", Gone, 0})},
 		{"too long after", "drain", History{Deaf: []Span{{To: 100 * ms, Turned: true}}}.with(one("r", "read", 4500*ms), Change{"a", Gone, 0})},
 		{"late, stopped", "", edit("read", func(h *History) { h.Answered[0].At, h.Paused = 1900*ms, []Span{{From: 402 * ms, To: 1500 * ms}} })},
+		{"late, stood still", "", edit("read", func(h *History) { h.Answered[0].At, h.Stood = 1500*ms, []Span{{From: 1300 * ms, To: 1400 * ms}} })},
 		{"after its client left", "late", edit("read", func(h *History) { h.Answered[0].End = Left; again(h, 460*ms) })},
 		{"limit", "limit", many(8, "small")},
 		{"in the limit", "", many(6, "small")},
--- a/internal/lab/procs/daemon.go
+++ b/internal/lab/procs/daemon.go
@@ -123,7 +123,8 @@
 	return nil
 }
 
-func (p *Proc) signal(s syscall.Signal) error {
+// Signal sends it a signal.
+func (p *Proc) Signal(s syscall.Signal) error {
 	p.mu.Lock()
 	c := p.cmd
 	p.mu.Unlock()
@@ -167,10 +168,10 @@
 	}
 }
 
-// reap ends what is left of it.
-func (p *Proc) reap() {
+// Reap ends what is left of it.
+func (p *Proc) Reap() {
 	if p.Alive() {
-		_ = p.signal(syscall.SIGKILL) // also where it is stopped
+		_ = p.Signal(syscall.SIGKILL) // also where it is stopped
 		_ = p.End(context.Background())
 	}
 }
--- a/internal/lab/procs/history.go
+++ b/internal/lab/procs/history.go
@@ -18,6 +18,7 @@
 	h.Taken, h.Answered, h.Told = slices.Clone(h.Taken), slices.Clone(h.Answered), slices.Clone(h.Told)
 	h.Changed, h.Cold, h.Deaf = slices.Clone(h.Changed), slices.Clone(h.Cold), slices.Clone(h.Deaf)
 	h.Killed, h.Ending, h.Paused = slices.Clone(h.Killed), slices.Clone(h.Ending), slices.Clone(h.Paused)
+	h.Stood = slices.Clone(h.Stood)
 	for i := range f.procs {
 		if s, ok := f.down[i]; ok {
 			one := audit.Span{Scheduler: i, From: s.from, To: audit.Never}
@@ -100,3 +101,28 @@
 
 // Audit asks the auditor about what has happened so far.
 func (f *Fleet) Audit() []audit.Violation { return audit.Check(f.Rules(), f.History()) }
+
+const stoodLeast, standEvery = 25 * time.Millisecond, 5 * time.Millisecond
+
+// watch notes when this program itself stood still: what its clients, links
+// and nodes see late then was not late.
+func (f *Fleet) watch() {
+	defer f.load.Done()
+	t := time.NewTicker(standEvery)
+	defer t.Stop()
+	last := f.now()
+	for {
+		select {
+		case <-f.done:
+			return
+		case <-t.C:
+		}
+		now := f.now()
+		if now-last > stoodLeast {
+			f.mu.Lock()
+			f.h.Stood = append(f.h.Stood, audit.Span{From: last, To: now})
+			f.mu.Unlock()
+		}
+		last = now
+	}
+}
--- a/internal/lab/procs/traffic.go
+++ b/internal/lab/procs/traffic.go
@@ -76,7 +76,7 @@
 		a.Class = "read"
 	}
 	if a.Plan == "" {
-		a.Plan = "basic"
+		a.Plan = thePlan
 	}
 	if a.Units == 0 {
 		a.Units = 1
