--- /dev/null
+++ b/internal/observations/types.go
@@ -0,0 +1,115 @@
+// Package observations holds what processes share of the nodes behind them.
+package observations
+
+import (
+	"math"
+	"time"
+)
+
+// Outcome is how an attempt ended, as far as a node's picture needs it.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Served     Outcome = iota // counts in Sums and the sketch
+	TurnedAway                // the node was full
+	Failed                    // an error, a reset, no connection
+	Late                      // out of time
+	outcomes
+)
+
+// Key names what is measured: a class on one life of a node.
+type Key struct {
+	Node  string
+	Since int64 // since_ms of the node's start, as the list says it
+	Class string
+}
+
+// Sums are decayed counts that add up: of the requests served, of their units X and their
+// service times Y in milliseconds.
+type Sums struct{ N, X, Y, XX, XY, YY float64 }
+
+// Add is both together.
+func (s Sums) Add(o Sums) Sums {
+	return Sums{s.N + o.N, s.X + o.X, s.Y + o.Y, s.XX + o.XX, s.XY + o.XY, s.YY + o.YY}
+}
+
+// Scale is s with weight times n, units times x and milliseconds times y.
+func (s Sums) Scale(n, x, y float64) Sums {
+	return Sums{s.N * n, s.X * n * x, s.Y * n * y, s.XX * n * x * x, s.XY * n * x * y, s.YY * n * y * y}
+}
+
+// Health is what one process holds of a node.
+type Health struct {
+	Type   string // hardware, as the list or the settings name it; "": unknown
+	Shard  int
+	Cold   bool
+	Window float64 // what the process may have out there
+	Queue  float64 // what waits for it
+}
+
+// View is what is known of one key over all processes.
+type View struct {
+	Key
+	Type                 string // hardware; "": unknown
+	Shard                int
+	Sums                 Sums    // over origins, each clipped
+	Turned, Failed, Late float64 // decayed counts
+	Cold                 bool
+	Window, Queue        float64       // mean over origins
+	Sketch               []byte        // of latencies in milliseconds, merged; read by Quantile
+	Origins              int           // that told of the key
+	Age                  time.Duration // of the newest
+}
+
+// ListVersion is the version of the node list that an origin holds.
+type ListVersion struct {
+	Origin  string
+	Version int64
+	Age     time.Duration
+}
+
+// Settings are the bounds.
+type Settings struct {
+	Origins  int           // other processes held; of more, those of a fixed order stay
+	Nodes    int           // nodes an origin may tell of
+	Classes  int           // classes an origin may tell of, on each
+	Bytes    int           // of one message
+	HalfLife time.Duration // of an observation's weight
+	Expire   time.Duration // what was not told anew for so long goes
+	Clip     float64       // how far over the others one origin may stand, in weight and in value
+}
+
+// Defaults are good for some thirty processes.
+func Defaults() Settings {
+	return Settings{Origins: 32, Nodes: 256, Classes: 16, Bytes: 1200,
+		HalfLife: 30 * time.Second, Expire: 5 * time.Minute, Clip: 2}
+}
+
+const (
+	nameMost  = 64 // bytes of a name
+	bytesMost = 1 << 16
+	bytesMin  = 1200
+)
+
+// Check names the setting that is wrong.
+func (s Settings) Check() error {
+	for _, b := range []struct {
+		key         string
+		value       float64
+		least, most float64
+	}{
+		{"origins", float64(s.Origins), 1, 1024}, {"nodes", float64(s.Nodes), 1, 65536}, {"classes", float64(s.Classes), 1, 1024},
+		{"bytes", float64(s.Bytes), bytesMin, bytesMost}, {"half_life_ms", ms(s.HalfLife), 1, 1e9},
+		{"expire_ms", ms(s.Expire), ms(s.HalfLife), 1e10}, {"clip", s.Clip, 1, 1e6},
+	} {
+		if !(b.value >= b.least && b.value <= b.most) {
+			return &BadSetting{Key: b.key, Value: b.value, Least: b.least, Most: b.most}
+		}
+	}
+	return nil
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func finite(f float64) bool { return !math.IsNaN(f) && !math.IsInf(f, 0) }
