Observations and peers: what processes share of the nodes merges, and is carried

Processes of one fleet each saw only their own requests. internal/observations holds, by origin, versioned cells (incarnation, sequence) that join in any order; decay is by the receiver's age, views are clipped. internal/peers carries them over memberlist; the site's section peers turns it on, core tells each attempt's end.

--- /dev/null
+++ b/cmd/wheatsaddle/peers.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/observations"
+	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/peers"
+)
+
+// fleet is what this process tells the others and hears from them; nil: the site's file has no section peers.
+type fleet struct {
+	peers    *peers.Peers
+	coldSpan float64
+	mu       sync.Mutex
+	nodes    map[string]choice.Node
+}
+
+// mayPeer says whether the platform allows what the site's file names.
+func mayPeer(at *config.Site, set choice.Settings) error {
+	if at.Peers != nil && !set.MayTell {
+		return &peers.Forbidden{}
+	}
+	return nil
+}
+
+func startFleet(at *config.Site, conf *config.Config, log logrus.FieldLogger) (*fleet, error) {
+	if err := mayPeer(at, conf.Settings); err != nil || at.Peers == nil {
+		if err != nil {
+			log.WithFields(operr.Fields(err)).Error("peers are off")
+		}
+		return nil, err
+	}
+	s := at.Peers
+	key, err := peerKey(s.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{coldSpan: conf.Settings.ColdSpan, nodes: map[string]choice.Node{}}
+	f.peers, err = peers.Start(peers.Options{Name: conf.Name, Incarnation: uint64(time.Now().UnixMilli()), Listen: s.Listen,
+		Advertise: s.Advertise, Seeds: s.Seeds, Via: s.Via, Every: s.Every, Burst: s.Burst, Key: key, State: s.State,
+		Seed: uint64(conf.Seed), Log: log, Tell: f.tell})
+	if err != nil {
+		return nil, err
+	}
+	log.WithFields(logrus.Fields{"peers": f.peers.Address(), "seeds": len(s.Seeds)}).Info("telling the other processes")
+	return f, nil
+}
+
+func peerKey(file string) ([]byte, error) {
+	if file == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &peers.BadKey{File: file, Err: err}
+	}
+	key, err := hex.DecodeString(strings.TrimSpace(string(text)))
+	if n := len(key); err == nil && n != 16 && n != 24 && n != 32 {
+		err = fmt.Errorf("%d bytes", n)
+	}
+	if err != nil {
+		return nil, &peers.BadKey{File: file, Err: err}
+	}
+	return key, nil
+}
+
+// outcomeOf is what an attempt's end says of its node, if anything: one that was cancelled says nothing.
+func outcomeOf(s choice.Status) (observations.Outcome, bool) {
+	switch s {
+	case choice.OK:
+		return observations.Served, true
+	case choice.Full:
+		return observations.TurnedAway, true
+	case choice.TimedOut:
+		return observations.Late, true
+	case choice.Errored, choice.Reset, choice.NoConn:
+		return observations.Failed, true
+	}
+	return 0, false
+}
+
+// observe is what core calls at each attempt's end.
+func (f *fleet) observe() func(string, int64, string, float64, float64, choice.Status) {
+	if f == nil {
+		return nil
+	}
+	return func(node string, since int64, class string, units, latencyMs float64, status choice.Status) {
+		if how, ok := outcomeOf(status); ok {
+			f.peers.Observe(node, since, class, units, latencyMs, how)
+		}
+	}
+}
+
+// heard keeps the list for the next round.
+func (f *fleet) heard(n core.News) {
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n.Kind == choice.ListFull || n.Kind == choice.ListStale {
+		clear(f.nodes)
+	}
+	for _, x := range n.Nodes {
+		if f.nodes[x.ID] = x.Node; x.State == choice.NodeGone {
+			delete(f.nodes, x.ID)
+		}
+	}
+}
+
+// tell puts the list's nodes into the state, before each round.
+func (f *fleet) tell(now time.Duration, s *observations.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range slices.Sorted(maps.Keys(f.nodes)) {
+		n := f.nodes[id]
+		cold := n.Since > 0 && float64(time.Now().UnixMilli())-n.Since < f.coldSpan
+		s.SetNode(now, n.ID, int64(n.Since), observations.Health{Shard: n.Shard, Cold: cold})
+	}
+}
+
+func (f *fleet) stop() {
+	if f != nil {
+		f.peers.Stop()
+	}
+}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -84,7 +84,11 @@
 		return fmt.Errorf("known: %w", bad)
 	}
 	if file := c.String("site"); file != "" {
-		if _, err = config.LoadSite(file); err != nil {
+		at, err := config.LoadSite(file)
+		if err != nil {
+			return err
+		}
+		if err = mayPeer(at, conf.Settings); err != nil {
 			return err
 		}
 	}
@@ -176,12 +180,19 @@
 		ConnsMost: int64(max(1, sockets-clients)), Wait: pool.Wait(conf.Handshake, tightest(conf.Settings)),
 		Safe: safeClasses(conf.Settings), Routes: at.routes, Log: log}
 	kept, excluded := keptExclusions(conf.Name, log)
-	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log, Excluded: excluded})
+	others, err := startFleet(at.held, conf, log)
+	if err != nil {
+		return err
+	}
+	defer others.stop()
+	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log, Excluded: excluded,
+		Observe: others.observe()})
 	if err != nil {
 		return config.Refused(err)
 	}
 	defer co.Stop()
 	co.List(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
+	others.heard(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -189,6 +200,7 @@
 	started := time.Now()
 	tell := func(n core.News) {
 		co.List(n)
+		others.heard(n)
 		if n.Kind == choice.ListFull || n.Kind == choice.ListChange {
 			listed.Store(true)
 		}
--- a/cmd/wheatsaddle/site.go
+++ b/cmd/wheatsaddle/site.go
@@ -87,6 +87,10 @@
 		s.log.WithField("keys", "metrics").Warn("changed, and need a restart")
 		next.Metrics = s.held.Metrics
 	}
+	if !reflect.DeepEqual(next.Peers, s.held.Peers) {
+		s.log.WithField("keys", "peers").Warn("changed, and need a restart")
+		next.Peers = s.held.Peers
+	}
 	s.held = next
 	s.apply()
 	s.log.Info("site's file read again")
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -30,6 +30,7 @@
 	Addresses *SiteAddresses
 	Listen    map[string][]Listener // by front: http, iscsi
 	Metrics   *Listener             // where counts are served; nil: nowhere
+	Peers     *SitePeers
 }
 
 // SiteAddresses is the section addresses.
@@ -93,6 +94,11 @@
 			return nil, err
 		}
 	}
+	if r.root.Get("peers").Exists() {
+		if s.Peers, err = sitePeers(r); err != nil {
+			return nil, fmt.Errorf("site: peers.%w", err)
+		}
+	}
 	seen := map[address.Addr]string{}
 	if e := r.root.Get("metrics"); e.Exists() {
 		l, err := siteListener("metrics", e, seen)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,6 +82,7 @@
 	Node  string
 	Until time.Time
 	at    float64
+	since float64 // of the node
 	entry *entry
 	count *classCounts // nil: a class that is not counted
 	once  sync.Once
@@ -170,6 +171,8 @@
 	Connect  func(name string, addresses []address.Addr) Peer
 	Refetch  func() // the module asks for the list; must not block
 	Log      logrus.FieldLogger
+	// Observe is told the end of each attempt, with the node's since_ms as it was sent; it must not block.
+	Observe func(node string, since int64, class string, units, latencyMs float64, status choice.Status)
 	// Excluded is the book of nodes out by hand as the scheduler's last process left it.
 	Excluded exclusion.State
 }
@@ -545,6 +548,9 @@
 	e := a.entry
 	e.open--
 	a.over, a.status = now, r.Status
+	if c.opt.Observe != nil {
+		c.opt.Observe(a.Node, int64(a.since), e.req.Class, e.req.Units, now-a.at, r.Status)
+	}
 	if r.Status == choice.OK && !e.answered {
 		c.answer(e, Answer{Kind: Served, Payload: r.Payload})
 	} else if r.Bad {
@@ -640,6 +646,7 @@
 	}
 	t := NewAttempt(e.req, c.wall(until), nil)
 	t.No, t.Node, t.at, t.entry, t.count = len(e.attempts), a.Node, now, e, c.counts.of(e.req.Class)
+	t.since = c.nodes[a.Node].Since
 	t.done = func(r Result) { c.post(message{attempt: t, result: r}) }
 	e.attempts = append(e.attempts, t)
 	e.open++
--- /dev/null
+++ b/internal/core/observe_test.go
@@ -0,0 +1,46 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"wheatsaddle/choice"
+)
+
+// Each attempt's end is told once, with the life of the node that it was sent to.
+func TestObserveTellsEachAttempt(t *testing.T) {
+	type told struct {
+		node, class string
+		since       int64
+		units       float64
+		status      choice.Status
+	}
+	var all []told // the actor's until it has stopped
+	r := &rig{t: t}
+	c, err := New(Options{Settings: settings(), Seed: 7, Log: nullLog(), Connect: r.connect,
+		Observe: func(node string, since int64, class string, units, latencyMs float64, status choice.Status) {
+			if all = append(all, told{node, class, since, units, status}); latencyMs < 0 {
+				t.Errorf("%v ms", latencyMs)
+			}
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Core = c
+	n := node("n", 0, choice.NodeUp)
+	n.Since = 41
+	r.list(choice.ListStale, n)
+	_, got := r.ask("a", "read", time.Minute)
+	first := <-r.peer("n").sent
+	n.Since = 42
+	r.list(choice.ListChange, n)
+	first.Done(Result{Status: choice.Reset})
+	(<-r.peer("n").sent).Done(Result{Status: choice.OK})
+	one(t, got, Served)
+	r.Open()
+	c.Stop()
+	if want := []told{{"n", "read", 41, 1, choice.Reset}, {"n", "read", 42, 1, choice.OK}}; !slices.Equal(all, want) {
+		t.Errorf("%+v, want %+v", all, want)
+	}
+}
--- /dev/null
+++ b/internal/observations/codec.go
@@ -0,0 +1,316 @@
+package observations
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+	"slices"
+	"time"
+	"unicode/utf8"
+)
+
+// A message is: "WO", version, kind, what the kind says, and a CRC-32C of all before it.
+const (
+	version     = 1
+	kindCells   = 1 // origin, incarnation, then cells of it to the end
+	kindDigest  = 2 // sender, then origins with the hash of each bucket
+	headSize    = 4
+	crcSize     = 4
+	spread      = 16      // buckets of an origin's cells in a digest
+	countScale  = 64      // a bucket's count is told in such parts
+	versionMost = 1 << 62 // of an incarnation or sequence: one can always go over it
+	sumMost     = 1e36
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func begin(kind byte) []byte { return append(make([]byte, 0, bytesMin), 'W', 'O', version, kind) }
+
+func seal(b []byte) []byte {
+	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
+}
+
+func appendName(b []byte, s string) []byte { return append(append(b, byte(len(s))), s...) }
+
+func appendFloat(b []byte, f float64) []byte {
+	return binary.LittleEndian.AppendUint64(b, math.Float64bits(f))
+}
+
+// input reads a message; after the first thing that does not fit bad stays set and all reads are zero.
+type input struct {
+	b   []byte
+	bad string
+}
+
+// open checks a message's frame.
+func open(m []byte, kind byte) (*input, error) {
+	switch {
+	case len(m) < headSize+crcSize || m[0] != 'W' || m[1] != 'O':
+		return nil, &Unreadable{"no frame"}
+	case m[2] > version:
+		return nil, &LaterVersion{m[2], version}
+	case m[2] != version || m[3] != kind:
+		return nil, &Unreadable{"another kind"}
+	}
+	end := len(m) - crcSize
+	if binary.LittleEndian.Uint32(m[end:]) != crc32.Checksum(m[:end], castagnoli) {
+		return nil, &Unreadable{"cut or changed on the way"}
+	}
+	return &input{b: m[headSize:end]}, nil
+}
+
+func (r *input) fail(what string) {
+	if r.bad == "" {
+		r.bad = what
+	}
+	r.b = nil
+}
+
+func (r *input) take(n int) []byte {
+	if n < 0 || n > len(r.b) {
+		r.fail("too short")
+		return nil
+	}
+	b := r.b[:n]
+	r.b = r.b[n:]
+	return b
+}
+
+func (r *input) uint(most uint64) uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 || v > most {
+		r.fail("a number too large or cut")
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *input) int() int64 {
+	v, n := binary.Varint(r.b)
+	if n <= 0 {
+		r.fail("a number too large or cut")
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *input) byte() byte {
+	if b := r.take(1); b != nil {
+		return b[0]
+	}
+	return 0
+}
+
+func (r *input) name() string {
+	s := string(r.take(int(r.byte())))
+	if !goodName(s) && s != "" {
+		r.fail("a name that is none")
+	}
+	return s
+}
+
+func goodName(s string) bool { return s != "" && len(s) <= nameMost && utf8.ValidString(s) }
+
+// float is a finite number from 0 to most.
+func (r *input) float(most float64) float64 {
+	b := r.take(8)
+	if b == nil {
+		return 0
+	}
+	f := math.Float64frombits(binary.LittleEndian.Uint64(b))
+	if !(f >= 0 && f <= most) {
+		r.fail("a figure that cannot be")
+		return 0
+	}
+	return f
+}
+
+// figures are what one origin says of one class on one node.
+type figures struct {
+	since                int64
+	sums                 Sums
+	turned, failed, late float64
+	bins                 [bins]float64
+}
+
+func (f *figures) weight() float64 { return f.sums.N + f.turned + f.failed + f.late }
+
+func (f *figures) append(b []byte) []byte {
+	b = binary.AppendVarint(b, f.since)
+	for _, v := range []float64{f.sums.N, f.sums.X, f.sums.Y, f.sums.XX, f.sums.XY, f.sums.YY, f.turned, f.failed, f.late} {
+		b = appendFloat(b, v)
+	}
+	last := 0
+	for i, n := range f.bins {
+		if c := min(uint64(math.Round(n*countScale)), 1<<34); c > 0 {
+			b = binary.AppendUvarint(b, uint64(i-last))
+			b = binary.AppendUvarint(b, c)
+			last = i
+		}
+	}
+	return b
+}
+
+// fits says that sums can be those of some observations, rounding apart.
+func (s Sums) fits() bool {
+	const slack = 1 + 1e-6
+	return s.X*s.X <= s.N*s.XX*slack && s.Y*s.Y <= s.N*s.YY*slack && s.XY*s.XY <= s.XX*s.YY*slack
+}
+
+func (r *input) figures(f *figures) {
+	*f = figures{since: r.int()}
+	for _, v := range []*float64{&f.sums.N, &f.sums.X, &f.sums.Y, &f.sums.XX, &f.sums.XY, &f.sums.YY, &f.turned, &f.failed, &f.late} {
+		*v = r.float(sumMost)
+	}
+	at, all := 0, 0.0
+	for first := true; len(r.b) > 0; first = false {
+		step := r.uint(bins - 1)
+		if step == 0 && !first || at+int(step) >= bins {
+			r.fail("buckets out of order")
+			return
+		}
+		at += int(step)
+		f.bins[at] = float64(r.uint(1<<34)) / countScale
+		all += f.bins[at]
+	}
+	if !f.sums.fits() || all > f.sums.N*1.01+2 {
+		r.fail("sums that no observations have")
+	}
+}
+
+const loadMost = 1e9
+
+func (h Health) append(b []byte, since int64) []byte {
+	b = binary.AppendVarint(b, since)
+	b = appendName(b, h.Type)
+	b = binary.AppendVarint(b, int64(h.Shard))
+	cold := byte(0)
+	if h.Cold {
+		cold = 1
+	}
+	return appendFloat(appendFloat(append(b, cold), h.Window), h.Queue)
+}
+
+func (r *input) health() (since int64, h Health) {
+	since = r.int()
+	h = Health{Type: r.name(), Shard: int(r.int()), Cold: r.byte() != 0}
+	h.Window, h.Queue = r.float(loadMost), r.float(loadMost)
+	if len(r.b) > 0 {
+		r.fail("more than a node's health")
+	}
+	return since, h
+}
+
+// check says whether a cell's body is one.
+func (id cellID) check(body []byte) string {
+	r := &input{b: body}
+	switch {
+	case id.node == "" && id.class == "":
+		if r.int(); len(r.b) > 0 {
+			r.fail("more than a version")
+		}
+	case id.node == "":
+		r.fail("a class of no node")
+	case id.class == "":
+		r.health()
+	default:
+		var f figures
+		r.figures(&f)
+	}
+	return r.bad
+}
+
+// told is one cell in a message.
+type told struct {
+	id   cellID
+	seq  uint64
+	age  time.Duration
+	body []byte
+}
+
+func (t *told) append(b []byte) []byte {
+	b = binary.AppendUvarint(b, t.seq)
+	b = binary.AppendUvarint(b, uint64((max(t.age, 0)+time.Millisecond-1)/time.Millisecond))
+	b = appendName(appendName(b, t.id.node), t.id.class)
+	return append(binary.AppendUvarint(b, uint64(len(t.body))), t.body...)
+}
+
+// decodeCells reads a whole message or nothing of it.
+func decodeCells(m []byte) (origin string, incarnation uint64, cells []told, err error) {
+	r, err := open(m, kindCells)
+	if err != nil {
+		return "", 0, nil, err
+	}
+	origin, incarnation = r.name(), r.uint(versionMost)
+	if origin == "" {
+		r.fail("no origin")
+	}
+	for len(r.b) > 0 {
+		t := told{seq: r.uint(versionMost), age: time.Duration(r.uint(1<<40)) * time.Millisecond}
+		t.id = cellID{r.name(), r.name()}
+		t.body = r.take(int(r.uint(bytesMost)))
+		if r.bad == "" {
+			r.bad = t.id.check(t.body)
+		}
+		if r.bad != "" {
+			break
+		}
+		cells = append(cells, t)
+	}
+	if r.bad != "" {
+		return "", 0, nil, &Unreadable{r.bad}
+	}
+	for i := range cells {
+		cells[i].body = slices.Clone(cells[i].body) // the message is the caller's
+	}
+	return origin, incarnation, cells, nil
+}
+
+// summary is what a digest says of one origin.
+type summary struct {
+	incarnation uint64
+	buckets     [spread]uint32
+}
+
+func (s *summary) append(b []byte, name string) []byte {
+	b = binary.AppendUvarint(appendName(b, name), s.incarnation)
+	for _, v := range s.buckets {
+		b = binary.LittleEndian.AppendUint32(b, v)
+	}
+	return b
+}
+
+func decodeDigest(m []byte) (sender string, all map[string]summary, err error) {
+	r, err := open(m, kindDigest)
+	if err != nil {
+		return "", nil, err
+	}
+	sender, all = r.name(), map[string]summary{}
+	if sender == "" {
+		r.fail("no sender")
+	}
+	for len(r.b) > 0 {
+		name, s := r.name(), summary{incarnation: r.uint(versionMost)}
+		if b := r.take(4 * spread); b != nil {
+			for i := range s.buckets {
+				s.buckets[i] = binary.LittleEndian.Uint32(b[4*i:])
+			}
+		}
+		if _, twice := all[name]; twice || name == "" {
+			r.fail("an origin twice or without a name")
+		}
+		all[name] = s
+	}
+	if r.bad != "" {
+		return "", nil, &Unreadable{r.bad}
+	}
+	return sender, all, nil
+}
+
+// Sender is the process that made a digest.
+func Sender(digest []byte) (string, error) {
+	s, _, err := decodeDigest(digest)
+	return s, err
+}
--- /dev/null
+++ b/internal/observations/own.go
@@ -0,0 +1,208 @@
+package observations
+
+import (
+	"math"
+	"time"
+)
+
+// The own record: weights grow with time instead of all sums shrinking (forward decay: Cormode,
+// Shkapenyuk, Srivastava, Xu, ICDE 2009), so that recording touches one bucket alone.
+const rebaseAfter = 20 // half-lives: the weights then reach a million
+
+// ownNode is what this process holds of a node's present life.
+type ownNode struct {
+	since   int64
+	health  Health
+	told    time.Duration // when health was set
+	isTold  bool
+	dirty   bool // health is to be sent
+	classes []*Slot
+}
+
+// Slot is where one class on one node is recorded. It stays the caller's; once the node is another or the
+// slot was not used for long it finds its place again by itself, or counts what it cannot hold.
+type Slot struct {
+	s      *State
+	key    Key
+	placed bool
+	dirty  bool
+	base   time.Duration // weights are 1 here
+	last   time.Duration
+	f      figures // in weights of base
+}
+
+// Slot finds or makes the place of a key. It never is nil: what has no place, by the bounds or as an
+// earlier life of its node, is counted in Beyond as it is recorded.
+func (s *State) Slot(now time.Duration, k Key) *Slot {
+	if n := s.own[k.Node]; n != nil && n.since == k.Since {
+		for _, l := range n.classes {
+			if l.key.Class == k.Class {
+				return l
+			}
+		}
+	}
+	l := &Slot{s: s, key: k}
+	l.place(now)
+	return l
+}
+
+func (l *Slot) place(now time.Duration) bool {
+	if !goodName(l.key.Node) || !goodName(l.key.Class) {
+		return false
+	}
+	n := l.s.node(now, l.key.Node, l.key.Since, false)
+	if n == nil {
+		return false
+	}
+	for _, o := range n.classes {
+		if o.key.Class == l.key.Class {
+			return false // another slot of the same key took it
+		}
+	}
+	if len(n.classes) >= l.s.set.Classes {
+		return false
+	}
+	l.placed, l.base, l.last, l.f = true, now, now, figures{since: l.key.Since}
+	n.classes = append(n.classes, l)
+	return true
+}
+
+// node is a node's own record, made where there is room. Of two lives the later stays, unless the list
+// itself names the other.
+func (s *State) node(now time.Duration, name string, since int64, listed bool) *ownNode {
+	n := s.own[name]
+	switch {
+	case n == nil && len(s.own) >= s.set.Nodes:
+		s.forget(now)
+		if len(s.own) >= s.set.Nodes {
+			return nil
+		}
+		fallthrough
+	case n == nil:
+		n = &ownNode{since: since}
+		s.own[name] = n
+		s.ownOrder = append(s.ownOrder, name)
+	case n.since == since:
+	case since > n.since || listed:
+		for _, l := range n.classes {
+			l.placed = false
+		}
+		*n = ownNode{since: since}
+	default:
+		return nil
+	}
+	return n
+}
+
+// Record counts the end of one attempt.
+func (l *Slot) Record(now time.Duration, units, millis float64, o Outcome) {
+	if !l.placed && !l.place(now) {
+		l.s.counts.Beyond++
+		return
+	}
+	if o >= outcomes || o == Served && !(units >= 0 && units <= unitsMax && millis >= 0 && millis <= millisMax) {
+		l.s.counts.Impossible++
+		return
+	}
+	at := max(now, l.last)
+	p := float64(at-l.base) / float64(l.s.set.HalfLife)
+	if p > rebaseAfter {
+		l.rebase(at)
+		p = 0
+	}
+	w := math.Exp2(p)
+	f := &l.f
+	switch o {
+	case Served:
+		wx, wy := w*units, w*millis
+		f.sums.N += w
+		f.sums.X += wx
+		f.sums.Y += wy
+		f.sums.XX += wx * units
+		f.sums.XY += wx * millis
+		f.sums.YY += wy * millis
+		f.bins[bin(millis)] += w
+	case TurnedAway:
+		f.turned += w
+	case Failed:
+		f.failed += w
+	case Late:
+		f.late += w
+	}
+	l.last, l.dirty = at, true
+}
+
+func (l *Slot) rebase(at time.Duration) {
+	l.f.scale(decay(at-l.base, l.s.set.HalfLife))
+	l.base = at
+}
+
+func decay(age, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
+
+func (f *figures) scale(w float64) {
+	f.sums = f.sums.Scale(w, 1, 1)
+	f.turned *= w
+	f.failed *= w
+	f.late *= w
+	for i := range f.bins {
+		f.bins[i] *= w
+	}
+}
+
+// at is what the slot holds at now.
+func (l *Slot) at(now time.Duration) figures {
+	f := l.f
+	f.scale(decay(max(now, l.last)-l.base, l.s.set.HalfLife))
+	return f
+}
+
+// SetNode is the list's word of a node, and this process's own view of it. A node that is told with another
+// since starts as unknown.
+func (s *State) SetNode(now time.Duration, node string, since int64, h Health) {
+	if !goodName(node) || h.Type != "" && !goodName(h.Type) || !finite(h.Window) || !finite(h.Queue) {
+		s.counts.Impossible++
+		return
+	}
+	n := s.node(now, node, since, true)
+	if n == nil {
+		s.counts.Beyond++
+		return
+	}
+	h.Window, h.Queue = min(max(h.Window, 0), loadMost), min(max(h.Queue, 0), loadMost)
+	// The same health is told again in time that it does not expire with the others.
+	n.dirty = n.dirty || !n.isTold || h != n.health || now-n.told > s.set.Expire/4
+	if n.dirty {
+		n.health, n.told, n.isTold = h, now, true
+	}
+}
+
+// SetList tells which version of the list this process holds.
+func (s *State) SetList(now time.Duration, v int64) {
+	if !s.hasList || v != s.list || now-s.listAt > s.set.Expire/4 {
+		s.list, s.listAt, s.hasList, s.listDirty = v, now, true, true
+	}
+}
+
+// forget drops what this process has not seen for long.
+func (s *State) forget(now time.Duration) {
+	kept := s.ownOrder[:0]
+	for _, name := range s.ownOrder {
+		n := s.own[name]
+		slots := n.classes[:0]
+		for _, l := range n.classes {
+			if l.placed = now-l.last < s.set.Expire; l.placed {
+				slots = append(slots, l)
+			}
+		}
+		clear(n.classes[len(slots):])
+		n.classes = slots
+		if len(slots) == 0 && (!n.isTold || now-n.told >= s.set.Expire) {
+			delete(s.own, name)
+			continue
+		}
+		kept = append(kept, name)
+	}
+	s.ownOrder = kept
+}
--- a/internal/observations/sketch.go
+++ b/internal/observations/sketch.go
@@ -15,6 +15,7 @@
 	millisMin = 0.05 // the first bucket; the last is at about 18 s
 	millisMax = 1e7  // a longer time is not one
 	unitsMax  = 1e9
+	evenCount = 1e6
 )
 
 var (
@@ -66,6 +67,10 @@
 	if err != nil {
 		return nil, false
 	}
+	// The library ranks among count-1 others; decayed counts are often under 1.
+	if n := s.GetCount(); !(n > 0) || s.Reweight(evenCount/n) != nil {
+		return nil, false
+	}
 	v, err := s.GetValuesAtQuantiles(qs)
 	return v, err == nil
 }
--- /dev/null
+++ b/internal/observations/state.go
@@ -0,0 +1,442 @@
+package observations
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// cellID names one part of an origin's record: a class on a node, the node's health (no class), the
+// version of the list (no node).
+type cellID struct{ node, class string }
+
+func (a cellID) compare(b cellID) int {
+	return cmp.Or(cmp.Compare(a.node, b.node), cmp.Compare(a.class, b.class))
+}
+
+type cell struct {
+	seq  uint64
+	born time.Duration // on this process's clock
+	body []byte
+	hash uint64 // of id, sequence and body
+}
+
+func newCell(id cellID, seq uint64, born time.Duration, body []byte) *cell {
+	h := xxhash.New()
+	_, _ = fmt.Fprintf(h, "%q %q %d ", id.node, id.class, seq)
+	_, _ = h.Write(body)
+	return &cell{seq: seq, born: born, body: body, hash: h.Sum64()}
+}
+
+// origin is one process's record.
+type origin struct {
+	incarnation uint64
+	cells       map[cellID]*cell
+	floor       uint64 // no cell up to this sequence is taken any more: later ones have expired
+	heard       time.Duration
+}
+
+// Counts are the figures of a state, from its start.
+type Counts struct {
+	Messages, Bytes          int64 // merged
+	Cells                    int64 // ... and what was new in them
+	Known                    int64 // cells held already
+	Older                    int64 // cells of an older incarnation or sequence, not taken
+	Expired                  int64 // cells too old when they came
+	Unreadable, LaterVersion int64 // messages dropped
+	Beyond                   int64 // what the bounds left out
+	Impossible               int64 // own figures that cannot be
+	Refuted                  int64 // times that this process's name came with figures of another life
+	Origins, Held            int64 // now: others, and their cells
+}
+
+// State is what is known, here and of others. It is not for more than one goroutine.
+type State struct {
+	set         Settings
+	self        string
+	incarnation uint64
+	seq         uint64
+	own         map[string]*ownNode
+	ownOrder    []string
+	list        int64
+	listAt      time.Duration
+	hasList     bool
+	listDirty   bool
+	mine        *origin // what was told of the own record
+	others      map[string]*origin
+	counts      Counts
+	lost        string // tests only: the rule that is left out
+}
+
+// New makes an empty state of the process self. Of two lives of one process the later has the higher
+// incarnation.
+func New(set Settings, self string, incarnation uint64) (*State, error) {
+	if err := set.Check(); err != nil {
+		return nil, err
+	}
+	if !goodName(self) {
+		return nil, &BadName{self}
+	}
+	return &State{set: set, self: self, incarnation: min(incarnation, versionMost-1), own: map[string]*ownNode{},
+		mine: &origin{cells: map[cellID]*cell{}}, others: map[string]*origin{}}, nil
+}
+
+// Counts are the figures now.
+func (s *State) Counts() Counts {
+	c := s.counts
+	c.Origins = int64(len(s.others))
+	for _, o := range s.others {
+		c.Held += int64(len(o.cells))
+	}
+	return c
+}
+
+// cellsMost is how many parts a record may have.
+func (s *State) cellsMost() int { return s.set.Nodes*(s.set.Classes+1) + 1 }
+
+// publish makes cells of what changed of the own record.
+func (s *State) publish(now time.Duration) {
+	s.forget(now)
+	s.mine.incarnation, s.mine.heard = s.incarnation, now
+	put := func(id cellID, body []byte) {
+		s.seq++
+		s.mine.cells[id] = newCell(id, s.seq, now, body)
+	}
+	if s.listDirty {
+		put(cellID{}, binary.AppendVarint(nil, s.list))
+		s.listDirty = false
+	}
+	for _, name := range s.ownOrder {
+		n := s.own[name]
+		if n.dirty {
+			put(cellID{name, ""}, n.health.append(nil, n.since))
+			n.dirty = false
+		}
+		for _, l := range n.classes {
+			if l.dirty {
+				f := l.at(now)
+				put(cellID{name, l.key.Class}, f.append(nil))
+				l.dirty = false
+			}
+		}
+	}
+	s.expire(now)
+}
+
+// expire drops what is too old, and remembers up to which sequence, so that a late copy of something
+// earlier is not taken for news.
+func (s *State) expire(now time.Duration) {
+	drop := func(o *origin) {
+		for id, c := range o.cells {
+			if now-c.born >= s.set.Expire {
+				o.floor = max(o.floor, c.seq)
+				delete(o.cells, id)
+			}
+		}
+	}
+	drop(s.mine)
+	s.trim(s.mine)
+	for name, o := range s.others {
+		drop(o)
+		if len(o.cells) == 0 && now-o.heard >= 2*s.set.Expire {
+			delete(s.others, name)
+		}
+	}
+}
+
+// Digest is what is held, by origin, in one message.
+func (s *State) Digest(now time.Duration) []byte {
+	s.publish(now)
+	b := appendName(begin(kindDigest), s.self)
+	for _, name := range s.names() {
+		sum := s.origin(name).summary()
+		b = sum.append(b, name)
+	}
+	return seal(b)
+}
+
+// names are the origins held, this process too, in order.
+func (s *State) names() []string {
+	names := append(make([]string, 0, len(s.others)+1), s.self)
+	for name := range s.others {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *State) origin(name string) *origin {
+	if name == s.self {
+		return s.mine
+	}
+	return s.others[name]
+}
+
+func (id cellID) bucket() int {
+	return int((xxhash.Sum64String(id.node) + xxhash.Sum64String(id.class)) % spread)
+}
+
+func (o *origin) summary() summary {
+	sum := summary{incarnation: o.incarnation}
+	for id, c := range o.cells {
+		sum.buckets[id.bucket()] ^= uint32(c.hash)
+	}
+	return sum
+}
+
+// Diff is what the maker of a digest lacks, or holds otherwise, as messages under Bytes each, newest first
+// within an origin.
+func (s *State) Diff(now time.Duration, digest []byte) ([][]byte, error) {
+	_, theirs, err := decodeDigest(digest)
+	if err != nil {
+		s.refuse(err)
+		return nil, err
+	}
+	s.publish(now)
+	var out [][]byte
+	for _, name := range s.names() {
+		o := s.origin(name)
+		t, known := theirs[name]
+		if known && t.incarnation > o.incarnation {
+			continue
+		}
+		ours, whole := o.summary(), !known || t.incarnation < o.incarnation
+		var ids []cellID
+		for id := range o.cells {
+			if b := id.bucket(); whole || ours.buckets[b] != t.buckets[b] {
+				ids = append(ids, id)
+			}
+		}
+		out = append(out, o.pack(now, name, ids, s.set.Bytes)...)
+	}
+	return out, nil
+}
+
+// Same says that the maker of a digest holds what this process holds, ages apart.
+func (s *State) Same(now time.Duration, digest []byte) bool {
+	_, theirs, err := decodeDigest(digest)
+	if err != nil {
+		return false
+	}
+	s.publish(now)
+	nothing := [spread]uint32{}
+	for _, name := range s.names() {
+		t, known := theirs[name]
+		delete(theirs, name)
+		ours := s.origin(name).summary()
+		if ours.buckets != t.buckets || known && ours.buckets != nothing && ours.incarnation != t.incarnation {
+			return false
+		}
+	}
+	for _, t := range theirs {
+		if t.buckets != nothing {
+			return false
+		}
+	}
+	return true
+}
+
+// pack writes cells of one origin into messages.
+func (o *origin) pack(now time.Duration, name string, ids []cellID, most int) [][]byte {
+	slices.SortFunc(ids, func(a, b cellID) int { return -o.order(a, b) })
+	var out [][]byte
+	var b, entry []byte
+	for _, id := range ids {
+		c := o.cells[id]
+		t := told{id: id, seq: c.seq, age: now - c.born, body: c.body}
+		entry = t.append(entry[:0])
+		if b != nil && len(b)+len(entry)+crcSize > most {
+			out, b = append(out, seal(b)), nil
+		}
+		if b == nil {
+			b = binary.AppendUvarint(appendName(begin(kindCells), name), o.incarnation)
+		}
+		b = append(b, entry...)
+	}
+	if b != nil {
+		out = append(out, seal(b))
+	}
+	return out
+}
+
+// order sorts a record's cells: by sequence, then by name.
+func (o *origin) order(a, b cellID) int {
+	return cmp.Or(cmp.Compare(o.cells[a].seq, o.cells[b].seq), a.compare(b))
+}
+
+func (s *State) refuse(err error) {
+	if _, later := err.(*LaterVersion); later {
+		s.counts.LaterVersion++
+	} else {
+		s.counts.Unreadable++
+	}
+}
+
+// Merge takes a message of Diff, in any order and as often as it comes. One that cannot be read changes nothing
+// but a count.
+func (s *State) Merge(now time.Duration, message []byte) error {
+	if len(message) > bytesMost {
+		err := &Unreadable{"too long"}
+		s.refuse(err)
+		return err
+	}
+	name, incarnation, cells, err := decodeCells(message)
+	if err != nil {
+		s.refuse(err)
+		return err
+	}
+	s.counts.Messages++
+	s.counts.Bytes += int64(len(message))
+	if name == s.self {
+		s.heardSelf(incarnation, cells)
+		return nil
+	}
+	fresh := cells[:0]
+	for _, t := range cells {
+		if t.age >= s.set.Expire {
+			s.counts.Expired++
+			continue
+		}
+		fresh = append(fresh, t)
+	}
+	if len(fresh) == 0 {
+		return nil
+	}
+	o := s.room(now, name, incarnation)
+	if o == nil {
+		s.counts.Beyond++
+		return nil
+	}
+	switch {
+	case incarnation < o.incarnation && s.lost != "incarnation":
+		s.counts.Older += int64(len(fresh))
+		return nil
+	case incarnation != o.incarnation:
+		*o = origin{incarnation: incarnation, cells: map[cellID]*cell{}}
+	}
+	o.heard = now
+	for _, t := range fresh {
+		s.take(o, &t, now)
+	}
+	s.trim(o)
+	return nil
+}
+
+// take joins one cell: the higher sequence stays; of one sequence the greater body and the greater age.
+func (s *State) take(o *origin, t *told, now time.Duration) {
+	c := o.cells[t.id]
+	born := now - t.age
+	switch {
+	case c == nil && t.seq <= o.floor && s.lost != "floor", c != nil && t.seq < c.seq && s.lost != "sequence":
+		s.counts.Older++
+	case c != nil && t.seq == c.seq && bytes.Compare(t.body, c.body) <= 0 && s.lost != "tie":
+		if bytes.Equal(t.body, c.body) {
+			c.born = min(c.born, born)
+		}
+		s.counts.Known++
+	default:
+		o.cells[t.id] = newCell(t.id, t.seq, born, t.body)
+		s.counts.Cells++
+	}
+}
+
+// trim keeps the newest cells of a record, as many as it may have.
+func (s *State) trim(o *origin) {
+	over := len(o.cells) - s.cellsMost()
+	if over <= 0 || s.lost == "cells" {
+		return
+	}
+	ids := make([]cellID, 0, len(o.cells))
+	for id := range o.cells {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, o.order)
+	for _, id := range ids[:over] {
+		delete(o.cells, id)
+	}
+	s.counts.Beyond += int64(over)
+}
+
+// room finds an origin's record, or makes one. Of more origins than may be held those stay that come
+// first in an order of their names alone: so the same ones stay in whatever order they come.
+func (s *State) room(now time.Duration, name string, incarnation uint64) *origin {
+	o := s.others[name]
+	if o != nil {
+		return o
+	}
+	if len(s.others) >= s.set.Origins {
+		s.expire(now)
+	}
+	if len(s.others) >= s.set.Origins && s.lost != "origins" {
+		last := name
+		for n := range s.others {
+			if rank(last, n) < 0 {
+				last = n
+			}
+		}
+		if last == name {
+			return nil
+		}
+		delete(s.others, last)
+		s.counts.Beyond++
+	}
+	o = &origin{incarnation: incarnation, cells: map[cellID]*cell{}, heard: now}
+	s.others[name] = o
+	return o
+}
+
+func rank(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
+
+// heardSelf is this process's own name from others. Its earlier lives count as older; figures that it never
+// told under a life it might have make it begin a later one, which every holder takes over them.
+func (s *State) heardSelf(incarnation uint64, cells []told) {
+	foreign := incarnation > s.incarnation
+	for _, t := range cells {
+		foreign = foreign || incarnation == s.incarnation && t.seq > s.seq
+	}
+	switch {
+	case !foreign && incarnation < s.incarnation:
+		s.counts.Older += int64(len(cells))
+	case !foreign:
+		s.counts.Known += int64(len(cells))
+	case incarnation >= versionMost || s.lost == "refute":
+		s.counts.Refuted++
+	default:
+		s.counts.Refuted++
+		s.incarnation = incarnation + 1
+	}
+}
+
+// Check says which invariant does not hold.
+func (s *State) Check() error {
+	if len(s.others) > s.set.Origins || len(s.own) > s.set.Nodes || len(s.own) != len(s.ownOrder) {
+		return fmt.Errorf("%d origins, %d nodes", len(s.others), len(s.own))
+	}
+	for _, name := range s.names() {
+		o := s.origin(name)
+		if len(o.cells) > s.cellsMost() {
+			return fmt.Errorf("%s has %d cells", name, len(o.cells))
+		}
+		for id, c := range o.cells {
+			if what := id.check(c.body); what != "" {
+				return fmt.Errorf("%s %v: %s", name, id, what)
+			}
+			if name == s.self && c.seq > s.seq {
+				return fmt.Errorf("own cell %v is of sequence %d, past %d", id, c.seq, s.seq)
+			}
+		}
+	}
+	for name, n := range s.own {
+		if len(n.classes) > s.set.Classes {
+			return fmt.Errorf("%s has %d classes", name, len(n.classes))
+		}
+	}
+	return nil
+}
--- a/internal/observations/types.go
+++ b/internal/observations/types.go
@@ -1,4 +1,20 @@
-// Package observations holds what processes share of the nodes behind them.
+// Package observations owns what processes of one fleet share of the nodes behind them: a state that merges. Each
+// process (origin) has a record of its own, in cells that only it renews; a state is the newest of every
+// origin's record, and views add the origins up. No clock is compared: ages are spans, noted by the
+// receiver. docs/design/observations.md has the sources.
+//
+// Invariants:
+//   - merging is commutative, associative and idempotent, also at the bounds: any order, tree and
+//     number of merges of the same messages gives the same state, ages apart;
+//   - an older incarnation or sequence never goes over a newer one, nor comes back once that has expired;
+//   - one origin has at most Clip times the weight and the values of the median in a view, where three
+//     or more tell of a key;
+//   - a node that is replaced under its name starts as unknown;
+//   - a process whose name comes with figures of another life begins a later one;
+//   - a message that cannot be read, or is of a later version, changes nothing but a count;
+//   - origins, nodes, classes and bytes stay within Settings; what is beyond is counted.
+//
+// It does not send, read a clock or lock: internal/peers does.
 package observations
 
 import (
--- /dev/null
+++ b/internal/observations/views.go
@@ -0,0 +1,294 @@
+package observations
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Below so much weight a median of weights says nothing of who is loud.
+const (
+	thin      = 16
+	majority  = 3 // origins from which on a majority can be told from one that is wrong
+	voteLeast = 1 // weight from which on an origin has a voice
+)
+
+// row is one origin's word on one key.
+type row struct {
+	key    Key
+	origin string
+	f      figures
+	age    time.Duration
+}
+
+type healthRow struct {
+	node  string
+	since int64
+	h     Health
+	age   time.Duration
+}
+
+// Views are all keys, sorted, as all origins together see them. A node's own row has no class and no sums. Of
+// a node that this process knows only the present life is in it.
+func (s *State) Views(now time.Duration) []View {
+	s.forget(now)
+	s.expire(now)
+	rows, healths := s.rows(now)
+	byNode := map[Key]View{}
+	for i := 0; i < len(healths); {
+		j := i + 1
+		for j < len(healths) && healths[j].node == healths[i].node && healths[j].since == healths[i].since {
+			j++
+		}
+		v := joinHealth(healths[i:j], s.set.Clip)
+		byNode[v.Key] = v
+		i = j
+	}
+	views := make([]View, 0, len(byNode)+len(rows))
+	for _, v := range byNode {
+		views = append(views, v)
+	}
+	for i := 0; i < len(rows); {
+		j := i + 1
+		for j < len(rows) && rows[j].key == rows[i].key {
+			j++
+		}
+		v := s.join(rows[i:j])
+		if h, ok := byNode[Key{Node: v.Node, Since: v.Since}]; ok {
+			v.Type, v.Shard, v.Cold, v.Window, v.Queue = h.Type, h.Shard, h.Cold, h.Window, h.Queue
+		}
+		views = append(views, v)
+		i = j
+	}
+	slices.SortFunc(views, func(a, b View) int { return a.Key.compare(b.Key) })
+	return views
+}
+
+func (k Key) compare(o Key) int {
+	return cmp.Or(cmp.Compare(k.Node, o.Node), cmp.Compare(k.Since, o.Since), cmp.Compare(k.Class, o.Class))
+}
+
+// rows are all origins' words, sorted.
+func (s *State) rows(now time.Duration) ([]row, []healthRow) {
+	var rows []row
+	var healths []healthRow
+	for _, name := range s.ownOrder {
+		n := s.own[name]
+		if n.isTold {
+			healths = append(healths, healthRow{name, n.since, n.health, now - n.told})
+		}
+		for _, l := range n.classes {
+			if l.last > l.base || l.f.weight() > 0 {
+				rows = append(rows, row{Key{name, n.since, l.key.Class}, s.self, l.at(now), now - l.last})
+			}
+		}
+	}
+	for _, name := range s.names() {
+		if name == s.self {
+			continue
+		}
+		for id, c := range s.others[name].cells {
+			if id.node == "" {
+				continue
+			}
+			r, age := &input{b: c.body}, max(now-c.born, 0)
+			var w row
+			var h Health
+			var since int64
+			if id.class == "" {
+				since, h = r.health()
+			} else {
+				r.figures(&w.f)
+				since = w.f.since
+			}
+			if n := s.own[id.node]; n != nil && n.since != since && s.lost != "since" {
+				continue
+			}
+			if id.class == "" {
+				healths = append(healths, healthRow{id.node, since, h, age})
+				continue
+			}
+			w.key, w.origin, w.age = Key{id.node, since, id.class}, name, age
+			w.f.scale(decay(age, s.set.HalfLife))
+			rows = append(rows, w)
+		}
+	}
+	slices.SortFunc(rows, func(a, b row) int { return cmp.Or(a.key.compare(b.key), cmp.Compare(a.origin, b.origin)) })
+	slices.SortFunc(healths, func(a, b healthRow) int {
+		return cmp.Or(cmp.Compare(a.node, b.node), cmp.Compare(a.since, b.since), compareHealth(a.h, b.h), cmp.Compare(a.age, b.age))
+	})
+	return rows, healths
+}
+
+func compareHealth(a, b Health) int {
+	cold := func(h Health) int {
+		if h.Cold {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Shard, b.Shard), cmp.Compare(cold(a), cold(b)),
+		cmp.Compare(a.Window, b.Window), cmp.Compare(a.Queue, b.Queue))
+}
+
+// join sums the origins of one key, each clipped.
+func (s *State) join(rows []row) View {
+	v := View{Key: rows[0].key, Origins: len(rows), Age: rows[0].age}
+	clip := clips(rows, s.set.Clip)
+	var counts [bins]float64
+	for i := range rows {
+		f, c := &rows[i].f, clip[i]
+		if s.lost == "clip" {
+			c = clipping{1, 1, 1}
+		}
+		v.Sums = v.Sums.Add(f.sums.Scale(c.n, c.x, c.y))
+		v.Turned += f.turned * c.n
+		v.Failed += f.failed * c.n
+		v.Late += f.late * c.n
+		v.Age = min(v.Age, rows[i].age)
+		shift := int(math.Round(math.Log(c.y) / math.Log(buckets.LowerBound(1)/buckets.LowerBound(0))))
+		for b, n := range f.bins {
+			if n > 0 {
+				counts[min(max(b+shift, 0), bins-1)] += n * c.n
+			}
+		}
+	}
+	v.Sketch = sketchOf(&counts)
+	return v
+}
+
+// clipping is what one origin's weight, units and times are multiplied with.
+type clipping struct{ n, x, y float64 }
+
+// clips finds who stands out. From three origins on, one counts for at most clip times the median weight, and the
+// root mean square of its units and of its times is brought within clip of the median over origins, in which
+// no voice is louder than the median weight.
+func clips(rows []row, clip float64) []clipping {
+	out := make([]clipping, len(rows))
+	var weights []float64
+	for i := range rows {
+		out[i] = clipping{1, 1, 1}
+		if w := rows[i].f.weight(); w >= voteLeast {
+			weights = append(weights, w)
+		}
+	}
+	if len(weights) < majority {
+		return out
+	}
+	slices.Sort(weights)
+	ref := max(weights[(len(weights)-1)/2], thin)
+	var xs, ys []vote
+	for i := range rows {
+		f := &rows[i].f
+		out[i].n = min(1, clip*ref/max(f.weight(), 1e-9))
+		if f.weight() >= voteLeast && f.sums.N > 0 {
+			n := min(f.sums.N, ref)
+			xs = append(xs, vote{rms(f.sums.XX, f.sums.N), n})
+			ys = append(ys, vote{rms(f.sums.YY, f.sums.N), n})
+		}
+	}
+	x, y := median(xs), median(ys)
+	for i := range rows {
+		if f := &rows[i].f; f.sums.N > 0 {
+			out[i].x = within(rms(f.sums.XX, f.sums.N), x, clip)
+			out[i].y = within(rms(f.sums.YY, f.sums.N), y, clip)
+		}
+	}
+	return out
+}
+
+type vote struct{ value, weight float64 }
+
+func rms(squares, n float64) float64 { return math.Sqrt(squares / n) }
+
+// median is the lowest value that half of the weight does not go over.
+func median(votes []vote) float64 {
+	slices.SortFunc(votes, func(a, b vote) int { return cmp.Or(cmp.Compare(a.value, b.value), cmp.Compare(a.weight, b.weight)) })
+	all, sum := 0.0, 0.0
+	for _, v := range votes {
+		all += v.weight
+	}
+	for _, v := range votes {
+		if sum += v.weight; sum >= all/2 {
+			return v.value
+		}
+	}
+	return 0
+}
+
+// within is the factor that brings v to at most clip times away from m.
+func within(v, m, clip float64) float64 {
+	switch {
+	case v <= 0 || m <= 0:
+		return 1
+	case v > m*clip:
+		return m * clip / v
+	case v < m/clip:
+		return m / clip / v
+	}
+	return 1
+}
+
+// joinHealth is one node's health over origins: what most say, and means of the windows and queues, each at most
+// clip times the median.
+func joinHealth(rows []healthRow, clip float64) View {
+	v := View{Key: Key{Node: rows[0].node, Since: rows[0].since}, Origins: len(rows), Age: rows[0].age}
+	types, shards := map[string]int{}, map[int]int{}
+	cold := 0
+	var windows, queues []float64
+	for _, r := range rows {
+		if r.h.Type != "" {
+			types[r.h.Type]++
+		}
+		shards[r.h.Shard]++
+		if r.h.Cold {
+			cold++
+		}
+		windows, queues = append(windows, r.h.Window), append(queues, r.h.Queue)
+		v.Age = min(v.Age, r.age)
+	}
+	v.Type, v.Shard, v.Cold = most(types), most(shards), 2*cold >= len(rows) && cold > 0
+	v.Window, v.Queue = clippedMean(windows, clip), clippedMean(queues, clip)
+	return v
+}
+
+// most is what was named most often; of several the smallest.
+func most[K cmp.Ordered](votes map[K]int) (best K) {
+	n := 0
+	for k, c := range votes {
+		if c > n || c == n && k < best {
+			best, n = k, c
+		}
+	}
+	return best
+}
+
+func clippedMean(v []float64, clip float64) float64 {
+	slices.Sort(v)
+	top := math.Inf(1)
+	if len(v) >= majority {
+		top = clip * max(v[(len(v)-1)/2], 1)
+	}
+	sum := 0.0
+	for _, x := range v {
+		sum += min(x, top)
+	}
+	return sum / float64(len(v))
+}
+
+// Lists are the versions of the node list that origins hold, by origin; this process's own too.
+func (s *State) Lists(now time.Duration) []ListVersion {
+	s.expire(now)
+	var out []ListVersion
+	for _, name := range s.names() {
+		if name == s.self {
+			if s.hasList {
+				out = append(out, ListVersion{name, s.list, now - s.listAt})
+			}
+		} else if c := s.others[name].cells[cellID{}]; c != nil {
+			out = append(out, ListVersion{name, (&input{b: c.body}).int(), now - c.born})
+		}
+	}
+	return out
+}
