Peers: one round takes so many messages; leaving does not hold up the end

A flood of messages could have taken the core's processor time; leaving could have outlasted the time to SIGKILL.

--- a/cmd/wheatsaddle/peers_test.go
+++ b/cmd/wheatsaddle/peers_test.go
@@ -6,9 +6,14 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/observations"
 	"wheatsaddle/internal/peers"
 )
 
@@ -42,6 +47,45 @@
 	}
 }
 
+// What one process sees of a listed node the other has in its views, without what was cancelled.
+func TestFleetTellsAndHears(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	start := func(name string, seeds ...string) *fleet {
+		f, err := startFleet(&config.Site{Peers: &config.SitePeers{Listen: "127.0.0.1:0", Seeds: seeds, Every: 20 * time.Millisecond,
+			Burst: 8, State: observations.Defaults()}}, &config.Config{Name: name, Settings: choice.Settings{MayTell: true, ColdSpan: 1e9}}, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(f.stop)
+		return f
+	}
+	a := start("a")
+	b := start("b", a.peers.Address())
+	since := time.Now().UnixMilli()
+	a.heard(core.News{Kind: choice.ListFull, Nodes: []core.Node{{Node: choice.Node{ID: "n", Shard: 3, Since: float64(since)}}}})
+	tell := a.observe()
+	for _, s := range []choice.Status{choice.OK, choice.Full, choice.TimedOut, choice.Reset, choice.Cancelled, choice.Moot} {
+		tell("n", since, "c", 2, 5, s)
+	}
+	var v []observations.View
+	for end := time.Now().Add(time.Minute); len(v) < 2; time.Sleep(5 * time.Millisecond) {
+		if v = b.peers.Views(); time.Now().After(end) {
+			t.Fatalf("never heard: %+v", v)
+		}
+	}
+	near := func(x float64) bool { return x > 0.9 && x <= 1 }
+	if c := v[1]; c.Key != (observations.Key{Node: "n", Since: since, Class: "c"}) || c.Shard != 3 || !c.Cold ||
+		!near(c.Sums.N) || !near(c.Turned) || !near(c.Late) || !near(c.Failed) {
+		t.Errorf("%+v", c)
+	}
+	var off *fleet
+	if off.observe() != nil {
+		t.Error("observing while off")
+	}
+	off.heard(core.News{})
+	off.stop()
+}
+
 func TestPeerKey(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "key")
 	for text, good := range map[string]bool{strings.Repeat("0a", 16) + "\n": true, strings.Repeat("0a", 15): false, "xyz": false} {
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -255,6 +255,7 @@
 	serving.Store(false) // another process is to serve the clients now
 	kill := time.Now().Add(graceOf(conf))
 	log.Info("stopping: accepting a little longer")
+	go others.stop() // it takes some time, which the end does not have
 	time.Sleep(newcomersFor)
 	srv.KeepFree()
 	time.Sleep(acceptFor - newcomersFor)
--- a/internal/observations/errors.go
+++ b/internal/observations/errors.go
@@ -45,7 +45,7 @@
 
 // Advice is for the operator.
 func (e *Unreadable) Advice() string {
-	return "nothing was changed by it; if the count keeps growing, find the process that sends it by its address in the debug log"
+	return "nothing was changed by it; if the count keeps growing, see who reaches the port, or give the processes a key (peers.key_file)"
 }
 
 // LaterVersion is a message of a program that is newer than this one.
--- a/internal/observations/state_test.go
+++ b/internal/observations/state_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -340,6 +341,14 @@
 	if exchange() == 0 || exchange() != 0 {
 		t.Error("nothing was sent at first, or something that is held")
 	}
+	largest := figures{since: math.MinInt64, sums: Sums{1e30, 1e30, 1e30, 1e30, 1e30, 1e30}}
+	for i := range largest.bins {
+		largest.bins[i] = 1e12
+	}
+	name := strings.Repeat("n", nameMost)
+	if m := forge(name, versionMost, told{cellID{name, name}, versionMost, 1 << 60, largest.append(nil)}); len(m) > bytesMin {
+		t.Errorf("a cell of %d bytes", len(m))
+	}
 	p.Slot(0, Key{"n0", 1, "c0"}).Record(0, 1, 1, Served)
 	if exchange() != 1 || exchange() != 0 {
 		t.Error("one change is not one message")
@@ -425,6 +434,41 @@
 	}
 }
 
+// A fleet of 32 processes with 64 nodes and 4 classes: 8448 cells.
+func BenchmarkFleet(b *testing.B) {
+	set := Defaults()
+	s, r := state(b, set, "me", 1, ""), rand.New(rand.NewPCG(5, 5))
+	var messages [][]byte
+	for i := range 32 {
+		p := state(b, set, fmt.Sprintf("p%d", i), 1, "")
+		for n := range 64 {
+			for c := range 4 {
+				l := p.Slot(0, Key{fmt.Sprintf("n%d", n), 1, fmt.Sprintf("c%d", c)})
+				for range 50 {
+					l.Record(0, float64(r.IntN(64)), r.ExpFloat64()*20, Served)
+				}
+			}
+			p.SetNode(0, fmt.Sprintf("n%d", n), 1, Health{})
+		}
+		messages = append(messages, all(b, p, 0)...)
+	}
+	feed(s, 0, messages...)
+	digest, i := s.Digest(0), 0
+	for name, f := range map[string]func(){
+		"views":  func() { s.Views(0) },
+		"digest": func() { s.Digest(0) },
+		"diff":   func() { _, _ = s.Diff(0, digest) },
+		"merge":  func() { i++; feed(s, 0, messages[i%len(messages)]) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				f()
+			}
+		})
+	}
+	b.Logf("%d messages, digest of %d bytes", len(messages), len(digest))
+}
+
 func TestRecordAllocatesNothing(t *testing.T) {
 	s := state(t, Defaults(), "me", 1, "")
 	l, now := s.Slot(0, Key{"n", 1, "c"}), time.Duration(0)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -26,6 +26,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wheatsaddle/internal/observations"
+	"wheatsaddle/internal/operr"
 )
 
 // What is sent: a digest that asks for one in return, one that does not, or cells.
@@ -38,6 +39,7 @@
 const (
 	bufferSize  = 8192 // outcomes between two readings
 	inboxSize   = 1024 // messages waiting
+	asksMost    = 16   // digests answered in a round; more processes than that ask another one
 	packetMost  = 1300 // bytes of a message that goes as one datagram
 	tcpWait     = time.Second
 	deadFor     = 30 * time.Second // the library gossips to the dead for so long
@@ -74,7 +76,7 @@
 	Sent     int64
 	Out      int64
 	Unsent   int64 // ... those that the network refused
-	Full     int64 // ... that came while the inbox was full
+	Full     int64 // ... that came while the inbox was full, or were more than one round takes
 	Left     int64 // ... left for a later round
 	Outcomes int64 // taken
 	Lost     int64 // ... and left out: the buffer was full
@@ -110,6 +112,8 @@
 	turns []string
 	rand  *rand.Rand
 
+	asks, messages int // taken since the last round, by run alone
+
 	rounds, received, in, sent, out, unsent, full, left atomic.Int64
 }
 
@@ -330,6 +334,7 @@
 // round sends the digest to the next member.
 func (p *Peers) round() {
 	p.rounds.Add(1)
+	p.asks, p.messages = 0, 0
 	members := map[string]*memberlist.Node{}
 	for _, n := range p.list.Members() {
 		if n.Name != p.opt.Name {
@@ -382,11 +387,21 @@
 	p.received.Add(1)
 	p.in.Add(int64(len(b)))
 	tag, m := b[0], b[1:]
+	digest := tag == tagAsk || tag == tagReply
+	if digest {
+		p.asks++
+	}
+	// Guards the core's share of the processor against whoever floods the port.
+	if p.messages++; p.messages > 4*p.opt.Burst+4*asksMost || digest && p.asks > asksMost {
+		p.full.Add(1)
+		return
+	}
 	p.mu.Lock()
 	now := p.opt.Since()
-	if tag != tagAsk && tag != tagReply {
-		_ = p.state.Merge(now, m) // the state counts what it refuses
+	if !digest {
+		err := p.state.Merge(now, m)
 		p.mu.Unlock()
+		p.dropped(err)
 		return
 	}
 	p.drain()
@@ -401,6 +416,7 @@
 	}
 	p.mu.Unlock()
 	if err != nil {
+		p.dropped(err)
 		return
 	}
 	sender, err := observations.Sender(m)
@@ -421,6 +437,13 @@
 	}
 }
 
+// dropped tells of a message that the state has refused and counted.
+func (p *Peers) dropped(err error) {
+	if err != nil {
+		p.opt.Log.WithFields(operr.Fields(err)).Debug("a peer's message")
+	}
+}
+
 // join asks each seed that is no member, until it is one: halves that were apart find each other again.
 func (p *Peers) join(ctx context.Context) {
 	defer p.tasks.Done()
