--- a/internal/observations/own.go
+++ b/internal/observations/own.go
@@ -141,11 +141,16 @@
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
-func (f *figures) scale(w float64) {
+// decay lowers the weight of all but the buckets.
+func (f *figures) decay(w float64) {
 	f.sums = f.sums.Scale(w, 1, 1)
 	f.turned *= w
 	f.failed *= w
 	f.late *= w
+}
+
+func (f *figures) scale(w float64) {
+	f.decay(w)
 	for i := range f.bins {
 		f.bins[i] *= w
 	}
--- a/internal/observations/state.go
+++ b/internal/observations/state.go
@@ -24,13 +24,14 @@
 	born time.Duration // on this process's clock
 	body []byte
 	hash uint64 // of id, sequence and body
+	in   int    // bucket of a digest
 }
 
 func newCell(id cellID, seq uint64, born time.Duration, body []byte) *cell {
 	h := xxhash.New()
 	_, _ = fmt.Fprintf(h, "%q %q %d ", id.node, id.class, seq)
 	_, _ = h.Write(body)
-	return &cell{seq: seq, born: born, body: body, hash: h.Sum64()}
+	return &cell{seq: seq, born: born, body: body, hash: h.Sum64(), in: id.bucket()}
 }
 
 // origin is one process's record.
@@ -57,6 +58,7 @@
 
 // State is what is known, here and of others. It is not for more than one goroutine.
 type State struct {
+	Yield       func() // called between the pieces of long work; nil: it is done at once
 	set         Settings
 	self        string
 	incarnation uint64
@@ -70,7 +72,8 @@
 	mine        *origin // what was told of the own record
 	others      map[string]*origin
 	counts      Counts
-	lost        string // tests only: the rule that is left out
+	read        []figures // room for one key's origins
+	lost        string    // tests only: the rule that is left out
 }
 
 // New makes an empty state of the process self. Of two lives of one process the later has the higher
@@ -86,6 +89,12 @@
 		mine: &origin{cells: map[cellID]*cell{}}, others: map[string]*origin{}}, nil
 }
 
+func (s *State) pause() {
+	if s.Yield != nil {
+		s.Yield()
+	}
+}
+
 // Counts are the figures now.
 func (s *State) Counts() Counts {
 	c := s.counts
@@ -183,8 +192,8 @@
 
 func (o *origin) summary() summary {
 	sum := summary{incarnation: o.incarnation}
-	for id, c := range o.cells {
-		sum.buckets[id.bucket()] ^= uint32(c.hash)
+	for _, c := range o.cells {
+		sum.buckets[c.in] ^= uint32(c.hash)
 	}
 	return sum
 }
@@ -207,12 +216,13 @@
 		}
 		ours, whole := o.summary(), !known || t.incarnation < o.incarnation
 		var ids []cellID
-		for id := range o.cells {
-			if b := id.bucket(); whole || ours.buckets[b] != t.buckets[b] {
+		for id, c := range o.cells {
+			if whole || ours.buckets[c.in] != t.buckets[c.in] {
 				ids = append(ids, id)
 			}
 		}
 		out = append(out, o.pack(now, name, ids, s.set.Bytes)...)
+		s.pause()
 	}
 	return out, nil
 }
--- a/internal/observations/views.go
+++ b/internal/observations/views.go
@@ -14,12 +14,23 @@
 	voteLeast = 1 // weight from which on an origin has a voice
 )
 
-// row is one origin's word on one key.
+// row is one origin's word on one key, not yet read: figures are large.
 type row struct {
 	key    Key
 	origin string
-	f      figures
+	slot   *Slot // this process's own
+	body   []byte
 	age    time.Duration
+	weight float64 // of decay
+}
+
+func (w *row) read(f *figures) {
+	if w.slot != nil {
+		*f = w.slot.f
+	} else {
+		(&input{b: w.body}).figures(f)
+	}
+	f.decay(w.weight)
 }
 
 type healthRow struct {
@@ -60,6 +71,7 @@
 		}
 		views = append(views, v)
 		i = j
+		s.pause()
 	}
 	slices.SortFunc(views, func(a, b View) int { return a.Key.compare(b.Key) })
 	return views
@@ -80,7 +92,8 @@
 		}
 		for _, l := range n.classes {
 			if l.last > l.base || l.f.weight() > 0 {
-				rows = append(rows, row{Key{name, n.since, l.key.Class}, s.self, l.at(now), now - l.last})
+				rows = append(rows, row{Key{name, n.since, l.key.Class}, s.self, l, nil, now - l.last,
+					decay(max(now, l.last)-l.base, s.set.HalfLife)})
 			}
 		}
 	}
@@ -88,30 +101,22 @@
 		if name == s.self {
 			continue
 		}
+		s.pause()
 		for id, c := range s.others[name].cells {
 			if id.node == "" {
 				continue
 			}
 			r, age := &input{b: c.body}, max(now-c.born, 0)
-			var w row
-			var h Health
-			var since int64
-			if id.class == "" {
-				since, h = r.health()
-			} else {
-				r.figures(&w.f)
-				since = w.f.since
-			}
+			since := r.int()
 			if n := s.own[id.node]; n != nil && n.since != since && s.lost != "since" {
 				continue
 			}
 			if id.class == "" {
+				_, h := (&input{b: c.body}).health()
 				healths = append(healths, healthRow{id.node, since, h, age})
 				continue
 			}
-			w.key, w.origin, w.age = Key{id.node, since, id.class}, name, age
-			w.f.scale(decay(age, s.set.HalfLife))
-			rows = append(rows, w)
+			rows = append(rows, row{Key{id.node, since, id.class}, name, nil, c.body, age, decay(age, s.set.HalfLife)})
 		}
 	}
 	slices.SortFunc(rows, func(a, b row) int { return cmp.Or(a.key.compare(b.key), cmp.Compare(a.origin, b.origin)) })
@@ -135,10 +140,17 @@
 // join sums the origins of one key, each clipped.
 func (s *State) join(rows []row) View {
 	v := View{Key: rows[0].key, Origins: len(rows), Age: rows[0].age}
-	clip := clips(rows, s.set.Clip)
+	for len(s.read) < len(rows) {
+		s.read = append(s.read, figures{})
+	}
+	all := s.read[:len(rows)]
+	for i := range rows {
+		rows[i].read(&all[i])
+	}
+	clip := clips(all, s.set.Clip)
 	var counts [bins]float64
 	for i := range rows {
-		f, c := &rows[i].f, clip[i]
+		f, c := &all[i], clip[i]
 		if s.lost == "clip" {
 			c = clipping{1, 1, 1}
 		}
@@ -147,10 +159,13 @@
 		v.Failed += f.failed * c.n
 		v.Late += f.late * c.n
 		v.Age = min(v.Age, rows[i].age)
-		shift := int(math.Round(math.Log(c.y) / math.Log(buckets.LowerBound(1)/buckets.LowerBound(0))))
+		shift := 0
+		if c.y != 1 {
+			shift = int(math.Round(math.Log(c.y) / math.Log(buckets.LowerBound(1)/buckets.LowerBound(0))))
+		}
 		for b, n := range f.bins {
 			if n > 0 {
-				counts[min(max(b+shift, 0), bins-1)] += n * c.n
+				counts[min(max(b+shift, 0), bins-1)] += n * rows[i].weight * c.n
 			}
 		}
 	}
@@ -164,12 +179,12 @@
 // clips finds who stands out. From three origins on, one counts for at most clip times the median weight, and the
 // root mean square of its units and of its times is brought within clip of the median over origins, in which
 // no voice is louder than the median weight.
-func clips(rows []row, clip float64) []clipping {
+func clips(rows []figures, clip float64) []clipping {
 	out := make([]clipping, len(rows))
 	var weights []float64
 	for i := range rows {
 		out[i] = clipping{1, 1, 1}
-		if w := rows[i].f.weight(); w >= voteLeast {
+		if w := rows[i].weight(); w >= voteLeast {
 			weights = append(weights, w)
 		}
 	}
@@ -180,7 +195,7 @@
 	ref := max(weights[(len(weights)-1)/2], thin)
 	var xs, ys []vote
 	for i := range rows {
-		f := &rows[i].f
+		f := &rows[i]
 		out[i].n = min(1, clip*ref/max(f.weight(), 1e-9))
 		if f.weight() >= voteLeast && f.sums.N > 0 {
 			n := min(f.sums.N, ref)
@@ -190,7 +205,7 @@
 	}
 	x, y := median(xs), median(ys)
 	for i := range rows {
-		if f := &rows[i].f; f.sums.N > 0 {
+		if f := &rows[i]; f.sums.N > 0 {
 			out[i].x = within(rms(f.sums.XX, f.sums.N), x, clip)
 			out[i].y = within(rms(f.sums.YY, f.sums.N), y, clip)
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -16,6 +16,7 @@
 	"log"
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -129,6 +130,7 @@
 	}
 	p := &Peers{opt: opt, state: state, inbox: make(chan []byte, inboxSize), wake: make(chan struct{}, 1),
 		rand: rand.New(rand.NewPCG(opt.Seed, 0x70656572))}
+	state.Yield = runtime.Gosched // the core has its turn, also on one processor
 	p.buffer.in, p.buffer.spare = make([]outcome, 0, bufferSize), make([]outcome, 0, bufferSize)
 	conf, err := p.config()
 	if err != nil {
