Cost: the estimate of plans, with lines pooled from node to type to fleet

Planners ask what each way of doing a piece of work would cost. internal/cost: lines of service time shrunk by credibility, a plan's end by its tree on fixed quantile levels, typed errors that name the step, plans as JSON with a schema.

--- /dev/null
+++ b/internal/cost/estimate.go
@@ -0,0 +1,375 @@
+package cost
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"wheatsaddle/internal/observations"
+)
+
+// Estimator holds the lines of the last views.
+type Estimator struct {
+	set     Settings
+	classes map[string]int
+	types   []string
+	nodes   map[string]int
+	place   []place
+	shards  map[int][]int // nodes by shard, in the order of their names
+	lines   [][]line      // by class and node
+	bare    [][]line      // by class and type: what a node without answers has
+	views   int
+	dropped int
+
+	stack  []dist
+	work   []float64 // of the plan under way, by type
+	sum    tally
+	unsure float64 // of the work
+}
+
+type place struct{ shard, typ int }
+
+// tally is what a plan adds up beside its end.
+type tally struct {
+	steps               int
+	units, cold         float64
+	basis               Basis
+	trusted, trustedAll float64
+}
+
+// New makes an estimator that knows nothing yet.
+func New(set Settings) (*Estimator, error) {
+	if err := set.Check(); err != nil {
+		return nil, err
+	}
+	e := &Estimator{set: set, classes: map[string]int{}}
+	for i, c := range set.Classes {
+		e.classes[c] = i
+	}
+	e.Learn(nil)
+	return e, nil
+}
+
+// Learn takes a snapshot of the views, whole; what it held before is gone.
+func (e *Estimator) Learn(views []observations.View) {
+	kept, dropped := latest(views, e.set.Views)
+	e.views, e.dropped = len(kept), dropped
+	names, kinds := map[string]int{}, map[string]int{"": 0}
+	for i := range kept {
+		names[kept[i].Node], kinds[kept[i].Type] = 0, 0
+	}
+	e.types = slices.Sorted(maps.Keys(kinds))
+	for i, t := range e.types {
+		kinds[t] = i
+	}
+	order := slices.Sorted(maps.Keys(names))
+	e.nodes, e.place, e.shards = names, make([]place, len(order)), map[int][]int{}
+	for i, n := range order {
+		names[n] = i
+	}
+	for i := range kept { // in order of class and node: the last to name a type and shard counts
+		v := &kept[i]
+		if p := &e.place[names[v.Node]]; v.Type != "" || p.typ == 0 {
+			*p = place{v.Shard, kinds[v.Type]}
+		}
+	}
+	for i, p := range e.place {
+		e.shards[p.shard] = append(e.shards[p.shard], i)
+	}
+	e.work = make([]float64, len(e.types))
+	e.lines, e.bare = make([][]line, len(e.set.Classes)), make([][]line, len(e.set.Classes))
+	for c := range e.set.Classes {
+		var mine []own
+		for i := range kept {
+			if k, ok := e.classes[kept[i].Class]; ok && k == c {
+				mine = append(mine, centred(&kept[i], e.place[names[kept[i].Node]].typ))
+			}
+		}
+		lines, bare := fit(e.set, mine, len(e.types))
+		e.bare[c], e.lines[c] = bare, make([]line, len(order))
+		for i, p := range e.place {
+			e.lines[c][i] = bare[p.typ]
+		}
+		for i, o := range mine {
+			e.lines[c][names[o.v.Node]] = lines[i]
+		}
+	}
+}
+
+// Estimate orders the plans by what they would cost; deadline 0: none.
+func (e *Estimator) Estimate(plans []Plan, deadline time.Duration) (Ranking, error) {
+	r := Ranking{DeadlineMs: millis(deadline), Views: e.views, Dropped: e.dropped, Plans: make([]Answer, 0, len(plans))}
+	switch {
+	case len(plans) == 0:
+		return r, &BadPlans{Why: "no plans"}
+	case len(plans) > PlansMost:
+		return r, &TooMuch{What: "plans", Most: PlansMost}
+	case deadline < 0 || r.DeadlineMs > figureMost:
+		return r, &BadFigure{Key: "deadline_ms", Value: r.DeadlineMs, Want: "0 or more"}
+	}
+	for i := range plans {
+		a, err := e.plan(&plans[i], i, r.DeadlineMs)
+		if err != nil {
+			return r, err
+		}
+		r.Plans = append(r.Plans, a)
+	}
+	slices.SortStableFunc(r.Plans, func(a, b Answer) int { return cmp.Compare(a.Cost, b.Cost) })
+	for i := range r.Plans {
+		for j := range r.Plans {
+			if i != j && apart(&r.Plans[i], &r.Plans[j]) <= e.set.Doubt {
+				r.Plans[i].Alike = append(r.Plans[i].Alike, j)
+			}
+		}
+	}
+	return r, nil
+}
+
+// apart is how many standard errors lie between two plans.
+func apart(a, b *Answer) float64 {
+	d := math.Abs(a.Cost - b.Cost)
+	if d == 0 {
+		return 0
+	}
+	return d / max(math.Hypot(a.Doubt, b.Doubt), 1e-12*d)
+}
+
+// trail is the way from a plan's root to a step, for errors alone.
+type trail struct {
+	up   *trail
+	name string
+	at   int
+}
+
+func (t *trail) String() string {
+	switch {
+	case t.up == nil:
+		return t.name
+	case t.at < 0:
+		return t.up.String() + "." + t.name
+	}
+	return fmt.Sprintf("%s.%s.%d", t.up, t.name, t.at)
+}
+
+func (e *Estimator) plan(p *Plan, index int, deadline float64) (Answer, error) {
+	root := &trail{name: fmt.Sprintf("plans.%d.root", index)}
+	clear(e.work)
+	e.stack, e.sum, e.unsure = e.stack[:0], tally{basis: Basis{Origins: math.MaxInt, Answers: math.Inf(1)}}, 0
+	d, err := e.step(&p.Root, root, 1)
+	if err != nil {
+		return Answer{}, err
+	}
+	held := 0.0
+	if p.Limit != "" {
+		limit, ok := e.set.Limits[p.Limit]
+		if !ok {
+			return Answer{}, &UnknownName{fmt.Sprintf("plans.%d", index), "limit", p.Limit}
+		}
+		left := limit.Burst
+		if p.Left >= 0 {
+			left = p.Left
+		}
+		if !(left <= unitsMost) {
+			return Answer{}, &BadFigure{fmt.Sprintf("plans.%d", index), "left", left, "a number of units"}
+		}
+		held = max(0, (e.sum.units-left)/limit.PerSecond*1000)
+	}
+	d.draw()
+	for j := range d.q {
+		d.q[j] += held
+	}
+	a := Answer{Name: p.Name, Mean: d.mean + held, Served: d.served, Units: e.sum.units, Held: held, Cold: e.sum.cold,
+		Low: d.quantile(logit05), P50: d.quantile(0), P90: d.quantile(logit90), High: d.quantile(-logit05), P99: d.quantile(logit99),
+		Basis: e.sum.basis, Work: []TypeWork{}, Alike: []int{}}
+	a.Chance = d.served
+	if deadline > 0 {
+		a.Chance *= d.ended(deadline)
+	}
+	work := 0.0
+	for t, w := range e.work {
+		if w > 0 {
+			a.Work = append(a.Work, TypeWork{e.types[t], w})
+			work += w
+		}
+	}
+	if e.sum.trustedAll > 0 {
+		a.Basis.Trust = e.sum.trusted / e.sum.trustedAll
+	}
+	price := e.set.Prices
+	late := deadline
+	if deadline == 0 {
+		late = a.Mean // what it takes to do it again
+	}
+	a.Cost = price.Work*work + price.End*a.Mean + price.Late*(1-a.Chance)*late
+	a.Doubt = price.Work*e.unsure + price.End*d.err
+	return a, nil
+}
+
+var (
+	logit05 = math.Log(0.05 / 0.95)
+	logit90 = math.Log(9)
+	logit99 = math.Log(99)
+)
+
+func (e *Estimator) step(s *Step, way *trail, depth int) (dist, error) {
+	e.sum.steps++
+	switch {
+	case e.sum.steps > StepsMost:
+		return dist{}, &TooMuch{way.String(), "steps in a plan", StepsMost}
+	case depth > DepthMost:
+		return dist{}, &TooMuch{way.String(), "steps one inside the other", DepthMost}
+	}
+	set := 0
+	for _, is := range [...]bool{s.Work != nil, s.Then != nil, s.All != nil, s.Any != nil, s.Of != nil} {
+		if is {
+			set++
+		}
+	}
+	if set != 1 {
+		return dist{}, &BadPlans{way.String(), "want one of work, then, all, any, of"}
+	}
+	switch {
+	case s.Work != nil:
+		return e.leaf(s.Work, way)
+	case s.Then != nil:
+		if len(s.Then) == 0 {
+			return dist{}, &BadPlans{way.String(), "then: no steps"}
+		}
+		d := zero()
+		next := trail{up: way, name: "then"}
+		for i := range s.Then {
+			next.at = i
+			o, err := e.step(&s.Then[i], &next, depth+1)
+			if err != nil {
+				return d, err
+			}
+			d.add(&o)
+		}
+		return d, nil
+	case s.Of != nil:
+		n, k := len(s.Of.Steps), s.Of.K
+		if n > QuorumMost {
+			return dist{}, &TooMuch{way.String(), "steps of one of", QuorumMost}
+		}
+		if k < 1 || k > n {
+			return dist{}, &BadFigure{way.String(), "of.k", float64(k), fmt.Sprintf("1 to %d, the number of its steps", n)}
+		}
+		return e.together(s.Of.Steps, "of", way, depth, func(ds []dist) dist { return kth(ds, k) })
+	case s.All != nil:
+		return e.together(s.All, "all", way, depth, all)
+	}
+	return e.together(s.Any, "any", way, depth, fastest)
+}
+
+func (e *Estimator) together(steps []Step, name string, way *trail, depth int, merge func([]dist) dist) (dist, error) {
+	if len(steps) == 0 {
+		return dist{}, &BadPlans{way.String(), name + ": no steps"}
+	}
+	from := len(e.stack)
+	next := trail{up: way, name: name}
+	for i := range steps {
+		next.at = i
+		d, err := e.step(&steps[i], &next, depth+1)
+		if err != nil {
+			return d, err
+		}
+		e.stack = append(e.stack, d)
+	}
+	d := merge(e.stack[from:])
+	e.stack = e.stack[:from]
+	return d, nil
+}
+
+// leaf is one read or write: at its node, or shared out over those of its shard.
+func (e *Estimator) leaf(w *Work, way *trail) (dist, error) {
+	class, ok := e.classes[w.Class]
+	if !ok {
+		return dist{}, &UnknownName{way.String() + ".work", "class", w.Class}
+	}
+	nodes, known := e.shards[w.Shard]
+	switch {
+	case e.set.Shards > 0 && (w.Shard < 0 || w.Shard >= e.set.Shards), e.set.Shards == 0 && !known:
+		return dist{}, &UnknownName{way.String() + ".work", "shard", fmt.Sprint(w.Shard)}
+	case !(w.Units > 0 && w.Units <= unitsMost):
+		return dist{}, &BadFigure{way.String() + ".work", "units", w.Units, "above 0 and at most 1e9"}
+	}
+	e.sum.units += w.Units
+	lines := e.lines[class]
+	if w.Node != "" {
+		at, ok := e.nodes[w.Node]
+		if !ok {
+			return dist{}, &UnknownName{way.String() + ".work", "node", w.Node}
+		}
+		if p := e.place[at]; p.shard != w.Shard {
+			return dist{}, &UnknownName{way.String() + ".work", fmt.Sprintf("node of shard %d that is called", w.Shard), w.Node}
+		}
+		return e.visit(&lines[at], w.Units, 1), nil
+	}
+	if len(nodes) == 0 {
+		return e.visit(&e.bare[class][0], w.Units, 1), nil
+	}
+	if len(nodes) == 1 {
+		return e.visit(&lines[nodes[0]], w.Units, 1), nil
+	}
+	total := 0.0
+	for _, n := range nodes {
+		total += max(lines[n].window, leastMillis)
+	}
+	out := dist{}
+	var square, cube float64 // raw moments of the mixture
+	for _, n := range nodes {
+		part := max(lines[n].window, leastMillis) / total
+		d := e.visit(&lines[n], w.Units, part)
+		out.mean += part * d.mean
+		square += part * (d.variance + d.mean*d.mean)
+		cube += part * (d.third + 3*d.variance*d.mean + d.mean*d.mean*d.mean)
+		out.err += part * d.err
+		out.served += part * d.served
+	}
+	out.variance = max(square-out.mean*out.mean, 0)
+	out.third = max(cube-3*out.mean*out.variance-out.mean*out.mean*out.mean, 0)
+	return out, nil
+}
+
+// visit is a step at one node, of which the plan makes a part.
+func (e *Estimator) visit(l *line, units, part float64) dist {
+	m := l.mean(units)
+	far := units - l.base
+	err := math.Sqrt(l.levelVar + l.slopeVar*far*far)
+	sd := l.spread * m
+	d := dist{mean: m, variance: sd * sd, third: lognormalThird(m, l.spread), err: err, served: l.served}
+	if l.wait > 0 {
+		waits := l.wait * max(l.level, leastMillis)
+		s := l.spread * max(l.level, leastMillis)
+		d.mean += waits
+		d.variance += l.wait * s * s
+		d.err += l.wait * math.Sqrt(l.levelVar)
+	}
+	b := &e.sum.basis
+	if part > 0.01 {
+		b.Level, b.Origins, b.Answers = max(b.Level, l.from), min(b.Origins, l.origins), min(b.Answers, l.answers)
+		b.AgeMs = max(b.AgeMs, millis(l.age))
+	}
+	e.sum.trusted += part * d.mean * l.z
+	e.sum.trustedAll += part * d.mean
+	e.work[l.typ] += part * m
+	e.unsure += part * err
+	if l.cold {
+		e.sum.cold += part * units
+	}
+	return d
+}
+
+// Node is the estimate of one node: the mean of a step of so many units, wait included.
+func (e *Estimator) Node(node, class string, units float64) (mean float64, ok bool) {
+	at, ok := e.nodes[node]
+	c, known := e.classes[class]
+	if !ok || !known {
+		return 0, false
+	}
+	l := &e.lines[c][at]
+	return l.mean(units) + l.wait*l.level, true
+}
