--- /dev/null
+++ b/cmd/wheatsaddle/estimate_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tidwall/gjson"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/observations"
+	"wheatsaddle/internal/operator"
+)
+
+// From the section of the site's file to the answer at the door, with the classes, shards and limits of the
+// configuration: an estimate, an unknown class, and no call without the section.
+func TestEstimateAtTheDoor(t *testing.T) {
+	held, err := config.ParseSite([]byte(`{"estimate":{"price_late":2}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	conf := &config.Config{Settings: choice.Settings{Shards: 2, Classes: []choice.Class{{Name: "read"}},
+		Plans: []choice.Plan{{Name: "gold", Limit: 10, LimitBurst: 1}, {Name: "open"}}}}
+	view := observations.View{Key: observations.Key{Node: "n", Since: 1, Class: "read"}, Shard: 1,
+		Sums: observations.Sums{N: 10, X: 10, Y: 200, XX: 10, XY: 200, YY: 4100}, Origins: 2}
+	call := estimates(held.Estimate, conf, func() []observations.View { return []observations.View{view} })
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	door := &operator.Door{Estimate: call, Log: log}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go door.Serve(ln)
+	defer door.Close()
+	post := func(body string) (int, string) {
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		nc.SetDeadline(time.Now().Add(10 * time.Second))
+		fmt.Fprintf(nc, "POST /api/estimate HTTP/1.1\r\nHost: op\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(text)
+	}
+	code, text := post(`{"deadline_ms":100,"plans":[{"name":"a","limit":"gold","root":{"work":{"shard":1,"class":"read","units":2}}}]}`)
+	if code != 200 || gjson.Get(text, "plans.0.held_ms").Num != 100 || gjson.Get(text, "plans.0.rests_on.origins").Num != 2 ||
+		gjson.Get(text, "plans.0.mean_ms").Num < 105 {
+		t.Errorf("%d %s", code, text)
+	}
+	code, text = post(`{"plans":[{"name":"a","root":{"all":[{"work":{"shard":1,"class":"erase","units":2}}]}}]}`)
+	if code != 400 || gjson.Get(text, "code").Str != "cost-unknown-name" || gjson.Get(text, "error").Str != `plans.0.root.all.0.work: no class "erase"` {
+		t.Errorf("%d %s", code, text)
+	}
+	if estimates((&config.Site{}).Estimate, conf, nil) != nil {
+		t.Error("a call without the section")
+	}
+}
--- a/cmd/wheatsaddle/main.go
+++ b/cmd/wheatsaddle/main.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v2"
 
 	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/cost"
 	"wheatsaddle/internal/operr"
 )
 
@@ -26,8 +27,13 @@
 				return err
 			}},
 			{Name: "check-config", Usage: "read the configuration and name what is wrong with it", ArgsUsage: "[FILE]", Action: checkConfig, Flags: flags},
-			{Name: "schema", Usage: "print the JSON Schema of the site's file", Action: func(c *cli.Context) error {
-				_, err := c.App.Writer.Write(config.SiteSchema)
+			{Name: "schema", Usage: "print the JSON Schema of the site's file, or of plans", Flags: []cli.Flag{
+				&cli.StringFlag{Name: "of", Value: "site", Usage: "site or plans"}}, Action: func(c *cli.Context) error {
+				text, known := map[string][]byte{"site": config.SiteSchema, "plans": cost.Schema}[c.String("of")]
+				if !known {
+					return fmt.Errorf("of: %q is neither site nor plans", c.String("of"))
+				}
+				_, err := c.App.Writer.Write(text)
 				return err
 			}},
 			replayCommand(),
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -213,7 +213,7 @@
 	ready := func() bool { return serving.Load() && (listed.Load() || time.Since(started) > listWait) }
 	keep := &keeper{store: kept, core: co, log: log}
 	go keep.watch(ctx)
-	door, err := openDoor(conf, ready, co, keep, log)
+	door, err := openDoor(conf, ready, co, keep, estimates(at.held.Estimate, conf, nil), log)
 	if err != nil {
 		return err
 	}
@@ -305,8 +305,8 @@
 }
 
 // openDoor starts the operators' door, where the configuration names one.
-func openDoor(conf *config.Config, ready func() bool, co *core.Core, keep *keeper, log logrus.FieldLogger) (*operator.Door, error) {
-	door := &operator.Door{Ready: ready, Counts: co.Counts().Read, Log: log, Exclude: keep.exclude, Include: keep.include}
+func openDoor(conf *config.Config, ready func() bool, co *core.Core, keep *keeper, est *operator.Estimate, log logrus.FieldLogger) (*operator.Door, error) {
+	door := &operator.Door{Estimate: est, Ready: ready, Counts: co.Counts().Read, Log: log, Exclude: keep.exclude, Include: keep.include}
 	if conf.Operator == "" {
 		return door, nil
 	}
--- a/cmd/wheatsaddle/site.go
+++ b/cmd/wheatsaddle/site.go
@@ -91,6 +91,10 @@
 		s.log.WithField("keys", "peers").Warn("changed, and need a restart")
 		next.Peers = s.held.Peers
 	}
+	if !reflect.DeepEqual(next.Estimate, s.held.Estimate) {
+		s.log.WithField("keys", "estimate").Warn("changed, and need a restart")
+		next.Estimate = s.held.Estimate
+	}
 	s.held = next
 	s.apply()
 	s.log.Info("site's file read again")
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -17,6 +17,7 @@
 	"golang.org/x/text/message"
 
 	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/cost"
 )
 
 // SiteSchema is the JSON Schema of the site's file (draft 2020-12).
@@ -28,6 +29,7 @@
 // without a section, the feature is off.
 type Site struct {
 	Addresses *SiteAddresses
+	Estimate  *SiteEstimate
 	Listen    map[string][]Listener // by front: http, iscsi
 	Metrics   *Listener             // where counts are served; nil: nowhere
 	Peers     *SitePeers
@@ -39,6 +41,23 @@
 	Identity string // header in which nodes say their name; empty: they do not
 }
 
+// SiteEstimate is the section estimate.
+type SiteEstimate struct {
+	BytesMost, AtOnce int
+	Prices            cost.Prices
+	Doubt             float64
+}
+
+func siteEstimate(r *reader) *SiteEstimate {
+	d := cost.Defaults()
+	return &SiteEstimate{
+		BytesMost: int(r.num("estimate.bytes_most", 262144, 1024)), AtOnce: int(r.num("estimate.at_once", 1, 1)),
+		Prices: cost.Prices{Work: r.num("estimate.price_work", d.Prices.Work, 0), End: r.num("estimate.price_end", d.Prices.End, 0),
+			Late: r.num("estimate.price_late", d.Prices.Late, 0)},
+		Doubt: r.num("estimate.doubt", d.Doubt, 0),
+	}
+}
+
 // Listener is one further address of a front.
 type Listener struct {
 	Address address.Addr
@@ -99,6 +118,9 @@
 			return nil, fmt.Errorf("site: peers.%w", err)
 		}
 	}
+	if r.root.Get("estimate").Exists() {
+		s.Estimate = siteEstimate(r)
+	}
 	seen := map[address.Addr]string{}
 	if e := r.root.Get("metrics"); e.Exists() {
 		l, err := siteListener("metrics", e, seen)
--- a/internal/config/site_test.go
+++ b/internal/config/site_test.go
@@ -78,6 +78,15 @@
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v\n%+v", got, want)
 	}
+	text = ""
+	for k, v := range gjson.GetBytes(SiteSchema, "properties.estimate.properties").Map() {
+		text += `,"` + k + `":` + v.Get("default").Raw
+	}
+	told, err := ParseSite([]byte(`{"estimate":{` + text[1:] + `}}`))
+	silent, err2 := ParseSite([]byte(`{"estimate":{}}`))
+	if err != nil || err2 != nil || !reflect.DeepEqual(told.Estimate, silent.Estimate) || silent.Estimate.AtOnce != 1 {
+		t.Errorf("%v %v %+v %+v", err, err2, told, silent)
+	}
 	if _, err := LoadSite("../../deploy/site.json"); err != nil {
 		t.Error(err)
 	}
--- a/internal/cost/dist.go
+++ b/internal/cost/dist.go
@@ -91,13 +91,28 @@
 	r := min(int(at), shapes-1)
 	f := at - float64(r)
 	low, high := &shape[r], &shape[r+1]
+	a, b, m := sd*(1-f), sd*f, d.mean
 	for j := range d.q {
-		d.q[j] = max(d.mean+sd*(low[j]+f*(high[j]-low[j])), 0)
+		q := m + a*low[j] + b*high[j]
+		if q < 0 {
+			q = 0
+		}
+		d.q[j] = q
 	}
 }
 
-// spreadOfSkew solves c^3 + 3c = skew: the spread over mean of the lognormal of that skew.
-func spreadOfSkew(skew float64) float64 { return 2 * math.Sinh(math.Asinh(skew/2)/3) }
+// spreadOfSkew solves c^3 + 3c = skew, the spread over mean of the lognormal of that skew, to 1e-6 up to the
+// last row of the table: two of Newton's steps from a start that is right at both ends.
+func spreadOfSkew(skew float64) float64 {
+	if skew >= shapeTop*(shapeTop*shapeTop+3) {
+		return shapeTop
+	}
+	c := skew / (3 + skew/4)
+	for range 2 {
+		c = (2*c*c*c + skew) / (3*c*c + 3)
+	}
+	return c
+}
 
 // lognormalThird is the third cumulant of a lognormal of that mean and spread over mean.
 func lognormalThird(mean, c float64) float64 {
@@ -108,10 +123,10 @@
 // from takes the cumulants from the quantiles; the error is in these.
 func (d *dist) from(least, most float64) {
 	var m, v, k float64
-	for j, q := range d.q {
+	for j, q := range &d.q {
 		m += weights[j] * q
 	}
-	for j, q := range d.q {
+	for j, q := range &d.q {
 		x := q - m
 		v += weights[j] * x * x
 		k += weights[j] * x * x * x
@@ -147,21 +162,24 @@
 
 // sum adds to into[g] what table says of d at each of the ascending points.
 func (d *dist) sum(points []float64, table *[levelsN]float64, before float64, into []float64) {
-	j := 0
-	for g, v := range points {
-		if v < d.q[0] {
-			into[g] += before
+	into = into[:len(points)]
+	g := 0
+	for ; g < len(points) && points[g] < d.q[0]; g++ {
+		into[g] += before
+	}
+	for j := 0; j < levelsN-1 && g < len(points); j++ {
+		next := d.q[j+1]
+		if points[g] >= next {
 			continue
 		}
-		for j < levelsN-1 && d.q[j+1] <= v {
-			j++
-		}
-		if j == levelsN-1 {
-			into[g] += table[j]
-			continue
+		rise := (table[j+1] - table[j]) / (next - d.q[j])
+		start := table[j] - rise*d.q[j]
+		for ; g < len(points) && points[g] < next; g++ {
+			into[g] += start + rise*points[g]
 		}
-		f := (v - d.q[j]) / (d.q[j+1] - d.q[j])
-		into[g] += table[j] + f*(table[j+1]-table[j])
+	}
+	for ; g < len(points); g++ {
+		into[g] += table[levelsN-1]
 	}
 }
 
@@ -183,11 +201,25 @@
 	}
 }
 
-func envelope(ds []dist, pick func(a, b float64) float64, q *[levelsN]float64) {
+// above and below are the envelopes of the quantiles.
+func above(ds []dist, q *[levelsN]float64) {
+	*q = ds[0].q
+	for i := 1; i < len(ds); i++ {
+		for j, v := range &ds[i].q {
+			if v > q[j] {
+				q[j] = v
+			}
+		}
+	}
+}
+
+func below(ds []dist, q *[levelsN]float64) {
 	*q = ds[0].q
-	for i := range ds[1:] {
-		for j, v := range ds[i+1].q {
-			q[j] = pick(q[j], v)
+	for i := 1; i < len(ds); i++ {
+		for j, v := range &ds[i].q {
+			if v < q[j] {
+				q[j] = v
+			}
 		}
 	}
 }
@@ -229,9 +261,9 @@
 		least, most = max(least, d.mean), min(most, d.mean)
 	}
 	if last {
-		envelope(ds, larger, &edge)
+		above(ds, &edge)
 	} else {
-		envelope(ds, smaller, &edge)
+		below(ds, &edge)
 		out.served = 1 - miss
 	}
 	for i := range ds {
@@ -285,16 +317,16 @@
 		chances[i] = d.served
 	}
 	out.served = atLeast(chances, k)
-	envelope(ds, smaller, &low)
-	envelope(ds, larger, &high)
-	points := make([]float64, 0, 2*levelsN)
-	for a, b := 0, 0; a < levelsN || b < levelsN; {
-		if b == levelsN || a < levelsN && low[a] <= high[b] {
+	below(ds, &low)
+	above(ds, &high)
+	points := make([]float64, 0, levelsN+1)
+	for a, b := 0, 0; a < levelsN || b < levelsN; { // every other of both envelopes
+		if b >= levelsN || a < levelsN && low[a] <= high[b] {
 			points = append(points, low[a])
-			a++
+			a += 2
 		} else {
 			points = append(points, high[b])
-			b++
+			b += 2
 		}
 	}
 	logits := make([]float64, len(points))
--- a/internal/cost/estimate.go
+++ b/internal/cost/estimate.go
@@ -18,12 +18,15 @@
 	types   []string
 	nodes   map[string]int
 	place   []place
-	shards  map[int][]int // nodes by shard, in the order of their names
-	lines   [][]line      // by class and node
-	bare    [][]line      // by class and type: what a node without answers has
+	shards  []map[int][]int // by class: a shard's nodes, of the widest windows first
+	lines   [][]line        // by class and node
+	bare    [][]line        // by class and type: what a node without answers has
 	views   int
 	dropped int
 
+	take  func(views []observations.View, most int) ([]observations.View, int) // latest; a test breaks these two
+	apart func(a, b *Answer) float64
+
 	stack  []dist
 	work   []float64 // of the plan under way, by type
 	sum    tally
@@ -45,7 +48,7 @@
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
-	e := &Estimator{set: set, classes: map[string]int{}}
+	e := &Estimator{set: set, take: latest, apart: apart, classes: map[string]int{}, stack: make([]dist, 0, StepsMost+DepthMost)}
 	for i, c := range set.Classes {
 		e.classes[c] = i
 	}
@@ -55,7 +58,7 @@
 
 // Learn takes a snapshot of the views, whole; what it held before is gone.
 func (e *Estimator) Learn(views []observations.View) {
-	kept, dropped := latest(views, e.set.Views)
+	kept, dropped := e.take(views, e.set.Views)
 	e.views, e.dropped = len(kept), dropped
 	names, kinds := map[string]int{}, map[string]int{"": 0}
 	for i := range kept {
@@ -66,7 +69,7 @@
 		kinds[t] = i
 	}
 	order := slices.Sorted(maps.Keys(names))
-	e.nodes, e.place, e.shards = names, make([]place, len(order)), map[int][]int{}
+	e.nodes, e.place = names, make([]place, len(order))
 	for i, n := range order {
 		names[n] = i
 	}
@@ -76,11 +79,9 @@
 			*p = place{v.Shard, kinds[v.Type]}
 		}
 	}
-	for i, p := range e.place {
-		e.shards[p.shard] = append(e.shards[p.shard], i)
-	}
 	e.work = make([]float64, len(e.types))
-	e.lines, e.bare = make([][]line, len(e.set.Classes)), make([][]line, len(e.set.Classes))
+	n := len(e.set.Classes)
+	e.lines, e.bare, e.shards = make([][]line, n), make([][]line, n), make([]map[int][]int, n)
 	for c := range e.set.Classes {
 		var mine []own
 		for i := range kept {
@@ -96,7 +97,21 @@
 		for i, o := range mine {
 			e.lines[c][names[o.v.Node]] = lines[i]
 		}
+		e.shards[c] = e.widest(e.lines[c])
+	}
+}
+
+// widest gives the nodes of each shard by their windows, then by name, and no more than SpreadMost.
+func (e *Estimator) widest(lines []line) map[int][]int {
+	shards := map[int][]int{}
+	for i, p := range e.place {
+		shards[p.shard] = append(shards[p.shard], i)
+	}
+	for s, nodes := range shards {
+		slices.SortStableFunc(nodes, func(a, b int) int { return cmp.Compare(lines[b].window, lines[a].window) })
+		shards[s] = nodes[:min(len(nodes), SpreadMost)]
 	}
+	return shards
 }
 
 // Estimate orders the plans by what they would cost; deadline 0: none.
@@ -120,7 +135,7 @@
 	slices.SortStableFunc(r.Plans, func(a, b Answer) int { return cmp.Compare(a.Cost, b.Cost) })
 	for i := range r.Plans {
 		for j := range r.Plans {
-			if i != j && apart(&r.Plans[i], &r.Plans[j]) <= e.set.Doubt {
+			if i != j && e.apart(&r.Plans[i], &r.Plans[j]) <= e.set.Doubt {
 				r.Plans[i].Alike = append(r.Plans[i].Alike, j)
 			}
 		}
@@ -158,8 +173,8 @@
 	root := &trail{name: fmt.Sprintf("plans.%d.root", index)}
 	clear(e.work)
 	e.stack, e.sum, e.unsure = e.stack[:0], tally{basis: Basis{Origins: math.MaxInt, Answers: math.Inf(1)}}, 0
-	d, err := e.step(&p.Root, root, 1)
-	if err != nil {
+	var d dist
+	if err := e.step(&p.Root, root, 1, &d); err != nil {
 		return Answer{}, err
 	}
 	held := 0.0
@@ -214,13 +229,13 @@
 	logit99 = math.Log(99)
 )
 
-func (e *Estimator) step(s *Step, way *trail, depth int) (dist, error) {
+func (e *Estimator) step(s *Step, way *trail, depth int, d *dist) error {
 	e.sum.steps++
 	switch {
 	case e.sum.steps > StepsMost:
-		return dist{}, &TooMuch{way.String(), "steps in a plan", StepsMost}
+		return &TooMuch{way.String(), "steps in a plan", StepsMost}
 	case depth > DepthMost:
-		return dist{}, &TooMuch{way.String(), "steps one inside the other", DepthMost}
+		return &TooMuch{way.String(), "steps one inside the other", DepthMost}
 	}
 	set := 0
 	for _, is := range [...]bool{s.Work != nil, s.Then != nil, s.All != nil, s.Any != nil, s.Of != nil} {
@@ -229,127 +244,142 @@
 		}
 	}
 	if set != 1 {
-		return dist{}, &BadPlans{way.String(), "want one of work, then, all, any, of"}
+		return &BadPlans{way.String(), "want one of work, then, all, any, of"}
 	}
 	switch {
 	case s.Work != nil:
-		return e.leaf(s.Work, way)
+		return e.leaf(s.Work, way, d)
 	case s.Then != nil:
-		if len(s.Then) == 0 {
-			return dist{}, &BadPlans{way.String(), "then: no steps"}
-		}
-		d := zero()
-		next := trail{up: way, name: "then"}
-		for i := range s.Then {
-			next.at = i
-			o, err := e.step(&s.Then[i], &next, depth+1)
-			if err != nil {
-				return d, err
-			}
-			d.add(&o)
-		}
-		return d, nil
+		return e.chain(s.Then, way, depth, d)
 	case s.Of != nil:
 		n, k := len(s.Of.Steps), s.Of.K
 		if n > QuorumMost {
-			return dist{}, &TooMuch{way.String(), "steps of one of", QuorumMost}
+			return &TooMuch{way.String(), "steps of one of", QuorumMost}
 		}
 		if k < 1 || k > n {
-			return dist{}, &BadFigure{way.String(), "of.k", float64(k), fmt.Sprintf("1 to %d, the number of its steps", n)}
+			return &BadFigure{way.String(), "of.k", float64(k), fmt.Sprintf("1 to %d, the number of its steps", n)}
 		}
-		return e.together(s.Of.Steps, "of", way, depth, func(ds []dist) dist { return kth(ds, k) })
+		return e.together(s.Of.Steps, "of", k, way, depth, d)
 	case s.All != nil:
-		return e.together(s.All, "all", way, depth, all)
+		return e.together(s.All, "all", len(s.All), way, depth, d)
+	}
+	return e.together(s.Any, "any", 1, way, depth, d)
+}
+
+// push is a place on the stack, which never grows past what it was made with: each step of a plan has one at most.
+func (e *Estimator) push() *dist {
+	e.stack = e.stack[:len(e.stack)+1]
+	return &e.stack[len(e.stack)-1]
+}
+
+func (e *Estimator) chain(steps []Step, way *trail, depth int, d *dist) error {
+	if len(steps) == 0 {
+		return &BadPlans{way.String(), "then: no steps"}
+	}
+	from := len(e.stack)
+	next, o, sum := trail{up: way, name: "then"}, e.push(), zero()
+	for i := range steps {
+		next.at = i
+		if err := e.step(&steps[i], &next, depth+1, o); err != nil {
+			return err
+		}
+		sum.add(o)
 	}
-	return e.together(s.Any, "any", way, depth, fastest)
+	*d = sum
+	e.stack = e.stack[:from]
+	return nil
 }
 
-func (e *Estimator) together(steps []Step, name string, way *trail, depth int, merge func([]dist) dist) (dist, error) {
+// together is what begins at once and ends with the k-th.
+func (e *Estimator) together(steps []Step, name string, k int, way *trail, depth int, d *dist) error {
 	if len(steps) == 0 {
-		return dist{}, &BadPlans{way.String(), name + ": no steps"}
+		return &BadPlans{way.String(), name + ": no steps"}
 	}
 	from := len(e.stack)
 	next := trail{up: way, name: name}
 	for i := range steps {
 		next.at = i
-		d, err := e.step(&steps[i], &next, depth+1)
-		if err != nil {
-			return d, err
+		if e.sum.steps >= StepsMost { // beyond the stack
+			return &TooMuch{next.String(), "steps in a plan", StepsMost}
+		}
+		if err := e.step(&steps[i], &next, depth+1, e.push()); err != nil {
+			return err
 		}
-		e.stack = append(e.stack, d)
 	}
-	d := merge(e.stack[from:])
+	*d = kth(e.stack[from:], k)
 	e.stack = e.stack[:from]
-	return d, nil
+	return nil
 }
 
 // leaf is one read or write: at its node, or shared out over those of its shard.
-func (e *Estimator) leaf(w *Work, way *trail) (dist, error) {
+func (e *Estimator) leaf(w *Work, way *trail, d *dist) error {
 	class, ok := e.classes[w.Class]
 	if !ok {
-		return dist{}, &UnknownName{way.String() + ".work", "class", w.Class}
+		return &UnknownName{way.String() + ".work", "class", w.Class}
 	}
-	nodes, known := e.shards[w.Shard]
-	switch {
-	case e.set.Shards > 0 && (w.Shard < 0 || w.Shard >= e.set.Shards), e.set.Shards == 0 && !known:
-		return dist{}, &UnknownName{way.String() + ".work", "shard", fmt.Sprint(w.Shard)}
-	case !(w.Units > 0 && w.Units <= unitsMost):
-		return dist{}, &BadFigure{way.String() + ".work", "units", w.Units, "above 0 and at most 1e9"}
+	if !(w.Units > 0 && w.Units <= unitsMost) {
+		return &BadFigure{way.String() + ".work", "units", w.Units, "above 0 and at most 1e9"}
 	}
 	e.sum.units += w.Units
 	lines := e.lines[class]
 	if w.Node != "" {
-		at, ok := e.nodes[w.Node]
-		if !ok {
-			return dist{}, &UnknownName{way.String() + ".work", "node", w.Node}
+		if at, ok := e.nodes[w.Node]; ok && e.place[at].shard == w.Shard {
+			e.visit(&lines[at], w.Units, 1, d)
+			return nil
 		}
-		if p := e.place[at]; p.shard != w.Shard {
-			return dist{}, &UnknownName{way.String() + ".work", fmt.Sprintf("node of shard %d that is called", w.Shard), w.Node}
-		}
-		return e.visit(&lines[at], w.Units, 1), nil
-	}
-	if len(nodes) == 0 {
-		return e.visit(&e.bare[class][0], w.Units, 1), nil
 	}
-	if len(nodes) == 1 {
-		return e.visit(&lines[nodes[0]], w.Units, 1), nil
+	nodes, known := e.shards[class][w.Shard]
+	switch {
+	case e.set.Shards > 0 && (w.Shard < 0 || w.Shard >= e.set.Shards), e.set.Shards == 0 && !known:
+		return &UnknownName{way.String() + ".work", "shard", fmt.Sprint(w.Shard)}
+	case w.Node != "":
+		return &UnknownName{way.String() + ".work", fmt.Sprintf("node of shard %d that is called", w.Shard), w.Node}
+	case len(nodes) == 0:
+		e.visit(&e.bare[class][0], w.Units, 1, d)
+		return nil
+	case len(nodes) == 1:
+		e.visit(&lines[nodes[0]], w.Units, 1, d)
+		return nil
 	}
 	total := 0.0
 	for _, n := range nodes {
 		total += max(lines[n].window, leastMillis)
 	}
-	out := dist{}
 	var square, cube float64 // raw moments of the mixture
+	var out, one dist
 	for _, n := range nodes {
 		part := max(lines[n].window, leastMillis) / total
-		d := e.visit(&lines[n], w.Units, part)
-		out.mean += part * d.mean
-		square += part * (d.variance + d.mean*d.mean)
-		cube += part * (d.third + 3*d.variance*d.mean + d.mean*d.mean*d.mean)
-		out.err += part * d.err
-		out.served += part * d.served
-	}
-	out.variance = max(square-out.mean*out.mean, 0)
-	out.third = max(cube-3*out.mean*out.variance-out.mean*out.mean*out.mean, 0)
-	return out, nil
+		e.visit(&lines[n], w.Units, part, &one)
+		out.mean += part * one.mean
+		square += part * (one.variance + one.mean*one.mean)
+		cube += part * (one.third + 3*one.variance*one.mean + one.mean*one.mean*one.mean)
+		out.err += part * one.err
+		out.served += part * one.served
+	}
+	d.drawn = false
+	d.mean, d.err, d.served = out.mean, out.err, min(out.served, 1)
+	d.variance = max(square-d.mean*d.mean, 0)
+	d.third = max(cube-3*d.mean*d.variance-d.mean*d.mean*d.mean, 0)
+	return nil
 }
 
 // visit is a step at one node, of which the plan makes a part.
-func (e *Estimator) visit(l *line, units, part float64) dist {
+func (e *Estimator) visit(l *line, units, part float64, d *dist) {
 	m := l.mean(units)
 	far := units - l.base
 	err := math.Sqrt(l.levelVar + l.slopeVar*far*far)
 	sd := l.spread * m
-	d := dist{mean: m, variance: sd * sd, third: lognormalThird(m, l.spread), err: err, served: l.served}
+	d.drawn = false
+	d.mean, d.variance, d.third, d.err, d.served = m, sd*sd, lognormalThird(m, l.spread), err, l.served
 	if l.wait > 0 {
-		waits := l.wait * max(l.level, leastMillis)
-		s := l.spread * max(l.level, leastMillis)
+		waits := l.wait * l.level
+		s := l.spread * l.level
 		d.mean += waits
 		d.variance += l.wait * s * s
 		d.err += l.wait * math.Sqrt(l.levelVar)
 	}
 	b := &e.sum.basis
-	if part > 0.01 {
+	if part > 0.1/SpreadMost {
 		b.Level, b.Origins, b.Answers = max(b.Level, l.from), min(b.Origins, l.origins), min(b.Answers, l.answers)
 		b.AgeMs = max(b.AgeMs, millis(l.age))
 	}
@@ -360,7 +390,6 @@
 	if l.cold {
 		e.sum.cold += part * units
 	}
-	return d
 }
 
 // Node is the estimate of one node: the mean of a step of so many units, wait included.
--- a/internal/cost/lines.go
+++ b/internal/cost/lines.go
@@ -319,7 +319,7 @@
 		if o.v == nil {
 			return 0, 0
 		}
-		bad := o.v.Turned + o.v.Failed
+		bad := o.v.Turned + o.v.Failed + o.v.Late // none of them is in the sums
 		return bad, bad + o.n
 	}
 	bad, all := make([]float64, types), make([]float64, types)
@@ -358,7 +358,7 @@
 	s, t := a.Sums, b.Sums
 	return cmp.Or(strings.Compare(a.Class, b.Class), strings.Compare(a.Node, b.Node), cmp.Compare(a.Since, b.Since),
 		cmp.Compare(s.N, t.N), cmp.Compare(s.X, t.X), cmp.Compare(s.Y, t.Y), cmp.Compare(s.XX, t.XX), cmp.Compare(s.XY, t.XY),
-		cmp.Compare(s.YY, t.YY), cmp.Compare(a.Turned, b.Turned), cmp.Compare(a.Failed, b.Failed), cmp.Compare(a.Window, b.Window),
+		cmp.Compare(s.YY, t.YY), cmp.Compare(a.Turned, b.Turned), cmp.Compare(a.Failed, b.Failed), cmp.Compare(a.Late, b.Late), cmp.Compare(a.Window, b.Window),
 		cmp.Compare(a.Queue, b.Queue), cmp.Compare(a.Origins, b.Origins), cmp.Compare(a.Age, b.Age), cmp.Compare(a.Shard, b.Shard),
 		strings.Compare(a.Type, b.Type))
 }
--- a/internal/cost/types.go
+++ b/internal/cost/types.go
@@ -33,7 +33,8 @@
 	PlansMost  = 256
 	StepsMost  = 1024 // of one plan, references counted as often as they are used
 	DepthMost  = 64
-	QuorumMost = 32 // steps of one "of"
+	QuorumMost = 16 // steps of one "of"
+	SpreadMost = 8  // nodes of a shard that a step without a node is shared out over: those of the widest windows
 	unitsMost  = 1e9
 	figureMost = 1e12 // of anything in a view
 )
--- /dev/null
+++ b/internal/lab/costs/costs.go
@@ -0,0 +1,326 @@
+// Package costs is the experiment on the estimate, in virtual time: 8 processes that each see part of the
+// answers, 24 nodes of three kinds of hardware, one of which turns five times slower. At each decision one
+// process is offered several plans for one piece of work and three estimates of them: the fleet's mean, its
+// own answers alone, and what all told, pooled from node to type to fleet. Every plan is then played in the
+// same world, so that it is known which would have been cheapest and whether the interval held.
+package costs
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"runtime"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wheatsaddle/internal/cost"
+)
+
+// Options are the experiment's.
+type Options struct {
+	Seeds    []uint64
+	For      time.Duration // of one seed; the node turns slow at half of it
+	HalfLife time.Duration // of an answer's weight
+}
+
+const (
+	warm     = 10 * time.Second // before the first decision
+	every    = 100.0            // ms between decisions
+	settle   = 5000.0           // ms within which the order must be right again
+	deadline = 150 * time.Millisecond
+	repeats  = 80 // plays of a plan, for its cost in hindsight
+	offered  = 4
+	slowNode = 3 * 2 // of the fastest kind: it has the longest way to the end of the order
+	clear    = 1.25  // an order counts where the nodes differ by so much in truth
+)
+
+// The bounds of the issue.
+const (
+	coverLeast, coverMost = 0.85, 0.95
+	excessMost            = 0.05
+	excessPart            = 0.5 // of the other estimates' excess
+)
+
+// The estimates beside each other.
+const (
+	pooled = iota
+	fleetMean
+	ownOnly
+	ways
+)
+
+// WayNames names the estimates.
+var WayNames = [ways]string{"pooled", "fleet mean", "own answers only"}
+
+// Row is one seed; the last of a report is over all seeds.
+type Row struct {
+	Seed      uint64        `json:"seed"` // 0: all
+	Decisions int           `json:"decisions"`
+	Cover     [ways]float64 `json:"cover"`         // share of ends within the 90% interval
+	Excess    [ways]float64 `json:"excess"`        // cost of what was called cheapest, over the best in hindsight
+	Turning   [ways]float64 `json:"excess_in_5_s"` // ... within 5 s of the slowing
+	Right     float64       `json:"right_after_s"` // until the slow node stands right among all at every process, for good
+	Alike     float64       `json:"alike"`         // share of decisions in which the first was not told apart from the best
+	held      [ways]int
+	ends      int
+	best      [2]float64 // summed cost in hindsight: settled, turning
+	chosen    [2][ways]float64
+	alike     int
+}
+
+// Report is the result.
+type Report struct {
+	HalfLife float64  `json:"half_life_s"`
+	Rows     []Row    `json:"rows"`
+	Missed   []string `json:"missed"`
+}
+
+// Run plays the seeds.
+func Run(opt Options) (*Report, error) {
+	rep := &Report{HalfLife: opt.HalfLife.Seconds()}
+	var sum Row
+	rows := make([]Row, len(opt.Seeds))
+	var group errgroup.Group
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	for i, seed := range opt.Seeds { // each in a world of its own
+		group.Go(func() (err error) {
+			rows[i], err = play(seed, opt)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	for _, r := range rows {
+		for i := range 2 {
+			sum.best[i] += r.best[i]
+			for k := range ways {
+				sum.chosen[i][k] += r.chosen[i][k]
+			}
+		}
+		for k := range ways {
+			sum.held[k] += r.held[k]
+		}
+		sum.ends, sum.Decisions, sum.alike = sum.ends+r.ends, sum.Decisions+r.Decisions, sum.alike+r.alike
+		sum.Right = max(sum.Right, r.Right)
+		r.shares()
+		rep.Rows = append(rep.Rows, r)
+	}
+	sum.shares()
+	rep.Rows = append(rep.Rows, sum)
+	for _, r := range rep.Rows {
+		rep.judge(r)
+	}
+	return rep, nil
+}
+
+func (r *Row) shares() {
+	for k := range ways {
+		r.Cover[k] = float64(r.held[k]) / float64(max(r.ends, 1))
+		r.Excess[k] = r.chosen[0][k]/r.best[0] - 1
+		r.Turning[k] = r.chosen[1][k]/r.best[1] - 1
+	}
+	r.Alike = float64(r.alike) / float64(max(r.Decisions, 1))
+}
+
+func (rep *Report) judge(r Row) {
+	miss := func(form string, args ...any) {
+		rep.Missed = append(rep.Missed, fmt.Sprintf("seed %d: ", r.Seed)+fmt.Sprintf(form, args...))
+	}
+	if c := r.Cover[pooled]; !(c >= coverLeast && c <= coverMost) {
+		miss("the 90%% interval holds %.3f", c)
+	}
+	x := r.Excess[pooled]
+	if !(x <= excessMost) {
+		miss("excess %.3f", x)
+	}
+	for k := fleetMean; k < ways && r.Seed == 0; k++ { // a ratio of small numbers: over all seeds
+		if !(x <= excessPart*r.Excess[k]) {
+			miss("excess %.4f, of %s %.4f", x, WayNames[k], r.Excess[k])
+		}
+	}
+	if !(r.Right*1000 <= settle) {
+		miss("the order is right after %.1f s", r.Right)
+	}
+}
+
+// decision is one choice that is being played.
+type decision struct {
+	first [ways]int // the plan each way calls cheapest
+	costs [offered]float64
+	left  int
+}
+
+func play(seed uint64, opt Options) (Row, error) {
+	w := newWorld(seed, opt.HalfLife)
+	r := Row{Seed: seed}
+	var est [ways]*cost.Estimator
+	for k := range est {
+		var err error
+		if est[k], err = cost.New(cost.Defaults(class)); err != nil {
+			return r, err
+		}
+	}
+	end := millis(warm + opt.For)
+	turn := millis(warm + opt.For/2)
+	for t := millis(warm); t < end; t += every {
+		w.run(t)
+		if t >= turn && t < turn+every {
+			w.nodes[slowNode].factor *= slowTimes
+		}
+		if t > turn {
+			if wrong := w.anyWrong(est[pooled]); wrong {
+				r.Right = (t + every - turn) / 1000
+			}
+		}
+		if err := w.decide(&r, &est, t >= turn && t < turn+settle); err != nil {
+			return r, err
+		}
+	}
+	w.run(end + 60000) // what is out ends
+	return r, nil
+}
+
+// anyWrong says whether at any process the slow node stands on the wrong side of another from which it
+// clearly differs.
+func (w *world) anyWrong(e *cost.Estimator) bool {
+	const units = (1 + unitsTop) / 2.0
+	slow := w.nodes[slowNode].mean(units)
+	for p := range processes {
+		e.Learn(w.views(&w.shared[p], processes))
+		held, _ := e.Node(nodeName(slowNode), class, units)
+		for n := range w.nodes {
+			v, _ := e.Node(nodeName(n), class, units)
+			if truth := w.nodes[n].mean(units); truth*clear < slow && v >= held || truth > clear*slow && v <= held {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (w *world) decide(r *Row, est *[ways]*cost.Estimator, turning bool) error {
+	p := w.rng.IntN(processes)
+	shared := w.views(&w.shared[p], processes)
+	est[pooled].Learn(shared)
+	est[fleetMean].Learn(flat(shared))
+	est[ownOnly].Learn(w.views(&w.own[p], 1))
+	plans := w.offers()
+	d := &decision{left: offered * repeats}
+	var bounds [ways][offered][2]float64
+	for k, e := range est {
+		got, err := e.Estimate(plans, deadline)
+		if err != nil {
+			return err
+		}
+		for at, a := range got.Plans {
+			i := int(a.Name[0] - 'a')
+			if at == 0 {
+				d.first[k] = i
+			}
+			bounds[k][i] = [2]float64{a.Low, a.High}
+			if k == pooled && at == 0 && len(a.Alike) > 0 {
+				r.alike++
+			}
+		}
+	}
+	r.Decisions++
+	phase := 0
+	if turning {
+		phase = 1
+	}
+	prices := cost.Defaults(class).Prices
+	for i := range plans {
+		for n := range repeats {
+			w.play(&plans[i].Root, func(got played) {
+				c := prices.Work*got.work + prices.End*got.end
+				if got.end > millis(deadline) {
+					c += prices.Late * millis(deadline)
+				}
+				d.costs[i] += c / repeats
+				if n == 0 && !turning {
+					r.ends++
+					for k := range ways {
+						if got.end >= bounds[k][i][0] && got.end <= bounds[k][i][1] {
+							r.held[k]++
+						}
+					}
+				}
+				if d.left--; d.left == 0 {
+					r.best[phase] += slices.Min(d.costs[:])
+					for k, f := range d.first {
+						r.chosen[phase][k] += d.costs[f]
+					}
+				}
+			})
+		}
+	}
+	return nil
+}
+
+// offers are ways of one piece of work: reads of some shards, in one shape, on other nodes each.
+func (w *world) offers() []cost.Plan {
+	shards := w.rng.Perm(nodeCount / perShard)[:1+w.rng.IntN(6)]
+	units := make([]float64, len(shards))
+	for i := range units {
+		units[i] = float64(1 + w.rng.IntN(unitsTop))
+	}
+	shape := w.rng.IntN(4)
+	plans := make([]cost.Plan, offered)
+	for i := range plans {
+		var steps []cost.Step
+		for j, s := range shards {
+			first := w.rng.IntN(perShard)
+			at := func(n int) cost.Step {
+				return cost.Step{Work: &cost.Work{Shard: s, Class: class, Units: units[j], Node: nodeName(s*perShard + n%perShard)}}
+			}
+			step := at(first)
+			if shape == 2 { // a copy beside it
+				step = cost.Step{Any: []cost.Step{at(first), at(first + 1 + w.rng.IntN(perShard-1))}}
+			}
+			steps = append(steps, step)
+		}
+		root := cost.Step{All: steps}
+		switch {
+		case shape == 1:
+			root = cost.Step{Then: steps}
+		case shape == 3:
+			root = cost.Step{Of: &cost.Quorum{K: (len(steps) + 1) / 2, Steps: steps}}
+		}
+		plans[i] = cost.Plan{Name: string(rune('a' + i)), Root: root}
+	}
+	return plans
+}
+
+// Print writes the table.
+func (rep *Report) Print(out io.Writer) error {
+	fmt.Fprintf(out, "%d processes, %d nodes of %d kinds, one turns %g times slower; half-life %.1f s; virtual time\n",
+		processes, nodeCount, perShard, slowTimes, rep.HalfLife)
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "seed\tdecisions\tin the 90%\tfleet mean\town only\t| excess %\tfleet mean\town only\t| in the 5 s %\tfleet mean\town only\t| right after s\talike")
+	for _, r := range rep.Rows {
+		name := fmt.Sprint(r.Seed)
+		if r.Seed == 0 {
+			name = "all"
+		}
+		fmt.Fprintf(t, "%s\t%d\t%.3f\t%.3f\t%.3f\t| %.2f\t%.2f\t%.2f\t| %.2f\t%.2f\t%.2f\t| %.1f\t%.2f\n", name, r.Decisions,
+			r.Cover[pooled], r.Cover[fleetMean], r.Cover[ownOnly], 100*r.Excess[pooled], 100*r.Excess[fleetMean], 100*r.Excess[ownOnly],
+			100*r.Turning[pooled], 100*r.Turning[fleetMean], 100*r.Turning[ownOnly], math.Round(r.Right*10)/10, r.Alike)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if len(rep.Missed) == 0 {
+		_, err := fmt.Fprintln(out, "bounds: all met; interval, excess and order at each seed, half of the others' excess over all")
+		return err
+	}
+	for _, m := range rep.Missed {
+		if _, err := fmt.Fprintln(out, "bound missed:", m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/operator/door.go
+++ b/internal/operator/door.go
@@ -1,5 +1,5 @@
 // Package operator is the operators' door: a second address, solely for operators, with four
-// calls (ready, telemetry, exclude, include). It decides nothing of the data path; it reads the
+// calls (ready, telemetry, exclude, include) and, where it is given one, a fifth (estimate). It decides nothing of the data path; it reads the
 // counts of core and hands excludes and includes to whoever holds them.
 //
 // Every answer is due within a second under any load, beside callers that hold a connection
@@ -37,14 +37,16 @@
 	Exclude func(id string) error // nil: done; ErrUnknown: a no of 404; else a no of 503
 	Include func(id string) error
 	Log     logrus.FieldLogger
-	srv     *fasthttp.Server
+
+	Estimate *Estimate // nil: no such call
+	srv      *fasthttp.Server
 }
 
 // Serve answers on ln until Close.
 func (d *Door) Serve(ln net.Listener) error {
 	d.srv = &fasthttp.Server{
 		Handler: d.handle, ErrorHandler: refuse, ReadTimeout: readFor, WriteTimeout: writeFor,
-		IdleTimeout: readFor, MaxRequestsPerConn: 1, ReadBufferSize: callMost, MaxRequestBodySize: callMost,
+		IdleTimeout: readFor, MaxRequestsPerConn: 1, ReadBufferSize: callMost, MaxRequestBodySize: d.bodyMost(),
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true,
 		DisableKeepalive: true, Logger: quiet{d.Log},
 	}
@@ -83,6 +85,9 @@
 	ctx.SetConnectionClose()
 	path, method := string(ctx.Path()), string(ctx.Method())
 	want := map[string]string{"/api/ready": "GET", "/api/telemetry": "GET", "/api/exclude": "PUT", "/api/include": "PUT"}[path]
+	if path == estimatePath && d.Estimate != nil {
+		want = "POST"
+	}
 	switch {
 	case want == "":
 		no(ctx, fasthttp.StatusNotFound, "", &NoCall{path})
@@ -92,7 +97,13 @@
 		no(ctx, fasthttp.StatusMethodNotAllowed, "", &WrongMethod{path, method, want})
 		return
 	}
+	if path != estimatePath && len(ctx.PostBody()) > callMost {
+		no(ctx, fasthttp.StatusRequestEntityTooLarge, "", &TooLong{path, callMost})
+		return
+	}
 	switch path {
+	case estimatePath:
+		d.Estimate.answer(ctx)
 	case "/api/ready":
 		if !d.Ready() {
 			no(ctx, fasthttp.StatusServiceUnavailable, "", &NotReady{})
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"fmt"
+
 	"wheatsaddle/internal/exclusion"
 	"wheatsaddle/internal/operr"
 )
@@ -34,6 +36,35 @@
 	return "Call it again with " + e.Want + "; nothing was changed."
 }
 
+// TooLong is a call whose body is longer than it may be.
+type TooLong struct {
+	Path string
+	Most int // bytes
+}
+
+func (e *TooLong) Error() string { return fmt.Sprintf("%s: a body of over %d bytes", e.Path, e.Most) }
+
+// Code implements operr.Coded.
+func (e *TooLong) Code() string { return "operator-body" }
+
+// Advice implements operr.Coded.
+func (e *TooLong) Advice() string {
+	return "Send no body where the call has none; a question for an estimate may be as long as estimate.bytes_most of the site's file."
+}
+
+// Occupied says that as many estimates as are allowed are being made.
+type Occupied struct{}
+
+func (e *Occupied) Error() string { return "other estimates are being made" }
+
+// Code implements operr.Coded.
+func (e *Occupied) Code() string { return "operator-occupied" }
+
+// Advice implements operr.Coded.
+func (e *Occupied) Advice() string {
+	return "Ask again in a second; estimate.at_once of the site's file says how many are made at a time."
+}
+
 // NotReady says that this process is not ready for clients.
 type NotReady struct{}
 
@@ -77,7 +108,7 @@
 }
 
 func init() {
-	operr.Register(&NoCall{"/api/drain"}, &WrongMethod{"/api/exclude", "GET", "PUT"}, &NotReady{}, &NoID{}, &Unreadable{errLong{}})
+	operr.Register(&NoCall{"/api/drain"}, &WrongMethod{"/api/exclude", "GET", "PUT"}, &NotReady{}, &TooLong{"/api/ready", 1024}, &Occupied{}, &NoID{}, &Unreadable{errLong{}})
 }
 
 type errLong struct{}
--- /dev/null
+++ b/internal/operator/estimate_test.go
@@ -0,0 +1,79 @@
+package operator
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// post makes one POST /api/estimate.
+func post(t *testing.T, at, body string) (int, string) {
+	t.Helper()
+	nc, err := net.DialTimeout("tcp", at, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(nc, "POST /api/estimate HTTP/1.1\r\nHost: op\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+// The call is there only where it is given; one more than allowed at once is turned away and holds no other
+// call up; a long question and a faulty one are a no with the reason.
+func TestEstimateCall(t *testing.T) {
+	d, ready, _ := door()
+	ready.Store(true)
+	if code, _ := post(t, open(t, d), "{}"); code != 404 {
+		t.Errorf("without the section: %d", code)
+	}
+	d, ready, _ = door()
+	ready.Store(true)
+	entered, leave := make(chan struct{}), make(chan struct{})
+	d.Estimate = NewEstimate(func(body []byte) ([]byte, error) {
+		switch string(body) {
+		case "wait":
+			entered <- struct{}{}
+			<-leave
+		case "bad":
+			return nil, errors.New("plans.0: no root")
+		}
+		return body, nil
+	}, 5000, 1)
+	at := open(t, d)
+	done := make(chan int)
+	go func() {
+		code, _ := post(t, at, "wait")
+		done <- code
+	}()
+	<-entered
+	if code, text := post(t, at, "x"); code != 503 || text == "" {
+		t.Errorf("beside another: %d %q", code, text)
+	}
+	if code, _ := call(t, at, "GET", "/api/ready"); code != 200 {
+		t.Errorf("ready beside an estimate: %d", code)
+	}
+	close(leave)
+	if code := <-done; code != 200 {
+		t.Errorf("the first: %d", code)
+	}
+	for body, want := range map[string]int{"x": 200, strings.Repeat("x", 5000): 200, strings.Repeat("x", 5001): 400, "bad": 400} {
+		if code, text := post(t, at, body); code != want || text == "" || body == "bad" && !strings.Contains(text, "plans.0: no root") {
+			t.Errorf("%.9s of %d: %d %q, want %d", body, len(body), code, text, want)
+		}
+	}
+	if code, _ := call(t, at, "GET", "/api/estimate"); code != 405 {
+		t.Errorf("GET: %d", code)
+	}
+}
