Cost: named steps are read once; an estimate gives way between plans and ends in time

256 plans that refer to one large step took 1.7 s to read on one core, over the door's second: each use was parsed again. The daemon's call yields between plans and ends with cost-out-of-time after 0.6 s.

--- a/cmd/wheatsaddle/estimate.go
+++ b/cmd/wheatsaddle/estimate.go
@@ -1,12 +1,18 @@
 package main
 
 import (
+	"runtime"
+	"time"
+
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/cost"
 	"wheatsaddle/internal/observations"
 	"wheatsaddle/internal/operator"
 )
 
+// estimateFor is how long an estimate may take; the door's answers are due within a second.
+const estimateFor = 600 * time.Millisecond
+
 // views is what processes share of the nodes.
 type views func() []observations.View
 
@@ -28,6 +34,7 @@
 		}
 	}
 	return operator.NewEstimate(func(body []byte) ([]byte, error) {
+		begin := time.Now()
 		plans, deadline, err := cost.ParsePlans(body)
 		if err != nil {
 			return nil, err
@@ -36,6 +43,10 @@
 		if err != nil {
 			return nil, err
 		}
+		e.Between = func() bool {
+			runtime.Gosched()
+			return time.Since(begin) < estimateFor
+		}
 		if know != nil {
 			e.Learn(know())
 		}
--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -255,6 +255,8 @@
 		{`{"plans":[{"name":"a","root":{"then":[{"ref":"none"}]}}]}`, "cost-unknown-name", `plans.0.root.then.0: no step "none"`, false},
 		{`{"steps":{"x":{"all":[` + w + `,{"ref":"y"}]},"y":{"then":[{"ref":"x"}]}},"plans":[{"name":"a","root":{"ref":"x"}}]}`, "cost-cycle", `steps.y.then.0: "x"`, false},
 		{`{"steps":{"x":{"ref":"x"}},"plans":[{"name":"a","root":` + w + `}]}`, "cost-cycle", "steps.x", false},
+		{`{"steps":{"x":{"then":[{"ref":"y"}]},"y":{"ref":"x"},"z":` + w + `},"plans":[{"name":"a","root":{"ref":"z"}}]}`, "cost-cycle", "leads back", false},
+		{`{"steps":{"x":` + deep[9*20:len(deep)-2*20] + `},"plans":[{"name":"a","root":` + strings.Repeat(`{"then":[`, 20) + `{"ref":"x"}` + strings.Repeat(`]}`, 20) + `}]}`, "cost-too-much", "one inside the other", false},
 		{`{"plans":[{"name":"a","root":` + deep + `}]}`, "cost-too-much", "one inside the other", false},
 		{`{"steps":{` + double + `},"plans":[{"name":"a","root":{"ref":"s12"}}]}`, "cost-too-much", "1024 steps", false},
 		{`{"plans":[` + strings.TrimSuffix(strings.Repeat(`{"name":"a","root":`+w+`},`, 257), ",") + `]}`, "cost-too-much", "256 plans", true},
@@ -281,6 +283,11 @@
 			t.Errorf("%.200s: the schema says %v", q.text, err)
 		}
 	}
+	e.Between = func() bool { return false }
+	var late *OutOfTime
+	if _, err := e.Estimate(sixtyFour(), 0); !errors.As(err, &late) || late.Made != 1 {
+		t.Errorf("out of time: %v", err)
+	}
 	loop := make([]Step, 1)
 	loop[0].Then = loop
 	var much *TooMuch
--- a/internal/cost/errors.go
+++ b/internal/cost/errors.go
@@ -93,6 +93,21 @@
 // Advice implements operr.Coded.
 func (e *TooMuch) Advice() string { return "ask in parts, or leave out steps that matter least" }
 
+// OutOfTime is a question whose estimates took longer than they may.
+type OutOfTime struct{ Made, Plans int }
+
+func (e *OutOfTime) Error() string {
+	return fmt.Sprintf("time was up after %d of %d plans", e.Made, e.Plans)
+}
+
+// Code implements operr.Coded.
+func (e *OutOfTime) Code() string { return "cost-out-of-time" }
+
+// Advice implements operr.Coded.
+func (e *OutOfTime) Advice() string {
+	return "ask for fewer plans at a time, or when there is less load"
+}
+
 func at(step string) string {
 	if step == "" {
 		return ""
--- a/internal/cost/estimate.go
+++ b/internal/cost/estimate.go
@@ -24,6 +24,10 @@
 	views   int
 	dropped int
 
+	// Between, if set, is called between plans: whoever estimates beside urgent work gives way there, and
+	// ends what takes too long by false.
+	Between func() bool
+
 	take  func(views []observations.View, most int) ([]observations.View, int) // latest; a test breaks these two
 	apart func(a, b *Answer) float64
 
@@ -126,6 +130,9 @@
 		return r, &BadFigure{Key: "deadline_ms", Value: r.DeadlineMs, Want: "0 or more"}
 	}
 	for i := range plans {
+		if i > 0 && e.Between != nil && !e.Between() {
+			return r, &OutOfTime{i, len(plans)}
+		}
 		a, err := e.plan(&plans[i], i, r.DeadlineMs)
 		if err != nil {
 			return r, err
--- a/internal/cost/parse.go
+++ b/internal/cost/parse.go
@@ -23,8 +23,15 @@
 type parser struct {
 	named map[string]gjson.Result
 	under []string // named steps that are being read
-	used  map[string]bool
+	read  map[string]named
 	steps int // of the plan under way
+	deep  int // the deepest of them
+}
+
+// named is a step that has been read: each use is the same tree, which nobody changes.
+type named struct {
+	step         Step
+	steps, depth int
 }
 
 // ParsePlans reads plans and deadline. References are put in place of their names.
@@ -33,7 +40,7 @@
 		return nil, 0, &BadPlans{"", "not valid JSON"}
 	}
 	root := gjson.ParseBytes(text)
-	p := &parser{named: map[string]gjson.Result{}, used: map[string]bool{}}
+	p := &parser{named: map[string]gjson.Result{}, read: map[string]named{}}
 	keys, err := fields(root, "", "deadline_ms", "steps", "plans")
 	if err != nil {
 		return nil, 0, err
@@ -92,17 +99,51 @@
 // unused reads what no plan refers to: a fault there is a fault too.
 func (p *parser) unused() error {
 	for _, name := range sortedKeys(p.named) {
-		if p.used[name] {
-			continue
-		}
-		p.steps, p.under = 0, []string{name}
-		if _, err := p.step(p.named[name], "steps."+name, 1); err != nil {
+		p.steps = 0
+		if _, err := p.ref(name, "steps", 0); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// ref is a named step, read once. Its size counts at each use.
+func (p *parser) ref(name, way string, depth int) (Step, error) {
+	got, ok := p.read[name]
+	if !ok {
+		text, ok := p.named[name]
+		switch {
+		case !ok:
+			return Step{}, &UnknownName{way, "step", name}
+		case slices.Contains(p.under, name):
+			return Step{}, &Cycle{way, name}
+		}
+		p.under = append(p.under, name)
+		steps, deep := p.steps, p.deep
+		p.steps, p.deep = 0, 0
+		s, err := p.step(text, "steps."+name, 1)
+		if err != nil {
+			return s, err
+		}
+		got = named{s, p.steps, p.deep}
+		p.steps, p.deep, p.read[name] = steps, deep, got
+		p.under = p.under[:len(p.under)-1]
+	}
+	return got.step, p.count(way, got.steps, depth+got.depth)
+}
+
+func (p *parser) count(way string, steps, depth int) error {
+	p.steps += steps
+	p.deep = max(p.deep, depth)
+	switch {
+	case p.steps > StepsMost:
+		return &TooMuch{way, "steps in a plan", StepsMost}
+	case depth > DepthMost:
+		return &TooMuch{way, "steps one inside the other", DepthMost}
+	}
+	return nil
+}
+
 func (p *parser) plan(v gjson.Result, way string) (Plan, error) {
 	plan := Plan{Left: -1}
 	keys, err := fields(v, way, "name", "limit", "left", "root")
@@ -135,13 +176,6 @@
 }
 
 func (p *parser) step(v gjson.Result, way string, depth int) (Step, error) {
-	p.steps++
-	switch {
-	case p.steps > StepsMost:
-		return Step{}, &TooMuch{way, "steps in a plan", StepsMost}
-	case depth > DepthMost:
-		return Step{}, &TooMuch{way, "steps one inside the other", DepthMost}
-	}
 	keys, err := fields(v, way, "work", "then", "all", "any", "of", "ref")
 	if err != nil {
 		return Step{}, err
@@ -151,25 +185,19 @@
 	}
 	kind := sortedKeys(keys)[0]
 	body := keys[kind]
+	if kind == "ref" { // itself no step
+		if body.Type != gjson.String {
+			return Step{}, &BadPlans{way, "ref: want a name"}
+		}
+		return p.ref(body.Str, way, depth-1)
+	}
+	if err := p.count(way, 1, depth); err != nil {
+		return Step{}, err
+	}
 	switch kind {
 	case "work":
 		w, err := work(body, way+".work")
 		return Step{Work: w}, err
-	case "ref":
-		s, ok := p.named[body.Str]
-		switch {
-		case body.Type != gjson.String:
-			return Step{}, &BadPlans{way, "ref: want a name"}
-		case !ok:
-			return Step{}, &UnknownName{way, "step", body.Str}
-		case slices.Contains(p.under, body.Str):
-			return Step{}, &Cycle{way, body.Str}
-		}
-		p.under, p.used[body.Str] = append(p.under, body.Str), true
-		p.steps-- // the reference itself is no step
-		got, err := p.step(s, "steps."+body.Str, depth+1)
-		p.under = p.under[:len(p.under)-1]
-		return got, err
 	case "of":
 		of, err := fields(body, way+".of", "k", "steps")
 		if err != nil {
--- a/internal/cost/types.go
+++ b/internal/cost/types.go
@@ -203,5 +203,5 @@
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func init() {
-	operr.Register(&BadSetting{}, &BadPlans{}, &UnknownName{}, &Cycle{}, &BadFigure{}, &TooMuch{})
+	operr.Register(&BadSetting{}, &BadPlans{}, &UnknownName{}, &Cycle{}, &BadFigure{}, &TooMuch{}, &OutOfTime{})
 }
