--- a/internal/cost/dist.go
+++ b/internal/cost/dist.go
@@ -340,7 +340,7 @@
 			chances[i] = ended[i*len(points)+g]
 		}
 		p := min(max(atLeast(chances, k), 1e-300), 1)
-		run = larger(run, math.Log(p)-math.Log(max(1-p, 1e-16)))
+		run = larger(run, math.Log(p/max(1-p, 1e-16)))
 		logits[g] = run
 	}
 	invert(points, logits, &out.q)
--- a/internal/cost/laws_test.go
+++ b/internal/cost/laws_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"wheatsaddle/internal/observations"
+	"wheatsaddle/internal/operr"
 )
 
 // tree draws a step.
@@ -308,3 +309,27 @@
 		}
 	}
 }
+
+// Any text is either a question whose answer is finite or an error with a code: nothing else comes of it.
+func FuzzQuestion(f *testing.F) {
+	w := `{"work":{"shard":1,"class":"read","units":2,"node":"n-03"}}`
+	for _, s := range []string{w, `{"ref":"x"}`, `{"of":{"k":1,"steps":[` + w + `,` + w + `]}}`, `{"then":[` + w + `,{"any":[` + w + `]}]}`} {
+		f.Add([]byte(`{"deadline_ms":9,"steps":{"x":` + w + `},"plans":[{"name":"a","left":1,"root":` + s + `}]}`))
+	}
+	e, err := New(Defaults(class))
+	if err != nil {
+		f.Fatal(err)
+	}
+	e.Learn(fleet())
+	f.Fuzz(func(t *testing.T, text []byte) {
+		plans, deadline, err := ParsePlans(text)
+		var r Ranking
+		if err == nil {
+			r, err = e.Estimate(plans, deadline)
+		}
+		var coded operr.Coded
+		if err != nil && !errors.As(err, &coded) || err == nil && broken(reflect.ValueOf(r)) {
+			t.Fatalf("%v %+v", err, r)
+		}
+	})
+}
