Cost: how a node stands counts in every class, also where it has no answers

observations gives a node's health as a view of no class; its window, queue and cold state were only read from views with answers.

--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -120,7 +120,7 @@
 	if c := byName(r, "anywhere"); len(c.Work) != 3 || c.P50 > queued.P50 {
 		t.Errorf("anywhere: %+v", c)
 	}
-	if c := byName(r, "unheard"); c.Basis.Level != FromSettings || c.Basis.Trust != 0 || c.Basis.Answers != 0 {
+	if c := byName(r, "unheard"); c.Basis.Level != FromSettings || c.Mean < 15 || c.Basis.Trust != 0 || c.Basis.Answers != 0 {
 		t.Errorf("unheard: %+v", c)
 	}
 	if text, err := r.JSON(); err != nil || !strings.Contains(string(text), `"level":"settings"`) {
--- a/internal/cost/estimate.go
+++ b/internal/cost/estimate.go
@@ -37,7 +37,12 @@
 	unsure float64 // of the work
 }
 
-type place struct{ shard, typ int }
+// place is what is known of a node in any class.
+type place struct {
+	shard, typ    int
+	cold          bool
+	window, queue float64
+}
 
 // tally is what a plan adds up beside its end.
 type tally struct {
@@ -80,7 +85,7 @@
 	for i := range kept { // in order of class and node: the last to name a type and shard counts
 		v := &kept[i]
 		if p := &e.place[names[v.Node]]; v.Type != "" || p.typ == 0 {
-			*p = place{v.Shard, kinds[v.Type]}
+			*p = place{v.Shard, kinds[v.Type], v.Cold, v.Window, v.Queue}
 		}
 	}
 	e.work = make([]float64, len(e.types))
@@ -97,6 +102,7 @@
 		e.bare[c], e.lines[c] = bare, make([]line, len(order))
 		for i, p := range e.place {
 			e.lines[c][i] = bare[p.typ]
+			e.lines[c][i].stand(p.cold, p.window, p.queue)
 		}
 		for i, o := range mine {
 			e.lines[c][names[o.v.Node]] = lines[i]
--- a/internal/cost/lines.go
+++ b/internal/cost/lines.go
@@ -36,6 +36,11 @@
 	window             float64
 }
 
+// stand is how a node stands: by Little's law a queue waits its length over the window, in answers' times.
+func (l *line) stand(cold bool, window, queue float64) {
+	l.cold, l.window, l.wait = cold, window, queue/max(window, 1)
+}
+
 // mean is the time of a step of so many units, without its wait.
 func (l *line) mean(units float64) float64 {
 	return max(l.level+l.slope*(units-l.base), leastMillis)
@@ -259,8 +264,8 @@
 			l.from = FromType
 		}
 		if v := o.v; v != nil {
-			l.origins, l.age, l.cold, l.window = v.Origins, v.Age, v.Cold, v.Window
-			l.wait = v.Queue / max(v.Window, 1)
+			l.origins, l.age = v.Origins, v.Age
+			l.stand(v.Cold, v.Window, v.Queue)
 		}
 		return l
 	}
