--- a/cmd/wheatsaddle/peers.go
+++ b/cmd/wheatsaddle/peers.go
@@ -59,6 +59,14 @@
 	return f, nil
 }
 
+// views is what is known of the nodes, for estimates; nil: nothing is shared.
+func (f *fleet) views() views {
+	if f == nil {
+		return nil
+	}
+	return f.peers.Views
+}
+
 func peerKey(file string) ([]byte, error) {
 	if file == "" {
 		return nil, nil
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -213,7 +213,7 @@
 	ready := func() bool { return serving.Load() && (listed.Load() || time.Since(started) > listWait) }
 	keep := &keeper{store: kept, core: co, log: log}
 	go keep.watch(ctx)
-	door, err := openDoor(conf, ready, co, keep, estimates(at.held.Estimate, conf, nil), log)
+	door, err := openDoor(conf, ready, co, keep, estimates(at.held.Estimate, conf, others.views()), log)
 	if err != nil {
 		return err
 	}
--- a/internal/observations/types.go
+++ b/internal/observations/types.go
@@ -99,7 +99,7 @@
 // Defaults are good for some thirty processes.
 func Defaults() Settings {
 	return Settings{Origins: 32, Nodes: 256, Classes: 16, Bytes: 1200,
-		HalfLife: 30 * time.Second, Expire: 5 * time.Minute, Clip: 2}
+		HalfLife: 1500 * time.Millisecond, Expire: 5 * time.Minute, Clip: 2}
 }
 
 const (
