gather: parts of a read merge into one result by rules

Need: a read that spans shards is sent as parts; they come late, twice, cut or never, and nothing brings them together.

Change: the public package gather, without I/O or clock.

--- /dev/null
+++ b/gather/errors.go
@@ -0,0 +1,167 @@
+package gather
+
+import (
+	"fmt"
+
+	"wheatsaddle/internal/operr"
+)
+
+// RulesBad is nonsense among rules; Key is its path in the text.
+type RulesBad struct{ Key, Why string }
+
+func (e *RulesBad) Error() string { return fmt.Sprintf("gather: rules: %s: %s", e.Key, e.Why) }
+func (*RulesBad) Code() string    { return "gather-rules-bad" }
+func (*RulesBad) Advice() string {
+	return "correct the key that the error names; docs/gather.md has each key with an example"
+}
+
+// PartsBad is a list of parts that cannot be merged: none, one twice, or too many for the memory.
+type PartsBad struct{ Part, Why string }
+
+func (e *PartsBad) Error() string { return fmt.Sprintf("gather: part %q: %s", e.Part, e.Why) }
+func (*PartsBad) Code() string    { return "gather-parts-bad" }
+func (*PartsBad) Advice() string  { return "name each part once, or raise memory in the class's rules" }
+
+// CopiesOver is a copy of a part over the rules' copies; nothing of it was taken.
+type CopiesOver struct {
+	Part  string
+	Limit int
+}
+
+func (e *CopiesOver) Error() string {
+	return fmt.Sprintf("gather: part %q: more than %d copies", e.Part, e.Limit)
+}
+func (*CopiesOver) Code() string { return "gather-copies-over" }
+func (*CopiesOver) Advice() string {
+	return "send fewer copies of a part, or raise copies in the rules"
+}
+
+// Full is a piece that has no room yet; nothing of it was taken, and it may be given again after Next.
+type Full struct {
+	Part          string
+	Offered, Room int // bytes
+}
+
+func (e *Full) Error() string {
+	return fmt.Sprintf("gather: part %q: %d bytes offered, room for %d", e.Part, e.Offered, e.Room)
+}
+func (*Full) Code() string { return "gather-full" }
+func (*Full) Advice() string {
+	return "send no more than Want allows, or raise memory.bytes in the rules"
+}
+
+// RecordBad is a record that cannot be read; the part is cut before it.
+type RecordBad struct {
+	Part     string
+	Position int64 // of the record in the part, from 0
+	Why      string
+}
+
+func (e *RecordBad) Error() string {
+	return fmt.Sprintf("gather: part %q: record %d: %s", e.Part, e.Position, e.Why)
+}
+func (*RecordBad) Code() string { return "gather-record-bad" }
+func (*RecordBad) Advice() string {
+	return "look at the record on its shard, or correct the key's type in the rules"
+}
+
+// Unsorted is a record that comes before the one in front of it; the part is in conflict and cut before it.
+type Unsorted struct {
+	Part     string
+	Position int64
+}
+
+func (e *Unsorted) Error() string {
+	return fmt.Sprintf("gather: part %q: record %d is not in the rules' order", e.Part, e.Position)
+}
+func (*Unsorted) Code() string { return "gather-unsorted" }
+func (*Unsorted) Advice() string {
+	return "let the shard sort by the rules' keys; for text, by the same locale and version"
+}
+
+// Diverged is a copy of a part that is not what another copy of it is; it is set aside.
+type Diverged struct {
+	Part string
+	Copy int
+	At   int64 // bytes from the start, at or before which they differ
+}
+
+func (e *Diverged) Error() string {
+	return fmt.Sprintf("gather: part %q: copy %d differs from the others within the first %d bytes", e.Part, e.Copy, e.At)
+}
+func (*Diverged) Code() string { return "gather-diverged" }
+func (*Diverged) Advice() string {
+	return "compare the replicas of the shard; read again with one of them"
+}
+
+// Never is the reason of a part that was given up and had said nothing, where the caller gave none.
+type Never struct{ Part string }
+
+func (e *Never) Error() string { return fmt.Sprintf("gather: part %q: given up", e.Part) }
+func (*Never) Code() string    { return "gather-never" }
+func (*Never) Advice() string  { return "look at the shard, or lower complete in the rules" }
+
+// Limited is how a part ends that stopped at the rows it was asked for and may hold more: End(part, copy, &Limited{}).
+type Limited struct{}
+
+func (*Limited) Error() string  { return "gather: the part stopped at the rows it was asked for" }
+func (*Limited) Code() string   { return "gather-limited" }
+func (*Limited) Advice() string { return "none needed: Want asks for more where more is needed" }
+
+// GroupOver is a group of duplicates that does not fit into memory; the merge ends before it.
+type GroupOver struct {
+	Key                   string
+	Rows, Bytes           int
+	RowsLimit, BytesLimit int
+}
+
+func (e *GroupOver) Error() string {
+	return fmt.Sprintf("gather: duplicates of %s: %d rows, %d bytes; limits %d, %d", e.Key, e.Rows, e.Bytes, e.RowsLimit, e.BytesLimit)
+}
+func (*GroupOver) Code() string { return "gather-group-over" }
+func (*GroupOver) Advice() string {
+	return "raise memory in the rules, or let fewer rows have the same key"
+}
+
+// RowOver is a first row that is larger than truncate.bytes: no page could ever hold it.
+type RowOver struct{ Bytes, Limit int64 }
+
+func (e *RowOver) Error() string {
+	return fmt.Sprintf("gather: a row of %d bytes, truncate.bytes is %d", e.Bytes, e.Limit)
+}
+func (*RowOver) Code() string   { return "gather-row-over" }
+func (*RowOver) Advice() string { return "raise truncate.bytes in the rules" }
+
+// Incomplete is a merge that ended before the row for which too few parts were read.
+type Incomplete struct{ Parts, Lost, Need int }
+
+func (e *Incomplete) Error() string {
+	return fmt.Sprintf("gather: %d of %d parts missing or cut, %d needed", e.Lost, e.Parts, e.Need)
+}
+func (*Incomplete) Code() string { return "gather-incomplete" }
+func (*Incomplete) Advice() string {
+	return "go on with the token when the named parts are back, or lower complete in the rules"
+}
+
+// TokenBad is a token that was not made here, or was changed.
+type TokenBad struct{ Why string }
+
+func (e *TokenBad) Error() string { return "gather: token: " + e.Why }
+func (*TokenBad) Code() string    { return "gather-token-bad" }
+func (*TokenBad) Advice() string  { return "begin again without a token" }
+
+// TokenRules is a token made under other rules.
+type TokenRules struct{ Made, Have string }
+
+func (e *TokenRules) Error() string {
+	return fmt.Sprintf("gather: token: made under rules %s, these are %s", e.Made, e.Have)
+}
+func (*TokenRules) Code() string { return "gather-token-rules" }
+func (*TokenRules) Advice() string {
+	return "begin again without a token: the rules have changed since"
+}
+
+func init() {
+	operr.Register(&RulesBad{}, &PartsBad{}, &CopiesOver{}, &Full{}, &RecordBad{}, &Unsorted{}, &Diverged{}, &Never{},
+		&Limited{}, &Told{}, &GroupOver{}, &RowOver{}, &Incomplete{}, &TokenBad{}, &TokenRules{})
+}
--- /dev/null
+++ b/gather/play_test.go
@@ -0,0 +1,177 @@
+package gather
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+)
+
+// source is one part as the test sends it.
+type source struct {
+	part   string
+	copies []sent
+	whole  bool
+}
+
+type sent struct {
+	data string
+	end  error
+	over bool
+}
+
+// play sends sources in a random order of pieces, calls pull between them and reads to the end.
+func play(m *Merge, rng *rand.Rand, sources []source, pull func()) error {
+	var why error
+	for turn := 0; !m.done && len(sources) > 0; turn++ {
+		if turn > 20000 {
+			return errors.New("the merge stands still")
+		}
+		i := rng.IntN(len(sources))
+		s := &sources[i]
+		c := rng.IntN(len(s.copies))
+		x := &s.copies[c]
+		n := min(rng.IntN(700), len(x.data))
+		if err := m.Add(s.part, c, []byte(x.data[:n])); err == nil {
+			x.data = x.data[n:]
+		} else if !errors.As(err, new(*Full)) {
+			why = err
+			break
+		}
+		rows, bytes := m.Held()
+		if m.streams[m.byID[s.part]].room() < 0 {
+			return errors.New("a part waits with more than its share")
+		}
+		if rows > m.r.Memory.Rows || bytes > m.r.Memory.Bytes {
+			return fmt.Errorf("held %d rows, %d bytes", rows, bytes)
+		}
+		if x.data == "" && !x.over {
+			if x.over = true; m.End(s.part, c, x.end) != nil {
+				return errors.New("a copy that agrees was found to differ")
+			}
+			if !slices.ContainsFunc(s.copies, func(c sent) bool { return !c.over }) {
+				if !s.whole {
+					_ = m.Drop(s.part, io.ErrUnexpectedEOF)
+				}
+				sources = slices.Delete(sources, i, i+1)
+			}
+		}
+		if rng.IntN(3) > 0 {
+			pull()
+		}
+	}
+	pull()
+	return why
+}
+
+func (w *world) sources(from, to int) (all []source) {
+	for p := from; p < to; p++ {
+		f := w.parts[p]
+		s := source{part: fmt.Sprintf("p%d", p), whole: f.whole}
+		for i, c := range f.copies {
+			x := sent{data: f.reach(), end: io.ErrUnexpectedEOF}
+			if i > 0 {
+				x.data = x.data[:len(x.data)*c/100]
+			} else if f.whole {
+				x.end = nil
+			}
+			if x.end != nil && f.limit {
+				x.end = &Limited{}
+			}
+			s.copies = append(s.copies, x)
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// gather merges flat or over a tree.
+func (w *world) gather(tree bool, fault fault) (got told, err error) {
+	memory := 512 * (len(w.parts) + 1)
+	if tree || w.keep == "agree" {
+		memory = 1 << 20
+	}
+	r, err := ParseRules([]byte(w.text(memory)))
+	if err != nil {
+		return got, err
+	}
+	rng := rand.New(rand.NewPCG(w.seed, 1))
+	sources := w.sources(0, len(w.parts))
+	parts := make([]Part, len(sources))
+	for i, s := range sources {
+		parts[i] = Part{ID: s.part}
+	}
+	for tree && len(parts) > 1 { // bring some parts together, until one is left or chance ends it
+		n := min(w.tree, len(parts)-1) + rng.IntN(2)
+		if n < 1 || n > len(parts) {
+			n = 1
+		}
+		sub, err := New(r, parts[:n])
+		if err != nil {
+			return got, err
+		}
+		sub.fault = fault
+		var text []byte
+		done := false
+		if err = play(sub, rng, sources[:n:n], func() {
+			for last := -1; len(text) != last; {
+				last = len(text)
+				text, done = sub.AppendPartial(text, rng.IntN(4))
+			}
+		}); err != nil {
+			return got, err
+		}
+		for last := -1; len(text) != last; {
+			last = len(text)
+			text, done = sub.AppendPartial(text, 0)
+		}
+		if !done {
+			return got, fmt.Errorf("a partial result without end: %w", sub.err)
+		}
+		var of []string
+		for _, p := range parts[:n] {
+			if of = append(of, p.Of...); p.Of == nil {
+				of = append(of, p.ID)
+			}
+		}
+		parts = append(parts[n:], Part{ID: "t" + strings.Join(of, "+"), Of: of})
+		sources = append(sources[n:], source{parts[len(parts)-1].ID, []sent{{data: string(text)}, {data: string(text[:len(text)/2]), end: io.EOF}}, true})
+		if rng.IntN(3) == 0 {
+			break
+		}
+	}
+	rng.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+	m, err := New(r, parts)
+	if err != nil {
+		return got, err
+	}
+	m.fault = fault
+	if err = play(m, rng, sources, func() {
+		for row, ok := m.Next(); ok; row, ok = m.Next() {
+			got.rows = append(got.rows, string(row))
+		}
+	}); err != nil {
+		return got, err
+	}
+	res := m.Result()
+	if !res.Done {
+		return got, errors.New("not done")
+	}
+	got.whole, got.cut, got.conflicts, got.named = res.Whole, res.Truncated, res.Conflicts, res.Named
+	got.complete = res.Err == nil
+	for _, p := range res.Parts {
+		s := p.ID + " "
+		for _, f := range []struct {
+			is   bool
+			text string
+		}{{p.Missing, "missing"}, {p.Cut, "cut"}, {p.Conflict, "conflict"}} {
+			if f.is {
+				s += f.text
+			}
+		}
+		got.parts = append(got.parts, s)
+	}
+	return got, nil
+}
--- /dev/null
+++ b/gather/script_test.go
@@ -0,0 +1,334 @@
+package gather
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"wheatsaddle/internal/operr"
+)
+
+func merge(t testing.TB, r *Rules, parts string, opts ...Option) *Merge {
+	t.Helper()
+	var all []Part
+	for _, id := range strings.Fields(parts) {
+		all = append(all, Part{ID: id})
+	}
+	m, err := New(r, all, opts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// drain is the rows that may go now, by a field of theirs.
+func drain(m *Merge) string {
+	var out []string
+	for row, ok := m.Next(); ok; row, ok = m.Next() {
+		out = append(out, string(row))
+	}
+	return strings.Join(out, " ")
+}
+
+func lines(values ...any) []byte {
+	var b strings.Builder
+	for _, v := range values {
+		text, _ := json.Marshal(v)
+		fmt.Fprintf(&b, `{"a":%s}`+"\n", text)
+	}
+	return []byte(b.String())
+}
+
+func state(r Result) string {
+	var out []string
+	for _, p := range r.Parts {
+		var c operr.Coded
+		if errors.As(p.Why, &c) {
+			out = append(out, p.ID+" "+c.Code())
+		} else {
+			out = append(out, p.ID)
+		}
+	}
+	return strings.Join(out, ",")
+}
+
+const byA = `{"order":[{"key":"a","type":"integer"}]%s}`
+
+// TestScripts: what came in, what went out; with the lines whose loss the script finds.
+func TestScripts(t *testing.T) {
+	type script struct {
+		name  string
+		rules string
+		run   func(m *Merge)
+		rows  string
+		parts string
+		whole bool
+		fault fault
+	}
+	for _, s := range []script{
+		{"a second copy goes on where the first was cut, in the middle of a record", "", func(m *Merge) {
+			_ = m.Add("p", 1, lines(1, 2)[:12])
+			_ = m.End("p", 1, errors.New("reset"))
+			_ = m.Add("p", 2, lines(1, 2, 3))
+			_ = m.End("p", 2, nil)
+			_ = m.End("q", 1, nil)
+		}, `{"a":1} {"a":2} {"a":3}`, "", true, faultTwice},
+		{"a copy that differs is set aside and named", "", func(m *Merge) {
+			_ = m.Add("p", 1, lines(1, 2))
+			_ = m.Add("p", 2, lines(1, 5, 6))
+			_ = m.End("p", 2, nil)
+			_ = m.Add("p", 1, lines(3))
+			_ = m.End("p", 1, nil)
+			_ = m.End("q", 1, nil)
+		}, `{"a":1} {"a":2} {"a":3}`, "p gather-diverged", false, faultDiverge},
+		{"a copy that ends whole before another's end differs", "", func(m *Merge) {
+			_ = m.Add("p", 1, lines(1, 2))
+			_ = m.Add("p", 2, lines(1))
+			_ = m.End("p", 2, nil)
+			_ = m.End("p", 1, nil)
+			_ = m.End("q", 1, nil)
+		}, `{"a":1} {"a":2}`, "p gather-diverged", false, faultNone},
+		{"a copy that goes over a whole one's end differs", "", func(m *Merge) {
+			_ = m.Add("p", 1, lines(1))
+			_ = m.End("p", 1, nil)
+			_ = m.Add("p", 2, lines(1, 2))
+			_ = m.End("q", 1, nil)
+		}, `{"a":1}`, "p gather-diverged", false, faultNone},
+		{"an unsorted part is cut before the row and in conflict", `,"complete":{"need":"best-effort"}`, func(m *Merge) {
+			_ = m.Add("p", 1, lines(1, 5, 3))
+			_ = m.End("p", 1, nil)
+			_ = m.Add("q", 1, lines(4))
+			_ = m.End("q", 1, nil)
+		}, `{"a":1} {"a":4} {"a":5}`, "p gather-unsorted", false, faultUnsorted},
+		{"a key of another type cuts the part", `,"complete":{"need":"best-effort"}`, func(m *Merge) {
+			_ = m.Add("p", 1, lines(1, "x", 2))
+			_ = m.End("p", 1, nil)
+			_ = m.Add("q", 1, lines(4))
+			_ = m.End("q", 1, nil)
+		}, `{"a":1} {"a":4}`, "p gather-record-bad", false, faultNone},
+		{"a record over the limit cuts the part before its end has come", `,"complete":{"need":"best-effort"},"records":{"max_bytes":16}`, func(m *Merge) {
+			_ = m.Add("p", 1, append(lines(1), `{"a":2222222222222`...))
+			_ = m.End("q", 1, nil)
+		}, `{"a":1}`, "p gather-record-bad", false, faultNone},
+		{"rows go out before a part has ended, as far as it was read", "", func(m *Merge) {
+			_ = m.Add("p", 1, lines(1, 2, 9))
+			_ = m.Add("q", 1, lines(3))
+		}, `{"a":1} {"a":2} {"a":3}`, "", false, faultNone},
+		{"a first row over truncate.bytes is an error", `,"truncate":{"bytes":5}`, func(m *Merge) {
+			_ = m.Add("p", 1, lines(1, 2))
+			_ = m.End("q", 1, nil)
+		}, "", "", false, faultNone},
+		{"bytes end it before the row that does not fit", `,"truncate":{"bytes":15}`, func(m *Merge) {
+			_ = m.Add("p", 1, lines(1, 2, 3))
+			_ = m.End("q", 1, nil)
+		}, `{"a":1} {"a":2}`, "", true, faultNone},
+	} {
+		play := func(f fault) (string, string, bool) {
+			m := merge(t, rules(t, fmt.Sprintf(byA, s.rules)), "p q")
+			m.fault = f
+			s.run(m)
+			rows := drain(m)
+			return rows, state(m.Result()), m.Result().Whole
+		}
+		rows, parts, whole := play(faultNone)
+		if rows != s.rows || parts != s.parts || whole != s.whole {
+			t.Errorf("%s: %s, %q, whole %v", s.name, rows, parts, whole)
+		}
+		if r, p, w := play(s.fault); s.fault != faultNone && r == rows && p == parts && w == whole {
+			t.Errorf("%s: its loss (fault %d) is not found", s.name, s.fault)
+		}
+	}
+}
+
+func TestKeysAreInTheirOrder(t *testing.T) {
+	for _, c := range []struct{ key, rows string }{
+		{`"type":"decimal"`, `-1e30 -20.5 -20 -3 -0.2 -0.10 -0.0999 0 0.00001 0.5 "0.50001" 1.0 9 10 10.01 1e2 1e30`},
+		{`"type":"decimal","direction":"descending","absent":"first"`, `null 100 20 2.5 2 0.1 0 -0.1 -2 -2.5`},
+		{`"type":"integer"`, `-9223372036854775808 -1 0 1 255 256 9223372036854775807 null`},
+		{`"type":"time"`, `"1969-12-31T23:59:59.5Z" "1970-01-01T00:00:00Z" "2026-12-02T01:00:00+01:00" "2026-12-02T00:00:00.000000001Z"`},
+		{`"type":"bytes"`, `"" "\u0000" "\u0000a" "\u0001" "a" "a\u0000" "aa" "b" "ä"`},
+		{`"type":"bytes","direction":"descending"`, `"b" "aa" "a\u0000" "a" ""`},
+		{`"type":"text","locale":"sv"`, `"a" "b" "z" "å" "ä" "ö"`},
+		{`"type":"text","locale":"de"`, `"a" "ä" "b" "z"`},
+		{`"type":"text","locale":"de-u-ks-level2","equal":"locale"`, `"a" "A" "b" "B"`},
+	} {
+		m := merge(t, rules(t, `{"order":[{"key":"a",`+c.key+`}]}`), "p")
+		var text strings.Builder
+		for _, v := range strings.Fields(c.rows) {
+			fmt.Fprintf(&text, `{"a":%s}`+"\n", v)
+		}
+		want := strings.TrimSpace(strings.ReplaceAll(text.String(), "\n", " "))
+		_ = m.Add("p", 0, []byte(text.String()))
+		_ = m.End("p", 0, nil)
+		if got := drain(m); got != want || !m.Result().Whole {
+			t.Errorf("%s: %s: %v", c.key, got, m.Result().Parts)
+		}
+		rows := strings.Fields(want) // and no two are equal but where the locale says so
+		d := newDecoder(m.r)
+		for i := 1; i < len(rows); i++ {
+			a, _, _ := d.key(nil, []byte(rows[i-1]))
+			b, _, _ := d.key(nil, []byte(rows[i]))
+			if same := strings.EqualFold(rows[i-1], rows[i]) && strings.Contains(c.key, "level2"); (string(a) == string(b)) != same {
+				t.Errorf("%s: %s and %s: equal %v", c.key, rows[i-1], rows[i], !same)
+			}
+		}
+	}
+}
+
+func TestLengthPrefixed(t *testing.T) {
+	r := rules(t, `{"records":{"form":"length-prefixed"},"order":[{"key":"1","type":"time","direction":"descending"}],"truncate":{"offset":1,"top":2}}`)
+	var text []byte
+	for _, when := range []string{"2026-12-02T00:00:00Z", "2026-12-01T00:00:00Z", "2026-11-01T00:00:00Z", ""} {
+		row := AppendField(nil, []byte("\x00binary\n"))
+		if when == "" {
+			row = AppendField(row, nil)
+		} else {
+			row = AppendField(row, []byte(when))
+		}
+		text = r.AppendRow(text, row)
+	}
+	m := merge(t, r, "p")
+	_ = m.Add("p", 0, text)
+	if out := drain(m); strings.Count(out, "binary") != 2 || !strings.Contains(out, "2026-11") || m.Result().Truncated != "top" {
+		t.Errorf("%q %+v", out, m.Result())
+	}
+	m = merge(t, r, "p")
+	_ = m.Add("p", 0, text[:len(text)-1])
+	_ = m.End("p", 0, nil)
+	if drain(m); m.Result().Truncated != "top" { // the cut is behind the page
+		t.Errorf("%+v", m.Result())
+	}
+}
+
+// Pages by tokens are the whole, whatever their size; a token is refused changed, under other rules or another key.
+func TestTokens(t *testing.T) {
+	const order = `{"order":[{"key":"a","type":"integer"}],"truncate":{"rows":%d,"offset":1}%s}`
+	for _, dup := range []string{"", `,"duplicates":{"keep":"first"}`} {
+		want := map[string]string{"": `{"a":1} {"a":1} {"a":2} {"a":2} {"a":2} {"a":3} {"a":4}`, `,"duplicates":{"keep":"first"}`: `{"a":2} {"a":3} {"a":4}`}[dup]
+		for size := 1; size < 9; size++ {
+			r := rules(t, fmt.Sprintf(order, size, dup))
+			var pages []string
+			opts := []Option{TokenKey([]byte("k"))}
+			for token := "-"; token != ""; {
+				m := merge(t, r, "p q", opts...)
+				_ = m.Add("p", 0, lines(1, 1, 2, 4))
+				_ = m.Add("q", 0, lines(1, 2, 2, 3))
+				_, _ = m.End("p", 0, nil), m.End("q", 0, nil)
+				if page := drain(m); page != "" {
+					pages = append(pages, page)
+				}
+				token = m.Result().Token
+				opts = []Option{TokenKey([]byte("k")), From(token)}
+				if token == "" {
+					continue
+				}
+				for i := range token {
+					bad := []byte(token)
+					if bad[i]++; token[i] == 'z' || token[i] == 'Z' || token[i] == '9' {
+						bad[i] = 'a'
+					}
+					if _, err := New(r, []Part{{ID: "p"}}, TokenKey([]byte("k")), From(string(bad))); !errors.As(err, new(*TokenBad)) {
+						t.Fatalf("byte %d changed: %v", i, err)
+					}
+				}
+				if _, err := New(rules(t, fmt.Sprintf(order, size+1, dup)), []Part{{ID: "p"}}, opts...); !errors.As(err, new(*TokenRules)) {
+					t.Fatal(err)
+				}
+				if _, err := New(r, []Part{{ID: "p"}}, From(token)); !errors.As(err, new(*TokenBad)) {
+					t.Fatal(err)
+				}
+			}
+			if got := strings.Join(pages, " "); got != want {
+				t.Errorf("pages of %d: %s", size, got)
+			}
+		}
+	}
+}
+
+// Want: what each part is asked for, who is waited for, who is to stop.
+func TestWant(t *testing.T) {
+	m := merge(t, rules(t, fmt.Sprintf(byA, `,"truncate":{"offset":1,"top":2},"records":{"max_bytes":16},"memory":{"bytes":96}`)), "p q")
+	show := func() string {
+		var out []string
+		for _, d := range m.Want() {
+			out = append(out, fmt.Sprintf("%s %d rows %d bytes copy %v first %v stop %v", d.Part, d.Rows, d.Bytes, d.Copy, d.First, d.Stop))
+		}
+		return strings.Join(out, "; ")
+	}
+	step := func(what, want string) {
+		t.Helper()
+		if got := show(); got != want {
+			t.Errorf("%s: %s", what, got)
+		}
+	}
+	step("at first", "p 3 rows 32 bytes copy true first true stop false; q 3 rows 32 bytes copy true first false stop false")
+	if err := m.Add("p", 0, lines(1, 1, 1, 1, 1)); !errors.As(err, new(*Full)) {
+		t.Errorf("%v", err)
+	}
+	_ = m.Add("p", 0, lines(1, 2, 3))
+	_ = m.End("p", 0, &Limited{})
+	drain(m)
+	step("p has stopped at its limit", "q 3 rows 32 bytes copy true first true stop false")
+	_ = m.Add("q", 0, lines(5))
+	if rows := drain(m); rows != `{"a":2} {"a":3}` {
+		t.Error(rows)
+	}
+	step("the page is full", "p 0 rows 0 bytes copy false first false stop true; q 0 rows 0 bytes copy false first false stop true")
+	if r := m.Result(); !r.Whole || r.Truncated != "top" || r.Token == "" {
+		t.Errorf("%+v", r)
+	}
+	m = merge(t, m.r, "p q")
+	_ = m.Add("p", 0, lines(1, 2))
+	m.Leave()
+	step("the client left", "p 0 rows 0 bytes copy false first false stop true; q 0 rows 0 bytes copy false first false stop true")
+	if r := m.Result(); r.Whole || !r.Left || drain(m) != "" {
+		t.Errorf("%+v", r)
+	}
+}
+
+// Nonsense is refused with its key.
+func TestRulesRefuse(t *testing.T) {
+	for text, key := range map[string]string{
+		`{`:                                    "(text)",
+		`{"order":[]}`:                         "order",
+		`{"order":[{"key":"a","type":"int"}]}`: "order.0.type",
+		`{"order":[{"key":"a.#","type":"integer"}]}`:                                                "order.0.key",
+		`{"order":[{"key":"a","type":"text"}]}`:                                                     "order.0.locale",
+		`{"order":[{"key":"a","type":"text","locale":"no such"}]}`:                                  "order.0.locale",
+		`{"order":[{"key":"a","type":"bytes","locale":"sv"}]}`:                                      "order.0.locale",
+		`{"order":[{"key":"a","type":"bytes"},{"key":"a","type":"integer"}]}`:                       "order.1.key",
+		`{"order":[{"key":"a","type":"bytes"}],"records":{"form":"length-prefixed"}}`:               "order.0.key",
+		fmt.Sprintf(byA, `,"duplicates":{"keep":"highest"}`):                                        "duplicates.version",
+		fmt.Sprintf(byA, `,"duplicates":{"keep":"first","parts":2}`):                                "duplicates.parts",
+		fmt.Sprintf(byA, `,"duplicates":{"keep":"first","by":2}`):                                   "duplicates.by",
+		fmt.Sprintf(byA, `,"duplicates":{"keep":"highest","version":{"key":"a","type":"integer"}}`): "duplicates.version.key",
+		fmt.Sprintf(byA, `,"truncate":{"rows":1,"top":1}`):                                          "truncate.top",
+		fmt.Sprintf(byA, `,"truncate":{"rows":-1}`):                                                 "truncate.rows",
+		fmt.Sprintf(byA, `,"complete":{"need":"at-least"}`):                                         "complete.parts",
+		fmt.Sprintf(byA, `,"complete":{"need":"all","parts":2}`):                                    "complete.parts",
+		fmt.Sprintf(byA, `,"memory":{"bytes":100}`):                                                 "memory.bytes",
+		fmt.Sprintf(byA, `,"momory":{}`):                                                            "(text)",
+	} {
+		_, err := ParseRules([]byte(text))
+		var bad *RulesBad
+		if !errors.As(err, &bad) || bad.Key != key {
+			t.Errorf("%s: %v, not %s", text, err, key)
+		}
+		if text[1:] == "" {
+			continue
+		}
+		_, err = ParseClasses([]byte(`{"classes":{"one":` + text + `}}`))
+		if !errors.As(err, &bad) || key != "(text)" && bad.Key != "classes.one."+key {
+			t.Errorf("by class: %v, not %s", err, key)
+		}
+	}
+	if err := operr.Check(operr.All()); err != nil {
+		t.Error(err)
+	}
+	a, b := rules(t, fmt.Sprintf(byA, "")), rules(t, `{"order":[{"type":"integer","key":"a","absent":"last"}],"copies":8}`)
+	if a.Hash() != b.Hash() {
+		t.Error("two texts with one meaning have two hashes")
+	}
+}
--- /dev/null
+++ b/gather/world_test.go
@@ -0,0 +1,360 @@
+package gather
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"wheatsaddle/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m) }
+
+func rules(t testing.TB, text string) *Rules {
+	t.Helper()
+	r, err := ParseRules([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// world is a read drawn at random: rules, parts and what befalls them.
+type world struct {
+	keep, need, limit     string
+	by, agree, needParts  int
+	offset, rows          int
+	descending, absent1st bool
+	parts                 []fate
+	tree                  int
+	seed                  uint64
+}
+
+type row struct {
+	k    string // "" is absent
+	n, v int
+	x    string
+}
+
+func (r row) json() string {
+	k := ""
+	if r.k != "" {
+		k = fmt.Sprintf(`"k":"the-same-start-%s",`, r.k)
+	}
+	return fmt.Sprintf(`{%s"n":%d,"v":%d,"x":"%s"}`, k, r.n, r.v, r.x)
+}
+
+type fate struct {
+	rows   []row
+	whole  bool
+	copies []int // bytes of each copy in hundredths; the first is as far as the part goes
+	limit  bool
+}
+
+func (f fate) text() string {
+	var b strings.Builder
+	for _, r := range f.rows {
+		b.WriteString(r.json() + "\n")
+	}
+	return b.String()
+}
+
+func (f fate) reach() string {
+	if t := f.text(); !f.whole {
+		return t[:len(t)*f.copies[0]/100]
+	}
+	return f.text()
+}
+
+// compare is the order, told once more without sort keys.
+func (w *world) compare(a, b row) int {
+	c := w.compareGroup(a, b)
+	if c == 0 {
+		c = cmp.Compare(a.n, b.n)
+	}
+	return c
+}
+
+func (w *world) compareGroup(a, b row) int {
+	c := 0
+	switch {
+	case a.k == b.k:
+	case a.k == "" || b.k == "":
+		if c = 1; (a.k == "") == w.absent1st {
+			c = -1
+		}
+	default:
+		if c = cmp.Compare(a.k, b.k); w.descending {
+			c = -c
+		}
+	}
+	if c == 0 && w.by == 2 {
+		c = cmp.Compare(a.n, b.n)
+	}
+	return c
+}
+
+var worlds = rapid.Custom(func(t *rapid.T) *world {
+	in := func(lo, hi int) int { return rapid.IntRange(lo, hi).Draw(t, "") }
+	w := &world{keep: rapid.SampledFrom([]string{"all", "first", "last", "highest", "agree"}).Draw(t, "keep"), by: in(1, 2), agree: in(1, 3),
+		need:  rapid.SampledFrom([]string{"all", "at-least", "best-effort"}).Draw(t, "need"),
+		limit: rapid.SampledFrom([]string{"rows", "top", ""}).Draw(t, "limit"), rows: in(1, 8), offset: in(0, 3),
+		descending: rapid.Bool().Draw(t, ""), absent1st: rapid.Bool().Draw(t, ""), tree: in(1, 4), seed: rapid.Uint64().Draw(t, "seed")}
+	for range in(1, 6) {
+		f := fate{whole: in(0, 3) > 0, copies: []int{in(0, 99)}, limit: rapid.Bool().Draw(t, "")}
+		for range in(0, 2) {
+			f.copies = append(f.copies, in(0, 100))
+		}
+		for range in(0, 24) {
+			f.rows = append(f.rows, row{rapid.SampledFrom([]string{"", "a", "b", "c", "d"}).Draw(t, ""), in(0, 2), in(0, 1), rapid.SampledFrom([]string{"", "x"}).Draw(t, "")})
+		}
+		slices.SortStableFunc(f.rows, w.compareFull)
+		w.parts = append(w.parts, f)
+	}
+	w.needParts = in(1, len(w.parts))
+	return w
+})
+
+func (w *world) compareFull(a, b row) int { return w.compare(a, b) }
+
+func (w *world) text(memory int) string {
+	dir, absent := "ascending", "last"
+	if w.descending {
+		dir = "descending"
+	}
+	if w.absent1st {
+		absent = "first"
+	}
+	text := fmt.Sprintf(`{"records":{"max_bytes":128},"memory":{"bytes":%d},"order":[{"key":"k","type":"bytes","direction":"%s","absent":"%s"},{"key":"n","type":"integer"}]`, memory, dir, absent)
+	switch w.keep {
+	case "first", "last":
+		text += fmt.Sprintf(`,"duplicates":{"keep":"%s","by":%d}`, w.keep, w.by)
+	case "highest":
+		text += fmt.Sprintf(`,"duplicates":{"keep":"highest","by":%d,"version":{"key":"v","type":"integer"}}`, w.by)
+	case "agree":
+		text += fmt.Sprintf(`,"duplicates":{"keep":"agree","by":%d,"parts":%d}`, w.by, w.agree)
+	}
+	text += fmt.Sprintf(`,"truncate":{"offset":%d`, w.offset)
+	if w.limit != "" {
+		text += fmt.Sprintf(`,"%s":%d`, w.limit, w.rows)
+	}
+	text += fmt.Sprintf(`},"complete":{"need":"%s"`, w.need)
+	if w.need == "at-least" {
+		text += fmt.Sprintf(`,"parts":%d`, w.needParts)
+	}
+	return text + "}}"
+}
+
+// told is what a test compares of a result.
+type told struct {
+	rows      []string
+	whole     bool
+	cut       string
+	parts     []string
+	conflicts int64
+	named     []Conflict
+	complete  bool
+}
+
+// expect says by collecting and sorting what the result must be.
+func (w *world) expect() told {
+	type item struct {
+		row
+		part, pos int
+		loss      bool
+	}
+	var items []item
+	e := told{complete: true}
+	lost, state := 0, map[int]string{}
+	never := []int{}
+	for p, f := range w.parts {
+		n := strings.Count(f.reach(), "\n")
+		for i, r := range f.rows[:n] {
+			items = append(items, item{r, p, i, false})
+		}
+		switch {
+		case f.whole:
+		case n == 0:
+			never = append(never, p)
+		default:
+			items = append(items, item{f.rows[n-1], p, n, true})
+		}
+	}
+	slices.SortFunc(items, func(a, b item) int {
+		return cmp.Or(w.compare(a.row, b.row), cmp.Compare(a.part, b.part), cmp.Compare(a.pos, b.pos))
+	})
+	need := map[string]int{"all": len(w.parts), "at-least": w.needParts}[w.need]
+	lose := func(p int, how string) bool {
+		lost++
+		state[p] += how
+		e.complete = lost <= len(w.parts)-need
+		return e.complete
+	}
+	clash := map[int]bool{}
+	finish := func() told {
+		for p := range w.parts {
+			if s := state[p]; s != "" || clash[p] {
+				if clash[p] {
+					s += "conflict"
+				}
+				e.parts = append(e.parts, fmt.Sprintf("p%d %s", p, s))
+			}
+		}
+		e.whole = e.complete && len(e.parts) == 0
+		return e
+	}
+	for _, p := range never {
+		if !lose(p, "missing") {
+			return finish()
+		}
+	}
+	offset := w.offset
+	give := func(r row) bool {
+		if offset--; offset >= 0 {
+			return true
+		}
+		if e.rows = append(e.rows, r.json()); w.limit != "" && len(e.rows) == w.rows {
+			e.cut = w.limit
+			return false
+		}
+		return true
+	}
+	for len(items) > 0 {
+		n := 1
+		if w.keep != "all" {
+			for n < len(items) && w.compareGroup(items[0].row, items[n].row) == 0 {
+				n++
+			}
+		}
+		group := items[:n]
+		items = items[n:]
+		for _, it := range group {
+			if it.loss {
+				lose(it.part, "cut")
+			}
+		}
+		if !e.complete {
+			return finish()
+		}
+		group = slices.DeleteFunc(slices.Clone(group), func(it item) bool { return it.loss })
+		if len(group) == 0 {
+			continue
+		}
+		key := group[0].row
+		if w.keep == "highest" {
+			top := slices.MaxFunc(group, func(a, b item) int { return cmp.Compare(a.v, b.v) }).v
+			group = slices.DeleteFunc(group, func(it item) bool { return it.v < top })
+			key = group[0].row
+		}
+		kept, ok, texts := group[0].row, true, map[string]map[int]bool{}
+		in := map[int]bool{}
+		for _, it := range group {
+			if texts[it.json()] == nil {
+				texts[it.json()] = map[int]bool{}
+			}
+			texts[it.json()][it.part] = true
+			in[it.part] = true
+		}
+		switch w.keep {
+		case "last":
+			kept = group[len(group)-1].row
+			key = kept
+		case "agree":
+			best := 0
+			for _, it := range group {
+				if n := len(texts[it.json()]); n > best {
+					best, kept = n, it.row
+				}
+			}
+			ok = best >= w.agree
+		}
+		if w.keep != "all" && (len(texts) > 1 || !ok) {
+			e.conflicts++
+			c := Conflict{Key: key.name(w.by), Withheld: !ok}
+			for p := range w.parts {
+				if in[p] {
+					clash[p] = true
+					c.Parts = append(c.Parts, fmt.Sprintf("p%d", p))
+				}
+			}
+			e.named = append(e.named, c)
+		}
+		if ok && !give(kept) {
+			return finish()
+		}
+	}
+	return finish()
+}
+
+func (r row) name(by int) string {
+	s := "k=-"
+	if r.k != "" {
+		s = fmt.Sprintf(`k="the-same-start-%s"`, r.k)
+	}
+	if by == 2 {
+		s += fmt.Sprintf(" n=%d", r.n)
+	}
+	return s
+}
+
+func (w *world) check(fault fault) error {
+	want := w.expect()
+	for _, tree := range []bool{false, true} {
+		got, err := w.gather(tree, fault)
+		if err != nil {
+			return fmt.Errorf("tree %v: %w", tree, err)
+		}
+		if !reflect.DeepEqual(got, want) {
+			return fmt.Errorf("tree %v:\n got %+v\nwant %+v", tree, got, want)
+		}
+	}
+	return nil
+}
+
+// Parts late, twice, cut or never, in copies, flat and over trees, in any order: the rows, their number and what the
+// result says are those of collect, sort and cut.
+func TestWorld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := worlds.Draw(t, "world")
+		if err := w.check(faultNone); err != nil {
+			text, _ := json.Marshal(w.parts)
+			t.Fatalf("%s\n%s\n%v", w.text(1<<20), text, err)
+		}
+	})
+}
+
+func TestTheWorldFindsEachLoss(t *testing.T) {
+	for fault, line := range map[fault]string{
+		faultEager:   "an open part holds later rows up (fill: kindOpen)",
+		faultTwice:   "what a copy brings again is not taken again (take: c.mark)",
+		faultCounts:  "a partial result tells every part of a candidate (appendCand)",
+		faultLimited: "a part that stopped at its limit is not whole (End)",
+		faultHash:    "keys with equal starts are compared to their ends (before)",
+		faultWhole:   "a part given up is lost (Drop)",
+		faultUnnamed: "a lost part is named (Result)",
+		faultMemory:  "a piece without room is refused (take: Full)",
+		faultRank:    "ties go by part, not by arrival (before)",
+	} {
+		found := 0
+		for seed := 0; seed < 400 && found == 0; seed++ {
+			w := worlds.Example(seed)
+			if err := w.check(faultNone); err != nil {
+				t.Fatal(err)
+			}
+			if w.check(fault) != nil {
+				found = seed + 1
+			}
+		}
+		if found == 0 {
+			t.Errorf("not found in 400 worlds: %s", line)
+		} else {
+			t.Logf("found in world %d: %s", found-1, line)
+		}
+	}
+}
