--- /dev/null
+++ b/gather/fuzz_test.go
@@ -0,0 +1,103 @@
+package gather
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"wheatsaddle/internal/operr"
+)
+
+func FuzzRules(f *testing.F) {
+	f.Add([]byte(`{"order":[{"key":"a","type":"text","locale":"sv"}],"truncate":{"top":3}}`))
+	f.Add([]byte(`{"order":[{"key":"a","type":"decimal"}],"duplicates":{"keep":"agree","parts":2}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := ParseRules(text)
+		var c operr.Coded
+		if (err == nil) == (r == nil) || err != nil && !errors.As(err, &c) {
+			t.Fatalf("%v", err)
+		}
+		if err == nil {
+			if _, err = New(r, []Part{{ID: "p"}}); err != nil && !errors.As(err, &c) {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// A token is taken only as it was made.
+func FuzzTokens(f *testing.F) {
+	r := rules(f, `{"order":[{"key":"a","type":"integer"}],"truncate":{"rows":1}}`)
+	m := merge(f, r, "p")
+	_ = m.Add("p", 0, lines(1, 2))
+	drain(m)
+	good := m.Result().Token
+	f.Add(good)
+	f.Add(good[:len(good)-3])
+	f.Fuzz(func(t *testing.T, token string) {
+		m, err := New(r, []Part{{ID: "p"}}, TokenKey([]byte("secret")), From(token))
+		if err == nil && token != "" {
+			t.Fatalf("%q was taken without the key: %v", token, m.from)
+		}
+		m, err = New(r, []Part{{ID: "p"}}, From(token))
+		if err == nil && token != "" && m.token() != token {
+			t.Fatalf("%q is %q", token, m.token())
+		}
+	})
+}
+
+// Any bytes, in any cutting, as a part or as a partial result: no panic, a typed end, and rows in order.
+func FuzzRecords(f *testing.F) {
+	var all []*Rules
+	for _, text := range []string{
+		`{"order":[{"key":"a","type":"integer"}],"complete":{"need":"best-effort"}}`,
+		`{"order":[{"key":"a","type":"decimal"}],"duplicates":{"keep":"agree","parts":1}}`,
+		`{"order":[{"key":"0","type":"bytes"}],"records":{"form":"length-prefixed"},"complete":{"need":"best-effort"}}`,
+	} {
+		all = append(all, rules(f, text))
+	}
+	f.Add(uint8(0), uint8(3), lines(1, 2, 2))
+	f.Add(uint8(5), uint8(9), append(lines(2, 1), "{\r\n\n"...))
+	for i, r := range all[:2] {
+		sub := merge(f, r, "p q")
+		_ = sub.Add("p", 0, lines(1, 2))
+		_, _ = sub.End("p", 0, nil), sub.Drop("q", nil)
+		text, _ := sub.AppendPartial(nil, 0)
+		f.Add(uint8(i+3), uint8(7), text)
+	}
+	f.Fuzz(func(t *testing.T, which, cut uint8, data []byte) {
+		r := all[int(which)%3]
+		part := Part{ID: "t"}
+		if which >= 3 {
+			part.Of = []string{"p", "q"}
+		}
+		m, err := New(r, []Part{part, {ID: "z"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = m.End("z", 0, nil)
+		var last []byte
+		next := func() {
+			for row, ok := m.Next(); ok; row, ok = m.Next() {
+				key, _, why := m.d.key(nil, row)
+				if why != "" || bytes.Compare(last, key) > 0 {
+					t.Fatalf("row %q after key %q: %s", row, last, why)
+				}
+				last = key
+			}
+		}
+		for n := int(cut) + 1; len(data) > 0; data = data[min(n, len(data)):] {
+			if err := m.Add("t", 0, data[:min(n, len(data))]); err != nil {
+				t.Fatal(err)
+			}
+			next()
+		}
+		_ = m.End("t", 0, nil)
+		next()
+		res := m.Result()
+		var c operr.Coded
+		if !res.Done || res.Err != nil && !errors.As(res.Err, &c) {
+			t.Fatalf("%+v", res)
+		}
+	})
+}
--- a/gather/group.go
+++ b/gather/group.go
@@ -46,7 +46,7 @@
 	if s.part.Of == nil {
 		clear(g.set)
 		g.set[s.rank/64] |= 1 << (s.rank % 64)
-		m.candidate(s, cand{row: row, key: s.key, rank: s.rank, run: h.run, parts: g.set})
+		m.candidate(s, cand{row: row, key: s.key, ver: s.ver, rank: s.rank, run: h.run, parts: g.set})
 		return
 	}
 	for len(row) > 0 && m.err == nil {
@@ -102,7 +102,7 @@
 func (m *Merge) candidate(s *stream, c cand) {
 	g := &m.g
 	var why string
-	if m.r.Duplicates.Version != nil {
+	if m.r.Duplicates.Version != nil && s.part.Of != nil {
 		if g.ver, why = m.d.version(g.ver[:0], c.row); why != "" {
 			m.err = &RecordBad{s.part.ID, s.records - 1, why}
 			return
--- a/gather/merge.go
+++ b/gather/merge.go
@@ -368,6 +368,11 @@
 	if s.spare, group, why = m.d.key(s.spare[:0], rec); why != "" {
 		return why
 	}
+	if m.r.Duplicates.Version != nil {
+		if s.ver, why = m.d.version(s.ver[:0], rec); why != "" {
+			return why
+		}
+	}
 	c := bytes.Compare(s.spare, s.key)
 	if c < 0 && m.fault != faultUnsorted {
 		return "unsorted"
--- a/gather/script_test.go
+++ b/gather/script_test.go
@@ -108,6 +108,11 @@
 			_ = m.Add("q", 1, lines(4))
 			_ = m.End("q", 1, nil)
 		}, `{"a":1} {"a":4}`, "p gather-record-bad", false, faultNone},
+		{"a version of another type cuts the part", `,"complete":{"need":"best-effort"},"duplicates":{"keep":"highest","version":{"key":"v","type":"integer"}}`, func(m *Merge) {
+			_ = m.Add("p", 1, []byte(`{"a":1,"v":1}`+"\n"+`{"a":2,"v":"x"}`+"\n"))
+			_ = m.Add("q", 1, append([]byte(`{"a":1,"v":2}`+"\n"), lines(3)...))
+			_ = m.End("q", 1, nil)
+		}, `{"a":1,"v":2} {"a":3}`, "p gather-record-bad", false, faultNone},
 		{"a record over the limit cuts the part before its end has come", `,"complete":{"need":"best-effort"},"records":{"max_bytes":16}`, func(m *Merge) {
 			_ = m.Add("p", 1, append(lines(1), `{"a":2222222222222`...))
 			_ = m.End("q", 1, nil)
--- a/gather/stream.go
+++ b/gather/stream.go
@@ -28,6 +28,7 @@
 	limit  bool  // a copy stopped at the rows it was asked for
 
 	key, spare []byte // of the last record, and room for the next one's
+	ver        []byte // of the last record, for highest
 	group      int
 	rank       int32
 	run        uint32
