gather: a peer that takes over makes the same partial bytes; ended copies give way

Need: two coordinators whose calls fail in other words made partial results that differed; retries of one part ran into the bound of copies.

Change: losses go as codes, an unsorted part is told in its loss frame; copies counts those under way.

--- a/gather/merge.go
+++ b/gather/merge.go
@@ -84,6 +84,7 @@
 type loss struct {
 	rank int32
 	cut  bool // some of it came
+	torn bool // it was not in order
 	err  error
 }
 
@@ -199,7 +200,7 @@
 }
 
 // Add takes a piece of a part: the next bytes of that copy, in any cutting. A copy begins at the part's start; what
-// another copy has brought already is compared and not taken again. Errors: *Full (nothing was taken), *Diverged (the
+// another copy has brought already is compared and not taken again. Numbers of copies begin at 0 or 1 and grow. Errors: *Full (nothing was taken), *Diverged (the
 // copy is set aside), *CopiesOver, *PartsBad. After the end of the merge, or of the part, it takes nothing.
 func (m *Merge) Add(part string, copy int, data []byte) error {
 	i, err := m.stream(part)
@@ -318,9 +319,7 @@
 		if why != "" {
 			s.whole, s.gone = false, true
 			if why == "unsorted" {
-				err := &Unsorted{s.part.ID, s.records}
-				s.why = err
-				m.conflicted(s.rank, err)
+				s.why, s.torn = &Unsorted{s.part.ID, s.records}, true
 			} else {
 				s.why = &RecordBad{s.part.ID, s.records, why}
 			}
--- a/gather/partial.go
+++ b/gather/partial.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"cmp"
 	"encoding/binary"
+	"errors"
 	"fmt"
+
+	"wheatsaddle/internal/operr"
 )
 
 // A partial result is frames, each 4 bytes of length and then a letter: H (rules, parts), R (a row), G (a group of
@@ -88,25 +91,45 @@
 func (m *Merge) appendLoss(dst []byte) []byte {
 	h := &m.heads[m.pending]
 	for _, l := range m.losses(m.pending) {
-		m.lost[l.rank] = l
+		m.lose(l)
 		at := len(dst)
 		dst = binary.AppendUvarint(frame(dst, 'L'), uint64(l.rank))
 		dst = binary.AppendUvarint(dst, uint64(h.run))
-		cut := byte(0)
+		flags := byte(0)
 		if l.cut {
-			cut = 1
+			flags |= flagCut
 		}
-		dst = appendText(append(dst, cut), string(h.key))
-		why := ""
-		if l.err != nil {
-			why = l.err.Error()
+		if l.torn {
+			flags |= flagTorn
 		}
-		dst = appendText(dst, why)
+		dst = appendText(append(dst, flags), string(h.key))
+		dst = appendText(dst, reason(l.err))
 		seal(dst, at)
 	}
 	return dst
 }
 
+const (
+	flagCut  = 1
+	flagTorn = 2
+)
+
+// reason is what a partial result tells of a loss: the code, or the text where it comes from the rows. So a peer that takes
+// over, and whose calls fail in other words, makes the same bytes.
+func reason(err error) string {
+	var told *Told
+	var c operr.Coded
+	switch {
+	case errors.As(err, &told):
+		return told.Why
+	case errors.As(err, new(*RecordBad)) || errors.As(err, new(*Unsorted)):
+		return err.Error()
+	case errors.As(err, &c):
+		return c.Code()
+	}
+	return (*Never)(nil).Code()
+}
+
 func (m *Merge) appendCand(dst []byte, c *cand) []byte {
 	flag := byte(0)
 	if c.conflict {
@@ -205,7 +228,7 @@
 		return false, ""
 	case 'L':
 		i, rank := r.leaf(s)
-		run, cut, key, text := r.num(), r.bytes(1), r.text(), r.text()
+		run, flags, key, text := r.num(), r.bytes(1), r.text(), r.text()
 		if why = r.why(); why == "" && len(key) > 0 && (key[0] < absentFirst || key[0] > absentLast) {
 			why = "a loss at no key"
 		}
@@ -213,10 +236,7 @@
 			return false, why
 		}
 		s.left[i] = true
-		h.loss = loss{rank: rank, cut: cut[0] == 1}
-		if len(text) > 0 {
-			h.loss.err = &Told{m.leaves[rank].ID, string(text)}
-		}
+		h.loss = loss{rank, flags[0]&flagCut != 0, flags[0]&flagTorn != 0, &Told{m.leaves[rank].ID, string(text)}}
 		h.kind, s.spare = kindLoss, append(s.spare[:0], key...)
 		return true, m.framed(s, h, len(key), rank, uint32(run))
 	case 'R', 'G':
--- a/gather/play_test.go
+++ b/gather/play_test.go
@@ -53,7 +53,7 @@
 			}
 			if !slices.ContainsFunc(s.copies, func(c sent) bool { return !c.over }) {
 				if !s.whole {
-					_ = m.Drop(s.part, io.ErrUnexpectedEOF)
+					_ = m.Drop(s.part, fmt.Errorf("reason %d", rng.IntN(10)))
 				}
 				sources = slices.Delete(sources, i, i+1)
 			}
@@ -87,6 +87,35 @@
 	return all
 }
 
+// partial merges sources, which it leaves as they are, into a partial result.
+func partial(r *Rules, parts []Part, sources []source, rng *rand.Rand, fault fault) (string, error) {
+	sub, err := New(r, parts)
+	if err != nil {
+		return "", err
+	}
+	sub.fault = fault
+	var own []source
+	for _, s := range sources {
+		s.copies = slices.Clone(s.copies)
+		own = append(own, s)
+	}
+	var text []byte
+	done := false
+	pull := func() {
+		for last := -1; len(text) != last; {
+			last = len(text)
+			text, done = sub.AppendPartial(text, rng.IntN(4))
+		}
+	}
+	if err = play(sub, rng, own, pull); err != nil {
+		return "", err
+	}
+	if text, done = sub.AppendPartial(text, 0); !done {
+		return "", fmt.Errorf("a partial result without end: %w", sub.err)
+	}
+	return string(text), nil
+}
+
 // gather merges flat or over a tree.
 func (w *world) gather(tree bool, fault fault) (got told, err error) {
 	memory := 512 * (len(w.parts) + 1)
@@ -108,28 +137,14 @@
 		if n < 1 || n > len(parts) {
 			n = 1
 		}
-		sub, err := New(r, parts[:n])
+		text, err := partial(r, parts[:n], sources[:n], rng, fault)
 		if err != nil {
 			return got, err
 		}
-		sub.fault = fault
-		var text []byte
-		done := false
-		if err = play(sub, rng, sources[:n:n], func() {
-			for last := -1; len(text) != last; {
-				last = len(text)
-				text, done = sub.AppendPartial(text, rng.IntN(4))
-			}
-		}); err != nil {
+		other, err := partial(r, parts[:n], sources[:n], rng, fault) // of a peer that took over
+		if err != nil {
 			return got, err
 		}
-		for last := -1; len(text) != last; {
-			last = len(text)
-			text, done = sub.AppendPartial(text, 0)
-		}
-		if !done {
-			return got, fmt.Errorf("a partial result without end: %w", sub.err)
-		}
 		var of []string
 		for _, p := range parts[:n] {
 			if of = append(of, p.Of...); p.Of == nil {
@@ -137,7 +152,7 @@
 			}
 		}
 		parts = append(parts[n:], Part{ID: "t" + strings.Join(of, "+"), Of: of})
-		sources = append(sources[n:], source{parts[len(parts)-1].ID, []sent{{data: string(text)}, {data: string(text[:len(text)/2]), end: io.EOF}}, true})
+		sources = append(sources[n:], source{parts[len(parts)-1].ID, []sent{{data: text}, {data: other[:rng.IntN(len(other)+1)], end: io.EOF}}, true})
 		if rng.IntN(3) == 0 {
 			break
 		}
--- a/gather/result.go
+++ b/gather/result.go
@@ -73,7 +73,7 @@
 			m.done = true
 		case evLoss:
 			for _, l := range m.losses(m.pending) {
-				m.lost[l.rank] = l
+				m.lose(l)
 			}
 			if len(m.lost) > len(m.leaves)-m.need() {
 				m.short = true
@@ -100,6 +100,12 @@
 	return nil, false
 }
 
+func (m *Merge) lose(l loss) {
+	if m.lost[l.rank] = l; l.torn && m.torn[l.rank] == nil {
+		m.torn[l.rank] = l.err
+	}
+}
+
 func (m *Merge) incomplete() {
 	m.done, m.err = true, &Incomplete{len(m.leaves), len(m.lost), m.need()}
 }
@@ -116,7 +122,7 @@
 			continue
 		}
 		s.left[i] = true
-		l := loss{rank, s.records > 0, s.why}
+		l := loss{rank, s.records > 0, s.torn, s.why}
 		if l.err == nil {
 			l.err = &Never{m.leaves[rank].ID}
 		}
--- a/gather/rules.go
+++ b/gather/rules.go
@@ -32,7 +32,7 @@
 	Truncate   Truncate   `json:"truncate"`
 	Complete   Complete   `json:"complete"`
 	Memory     Memory     `json:"memory"`
-	Copies     int        `json:"copies"`    // copies of one part, default 8
+	Copies     int        `json:"copies"`    // copies of one part under way at once, default 8
 	Conflicts  int        `json:"conflicts"` // conflicts named by key, default 100; all are counted
 
 	hash [16]byte
--- a/gather/script_test.go
+++ b/gather/script_test.go
@@ -96,6 +96,19 @@
 			_ = m.Add("p", 2, lines(1, 2))
 			_ = m.End("q", 1, nil)
 		}, `{"a":1}`, "p gather-diverged", false, faultNone},
+		{"an ended copy gives way to the next", `,"copies":1`, func(m *Merge) {
+			for copy := 1; copy < 4; copy++ {
+				_ = m.Add("p", copy, lines(1, 2, 3)[:8*copy])
+				if err := m.Add("p", copy+1, nil); !errors.As(err, new(*CopiesOver)) {
+					t.Errorf("a copy over the limit: %v", err)
+				}
+				_ = m.End("p", copy, map[bool]error{false: errors.New("reset")}[copy == 3])
+				if copy > 1 {
+					_ = m.Add("p", 1, lines(9)) // forgotten: not taken
+				}
+			}
+			_ = m.End("q", 1, nil)
+		}, `{"a":1} {"a":2} {"a":3}`, "", true, faultTwice},
 		{"an unsorted part is cut before the row and in conflict", `,"complete":{"need":"best-effort"}`, func(m *Merge) {
 			_ = m.Add("p", 1, lines(1, 5, 3))
 			_ = m.End("p", 1, nil)
@@ -252,6 +265,23 @@
 	}
 }
 
+// A part that is out of order in a partial result is cut and in conflict at the root as well.
+func TestUnsortedInATree(t *testing.T) {
+	r := rules(t, fmt.Sprintf(byA, `,"complete":{"need":"best-effort"}`))
+	sub := merge(t, r, "p q")
+	_, _ = sub.Add("p", 0, lines(1, 0)), sub.End("q", 0, nil)
+	text, _ := sub.AppendPartial(nil, 0)
+	m, err := New(r, []Part{{ID: "t", Of: []string{"p", "q"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = m.Add("t", 0, text), m.End("t", 0, nil)
+	rows, parts := drain(m), m.Result().Parts
+	if rows != `{"a":1}` || len(parts) != 1 || parts[0].ID != "p" || !parts[0].Cut || !parts[0].Conflict {
+		t.Errorf("%s %+v", rows, parts)
+	}
+}
+
 // Pages by tokens are the whole, whatever their size; a token is refused changed, under other rules or another key.
 func TestTokens(t *testing.T) {
 	const order = `{"order":[{"key":"a","type":"integer"}],"truncate":{"rows":%d,"offset":1}%s}`
--- a/gather/stream.go
+++ b/gather/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -22,9 +23,11 @@
 
 	sum    xxhash.Digest // of them
 	copies []copyState
+	past   int   // copies up to this number may have been forgotten
 	whole  bool  // it ended, and took is its length
 	gone   bool  // it was given up, or cannot be read
 	why    error // the reason
+	torn   bool  // it is not in order
 	limit  bool  // a copy stopped at the rows it was asked for
 
 	key, spare []byte // of the last record, and room for the next one's
@@ -57,9 +60,17 @@
 			return &s.copies[i], nil
 		}
 	}
-	if len(s.copies) == limit {
+	if s.past > 0 && id <= s.past {
 		return nil, &CopiesOver{s.part.ID, limit}
 	}
+	if len(s.copies) == limit { // the oldest that has ended gives way
+		i := slices.IndexFunc(s.copies, func(c copyState) bool { return c.out || c.bad })
+		if i < 0 {
+			return nil, &CopiesOver{s.part.ID, limit}
+		}
+		s.past = max(s.past, s.copies[i].id)
+		s.copies = slices.Delete(s.copies, i, i+1)
+	}
 	c := copyState{id: id, mark: s.took, want: s.sum.Sum64()}
 	c.sum.Reset()
 	s.copies = append(s.copies, c)
