Counts of the shared state on the metrics address; gather's errors on the page

Change: fourteen gauges of peers and observations where the site's file has metrics and peers; the test's state does not fade.

Measured: go test ./cmd/wheatsaddle reads them over loopback.

--- a/cmd/wheatsaddle/peers.go
+++ b/cmd/wheatsaddle/peers.go
@@ -15,6 +15,7 @@
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/meter"
 	"wheatsaddle/internal/observations"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/peers"
@@ -67,6 +68,31 @@
 	return f.peers.Views
 }
 
+// count puts the counts of what is shared where counts are served.
+func (f *fleet) count(m *meter.Meter) {
+	if f == nil {
+		return
+	}
+	for name, of := range map[string]func(peers.Counts) int64{
+		"peers_members":               func(c peers.Counts) int64 { return c.Members },
+		"peers_received_bytes":        func(c peers.Counts) int64 { return c.In },
+		"peers_sent_bytes":            func(c peers.Counts) int64 { return c.Out },
+		"peers_overrun_messages":      func(c peers.Counts) int64 { return c.Full },
+		"peers_outcomes":              func(c peers.Counts) int64 { return c.Outcomes },
+		"peers_outcomes_lost":         func(c peers.Counts) int64 { return c.Lost },
+		"observations_messages":       func(c peers.Counts) int64 { return c.State.Messages },
+		"observations_unreadable":     func(c peers.Counts) int64 { return c.State.Unreadable },
+		"observations_later_versions": func(c peers.Counts) int64 { return c.State.LaterVersion },
+		"observations_older_cells":    func(c peers.Counts) int64 { return c.State.Older },
+		"observations_beyond_bounds":  func(c peers.Counts) int64 { return c.State.Beyond },
+		"observations_refuted":        func(c peers.Counts) int64 { return c.State.Refuted },
+		"observations_origins":        func(c peers.Counts) int64 { return c.State.Origins },
+		"observations_cells":          func(c peers.Counts) int64 { return c.State.Held },
+	} {
+		m.Gauge(func() float64 { return float64(of(f.peers.Counts())) }, name)
+	}
+}
+
 func peerKey(file string) ([]byte, error) {
 	if file == "" {
 		return nil, nil
--- a/cmd/wheatsaddle/peers_test.go
+++ b/cmd/wheatsaddle/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,10 +10,12 @@
 	"time"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/meter"
 	"wheatsaddle/internal/observations"
 	"wheatsaddle/internal/peers"
 )
@@ -50,9 +53,11 @@
 // What one process sees of a listed node the other has in its views, without what was cancelled.
 func TestFleetTellsAndHears(t *testing.T) {
 	log, _ := logtest.NewNullLogger()
+	state := observations.Defaults()
+	state.HalfLife, state.Expire = time.Hour, 24*time.Hour // nothing fades while the test runs
 	start := func(name string, seeds ...string) *fleet {
 		f, err := startFleet(&config.Site{Peers: &config.SitePeers{Listen: "127.0.0.1:0", Seeds: seeds, Every: 20 * time.Millisecond,
-			Burst: 8, State: observations.Defaults()}}, &config.Config{Name: name, Settings: choice.Settings{MayTell: true, ColdSpan: 1e9}}, log)
+			Burst: 8, State: state}}, &config.Config{Name: name, Settings: choice.Settings{MayTell: true, ColdSpan: 1e9}}, log)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -78,7 +83,18 @@
 		!near(c.Sums.N) || !near(c.Turned) || !near(c.Late) || !near(c.Failed) {
 		t.Errorf("%+v", c)
 	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := meter.Serve(ln, log)
+	defer m.Close()
+	b.count(m)
+	if _, body, err := fasthttp.Get(nil, "http://"+ln.Addr().String()+"/metrics"); err != nil || !strings.Contains(string(body), "wheatsaddle_observations_origins 1\n") {
+		t.Errorf("counts: %v %s", err, body)
+	}
 	var off *fleet
+	off.count(m)
 	if off.observe() != nil {
 		t.Error("observing while off")
 	}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -185,6 +185,7 @@
 		return err
 	}
 	defer others.stop()
+	others.count(at.meter)
 	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log, Excluded: excluded,
 		Observe: others.observe()})
 	if err != nil {
--- a/internal/operr/page/main.go
+++ b/internal/operr/page/main.go
@@ -11,6 +11,7 @@
 	"wheatsaddle/internal/operr"
 
 	// The packages whose errors reach an operator; the test names one that is missing here.
+	_ "wheatsaddle/gather"
 	_ "wheatsaddle/internal/address"
 	_ "wheatsaddle/internal/config"
 	_ "wheatsaddle/internal/core"
