gather: tests of a group over the memory and of parts that are refused

Need: two typed errors had no test.

Change: a script with four rows of one key where three fit; parts that are none, twice or too many.

Measured: go test ./gather.

--- a/gather/script_test.go
+++ b/gather/script_test.go
@@ -265,6 +265,35 @@
 	}
 }
 
+// Duplicates that do not fit end the merge before their key, with a typed error and what went out before.
+func TestAGroupOverTheMemory(t *testing.T) {
+	r := rules(t, fmt.Sprintf(byA, `,"memory":{"rows":5},"duplicates":{"keep":"agree","parts":1}`))
+	m := merge(t, r, "p q")
+	_ = m.Add("p", 0, lines(1))
+	for i := range 4 {
+		_ = m.Add("p", 0, fmt.Appendf(nil, `{"a":2,"x":%d}`+"\n", i))
+	}
+	_, _ = m.End("p", 0, nil), m.End("q", 0, nil)
+	rows, res := drain(m), m.Result()
+	var over *GroupOver
+	if rows != `{"a":1}` || !errors.As(res.Err, &over) || over.Key != "a=2" || over.Rows != 4 || res.Whole {
+		t.Errorf("%s %+v", rows, res)
+	}
+	for parts, why := range map[string]string{"": "", "p p": "p", "p q r s": "p"} {
+		var all []Part
+		for _, id := range strings.Fields(parts) {
+			all = append(all, Part{ID: id})
+		}
+		var bad *PartsBad
+		if _, err := New(r, all); !errors.As(err, &bad) || bad.Part != why {
+			t.Errorf("%s: %v", parts, err)
+		}
+	}
+	if err := m.Add("z", 0, nil); !errors.As(err, new(*PartsBad)) {
+		t.Error(err)
+	}
+}
+
 // A part that is out of order in a partial result is cut and in conflict at the root as well.
 func TestUnsortedInATree(t *testing.T) {
 	r := rules(t, fmt.Sprintf(byA, `,"complete":{"need":"best-effort"}`))
