choice: what an instance learned, as plain values that a next life takes

A restart loses windows, latencies and class weights, and cannot tell a guessed cold mark from the list's.

--- /dev/null
+++ b/choice/learned_test.go
@@ -0,0 +1,66 @@
+package choice
+
+import (
+	"math"
+	"testing"
+)
+
+// What one life learned is taken by the next for nodes of the same start alone; a guessed cold mark
+// goes with the list's word; figures that cannot be change nothing.
+func TestRecall(t *testing.T) {
+	set := testSettings()
+	set.ColdSpan, set.Hosts = 18000, 40
+	list := []Node{{ID: "a", Shard: 0}, {ID: "b", Shard: 1, Since: 990}, {ID: "c", Shard: 2}}
+	make1 := func(guess float64) *rig {
+		s, err := New(set, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{t: t, s: s, now: 1000}
+		held := append([]Node(nil), list...)
+		for i := range held {
+			held[i].Since = math.Max(held[i].Since, guess)
+		}
+		r.step(Event{Kind: ListStale, Nodes: held})
+		return r
+	}
+	r := make1(0)
+	r.s.nodes["a"].window, r.s.nodes["a"].usual, r.s.nodes["a"].told = 9, 33, 999
+	r.s.nodes["b"].window, r.s.nodes["b"].usual, r.s.nodes["b"].told = 7, 44, 999
+	r.s.classes[0].weight, r.s.classes[0].delay, r.s.classes[0].slope = 0.6, 20, 5
+	l := r.s.Learned()
+	if len(l.Nodes) != 2 || l.Nodes[0].Window != 9 || len(l.Classes) != len(set.Classes) {
+		t.Fatalf("%+v", l)
+	}
+
+	next := make1(1000)
+	if next.s.warmEnough(next.s.nodes["a"], set.ColdUnits) {
+		t.Error("a node of a guessed start counts as warm")
+	}
+	list[1].Since = 1500 // b has started again since
+	next.step(Event{Kind: ListFull, Nodes: list})
+	for i := range l.Nodes {
+		l.Nodes[i].Guessed = 1000
+	}
+	l.Nodes = append(l.Nodes, LearnedNode{ID: "c", Window: math.NaN(), Usual: math.Inf(1), Guessed: 1000})
+	if taken := next.s.Recall(l); taken != 1 {
+		t.Errorf("%d nodes taken", taken)
+	}
+	a, b, c := next.s.nodes["a"], next.s.nodes["b"], next.s.nodes["c"]
+	if a.window != 9 || a.usual != 33 || !math.IsInf(a.coldAt, -1) {
+		t.Errorf("a: %+v", a)
+	}
+	if b.window > windowLeast || !math.IsInf(b.told, -1) || b.coldAt != 1500 {
+		t.Errorf("b kept what was learned of its last life: %+v", b)
+	}
+	if c.window != windowStart || !math.IsInf(c.coldAt, -1) {
+		t.Errorf("c: %+v", c)
+	}
+	sum := 0.0
+	for _, k := range next.s.classes {
+		sum += k.weight
+	}
+	if next.s.classes[0].delay != 20 || math.Abs(sum-1) > 1e-9 {
+		t.Errorf("classes: %+v, sum %v", next.s.classes[0], sum)
+	}
+}
