Cold start: the decision module's first cut and a virtual fleet to play it in

Hundreds of schedulers that start within a second ask the list at once and use a stale list at full windows. The module gives slots by name, a part of a cold node's budget and refusals with Retry-After; the world plays it beside today's start.

--- /dev/null
+++ b/internal/coldstart/coldstart.go
@@ -0,0 +1,358 @@
+// Package coldstart owns what a process may do while it starts, together with hundreds of others
+// that start in the same second: when it asks for the list, what it may send before the list has
+// spoken, which connections it opens ahead and when, when it says ready, and what it refuses
+// meanwhile. It decides for one process; what the fleet does follows from slots that come from names.
+//
+// Invariants:
+//   - phases: a phase never goes back.
+//   - ready: said at most once, and by Settings.ReadyMost whatever is heard, where Ticks come.
+//   - refusals: each carries a Retry-After between RetryLeast and RetryMost.
+//   - parts: the parts of a cold node's budget of all hosts sum to at most the budget.
+//   - list: the first calls of the fleet are spread by name, no second holds over twice the mean; a
+//     call that is turned away is followed by none within half of the gap; none once the list spoke.
+//   - told: the first call comes before what the list says counts as told; that goes before the spread.
+//   - restarts: nothing that the snapshot has of a node is recalled, unless the list gives the same start.
+//   - bounds: at most NodesMost nodes are held; what is past them is not opened ahead nor shut.
+//
+// It knows no clock and does no I/O. It does not decide which request goes to which node: choice does,
+// and takes a node of which ColdPart was said as one that has just started.
+package coldstart
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Start is one process's start.
+type Start struct {
+	set     Settings
+	rng     *rand.Rand
+	phase   Phase
+	out     []Action
+	nodes   map[string]*node
+	used    []string // nodes of the snapshot, the most used first
+	begun   bool
+	inUse   bool // the held list is in use
+	ready   bool
+	ask     time.Duration // the next call of the list
+	calling bool          // one is under way
+	factor  int
+	heardAt time.Duration
+	heldAt  time.Duration // the held list is in use from here
+	loss    loss          // of one rule: for tests
+}
+
+type node struct {
+	since   float64
+	guessed bool // taken for one that has just started
+	learned bool // the snapshot has it
+	linked  bool // a connection was opened ahead, or it answered
+	shut    time.Duration
+	gap     time.Duration
+}
+
+// loss names a rule that a test takes away.
+type loss string
+
+// New makes the start of one process.
+func New(set Settings) (*Start, error) {
+	if err := set.check(); err != nil {
+		return nil, err
+	}
+	return &Start{set: set, factor: 1, nodes: map[string]*node{},
+		rng: rand.New(rand.NewPCG(xxhash.Sum64String(set.Name), 0x7374617274))}, nil
+}
+
+// Phase is how far the start has come.
+func (s *Start) Phase() Phase { return s.phase }
+
+// Step takes an event and returns what is to be done. The slice is good until the next call.
+func (s *Start) Step(now time.Duration, e Event) []Action {
+	s.out = s.out[:0]
+	switch e := e.(type) {
+	case Begun:
+		s.begin(now, e)
+	case ListSpoke:
+		s.heard(now, e)
+	case ListRefused:
+		s.refused(now)
+	case NodeFull:
+		s.shut(now, e.Node)
+	case ConnectSlow:
+		s.shut(now, e.Node)
+	case Answered:
+		s.answered(e.Node)
+	case Peer:
+		s.told(e.Node)
+	case Asked:
+		s.admit(now, e.Node)
+		return s.out // the state is the same: no wake
+	}
+	if !s.begun {
+		return s.out
+	}
+	s.move(now)
+	s.wake(now)
+	return s.out
+}
+
+func (s *Start) act(a Action) { s.out = append(s.out, a) }
+
+func (s *Start) begin(now time.Duration, e Begun) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.ask = now + Slot(s.set.Spread(), "list", s.set.Name)
+	if s.loss == "slots" {
+		s.ask = now
+	}
+	for _, n := range e.HeldList {
+		if len(s.nodes) < s.set.NodesMost {
+			s.nodes[n.ID] = &node{since: n.Since}
+		}
+	}
+	for _, n := range e.Snapshot {
+		x := s.nodes[n.ID]
+		if x == nil && len(s.nodes) < s.set.NodesMost {
+			x = &node{}
+			s.nodes[n.ID] = x
+		}
+		if x != nil && !x.learned {
+			x.since, x.learned = n.Since, true
+			s.used = append(s.used, n.ID)
+		}
+	}
+	if len(e.HeldList) == 0 {
+		return
+	}
+	s.phase, s.heldAt = Held, now
+	if !s.set.ListPriced { // soon heard: nothing is sent before
+		s.heldAt = now + heldAfter
+	}
+	for _, n := range e.HeldList {
+		if x := s.nodes[n.ID]; x != nil {
+			x.guessed = true
+			s.act(ColdPart{n.ID, s.part(), s.heldAt})
+		}
+	}
+}
+
+// part is this process's part of what a node bears that has just started.
+func (s *Start) part() float64 {
+	if s.loss == "parts" {
+		return s.set.ColdUnits / float64(max(s.set.Hosts/2, 1))
+	}
+	return s.set.ColdUnits / float64(s.set.Hosts)
+}
+
+// heard takes the first full list; later ones are the decisions' own.
+func (s *Start) heard(now time.Duration, e ListSpoke) {
+	s.calling = false
+	if s.phase >= Heard && s.loss != "phases" {
+		return
+	}
+	s.phase, s.heardAt, s.factor = Heard, now, 1
+	learned := map[string]bool{} // nodes that the list has no longer are not opened ahead
+	for _, id := range s.used {
+		learned[id], s.nodes[id].learned = true, false
+	}
+	for _, n := range e.Nodes {
+		x := s.nodes[n.ID]
+		if x == nil {
+			if len(s.nodes) >= s.set.NodesMost {
+				continue
+			}
+			x = &node{since: n.Since}
+			s.nodes[n.ID] = x
+		}
+		same := x.since == n.Since || s.loss == "restarts"
+		if x.guessed && s.inUse {
+			s.act(Warm{n.ID})
+		}
+		if x.learned = learned[n.ID] && same; x.learned {
+			s.act(Recall{n.ID})
+		}
+		if n.Since > 0 && now-n.At < s.set.ColdSpan {
+			s.act(ColdPart{n.ID, s.part(), n.At})
+		}
+		x.since, x.guessed = n.Since, false
+	}
+}
+
+// told takes a peer's word on a node's start while the list has not spoken.
+func (s *Start) told(n Node) {
+	x := s.nodes[n.ID]
+	if x == nil || !x.guessed || !s.inUse || s.phase >= Heard {
+		return
+	}
+	if x.since == n.Since {
+		x.guessed = false
+		s.act(Warm{n.ID})
+	}
+}
+
+// refused sets the next call: hosts that are turned away together ask at most ListMost a second.
+func (s *Start) refused(now time.Duration) {
+	if s.phase >= Heard {
+		return
+	}
+	s.calling = false
+	gap := askGap
+	if s.set.ListPriced {
+		gap = max(s.set.Spread(), askGap) * time.Duration(s.factor)
+		s.factor = min(2*s.factor, growMost)
+		gap = min(gap, s.set.Told)
+	}
+	s.ask = now + gap/2 + time.Duration(s.rng.Int64N(int64(gap)))
+	if s.loss == "list" {
+		s.ask = now
+	}
+}
+
+// shut keeps requests from a node that was full or slow to connect, a little longer each time.
+func (s *Start) shut(now time.Duration, id string) {
+	x := s.nodes[id]
+	if x == nil || s.phase == Serving {
+		return
+	}
+	x.gap = min(max(2*x.gap, shutFirst), shutMost)
+	x.shut = now + x.gap/2 + time.Duration(s.rng.Int64N(int64(x.gap)))
+}
+
+func (s *Start) answered(id string) {
+	if x := s.nodes[id]; x != nil {
+		x.shut, x.gap, x.linked = 0, 0, true
+	}
+	if s.phase == Heard {
+		s.phase = Learning
+	}
+}
+
+// listWait is how long the list may still take, as far as known.
+func (s *Start) listWait(now time.Duration) time.Duration {
+	at := s.ask + usualCall
+	if s.calling {
+		at = now + usualCall
+	}
+	if s.phase == Held {
+		at = min(at, s.heldAt)
+	}
+	return max(at-now, 0)
+}
+
+// admit lets a request to the decisions, or turns it away at once.
+func (s *Start) admit(now time.Duration, id string) {
+	if s.phase == Serving || !s.begun {
+		return
+	}
+	if s.phase < Heard && !s.inUse {
+		if wait := s.listWait(now); wait > s.set.Aim/2 {
+			s.refuse(wait)
+		}
+		return
+	}
+	if x := s.nodes[id]; x != nil && x.shut > now {
+		if wait := x.shut - now; wait > s.set.Aim/2 {
+			s.refuse(wait)
+		}
+	}
+}
+
+// refuse spreads the return of clients over half of the wait.
+func (s *Start) refuse(wait time.Duration) {
+	wait += time.Duration(s.rng.Int64N(int64(wait)/2 + 1))
+	if s.loss != "refusals" {
+		wait = min(max(wait, s.set.RetryLeast), s.set.RetryMost)
+	}
+	s.act(Refuse{wait})
+}
+
+// move does what is due by time.
+func (s *Start) move(now time.Duration) {
+	if s.phase < Heard && !s.calling && now >= s.ask {
+		s.calling = true
+		s.act(AskList{})
+	}
+	if s.phase == Held && !s.inUse && now >= s.heldAt {
+		s.inUse = true
+		s.act(UseHeld{})
+	}
+	ready := s.phase >= Heard || s.inUse && now >= s.heldAt+readyHeld || now >= s.set.ReadyMost()
+	if ready && (!s.ready || s.loss == "ready") {
+		s.ready = true
+		s.act(Ready{})
+	}
+	if s.phase >= Heard && s.phase < Serving || s.inUse && s.phase == Held {
+		s.link(now)
+	}
+	if s.phase >= Heard && now >= s.heardAt+learnFor || s.phase == Held && now >= s.heldAt+s.set.ColdSpan+s.set.Told {
+		s.phase = Serving
+	}
+}
+
+// linkFrom is when a connection to a node is opened ahead: by a slot of its own for each pair.
+func (s *Start) linkFrom(id string) time.Duration {
+	from := s.heardAt
+	if s.phase == Held {
+		from = s.heldAt
+	}
+	return from + Slot(connectFor, "connect", s.set.Name, id)
+}
+
+// link opens what is due of the connections ahead: to the nodes that the last life used most.
+func (s *Start) link(now time.Duration) {
+	for i, id := range s.used {
+		if i >= s.set.Connects {
+			break
+		}
+		x := s.nodes[id]
+		if x.linked || now < x.shut || now < s.linkFrom(id) || !x.learned {
+			continue
+		}
+		x.linked = true
+		s.act(Connect{id})
+		if s.set.MayProbe && s.phase >= Heard {
+			s.act(Probe{id})
+		}
+	}
+}
+
+// wake asks for the next Tick.
+func (s *Start) wake(now time.Duration) {
+	if s.phase == Serving {
+		return
+	}
+	at := now + time.Hour
+	soon := func(t time.Duration) {
+		if t > now {
+			at = min(at, t)
+		}
+	}
+	if s.phase < Heard && !s.calling {
+		soon(s.ask)
+	}
+	if !s.ready {
+		soon(s.set.ReadyMost())
+		if s.phase == Held {
+			soon(s.heldAt + readyHeld)
+		}
+	}
+	switch {
+	case s.phase >= Heard:
+		soon(s.heardAt + learnFor)
+	case s.phase == Held:
+		soon(s.heldAt)
+		soon(s.heldAt + s.set.ColdSpan + s.set.Told)
+	}
+	if s.phase >= Heard || s.inUse {
+		for i, id := range s.used {
+			if x := s.nodes[id]; i < s.set.Connects && !x.linked && x.learned {
+				soon(max(x.shut, s.linkFrom(id)))
+			}
+		}
+	}
+	s.act(WakeAt{at})
+}
--- /dev/null
+++ b/internal/lab/coldstart/host.go
@@ -0,0 +1,261 @@
+package coldstart
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/backoff"
+	"wheatsaddle/internal/coldstart"
+)
+
+// host is one scheduler: the driver of its decisions, with no rule of its own.
+type host struct {
+	w       *world
+	no      int
+	life    int
+	down    bool
+	s       *choice.Scheduler
+	begin   *coldstart.Start // nil: as today
+	born    float64
+	held    []choice.Node // the list as last held
+	learned choice.Learned
+	guess   bool
+	watch   bool // the list tells of changes
+	again   *backoff.Backoff
+	conns   map[int]*conns
+	wakeAt  time.Duration
+}
+
+type conns struct{ have, out int }
+
+// run is the ordinary life before the cut.
+func (h *host) run() {
+	h.fresh()
+	h.listed()
+}
+
+func (h *host) fresh() {
+	set := h.w.set
+	set.Me = h.no
+	s, err := choice.New(set, int64(1000*h.life+h.no)+h.w.opt.Seed)
+	if err != nil {
+		panic(err)
+	}
+	h.s, h.down, h.watch, h.guess, h.begin, h.born = s, false, false, false, nil, h.w.now
+	h.life++
+	h.conns = map[int]*conns{}
+}
+
+// kill ends the process; its snapshot is as old as the writes are apart, in the mean half of that.
+func (h *host) kill() {
+	if !h.down {
+		if l := h.s.Learned(); len(l.Nodes) > 0 {
+			h.learned = l
+		}
+		h.life, h.down, h.watch = h.life+1, true, false
+	}
+}
+
+// start begins a life with the list as last held.
+func (h *host) start() {
+	h.fresh()
+	if h.w.mode == Today {
+		h.again = backoff.New(h.w.opt.Hosts, 0, uint64(h.no)+uint64(h.w.opt.Seed))
+		h.step(choice.Event{Kind: choice.ListStale, Nodes: h.held})
+		h.call()
+		return
+	}
+	set := h.w.set
+	b, err := coldstart.New(coldstart.Settings{Hosts: set.Hosts, Name: fmt.Sprint("host-", h.no), ListPriced: !h.w.sc.Pushed,
+		ListMost: 0.6 * h.w.opt.Capacity, ColdUnits: set.ColdUnits, TipSpan: span(set.TipSpan), ColdSpan: span(set.ColdSpan),
+		Aim: span(400), RetryMost: span(set.MaxHoldOff), Connects: 8})
+	if err != nil {
+		panic(err)
+	}
+	h.begin, h.wakeAt = b, -1
+	begun := coldstart.Begun{HeldList: h.nodes(h.held)}
+	if h.w.mode == Snapshot {
+		for _, n := range h.learned.Nodes {
+			begun.Snapshot = append(begun.Snapshot, coldstart.Node{ID: n.ID, Since: n.Since})
+		}
+	}
+	h.hear(begun)
+}
+
+func span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func (h *host) nodes(list []choice.Node) (ns []coldstart.Node) {
+	for _, n := range list {
+		ns = append(ns, coldstart.Node{ID: n.ID, Since: n.Since, At: span(n.Since - h.born)})
+	}
+	return ns
+}
+
+// hear gives the start an event and does what it says; true: a request was refused.
+func (h *host) hear(e coldstart.Event) (refused bool, wait time.Duration) {
+	if h.begin == nil {
+		return
+	}
+	var recall choice.Learned
+	for _, a := range slices.Clone(h.begin.Step(span(h.w.now-h.born), e)) {
+		switch a := a.(type) {
+		case coldstart.AskList:
+			h.call()
+		case coldstart.UseHeld:
+			guessed := slices.Clone(h.held)
+			for i := range guessed {
+				guessed[i].Since = h.born
+			}
+			h.guess = true
+			h.step(choice.Event{Kind: choice.ListStale, Nodes: guessed})
+		case coldstart.Warm:
+			recall.Nodes = append(recall.Nodes, choice.LearnedNode{ID: a.Node, Since: h.w.index[a.Node].Since, Guessed: h.born})
+		case coldstart.Recall:
+			i := slices.IndexFunc(h.learned.Nodes, func(n choice.LearnedNode) bool { return n.ID == a.Node })
+			recall.Nodes = append(recall.Nodes, h.learned.Nodes[i])
+		case coldstart.Connect:
+			h.link(h.w.index[a.Node], 0)
+		case coldstart.Refuse:
+			refused, wait = true, a.RetryAfter
+		case coldstart.WakeAt:
+			h.wake(a.At)
+		}
+	}
+	if len(recall.Nodes) > 0 {
+		if h.w.mode == Snapshot {
+			recall.Classes = h.learned.Classes
+		}
+		h.s.Recall(recall)
+	}
+	return refused, wait
+}
+
+func (h *host) wake(at time.Duration) {
+	if at == h.wakeAt {
+		return
+	}
+	h.wakeAt = at
+	h.later(float64(at)/float64(time.Millisecond)-(h.w.now-h.born)+0.01, func() {
+		if h.wakeAt == at {
+			h.wakeAt = -1
+			h.hear(coldstart.Tick{})
+		}
+	})
+}
+
+// later does something in the host's present life.
+func (h *host) later(wait float64, do func()) {
+	life := h.life
+	h.w.after(wait, func() {
+		if h.life == life {
+			do()
+		}
+	})
+}
+
+func (h *host) take(r *request) {
+	if refused, wait := h.hear(coldstart.Asked{Node: h.w.nodes[r.req.Shard].ID}); refused {
+		if wait <= 0 {
+			h.w.res.broke("a refusal without Retry-After")
+		}
+		h.w.res.Gated++
+		h.w.final(r.req.ID, choice.Full, float64(wait)/float64(time.Millisecond))
+		return
+	}
+	h.step(choice.Event{Kind: choice.Arrival, Req: r.req})
+}
+
+func (h *host) outcome(n *node, status choice.Status, ev choice.Event) {
+	switch status {
+	case choice.OK:
+		h.hear(coldstart.Answered{Node: n.ID})
+	case choice.Full:
+		h.hear(coldstart.NodeFull{Node: n.ID})
+	case choice.NoConn:
+		h.hear(coldstart.ConnectSlow{Node: n.ID})
+	}
+	h.step(ev)
+}
+
+func (h *host) step(ev choice.Event) {
+	for _, a := range h.s.Step(h.w.now, []choice.Event{ev}, nil) {
+		switch a.Kind {
+		case choice.SetTimer:
+			h.later(math.Max(a.Wait, 1), func() { h.step(choice.Event{Kind: choice.Timer, Tag: a.Tag}) })
+		case choice.Refuse:
+			h.w.final(a.ID, choice.Full, a.Wait)
+		case choice.Fail:
+			h.w.final(a.ID, choice.Errored, 0)
+		case choice.Send:
+			h.w.send(h, a)
+		case choice.Cancel: // the node works on
+			if r := h.w.reqs[a.ID]; r != nil {
+				h.later(1, func() { r.tries[a.Attempt].end(choice.Cancelled) })
+			}
+		}
+	}
+}
+
+// link takes a connection to a node for so many requests; without a free one it opens another.
+func (h *host) link(n *node, out int) {
+	c := h.conns[n.Shard]
+	if c == nil {
+		c = &conns{}
+		h.conns[n.Shard] = c
+	}
+	if c.out += out; c.have < max(c.out, 1) {
+		c.have++
+		h.w.count(&n.opened, &h.w.res.Connects)
+	}
+}
+
+// call asks the list's service.
+func (h *host) call() {
+	life := h.life
+	h.w.list.ask(func(ok bool) {
+		if h.life != life {
+			return
+		}
+		switch {
+		case ok:
+			h.listed()
+		case h.begin != nil:
+			h.hear(coldstart.ListRefused{})
+		default:
+			h.step(choice.Event{Kind: choice.ListFailed})
+			h.later(float64(h.again.Next())/float64(time.Millisecond), h.call)
+		}
+	})
+}
+
+// listed takes a full list.
+func (h *host) listed() {
+	h.held, h.watch = h.held[:0:0], true
+	for _, n := range h.w.nodes {
+		h.held = append(h.held, n.Node)
+	}
+	if h.again != nil {
+		h.again.Spoke()
+	}
+	h.step(choice.Event{Kind: choice.ListFull, Nodes: h.held})
+	h.hear(coldstart.ListSpoke{Nodes: h.nodes(h.held)})
+}
+
+// change is the list's word of one node, some time later.
+func (h *host) change(n choice.Node) {
+	if !h.watch {
+		return
+	}
+	h.later(50+250*h.w.rng.Float64(), func() {
+		h.held = slices.Clone(h.held)
+		for i := range h.held {
+			if h.held[i].ID == n.ID && n.Since > h.held[i].Since {
+				h.held[i] = n
+			}
+		}
+		h.step(choice.Event{Kind: choice.ListChange, Nodes: []choice.Node{n}})
+	})
+}
