--- a/internal/lab/coldstart/host.go
+++ b/internal/lab/coldstart/host.go
@@ -34,6 +34,7 @@
 // run is the ordinary life before the cut.
 func (h *host) run() {
 	h.fresh()
+	h.step(choice.Event{Kind: choice.ListStale})
 	h.listed()
 }
 
@@ -76,6 +77,7 @@
 		panic(err)
 	}
 	h.begin, h.wakeAt = b, -1
+	h.step(choice.Event{Kind: choice.ListStale}) // the decisions' clock ticks from here
 	begun := coldstart.Begun{HeldList: h.nodes(h.held)}
 	if h.w.mode == Snapshot {
 		for _, n := range h.learned.Nodes {
@@ -110,7 +112,7 @@
 				guessed[i].Since = h.born
 			}
 			h.guess = true
-			h.step(choice.Event{Kind: choice.ListStale, Nodes: guessed})
+			h.step(choice.Event{Kind: choice.ListChange, Nodes: guessed})
 		case coldstart.Warm:
 			recall.Nodes = append(recall.Nodes, choice.LearnedNode{ID: a.Node, Since: h.w.index[a.Node].Since, Guessed: h.born})
 		case coldstart.Recall:
