--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -180,6 +180,10 @@
 		ConnsMost: int64(max(1, sockets-clients)), Wait: pool.Wait(conf.Handshake, tightest(conf.Settings)),
 		Safe: safeClasses(conf.Settings), Routes: at.routes, Log: log}
 	kept, excluded := keptExclusions(conf.Name, log)
+	begin, err := newStarter(at.held.Start, conf, known.Nodes, log)
+	if err != nil {
+		return err
+	}
 	others, err := startFleet(at.held, conf, log)
 	if err != nil {
 		return err
@@ -187,20 +191,25 @@
 	defer others.stop()
 	others.count(at.meter)
 	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log, Excluded: excluded,
-		Observe: others.observe()})
+		Observe: others.observe(), Start: begin.gate()})
 	if err != nil {
 		return config.Refused(err)
 	}
 	defer co.Stop()
-	co.List(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
+	if !begin.run(co) {
+		co.List(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
+	}
 	others.heard(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
+	defer begin.stop()
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var listed, serving atomic.Bool // discovery has answered; the clients' listener is taken
 	started := time.Now()
 	tell := func(n core.News) {
-		co.List(n)
+		if !begin.list(n) {
+			co.List(n)
+		}
 		others.heard(n)
 		if n.Kind == choice.ListFull || n.Kind == choice.ListChange {
 			listed.Store(true)
@@ -208,10 +217,12 @@
 	}
 	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Known: known.Nodes, Tell: tell, Log: log,
 		Clock: listClock(conf)}
-	go watcher.Run(ctx)
+	go begin.watch(ctx, watcher.Run)
 	// Ready: the clients' socket is served and the list is discovery's, or discovery has been
 	// waited for long enough.
-	ready := func() bool { return serving.Load() && (listed.Load() || time.Since(started) > listWait) }
+	ready := func() bool {
+		return serving.Load() && begin.ready(listed.Load() || time.Since(started) > listWait)
+	}
 	keep := &keeper{store: kept, core: co, log: log}
 	go keep.watch(ctx)
 	door, err := openDoor(conf, ready, co, keep, estimates(at.held.Estimate, conf, others.views()), log)
--- a/cmd/wheatsaddle/site.go
+++ b/cmd/wheatsaddle/site.go
@@ -95,6 +95,10 @@
 		s.log.WithField("keys", "estimate").Warn("changed, and need a restart")
 		next.Estimate = s.held.Estimate
 	}
+	if !reflect.DeepEqual(next.Start, s.held.Start) {
+		s.log.WithField("keys", "start").Warn("changed, and need a restart")
+		next.Start = s.held.Start
+	}
 	s.held = next
 	s.apply()
 	s.log.Info("site's file read again")
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -33,6 +33,15 @@
 	Listen    map[string][]Listener // by front: http, iscsi
 	Metrics   *Listener             // where counts are served; nil: nowhere
 	Peers     *SitePeers
+	Start     *SiteStart
+}
+
+// SiteStart is the section start: how the process starts beside hundreds of others.
+type SiteStart struct {
+	On         bool
+	Snapshot   string  // file of what was learned; empty: none is kept
+	ListPriced bool    // calls of the list cost its service: they are spread over the fleet
+	ListMost   float64 // calls of the list a second that the fleet may make
 }
 
 // SiteAddresses is the section addresses.
@@ -121,6 +130,10 @@
 	if r.root.Get("estimate").Exists() {
 		s.Estimate = siteEstimate(r)
 	}
+	if v := r.root.Get("start"); v.Exists() {
+		s.Start = &SiteStart{On: !v.Get("on").Exists() || v.Get("on").Bool(), Snapshot: r.text("start.snapshot", ""),
+			ListPriced: v.Get("list_priced").Bool(), ListMost: r.num("start.list_calls_per_second", 40, 0)}
+	}
 	seen := map[address.Addr]string{}
 	if e := r.root.Get("metrics"); e.Exists() {
 		l, err := siteListener("metrics", e, seen)
--- a/internal/config/site_test.go
+++ b/internal/config/site_test.go
@@ -27,7 +27,11 @@
 	if l := s.Listen["http"]; len(l) != 2 || l[0].Mode != 0o660 || l[1].Address.String() != "[::1]:80" {
 		t.Errorf("%+v", l)
 	}
-	if s, err := ParseSite([]byte(`{}`)); err != nil || s.Addresses != nil || len(s.Listen) != 0 {
+	s, err = ParseSite([]byte(`{"start":{"snapshot":"/tmp/x","list_priced":true}}`))
+	if err != nil || *s.Start != (SiteStart{On: true, Snapshot: "/tmp/x", ListPriced: true, ListMost: 40}) {
+		t.Errorf("%+v %v", s, err)
+	}
+	if s, err := ParseSite([]byte(`{}`)); err != nil || s.Addresses != nil || s.Start != nil || len(s.Listen) != 0 {
 		t.Errorf("%+v %v", s, err)
 	}
 }
@@ -49,6 +53,7 @@
 		`{"listen":{"http":[{"address":"[::1]:1","mode":"0600"}]}}`:                     "listen.http.0.mode: only a socket file",
 		`{"listen":{"http":[{"address":"unix:/x","mode":"rw"}]}}`:                       "listen.http.0.mode",
 		`{"listen":{"http":[{"address":"unix:/x"}],"iscsi":[{"address":"unix:/./x"}]}}`: "listen.iscsi.0.address: \"unix:/./x\": the same as listen.http.0",
+		`{"start":{"snapshot":"x"}}`:                                                    "start.snapshot",
 		`{"listen":{"ftp":[]}}`:                                                         "listen: additional properties 'ftp' not allowed",
 	} {
 		if s, err := ParseSite([]byte(text)); err == nil || !strings.HasPrefix(err.Error(), "site: ") || !strings.Contains(err.Error(), want) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -175,6 +175,7 @@
 	Observe func(node string, since int64, class string, units, latencyMs float64, status choice.Status)
 	// Excluded is the book of nodes out by hand as the scheduler's last process left it.
 	Excluded exclusion.State
+	Start    Starting // nil: no say in how the process starts
 }
 
 type message struct {
@@ -239,6 +240,8 @@
 	late    margin.Gauge
 	told    time.Time // when a late end was last logged
 	untold  int       // late ends since
+
+	recalled choice.Learned // to be given to the module after the next step
 }
 
 // New checks the settings and starts the actor.
@@ -431,6 +434,7 @@
 
 // turn takes one batch into one step.
 func (c *Core) turn(now float64) {
+	defer c.recall()
 	for _, m := range c.batch {
 		c.take(m, now)
 	}
@@ -535,6 +539,12 @@
 		r.Answer(Answer{Kind: Failed, Cause: cause})
 		return
 	}
+	if st := c.starting(); st != nil {
+		if retry, refuse := st.Admit(c.nodeOf(r.Shard)); refuse {
+			c.Refuse(r, retry)
+			return
+		}
+	}
 	c.counts.progress.Add(1)
 	r.NotAfter = c.clock(r.Arrived.Add(r.Patience - c.late.Margin(c.since(now), r.Patience)))
 	e := &entry{req: r}
@@ -551,6 +561,9 @@
 	if c.opt.Observe != nil {
 		c.opt.Observe(a.Node, int64(a.since), e.req.Class, e.req.Units, now-a.at, r.Status)
 	}
+	if st := c.starting(); st != nil {
+		st.Ended(a.Node, r.Status)
+	}
 	if r.Status == choice.OK && !e.answered {
 		c.answer(e, Answer{Kind: Served, Payload: r.Payload})
 	} else if r.Bad {
@@ -603,7 +616,11 @@
 			return
 		}
 		if a.Kind == choice.Refuse {
-			c.answer(e, Answer{Kind: Refused, RetryAfter: time.Duration(a.Wait * float64(time.Millisecond))})
+			wait := time.Duration(a.Wait * float64(time.Millisecond))
+			if st := c.starting(); st != nil {
+				wait = st.Turned(c.nodeOf(e.req.Shard), wait)
+			}
+			c.answer(e, Answer{Kind: Refused, RetryAfter: wait})
 		} else if cause := CauseGivenUp; now >= e.req.NotAfter {
 			c.answer(e, Answer{Kind: Failed, Cause: CauseLate})
 		} else {
--- a/internal/lab/coldstart/host.go
+++ b/internal/lab/coldstart/host.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"wheatsaddle/choice"
-	"wheatsaddle/internal/backoff"
 	"wheatsaddle/internal/coldstart"
+	"wheatsaddle/internal/listclock"
 )
 
 // host is one scheduler: the driver of its decisions, with no rule of its own.
@@ -23,8 +23,9 @@
 	held    []choice.Node // the list as last held
 	learned choice.Learned
 	guess   bool
-	watch   bool // the list tells of changes
-	again   *backoff.Backoff
+	watch   bool             // the list tells of changes
+	clock   *listclock.Clock // as today: when the list is asked for; nil: the watch stands
+	clockAt time.Duration    // when it is looked at next
 	conns   map[int]*conns
 	wakeAt  time.Duration
 }
@@ -64,9 +65,9 @@
 func (h *host) start() {
 	h.fresh()
 	if h.w.mode == Today {
-		h.again = backoff.New(h.w.opt.Hosts, 0, uint64(h.no)+uint64(h.w.opt.Seed))
+		h.clock, h.clockAt = listclock.New(listclock.Settings{Pushed: h.w.sc.Pushed, Hosts: h.w.opt.Hosts, Seed: uint64(h.no) + uint64(h.w.opt.Seed)}), -1
 		h.step(choice.Event{Kind: choice.ListStale, Nodes: h.held})
-		h.call()
+		h.ask(listclock.Event{Kind: listclock.Begin})
 		return
 	}
 	set := h.w.set
@@ -220,8 +221,35 @@
 	}
 }
 
+// ask gives the list's clock an event and makes the calls that it says, until one is answered.
+func (h *host) ask(e listclock.Event) {
+	if h.clock == nil {
+		return
+	}
+	for _, a := range h.clock.Step(span(h.w.now-h.born), e) {
+		if a.Do == listclock.Open {
+			h.callAs(a.Call)
+		}
+	}
+	at := h.clock.Wake()
+	if at == h.clockAt || at > time.Hour {
+		return
+	}
+	h.clockAt = at
+	life := h.life
+	h.later(max(0, float64(at)/float64(time.Millisecond)-(h.w.now-h.born)), func() {
+		if h.life == life && h.clockAt == at {
+			h.clockAt = -1
+			h.ask(listclock.Event{Kind: listclock.Passed})
+		}
+	})
+}
+
 // call asks the list's service.
-func (h *host) call() {
+func (h *host) call() { h.callAs(0) }
+
+// callAs does so as one of the clock's calls; 0: as none.
+func (h *host) callAs(call int) {
 	life := h.life
 	h.w.list.ask(func(ok bool) {
 		if h.life != life {
@@ -229,12 +257,13 @@
 		}
 		switch {
 		case ok:
+			h.clock = nil
 			h.listed()
 		case h.begin != nil:
 			h.hear(coldstart.ListRefused{})
 		default:
 			h.step(choice.Event{Kind: choice.ListFailed})
-			h.later(float64(h.again.Next())/float64(time.Millisecond), h.call)
+			h.ask(listclock.Event{Kind: listclock.Ended, Call: call, Refused: true})
 		}
 	})
 }
@@ -245,9 +274,6 @@
 	for _, n := range h.w.nodes {
 		h.held = append(h.held, n.Node)
 	}
-	if h.again != nil {
-		h.again.Spoke()
-	}
 	h.step(choice.Event{Kind: choice.ListFull, Nodes: h.held})
 	h.hear(coldstart.ListSpoke{Nodes: h.nodes(h.held)})
 }
