--- a/cmd/rehearse/coldstart.go
+++ b/cmd/rehearse/coldstart.go
@@ -20,6 +20,7 @@
 			&cli.Int64Flag{Name: "seed", Value: 1, Usage: "of the first world"},
 			&cli.Float64Flag{Name: "capacity", Value: 400, Usage: "calls a second that the list's service can answer"},
 			&cli.StringSliceFlag{Name: "scenario", Usage: "play this one alone (may be repeated)"},
+			&cli.StringSliceFlag{Name: "start", Usage: "play this start alone: today, coldstart or \"with snapshot\" (may be repeated)"},
 			&cli.StringFlag{Name: "json", Usage: "write the result to `FILE`"},
 		},
 		Action: func(c *cli.Context) error {
@@ -31,7 +32,8 @@
 				return err
 			}
 			opt := coldstart.Options{Hosts: c.Int("schedulers"), Nodes: c.Int("nodes"), Seeds: c.Int("seeds"), Seed: c.Int64("seed"),
-				Capacity: c.Float64("capacity"), Scenarios: c.StringSlice("scenario")}
+				Capacity: c.Float64("capacity"), Scenarios: c.StringSlice("scenario"),
+				Starts: c.StringSlice("start")}
 			if !c.Bool("virtual") {
 				return usage{errors.New("only --virtual is there so far")}
 			}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -190,7 +190,7 @@
 	}
 	defer others.stop()
 	others.count(at.meter)
-	co, err := core.New(core.Options{Settings: conf.Settings, Seed: conf.Seed, Connect: dialer.Connect, Log: log, Excluded: excluded,
+	co, err := core.New(core.Options{Settings: begin.settings(conf.Settings), Seed: conf.Seed, Connect: dialer.Connect, Log: log, Excluded: excluded,
 		Observe: others.observe(), Start: begin.gate()})
 	if err != nil {
 		return config.Refused(err)
--- a/cmd/wheatsaddle/start.go
+++ b/cmd/wheatsaddle/start.go
@@ -61,6 +61,14 @@
 		s: s, since: map[string]float64{}}, nil
 }
 
+// settings are the decisions' for a start beside the whole fleet; as given, without the section.
+func (b *starter) settings(set choice.Settings) choice.Settings {
+	if b != nil {
+		set.ColdUnits *= coldstart.ColdShare
+	}
+	return set
+}
+
 // gate is what core asks; nil, without the section.
 func (b *starter) gate() core.Starting {
 	if b == nil {
--- a/internal/coldstart/settings.go
+++ b/internal/coldstart/settings.go
@@ -99,6 +99,10 @@
 	return nil
 }
 
+// ColdShare is the part of a cold node's budget that a process uses which starts beside its whole
+// fleet: turns are drawn, and estimates of who else works with a node are noisy while all are new.
+const ColdShare = 0.8
+
 // Slot is where a name stands in a span, by its hash: even over any set of names.
 func Slot(span time.Duration, parts ...string) time.Duration {
 	d := xxhash.New()
--- a/internal/lab/coldstart/host.go
+++ b/internal/lab/coldstart/host.go
@@ -34,14 +34,14 @@
 
 // run is the ordinary life before the cut.
 func (h *host) run() {
-	h.fresh()
+	h.fresh(1)
 	h.step(choice.Event{Kind: choice.ListStale})
 	h.listed()
 }
 
-func (h *host) fresh() {
+func (h *host) fresh(coldShare float64) {
 	set := h.w.set
-	set.Me = h.no
+	set.Me, set.ColdUnits = h.no, set.ColdUnits*coldShare
 	s, err := choice.New(set, int64(1000*h.life+h.no)+h.w.opt.Seed)
 	if err != nil {
 		panic(err)
@@ -63,13 +63,14 @@
 
 // start begins a life with the list as last held.
 func (h *host) start() {
-	h.fresh()
 	if h.w.mode == Today {
+		h.fresh(1)
 		h.clock, h.clockAt = listclock.New(listclock.Settings{Pushed: h.w.sc.Pushed, Hosts: h.w.opt.Hosts, Seed: uint64(h.no) + uint64(h.w.opt.Seed)}), -1
 		h.step(choice.Event{Kind: choice.ListStale, Nodes: h.held})
 		h.ask(listclock.Event{Kind: listclock.Begin})
 		return
 	}
+	h.fresh(coldstart.ColdShare)
 	set := h.w.set
 	b, err := coldstart.New(coldstart.Settings{Hosts: set.Hosts, Name: fmt.Sprint("host-", h.no), ListPriced: !h.w.sc.Pushed,
 		ListMost: 0.6 * h.w.opt.Capacity, ColdUnits: set.ColdUnits, TipSpan: span(set.TipSpan), ColdSpan: span(set.ColdSpan),
--- a/internal/lab/coldstart/run.go
+++ b/internal/lab/coldstart/run.go
@@ -20,6 +20,7 @@
 	Seed                int64
 	Capacity            float64 // calls a second that the list's service can answer
 	Scenarios           []string
+	Starts              []string // modes to play, none: all
 }
 
 // Mode is how the hosts start.
@@ -99,6 +100,11 @@
 			return fmt.Errorf("%s: %v is not from 1 to %v", k.key, k.v, k.most)
 		}
 	}
+	for _, name := range o.Starts {
+		if name != Today.String() && name != With.String() && name != Snapshot.String() {
+			return fmt.Errorf("start: %q is none of %q, %q and %q", name, Today, With, Snapshot)
+		}
+	}
 	for _, name := range o.Scenarios {
 		if !slices.ContainsFunc(Scenarios, func(s Scenario) bool { return s.Name == name }) {
 			return fmt.Errorf("scenario: %q is none of those in docs/design/coldstart.md", name)
@@ -217,6 +223,9 @@
 			continue
 		}
 		for mode := Today; mode <= Snapshot; mode++ {
+			if len(opt.Starts) > 0 && !slices.Contains(opt.Starts, mode.String()) {
+				continue
+			}
 			begins(sc.Name, mode)
 			all := make([]*Result, opt.Seeds)
 			g, in := errgroup.WithContext(ctx)
--- a/internal/operr/page/main.go
+++ b/internal/operr/page/main.go
@@ -13,6 +13,8 @@
 	// The packages whose errors reach an operator; the test names one that is missing here.
 	_ "wheatsaddle/gather"
 	_ "wheatsaddle/internal/address"
+	_ "wheatsaddle/internal/coldstart"
+	_ "wheatsaddle/internal/coldstart/snapshot"
 	_ "wheatsaddle/internal/config"
 	_ "wheatsaddle/internal/core"
 	_ "wheatsaddle/internal/cost"
