--- a/internal/lab/coldstart/host.go
+++ b/internal/lab/coldstart/host.go
@@ -227,7 +227,12 @@
 	if h.clock == nil {
 		return
 	}
-	for _, a := range h.clock.Step(span(h.w.now-h.born), e) {
+	now := span(h.w.now - h.born)
+	if e.Kind == listclock.Passed {
+		now = max(now, h.clockAt)
+	}
+	h.clockAt = -1
+	for _, a := range h.clock.Step(now, e) {
 		if a.Do == listclock.Open {
 			h.callAs(a.Call)
 		}
@@ -240,8 +245,7 @@
 	life := h.life
 	h.later(max(0, float64(at)/float64(time.Millisecond)-(h.w.now-h.born)), func() {
 		if h.life == life && h.clockAt == at {
-			h.clockAt = -1
-			h.ask(listclock.Event{Kind: listclock.Passed})
+			h.ask(listclock.Event{Kind: listclock.Passed}) // its time is the clock's own: no rounding holds it up
 		}
 	})
 }
