--- /dev/null
+++ b/internal/interleave/sync/ordinary.go
@@ -0,0 +1,93 @@
+//go:build !interleave
+
+// Package sync is what code takes whose threads are walked by internal/interleave: in an ordinary
+// build its types are sync's, and its functions are a channel's operations, put in place by the
+// compiler. With the tag interleave they are those of internal/interleave/steps.
+package sync
+
+import (
+	"sync"
+	"time"
+)
+
+type (
+	Mutex   = sync.Mutex
+	RWMutex = sync.RWMutex
+	Once    = sync.Once
+)
+
+// Go is a go statement.
+func Go(f func()) { go f() }
+
+// Reads says that a plain variable is read here, which a lock or an order guards.
+func Reads[T any](*T) {}
+
+// Writes says that a plain variable is written here.
+func Writes[T any](*T) {}
+
+// Point is a step on something outside the process: a file, by its path.
+func Point(kind, on string) {}
+
+// Send is ch <- v.
+func Send[T any](ch chan<- T, v T) { ch <- v }
+
+// TrySend is a select of ch <- v and default.
+func TrySend[T any](ch chan<- T, v T) bool {
+	select {
+	case ch <- v:
+		return true
+	default:
+		return false
+	}
+}
+
+// Recv is v, ok := <-ch.
+func Recv[T any](ch <-chan T) (T, bool) {
+	v, ok := <-ch
+	return v, ok
+}
+
+// TryRecv is a select of v, ok = <-ch and default; had: something came, or the channel is closed.
+func TryRecv[T any](ch <-chan T) (v T, ok, had bool) {
+	select {
+	case v, ok = <-ch:
+		return v, ok, true
+	default:
+		return v, false, false
+	}
+}
+
+// Either is a select of two receives; first: the first one came.
+func Either[A, B any](a <-chan A, b <-chan B) (va A, vb B, first bool) {
+	select {
+	case va = <-a:
+		return va, vb, true
+	case vb = <-b:
+		return va, vb, false
+	}
+}
+
+// SendOr is a select of ch <- v and <-done; true: it was sent.
+func SendOr[T, D any](ch chan<- T, v T, done <-chan D) bool {
+	select {
+	case ch <- v:
+		return true
+	case <-done:
+		return false
+	}
+}
+
+// Close is close(ch).
+func Close[T any](ch chan<- T) { close(ch) }
+
+// Pause is a wait before trying again; true: the channel closed first.
+func Pause(done <-chan struct{}, d time.Duration) (ended bool) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
