--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -11,7 +11,7 @@
 //   - A box that was emptied holds no more than Kept messages' room.
 package mailbox
 
-import "sync"
+import "wheatsaddle/internal/interleave/sync"
 
 // Kept is how many messages' room an empty box keeps.
 const Kept = 16
@@ -36,6 +36,7 @@
 		b.mu.Unlock()
 		return false
 	}
+	sync.Writes(&b.list)
 	b.list = append(b.list, m)
 	b.mu.Unlock()
 	b.rouse()
@@ -46,17 +47,13 @@
 // elsewhere.
 func (b *Box[T]) Must(m T) {
 	b.mu.Lock()
+	sync.Writes(&b.list)
 	b.list = append(b.list, m)
 	b.mu.Unlock()
 	b.rouse()
 }
 
-func (b *Box[T]) rouse() {
-	select {
-	case b.wake <- struct{}{}:
-	default:
-	}
-}
+func (b *Box[T]) rouse() { sync.TrySend(b.wake, struct{}{}) }
 
 // Wake is ready when something may wait.
 func (b *Box[T]) Wake() <-chan struct{} { return b.wake }
@@ -69,6 +66,7 @@
 	clear(last)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	sync.Writes(&b.list)
 	got := b.list
 	b.list = last[:0]
 	return got
@@ -78,5 +76,6 @@
 func (b *Box[T]) Len() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	sync.Reads(&b.list)
 	return len(b.list)
 }
