Sock: the listener's book and its cap walked in every order; the book is a list, not a map

Cause: the shedding looked at the connections in a map's order, so that no schedule could be replayed. Change: each connection knows its place in the list; locks and atomics from interleave.

--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -7,10 +7,11 @@
 	"errors"
 	"net"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
+
+	"wheatsaddle/internal/interleave/sync"
+	"wheatsaddle/internal/interleave/sync/atomic"
 )
 
 const (
@@ -40,7 +41,7 @@
 	most int
 	over int // taken past the cap, to be told no
 	mu   sync.Mutex
-	open map[*Conn]bool
+	open []*Conn // in no order; each knows its place
 	done chan struct{}
 	once sync.Once
 	deaf atomic.Bool // accepts no more
@@ -60,11 +61,12 @@
 func (l *Listener) Crowded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	sync.Reads(&l.open)
 	if len(l.open) <= l.most {
 		return false
 	}
 	asking := 0
-	for c := range l.open {
+	for _, c := range l.open {
 		if c.phase.Load() == active {
 			asking++
 		}
@@ -80,12 +82,12 @@
 }
 
 func limit(ln net.Listener, most int) *Listener {
-	return &Listener{Listener: ln, most: most, open: map[*Conn]bool{}, done: make(chan struct{})}
+	return &Listener{Listener: ln, most: most, done: make(chan struct{})}
 }
 
 // Close implements net.Listener.
 func (l *Listener) Close() error {
-	l.once.Do(func() { close(l.done) })
+	l.once.Do(func() { sync.Close(l.done) })
 	if l.deaf.Swap(true) {
 		return nil
 	}
@@ -103,6 +105,7 @@
 func (l *Listener) Held() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	sync.Reads(&l.open)
 	return len(l.open)
 }
 
@@ -111,8 +114,9 @@
 func (l *Listener) Scarce() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	sync.Reads(&l.open)
 	free := 0
-	for c := range l.open {
+	for _, c := range l.open {
 		if c.phase.Load() != active {
 			free++
 		}
@@ -123,6 +127,7 @@
 func (l *Listener) full() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	sync.Reads(&l.open)
 	return len(l.open) >= l.most+l.over
 }
 
@@ -135,8 +140,9 @@
 	}
 	var may []held
 	l.mu.Lock()
+	sync.Reads(&l.open)
 	asked, full := 0, len(l.open) >= l.most
-	for c := range l.open {
+	for _, c := range l.open {
 		h := held{c, -1, now.Sub(time.Unix(0, c.since.Load()))}
 		switch p := c.phase.Load(); {
 		case p == fresh && h.age >= mutedAfter:
@@ -189,7 +195,7 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		if l.deaf.Load() {
-			<-l.done
+			sync.Recv(l.done)
 			return nil, net.ErrClosed
 		}
 		l.shed(time.Now())
@@ -198,23 +204,41 @@
 			if err == nil {
 				c := &Conn{Conn: nc, from: l}
 				c.since.Store(time.Now().UnixNano())
-				l.mu.Lock()
-				l.open[c] = true
-				l.mu.Unlock()
+				l.add(c)
 				return c, nil
 			}
 			if !heals(err) && !l.deaf.Load() {
 				return nil, err
 			}
 		}
-		select {
-		case <-l.done:
+		if sync.Pause(l.done, acceptPause) {
 			return nil, net.ErrClosed
-		case <-time.After(acceptPause):
 		}
 	}
 }
 
+func (l *Listener) add(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sync.Writes(&l.open)
+	c.place = len(l.open)
+	l.open = append(l.open, c)
+}
+
+// drop takes a connection out of the book; a second time does nothing.
+func (l *Listener) drop(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sync.Writes(&l.open)
+	if c.place >= len(l.open) || l.open[c.place] != c {
+		return
+	}
+	last := l.open[len(l.open)-1]
+	l.open[c.place], last.place = last, c.place
+	l.open[len(l.open)-1] = nil
+	l.open = l.open[:len(l.open)-1]
+}
+
 func heals(err error) bool {
 	for _, p := range passing {
 		if errors.Is(err, p) {
@@ -236,6 +260,7 @@
 type Conn struct {
 	net.Conn
 	from  *Listener
+	place int // in the listener's book, whose lock guards it
 	phase atomic.Int32
 	since atomic.Int64 // start of a fresh or idle phase
 	ended chan struct{}
@@ -297,9 +322,7 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	c.from.mu.Lock()
-	delete(c.from.open, c)
-	c.from.mu.Unlock()
+	c.from.drop(c)
 	return c.Conn.Close()
 }
 
--- /dev/null
+++ b/internal/sock/sock_interleave_test.go
@@ -0,0 +1,157 @@
+//go:build interleave
+
+package sock
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	il "wheatsaddle/internal/interleave"
+	"wheatsaddle/internal/interleave/mutant"
+)
+
+// wire is a connection on which a request has come; it keeps whether it is closed.
+type wire struct {
+	net.Conn
+	closed bool
+}
+
+func (w *wire) Read(p []byte) (int, error) {
+	if w.closed {
+		return 0, net.ErrClosed
+	}
+	return 1, nil
+}
+
+func (w *wire) Close() error { w.closed = true; return nil }
+
+// backlog is a listener of so many connections that wait.
+type backlog struct {
+	net.Listener
+	left   int
+	closed bool
+}
+
+func (b *backlog) Accept() (net.Conn, error) {
+	if b.left == 0 || b.closed {
+		return nil, net.ErrClosed
+	}
+	b.left--
+	return &wire{}, nil
+}
+
+func (b *backlog) Close() error { b.closed = true; return nil }
+
+// book is a listener with connections in it, between requests for an hour.
+func book(most, held, waiting int) (*Listener, []*Conn) {
+	l := limit(&backlog{left: waiting + held}, most)
+	var conns []*Conn
+	for range held {
+		nc, err := l.Accept()
+		if err != nil {
+			panic(err)
+		}
+		c := nc.(*Conn)
+		conns = append(conns, c)
+	}
+	for _, c := range conns { // an accept sheds too
+		c.rouse()
+		c.Idle(true)
+		c.since.Store(time.Now().Add(-time.Hour).UnixNano())
+	}
+	return l, conns
+}
+
+// whole is the book's invariant: within the cap, every connection at its place and open.
+func whole(l *Listener) error {
+	if len(l.open) > l.most+l.over {
+		return fmt.Errorf("%d are open, the cap is %d", len(l.open), l.most)
+	}
+	return nil
+}
+
+func settled(l *Listener, conns ...*Conn) error {
+	for i, c := range l.open {
+		if c.place != i {
+			return fmt.Errorf("the connection at %d believes to be at %d", i, c.place)
+		}
+		if c.Conn.(*wire).closed {
+			return errors.New("a closed connection counts as open")
+		}
+	}
+	return whole(l)
+}
+
+// At the cap: one newcomer, the shedding on the clock, and a request on one of the idle connections.
+// A request whose bytes were taken is never on a connection that was shed.
+func TestInterleaveShed(t *testing.T) {
+	il.Check(t, il.Options{}, func() il.World {
+		l, conns := book(2, 2, 1)
+		c, served := conns[0], false
+		return il.World{
+			Threads: []il.Thread{
+				{Name: "request", Run: func() {
+					if n, _ := c.Read(make([]byte, 1)); n > 0 {
+						served = true
+					}
+				}},
+				{Name: "accept", Run: func() {
+					nc, err := l.Accept()
+					if err != nil {
+						il.Fail("accept: %v", err)
+					}
+					conns = append(conns, nc.(*Conn))
+				}},
+				{Name: "tend", Run: func() { l.shed(time.Now()) }},
+			},
+			Always: func() error {
+				if served && c.Conn.(*wire).closed {
+					return errors.New("a connection with a request was shed")
+				}
+				return whole(l)
+			},
+			Check: func() error { return settled(l) },
+		}
+	})
+	mutant.Found(t,
+		mutant.Mutant{File: "sock.go", Old: "case c.phase.CompareAndSwap(p, active):\n			return true", New: "default:\n			c.phase.Store(active)\n			return true",
+			Want: "a connection with a request was shed"},
+		mutant.Mutant{File: "sock.go", Old: "!c.phase.CompareAndSwap(p, doomed)", New: "c.phase.Swap(doomed) == doomed",
+			Want: "a connection with a request was shed"},
+		mutant.Mutant{File: "sock.go", Old: "		if !l.full() {", New: "		if true {", Want: "the cap is 2"},
+	)
+}
+
+// The book itself: a connection is closed twice, by its server and by the shedding, while others come
+// and are counted; and the listener closes over a newcomer.
+func TestInterleaveBook(t *testing.T) {
+	il.Check(t, il.Options{}, func() il.World {
+		l, conns := book(3, 2, 1)
+		return il.World{
+			Threads: []il.Thread{
+				{Name: "server", Run: func() { conns[0].Close() }},
+				{Name: "other", Run: func() { conns[1].doom(); conns[0].Close() }},
+				{Name: "accept", Run: func() {
+					if nc, err := l.Accept(); err == nil {
+						nc.Close()
+					} else if !errors.Is(err, net.ErrClosed) {
+						il.Fail("accept: %v", err)
+					}
+				}},
+				{Name: "end", Run: func() { l.Close(); l.StopAccepting() }},
+			},
+			Always: func() error { return whole(l) },
+			Check: func() error {
+				if !l.Listener.(*backlog).closed || len(l.open) != 0 {
+					return fmt.Errorf("%d stay open", len(l.open))
+				}
+				return settled(l)
+			},
+		}
+	})
+	mutant.Found(t, mutant.Mutant{File: "sock.go", Old: "func (l *Listener) drop(c *Conn) {\n	l.mu.Lock()\n	defer l.mu.Unlock()\n", New: "func (l *Listener) drop(c *Conn) {\n",
+		Want: "data race: "})
+}
