--- a/internal/exclusion/store/store.go
+++ b/internal/exclusion/store/store.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -19,13 +20,14 @@
 	"time"
 
 	"wheatsaddle/internal/exclusion"
+	"wheatsaddle/internal/interleave/sync"
 )
 
 const (
-	version  = 1
-	fileMost = 1 << 20
-	lockWait = 300 * time.Millisecond
-	lockPoll = 2 * time.Millisecond
+	version   = 1
+	fileMost  = 1 << 20
+	lockPoll  = 2 * time.Millisecond
+	lockTries = 150 // 300 ms
 )
 
 // Store is the file of one scheduler's book.
@@ -33,6 +35,7 @@
 	Path string
 	Name string // the scheduler's name, the same in all its processes
 	seen fs.FileInfo
+	pid  int // 0: the process's
 }
 
 // In is the store of a scheduler in a folder.
@@ -49,6 +52,7 @@
 // Read reads the book; a missing file is an empty book.
 func (s *Store) Read() (exclusion.State, error) {
 	empty := exclusion.State{Excluded: map[string]float64{}, Included: map[string]float64{}}
+	sync.Point("open", s.Path)
 	f, err := os.Open(s.Path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return empty, nil
@@ -60,6 +64,7 @@
 	if info, err := f.Stat(); err == nil {
 		s.seen = info
 	}
+	sync.Point("read", s.Path)
 	text, err := io.ReadAll(io.LimitReader(f, fileMost+1))
 	if err != nil {
 		return empty, &FileError{s.Path, err}
@@ -101,11 +106,13 @@
 	if err != nil {
 		return &FileError{s.Path, err}
 	}
-	beside := s.Path + fmt.Sprintf(".%d~", os.Getpid())
+	beside := s.Path + fmt.Sprintf(".%d~", cmp.Or(s.pid, os.Getpid()))
+	sync.Point("create", beside)
 	f, err := os.OpenFile(beside, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
 		return &FileError{s.Path, err}
 	}
+	sync.Point("write", beside)
 	_, err = f.Write(text)
 	if err == nil {
 		err = f.Sync()
@@ -114,12 +121,14 @@
 		err = cerr
 	}
 	if err == nil {
+		sync.Point("rename", s.Path)
 		err = os.Rename(beside, s.Path)
 	}
 	if err != nil {
 		os.Remove(beside)
 		return &FileError{s.Path, err}
 	}
+	sync.Point("stat", s.Path)
 	if info, err := os.Stat(s.Path); err == nil {
 		s.seen = info
 	}
@@ -129,6 +138,7 @@
 // Changed says whether the file is another than the one last read or written here. A file
 // that has gone is no change: the book held stays.
 func (s *Store) Changed() bool {
+	sync.Point("stat", s.Path)
 	info, err := os.Stat(s.Path)
 	if err != nil {
 		return false
@@ -142,15 +152,19 @@
 	if err != nil {
 		return nil, &FileError{s.Path, err}
 	}
-	for until := time.Now().Add(lockWait); ; {
+	for left := lockTries; ; left-- {
+		sync.Point("flock", s.Path+".lock")
 		err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
 		if err == nil {
-			return func() { f.Close() }, nil
+			return func() {
+				sync.Point("unlock", s.Path+".lock")
+				f.Close()
+			}, nil
 		}
-		if !errors.Is(err, syscall.EWOULDBLOCK) || time.Now().After(until) {
+		if !errors.Is(err, syscall.EWOULDBLOCK) || left == 0 {
 			f.Close()
 			return nil, &FileError{s.Path, fmt.Errorf("%s.lock: %w", s.Path, err)}
 		}
-		time.Sleep(lockPoll)
+		sync.PauseFor("unlock", s.Path+".lock", lockPoll)
 	}
 }
--- a/internal/httpfront/idle.go
+++ b/internal/httpfront/idle.go
@@ -2,7 +2,8 @@
 
 import (
 	"container/list"
-	"sync"
+
+	"wheatsaddle/internal/interleave/sync"
 )
 
 // idleSet orders the idle connections of all nodes by how long they have been idle. At the bound on
@@ -17,6 +18,7 @@
 // put takes a connection that has become idle.
 func (s *idleSet) put(c *conn) {
 	s.mu.Lock()
+	sync.Writes(&s.list)
 	c.place = s.list.PushBack(c)
 	s.mu.Unlock()
 }
@@ -25,6 +27,7 @@
 func (s *idleSet) remove(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	sync.Writes(&s.list)
 	if c.place == nil {
 		return false
 	}
@@ -37,6 +40,7 @@
 // the open ones is the caller's.
 func (s *idleSet) evict() bool {
 	s.mu.Lock()
+	sync.Writes(&s.list)
 	first := s.list.Front()
 	if first == nil {
 		s.mu.Unlock()
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -11,7 +11,6 @@
 	"net"
 	"os"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,6 +19,8 @@
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/interleave/sync"
+	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/mailbox"
 	"wheatsaddle/internal/pool"
 	"wheatsaddle/internal/sock"
@@ -233,7 +234,7 @@
 	switch {
 	case m.evicted != nil: // its descriptor is counted for its successor
 		n.idle = slices.DeleteFunc(n.idle, func(o *conn) bool { return o == m.evicted })
-		close(m.evicted.jobs)
+		sync.Close(m.evicted.jobs)
 		n.conns--
 	case m.opened != nil:
 		n.opened(m.opened, m.broken)
@@ -245,7 +246,7 @@
 			m.back.stop()
 		}
 		if !m.broken {
-			close(m.back.jobs)
+			sync.Close(m.back.jobs)
 		}
 		n.gone()
 	case n.paths != nil:
@@ -260,7 +261,7 @@
 		if c := n.busy[m.cancel]; c != nil {
 			c.cancel()
 		} else if n.line.Remove(m.cancel) {
-			go m.cancel.Done(core.Result{Status: choice.Cancelled})
+			sync.Go(func() { m.cancel.Done(core.Result{Status: choice.Cancelled}) })
 		}
 	case m.back != nil:
 		delete(n.busy, m.back.attempt)
@@ -296,7 +297,7 @@
 func (n *node) drop(c *conn) {
 	n.idle = slices.DeleteFunc(n.idle, func(o *conn) bool { return o == c })
 	if n.dialer.idle.remove(c) { // else it was evicted, and word of that is on its way
-		close(c.jobs)
+		sync.Close(c.jobs)
 		n.gone()
 	}
 }
@@ -360,7 +361,7 @@
 		if !ok {
 			return
 		}
-		go a.Done(core.Result{Status: choice.NoConn})
+		sync.Go(func() { a.Done(core.Result{Status: choice.NoConn}) })
 	}
 	if n.line.Len() == 0 {
 		return
@@ -449,7 +450,7 @@
 	c.attempt = a
 	n.busy[a] = c
 	c.ctx, c.stop = context.WithDeadline(context.Background(), a.Until)
-	c.jobs <- job{attempt: a, ctx: c.ctx}
+	sync.Send(c.jobs, job{attempt: a, ctx: c.ctx})
 }
 
 type job struct {
@@ -489,7 +490,11 @@
 			c.nc.Close()
 		}
 	}()
-	for j := range c.jobs {
+	for {
+		j, ok := sync.Recv(c.jobs)
+		if !ok {
+			return
+		}
 		if j.probe != nil {
 			start := time.Now()
 			r, reuse := c.probe()
--- /dev/null
+++ b/internal/httpfront/node_interleave_test.go
@@ -0,0 +1,241 @@
+//go:build interleave
+
+package httpfront
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/core"
+	il "wheatsaddle/internal/interleave"
+	"wheatsaddle/internal/interleave/mutant"
+	"wheatsaddle/internal/interleave/sync"
+	"wheatsaddle/internal/mailbox"
+	"wheatsaddle/internal/pool"
+	"wheatsaddle/internal/sock"
+)
+
+// line is a connection whose node answers at once; fd is that of a socket that stands and is quiet.
+type line struct {
+	net.Conn
+	fd     uintptr
+	closed bool
+	drains *bool // nothing may be written any more
+	in     bytes.Buffer
+}
+
+func (l *line) Write(p []byte) (int, error) {
+	if l.closed {
+		return 0, net.ErrClosed
+	}
+	if *l.drains {
+		il.Fail("written to a node that drains")
+	}
+	l.in.WriteString(fine)
+	return len(p), nil
+}
+func (l *line) Read(p []byte) (int, error)            { return l.in.Read(p) }
+func (l *line) Close() error                          { l.closed = true; return nil }
+func (l *line) SetReadDeadline(time.Time) error       { return nil }
+func (l *line) SyscallConn() (syscall.RawConn, error) { return rawLine{l}, nil }
+func (l *line) Control(f func(fd uintptr)) error {
+	if l.closed {
+		return net.ErrClosed
+	}
+	f(l.fd)
+	return nil
+}
+
+// rawLine has the rest of syscall.RawConn.
+type rawLine struct{ *line }
+
+func (l rawLine) Read(func(uintptr) bool) error  { return nil }
+func (l rawLine) Write(func(uintptr) bool) error { return nil }
+
+// standingSocket is one end of a pair that stays open.
+func standingSocket(t *testing.T) uintptr {
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fds[0]); syscall.Close(fds[1]) })
+	return uintptr(fds[0])
+}
+
+// actor is a node without its goroutine, with idle connections.
+func actor(d *Dialer, fd uintptr, name string, idle int) *node {
+	n := &node{dialer: d, name: name, mail: mailbox.New[nodeMessage](8), busy: map[*core.Attempt]*conn{},
+		line: pool.New[*core.Attempt](d.Wait), since: time.Now()}
+	for range idle {
+		c := &conn{node: n, jobs: make(chan job, 1)}
+		c.up(&line{fd: fd})
+		n.idle, n.conns = append(n.idle, c), n.conns+1
+		d.idle.put(c)
+		d.open.Add(1)
+	}
+	return n
+}
+
+// turn is one of the actor's.
+func (n *node) turn() {
+	for _, m := range n.mail.Take(nil) {
+		n.take(m)
+		n.tend()
+	}
+}
+
+// Four nodes on two descriptors, which two of them hold idle: one of these drops its own, the
+// others want a connection. One that is used is never closed for another, and all count the same.
+func TestInterleaveIdle(t *testing.T) {
+	fd := standingSocket(t)
+	il.Check(t, il.Options{Bounded: true, Preemptions: 1}, func() il.World {
+		d := &Dialer{ConnsMost: 2, ConnIdle: time.Hour}
+		nodes := []*node{actor(d, fd, "a", 1), actor(d, fd, "b", 1), actor(d, fd, "c", 0), actor(d, fd, "d", 0)}
+		var used []*conn
+		w := il.World{}
+		for i, n := range nodes {
+			w.Threads = append(w.Threads, il.Thread{Name: n.name, Run: func() {
+				if i == 1 {
+					for len(n.idle) > 0 {
+						n.drop(n.idle[0])
+					}
+					n.turn()
+				} else if c := n.conn(); c != nil {
+					used = append(used, c)
+					n.turn()
+					sync.Close(c.jobs) // its goroutine ends
+				}
+			}})
+		}
+		w.Always = func() error {
+			for _, c := range used {
+				if c.nc != nil && c.nc.(*line).closed {
+					return errors.New("a connection in use was closed for another")
+				}
+			}
+			return nil
+		}
+		w.Check = func() error {
+			for _, n := range nodes {
+				n.turn()
+			}
+			sum := int64(0)
+			for _, n := range nodes {
+				sum += int64(n.conns)
+			}
+			if open := d.open.Load(); sum != open || sum > d.ConnsMost {
+				return fmt.Errorf("%d connections, %d counted, %d may be", sum, open, d.ConnsMost)
+			}
+			return nil
+		}
+		return w
+	})
+	mutant.Found(t,
+		mutant.Mutant{File: "node.go", Old: "			if n.dialer.idle.remove(c) {\n				return c\n			}\n			continue", New: "			n.dialer.idle.remove(c)\n			return c",
+			Want: "a connection in use was closed for another"},
+		mutant.Mutant{File: "idle.go", Old: "	c := s.list.Remove(first).(*conn)\n	c.place = nil", New: "	c := s.list.Remove(first).(*conn)",
+			Want: "close of closed channel"},
+		mutant.Mutant{File: "idle.go", Old: "	if d.open.Add(1) <= d.ConnsMost {\n		return true\n	}\n	d.open.Add(-1)\n", New: "	if d.open.Load() < d.ConnsMost {\n		d.open.Add(1)\n		return true\n	}\n",
+			Want: "may be"},
+	)
+}
+
+// meet is an actor with one connection at most, which the core gives attempts; each result goes to all.
+func meet(fd uintptr, req *core.Request, wait time.Duration, tries int) (n *node, drains *bool, list []*core.Attempt, all chan choice.Status) {
+	d := &Dialer{ConnsMost: 1, ConnIdle: time.Hour, Wait: wait}
+	drains = new(bool)
+	d.dial = func(context.Context, address.Addr, time.Duration) (sock.Stream, address.Why, error) {
+		return &line{fd: fd, drains: drains}, 0, nil
+	}
+	n = actor(d, fd, "a", 0)
+	all = make(chan choice.Status, 2*tries)
+	for range tries {
+		list = append(list, core.NewAttempt(req, later(), func(r core.Result) { sync.Send(all, r.Status) }))
+	}
+	return n, drains, list, all
+}
+
+// loop is the actor's, without its timers.
+func (n *node) loop() {
+	for !n.closing || n.conns > 0 || n.mail.Len() > 0 {
+		sync.Recv(n.mail.Wake())
+		n.turn()
+	}
+}
+
+func (n *node) ended() error {
+	if open := n.dialer.open.Load(); n.line.Len() != 0 || len(n.busy) != 0 || open != 0 {
+		return fmt.Errorf("%d in the line, %d busy, %d open", n.line.Len(), len(n.busy), open)
+	}
+	return nil
+}
+
+// The line before a node's one connection (internal/pool) is its actor's; what meets is the actor's
+// mailbox, the connection's goroutine, a cancel and a drain. Every attempt ends, nothing is written
+// after the drain, the connection comes back.
+func TestInterleaveLine(t *testing.T) {
+	fd := standingSocket(t)
+	a, _ := attempt(t, later())
+	il.Check(t, il.Options{Bounded: true, Preemptions: 1}, func() il.World {
+		n, drains, tries, all := meet(fd, a.Req, time.Hour, 2)
+		return il.World{
+			Threads: []il.Thread{
+				{Name: "actor", Run: n.loop},
+				{Name: "core", Run: func() {
+					n.Send(tries[0])
+					n.Send(tries[1])
+					n.Cancel(tries[1])
+					for range tries {
+						if s, _ := sync.Recv(all); s != choice.OK && s != choice.NoConn && s != choice.Cancelled {
+							il.Fail("ended with %v", s)
+						}
+					}
+					n.Close()
+				}},
+				{Name: "list", Run: func() { n.Drain(true); *drains = true }},
+			},
+			Check: n.ended,
+		}
+	})
+	mutant.Found(t,
+		mutant.Mutant{File: "node.go", Old: "	if c.node.draining.Load() {", New: "	if false {", Want: "written to a node that drains"},
+		mutant.Mutant{File: "node.go", Old: "		} else if n.line.Remove(m.cancel) {", New: "		} else if n.line.Remove(m.cancel) && n.draining.Load() {", Want: "deadlock"},
+	)
+}
+
+// The actor hears of a connection that is free before the core hears of the result: the next send
+// finds it, though nobody may wait.
+func TestInterleaveFreeAgain(t *testing.T) {
+	fd := standingSocket(t)
+	a, _ := attempt(t, later())
+	il.Check(t, il.Options{}, func() il.World {
+		n, _, tries, all := meet(fd, a.Req, 0, 2)
+		return il.World{
+			Threads: []il.Thread{
+				{Name: "actor", Run: n.loop},
+				{Name: "core", Run: func() {
+					for i, try := range tries {
+						n.Send(try)
+						if s, _ := sync.Recv(all); s != choice.OK {
+							il.Fail("attempt %d: %v", i, s)
+						}
+					}
+					n.Close()
+				}},
+			},
+			Check: n.ended,
+		}
+	})
+	mutant.Found(t, mutant.Mutant{File: "node.go",
+		Old:  "		c.node.mail.Must(nodeMessage{back: c, broken: !reuse})\n		j.attempt.Done(r)",
+		New:  "		j.attempt.Done(r)\n		c.node.mail.Must(nodeMessage{back: c, broken: !reuse})",
+		Want: "attempt 1: "})
+}
--- a/internal/interleave/check.go
+++ b/internal/interleave/check.go
@@ -1,6 +1,7 @@
 package interleave
 
 import (
+	"fmt"
 	"os"
 	"testing"
 )
@@ -27,8 +28,8 @@
 }
 
 func bounded(o Options) string {
-	if o.Preemptions == 0 {
+	if !o.Bounded {
 		return ""
 	}
-	return ", bound on preemptions"
+	return fmt.Sprintf("; bounded: %d preemptions at most", o.Preemptions)
 }
--- a/internal/interleave/interleave.go
+++ b/internal/interleave/interleave.go
@@ -41,10 +41,11 @@
 
 // Options bound a walk.
 type Options struct {
-	Preemptions int // 0: none is stated, all orders; n: orders with so many at most, less one: 1 is none at all
-	Whole       bool
-	Steps       int // of one order; 0: 2000
-	Schedules   int // of the walk, cut ones too; 0: 2 million
+	Bounded     bool // only orders with so many preemptions at most, and of those all
+	Preemptions int
+	Whole       bool // no reduction
+	Steps       int  // of one order; 0: 2000
+	Schedules   int  // of the walk, cut ones too; 0: 2 million
 }
 
 // Report is what a walk found.
@@ -84,20 +85,20 @@
 }
 
 // may are the options not taken yet.
-func (n *node) may(bound int) uint32 {
+func (n *node) may(o Options) uint32 {
 	m := n.options &^ n.done
 	if n.free {
 		return m
 	}
 	m &^= n.sleep
-	if bound > 0 && n.used >= bound-1 && n.last >= 0 && n.options&(1<<n.last) != 0 {
+	if o.Bounded && n.used >= o.Preemptions && n.last >= 0 && n.options&(1<<n.last) != 0 {
 		m &= 1 << n.last
 	}
 	return m
 }
 
-func (n *node) take(bound int) bool {
-	m := n.may(bound)
+func (n *node) take(o Options) bool {
+	m := n.may(o)
 	if m == 0 {
 		return false
 	}
@@ -146,7 +147,7 @@
 		for len(path) > 0 {
 			top := &path[len(path)-1]
 			top.done |= 1 << top.choice
-			if top.take(o.Preemptions) {
+			if top.take(o) {
 				break
 			}
 			path = path[:len(path)-1]
--- a/internal/interleave/interleave_test.go
+++ b/internal/interleave/interleave_test.go
@@ -53,9 +53,9 @@
 		{il.Options{Whole: true}, 4, 2, false, 2520, "8!/(2!)^4"},
 		{il.Options{}, 3, 2, true, 90, "no two steps commute"},
 		{il.Options{}, 4, 3, false, 1, "all steps commute"},
-		{il.Options{Preemptions: 1}, 3, 4, true, 6, "3! orders of whole threads"},
-		{il.Options{Preemptions: 2}, 2, 4, true, 8, "2 whole, and 3 places to preempt either"},
-		{il.Options{Preemptions: 100}, 2, 4, true, 70, "8!/(4!)^2"},
+		{il.Options{Bounded: true}, 3, 4, true, 6, "3! orders of whole threads"},
+		{il.Options{Bounded: true, Preemptions: 1}, 2, 4, true, 8, "2 whole, and 3 places to preempt either"},
+		{il.Options{Bounded: true, Preemptions: 100}, 2, 4, true, 70, "8!/(4!)^2"},
 	} {
 		if got := count(c.o, c.n, c.k, c.one); got != c.want {
 			t.Errorf("%d threads of %d steps, %+v: %d orders, want %d: %s", c.n, c.k, c.o, got, c.want, c.because)
@@ -321,7 +321,7 @@
 func BenchmarkSchedule(b *testing.B) {
 	n, took := 0, 0
 	for b.Loop() {
-		rep := il.Explore(il.Options{Preemptions: 2}, func() il.World {
+		rep := il.Explore(il.Options{Bounded: true, Preemptions: 1}, func() il.World {
 			var x steps.Int64
 			return threads(3, func(int) {
 				for range 4 {
--- a/internal/interleave/run.go
+++ b/internal/interleave/run.go
@@ -327,7 +327,7 @@
 	}
 	if r.depth == len(r.path) {
 		n := node{options: ready, sleep: r.sleep, last: r.last, used: r.used}
-		if !n.take(r.opt.Preemptions) {
+		if !n.take(r.opt) {
 			return nil, nil
 		}
 		n.op = r.describe(r.threads[n.choice])
@@ -347,7 +347,7 @@
 	}
 	r.last = t.id
 	r.sleep = 0
-	if !r.opt.Whole && r.opt.Preemptions == 0 {
+	if !r.opt.Whole && !r.opt.Bounded {
 		for s := (n.sleep | n.done) &^ (1 << t.id); s != 0; s &= s - 1 {
 			if u := r.threads[bits.TrailingZeros32(s)]; u.op.commutes(&t.op) {
 				r.sleep |= 1 << u.id
--- a/internal/interleave/steps/lock.go
+++ b/internal/interleave/steps/lock.go
@@ -157,9 +157,26 @@
 func Point(kind, on string) {
 	if il.On() {
 		il.Step(il.Op{Kind: kind, On: on})
+		*count(kind, on)++
 	}
 }
 
+func count(kind, on string) *int {
+	return il.Local([2]string{kind, on}, func() any { return new(int) }).(*int)
+}
+
+// PauseFor is a wait before trying again; under the checker it ends when another thread has made the
+// point: two that only pause would wake each other for ever.
+func PauseFor(kind, on string, d time.Duration) {
+	if !il.On() {
+		time.Sleep(d)
+		return
+	}
+	n := count(kind, on)
+	from := *n
+	il.Step(il.Op{Kind: "pause", On: on, Ready: func() bool { return *n > from }})
+}
+
 // Pause is a wait before trying again; true: the channel closed first. Under the checker it ends
 // when another thread has made a step: it must not be the only thing that ends somebody's wait.
 func Pause(done <-chan struct{}, d time.Duration) (ended bool) {
--- a/internal/interleave/sync/interleave.go
+++ b/internal/interleave/sync/interleave.go
@@ -26,3 +26,4 @@
 func SendOr[T, D any](ch chan<- T, v T, done <-chan D) bool { return steps.SendOr(ch, v, done) }
 func Close[T any](ch chan<- T)                              { steps.Close(ch) }
 func Pause(done <-chan struct{}, d time.Duration) bool      { return steps.Pause(done, d) }
+func PauseFor(kind, on string, d time.Duration)             { steps.PauseFor(kind, on, d) }
--- a/internal/interleave/sync/ordinary.go
+++ b/internal/interleave/sync/ordinary.go
@@ -91,3 +91,6 @@
 		return false
 	}
 }
+
+// PauseFor is a wait before trying again; under the checker, for another thread's point.
+func PauseFor(kind, on string, d time.Duration) { time.Sleep(d) }
