Dialer: a place that is free is not refused to two at once; found by the walk

Cause: place counted itself past the bound for a moment; who asked then was refused just after a place had come free. Change: compare and swap. The old lines are the mutant of TestInterleavePlace.

--- a/internal/httpfront/idle.go
+++ b/internal/httpfront/idle.go
@@ -54,11 +54,13 @@
 	return true
 }
 
-// place takes a place among the open connections, an idle one's if there is no other.
+// place takes a place among the open connections, an idle one's if there is no other. One that finds
+// none is never counted, not for a moment: another would be refused a place that is free.
 func (d *Dialer) place() bool {
-	if d.open.Add(1) <= d.ConnsMost {
-		return true
+	for n := d.open.Load(); n < d.ConnsMost; n = d.open.Load() {
+		if d.open.CompareAndSwap(n, n+1) {
+			return true
+		}
 	}
-	d.open.Add(-1)
 	return d.idle.evict()
 }
--- a/internal/httpfront/node_interleave_test.go
+++ b/internal/httpfront/node_interleave_test.go
@@ -143,11 +143,38 @@
 			Want: "a connection in use was closed for another"},
 		mutant.Mutant{File: "idle.go", Old: "	c := s.list.Remove(first).(*conn)\n	c.place = nil", New: "	c := s.list.Remove(first).(*conn)",
 			Want: "close of closed channel"},
-		mutant.Mutant{File: "idle.go", Old: "	if d.open.Add(1) <= d.ConnsMost {\n		return true\n	}\n	d.open.Add(-1)\n", New: "	if d.open.Load() < d.ConnsMost {\n		d.open.Add(1)\n		return true\n	}\n",
+		mutant.Mutant{File: "idle.go", Old: "		if d.open.CompareAndSwap(n, n+1) {", New: "		if d.open.Add(1) > 0 {",
 			Want: "may be"},
 	)
 }
 
+// A place that is given back is had: of two that ask, one after it came free, exactly one has it.
+func TestInterleavePlace(t *testing.T) {
+	il.Check(t, il.Options{}, func() il.World {
+		d := &Dialer{ConnsMost: 1}
+		d.open.Store(1)
+		n, had := &node{dialer: d}, 0
+		ask := func() {
+			if d.place() {
+				had++
+			}
+		}
+		return il.World{
+			Threads: []il.Thread{{Name: "one", Run: ask}, {Name: "other", Run: func() { n.gone(); ask() }}},
+			Check: func() error {
+				if open := d.open.Load(); had != 1 || open != 1 {
+					return fmt.Errorf("%d of two have the one place, %d counted", had, open)
+				}
+				return nil
+			},
+		}
+	})
+	loop := "	for n := d.open.Load(); n < d.ConnsMost; n = d.open.Load() {\n		if d.open.CompareAndSwap(n, n+1) {\n			return true\n		}\n	}\n"
+	mutant.Found(t, mutant.Mutant{File: "idle.go", Old: loop, // as it was before this test
+		New:  "	if d.open.Add(1) <= d.ConnsMost {\n		return true\n	}\n	d.open.Add(-1)\n",
+		Want: "0 of two have the one place"})
+}
+
 // meet is an actor with one connection at most, which the core gives attempts; each result goes to all.
 func meet(fd uintptr, req *core.Request, wait time.Duration, tries int) (n *node, drains *bool, list []*core.Attempt, all chan choice.Status) {
 	d := &Dialer{ConnsMost: 1, ConnIdle: time.Hour, Wait: wait}
