--- a/cmd/wheatsaddle/large_test.go
+++ b/cmd/wheatsaddle/large_test.go
@@ -130,7 +130,7 @@
 		time.Sleep(time.Millisecond) // the watch is not open yet
 	}
 	for nextCame.Load() == 0 {
-		ask(0) // until the list has been taken
+		ask(half - 1) // until the list has been taken: what is said may come before what is put
 	}
 	before := nextCame.Load()
 	for i := range largeNodes {
