The final-answer guard is walked in every order; node actors' goroutines by the checker's types

Need: the guard of the final answer is where the core and a connection share state; the walk of the node's actor was written before attempts shared their connections.

Change: core's attempts take the checker's atomic; a test of core, two connections and the mutation that checks and then sets. httpfront starts its goroutines by sync.Go and its walk opens connections as the actor does now.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,7 +8,6 @@
 	"runtime/debug"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +15,7 @@
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/exclusion"
+	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/margin"
 )
 
--- /dev/null
+++ b/internal/core/guard_interleave_test.go
@@ -0,0 +1,42 @@
+//go:build interleave
+
+package core
+
+import (
+	"errors"
+	"testing"
+
+	il "wheatsaddle/internal/interleave"
+	"wheatsaddle/internal/interleave/mutant"
+)
+
+// The final answer (or the client's going) against the connection that is about to write: an attempt
+// that was found waiting at the end of its request is never begun, in any order of their steps.
+func TestInterleaveFinalAnswer(t *testing.T) {
+	il.Check(t, il.Options{}, func() il.World {
+		tries := []*Attempt{{}, {}}
+		e := &entry{attempts: tries}
+		var began [2]bool
+		moot := [2]bool{}
+		carry := func(i int) func() { return func() { began[i] = tries[i].Begin() } }
+		return il.World{
+			Threads: []il.Thread{{Name: "core", Run: func() {
+				e.end()
+				for i, a := range tries {
+					moot[i] = a.Moot()
+				}
+			}}, {Name: "first", Run: carry(0)}, {Name: "second", Run: carry(1)}},
+			Check: func() error {
+				for i := range tries {
+					if began[i] == moot[i] {
+						return errors.New("an attempt began after its request's end, or is lost to both")
+					}
+				}
+				return nil
+			},
+		}
+	})
+	mutant.Found(t, mutant.Mutant{File: "core.go", Old: "	return a.phase.CompareAndSwap(waits, began) || a.phase.Load() == began",
+		New:  "	if a.phase.Load() == moot {\n		return false\n	}\n	a.phase.Store(began)\n	return true",
+		Want: "an attempt began after its request's end"})
+}
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -308,7 +308,7 @@
 		a, ok := n.line.Free()
 		switch {
 		case ok && a.Moot():
-			go a.Done(core.Result{Status: choice.Moot})
+			sync.Go(func() { a.Done(core.Result{Status: choice.Moot}) })
 			continue
 		case ok:
 			n.carry(a, c)
@@ -331,16 +331,16 @@
 	case failed:
 		n.gone()
 		if a, ok := n.line.Failed(now, c.opening, len(n.busy)); ok {
-			go a.Done(core.Result{Status: choice.NoConn})
+			sync.Go(func() { a.Done(core.Result{Status: choice.NoConn}) })
 		}
 	case c.address != n.address: // it went meanwhile: another is opened
 		n.line.Up(now, c.opening)
-		close(c.jobs)
+		sync.Close(c.jobs)
 		n.gone()
 	default:
 		n.dialer.usual.took(n.line.Up(now, c.opening))
 		if n.line.Len() == 0 && len(n.idle) > 0 {
-			close(c.jobs) // one opened beside a late one: one to spare is enough
+			sync.Close(c.jobs) // one opened beside a late one: one to spare is enough
 			n.gone()
 			return
 		}
@@ -368,14 +368,14 @@
 	}
 	now := time.Since(n.since)
 	for a, ok := n.line.Over(now); ok; a, ok = n.line.Over(now) {
-		go a.Done(core.Result{Status: choice.NoConn})
+		sync.Go(func() { a.Done(core.Result{Status: choice.NoConn}) })
 	}
 	for range n.line.Open(now, len(n.busy), n.late()) {
 		if n.open(now) {
 			continue
 		}
 		if a, ok := n.line.NoRoom(now, len(n.busy)); ok {
-			go a.Done(core.Result{Status: choice.NoConn})
+			sync.Go(func() { a.Done(core.Result{Status: choice.NoConn}) })
 		}
 	}
 }
@@ -403,13 +403,13 @@
 		return false
 	}
 	c.opening = n.line.Opening(now)
-	go func() {
+	sync.Go(func() {
 		err := c.dial(context.Background())
 		n.mail.Must(nodeMessage{opened: c, broken: err != nil})
 		if err == nil {
 			c.run()
 		}
-	}()
+	})
 	return true
 }
 
@@ -427,7 +427,7 @@
 	c := n.free()
 	if c == nil {
 		if c = n.fresh(); c != nil {
-			go c.run()
+			sync.Go(c.run)
 		}
 	}
 	return c
@@ -435,7 +435,7 @@
 
 func (n *node) send(a *core.Attempt) {
 	if a.Moot() {
-		go a.Done(core.Result{Status: choice.Moot})
+		sync.Go(func() { a.Done(core.Result{Status: choice.Moot}) })
 		return
 	}
 	if c := n.free(); c != nil {
--- a/internal/httpfront/node_interleave_test.go
+++ b/internal/httpfront/node_interleave_test.go
@@ -73,7 +73,7 @@
 // actor is a node without its goroutine, with idle connections.
 func actor(d *Dialer, fd uintptr, name string, idle int) *node {
 	n := &node{dialer: d, name: name, mail: mailbox.New[nodeMessage](8), busy: map[*core.Attempt]*conn{},
-		line: pool.New[*core.Attempt](d.Wait), since: time.Now()}
+		line: pool.New[*core.Attempt](pool.Settings{Wait: d.Wait, Patience: time.Hour}), since: time.Now()}
 	for range idle {
 		c := &conn{node: n, jobs: make(chan job, 1)}
 		c.up(&line{fd: fd})
@@ -108,7 +108,7 @@
 						n.drop(n.idle[0])
 					}
 					n.turn()
-				} else if c := n.conn(); c != nil {
+				} else if c := n.probing(); c != nil {
 					used = append(used, c)
 					n.turn()
 					sync.Close(c.jobs) // its goroutine ends
