Cost: a start before 1970 in the list no longer drops a node's views

Change: the first start seen is the first to compare with. Test: TestAnyStartOfANodeCounts fails without the change.

--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -303,3 +303,15 @@
 		t.Errorf("settings: %v", err)
 	}
 }
+
+// A list may say a start before 1970, or none: its views count like others, and the last start counts alone.
+func TestAnyStartOfANodeCounts(t *testing.T) {
+	old, now := told("n", "", 0, 40, 50, 1), told("n", "", 0, 40, 5, 2)
+	old.Since, now.Since = -2, -1
+	for _, views := range [][]observations.View{{old, now}, {now, old}} {
+		r, err := learned(t, views).Estimate([]Plan{{Name: "a", Root: read("n", 0, 4)}}, 0)
+		if err != nil || r.Views != 1 || r.Dropped != 1 || r.Plans[0].Mean > 20 {
+			t.Errorf("%v %+v", err, r)
+		}
+	}
+}
--- a/internal/cost/lines.go
+++ b/internal/cost/lines.go
@@ -378,7 +378,9 @@
 	slices.SortStableFunc(kept, before)
 	start := map[string]int64{}
 	for _, v := range kept {
-		start[v.Node] = max(start[v.Node], v.Since)
+		if at, known := start[v.Node]; !known || v.Since > at {
+			start[v.Node] = v.Since
+		}
 	}
 	n := 0
 	for i := range kept {
