procs: what processes tell each other, fault by fault, with three real daemons

Change: TestPeers, a table of fault x expectation with a site file each (peers, metrics, estimate) and a link between each two daemons; an extra member in the test (stranger) hears what each holds and merges it once, sends cut messages, later versions, nonsense and former lives.

--- /dev/null
+++ b/internal/lab/procs/peers_test.go
@@ -0,0 +1,351 @@
+package procs
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"wheatsaddle/internal/observations"
+	"wheatsaddle/internal/standin/link"
+)
+
+// shares starts daemons that tell each other, but for those named.
+func shares(t *testing.T, opt Options, silent ...int) (*world, []string) {
+	t.Helper()
+	var metrics []string
+	opt.Peers, opt.Doors = true, true
+	over := map[string]any{"ceilings": map[string]any{"peers": true}}
+	for k, v := range opt.Settings {
+		over[k] = v
+	}
+	opt.Settings = over
+	opt.Args = func(f *Fleet, i int) []string {
+		at, err := FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		metrics = append(metrics, at)
+		site := map[string]any{"metrics": map[string]any{"address": at}, "estimate": map[string]any{}}
+		seeds, via := []string{}, map[string]string{}
+		for j := range f.opt.Daemons {
+			if j != i {
+				seeds = append(seeds, f.PeerAddr(j))
+				via[f.PeerAddr(j)] = f.PeerSeen(i, j)
+			}
+		}
+		// Nothing fades while a row runs.
+		site["peers"] = map[string]any{"listen": f.PeerAddr(i), "seeds": seeds, "via": via, "every_ms": 50, "half_life_ms": 60000}
+		for _, s := range silent {
+			if s == i {
+				delete(site, "peers")
+			}
+		}
+		text, err := json.Marshal(site)
+		if err != nil {
+			t.Fatal(err)
+		}
+		file := filepath.Join(f.Dir(i), "site.json")
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return []string{"--site", file}
+	}
+	w := begin(t, opt)
+	return w, metrics
+}
+
+// sharing is a world of daemons that tell each other.
+type sharing struct {
+	*world
+	metrics []string
+}
+
+// once keeps no connection.
+var once = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (w *sharing) count(i int, name string) float64 {
+	w.t.Helper()
+	resp, err := once.Get("http://" + w.metrics[i] + "/metrics")
+	w.must(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	w.must(err)
+	for line := range strings.Lines(string(body)) {
+		if v, ok := strings.CutPrefix(line, "wheatsaddle_"+name+" "); ok {
+			n, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+			w.must(err)
+			return n
+		}
+	}
+	w.t.Fatalf("daemon %d does not count %s", i, name)
+	return 0
+}
+
+// counts waits until a figure of each daemon is as it should be.
+func (w *sharing) counts(name string, good func(i int, v float64) bool) {
+	w.t.Helper()
+	for i := range w.opt.Daemons {
+		last := 0.0
+		err := w.Wait(w.ctx, fmt.Sprint("daemon ", i, ": ", name), func() error {
+			if last = w.count(i, name); good(i, last) {
+				return nil
+			}
+			return fmt.Errorf("it is %v", last)
+		})
+		w.must(err)
+	}
+}
+
+func (w *sharing) names() (all []string) {
+	for i := range w.opt.Daemons {
+		all = append(all, fmt.Sprint("n", i))
+	}
+	return all
+}
+
+func (w *sharing) everyone() (all []int) {
+	for i := range w.opt.Daemons {
+		all = append(all, i)
+	}
+	return all
+}
+
+// estimate asks for the estimate of a read at a node, at daemon i's door.
+func (w *sharing) estimate(i int, node string) gjson.Result {
+	w.t.Helper()
+	body := `{"plans":[{"name":"a","root":{"work":{"shard":0,"class":"read","units":1,"node":"` + node + `"}}}]}`
+	r, err := once.Post("http://"+w.Door(i)+"/api/estimate", "application/json", strings.NewReader(body))
+	w.must(err)
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	w.must(err)
+	if gjson.GetBytes(text, "code").Str == "cost-unknown-name" { // nobody has told of this life of it yet
+		return gjson.Result{}
+	}
+	if r.StatusCode != http.StatusOK {
+		w.t.Fatalf("estimate: %d %s", r.StatusCode, text)
+	}
+	return gjson.GetBytes(text, "plans.0")
+}
+
+func (w *sharing) links(d link.Direction, f link.Fault, pairs ...[2]int) {
+	w.t.Helper()
+	for _, p := range pairs {
+		w.must(w.PeerLink(p[0], p[1]).Set(d, f))
+	}
+}
+
+func (w *sharing) happened(what func(link.Counts) int, pairs ...[2]int) {
+	w.t.Helper()
+	for _, p := range pairs {
+		w.until(fmt.Sprint("the fault happens between ", p), func() bool { return what(w.PeerLink(p[0], p[1]).Counts(link.Both)) > 0 })
+	}
+}
+
+var pairs = [][2]int{{0, 1}, {0, 2}, {1, 2}}
+
+// quiet stops the traffic and waits until all daemons hold the same, that of one merge of all.
+func (w *sharing) quiet(s *stranger) {
+	w.t.Helper()
+	w.end()
+	w.learn(s, w.names()...)
+}
+
+// one is a single state with all that was heard.
+func one(t *testing.T, all ...[][]byte) *observations.State {
+	t.Helper()
+	s, err := observations.New(observations.Defaults(), "one", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, messages := range all {
+		for _, m := range messages {
+			if err := s.Merge(0, m); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return s
+}
+
+// Part 3: what processes tell each other. Each row is a fault between three daemons and what is expected; the
+// auditor's rules hold in each, under traffic.
+func TestPeers(t *testing.T) {
+	for _, x := range []struct {
+		fault, expected string
+		opt             Options
+		run             func(*sharing)
+	}{
+		{fault: "halves cut apart and joined again", expected: "each its own picture; then one state, that of one merge of both", run: func(w *sharing) {
+			across := pairs[:2]
+			w.links(link.Both, link.Fault{Cut: true}, across...)
+			w.happened(func(c link.Counts) int { return c.Cut }, across...)
+			w.counts("peers_members", func(i int, v float64) bool { return i == 0 && v == 1 || i > 0 && v == 2 })
+			w.serves(some)
+			w.end()
+			a, b := w.stranger("a", 0), w.stranger("b", 1, 2)
+			w.learn(a, "n0")
+			w.learn(b, "n1", "n2")
+			both := one(w.t, a.all(w.t), b.all(w.t))
+			if both.Same(0, a.holds["n0"]) || both.Same(0, b.holds["n1"]) {
+				w.t.Error("the halves were not apart")
+			}
+			a.close()
+			b.close()
+			w.links(link.Both, link.Fault{}, across...)
+			c := w.stranger("c", w.everyone()...)
+			w.learn(c, w.names()...)
+			for _, n := range w.names() {
+				if !both.Same(0, c.holds[n]) {
+					w.t.Errorf("%s does not hold one merge of both halves", n)
+				}
+			}
+		}},
+		{fault: "one stopped for 5 s, back with old news", expected: "its news of others goes over nobody's; all alike", run: func(w *sharing) {
+			s := w.stranger("s", w.everyone()...)
+			w.must(w.Stop(0))
+			w.serves(some, 0)
+			time.Sleep(5 * time.Second) // the fault itself
+			older := []float64{0, w.count(1, "observations_older_cells"), w.count(2, "observations_older_cells")}
+			w.must(w.Continue(0))
+			w.counts("observations_older_cells", func(i int, v float64) bool { return i == 0 || v > older[i] })
+			w.serves(some)
+			w.quiet(s)
+		}},
+		{fault: "killed and started under its name", expected: "known at once again; its former life, told again, changes nothing", run: func(w *sharing) {
+			s := w.stranger("s", w.everyone()...)
+			w.learn0(s)
+			w.must(w.Kill(0))
+			former := s.all(w.t)
+			w.serves(some, 0)
+			w.must(w.Restart(w.ctx, 0))
+			w.counts("observations_origins", func(_ int, v float64) bool { return v == 2 })
+			w.serves(some)
+			w.quiet(s)
+			older := []float64{w.count(0, "observations_older_cells"), w.count(1, "observations_older_cells"), w.count(2, "observations_older_cells")}
+			for _, n := range w.names() {
+				for _, m := range former {
+					s.tell(n, tagCells, m)
+				}
+			}
+			w.counts("observations_older_cells", func(i int, v float64) bool { return v > older[i] })
+			w.learn(s, w.names()...)
+		}},
+		{fault: "messages lost, doubled, reordered, cut, of a later version", expected: "counted, and all alike", run: func(w *sharing) {
+			s := w.stranger("s", w.everyone()...)
+			w.links(link.Both, link.Fault{Loss: 0.2, Double: 0.2, Reorder: 0.2}, pairs...)
+			w.happened(func(c link.Counts) int { return min(c.Lost, c.Doubled, c.Reordered) }, pairs...)
+			w.learn0(s)
+			good := s.all(w.t)[0]
+			for _, n := range w.names() {
+				for k := range 10 {
+					s.tell(n, tagCells, good[:len(good)*k/10])
+				}
+				later := append([]byte(nil), good...)
+				later[2]++
+				s.tell(n, tagCells, later)
+			}
+			w.counts("observations_unreadable", func(_ int, v float64) bool { return v == 10 })
+			w.counts("observations_later_versions", func(_ int, v float64) bool { return v == 1 })
+			w.serves(some)
+			w.quiet(s)
+		}},
+		{fault: "a node replaced under its name", expected: "unknown at once at each, known by new answers", opt: Options{Settings: map[string]any{
+			"extra": map[string]any{"young-limit": 300}}}, run: func(w *sharing) {
+			known := func(i int) bool {
+				e := w.estimate(i, "s0").Get("rests_on")
+				return e.Get("level").Str == "node" && e.Get("origins").Num == 3
+			}
+			for i := range w.opt.Daemons {
+				w.until("all tell of it", func() bool { return known(i) })
+			}
+			w.stop()
+			w.must(w.Replace(0))
+			for i := range w.opt.Daemons {
+				w.until("it is unknown", func() bool { return w.estimate(i, "s0").Get("rests_on.level").Str != "node" })
+			}
+			w.traffic()
+			for i := range w.opt.Daemons {
+				w.until("it is known anew", func() bool { return known(i) })
+			}
+			w.quiet(w.stranger("s", w.everyone()...))
+		}},
+		{fault: "a process that sends nonsense", expected: "counted; no member, state or answer is lost", run: func(w *sharing) {
+			s := w.stranger("s", w.everyone()...)
+			w.learn0(s)
+			r := rand.New(rand.NewPCG(1, 2))
+			noise := func(n int) (b []byte) {
+				for range n {
+					b = append(b, byte(r.Uint32()))
+				}
+				return b
+			}
+			good := s.all(w.t)[0]
+			for i, n := range w.names() {
+				for k := range 40 {
+					s.tell(n, byte(k), noise(1+r.IntN(2000)))
+					m := append([]byte(nil), good[:len(good)-4]...) // a good frame around nonsense
+					for range 20 {
+						m[4+r.IntN(len(m)-4)] = byte(r.Uint32())
+					}
+					s.tell(n, tagCells, binary.LittleEndian.AppendUint32(m, crc32.Checksum(m, crc32.MakeTable(crc32.Castagnoli))))
+				}
+				for _, network := range []string{"udp", "tcp"} {
+					nc, err := net.Dial(network, w.PeerAddr(i))
+					w.must(err)
+					for range 20 {
+						_, _ = nc.Write(noise(1000)) // it may hang up
+					}
+					nc.Close()
+				}
+			}
+			w.counts("observations_unreadable", func(_ int, v float64) bool { return v >= 50 })
+			w.serves(some)
+			w.counts("peers_members", func(_ int, v float64) bool { return v == 4 })
+			w.end()
+		}},
+	} {
+		t.Run(x.fault, func(t *testing.T) {
+			w := &sharing{}
+			w.world, w.metrics = shares(t, x.opt)
+			w.traffic()
+			w.serves(some)
+			w.counts("observations_origins", func(_ int, v float64) bool { return v == 2 })
+			x.run(w)
+			for i := range w.opt.Daemons {
+				if err := w.Proc(i).Signal(syscall.Signal(0)); err != nil {
+					t.Errorf("daemon %d has ended", i)
+				}
+			}
+		})
+	}
+}
+
+// learn0 waits until the stranger has heard of each daemon, under traffic.
+func (w *sharing) learn0(s *stranger) {
+	w.t.Helper()
+	w.until("the stranger has heard of all", func() bool {
+		s.mu.Lock()
+		digest := s.state.Digest(time.Since(s.start))
+		n := s.state.Counts().Origins
+		s.mu.Unlock()
+		for _, d := range w.names() {
+			s.tell(d, tagAsk, digest)
+		}
+		return int(n) == w.opt.Daemons
+	})
+}
