procs: a daemon without section peers has no UDP socket and no goroutine of it

Need: off means off, seen from outside. Change: TestPeersOff counts a daemon's UDP sockets in /proc and reads its stacks after SIGQUIT, beside two daemons that have the section.

--- a/internal/lab/procs/peers_test.go
+++ b/internal/lab/procs/peers_test.go
@@ -349,3 +349,65 @@
 		return int(n) == w.opt.Daemons
 	})
 }
+
+// sockets are the UDP sockets that a daemon holds.
+func (w *sharing) sockets(i int) (n int) {
+	w.t.Helper()
+	pid := w.Proc(i).cmd.Process.Pid
+	links, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	w.must(err)
+	if len(links) < 5 {
+		w.t.Fatalf("daemon %d shows %d files", i, len(links))
+	}
+	held := map[string]bool{}
+	for _, l := range links {
+		to, _ := os.Readlink(l) // one may be closed by now
+		if inode, ok := strings.CutPrefix(to, "socket:["); ok {
+			held[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	for _, table := range []string{"udp", "udp6"} {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/%s", pid, table))
+		w.must(err)
+		for line := range strings.Lines(string(text)) {
+			if f := strings.Fields(line); len(f) > 9 && held[f[9]] {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Without the section a daemon holds no UDP socket and runs no goroutine of internal/peers or the library: its
+// stacks, which SIGQUIT makes it print, have none. The daemons beside it have both.
+func TestPeersOff(t *testing.T) {
+	w := &sharing{}
+	w.world, w.metrics = shares(t, Options{}, 0)
+	w.traffic()
+	w.serves(some)
+	for i := range w.opt.Daemons {
+		if i > 0 {
+			w.until("it has a member beside it", func() bool { return w.count(i, "peers_members") == 2 })
+		}
+		if n := w.sockets(i); (n > 0) != (i > 0) {
+			t.Errorf("daemon %d: %d UDP sockets", i, n)
+		}
+	}
+	w.end()
+	for i := range w.opt.Daemons {
+		w.falls(i, true)
+		w.must(w.Proc(i).Signal(syscall.SIGQUIT))
+		if err := w.Proc(i).End(w.ctx); err == nil {
+			t.Error("it has not ended by SIGQUIT")
+		}
+		text := w.Proc(i).Log()
+		if !strings.Contains(text, "wheatsaddle/internal/core.") {
+			t.Fatalf("daemon %d has not printed its stacks", i)
+		}
+		for _, part := range []string{"wheatsaddle/internal/peers.", "hashicorp/memberlist."} {
+			if strings.Contains(text, part) != (i > 0) {
+				t.Errorf("daemon %d, %s: %v", i, part, i == 0)
+			}
+		}
+	}
+}
