scatter: which part of a gathered read is asked when, again, and what ends the whole

gather merges parts; nothing decided who asks them. Gather (plan.go) decides without clock or wire: deadlines less a share for the merge, so many at once, second askings only where the class is safe, refusals after their Retry-After, one final answer.

--- /dev/null
+++ b/internal/scatter/plan_test.go
@@ -0,0 +1,266 @@
+package scatter
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wheatsaddle/gather"
+	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m) }
+
+const ms = time.Millisecond
+
+func mergeRules(t interface {
+	Helper()
+	Fatal(...any)
+}, need, more string) *gather.Rules {
+	t.Helper()
+	r, err := gather.ParseRules(fmt.Appendf(nil, `{"order":[{"key":"n","type":"integer"}],"complete":{"need":%q},
+		"records":{"max_bytes":64},"memory":{"bytes":1024}%s}`, need, more))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// flat is the rows of parts whose part i holds i, i+parts, i+2*parts, ... so the flat merge is 0, 1, 2, ...
+func body(i, parts, rows int) (text []byte) {
+	for k := range rows {
+		text = fmt.Appendf(text, "{\"n\":%d}\n", i+k*parts)
+	}
+	return text
+}
+
+var errCut = errors.New("cut")
+
+type out struct {
+	Ask
+	sent int           // -1 - the bytes taken, where the rest waits for room
+	end  time.Duration // 0: silent
+	fate string
+}
+
+// play drives a Gather through a random world and says which invariant it broke.
+func play(t *rapid.T, f fault) (broken string) {
+	parts := rapid.IntRange(1, 5).Draw(t, "parts")
+	rows := rapid.IntRange(0, 60).Draw(t, "rows")
+	need := rapid.SampledFrom([]string{"all", "best-effort"}).Draw(t, "need")
+	top := rapid.SampledFrom([]int{0, 0, 3, 40}).Draw(t, "top")
+	r := Rules{Share: 0.25, AtOnce: rapid.IntRange(1, 4).Draw(t, "atOnce"), Again: rapid.IntRange(0, 2).Draw(t, "again"),
+		Silent: rapid.SampledFrom([]time.Duration{0, 40 * ms}).Draw(t, "silent"), Safe: rapid.Bool().Draw(t, "safe")}
+	cut := ""
+	if top > 0 {
+		cut = fmt.Sprintf(`,"truncate":{"top":%d}`, top)
+	}
+	r.Merge = mergeRules(t, need, cut)
+	var all []gather.Part
+	for i := range parts {
+		all = append(all, gather.Part{ID: fmt.Sprint("p", i), Shard: i})
+	}
+	g, err := New(r, 400*ms, all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.fault = f
+	leave := time.Duration(rapid.SampledFrom([]int{0, 0, 0, 30, 150}).Draw(t, "leave")) * ms
+	stall := time.Duration(rapid.SampledFrom([]int{1000, 1000, 0, 60}).Draw(t, "stall")) * ms // the client takes no more
+	var outs []*out
+	refused := map[string]time.Duration{}
+	asked, limited := map[string]int{}, map[string]int{}
+	ran := map[string]bool{}
+	var got []string
+	var first *Final
+	for now := time.Duration(0); ; now += 5 * ms {
+		if leave > 0 && now >= leave {
+			g.Leave()
+		}
+		for range 10 { // as long as it asks to be called again
+			for now < stall {
+				row, ok := g.Next()
+				if !ok {
+					break
+				}
+				got = append(got, string(row))
+			}
+			wasFinal := first != nil
+			for _, a := range g.Step(now) {
+				id := a.Part.ID
+				if a.Off {
+					if i := slices.IndexFunc(outs, func(o *out) bool { return o.Part.ID == id && o.Copy == a.Copy }); i >= 0 {
+						ran[id] = true
+						outs = slices.Delete(outs, i, i+1)
+					}
+					continue
+				}
+				busy := 0
+				for _, o := range outs {
+					if o.sent >= 0 {
+						busy++
+					}
+				}
+				switch {
+				case wasFinal:
+					return "S1"
+				case busy >= r.AtOnce:
+					return "S2"
+				case now >= 300*ms || a.Until != 300*ms:
+					return "S3"
+				case ran[id] && !r.Safe:
+					return "S4"
+				case asked[id]-limited[id] > r.Again:
+					return "S5"
+				case now < refused[id]:
+					return "S6"
+				}
+				if !r.Safe && a.Rows != 0 {
+					return "S4: may need more"
+				}
+				asked[id]++
+				o := &out{Ask: a.Ask, fate: rapid.SampledFrom([]string{"whole", "whole", "cut", "refused", "silent", "empty"}).Draw(t, "fate")}
+				o.end = now + time.Duration(rapid.IntRange(1, 16).Draw(t, "after"))*5*ms
+				outs = append(outs, o)
+			}
+			if x, ok := g.Final(); ok && first == nil {
+				first = &x
+				if len(outs) > 0 {
+					return "S7"
+				}
+			}
+			if g.Wake() > now {
+				break
+			}
+		}
+		if first != nil {
+			for id := range asked { // what comes late changes nothing
+				g.Ended(now, id, 1, nil)
+			}
+			if x, _ := g.Final(); x.Kind != first.Kind {
+				return "S1: another final"
+			}
+			break
+		}
+		if now >= 400*ms {
+			return "S9"
+		}
+		for _, o := range slices.Clone(outs) {
+			if now < o.end || o.fate == "silent" {
+				continue
+			}
+			text := body(o.Part.Shard, parts, rows)
+			var end error
+			switch {
+			case o.fate == "cut":
+				text, end = text[:len(text)*2/3], errCut
+			case o.fate == "empty":
+				text, end = nil, errCut
+			case o.fate == "refused":
+				text, end = nil, &Refusal{25 * ms}
+			case o.Rows > 0 && o.Rows < rows:
+				text, end = body(o.Part.Shard, parts, o.Rows), &gather.Limited{}
+			}
+			at := 0
+			if o.sent < 0 {
+				at = -1 - o.sent
+			}
+			n := g.Take(now, o.Part.ID, o.Copy, text[at:])
+			if at += n; at < len(text) {
+				o.sent = -1 - at // it waits for room
+				continue
+			}
+			outs = slices.DeleteFunc(outs, func(x *out) bool { return x == o })
+			if o.fate == "refused" {
+				refused[o.Part.ID] = now + 25*ms
+			} else {
+				ran[o.Part.ID] = true
+			}
+			if _, ok := end.(*gather.Limited); ok {
+				limited[o.Part.ID]++
+			}
+			g.Ended(now, o.Part.ID, o.Copy, end)
+		}
+	}
+	// S8: rows are those of the flat merge in order; what is absent is of a named part, or after the end.
+	named := map[int]bool{}
+	for _, p := range first.Result.Parts {
+		named[p.Shard] = true
+	}
+	k, whole := 0, first.Kind == Served && first.Result.Whole
+	most := parts * rows
+	if top > 0 {
+		most = min(most, top)
+	}
+	for _, row := range got {
+		for ; row != fmt.Sprintf(`{"n":%d}`, k); k++ {
+			if k >= parts*rows || !named[k%parts] {
+				return "S8: " + row
+			}
+		}
+		k++
+	}
+	if whole && len(got) != most {
+		return fmt.Sprintf("S8: %d of %d", len(got), most)
+	}
+	if !whole && first.Kind == Served && len(named) == 0 {
+		return "S8: not whole, nothing named"
+	}
+	return ""
+}
+
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if broken := play(t, faultNone); broken != "" {
+			t.Fatal(broken)
+		}
+	})
+}
+
+// Each rule taken away is found, by the invariant that it upholds.
+func TestMutationsAreFound(t *testing.T) {
+	for f, want := range map[fault]string{faultEnd: "S1", faultAtOnce: "S2", faultTime: "S3", faultUnsafe: "S4",
+		faultAgain: "S5", faultRetry: "S6", faultOff: "S7", faultDrop: "S8", faultFinal: "S9"} {
+		found := map[string]int{}
+		gen := rapid.Custom(func(t *rapid.T) string { return play(t, f) })
+		for seed := 0; seed < 2000 && found[want] == 0; seed++ {
+			if b := gen.Example(seed); b != "" {
+				found[b[:2]]++
+			}
+		}
+		if found[want] == 0 {
+			t.Errorf("%s lost: found %v", want, found)
+		}
+	}
+}
+
+func TestRefusedAtOnce(t *testing.T) {
+	g, err := New(Rules{Merge: mergeRules(t, "all", ""), AtOnce: 4}, time.Second, []gather.Part{{ID: "a"}, {ID: "b", Shard: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Step(0)
+	g.Ended(ms, "a", 1, &Refusal{70 * ms})
+	g.Step(ms)
+	g.Next()
+	acts := g.Step(ms)
+	f, ok := g.Final()
+	if !ok || f.Kind != Refused || f.RetryAfter != 70*ms || len(acts) != 1 || !acts[0].Off || acts[0].Part.ID != "b" {
+		t.Errorf("%v %+v %v", ok, f, acts)
+	}
+	var all []operr.Coded
+	for _, c := range []operr.Coded{&RulesBad{}, &Refusal{}, &OutOfTime{}, &PartLong{}, &Failed{}} {
+		all = append(all, c)
+	}
+	if err := operr.Check(all); err != nil {
+		t.Error(err)
+	}
+	if _, err = New(Rules{Merge: g.r.Merge}, time.Second, []gather.Part{{ID: "a"}}); !errors.As(err, new(*RulesBad)) {
+		t.Error(err)
+	}
+}
