--- a/internal/operr/page/main.go
+++ b/internal/operr/page/main.go
@@ -27,6 +27,7 @@
 	_ "wheatsaddle/internal/peers"
 	_ "wheatsaddle/internal/registry"
 	_ "wheatsaddle/internal/replay"
+	_ "wheatsaddle/internal/scatter"
 	_ "wheatsaddle/internal/sock"
 	_ "wheatsaddle/internal/standin/discovery"
 )
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -16,6 +16,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -23,8 +24,9 @@
 )
 
 const (
-	moreMost = 40 // askings for more rows: each asks for twice as many
-	copyMost = 2  // askings of one part that are out
+	moreMost  = 20 // askings for more rows: each asks for twice as many
+	againMost = 16
+	copyMost  = 2 // askings of one part that are out
 )
 
 // Rules of one class of gathered reads.
@@ -136,8 +138,8 @@
 		return nil, &RulesBad{"at_once", "is not a positive number"}
 	case r.Again < 0 || r.Silent < 0:
 		return nil, &RulesBad{"again, silent", "is negative"}
-	case r.Again+moreMost >= 1<<20:
-		return nil, &RulesBad{"again", "is over a million"}
+	case r.Again > againMost:
+		return nil, &RulesBad{"again", fmt.Sprintf("is over %d", againMost)}
 	}
 	m, err := gather.New(r.Merge, parts, opts...)
 	if err != nil {
@@ -308,8 +310,13 @@
 
 func (g *Gather) part(now time.Duration, p *part, d gather.Demand) {
 	if g.late && g.fault != faultTime {
-		for len(p.live) > 0 {
-			g.off(p, 0)
+		for i := len(p.live) - 1; i >= 0; i-- {
+			if !p.live[i].held {
+				g.off(p, i)
+			}
+		}
+		if len(p.live) > 0 { // its bytes are here: they wait for the merge alone
+			return
 		}
 		why := p.why
 		if why == nil || p.limited {
--- /dev/null
+++ b/internal/scatter/run_test.go
@@ -0,0 +1,308 @@
+package scatter
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"go.uber.org/goleak"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/gather"
+	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/core"
+)
+
+const (
+	shards = 4
+	each   = 200 // rows of a shard: more than its share of the merge's memory
+)
+
+// shard is a stand-in node on the loopback: it has its rows and a fault.
+type shard struct {
+	i      int
+	fault  string
+	srv    *httptest.Server
+	asked  atomic.Int32
+	open   atomic.Int32
+	silent chan struct{} // ends the silence at the test's end
+}
+
+func (s *shard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n := s.asked.Add(1)
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	text := body(s.i, shards, each)
+	switch {
+	case s.fault == "full":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case s.fault == "silent":
+		select {
+		case <-r.Context().Done():
+		case <-s.silent:
+		}
+		return
+	case s.fault == "cut" || s.fault == "cut once" && n == 1:
+		w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+		text = text[:len(text)/2]
+	case s.fault == "late": // the others have all answered
+		time.Sleep(20 * time.Millisecond)
+	}
+	_, _ = w.Write(text)
+}
+
+// peer sends attempts to a shard over HTTP.
+type peer struct {
+	url string
+	mu  sync.Mutex
+	out map[*core.Attempt]context.CancelFunc
+}
+
+func (p *peer) Send(a *core.Attempt) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), a.Until)
+	p.mu.Lock()
+	p.out[a] = cancel
+	p.mu.Unlock()
+	go func() {
+		defer p.Cancel(a)
+		if !a.Begin() {
+			a.Done(core.Result{Status: choice.Moot})
+			return
+		}
+		q, _ := http.NewRequestWithContext(ctx, http.MethodGet, p.url, nil)
+		res, err := http.DefaultClient.Do(q)
+		if err != nil {
+			a.Done(core.Result{Status: choice.TimedOut})
+			return
+		}
+		defer func() { _ = res.Body.Close() }()
+		text, err := io.ReadAll(res.Body)
+		switch {
+		case err != nil:
+			a.Done(core.Result{Status: choice.Reset})
+		case res.StatusCode == http.StatusServiceUnavailable:
+			a.Done(core.Result{Status: choice.Full})
+		default:
+			a.Written()
+			a.Done(core.Result{Status: choice.OK, Payload: text})
+		}
+	}()
+	return true
+}
+
+func (p *peer) Cancel(a *core.Attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cancel := p.out[a]; cancel != nil {
+		cancel()
+		delete(p.out, a)
+	}
+}
+func (p *peer) Probe(func(core.Result, time.Duration)) bool { return false }
+func (p *peer) Drain(bool)                                  {}
+func (p *peer) Readdress([]address.Addr)                    {}
+func (p *peer) Close()                                      {}
+
+type world struct {
+	c      *core.Core
+	shards []*shard
+	asker  *Core
+	parts  []gather.Part
+}
+
+func start(t *testing.T, faults [shards]string) *world {
+	t.Helper()
+	w := &world{}
+	var nodes []core.Node
+	silent := make(chan struct{})
+	for i, f := range faults {
+		s := &shard{i: i, fault: f, silent: silent}
+		s.srv = httptest.NewServer(s)
+		w.shards = append(w.shards, s)
+		w.parts = append(w.parts, gather.Part{ID: fmt.Sprint("p", i), Shard: i})
+		at, errs := address.List([]string{strings.TrimPrefix(s.srv.URL, "http://")})
+		if len(errs) > 0 {
+			t.Fatal(errs)
+		}
+		nodes = append(nodes, core.Node{Node: choice.Node{ID: fmt.Sprint("n", i), Shard: i, State: choice.NodeUp, Weight: 1}, Addresses: at})
+	}
+	log, _ := logtest.NewNullLogger()
+	var err error
+	w.c, err = core.New(core.Options{Seed: 7, Log: log,
+		Connect: func(_ string, at []address.Addr) core.Peer {
+			return &peer{url: "http://" + at[0].String() + "/", out: map[*core.Attempt]context.CancelFunc{}}
+		},
+		Settings: choice.Settings{Hosts: 1, MeanUnits: 2, MostUnits: 6, MaxAttempts: 3, MayCancel: true, HoldOff: true, MaxHoldOff: 1000,
+			DrainGrace: 250, ColdUnits: 100, TipSpan: 3000, TipMultiple: 3, ColdFrom: 0.25, ColdSpan: 17000,
+			Classes: []choice.Class{{Name: "read", Aim: 60e3, Deadline: 120e3, Worth: 3}},
+			Plans:   []choice.Plan{{Name: "basic", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.c.List(core.News{Kind: choice.ListStale, Nodes: nodes})
+	w.asker = &Core{Core: w.c, Client: choice.Request{ID: "q", Class: "read", Plan: "basic", Key: "k", Volume: "v", Hosts: 1},
+		Units: func(gather.Part) float64 { return 1 }, Payload: func(Ask) any { return nil },
+		Body: func(x any) ([]byte, error) { return x.([]byte), nil }}
+	t.Cleanup(func() {
+		w.c.Stop()
+		close(silent)
+		for _, s := range w.shards {
+			s.srv.Close()
+		}
+		http.DefaultClient.CloseIdleConnections()
+		await(t, "no goroutine is left", func() bool { return goleak.Find() == nil })
+	})
+	return w
+}
+
+func await(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !cond(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func (w *world) run(ctx context.Context, t *testing.T, need string, patience time.Duration) (rows []string, f Final) {
+	t.Helper()
+	g, err := New(Rules{Merge: mergeRules(t, need, ""), Share: 0.2, AtOnce: 2, Safe: true, Again: 1}, patience, w.parts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text []byte
+	f = Run(ctx, g, w.asker, Options{Arrived: time.Now(), PartMost: 1 << 20, Write: func(b []byte) error { text = append(text, b...); return nil }})
+	if len(text) > 0 {
+		rows = strings.Split(strings.TrimSuffix(string(text), "\n"), "\n")
+	}
+	await(t, "core holds nothing", func() bool { x := w.c.Tables(); return x.Requests == 0 })
+	return rows, f
+}
+
+// flat are the rows of all shards but some, merged.
+func flat(without ...int) (rows []string) {
+	for k := range shards * each {
+		if !slices.Contains(without, k%shards) {
+			rows = append(rows, fmt.Sprintf(`{"n":%d}`, k))
+		}
+	}
+	return rows
+}
+
+// Over core and the loopback: the answer is the flat merge, or says what is missing.
+func TestParts(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults   [shards]string
+		need     string
+		patience time.Duration
+		kind     Kind
+		missing  []int
+	}{
+		"whole":           {need: "all", patience: time.Minute},
+		"late":            {[shards]string{0: "late", 3: "late"}, "all", time.Minute, Served, nil},
+		"cut once":        {[shards]string{1: "cut once"}, "all", time.Minute, Served, nil},
+		"cut":             {[shards]string{2: "cut"}, "best-effort", time.Minute, Served, []int{2}},
+		"silent":          {[shards]string{0: "silent"}, "best-effort", 2 * time.Second, Served, []int{0}},
+		"refused, silent": {[shards]string{1: "full", 3: "silent"}, "best-effort", 2 * time.Second, Served, []int{1, 3}},
+		"all needed":      {[shards]string{0: "silent"}, "all", 2 * time.Second, Short, []int{0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := start(t, c.faults)
+			rows, f := w.run(t.Context(), t, c.need, c.patience)
+			want := flat(c.missing...)
+			if c.kind != Served {
+				want = nil
+			}
+			if f.Kind != c.kind || f.Result.Whole != (len(c.missing) == 0) || !slices.Equal(rows, want) {
+				t.Errorf("kind %d, %d rows of %d, %+v", f.Kind, len(rows), len(want), f.Result)
+			}
+			var named []int
+			for _, p := range f.Result.Parts {
+				named = append(named, p.Shard)
+			}
+			if !slices.Equal(named, c.missing) {
+				t.Errorf("named %v, missing %v", named, c.missing)
+			}
+			for i, s := range w.shards {
+				if s.asked.Load() == 0 && c.kind == Served {
+					t.Errorf("shard %d was not asked", i)
+				}
+			}
+			await(t, "all askings end", func() bool { return !slices.ContainsFunc(w.shards, func(s *shard) bool { return s.open.Load() > 0 }) })
+		})
+	}
+}
+
+func TestAClientThatLeavesEndsAllParts(t *testing.T) {
+	w := start(t, [shards]string{"silent", "silent", "silent", "silent"})
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		for w.shards[0].open.Load()+w.shards[1].open.Load() < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		leave()
+	}()
+	rows, f := w.run(ctx, t, "all", 10*time.Minute)
+	if f.Kind != Left || len(rows) > 0 {
+		t.Errorf("%+v, %d rows", f, len(rows))
+	}
+	await(t, "all askings end", func() bool { return !slices.ContainsFunc(w.shards, func(s *shard) bool { return s.open.Load() > 0 }) })
+}
+
+// streams is an asker whose parts come in pieces of one row.
+type streams struct {
+	sent atomic.Int64
+	wg   sync.WaitGroup
+}
+
+func (s *streams) Ask(a Ask, _ time.Time, to *Sink) {
+	s.wg.Go(func() {
+		for _, row := range strings.SplitAfter(string(body(a.Part.Shard, 2, 20000)), "\n") {
+			if row != "" && !to.Piece([]byte(row)) {
+				break
+			}
+			s.sent.Add(int64(len(row)))
+		}
+		to.End(nil, nil)
+	})
+}
+func (s *streams) Off(Ask) {}
+
+// A client that takes nothing holds the parts up: what is held is the merge's memory, two batches of rows and a piece a part.
+func TestBackPressure(t *testing.T) {
+	g, err := New(Rules{Merge: mergeRules(t, "all", ""), AtOnce: 1}, time.Hour, []gather.Part{{ID: "a"}, {ID: "b", Shard: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s streams
+	var most, written int64
+	stuck := false
+	f := Run(t.Context(), g, &s, Options{Arrived: time.Now(), Write: func(b []byte) error {
+		if !stuck { // until the parts stand still
+			stuck = true
+			for was := int64(-1); was != s.sent.Load(); time.Sleep(50 * time.Millisecond) {
+				was = s.sent.Load()
+			}
+		}
+		most = max(most, s.sent.Load()-written)
+		written += int64(len(b))
+		return nil
+	}})
+	s.wg.Wait()
+	if all := s.sent.Load(); f.Kind != Served || !f.Result.Whole || written != all || most > 2*batchMost+4096 {
+		t.Errorf("%+v; %d of %d bytes, %d held", f, written, all, most)
+	}
+	if err := goleak.Find(); err != nil {
+		t.Error(err)
+	}
+}
