The drain is looked at last before an attempt's first byte

Cause: with the claim of an attempt as a step of its own the walk of TestInterleaveLine found an order in which a node begins to drain between the look at the drain and the claim, and the attempt is written after it.

Change: claim first, then look, then write.

--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -607,12 +607,12 @@
 	if err := c.dial(j.ctx); err != nil {
 		return ended(j.ctx, choice.NoConn), false
 	}
-	if c.node.draining.Load() { // guards the drain rule for what waited in a mailbox or for a connection
-		return ended(j.ctx, choice.NoConn), j.ctx.Err() == nil
-	}
 	if !a.Begin() { // guards the final answer: another attempt served meanwhile, or the time is over
 		return core.Result{Status: choice.Moot}, j.ctx.Err() == nil
 	}
+	if c.node.draining.Load() { // guards the drain rule for what waited in a mailbox or for a connection
+		return ended(j.ctx, choice.NoConn), j.ctx.Err() == nil
+	}
 	r, reuse, _ = c.exchange(j)
 	return r, reuse
 }
