--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,8 @@
 	windowMost  = 32.0   // the design's ceiling
 	windowFleet = 4.0    // crowded: all hosts together keep this; below one, a host rests between its sends
 	roomShare   = 0.5    // a node's latency may take this part of the tightest aim; the rest is for waiting
+	roomBlind   = 0.3    // of its aim: the latency at a node unheard of at which a request leaves it
+	blindSpan   = 10e3   // a node not heard of for this long counts as such: past any pause of its own
 	epochSpan   = 1000.0 // ... and a lone answer after this long ends an epoch: sparse hosts must act too
 	restMost    = 1000.0 // longest rest between sends: past a node's own changes
 	windowEpoch = 6      // least answers between window steps: single sizes are noise
@@ -303,7 +305,10 @@
 func (s *Scheduler) shed(l *lane) {
 	rate, base, next := s.pace(l)
 	up := slices.ContainsFunc(l.nodes, func(n *node) bool { return n.State == NodeUp && !n.silent })
-	sum := 0.0
+	sum, heard := 0.0, math.Inf(-1)
+	for _, n := range l.nodes {
+		heard = math.Max(heard, n.told)
+	}
 	for i, q := range l.queues {
 		if len(q) > 0 {
 			sum += s.classes[i].weight
@@ -318,7 +323,7 @@
 			wait := math.Max(0, mine-r.units)*sum/c.weight/rate + next
 			early := r.band != bandReserve && s.now+wait+base > r.aimAt
 			late := r.band == bandLate && l.crowded()
-			if early || late || s.now >= r.aimAt || base > s.roomFor(r) ||
+			if early || late || s.now >= r.aimAt || base > s.roomFor(r, heard) ||
 				s.now+hopeShare*base > r.aimAt {
 				s.dequeue(r)
 				mine -= r.units
@@ -765,7 +770,7 @@
 				continue
 			}
 		}
-		if s.now+hopeShare*s.usual(n) > r.aimAt || s.usual(n) > s.roomFor(r) {
+		if s.now+hopeShare*s.usual(n) > r.aimAt || s.usual(n) > s.roomFor(r, n.told) {
 			continue
 		}
 		if s.warmEnough(n, r.units) && (best == nil || n.units < best.units) {
@@ -776,11 +781,17 @@
 }
 
 // roomFor is the latency at which a request leaves a node to others: its band's, in step
-// with its class's weight and worth, as short queues order nothing between hosts.
-func (s *Scheduler) roomFor(r *request) float64 {
+// with its class's weight and worth, as short queues order nothing between hosts. Of a node
+// unheard of for long only the pool's is known: what a surge adds shows when its queue is long.
+// So the room there is the smaller. Harm: a fleet at its capacity refuses a little more.
+func (s *Scheduler) roomFor(r *request, heard float64) float64 {
 	step := r.class.weight * float64(len(s.classes)) * math.Sqrt(r.class.Worth/math.Max(s.meanWorth, 1e-9))
 	step = math.Min(math.Max(step, 1/stepMost), stepMost)
-	return bandRoom[r.band] * s.tightest * step
+	room := bandRoom[r.band] * s.tightest * step
+	if r.band == bandReserve {
+		return room
+	}
+	return room + math.Min(0, roomBlind*r.class.Aim-room)*(1-math.Exp((heard-s.now)/blindSpan))
 }
 
 func (s *Scheduler) send(r *request, n *node) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -663,8 +663,8 @@
 	b.sum, b.count = 100, 2
 	r.s.adapt()
 	qa, qb := &request{class: a, band: bandShare}, &request{class: b, band: bandShare}
-	if r.s.roomFor(qa) <= r.s.roomFor(qb) {
-		t.Errorf("rooms %v and %v at weights %v and %v", r.s.roomFor(qa), r.s.roomFor(qb), a.weight, b.weight)
+	if r.s.roomFor(qa, r.s.now) <= r.s.roomFor(qb, r.s.now) {
+		t.Errorf("rooms %v and %v at weights %v and %v", r.s.roomFor(qa, r.s.now), r.s.roomFor(qb, r.s.now), a.weight, b.weight)
 	}
 }
 
