A keyed repeat does not begin after its group has forgotten the key

Excluded: the group (route compares shards) and the start of the window (the module counts from its decision, which is before the first byte).

Change: a Send carries By, the end of the window; core's Attempt does not begin after it and ends as Moot, which proves that it never ran, so the request ends as failed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -803,8 +803,12 @@
 		r.vol.limit -= r.units
 	}
 	n.turnAt, n.turn = s.now, 0.5+s.rng.Float64()
+	by := 0.0 // a repeat may wait for a connection, and nodes know a key for so long
+	if r.class.Effect == Keyed && r.mayRan != nil {
+		by = r.mayRanAt + r.class.Memory
+	}
 	s.putOut(r, n)
-	s.act(Action{Kind: Send, ID: r.id, Node: n.ID, Until: r.notAfter})
+	s.act(Action{Kind: Send, ID: r.id, Node: n.ID, Until: r.notAfter, By: by})
 }
 
 // outcome takes the end of an attempt: what it says of the node, and what the
--- a/choice/types.go
+++ b/choice/types.go
@@ -170,7 +170,7 @@
 
 // The kinds of actions.
 const (
-	Send      ActionKind = iota // ID, Node, Until
+	Send      ActionKind = iota // ID, Node, Until, By
 	Refuse                      // ID, Wait (hold-off hint)
 	Fail                        // ID
 	Cancel                      // ID, Attempt
@@ -188,6 +188,7 @@
 	ID      string
 	Node    string
 	Until   float64
+	By      float64 // the attempt may not begin later; 0: no bound but Until
 	Attempt int
 	Wait    float64
 	Tag     string
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,6 +81,7 @@
 	No    int
 	Node  string
 	Until time.Time
+	By    time.Time // it may not begin later; zero: no bound but Until
 	at    float64
 	since float64 // of the node
 	entry *entry
@@ -119,13 +120,19 @@
 
 // Begin claims the attempt for writing: a peer calls it right before the first byte. False: its
 // request has had its final answer, or its client has gone, while it waited for a connection or in a
-// mailbox; nothing of it may be written, and it ends as Moot.
+// mailbox, or the time is over in which it would be known for a repeat; nothing of it may be written,
+// and it ends as Moot.
 func (a *Attempt) Begin() bool {
+	if a.stale() {
+		a.phase.CompareAndSwap(waits, moot)
+	}
 	return a.phase.CompareAndSwap(waits, began) || a.phase.Load() == began
 }
 
 // Moot says that the attempt may not begin any more: no connection need be opened for it.
-func (a *Attempt) Moot() bool { return a.phase.Load() == moot }
+func (a *Attempt) Moot() bool { return a.phase.Load() == moot || a.phase.Load() == waits && a.stale() }
+
+func (a *Attempt) stale() bool { return !a.By.IsZero() && time.Now().After(a.By) }
 
 // Written counts the attempt as written whole to its node: its last byte went out.
 func (a *Attempt) Written() {
@@ -662,6 +669,9 @@
 		until = a.Until
 	}
 	t := NewAttempt(e.req, c.wall(until), nil)
+	if a.By > 0 {
+		t.By = c.wall(a.By)
+	}
 	t.No, t.Node, t.at, t.entry, t.count = len(e.attempts), a.Node, now, e, c.counts.of(e.req.Class)
 	t.since = c.nodes[a.Node].Since
 	t.done = func(r Result) { c.post(message{attempt: t, result: r}) }
--- a/internal/httpfront/once_test.go
+++ b/internal/httpfront/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,7 +15,9 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/sock"
 )
 
 // ledger is a storage node that counts what it runs by the request's id. Its first connection breaks
@@ -150,3 +153,39 @@
 		})
 	}
 }
+
+// A connection that comes up after the time in which a repeat may begin: nothing of it is written.
+func TestRepeatIsNotWrittenAfterItsWindow(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l := &ledger{runs: map[string]int{}}
+	go func() {
+		for nc, err := ln.Accept(); err == nil; nc, err = ln.Accept() {
+			go l.serve(nc, breaking{}, false)
+		}
+	}()
+	a, got := attempt(t, later())
+	a.By = time.Now().Add(100 * time.Millisecond)
+	d := dialer()
+	d.dial = func(ctx context.Context, to address.Addr, wait time.Duration) (sock.Stream, address.Why, error) {
+		time.Sleep(time.Until(a.By) + time.Millisecond)
+		return sock.Dial(ctx, to, wait)
+	}
+	p := d.Connect("n", at(ln))
+	defer p.Close()
+	p.Send(a)
+	if r := <-got; r.Status != choice.Moot {
+		t.Errorf("ended as %v", r.Status)
+	}
+	b, got := attempt(t, later())
+	p.Send(b) // on the connection that came late
+	if r := <-got; r.Status != choice.OK {
+		t.Errorf("the next one ended as %v", r.Status)
+	}
+	if n := l.run(a.Req.ID) - 1; n != 1 {
+		t.Errorf("%d ran, want the next one alone", n)
+	}
+}
