scatter: a service of gathered reads by class; partial results, long bodies in pieces, reports

The front and the tree over peers need one call each: Service.Read takes a client's request and a query (shards, token, partial) and ends it with one final answer; Grouper is what a tree over peers implements. A partial result goes out as gather's frames and may stop after its rows. Reads over the gate's bound are refused at once. The slowest shards by an estimate are asked first where one is given.

Next and Append give nothing once the client has left.

--- a/internal/scatter/core.go
+++ b/internal/scatter/core.go
@@ -1,7 +1,9 @@
 package scatter
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"time"
 
@@ -10,16 +12,33 @@
 	"wheatsaddle/internal/core"
 )
 
+const pieceMost = 32 << 10 // bytes of a long body that wait for the merge at once
+
+// Body is a node's answer to an asking.
+type Body struct {
+	Data    []byte        // all of it, or its beginning
+	Rest    io.ReadCloser // nil: Data is all. An error but io.EOF is a cut
+	Cut     func()        // ends a Read of Rest, from another goroutine
+	Limited bool          // it stopped at the rows it was asked for
+}
+
 // Core makes each asking a request of core, with an id of its own: the client's, the part's and the asking's number.
 // It serves one gathered read. Off may wait for core's mailbox.
 type Core struct {
-	Core    *core.Core
-	Client  choice.Request            // the client's: class, plan, volume and hosts are the parts' too, the key with the part's name
-	Units   func(gather.Part) float64 // of a part
-	Payload func(Ask) any             // what the nodes' front sends for it
-	Body    func(any) ([]byte, error) // of what it made of the node's answer; *gather.Limited where there is more
-	mu      sync.Mutex
-	out     map[string]*core.Request
+	Core     *core.Core
+	Client   choice.Request               // the client's: class, plan, volume and hosts are the parts' too, the key with the part's name
+	Units    func(gather.Part) float64    // of a part
+	Payload  func(*core.Request, Ask) any // what the nodes' front sends for it
+	Body     func(any) Body               // of what it made of the node's answer
+	PartMost int                          // bytes of a part's body; 0: any
+	mu       sync.Mutex
+	out      map[string]*asked
+}
+
+// asked is an asking that is out.
+type asked struct {
+	req *core.Request // nil: core has answered
+	cut func()        // of its long body
 }
 
 func (c *Core) id(a Ask) string { return fmt.Sprintf("%s/%s/%d", c.Client.ID, a.Part.ID, a.Copy) }
@@ -27,42 +46,108 @@
 // Ask implements Asker.
 func (c *Core) Ask(a Ask, until time.Time, to *Sink) {
 	now := time.Now()
-	r := &core.Request{Request: c.Client, Arrived: now, Patience: until.Sub(now), Payload: c.Payload(a)}
+	r := &core.Request{Request: c.Client, Arrived: now, Patience: until.Sub(now)}
 	r.ID, r.Shard, r.Units = c.id(a), a.Part.Shard, c.Units(a.Part)
 	if r.Key != "" { // the module knows a repeat by it: parts are not each other's
 		r.Key += "/" + a.Part.ID
 	}
+	r.Payload = c.Payload(r, a)
 	r.Answer = func(x core.Answer) {
-		c.take(r.ID)
 		switch x.Kind {
 		case core.Served:
-			to.End(c.Body(x.Payload))
+			b := c.Body(x.Payload)
+			if b.Rest == nil {
+				c.take(r.ID)
+				to.End(b.Data, b.end())
+			} else if c.streams(r.ID, b.Cut) {
+				go c.stream(a, b, to)
+			} else { // it was called off meanwhile
+				b.Cut()
+				go b.Rest.Close()
+				to.End(nil, io.ErrUnexpectedEOF)
+			}
+			return
 		case core.Refused:
 			to.End(nil, &Refusal{x.RetryAfter})
 		default:
 			to.End(nil, &Failed{a.Part.ID, x.Cause, x.Cause == core.CauseGivenUp || x.Cause == core.CauseBroken})
 		}
+		c.take(r.ID)
 	}
 	c.mu.Lock()
 	if c.out == nil {
-		c.out = map[string]*core.Request{}
+		c.out = map[string]*asked{}
 	}
-	c.out[r.ID] = r
+	c.out[r.ID] = &asked{req: r}
 	c.mu.Unlock()
 	c.Core.Submit(r)
 }
 
+func (b *Body) end() error {
+	if b.Limited {
+		return &gather.Limited{}
+	}
+	return nil
+}
+
+// streams notes that an asking's body comes in pieces; false: it was called off.
+func (c *Core) streams(id string, cut func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x := c.out[id]
+	if x != nil {
+		x.req, x.cut = nil, cut
+	}
+	return x != nil
+}
+
+// stream gives a long body as the merge has room: what it does not take stays with the node.
+func (c *Core) stream(a Ask, b Body, to *Sink) {
+	defer c.take(c.id(a))
+	defer b.Rest.Close()
+	got, piece := 0, b.Data
+	buf := make([]byte, pieceMost)
+	for {
+		if got += len(piece); c.PartMost > 0 && got > c.PartMost {
+			to.End(piece[:len(piece)-(got-c.PartMost)], &PartLong{a.Part.ID, c.PartMost})
+			return
+		}
+		if len(piece) > 0 && !to.Piece(piece) {
+			to.End(nil, io.ErrUnexpectedEOF)
+			return
+		}
+		n, err := b.Rest.Read(buf)
+		if piece = buf[:n]; err == nil {
+			continue
+		}
+		if !errors.Is(err, io.EOF) {
+			to.End(piece, &Failed{a.Part.ID, "body cut: " + err.Error(), true})
+			return
+		}
+		if got += n; c.PartMost > 0 && got > c.PartMost {
+			to.End(piece[:n-(got-c.PartMost)], &PartLong{a.Part.ID, c.PartMost})
+			return
+		}
+		to.End(piece, b.end())
+		return
+	}
+}
+
 // Off implements Asker: to core the part's client has gone.
 func (c *Core) Off(a Ask) {
-	if r := c.take(c.id(a)); r != nil {
-		c.Core.Depart(r)
+	switch x := c.take(c.id(a)); {
+	case x == nil:
+	case x.req != nil:
+		c.Core.Depart(x.req)
+	default:
+		x.cut()
 	}
 }
 
-func (c *Core) take(id string) *core.Request {
+func (c *Core) take(id string) *asked {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := c.out[id]
+	x := c.out[id]
 	delete(c.out, id)
-	return r
+	return x
 }
--- a/internal/scatter/errors.go
+++ b/internal/scatter/errors.go
@@ -79,6 +79,58 @@
 	return "Look at the nodes of the part's shard; the cause is that of any request of its class."
 }
 
+// NoRules is a gathered read of a class that has no rules.
+type NoRules struct{ Class string }
+
+func (e *NoRules) Error() string {
+	return fmt.Sprintf("scatter: class %q has no rules of gathering", e.Class)
+}
+
+// Code implements operr.Coded.
+func (*NoRules) Code() string { return "scatter-no-rules" }
+
+// Advice implements operr.Coded.
+func (*NoRules) Advice() string {
+	return "Ask shard by shard, or give the class rules in section gather of the site's file."
+}
+
+// ShardsBad is a list of shards that cannot be read.
+type ShardsBad struct{ Shards, Why string }
+
+func (e *ShardsBad) Error() string { return fmt.Sprintf("scatter: shards: %.60q: %s", e.Shards, e.Why) }
+
+// Code implements operr.Coded.
+func (*ShardsBad) Code() string { return "scatter-shards-bad" }
+
+// Advice implements operr.Coded.
+func (*ShardsBad) Advice() string { return "Name shards like 0,3,7-9, each once, or all." }
+
+// NotRead is a request to gather that is no plain read.
+type NotRead struct{ Why string }
+
+func (e *NotRead) Error() string { return "scatter: " + e.Why }
+
+// Code implements operr.Coded.
+func (*NotRead) Code() string { return "scatter-not-read" }
+
+// Advice implements operr.Coded.
+func (*NotRead) Advice() string {
+	return "Send a GET by HTTP/1.1; writes are never gathered."
+}
+
+// TooLate is a gathered read whose client's time was over before a row went out.
+type TooLate struct{}
+
+func (*TooLate) Error() string { return "scatter: the client's time was over" }
+
+// Code implements operr.Coded.
+func (*TooLate) Code() string { return "scatter-late" }
+
+// Advice implements operr.Coded.
+func (*TooLate) Advice() string {
+	return "Give such reads more time, keep a larger share of it for the merge, or let best effort do."
+}
+
 // hopeless: another asking would end the same.
 func hopeless(err error) bool {
 	var f *Failed
@@ -87,5 +139,6 @@
 
 func init() {
 	operr.Register(&RulesBad{"share", "is not from 0 to less than 1"}, &Refusal{time.Second}, &OutOfTime{"7"},
-		&PartLong{"7", 1 << 20}, &Failed{"7", "given up", true})
+		&PartLong{"7", 1 << 20}, &Failed{"7", "given up", true},
+		&NoRules{"read"}, &ShardsBad{"7-3", "ends before it begins"}, &NotRead{"writes are never gathered"}, &TooLate{})
 }
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -15,6 +15,7 @@
 package scatter
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"slices"
@@ -27,6 +28,8 @@
 	moreMost  = 20 // askings for more rows: each asks for twice as many
 	againMost = 16
 	copyMost  = 2 // askings of one part that are out
+
+	framesAtOnce = 64 // rows of a partial result between two looks at its length
 )
 
 // Rules of one class of gathered reads.
@@ -63,6 +66,7 @@
 	Refused             // nothing went out, and what is missing was refused
 	Late                // the client's time ended first
 	Left                // the client left
+	Invalid             // it could not begin: Err
 )
 
 // Final is the one final answer.
@@ -70,6 +74,8 @@
 	Kind       Kind
 	RetryAfter time.Duration // of Refused
 	Result     gather.Result
+	Limited    bool  // a partial result that stopped at its rows: there may be more
+	Err        error // of Invalid
 }
 
 type asking struct {
@@ -124,6 +130,9 @@
 	actions  []Action
 	offs     []Action // since the last Step
 	demands  map[string]gather.Demand
+	partial  bool // rows go out encoded, for a merge that this one is a part of
+	most     int  // of a partial result: rows after which it ends; 0: none
+	rows     int  // of a partial result
 	fault    fault
 }
 
@@ -228,12 +237,53 @@
 
 // Next is the next row that may go out. It is valid until the next call.
 func (g *Gather) Next() ([]byte, bool) {
-	if g.final != nil {
+	if g.final != nil || g.left {
 		return nil, false
 	}
 	return g.m.Next()
 }
 
+// Partial makes it the gathering of a partial result, which ends after so many rows; 0: with the last.
+func (g *Gather) Partial(rows int) { g.partial, g.most = true, rows }
+
+// Append appends records that may go out, up to a length or a little over it: in the rules' form, or encoded where it is partial.
+func (g *Gather) Append(dst []byte, most int) []byte {
+	for len(dst) < most && g.final == nil && !g.left {
+		if !g.partial {
+			row, ok := g.m.Next()
+			if !ok {
+				return dst
+			}
+			dst = g.r.Merge.AppendRow(dst, row)
+			continue
+		}
+		n, at := framesAtOnce, len(dst)
+		if g.most > 0 {
+			n = min(n, g.most-g.rows)
+		}
+		if n == 0 {
+			return dst
+		}
+		dst, _ = g.m.AppendPartial(dst, n)
+		got := rowsOf(dst[at:])
+		if g.rows += got; got < n { // it waits for parts, or is at its end
+			return dst
+		}
+	}
+	return dst
+}
+
+// rowsOf is how many frames of an encoded partial result are rows, or groups of them.
+func rowsOf(frames []byte) (n int) {
+	for len(frames) > 4 {
+		if frames[4] == 'R' || frames[4] == 'G' {
+			n++
+		}
+		frames = frames[4+binary.BigEndian.Uint32(frames):]
+	}
+	return n
+}
+
 // Room is how many bytes of a part may come now.
 func (g *Gather) Room(id string) int {
 	g.want()
@@ -272,6 +322,9 @@
 	case g.left:
 		g.m.Leave()
 		g.end(Left)
+	case g.most > 0 && g.rows >= g.most:
+		g.end(Served)
+		g.final.Limited = true
 	case !slices.ContainsFunc(g.want(), func(d gather.Demand) bool { return !d.Stop }) && g.m.Result().Done:
 		g.end(Served)
 	case now >= g.deadline && g.fault != faultFinal:
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -67,7 +67,7 @@
 type Options struct {
 	Arrived  time.Time
 	PartMost int                     // bytes of the data that a part's End may bring
-	Write    func(rows []byte) error // rows, a line each; called by one goroutine at a time; an error: the client left
+	Write    func(rows []byte) error // records, or frames of a partial result; called by one goroutine at a time; an error: the client left
 }
 
 // Run carries a gathered read out and returns its one final answer. The context's end says that the client left. Run waits
@@ -120,12 +120,8 @@
 			for _, p := range g.parts {
 				again = feed(p.ID) || again
 			}
-			for !busy && len(rows) < batchMost {
-				row, ok := g.Next()
-				if !ok {
-					break
-				}
-				rows = append(append(rows, row...), '\n')
+			if !busy {
+				rows = g.Append(rows, batchMost)
 			}
 			if len(rows) > 0 {
 				busy = true
--- /dev/null
+++ b/internal/scatter/service_test.go
@@ -0,0 +1,193 @@
+package scatter
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"wheatsaddle/gather"
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/operr"
+)
+
+// service is one over the world's core; bodies come in pieces of odd lengths where long is set.
+func (w *world) service(t *testing.T, more string, long bool) *Service {
+	t.Helper()
+	rules := Rules{Merge: mergeRules(t, "all", more), Share: 0.2, AtOnce: 2, Safe: true, Again: 2}
+	s := &Service{Core: w.c, Classes: map[string]Rules{"read": rules}, Reads: &Gate{}, Units: 1, PartMost: 1 << 20,
+		Shards:  func() []int { return []int{0, 1, 2, 3} },
+		Payload: func(_, _ *core.Request, _ int) any { return nil },
+		Body: func(x any) Body {
+			text := x.([]byte)
+			if !long {
+				return Body{Data: text}
+			}
+			return Body{Data: text[:7], Rest: io.NopCloser(bytes.NewReader(text[7:])), Cut: func() {}}
+		}}
+	s.Reads.Set(1)
+	return s
+}
+
+func client(id string, patience time.Duration) *core.Request {
+	r := &core.Request{Arrived: time.Now(), Patience: patience}
+	r.ID, r.Class, r.Plan, r.Key, r.Volume, r.Hosts, r.Units = id, "read", "basic", "k", "v", 1, 1
+	return r
+}
+
+// here gathers two groups of two in this process; the first asking of each fails halfway, as by a peer that is killed.
+type here struct{ asked []string }
+
+func (h *here) Group(r Read) ([]gather.Part, Asker) {
+	parts := []gather.Part{{ID: "a", Of: []string{"0", "2"}}, {ID: "b", Of: []string{"1", "3"}}}
+	return parts, &hereAsker{h, r}
+}
+
+type hereAsker struct {
+	h *here
+	r Read
+}
+
+func (x *hereAsker) Off(Ask) {}
+func (x *hereAsker) Ask(a Ask, until time.Time, to *Sink) {
+	x.h.asked = append(x.h.asked, fmt.Sprint(a.Part.ID, a.Copy))
+	go func() {
+		left := -1
+		if a.Copy == 1 {
+			left = 1
+		}
+		f := x.r.Here(context.Background(), a, until, func(b []byte) error {
+			if left--; left == -1 {
+				return errCut
+			}
+			to.Piece(b[:len(b)/2])
+			to.Piece(b[len(b)/2:])
+			return nil
+		})
+		switch {
+		case f.Kind != Served:
+			to.End(nil, errCut)
+		case f.Limited:
+			to.End(nil, &gather.Limited{})
+		default:
+			to.End(nil, nil)
+		}
+	}()
+}
+
+// However it is gathered, the rows are the flat merge's: whole bodies, in pieces, in groups that fail once, page by page.
+func TestServiceIsTheFlatMerge(t *testing.T) {
+	w := start(t, [shards]string{})
+	for name, c := range map[string]struct {
+		top        string
+		long, tree bool
+	}{
+		"whole bodies": {}, "in pieces": {long: true}, "in groups": {tree: true},
+		"pages": {top: `,"truncate":{"top":150}`}, "pages in groups": {top: `,"truncate":{"top":150}`, tree: true, long: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, h := w.service(t, c.top, c.long), &here{}
+			if c.tree {
+				s.Tree = h
+			}
+			var rows []string
+			pages := 0
+			for q := (Query{All: true}); ; pages++ {
+				var text []byte
+				f := s.Read(t.Context(), client(fmt.Sprint(name, pages), time.Minute), q, func(b []byte) error { text = append(text, b...); return nil })
+				if f.Kind != Served || !f.Result.Whole {
+					t.Fatalf("page %d: %+v", pages, f)
+				}
+				rows = append(rows, strings.Fields(string(text))...)
+				if q.Token = f.Result.Token; q.Token == "" {
+					break
+				}
+			}
+			if !slices.Equal(rows, flat()) {
+				t.Errorf("%d rows of %d", len(rows), len(flat()))
+			}
+			if c.top != "" && pages < shards*each/150 {
+				t.Errorf("%d pages", pages)
+			}
+			if c.tree && !slices.Contains(h.asked, "a2") {
+				t.Errorf("asked %v", h.asked)
+			}
+			await(t, "core holds nothing", func() bool { return w.c.Tables().Requests == 0 })
+		})
+	}
+}
+
+func TestServiceRefuses(t *testing.T) {
+	w := start(t, [shards]string{"silent", "silent", "silent", "silent"})
+	s := w.service(t, "", false)
+	none := func([]byte) error { t.Error("a row"); return nil }
+	read := func(q Query, class string) Final {
+		r := client("r", 400*time.Millisecond)
+		r.Class = class
+		return s.Read(t.Context(), r, q, none)
+	}
+	invalid := func(what, code string, f Final) {
+		var c operr.Coded
+		if f.Kind != Invalid || !errors.As(f.Err, &c) || c.Code() != code || f.Report(false).Advice == "" {
+			t.Errorf("%s: %+v", what, f)
+		}
+	}
+	invalid("class", "scatter-no-rules", read(Query{All: true}, "other"))
+	invalid("twice", "gather-parts-bad", read(Query{Shards: []int{1, 1}}, "read"))
+	invalid("none", "gather-parts-bad", read(Query{}, "read"))
+	invalid("too many", "scatter-shards-bad", read(Query{Shards: make([]int, partsMost+1)}, "read"))
+	invalid("token", "gather-token-bad", read(Query{All: true, Token: "x"}, "read"))
+
+	// One is in: the next is refused at once, and asks nothing.
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan Final)
+	go func() { done <- s.Read(ctx, client("q", time.Hour), Query{All: true}, none) }()
+	await(t, "parts are out", func() bool { return w.shards[0].open.Load() == 1 && w.shards[1].open.Load() == 1 })
+	if f := read(Query{All: true}, "read"); f.Kind != Refused || f.RetryAfter <= 0 || s.Reads.In() != 1 {
+		t.Errorf("%+v", f)
+	}
+	if n := w.c.Tables().Requests; n != 2 {
+		t.Errorf("core holds %d", n)
+	}
+	leave()
+	if f := <-done; f.Kind != Left {
+		t.Errorf("%+v", f)
+	}
+}
+
+// A body over its bound is cut there, and named, whether it comes whole or in pieces.
+func TestLongParts(t *testing.T) {
+	w := start(t, [shards]string{})
+	for _, long := range []bool{false, true} {
+		s := w.service(t, "", long)
+		s.PartMost = 600
+		f := s.Read(t.Context(), client("p", time.Minute), Query{All: true}, func([]byte) error { return nil })
+		if r := f.Report(false); f.Kind != Short || len(r.Cut) == 0 || r.Whole || !errors.As(f.Result.Parts[0].Why, new(*PartLong)) {
+			t.Errorf("long %v: %+v", long, f)
+		}
+		await(t, "core holds nothing", func() bool { return w.c.Tables().Requests == 0 })
+	}
+}
+
+// The slowest by the estimate are asked first; without one, in the order given.
+func TestTheSlowestIsAskedFirst(t *testing.T) {
+	s := &Service{}
+	ids := func() (ids []string) {
+		for _, p := range s.parts("read", []int{4, 7, 9}) {
+			ids = append(ids, p.ID)
+		}
+		return ids
+	}
+	if got := ids(); !slices.Equal(got, []string{"4", "7", "9"}) {
+		t.Error(got)
+	}
+	s.Expect = func(string, []int) []float64 { return []float64{1, 3, 1} }
+	if got := ids(); !slices.Equal(got, []string{"7", "4", "9"}) {
+		t.Error(got)
+	}
+}
