Stand-in nodes serve a shard's sorted rows, with faults in the rows and their flat merge

Gathered reads need nodes that hold rows by shard. Rows generates them by seed: sorted, a share of keys that other shards hold too, with versions; nodes of one shard hold the same bytes. A request with X-Gather-Rows is answered by them, chunked, with X-Gather-Limited where it stopped at the asked number; its shard is read from IO-Info. Faults are switched while it runs: late, a stop after k rows, never, cut, two rows out of order, another version of rows, also of second copies only; counts by request id.

--- a/internal/lab/procs/fleet.go
+++ b/internal/lab/procs/fleet.go
@@ -40,6 +40,7 @@
 	Service  func(*fasthttp.Request) time.Duration
 	Unlisted bool // at the start
 	Cold     bool // it starts with the fleet, cold; else it has long been there
+	Rows     *node.Rows
 }
 
 // thePlan is the one plan of a fleet's volumes.
@@ -147,7 +148,7 @@
 		}
 	}
 	for _, s := range opt.Nodes {
-		n := node.New(node.Options{Name: s.Name, Shard: s.Shard, Workers: s.Workers, Service: s.Service, Queue: 256, Record: true})
+		n := node.New(node.Options{Name: s.Name, Shard: s.Shard, Workers: s.Workers, Service: s.Service, Queue: 256, Record: true, Rows: s.Rows})
 		f.nodes = append(f.nodes, n)
 		a, err := n.Listen("127.0.0.1:0")
 		if err != nil {
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -3,7 +3,7 @@
 // faults for each address, which may be switched while it runs.
 //
 // A request's shard, which the platform's nodes know by its id, is told in the query:
-// ?shard=3, -1 for a new object. Requests run in turn of arrival on Workers; what finds Queue
+// ?shard=3, -1 for a new object; of a part of a gathered read in IO-Info. Requests run in turn of arrival on Workers; what finds Queue
 // others waiting, comes while the node drains, or for another shard, is turned away with 503
 // and X-Not-Run. A repeat of a key is dropped for Memory: it is answered and does not run.
 package node
@@ -17,6 +17,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -40,6 +41,7 @@
 	Body      []byte                                // of an answer; nil: the request's id
 	Record    bool                                  // every attempt from its first byte on, for Attempts
 	TellShard bool                                  // answers end with shard=N, so that clients know where a new object was put
+	Rows      *Rows                                 // what the parts of gathered reads are answered with; nil: nothing else than other requests
 }
 
 // Counts are what a node has seen.
@@ -68,6 +70,10 @@
 	wg       sync.WaitGroup
 	closed   bool
 	attempts []*Attempt
+
+	rows      []key // of its shard
+	rowFault  atomic.Pointer[RowFault]
+	rowCounts map[string]RowCounts // by request id; "" is all
 }
 
 // New makes a node that listens nowhere yet.
@@ -84,8 +90,12 @@
 	if opt.Slow == 0 {
 		opt.Slow = 400 * time.Millisecond
 	}
-	return &Node{opt: opt, ports: map[address.Addr]*port{}, conns: map[*link]bool{}, byID: map[string][]Arrival{}, byKey: map[string]int{},
-		memory: map[string]time.Time{}, slots: make(chan struct{}, opt.Workers)}
+	n := &Node{opt: opt, ports: map[address.Addr]*port{}, conns: map[*link]bool{}, byID: map[string][]Arrival{}, byKey: map[string]int{},
+		memory: map[string]time.Time{}, slots: make(chan struct{}, opt.Workers), rowCounts: map[string]RowCounts{}}
+	if opt.Rows != nil {
+		n.rows = opt.Rows.keys(opt.Shard)
+	}
+	return n
 }
 
 // Listen opens one more address: host:port (port 0: any), or unix:PATH. It returns the address
@@ -380,6 +390,9 @@
 	case Slow:
 		time.Sleep(n.opt.Slow)
 	}
+	if most, is := asksRows(q); is && n.opt.Rows != nil {
+		return l.rows(id, most, last, l.name(f))
+	}
 	body := n.opt.Body
 	if body == nil {
 		body = []byte(id)
@@ -401,7 +414,7 @@
 // admit says with which code a request is turned away, if it is; away: without X-Not-Run it
 // would not be a turning away.
 func (n *Node) admit(q *fasthttp.Request, f Fault) (code int, away bool) {
-	shard, err := strconv.Atoi(string(q.URI().QueryArgs().Peek("shard")))
+	shard, err := shardOf(q)
 	if err != nil {
 		return fasthttp.StatusBadRequest, false
 	}
