httpfront: gathered reads: rows chunked as they come, the result in a trailer

A GET with X-Gather is carried out by scatter.Service where the front has one; else the field means nothing, for one load of a pointer. Before the first row what is wrong has a code, and code, advice and the missing shards in the body; after it the answer ends with its result or is cut. The client's going ends all parts (Conn.Watch stays on until the stream is closed), a slow one holds the parts up: a node's long body is read only as the merge takes it, and Relay.Cut ends a read that stands. A part is the client's request under id/part/copy with its own IO-Info and X-Gather-Rows. Core.Shards tells the shards with a node that may be sent to.

go test -race -run Gather ./internal/httpfront over stand-in nodes with rows: flat merge (12000 rows in long bodies), pages, partial results, what is refused before the first row, cut parts named, client gone, back-pressure (80 MB, under 3/4 sent to a client that takes nothing), the volume's limit over all parts, drains and exclusions, shutdown answers whole.

--- /dev/null
+++ b/internal/core/shards.go
@@ -0,0 +1,30 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"wheatsaddle/choice"
+)
+
+// Shards are those with a node that may be sent to: up by the list, and not out by hand.
+func (c *Core) Shards() []int {
+	got := make(chan []int, 1)
+	c.post(message{call: func() {
+		var all []int
+		now := c.clock(time.Now())
+		for _, n := range c.nodes {
+			if v := c.book.View(now, n.Node); v.State == choice.NodeUp && n.Shard >= 0 {
+				all = append(all, n.Shard)
+			}
+		}
+		slices.Sort(all)
+		got <- slices.Compact(all)
+	}})
+	select {
+	case all := <-got:
+		return all
+	case <-c.ended:
+		return nil
+	}
+}
--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -216,6 +216,8 @@
 	body  []byte
 	free  func()
 	relay *relay // a long body that comes as it is read; nil: body is all of it
+	// limited: of a part of a gathered read, it stopped at the rows it was asked for.
+	limited bool
 }
 
 // Drop implements core.Held. Each reply has one holder at a time.
@@ -251,6 +253,7 @@
 	}
 	switch code := m.StatusCode(); {
 	case code == fasthttp.StatusOK:
+		rep.limited = string(h.Peek(hdrLimited)) == "1"
 		r.Status, r.Payload = choice.OK, rep
 		return r
 	case (code == 503 || code == 504) && string(h.Peek("X-Not-Run")) == "1":
--- /dev/null
+++ b/internal/httpfront/gathered.go
@@ -0,0 +1,259 @@
+package httpfront
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/scatter"
+	"wheatsaddle/internal/sock"
+)
+
+// The fields of gathered reads: a client's, a part's, and what comes back.
+const (
+	hdrGather  = "X-Gather"
+	hdrToken   = "X-Gather-Token"
+	hdrPartial = "X-Gather-Partial"
+	hdrRows    = "X-Gather-Rows"
+	hdrLimited = "X-Gather-Limited"
+	hdrResult  = "X-Gather-Result"
+)
+
+const shardsText = 8 << 10 // longest list of shards
+
+var (
+	errTaker = errors.New("gathered: its client takes no more")
+	errShort = errors.New("gathered: it ended without its result")
+)
+
+// Gather takes the service of gathered reads from now on; nil: they are off. Reads under way end as they began.
+func (s *Server) Gather(svc *scatter.Service) { s.gathered.Store(svc) }
+
+// GatherPart is what the nodes are sent for a part: the client's read under the part's id, with its shard, units and rows.
+func GatherPart(client, part *core.Request, rows int) any {
+	head := client.Payload.(*call).head
+	line, rest, _ := bytes.Cut(head, []byte("\r\n"))
+	_, key, keyed := bytes.Cut(rest, []byte("\r\nIdempotency-Key: "))
+	c := &call{}
+	c.head = append(append(append(c.head, line...), "\r\nX-Request-Id: "...), part.ID...)
+	if keyed { // parts are not each other's repeats
+		c.head = append(append(c.head, "\r\nIdempotency-Key: "...), key...)
+		c.head = strconv.AppendInt(append(c.head, '/'), int64(part.Shard), 10)
+	}
+	c.head = append(append(c.head, "\r\nIO-Info: volume="...), part.Volume...)
+	c.head = strconv.AppendFloat(append(c.head, ",units="...), part.Units, 'g', -1, 64)
+	c.head = strconv.AppendInt(append(c.head, ",shard="...), int64(part.Shard), 10)
+	c.head = strconv.AppendInt(append(c.head, ",hosts="...), int64(part.Hosts), 10)
+	c.head = strconv.AppendInt(append(c.head, "\r\n"+hdrRows+": "...), int64(rows), 10)
+	return c
+}
+
+// GatherBody is a node's answer to a part.
+func GatherBody(payload any) scatter.Body {
+	rep := payload.(*reply)
+	if rep.relay == nil {
+		return scatter.Body{Data: rep.body, Limited: rep.limited}
+	}
+	return scatter.Body{Rest: rep.relay, Cut: rep.relay.Cut, Limited: rep.limited}
+}
+
+// decodeGather reads what a client asks of a gathered read.
+func decodeGather(h *fasthttp.RequestHeader, b *bounds) (q scatter.Query, err error) {
+	if !h.IsGet() {
+		return q, &scatter.NotRead{Why: "writes are never gathered"}
+	}
+	if string(h.Protocol()) != "HTTP/1.1" {
+		return q, &scatter.NotRead{Why: "rows need HTTP/1.1"}
+	}
+	for _, name := range []string{hdrGather, hdrToken, hdrPartial, hdrRows} {
+		if len(h.PeekAll(name)) > 1 {
+			return q, &scatter.NotRead{Why: name + " twice"}
+		}
+	}
+	q.Token, q.Partial = string(h.Peek(hdrToken)), string(h.Peek(hdrPartial)) == "1"
+	if text := string(h.Peek(hdrRows)); q.Partial && text != "" {
+		if q.Rows, err = strconv.Atoi(text); err != nil || q.Rows < 0 {
+			return q, &scatter.NotRead{Why: hdrRows + " is not a number of rows"}
+		}
+	}
+	text := string(h.Peek(hdrGather))
+	if q.All = text == "all"; q.All {
+		return q, nil
+	}
+	bad := func(why string) (scatter.Query, error) { return q, &scatter.ShardsBad{Shards: text, Why: why} }
+	if len(text) > shardsText {
+		return bad("is too long")
+	}
+	for _, one := range strings.Split(text, ",") {
+		from, to, ranged := strings.Cut(strings.TrimSpace(one), "-")
+		first, err := strconv.ParseUint(from, 10, 20)
+		last := first
+		if ranged && err == nil {
+			last, err = strconv.ParseUint(to, 10, 20)
+		}
+		switch {
+		case err != nil:
+			return bad("is not like 0,3,7-9, or all")
+		case last < first:
+			return bad("a range ends before it begins")
+		case b.shards > 0 && last >= uint64(b.shards):
+			return bad("there is no shard " + strconv.FormatUint(last, 10))
+		case last-first+uint64(len(q.Shards)) >= shardsText:
+			return bad("are too many")
+		}
+		for ; first <= last; first++ {
+			q.Shards = append(q.Shards, int(first))
+		}
+	}
+	return q, nil
+}
+
+// gather answers a gathered read. What goes wrong before the first row has a code of its own; after it, the answer is either
+// whole with its result or cut.
+func (s *Server) gather(ctx *fasthttp.RequestCtx, r *core.Request, svc *scatter.Service) {
+	q, err := decodeGather(&ctx.Request.Header, s.b.Load())
+	if err != nil {
+		writeFinal(ctx, scatter.Final{Kind: scatter.Invalid, Err: err})
+		return
+	}
+	conn := ctx.Conn().(*sock.Conn)
+	run, leave := context.WithCancel(context.Background())
+	g := &gathering{conn: conn, leave: leave, head: &ctx.Response.Header, late: r.Arrived.Add(r.Patience + writeMargin),
+		pieces: make(chan []byte), took: make(chan struct{}, 1), gone: make(chan struct{}), ended: make(chan scatter.Final, 1), over: make(chan struct{})}
+	g.left = conn.Watch()
+	go func() {
+		defer close(g.over)
+		g.ended <- svc.Read(run, r, q, g.write)
+	}()
+	select {
+	case g.piece = <-g.pieces:
+		g.open = true
+	case f := <-g.ended:
+		if f.Kind != scatter.Served {
+			_ = g.Close()
+			writeFinal(ctx, f)
+			return
+		}
+		g.ended <- f // no rows, and the result
+	case <-g.left:
+		_ = g.Close()
+		ctx.SetConnectionClose()
+		ctx.SetStatusCode(499) // nobody reads it
+		return
+	}
+	if err := g.head.SetTrailer(hdrResult); err != nil {
+		_ = g.Close()
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.Response.SetBodyStream(g, -1) // chunked: a cut answer lacks its last chunk
+}
+
+// gathering is a gathered read on its way to its client: Read and Close are the server's goroutine's, write is the read's.
+type gathering struct {
+	conn   *sock.Conn
+	left   <-chan struct{}
+	leave  context.CancelFunc
+	head   *fasthttp.ResponseHeader
+	late   time.Time // after which nobody takes anything
+	pieces chan []byte
+	took   chan struct{}
+	gone   chan struct{} // closed with the gathering
+	ended  chan scatter.Final
+	over   chan struct{} // closed when the read has returned
+	piece  []byte
+	open   bool // a piece is being taken
+	once   sync.Once
+}
+
+// write gives rows and waits until the server has taken them: back-pressure.
+func (g *gathering) write(rows []byte) error {
+	select {
+	case g.pieces <- rows:
+	case <-g.gone:
+		return errTaker
+	}
+	select {
+	case <-g.took:
+		return nil
+	case <-g.gone:
+		return errTaker
+	}
+}
+
+// Read implements io.Reader.
+func (g *gathering) Read(p []byte) (int, error) {
+	_ = g.conn.SetWriteDeadline(g.late)
+	for len(g.piece) == 0 {
+		if g.open {
+			g.open = false
+			g.took <- struct{}{}
+		}
+		select {
+		case g.piece = <-g.pieces:
+			g.open = true
+		case f := <-g.ended:
+			if f.Kind != scatter.Served && f.Kind != scatter.Short {
+				return 0, errShort // not EOF: the server must not end the answer as if it had its result
+			}
+			g.head.Set(hdrResult, string(f.Report(true).JSON()))
+			return 0, io.EOF
+		case <-g.left:
+			return 0, errTaker
+		}
+	}
+	n := copy(p, g.piece)
+	g.piece = g.piece[n:]
+	return n, nil
+}
+
+// Close implements io.Closer: the server is through with it. It returns once all parts were called off.
+func (g *gathering) Close() error {
+	g.once.Do(func() {
+		close(g.gone)
+		g.leave()
+		<-g.over
+		g.conn.Unwatch()
+	})
+	return nil
+}
+
+// writeFinal answers a read of which no row went out.
+func writeFinal(ctx *fasthttp.RequestCtx, f scatter.Final) {
+	code := fasthttp.StatusBadGateway
+	switch f.Kind {
+	case scatter.Invalid:
+		code = fasthttp.StatusBadRequest
+	case scatter.Refused:
+		code = fasthttp.StatusServiceUnavailable
+		f.RetryAfter = max(f.RetryAfter, retryLeast)
+		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
+	case scatter.Late:
+		code = fasthttp.StatusGatewayTimeout
+	case scatter.Short:
+		for _, p := range f.Result.Parts {
+			var failed *scatter.Failed
+			switch {
+			case errors.As(p.Why, &failed):
+				code = failedAs(failed.Cause)
+			case errors.As(p.Why, new(*scatter.OutOfTime)):
+				code = fasthttp.StatusGatewayTimeout
+			default:
+				continue
+			}
+			break
+		}
+	}
+	ctx.SetStatusCode(code)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(f.Report(false).JSON())
+}
--- /dev/null
+++ b/internal/httpfront/gathered_test.go
@@ -0,0 +1,446 @@
+package httpfront
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/tidwall/gjson"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/gather"
+	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/scatter"
+	storage "wheatsaddle/internal/standin/node"
+)
+
+const gatherShards = 4
+
+// spread is a front over four shards with a node each.
+type spread struct {
+	t       *testing.T
+	srv     *Server
+	svc     *scatter.Service
+	core    *core.Core
+	nodes   []*storage.Node
+	listed  []core.Node
+	rows    *storage.Rows
+	address string
+	served  chan error
+}
+
+func newSpread(t *testing.T, rules string, rows storage.Rows) *spread {
+	t.Helper()
+	w := &spread{t: t, rows: &rows, served: make(chan error, 1)}
+	set := testModule()
+	set.MaxAttempts, set.DrainGrace = 3, 250
+	set.Plans = append(set.Plans, choice.Plan{Name: "small", Rate: 10, Reserve: 10, Weight: 1, Price: 1, Limit: 10, LimitBurst: 8})
+	set.Classes = append(set.Classes, choice.Class{Name: "once", Aim: 30e3, Deadline: 60e3, Worth: 3, Effect: choice.Unsafe})
+	for i := range gatherShards {
+		n := storage.New(storage.Options{Name: fmt.Sprint("n", i), Shard: i, Rows: w.rows, Record: true, Workers: 8})
+		a, err := n.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.Close)
+		w.nodes = append(w.nodes, n)
+		w.listed = append(w.listed, core.Node{Node: choice.Node{ID: fmt.Sprint("n", i), Shard: i, State: choice.NodeUp, Weight: 1}, Addresses: []address.Addr{a}})
+	}
+	log, _ := logtest.NewNullLogger()
+	var err error
+	if w.core, err = core.New(core.Options{Settings: set, Seed: 1, Connect: dialer().Connect, Log: log}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.core.Stop)
+	w.core.List(core.News{Kind: choice.ListStale, Nodes: w.listed})
+	merge, err := gather.ParseRules([]byte(rules))
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := scatter.Rules{Merge: merge, Share: 0.1, AtOnce: 3, Again: 1, Safe: true}
+	once := one
+	once.Safe = false
+	w.svc = &scatter.Service{Core: w.core, Classes: map[string]scatter.Rules{"balance-read": one, "once": once}, Shards: w.core.Shards,
+		PartMost: 8 << 20, PartsMost: 16, Reads: &scatter.Gate{}, Payload: GatherPart, Body: GatherBody}
+	w.svc.Reads.Set(2)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.address = ln.Addr().String()
+	w.srv = NewServer(w.core, set, 50, log)
+	w.srv.Gather(w.svc)
+	go func() { w.served <- w.srv.Serve(ln, 50) }()
+	t.Cleanup(func() { ln.Close() })
+	return w
+}
+
+var gatherID int
+
+// ask writes a gathered read on a connection; more are further header lines.
+func (w *spread) ask(nc net.Conn, method, path, plan string, patience time.Duration, more ...string) (id string) {
+	gatherID++
+	id = fmt.Sprint("g", gatherID)
+	fmt.Fprintf(nc, "%s /%s HTTP/1.1\r\nHost: o\r\nX-Request-Id: %s\r\nTier: %s\r\nCookie: extent=7f3a9c21e0b4d655\r\nX-Deadline-Ms: %d\r\n"+
+		"IO-Info: volume=00000003b4d60021,units=2,shard=-1,hosts=1\r\n%s\r\n", method, path, id, plan, patience.Milliseconds(),
+		strings.Join(append(more, ""), "\r\n"))
+	return id
+}
+
+type gathered struct {
+	code   int
+	head   http.Header
+	rows   []string
+	result gjson.Result // the trailer's, or the body's
+	err    error        // of the body: it was cut
+}
+
+func take(t *testing.T, br *bufio.Reader) (g gathered) {
+	t.Helper()
+	r, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(r.Body)
+	g = gathered{code: r.StatusCode, head: r.Header, err: err}
+	if g.code != 200 {
+		g.result = gjson.ParseBytes(text)
+		return g
+	}
+	g.rows = strings.Fields(string(text))
+	g.result = gjson.Parse(r.Trailer.Get(hdrResult))
+	return g
+}
+
+func (w *spread) dial() net.Conn {
+	nc, err := net.Dial("tcp", w.address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { nc.Close() })
+	return nc
+}
+
+func (w *spread) read(path, plan string, patience time.Duration, more ...string) gathered {
+	w.t.Helper()
+	nc := w.dial()
+	defer nc.Close()
+	w.ask(nc, "GET", path, plan, patience, more...)
+	return take(w.t, bufio.NewReader(nc))
+}
+
+func (w *spread) flat(shards ...int) (rows []string) {
+	for _, r := range w.rows.Flat(shards, storage.Flat{Keep: "all"}) {
+		rows = append(rows, string(r))
+	}
+	return rows
+}
+
+// quiet waits until nothing of any read is left.
+func (w *spread) quiet() {
+	w.t.Helper()
+	waitFor(w.t, func() bool { x := w.core.Tables(); return x.Requests == 0 && w.svc.Reads.In() == 0 })
+}
+
+const (
+	wholeRules = `{"order":[{"key":"k","type":"integer"}]}`
+	anyRules   = `{"order":[{"key":"k","type":"integer"}],"complete":{"need":"best-effort"}}`
+	all        = "X-Gather: all"
+)
+
+// Over sockets the rows are the flat merge's, with its result in the trailer, also of long bodies and over several
+// requests of one connection; a part is asked with its shard, units and id.
+func TestGatheredIsTheFlatMerge(t *testing.T) {
+	w := newSpread(t, wholeRules, storage.Rows{Seed: 3, Count: 3000, Shared: 0.2, Same: 1, Pad: 60})
+	nc := w.dial()
+	br := bufio.NewReader(nc)
+	for _, c := range []struct {
+		gather string
+		shards []int
+	}{{"all", []int{0, 1, 2, 3}}, {"0, 2-3", []int{0, 2, 3}}, {"1", []int{1}}} {
+		id := w.ask(nc, "GET", "balance-read/x", "basic", time.Minute, "X-Gather: "+c.gather)
+		g := take(t, br)
+		if g.code != 200 || g.err != nil || !slices.Equal(g.rows, w.flat(c.shards...)) || g.result.Raw != `{"whole":true}` {
+			t.Fatalf("%s: %d %v, %d rows, %s", c.gather, g.code, g.err, len(g.rows), g.result)
+		}
+		for _, s := range c.shards {
+			if n := w.nodes[s].RowCounts(fmt.Sprintf("%s/%d/1", id, s)); n.Asked != 1 || n.Whole != 1 {
+				t.Errorf("%s: shard %d: %+v", c.gather, s, n)
+			}
+		}
+	}
+	w.quiet()
+	// Without the section the fields mean nothing: the request is one of its shard.
+	w.srv.Gather(nil)
+	nc2 := w.dial()
+	w.ask(nc2, "GET", "balance-read/x?shard=-1", "basic", time.Minute, all)
+	if g := take(t, bufio.NewReader(nc2)); g.code != 200 || len(g.rows) != 1 || len(g.head["Trailer"]) > 0 {
+		t.Errorf("off: %+v", g)
+	}
+}
+
+func TestGatheredPages(t *testing.T) {
+	w := newSpread(t, `{"order":[{"key":"k","type":"integer"}],"truncate":{"top":300}}`, storage.Rows{Seed: 4, Count: 200})
+	var rows []string
+	more := []string{all}
+	for pages := 0; pages < 4; pages++ {
+		g := w.read("balance-read", "basic", time.Minute, more...)
+		if rows = append(rows, g.rows...); g.code != 200 || !g.result.Get("whole").Bool() {
+			t.Fatalf("%+v", g)
+		}
+		if g.result.Get("token").Str == "" {
+			break
+		}
+		more = []string{all, hdrToken + ": " + g.result.Get("token").Str}
+	}
+	if !slices.Equal(rows, w.flat(0, 1, 2, 3)) {
+		t.Errorf("%d rows", len(rows))
+	}
+	if g := w.read("balance-read", "basic", time.Minute, all, hdrToken+": "+"AAAA"); g.code != 400 || g.result.Get("code").Str != "gather-token-bad" || g.result.Get("advice").Str == "" {
+		t.Errorf("%+v", g)
+	}
+	w.quiet()
+}
+
+// A partial result merges into the same rows as its parts.
+func TestGatheredPartial(t *testing.T) {
+	w := newSpread(t, wholeRules, storage.Rows{Seed: 5, Count: 50})
+	m, err := gather.New(w.svc.Classes["balance-read"].Merge, []gather.Part{{ID: "a", Of: []string{"0", "3"}}, {ID: "b", Of: []string{"1", "2"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []string
+	for part, shards := range map[string]string{"a": "0,3", "b": "1-2"} {
+		nc := w.dial()
+		w.ask(nc, "GET", "balance-read", "basic", time.Minute, "X-Gather: "+shards, hdrPartial+": 1")
+		r, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(r.Body)
+		if err = errors.Join(err, m.Add(part, 1, text), m.End(part, 1, nil)); err != nil || r.Trailer.Get(hdrResult) == "" {
+			t.Fatal(err, r.Trailer)
+		}
+		if nc2 := w.dial(); true { // ten rows, and word that there are more
+			w.ask(nc2, "GET", "balance-read", "basic", time.Minute, "X-Gather: "+shards, hdrPartial+": 1", hdrRows+": 10")
+			r, err := http.ReadResponse(bufio.NewReader(nc2), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			begin, err := io.ReadAll(r.Body)
+			if err != nil || !bytes.HasPrefix(text, begin) || len(begin) == len(text) || !gjson.Get(r.Trailer.Get(hdrResult), "limited").Bool() {
+				t.Errorf("%v, %d of %d bytes, %s", err, len(begin), len(text), r.Trailer.Get(hdrResult))
+			}
+		}
+	}
+	for row, ok := m.Next(); ok; row, ok = m.Next() {
+		rows = append(rows, string(row))
+	}
+	if !m.Result().Whole || !slices.Equal(rows, w.flat(0, 1, 2, 3)) {
+		t.Errorf("%d rows, %+v", len(rows), m.Result())
+	}
+	w.quiet()
+}
+
+// What cannot be is told before the first row, with code and advice; nothing is asked.
+func TestGatheredBefore(t *testing.T) {
+	w := newSpread(t, wholeRules, storage.Rows{Seed: 6, Count: 10})
+	for _, c := range []struct {
+		what, method, path, plan string
+		more                     []string
+		code                     int
+		says                     string
+	}{
+		{"write", "PUT", "balance-read", "basic", []string{all, "Content-Length: 0"}, 400, "scatter-not-read"},
+		{"class without rules", "GET", "new-record", "basic", []string{all, "Idempotency-Key: k"}, 400, "scatter-no-rules"},
+		{"no shard", "GET", "balance-read", "basic", []string{"X-Gather: 0,x"}, 400, "scatter-shards-bad"},
+		{"range", "GET", "balance-read", "basic", []string{"X-Gather: 3-1"}, 400, "scatter-shards-bad"},
+		{"not there", "GET", "balance-read", "basic", []string{"X-Gather: 8"}, 400, "scatter-shards-bad"},
+		{"twice", "GET", "balance-read", "basic", []string{"X-Gather: 1,1"}, 400, "gather-parts-bad"},
+		{"field twice", "GET", "balance-read", "basic", []string{all, all}, 400, "scatter-not-read"},
+		{"plan", "GET", "balance-read", "other", []string{all}, 404, "gather-incomplete"},
+	} {
+		nc := w.dial()
+		w.ask(nc, c.method, c.path, c.plan, time.Minute, c.more...)
+		g := take(t, bufio.NewReader(nc))
+		if g.code != c.code || g.result.Get("code").Str != c.says || g.result.Get("advice").Str == "" {
+			t.Errorf("%s: %+v", c.what, g)
+		}
+	}
+	for _, n := range w.nodes {
+		if c := n.Counts(); c.Requests > 0 {
+			t.Errorf("a node was asked: %+v", c)
+		}
+	}
+	// One never answers: late by its own deadline, and the part is called off.
+	w.nodes[2].SetRows(storage.RowFault{Late: time.Hour})
+	if g := w.read("balance-read", "basic", 500*time.Millisecond, all); g.code != 504 && g.code != 503 || fmt.Sprint(g.result.Get("missing")) != "[2]" {
+		t.Errorf("%+v", g)
+	}
+	w.quiet()
+	// All nodes full: refused, with a time to come back.
+	for _, n := range w.nodes {
+		n.Drain(true)
+	}
+	if g := w.read("balance-read", "basic", time.Minute, all); g.code != 503 || g.head.Get("Retry-After") == "" || g.result.Get("code").Str != "scatter-refused" ||
+		len(g.result.Get("missing").Array()) == 0 {
+		t.Errorf("%+v", g)
+	}
+	w.quiet()
+}
+
+// After the first rows: what ends with a result has it, and names the part that was cut beyond what is held of it.
+func TestGatheredAfter(t *testing.T) {
+	w := newSpread(t, anyRules, storage.Rows{Seed: 7, Count: 400, Pad: 400})
+	w.nodes[1].SetRows(storage.RowFault{After: 300, Cut: true})
+	for i, class := range []string{"balance-read", "once"} { // asked again; not safe to repeat
+		g := w.read(class, "basic", time.Minute, all)
+		if g.code != 200 || g.err != nil || fmt.Sprint(g.result.Get("cut")) != "[1]" || g.result.Get("whole").Bool() || len(g.rows) < 3*400+100 {
+			t.Errorf("%s: %d %v %d rows, %s", class, g.code, g.err, len(g.rows), g.result)
+		}
+		if n := w.nodes[1].RowCounts(""); n.Cut != 2+i {
+			t.Errorf("%s: %+v", class, n)
+		}
+	}
+	w.quiet()
+}
+
+func TestGatheredClientGone(t *testing.T) {
+	for what, f := range map[string]storage.RowFault{"before the first row": {Late: time.Hour}, "in long bodies": {After: 300, Stop: 2 * time.Second}} {
+		t.Run(what, func(t *testing.T) {
+			w := newSpread(t, anyRules, storage.Rows{Seed: 7, Count: 400, Pad: 400})
+			for _, n := range w.nodes {
+				n.SetRows(f)
+			}
+			gone := func(count func(storage.RowCounts) int) (n int) {
+				for _, x := range w.nodes {
+					n += count(x.RowCounts(""))
+				}
+				return n
+			}
+			nc := w.dial()
+			w.ask(nc, "GET", "balance-read", "basic", time.Minute, all)
+			// AtOnce of them are out.
+			waitFor(t, func() bool { return gone(func(c storage.RowCounts) int { return c.Late + c.Stopped }) >= 3 })
+			nc.Close()
+			w.quiet()
+			waitFor(t, func() bool { return gone(func(c storage.RowCounts) int { return c.Gone }) >= 3 })
+		})
+	}
+}
+
+// A slow client holds the nodes up, and holds no more than its own read; one read more than the gate allows is refused at once.
+func TestGatheredBackPressure(t *testing.T) {
+	w := newSpread(t, `{"order":[{"key":"k","type":"integer"}],"records":{"max_bytes":4096},"memory":{"bytes":65536}}`,
+		storage.Rows{Seed: 8, Count: 10000, Pad: 2000})
+	nc := w.dial()
+	w.svc.PartMost = 64 << 20
+	br := bufio.NewReader(nc)
+	w.ask(nc, "GET", "balance-read", "basic", time.Minute, all)
+	if _, err := br.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	sent := func() (n int) {
+		for _, x := range w.nodes {
+			n += x.RowCounts("").Rows
+		}
+		return n
+	}
+	for was := -1; was != sent(); time.Sleep(100 * time.Millisecond) { // until they stand still
+		was = sent()
+	}
+	if whole := gatherShards * 10000; sent() > whole*3/4 {
+		t.Errorf("%d rows of %d were sent to a client that takes nothing", sent(), whole)
+	}
+	w.svc.Reads.Set(1)
+	if g := w.read("balance-read", "basic", time.Minute, "X-Gather: 0"); g.code != 503 || g.head.Get("Retry-After") == "" {
+		t.Errorf("%+v", g)
+	}
+	g := take(t, br)
+	if g.err != nil || !g.result.Get("whole").Bool() || len(g.rows) != gatherShards*10000 {
+		t.Errorf("%v, %d rows, %s", g.err, len(g.rows), g.result)
+	}
+	w.quiet()
+}
+
+// The volume's limit counts every part; a shard of which the only node drains or is out by hand is not read.
+func TestGatheredKeepsTheRules(t *testing.T) {
+	w := newSpread(t, anyRules, storage.Rows{Seed: 9, Count: 10})
+	// 2 units a part, 10 a second and 8 at once allowed: the parts of all reads together keep to it, and what is over is named.
+	missing := 0
+	for range 4 {
+		g := w.read("balance-read", "small", 300*time.Millisecond, all)
+		missing += len(g.result.Get("missing").Array())
+	}
+	if missing == 0 {
+		t.Error("32 units within a second or two, and nothing was missing")
+	}
+	w.quiet()
+	var at []time.Time
+	for _, n := range w.nodes {
+		for _, a := range n.Attempts() {
+			at = append(at, a.First)
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	for i := range at {
+		for j := i; j < len(at); j++ {
+			if drew, may := 2*float64(j-i+1), 8+10*at[j].Sub(at[i]).Seconds(); drew > may+max(2, 0.1*may)+0.5 {
+				t.Fatalf("%v units within %v", drew, at[j].Sub(at[i]))
+			}
+		}
+	}
+	ran := func(i int) int { return w.nodes[i].Counts().Requests }
+	w.listed[1].State = choice.NodeDraining
+	w.core.List(core.News{Kind: choice.ListChange, Nodes: w.listed[1:2]})
+	if _, err := w.core.Exclude("n2"); err != nil {
+		t.Fatal(err)
+	}
+	was1, was2 := ran(1), ran(2)
+	if g := w.read("balance-read", "basic", time.Minute, all); g.code != 200 || !slices.Equal(g.rows, w.flat(0, 3)) || !g.result.Get("whole").Bool() {
+		t.Errorf("%+v", g)
+	}
+	if g := w.read("balance-read", "basic", 500*time.Millisecond, "X-Gather: 0-3"); fmt.Sprint(g.result.Get("missing")) != "[1,2]" {
+		t.Errorf("%+v", g)
+	}
+	if ran(1) != was1 || ran(2) != was2 {
+		t.Error("a node that drains, or is out by hand, was asked")
+	}
+	w.quiet()
+}
+
+// A server that stops answers a gathered read whole.
+func TestGatheredShutdown(t *testing.T) {
+	w := newSpread(t, wholeRules, storage.Rows{Seed: 10, Count: 300})
+	w.nodes[0].SetRows(storage.RowFault{After: 100, Never: true})
+	nc := w.dial()
+	w.ask(nc, "GET", "balance-read", "basic", time.Minute, all)
+	waitFor(t, func() bool { return w.nodes[0].RowCounts("").Never == 1 })
+	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+	defer stop()
+	down := make(chan error, 1)
+	go func() { down <- w.srv.Shutdown(ctx) }()
+	select {
+	case err := <-down:
+		t.Fatalf("it went with a read open: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	w.nodes[0].SetRows(storage.RowFault{})
+	if g := take(t, bufio.NewReader(nc)); g.err != nil || !slices.Equal(g.rows, w.flat(0, 1, 2, 3)) || !g.result.Get("whole").Bool() {
+		t.Errorf("%+v", g.result)
+	}
+	if err := errors.Join(<-down, <-w.served); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -749,6 +749,7 @@
 		}
 		return whole
 	})
+	rep.relay.cut = func() { c.nc.Close() }
 	return rep, nil
 }
 
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -28,6 +28,8 @@
 	client net.Conn              // whose write deadline each piece moves on; nil: none
 	finish func(whole bool) bool // tells whether the connection may carry another
 	once   sync.Once
+	mu     sync.Mutex
+	cut    func() // closes the node's connection; nil once the relay is closed
 	done   chan bool
 	back   chan struct{} // the connection is its node actor's again
 	out    bool          // handed on: its connection waits for it
@@ -67,6 +69,9 @@
 // once the node actor has the connection back, so that the next send finds it free.
 func (r *relay) Close() error {
 	r.once.Do(func() {
+		r.mu.Lock()
+		r.cut = nil // the connection is its node actor's from here
+		r.mu.Unlock()
 		r.done <- r.finish(r.whole)
 		if r.out {
 			<-r.back
@@ -75,6 +80,15 @@
 	return nil
 }
 
+// Cut ends a Read that is under way in another goroutine; the relay is closed all the same.
+func (r *relay) Cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut != nil {
+		r.cut()
+	}
+}
+
 // handOut marks the relay as given to the core; its connection's goroutine waits for it.
 func (r *relay) handOut() { r.out = true }
 
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -15,6 +15,7 @@
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/scatter"
 	"wheatsaddle/internal/sock"
 )
 
@@ -40,6 +41,8 @@
 	// is counted.
 	Bodies *semaphore.Weighted
 	keep   atomic.Bool // some connections free
+
+	gathered atomic.Pointer[scatter.Service] // nil: reads are not gathered
 }
 
 // NewServer makes the front; conns caps the clients' connections.
@@ -183,6 +186,10 @@
 		}
 		return
 	}
+	if svc := s.gathered.Load(); svc != nil && len(ctx.Request.Header.Peek(hdrGather)) > 0 {
+		s.gather(ctx, r, svc)
+		return
+	}
 	conn := ctx.Conn().(*sock.Conn) // Serve wraps its listener
 	left := conn.Watch()
 	s.Core.Submit(r)
@@ -243,18 +250,22 @@
 		wait := max(a.RetryAfter, retryLeast)
 		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	case core.Failed:
-		code := fasthttp.StatusBadGateway
-		switch a.Cause {
-		case core.CauseBad:
-			code = fasthttp.StatusBadRequest
-		case core.CauseUnknown:
-			code = fasthttp.StatusNotFound
-		case core.CauseTwice:
-			code = fasthttp.StatusConflict
-		case core.CauseLate:
-			code = fasthttp.StatusGatewayTimeout
-		}
-		ctx.SetStatusCode(code)
+		ctx.SetStatusCode(failedAs(a.Cause))
 		ctx.SetBodyString(a.Cause)
 	}
 }
+
+// failedAs is the code of a failed request.
+func failedAs(cause string) int {
+	switch cause {
+	case core.CauseBad:
+		return fasthttp.StatusBadRequest
+	case core.CauseUnknown:
+		return fasthttp.StatusNotFound
+	case core.CauseTwice:
+		return fasthttp.StatusConflict
+	case core.CauseLate:
+		return fasthttp.StatusGatewayTimeout
+	}
+	return fasthttp.StatusBadGateway
+}
--- a/internal/scatter/service.go
+++ b/internal/scatter/service.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	partsMost = 1024                   // of one read
-	busyWait  = 50 * time.Millisecond  // of a read over Most
-	noneWait  = 250 * time.Millisecond // of a read of all shards while none has an up node
+	busyWait = 50 * time.Millisecond  // of a read over Most
+	noneWait = 250 * time.Millisecond // of a read of all shards while none has an up node
 )
 
 // Query is what a client asks of a gathered read.
@@ -36,12 +35,12 @@
 	Tree    Grouper                                    // nil: each part is asked by this process
 	Expect  func(class string, shards []int) []float64 // how long each takes, in any unit; nil, or nil given: not known
 	Units   float64                                    // of a part; 0: the client's
-	// PartMost bounds the bytes of a part's body.
-	PartMost int
-	Reads    *Gate // reads at once
-	TokenKey []byte
-	Payload  func(client, part *core.Request, rows int) any // what the nodes' front sends for a part; rows from its start, 0 all
-	Body     func(any) Body                                 // of what it made of the node's answer
+	// PartMost bounds the bytes of a part's body, PartsMost the parts of a read.
+	PartMost, PartsMost int
+	Reads               *Gate // reads at once
+	TokenKey            []byte
+	Payload             func(client, part *core.Request, rows int) any // what the nodes' front sends for a part; rows from its start, 0 all
+	Body                func(any) Body                                 // of what it made of the node's answer
 }
 
 // Grouper hands groups of parts to others that gather them, and may give them back to be gathered here.
@@ -102,8 +101,8 @@
 			return Final{Kind: Refused, RetryAfter: noneWait}
 		}
 	}
-	if len(shards) > partsMost {
-		return Final{Kind: Invalid, Err: &ShardsBad{strconv.Itoa(len(shards)) + " shards", "are more than " + strconv.Itoa(partsMost)}}
+	if len(shards) > s.PartsMost {
+		return Final{Kind: Invalid, Err: &ShardsBad{strconv.Itoa(len(shards)) + " shards", "are more than " + strconv.Itoa(s.PartsMost)}}
 	}
 	parts := s.parts(r.Class, shards)
 	own := s.own(r, r.ID)
--- a/internal/scatter/service_test.go
+++ b/internal/scatter/service_test.go
@@ -20,7 +20,7 @@
 func (w *world) service(t *testing.T, more string, long bool) *Service {
 	t.Helper()
 	rules := Rules{Merge: mergeRules(t, "all", more), Share: 0.2, AtOnce: 2, Safe: true, Again: 2}
-	s := &Service{Core: w.c, Classes: map[string]Rules{"read": rules}, Reads: &Gate{}, Units: 1, PartMost: 1 << 20,
+	s := &Service{Core: w.c, Classes: map[string]Rules{"read": rules}, Reads: &Gate{}, Units: 1, PartMost: 1 << 20, PartsMost: 8,
 		Shards:  func() []int { return []int{0, 1, 2, 3} },
 		Payload: func(_, _ *core.Request, _ int) any { return nil },
 		Body: func(x any) Body {
@@ -140,7 +140,7 @@
 	invalid("class", "scatter-no-rules", read(Query{All: true}, "other"))
 	invalid("twice", "gather-parts-bad", read(Query{Shards: []int{1, 1}}, "read"))
 	invalid("none", "gather-parts-bad", read(Query{}, "read"))
-	invalid("too many", "scatter-shards-bad", read(Query{Shards: make([]int, partsMost+1)}, "read"))
+	invalid("too many", "scatter-shards-bad", read(Query{Shards: make([]int, 9)}, "read"))
 	invalid("token", "gather-token-bad", read(Query{All: true, Token: "x"}, "read"))
 
 	// One is in: the next is refused at once, and asks nothing.
