Site section gather: rules by class, checked whole, taken at SIGHUP or not at all

Rules inline or in a file, share, at_once, again, silent_ms, part_bytes_most, parts_most, reads_at_once, part_units, token_key_file; each has a default and an error names the key. At SIGHUP bad rules are logged with code and advice, and the ones before count. Where estimate and peers are on, the shards expected to take longest are asked first; at most one estimate a second and class.

go test -run 'Gather|Expectation' ./cmd/wheatsaddle: nine bad sections named by their key; rules changed and kept over three SIGHUPs.

--- a/cmd/wheatsaddle/estimate.go
+++ b/cmd/wheatsaddle/estimate.go
@@ -22,17 +22,7 @@
 	if set == nil {
 		return nil
 	}
-	var names []string
-	for _, k := range conf.Settings.Classes {
-		names = append(names, k.Name)
-	}
-	s := cost.Defaults(names...)
-	s.Shards, s.Prices, s.Doubt, s.Limits = conf.Settings.Shards, set.Prices, set.Doubt, map[string]cost.Rate{}
-	for _, p := range conf.Settings.Plans {
-		if p.Limit > 0 {
-			s.Limits[p.Name] = cost.Rate{PerSecond: p.Limit, Burst: p.LimitBurst}
-		}
-	}
+	s := costSettings(set, conf)
 	return operator.NewEstimate(func(body []byte) ([]byte, error) {
 		begin := time.Now()
 		plans, deadline, err := cost.ParsePlans(body)
@@ -57,3 +47,19 @@
 		return r.JSON()
 	}, set.BytesMost, set.AtOnce)
 }
+
+// costSettings are the estimator's, with the classes, shards and limits of the configuration.
+func costSettings(set *config.SiteEstimate, conf *config.Config) cost.Settings {
+	var names []string
+	for _, k := range conf.Settings.Classes {
+		names = append(names, k.Name)
+	}
+	s := cost.Defaults(names...)
+	s.Shards, s.Prices, s.Doubt, s.Limits = conf.Settings.Shards, set.Prices, set.Doubt, map[string]cost.Rate{}
+	for _, p := range conf.Settings.Plans {
+		if p.Limit > 0 {
+			s.Limits[p.Name] = cost.Rate{PerSecond: p.Limit, Burst: p.LimitBurst}
+		}
+	}
+	return s
+}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -91,6 +91,9 @@
 		if err = mayPeer(at, conf.Settings); err != nil {
 			return err
 		}
+		if err = mayGather(at, conf); err != nil {
+			return err
+		}
 	}
 	if file := c.String("iscsi"); file != "" {
 		if _, err = config.LoadISCSI(file, conf.Settings); err != nil {
@@ -240,6 +243,10 @@
 	}
 	srv := httpfront.NewServer(co, conf.Settings, clients, log)
 	srv.Bodies = semaphore.NewWeighted(int64(conf.MemoryMB) << 20 / bodyShare)
+	gathered, err := startGather(at, conf, co, srv, others.views())
+	if err != nil {
+		return err
+	}
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(ln, clients) }()
 	serving.Store(true)
@@ -253,6 +260,7 @@
 				co.Counts().Loaded(taken)
 				held = next
 				at.reload()
+				gathered.reload(at.held, held)
 				blocks.reload(conf, log)
 			case <-ctx.Done():
 				return
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -30,6 +30,7 @@
 type Site struct {
 	Addresses *SiteAddresses
 	Estimate  *SiteEstimate
+	Gather    *SiteGather
 	Listen    map[string][]Listener // by front: http, iscsi
 	Metrics   *Listener             // where counts are served; nil: nowhere
 	Peers     *SitePeers
@@ -130,6 +131,11 @@
 	if r.root.Get("estimate").Exists() {
 		s.Estimate = siteEstimate(r)
 	}
+	if r.root.Get("gather").Exists() {
+		if s.Gather, err = siteGather(r); err != nil {
+			return nil, err
+		}
+	}
 	if v := r.root.Get("start"); v.Exists() {
 		s.Start = &SiteStart{On: !v.Get("on").Exists() || v.Get("on").Bool(), Snapshot: r.text("start.snapshot", ""),
 			ListPriced: v.Get("list_priced").Bool(), ListMost: r.num("start.list_calls_per_second", 40, 0)}
