scatter: when a group is taken over by the next peer, and by the process itself

At most two are out: the one heard longest ago gives way. The last is the process itself, also right after a peer that lost parts. Ask has Peer; Gather a state for groups; parts count alone against AtOnce.

--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -4,7 +4,7 @@
 // Invariants:
 //
 //	S1  One final answer; it does not change, and nothing is asked after it.
-//	S2  Nothing is asked while AtOnce askings are out; one whose bytes wait for room does not count.
+//	S2  No part is asked while AtOnce askings of parts are out; one whose bytes wait for room does not count.
 //	S3  Nothing is asked once the parts' time (the client's less the share for the merge) is past.
 //	S4  A part that may have run is asked again only where the class is safe to repeat.
 //	S5  A part is asked at most 1+Again times, and where it stopped at a limit at most moreMost times more.
@@ -48,6 +48,7 @@
 	Copy  int           // grows from 1 in each part
 	Until time.Duration // the part's deadline, from the arrival of the client's request
 	Rows  int           // rows from its start; 0 is all
+	Peer  string        // of a group: who is asked; "": the process itself
 }
 
 // Action is an asking that goes out, or is called off.
@@ -83,6 +84,7 @@
 	at   int64         // bytes taken
 	last time.Duration // when it last said something
 	held bool          // some of it waits for room
+	due  time.Duration // of a group: its share of the time is over
 }
 
 type part struct {
@@ -98,6 +100,7 @@
 	over    bool          // it is whole or given up
 	notYet  time.Duration // its Retry-After
 	why     error
+	group   *handed // nil: asked by the process itself
 }
 
 type fault uint8 // what a test takes away, to see that its loss is found
@@ -134,6 +137,8 @@
 	most     int  // of a partial result: rows after which it ends; 0: none
 	rows     int  // of a partial result
 	fault    fault
+	tree     TreeRules
+	treeBad  treeFault
 }
 
 // New begins a gathered read whose client waits for patience. Errors: *RulesBad and those of gather.New.
@@ -224,6 +229,7 @@
 	p.ran = true
 	p.limited = errors.As(err, new(*gather.Limited))
 	p.last = hopeless(err)
+	g.heard(p, err)
 	if bad := g.m.End(id, no, err); bad != nil {
 		err = bad
 	} else if err == nil {
@@ -378,6 +384,10 @@
 		g.drop(p, why)
 		return
 	}
+	if p.group != nil {
+		g.handOn(now, p, d)
+		return
+	}
 	if len(p.live) > 0 {
 		a := &p.live[0]
 		if g.r.Silent == 0 || len(p.live) >= copyMost || a.held || !g.may(p) || !g.r.Safe {
@@ -437,9 +447,12 @@
 	g.actions = append(g.actions, Action{Ask: a})
 }
 
-// out is how many askings may bring something.
+// out is how many askings may bring something; groups count by themselves.
 func (g *Gather) out() (n int) {
 	for _, p := range g.parts {
+		if p.group != nil {
+			continue
+		}
 		for _, a := range p.live {
 			if !a.held {
 				n++
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -76,7 +76,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	// Each asking sends one end, so that none blocks.
-	ends := make(chan ending, len(g.parts)*(1+g.r.Again+moreMost))
+	ends := make(chan ending, len(g.parts)*(1+max(g.r.Again, copiesMost)+moreMost))
 	pieces := make(chan piece)
 	write, wrote := make(chan []byte), make(chan error, 1)
 	defer close(write)
--- a/internal/scatter/tree.go
+++ b/internal/scatter/tree.go
@@ -22,9 +22,9 @@
 //	T4  A peer that failed is not asked before its rest is over, which grows with each failure up to RestMost; one that
 //	    refused not before its Retry-After.
 //	T5  After a failure's rest a peer is asked for one group at a time, a trial, and for more only after a good one.
-//	T6  The last copy is the process itself: it is asked as soon as no peer is left to ask, or one has lost parts, and it is
-//	    asked before the last of 1+Copies equal shares of the time, however silent or slow the peers are.
-//	T7  At most two copies of a group are out; a silent or slow one is left by the next within its share of the time.
+//	T6  The last copy is the process itself: it is asked once no copy is out and no peer is left, or one has lost parts; and
+//	    before the last of 1+Copies equal shares of the time, however slow the peers are, unless what they brought waits for the merge.
+//	T7  At most two copies of a group are out. While one is left to ask, it is asked when the newest was silent for Silent.
 //	T8  The same seed and events make the same decisions.
 
 const (
@@ -132,6 +132,8 @@
 	treeNoSelf
 	treeThree
 	treePatient
+	treeSilent
+	treeLost
 	treeClock
 )
 
--- /dev/null
+++ b/internal/scatter/tree_group_test.go
@@ -0,0 +1,267 @@
+package scatter
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wheatsaddle/gather"
+)
+
+// partialOf is the whole partial result of a group, whose parts hold what body says.
+func partialOf(t interface{ Fatal(...any) }, r *gather.Rules, group []gather.Part, parts, rows int) []byte {
+	m, err := gather.New(r, group)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text []byte
+	left := make([][]byte, len(group))
+	for i, p := range group {
+		left[i] = body(p.Shard, parts, rows)
+	}
+	for done := false; !done; {
+		for i, p := range group {
+			for _, d := range m.Want() {
+				if n := min(d.Bytes, len(left[i])); d.Part == p.ID && len(left[i]) > 0 {
+					if err := m.Add(p.ID, 1, left[i][:n]); err != nil {
+						t.Fatal(err)
+					}
+					left[i] = left[i][n:]
+				}
+			}
+			if len(left[i]) == 0 {
+				_ = m.End(p.ID, 1, nil)
+			}
+		}
+		text, done = m.AppendPartial(text, 0)
+	}
+	return text
+}
+
+// copyOut is a copy of a group, or an own part, that is under way.
+type copyOut struct {
+	Ask
+	text []byte
+	at   int
+	fate string
+	from time.Duration
+	last time.Duration // it brought something
+	held bool
+}
+
+// playTree drives a Gather with groups through a random world and says which invariant it broke.
+func playTree(t *rapid.T, f treeFault) string {
+	const total, until = 400 * ms, 300 * ms
+	parts := rapid.IntRange(4, 14).Draw(t, "parts")
+	rows := rapid.IntRange(0, 40).Draw(t, "rows")
+	set := treeRules(rapid.IntRange(1, 4).Draw(t, "peers"))
+	set.Copies = rapid.IntRange(1, 3).Draw(t, "copies")
+	r := Rules{Share: 0.25, AtOnce: rapid.IntRange(1, 4).Draw(t, "atOnce"), Safe: true}
+	cut := rapid.SampledFrom([]string{"", "", `,"truncate":{"top":30}`}).Draw(t, "cut")
+	var err error
+	if r.Merge, err = gather.ParseRules([]byte(`{"order":[{"key":"n","type":"integer"}],"complete":{"need":"best-effort"},
+		"records":{"max_bytes":64},"memory":{"bytes":8192}` + cut + `}`)); err != nil {
+		t.Fatal(err)
+	}
+	book, err := NewBook(set, rapid.Uint64().Draw(t, "seed"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan := book.Split(0, leaves(parts), true, false)
+	g, err := NewTree(r, set, total, plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.treeBad = f
+	stall := rapid.SampledFrom([]time.Duration{total, total, 0, 60 * ms}).Draw(t, "stall") // the client takes no more
+	byID := map[string]Group{}
+	whole := map[string][]byte{}
+	for _, x := range plan.Groups {
+		byID[x.ID] = x
+		whole[x.ID] = partialOf(t, r.Merge, x.Parts, parts, rows)
+	}
+	var outs []*copyOut
+	self, peers, over := map[string]bool{}, map[string]int{}, map[string]bool{}
+	lost, failed, slack := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	var got []string
+	for now := time.Duration(0); ; now += 5 * ms {
+		for range 12 {
+			for now < stall {
+				row, ok := g.Next()
+				if !ok {
+					break
+				}
+				got = append(got, string(row))
+			}
+			for _, a := range g.Step(now) {
+				id := a.Part.ID
+				x, isGroup := byID[id]
+				if a.Off {
+					outs = slices.DeleteFunc(outs, func(o *copyOut) bool { return o.Part.ID == id && o.Copy == a.Copy })
+					continue
+				}
+				o := &copyOut{Ask: a.Ask, fate: "whole", from: now, last: now}
+				if !isGroup {
+					o.text = body(a.Part.Shard, parts, rows)
+				} else {
+					o.text = whole[id]
+					if a.Peer == "" {
+						self[id] = true
+						o.fate = rapid.SampledFrom([]string{"whole", "whole", "whole", "refused"}).Draw(t, "own fate")
+					} else {
+						peers[id]++
+						o.fate = rapid.SampledFrom([]string{"whole", "failed", "cut", "silent", "silent", "slow", "slow", "lost"}).Draw(t, "fate")
+						if lost[id] {
+							return "T6: a peer after one that lost parts"
+						}
+					}
+					if peers[id] > len(x.Order) || a.Peer != "" && !slices.Contains(x.Order, a.Peer) {
+						return "T3"
+					}
+				}
+				outs = append(outs, o)
+				n := 0
+				for _, o := range outs {
+					if o.Part.ID == id {
+						n++
+					}
+				}
+				if isGroup && n > copyMost {
+					return "T7: three"
+				}
+			}
+			if g.Wake() > now {
+				break
+			}
+		}
+		final, done := g.Final()
+		if done {
+			if stall == total && cut == "" && !final.Result.Whole && !slices.Contains(slices.Collect(maps.Values(failed)), true) {
+				return "T6: not whole, though the process itself could have asked"
+			}
+			return checkTree(&final, got, byID, parts, rows, cut != "")
+		}
+		if now >= total {
+			return "S9"
+		}
+		for _, d := range g.m.Want() { // what was brought waits for the merge
+			slack[d.Part] = slack[d.Part] || !d.First && 2*d.Bytes <= 8192/(len(plan.Parts())+1)
+		}
+		for id := range byID {
+			k := slices.IndexFunc(outs, func(o *copyOut) bool { return o.Part.ID == id })
+			slack[id] = slack[id] || k >= 0 && slices.ContainsFunc(outs, func(o *copyOut) bool { return o.Part.ID == id && o.held })
+			// What waits for room is not late.
+			if over[id] || self[id] || slack[id] || stall < total || cut != "" || now >= until {
+				continue
+			}
+			if k < 0 {
+				return "T6: nobody is asked"
+			}
+			n := time.Duration(set.Copies)
+			if now > until*n/(n+1) {
+				return "T6: not asked in time"
+			}
+			if newest := outs[len(outs)-1-slices.IndexFunc(reversed(outs), func(o *copyOut) bool { return o.Part.ID == id })]; now > newest.last+set.Silent {
+				return "T7: silent, and nobody follows"
+			}
+		}
+		for _, o := range slices.Clone(outs) {
+			id := o.Part.ID
+			most := 64
+			if o.Peer == "" {
+				most = 4096
+			}
+			limit := len(o.text)
+			var end error
+			switch o.fate {
+			case "silent":
+				continue
+			case "slow":
+				most = 3
+			case "failed":
+				limit, end = 0, &PeerFailed{id, o.Peer, "gone"}
+			case "refused":
+				limit, end = 0, &Refusal{ms}
+			case "cut":
+				limit, end = len(o.text)*2/3, &PeerFailed{id, o.Peer, "cut"}
+			case "lost":
+				limit, end = len(o.text)/2, &PeerLost{id, o.Peer, "x"}
+			}
+			n := min(most, limit-o.at)
+			took := g.Take(now, id, o.Copy, o.text[o.at:o.at+n])
+			if o.held = took < n; took > 0 {
+				o.last = now
+			}
+			if o.at += took; o.at < limit || o.held {
+				continue
+			}
+			outs = slices.DeleteFunc(outs, func(x *copyOut) bool { return x == o })
+			lost[id] = lost[id] || o.fate == "lost"
+			over[id] = over[id] || end == nil
+			failed[id] = failed[id] || o.fate == "refused"
+			g.Ended(now, id, o.Copy, end)
+		}
+	}
+}
+
+func reversed[T any](s []T) []T { s = slices.Clone(s); slices.Reverse(s); return s }
+
+// checkTree: the rows are the flat merge's, or what is absent is named.
+func checkTree(f *Final, got []string, groups map[string]Group, parts, rows int, cut bool) string {
+	named := map[int]bool{}
+	for _, p := range f.Result.Parts {
+		named[p.Shard] = true
+	}
+	k := 0
+	for _, row := range got {
+		for ; row != fmt.Sprintf(`{"n":%d}`, k); k++ {
+			if k >= parts*rows || !named[shardOf(groups, k%parts)] && !named[k%parts] {
+				return "S8: " + row
+			}
+		}
+		k++
+	}
+	if f.Kind == Served && f.Result.Whole && !cut && len(got) != parts*rows {
+		return fmt.Sprintf("S8: %d of %d", len(got), parts*rows)
+	}
+	if f.Kind == Served && !f.Result.Whole && !cut && len(named) == 0 {
+		return "S8: not whole, nothing named"
+	}
+	return ""
+}
+
+// shardOf: the root knows the parts of a group by the group's shard.
+func shardOf(groups map[string]Group, shard int) int {
+	for _, x := range groups {
+		if slices.ContainsFunc(x.Parts, func(p gather.Part) bool { return p.Shard == shard }) {
+			return x.Shard
+		}
+	}
+	return shard
+}
+
+func TestTakeOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if broken := playTree(t, treeSound); broken != "" {
+			t.Fatal(broken)
+		}
+	})
+}
+
+func TestTakeOverMutationsAreFound(t *testing.T) {
+	for f, want := range map[treeFault]string{treeNoSelf: "T6", treePatient: "T6", treeThree: "T7", treeSilent: "T7", treeLost: "T6"} {
+		gen, found := rapid.Custom(func(t *rapid.T) string { return playTree(t, f) }), map[string]int{}
+		for seed := 0; seed < 3000 && found[want] == 0; seed++ {
+			if b := gen.Example(seed); b != "" {
+				found[b[:2]]++
+			}
+		}
+		if found[want] == 0 {
+			t.Errorf("fault %d: %s is not found lost: %v", f, want, found)
+		}
+	}
+}
