scatter: groups are asked of peers over HTTP, or gathered by the process itself

The driver of the tree (tree_ask.go): a group goes to a peer's clients' address with X-Gather-Partial, its body is read as it comes, checked, and given on as the merge has room; Off closes the connection; connections to a peer are bounded. The process's own copy is a nested Run that writes its partial result. What each asking showed of its peer goes into the book; a peer set aside is logged with code and advice.

A client's going ends all, and blames nobody.

--- a/internal/scatter/tree.go
+++ b/internal/scatter/tree.go
@@ -272,6 +272,14 @@
 	}
 }
 
+// fails of a peer since it was good.
+func (b *Book) fails(peer string) int {
+	if p := b.find(peer); p != nil {
+		return p.fails
+	}
+	return 0
+}
+
 // Done says that a read is over: a trial of it that nobody judged may come again.
 func (b *Book) Done(plan Plan) {
 	for _, g := range plan.Groups {
--- /dev/null
+++ b/internal/scatter/tree_ask.go
@@ -0,0 +1,477 @@
+package scatter
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/gather"
+	"wheatsaddle/internal/operr"
+)
+
+const (
+	pieceMost    = 32 << 10 // of a peer's answer, read at once
+	retryDefault = time.Second
+	idRoom       = 16 // bytes that a group adds to an id
+)
+
+// Peer is another process of the fleet: its name, and the address that its clients use.
+type Peer struct{ Name, Address string }
+
+// TreeOptions make a Tree.
+type TreeOptions struct {
+	Rules     TreeRules // Peers are taken from Peers
+	Peers     []Peer
+	Seed      uint64
+	Conns     int   // to one peer at once
+	BytesMost int64 // of one group's partial result
+	IDMost    int   // bytes of an id that a peer takes
+	Log       logrus.FieldLogger
+}
+
+// TreeCounts are of all reads so far.
+type TreeCounts struct {
+	Handed    int // reads of which parts were handed on
+	Asked     int // copies of groups asked of peers
+	Good      int // ... that were whole, and first
+	Bad       int // ... that failed, were cut, nonsense, lost parts, or were passed by another copy
+	Refused   int
+	Own       int // copies of groups that the process asked itself
+	Nonsense  int
+	SetAside  int // peers that began to rest
+	Connected int // now
+}
+
+// Tree hands parts of gathered reads on to peers. It holds no rule: Book, handOn and partialCheck decide.
+type Tree struct {
+	opt   TreeOptions
+	start time.Time
+	mu    sync.Mutex
+	book  *Book
+	slots map[string]chan struct{}
+	addrs map[string]string
+	n     TreeCounts
+	stop  context.Context
+	end   context.CancelFunc
+	wg    sync.WaitGroup
+}
+
+// OpenTree makes it. Errors: *RulesBad.
+func OpenTree(opt TreeOptions) (*Tree, error) {
+	opt.Rules.Peers = nil
+	for _, p := range opt.Peers {
+		opt.Rules.Peers = append(opt.Rules.Peers, p.Name)
+	}
+	switch {
+	case opt.Conns < 1:
+		return nil, &RulesBad{"tree.connections", "is not a positive number"}
+	case opt.BytesMost < 1:
+		return nil, &RulesBad{"tree.group_bytes_most", "is not a positive number"}
+	}
+	book, err := NewBook(opt.Rules, opt.Seed)
+	if err != nil {
+		return nil, err
+	}
+	t := &Tree{opt: opt, start: time.Now(), book: book, slots: map[string]chan struct{}{}, addrs: map[string]string{}}
+	t.stop, t.end = context.WithCancel(context.Background())
+	for _, p := range opt.Peers {
+		t.slots[p.Name], t.addrs[p.Name] = make(chan struct{}, opt.Conns), p.Address
+	}
+	return t, nil
+}
+
+// Close calls off all that is out and waits for it.
+func (t *Tree) Close() {
+	t.end()
+	t.wg.Wait()
+}
+
+// Counts are those of now.
+func (t *Tree) Counts() TreeCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.n
+}
+
+// Standing of the peers now.
+func (t *Tree) Standing() []Standing {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.book.Standing(time.Since(t.start))
+}
+
+// TreeRead is one gathered read.
+type TreeRead struct {
+	Rules    Rules
+	Patience time.Duration
+	Parts    []gather.Part
+	Limited  bool                       // the client's plan has a limit
+	ID       string                     // the client's
+	Request  func(*fasthttp.Request)    // the client's, as it goes to a peer: all but id, deadline and the headers of the gather
+	Shards   func([]gather.Part) string // X-Gather of parts
+	Asker    func(id string) Asker      // asks parts under an id; of one gathered read
+	Opts     []gather.Option
+}
+
+// Read carries a gathered read out over the tree, or over the process alone, and returns its one final answer. Errors: those
+// of New.
+func (t *Tree) Read(ctx context.Context, q TreeRead, opt Options) (Final, error) {
+	t.mu.Lock()
+	plan := t.book.Split(time.Since(t.start), q.Parts, q.Rules.Safe && len(q.ID)+idRoom <= t.opt.IDMost, q.Limited)
+	if len(plan.Groups) > 0 {
+		t.n.Handed++
+	}
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		t.book.Done(plan)
+		t.mu.Unlock()
+	}()
+	g, err := NewTree(q.Rules, t.opt.Rules, q.Patience, plan, q.Opts...)
+	if err != nil {
+		return Final{}, err
+	}
+	a := &treeAsker{t: t, q: &q, plan: plan, own: q.Asker(q.ID), most: opt.PartMost, out: map[string][]*copyOf{}}
+	return a.flat(Run(ctx, g, a, opt)), nil
+}
+
+// treeAsker asks groups and parts of one read.
+type treeAsker struct {
+	t    *Tree
+	q    *TreeRead
+	plan Plan
+	own  Asker
+	most int
+	mu   sync.Mutex
+	out  map[string][]*copyOf // by group, in order of asking
+	wait time.Duration        // the longest Retry-After of the process's own copies
+	nest sync.WaitGroup       // of them
+}
+
+// copyOf is a copy of a group.
+type copyOf struct {
+	Ask
+	trial int
+	off   context.CancelFunc
+	over  bool // it ended, or is called off
+}
+
+func (a *treeAsker) group(id string) *Group {
+	for i := range a.plan.Groups {
+		if a.plan.Groups[i].ID == id {
+			return &a.plan.Groups[i]
+		}
+	}
+	return nil
+}
+
+// Ask implements Asker.
+func (a *treeAsker) Ask(x Ask, until time.Time, to *Sink) {
+	g := a.group(x.Part.ID)
+	if g == nil {
+		a.own.Ask(x, until, to)
+		return
+	}
+	ctx, off := context.WithDeadline(a.t.stop, until)
+	c := &copyOf{Ask: x, off: off}
+	if x.Peer != "" && x.Peer == g.Order[0] {
+		c.trial = g.Trial
+	}
+	a.mu.Lock()
+	a.out[x.Part.ID] = append(a.out[x.Part.ID], c)
+	a.mu.Unlock()
+	if x.Peer == "" {
+		a.nest.Add(1)
+	}
+	a.t.wg.Go(func() {
+		defer off()
+		if x.Peer == "" {
+			defer a.nest.Done()
+			a.t.count(func(n *TreeCounts) { n.Own++ })
+			a.nested(ctx, g, x, until, to)
+			return
+		}
+		a.t.count(func(n *TreeCounts) { n.Asked++ })
+		err, after := a.ask(ctx, g, x, until, to)
+		if ctx.Err() != nil && err != nil { // called off, or nobody was faster until its time was over
+			err = context.Canceled
+		}
+		a.judge(c, err, after)
+		to.End(nil, err)
+	})
+}
+
+// Off implements Asker.
+func (a *treeAsker) Off(x Ask) {
+	a.mu.Lock()
+	all, known := a.out[x.Part.ID]
+	for _, c := range all {
+		if c.Copy == x.Copy {
+			c.over = true
+			c.off()
+		}
+	}
+	a.mu.Unlock()
+	if !known {
+		a.own.Off(x)
+	}
+}
+
+// judge tells the book how a peer's asking ended; earlier ones that it passed were bad.
+func (a *treeAsker) judge(c *copyOf, err error, after time.Duration) {
+	a.mu.Lock()
+	called := c.over || errors.Is(err, context.Canceled)
+	c.over = true
+	var passed []*copyOf
+	good := err == nil || errors.As(err, new(*gather.Limited))
+	if good && !called {
+		for _, x := range a.out[c.Part.ID] {
+			if x.Copy < c.Copy && !x.over && x.Peer != "" {
+				x.over = true
+				passed = append(passed, x)
+			}
+		}
+	}
+	a.mu.Unlock()
+	for _, x := range passed {
+		a.t.heard(x.Peer, x.trial, PeerBad, 0, &PeerFailed{x.Part.ID, x.Peer, "passed by another"})
+	}
+	switch {
+	case c.Peer == "":
+	case called: // for its end, or for another's: nothing is known, or it is judged
+		a.t.heard(c.Peer, c.trial, PeerMoot, 0, nil)
+	case good:
+		a.t.heard(c.Peer, c.trial, PeerGood, 0, nil)
+	case after > 0:
+		a.t.heard(c.Peer, c.trial, PeerRefused, after, nil)
+	default:
+		a.t.heard(c.Peer, c.trial, PeerBad, 0, err)
+	}
+}
+
+// heard writes it into the book, and into the log where a peer begins to rest.
+func (t *Tree) heard(peer string, trial int, o Outcome, after time.Duration, err error) {
+	t.mu.Lock()
+	was := t.book.fails(peer)
+	t.book.Ended(time.Since(t.start), peer, trial, o, after)
+	is := t.book.fails(peer)
+	switch o {
+	case PeerGood:
+		t.n.Good++
+	case PeerBad:
+		t.n.Bad++
+	case PeerRefused:
+		t.n.Refused++
+	}
+	if errors.As(err, new(*PeerNonsense)) {
+		t.n.Nonsense++
+	}
+	if is > was {
+		t.n.SetAside++
+	}
+	t.mu.Unlock()
+	switch {
+	case was == 0 && is > 0:
+		t.opt.Log.WithFields(operr.Fields(err)).Warn("gather: a peer is set aside")
+	case was > 0 && is == 0:
+		t.opt.Log.WithField("peer", peer).Info("gather: a peer is asked again")
+	}
+}
+
+func (t *Tree) count(f func(*TreeCounts)) {
+	t.mu.Lock()
+	f(&t.n)
+	t.mu.Unlock()
+}
+
+// nested gathers a group on the process itself.
+func (a *treeAsker) nested(ctx context.Context, group *Group, x Ask, until time.Time, to *Sink) {
+	now := time.Now()
+	g, err := New(a.q.Rules, until.Sub(now), group.Parts)
+	if err != nil {
+		to.End(nil, err)
+		return
+	}
+	left, rows := x.Rows, 0
+	f := Run(ctx, g, a.q.Asker(a.id(x)), Options{Arrived: now, PartMost: a.most, Partial: true, Write: func(b []byte) error {
+		if x.Rows > 0 {
+			var n int
+			n, rows = rowsOf(b, left)
+			b, left = b[:n], left-rows
+		}
+		if len(b) > 0 && !to.Piece(b) || x.Rows > 0 && left == 0 {
+			return context.Canceled // enough, or not needed
+		}
+		return nil
+	}})
+	wait := time.Duration(0)
+	for _, p := range f.Result.Parts {
+		var ref *Refusal
+		if errors.As(p.Why, &ref) {
+			wait = max(wait, ref.After)
+		}
+	}
+	switch {
+	case x.Rows > 0 && left == 0:
+		err = &gather.Limited{}
+	case f.Kind != Served || f.Result.Err != nil:
+		if err = f.Result.Err; err == nil {
+			err = &OutOfTime{x.Part.ID}
+		}
+	}
+	a.mu.Lock()
+	a.wait = max(a.wait, wait)
+	a.mu.Unlock()
+	if err == nil || errors.As(err, new(*gather.Limited)) {
+		a.judge(a.find(x), err, 0)
+	}
+	to.End(nil, err)
+}
+
+func (a *treeAsker) find(x Ask) *copyOf {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.out[x.Part.ID] {
+		if c.Copy == x.Copy {
+			return c
+		}
+	}
+	return nil
+}
+
+func (a *treeAsker) id(x Ask) string { return fmt.Sprintf("%s/%s/%d", a.q.ID, x.Part.ID, x.Copy) }
+
+// flat makes the final answer what a flat merge's would be: parts by their own shards, and refused where all were refused.
+func (a *treeAsker) flat(f Final) Final {
+	shards := map[string]int{}
+	for _, p := range a.q.Parts {
+		shards[p.ID] = p.Shard
+	}
+	refused, wait := f.Kind == Short && f.Result.Rows == 0 && errors.As(f.Result.Err, new(*gather.Incomplete)), time.Duration(0)
+	if refused { // its own copies are called off, or have said all: they know how long
+		a.nest.Wait()
+	}
+	for i := range f.Result.Parts {
+		s := &f.Result.Parts[i]
+		s.Shard = shards[s.ID]
+		var ref *Refusal
+		var told *gather.Told
+		switch {
+		case errors.As(s.Why, &ref):
+			wait = max(wait, ref.After)
+		case errors.As(s.Why, &told) && told.Why == ref.Code():
+			wait = max(wait, a.wait)
+		default:
+			refused = false
+		}
+	}
+	if refused {
+		f.Kind, f.RetryAfter = Refused, wait
+	}
+	return f
+}
+
+// ask asks a peer for a group and gives its partial result on; after is the wait that it asked for, where it refused.
+func (a *treeAsker) ask(ctx context.Context, g *Group, x Ask, until time.Time, to *Sink) (err error, after time.Duration) {
+	t, q := a.t, a.q
+	failed := func(cause string) error { return &PeerFailed{g.ID, x.Peer, cause} }
+	select {
+	case t.slots[x.Peer] <- struct{}{}:
+	default: // not the peer's doing
+		return failed("no connection is free"), time.Millisecond
+	}
+	t.count(func(n *TreeCounts) { n.Connected++ })
+	defer func() {
+		t.count(func(n *TreeCounts) { n.Connected-- })
+		<-t.slots[x.Peer]
+	}()
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", t.addrs[x.Peer])
+	if err != nil {
+		return failed(err.Error()), 0
+	}
+	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	q.Request(req)
+	req.Header.Set("X-Request-Id", fmt.Sprintf("%s/%s/%d", q.ID, g.ID, x.Copy))
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, time.Until(until).Milliseconds()), 10))
+	req.Header.Set("X-Gather", q.Shards(g.Parts))
+	req.Header.Set("X-Gather-Partial", "1")
+	req.SetHost(t.addrs[x.Peer])
+	req.SetConnectionClose()
+	w := bufio.NewWriterSize(nc, 4096)
+	if err = req.Write(w); err == nil {
+		err = w.Flush()
+	}
+	if err != nil {
+		return failed(err.Error()), 0
+	}
+	res := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(res)
+	res.StreamBody = true
+	if err := res.ReadLimitBody(bufio.NewReaderSize(nc, pieceMost), 0); err != nil {
+		return failed(err.Error()), 0
+	}
+	defer func() { _ = res.CloseBodyStream() }()
+	switch code := res.StatusCode(); code {
+	case fasthttp.StatusOK:
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return failed("it refused"), retryAfter(string(res.Header.Peek("Retry-After")))
+	default:
+		return failed(fmt.Sprint("it answered ", code)), 0
+	}
+	return a.stream(g, x, res.BodyStream(), to), 0
+}
+
+// retryAfter reads a number of seconds.
+func retryAfter(text string) time.Duration {
+	s, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(s > 0 && s < 86400) {
+		return retryDefault
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
+// stream gives a body on, checked, as fast as the merge takes it.
+func (a *treeAsker) stream(g *Group, x Ask, body io.Reader, to *Sink) error {
+	quota := a.q.Rules.Merge.Memory.Bytes / (len(a.plan.Groups) + len(a.plan.Own) + 1) // of a part of the root's merge
+	check, err := newPartialCheck(a.q.Rules.Merge, x.Peer, g.Part, x.Rows, int64(quota-4), a.t.opt.BytesMost)
+	if err != nil {
+		return err
+	}
+	buf := make([]byte, pieceMost)
+	for {
+		n, err := body.Read(buf)
+		pass, wrong := check.take(buf[:n])
+		if wrong == nil && errors.Is(err, io.EOF) {
+			if len(pass) > 0 && !to.Piece(pass) {
+				return context.Canceled
+			}
+			pass, wrong = check.end()
+		}
+		if len(pass) > 0 && !to.Piece(pass) {
+			return context.Canceled // no more is needed
+		}
+		switch {
+		case wrong != nil:
+			return wrong
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return &PeerFailed{g.ID, x.Peer, err.Error()}
+		}
+	}
+}
