scatter: the tree is a Grouper of the service of gathered reads

w/front's Service asks a Grouper for groups and gathers here what comes back. Tree is one: Group splits, Read.Here is the process's own copy, begin gives the gather its orders, ended words the final as a flat merge's. Service.Here counts its share for the merge from the time that is left, not from the client's arrival: with a large share the last copy would have had none.

go test ./internal/scatter: all faults of the tree as before, now over Service's run.

--- a/internal/scatter/service.go
+++ b/internal/scatter/service.go
@@ -119,7 +119,8 @@
 					of = append(of, byID[id])
 				}
 				sub := s.own(r, own.id(a))
-				return s.run(ctx, rules, r.Arrived, until.Sub(r.Arrived), of, sub, Query{Partial: true, Rows: a.Rows}, write)
+				now := time.Now() // its share for the merge is of the time that it has
+				return s.run(ctx, rules, now, until.Sub(now), of, sub, Query{Partial: true, Rows: a.Rows}, write)
 			}})
 	}
 	late := (&margin.Gauge{}).Margin(0, r.Patience) // the client counts from its own send
@@ -168,12 +169,20 @@
 	if ask.Token != "" {
 		opts = append(opts, gather.From(ask.Token))
 	}
+	groups, _ := asker.(handing)
 	g, err := New(rules, patience, parts, opts...)
-	if err != nil {
-		return Final{Kind: Invalid, Err: err}
+	f := Final{Kind: Invalid, Err: err}
+	if err == nil {
+		if ask.Partial {
+			g.Partial(ask.Rows)
+		}
+		if groups != nil {
+			groups.begin(g)
+		}
+		f = Run(ctx, g, asker, Options{Arrived: arrived, PartMost: s.PartMost, Write: write})
 	}
-	if ask.Partial {
-		g.Partial(ask.Rows)
+	if groups != nil {
+		f = groups.ended(f)
 	}
-	return Run(ctx, g, asker, Options{Arrived: arrived, PartMost: s.PartMost, Write: write})
+	return f
 }
--- a/internal/scatter/tree_ask.go
+++ b/internal/scatter/tree_ask.go
@@ -16,11 +16,11 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/gather"
+	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/operr"
 )
 
 const (
-	pieceMost    = 32 << 10 // of a peer's answer, read at once
 	retryDefault = time.Second
 	idRoom       = 16 // bytes that a group adds to an id
 )
@@ -33,10 +33,13 @@
 	Rules     TreeRules // Peers are taken from Peers
 	Peers     []Peer
 	Seed      uint64
-	Conns     int   // to one peer at once
-	BytesMost int64 // of one group's partial result
-	IDMost    int   // bytes of an id that a peer takes
-	Log       logrus.FieldLogger
+	Conns     int             // to one peer at once
+	BytesMost int64           // of one group's partial result
+	IDMost    int             // bytes of an id that a peer takes
+	Limited   map[string]bool // plans with a limit
+	// Request makes a client's request one to a peer: all but id, deadline and the fields of the gather.
+	Request func(client *core.Request, to *fasthttp.Request)
+	Log     logrus.FieldLogger
 }
 
 // TreeCounts are of all reads so far.
@@ -110,48 +113,31 @@
 	return t.book.Standing(time.Since(t.start))
 }
 
-// TreeRead is one gathered read.
-type TreeRead struct {
-	Rules    Rules
-	Patience time.Duration
-	Parts    []gather.Part
-	Limited  bool                       // the client's plan has a limit
-	ID       string                     // the client's
-	Request  func(*fasthttp.Request)    // the client's, as it goes to a peer: all but id, deadline and the headers of the gather
-	Shards   func([]gather.Part) string // X-Gather of parts
-	Asker    func(id string) Asker      // asks parts under an id; of one gathered read
-	Opts     []gather.Option
+// handing is an asker of groups: it tells the gather how they are asked, and makes its final answer a flat merge's.
+type handing interface {
+	begin(*Gather)
+	ended(Final) Final
 }
 
-// Read carries a gathered read out over the tree, or over the process alone, and returns its one final answer. Errors: those
-// of New.
-func (t *Tree) Read(ctx context.Context, q TreeRead, opt Options) (Final, error) {
+// Group implements Grouper.
+func (t *Tree) Group(r Read) ([]gather.Part, Asker) {
 	t.mu.Lock()
-	plan := t.book.Split(time.Since(t.start), q.Parts, q.Rules.Safe && len(q.ID)+idRoom <= t.opt.IDMost, q.Limited)
+	plan := t.book.Split(time.Since(t.start), r.Parts, r.Rules.Safe && len(r.Client.ID)+idRoom <= t.opt.IDMost, t.opt.Limited[r.Client.Plan])
 	if len(plan.Groups) > 0 {
 		t.n.Handed++
 	}
 	t.mu.Unlock()
-	defer func() {
-		t.mu.Lock()
-		t.book.Done(plan)
-		t.mu.Unlock()
-	}()
-	g, err := NewTree(q.Rules, t.opt.Rules, q.Patience, plan, q.Opts...)
-	if err != nil {
-		return Final{}, err
+	if len(plan.Groups) == 0 {
+		return r.Parts, r.Own
 	}
-	a := &treeAsker{t: t, q: &q, plan: plan, own: q.Asker(q.ID), most: opt.PartMost, out: map[string][]*copyOf{}}
-	return a.flat(Run(ctx, g, a, opt)), nil
+	return plan.Parts(), &treeAsker{t: t, Read: r, plan: plan, out: map[string][]*copyOf{}}
 }
 
 // treeAsker asks groups and parts of one read.
 type treeAsker struct {
+	Read
 	t    *Tree
-	q    *TreeRead
 	plan Plan
-	own  Asker
-	most int
 	mu   sync.Mutex
 	out  map[string][]*copyOf // by group, in order of asking
 	wait time.Duration        // the longest Retry-After of the process's own copies
@@ -179,7 +165,7 @@
 func (a *treeAsker) Ask(x Ask, until time.Time, to *Sink) {
 	g := a.group(x.Part.ID)
 	if g == nil {
-		a.own.Ask(x, until, to)
+		a.Own.Ask(x, until, to)
 		return
 	}
 	ctx, off := context.WithDeadline(a.t.stop, until)
@@ -198,7 +184,7 @@
 		if x.Peer == "" {
 			defer a.nest.Done()
 			a.t.count(func(n *TreeCounts) { n.Own++ })
-			a.nested(ctx, g, x, until, to)
+			a.nested(ctx, c, until, to)
 			return
 		}
 		a.t.count(func(n *TreeCounts) { n.Asked++ })
@@ -223,7 +209,7 @@
 	}
 	a.mu.Unlock()
 	if !known {
-		a.own.Off(x)
+		a.Own.Off(x)
 	}
 }
 
@@ -295,26 +281,14 @@
 }
 
 // nested gathers a group on the process itself.
-func (a *treeAsker) nested(ctx context.Context, group *Group, x Ask, until time.Time, to *Sink) {
-	now := time.Now()
-	g, err := New(a.q.Rules, until.Sub(now), group.Parts)
-	if err != nil {
-		to.End(nil, err)
-		return
-	}
-	left, rows := x.Rows, 0
-	f := Run(ctx, g, a.q.Asker(a.id(x)), Options{Arrived: now, PartMost: a.most, Partial: true, Write: func(b []byte) error {
-		if x.Rows > 0 {
-			var n int
-			n, rows = rowsOf(b, left)
-			b, left = b[:n], left-rows
-		}
-		if len(b) > 0 && !to.Piece(b) || x.Rows > 0 && left == 0 {
-			return context.Canceled // enough, or not needed
+func (a *treeAsker) nested(ctx context.Context, c *copyOf, until time.Time, to *Sink) {
+	f := a.Here(ctx, c.Ask, until, func(b []byte) error {
+		if !to.Piece(b) {
+			return context.Canceled // not needed
 		}
 		return nil
-	}})
-	wait := time.Duration(0)
+	})
+	wait, err := time.Duration(0), f.Why()
 	for _, p := range f.Result.Parts {
 		var ref *Refusal
 		if errors.As(p.Why, &ref) {
@@ -322,39 +296,30 @@
 		}
 	}
 	switch {
-	case x.Rows > 0 && left == 0:
+	case f.Kind == Left:
+		err = context.Canceled
+	case f.Kind == Served && f.Limited:
 		err = &gather.Limited{}
-	case f.Kind != Served || f.Result.Err != nil:
-		if err = f.Result.Err; err == nil {
-			err = &OutOfTime{x.Part.ID}
-		}
 	}
 	a.mu.Lock()
 	a.wait = max(a.wait, wait)
 	a.mu.Unlock()
-	if err == nil || errors.As(err, new(*gather.Limited)) {
-		a.judge(a.find(x), err, 0)
+	if err == nil || f.Limited {
+		a.judge(c, err, 0)
 	}
 	to.End(nil, err)
 }
 
-func (a *treeAsker) find(x Ask) *copyOf {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, c := range a.out[x.Part.ID] {
-		if c.Copy == x.Copy {
-			return c
-		}
-	}
-	return nil
-}
-
-func (a *treeAsker) id(x Ask) string { return fmt.Sprintf("%s/%s/%d", a.q.ID, x.Part.ID, x.Copy) }
+// begin implements handing.
+func (a *treeAsker) begin(g *Gather) { g.hand(a.t.opt.Rules, a.plan) }
 
-// flat makes the final answer what a flat merge's would be: parts by their own shards, and refused where all were refused.
-func (a *treeAsker) flat(f Final) Final {
+// ended implements handing: parts have their own shards, and all refused is refused.
+func (a *treeAsker) ended(f Final) Final {
+	a.t.mu.Lock()
+	a.t.book.Done(a.plan)
+	a.t.mu.Unlock()
 	shards := map[string]int{}
-	for _, p := range a.q.Parts {
+	for _, p := range a.Parts {
 		shards[p.ID] = p.Shard
 	}
 	refused, wait := f.Kind == Short && f.Result.Rows == 0 && errors.As(f.Result.Err, new(*gather.Incomplete)), time.Duration(0)
@@ -383,7 +348,7 @@
 
 // ask asks a peer for a group and gives its partial result on; after is the wait that it asked for, where it refused.
 func (a *treeAsker) ask(ctx context.Context, g *Group, x Ask, until time.Time, to *Sink) (err error, after time.Duration) {
-	t, q := a.t, a.q
+	t := a.t
 	failed := func(cause string) error { return &PeerFailed{g.ID, x.Peer, cause} }
 	select {
 	case t.slots[x.Peer] <- struct{}{}:
@@ -405,11 +370,21 @@
 
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	q.Request(req)
-	req.Header.Set("X-Request-Id", fmt.Sprintf("%s/%s/%d", q.ID, g.ID, x.Copy))
+	t.opt.Request(a.Client, req)
+	req.Header.Set("X-Request-Id", fmt.Sprintf("%s/%s/%d", a.Client.ID, g.ID, x.Copy))
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, time.Until(until).Milliseconds()), 10))
-	req.Header.Set("X-Gather", q.Shards(g.Parts))
+	var shards []byte
+	for i, p := range g.Parts {
+		if i > 0 {
+			shards = append(shards, ',')
+		}
+		shards = strconv.AppendInt(shards, int64(p.Shard), 10)
+	}
+	req.Header.SetBytesV("X-Gather", shards)
 	req.Header.Set("X-Gather-Partial", "1")
+	if x.Rows > 0 {
+		req.Header.Set("X-Gather-Rows", strconv.Itoa(x.Rows))
+	}
 	req.SetHost(t.addrs[x.Peer])
 	req.SetConnectionClose()
 	w := bufio.NewWriterSize(nc, 4096)
@@ -447,8 +422,8 @@
 
 // stream gives a body on, checked, as fast as the merge takes it.
 func (a *treeAsker) stream(g *Group, x Ask, body io.Reader, to *Sink) error {
-	quota := a.q.Rules.Merge.Memory.Bytes / (len(a.plan.Groups) + len(a.plan.Own) + 1) // of a part of the root's merge
-	check, err := newPartialCheck(a.q.Rules.Merge, x.Peer, g.Part, x.Rows, int64(quota-4), a.t.opt.BytesMost)
+	quota := a.Rules.Merge.Memory.Bytes / (len(a.plan.Groups) + len(a.plan.Own) + 1) // of a part of the root's merge
+	check, err := newPartialCheck(a.Rules.Merge, x.Peer, g.Part, x.Rows, int64(quota-4), a.t.opt.BytesMost)
 	if err != nil {
 		return err
 	}
--- a/internal/scatter/tree_check.go
+++ b/internal/scatter/tree_check.go
@@ -23,7 +23,6 @@
 	left int64   // bytes of the frame that are to come
 	rows int
 	out  []byte
-	over bool
 }
 
 // newPartialCheck: rows and bytes are the most of the whole, frame the most of one frame.
@@ -61,13 +60,11 @@
 	if err := c.m.End(c.group.ID, 1, nil); err != nil {
 		return nil, c.nonsense(err.Error())
 	}
-	if err := c.drain(); err != nil {
-		return c.out, err
+	err = c.drain()
+	if errors.As(err, new(*PeerNonsense)) && c.have == 0 && c.left == 0 { // sound so far
+		err = &PeerFailed{c.group.ID, c.peer, "it ended before its end"}
 	}
-	if !c.over {
-		return c.out, c.nonsense("it has no end")
-	}
-	return c.out, nil
+	return c.out, err
 }
 
 // fits is how many bytes come next without a frame, or the whole, being too large.
@@ -101,7 +98,7 @@
 // drain takes what the merge has read, up to the first frame that must not go on.
 func (c *partialCheck) drain() error {
 	at := len(c.out)
-	c.out, c.over = c.m.AppendPartial(c.out, 0)
+	c.out, _ = c.m.AppendPartial(c.out, 0)
 	for at < len(c.out) {
 		next := at + 4 + int(binary.BigEndian.Uint32(c.out[at:]))
 		switch c.out[at+4] {
@@ -134,14 +131,3 @@
 }
 
 func (c *partialCheck) nonsense(why string) error { return &PeerNonsense{c.group.ID, c.peer, why} }
-
-// rowsOf walks whole frames and says how many bytes have at most so many rows, and how many rows those are.
-func rowsOf(frames []byte, most int) (n, rows int) {
-	for n < len(frames) && rows < most {
-		if letter := frames[n+4]; letter == 'R' || letter == 'G' {
-			rows++
-		}
-		n += 4 + int(binary.BigEndian.Uint32(frames[n:]))
-	}
-	return n, rows
-}
--- a/internal/scatter/tree_group.go
+++ b/internal/scatter/tree_group.go
@@ -21,20 +21,12 @@
 	return ""
 }
 
-// NewTree begins a gathered read whose parts are handed on as the plan says. Errors: *RulesBad and those of gather.New.
-func NewTree(r Rules, set TreeRules, patience time.Duration, plan Plan, opts ...gather.Option) (*Gather, error) {
-	if len(plan.Groups) > 0 && !r.Safe {
-		return nil, &RulesBad{"safe", "is false, and parts are handed on"}
-	}
-	g, err := New(r, patience, plan.Parts(), opts...)
-	if err != nil {
-		return nil, err
-	}
+// hand tells which of the parts are groups, and how they are asked. The class is safe to repeat.
+func (g *Gather) hand(set TreeRules, plan Plan) {
 	g.tree = set
 	for _, x := range plan.Groups {
 		g.byID[x.ID].group = &handed{Group: x}
 	}
-	return g, nil
 }
 
 // heard: parts that a peer lost are the process's own to ask.
