Site section gather: peers and tree; the daemon hands parts on where they are named

Off without them: no goroutine, no socket. Where ceilings.peers forbids it, naming them is a typed error. The memory check counts a merge for each group. httpfront.GatherPeer words the request to a peer.

go test ./internal/config ./cmd/wheatsaddle: 8 bad sections each end with their key; the defaults and the bound are read back.

--- a/cmd/wheatsaddle/gathered.go
+++ b/cmd/wheatsaddle/gathered.go
@@ -23,6 +23,8 @@
 	log   logrus.FieldLogger
 	reads scatter.Gate
 	tree  scatter.Grouper // nil: each part is asked here
+
+	treeSet *config.SiteTree // that it was opened by
 }
 
 // gatherRules are the section's rules by class, held against the configuration.
@@ -48,6 +50,11 @@
 	if err != nil {
 		return err
 	}
+	tree, err := g.handOn(set.Tree, conf)
+	if err != nil {
+		return err
+	}
+	g.tree, g.treeSet = tree, set.Tree
 	s := &scatter.Service{Core: g.core, Classes: classes, Shards: g.core.Shards, Tree: g.tree, Units: set.Units, PartMost: set.PartMost,
 		PartsMost: set.PartsMost, Reads: &g.reads, TokenKey: set.TokenKey, Payload: httpfront.GatherPart, Body: httpfront.GatherBody}
 	if at.Estimate != nil && g.know != nil {
@@ -141,6 +148,9 @@
 	if at.Gather == nil {
 		return nil
 	}
+	if err := mayHandOn(at.Gather.Tree, conf); err != nil {
+		return err
+	}
 	_, err := gatherRules(at.Gather, conf)
 	return err
 }
--- a/internal/config/gather.go
+++ b/internal/config/gather.go
@@ -24,6 +24,7 @@
 	Reads     int
 	Units     float64 // of a part; 0: the client's
 	TokenKey  []byte
+	Tree      *SiteTree // nil: parts are not handed on
 	fromFile  bool
 }
 
@@ -40,15 +41,17 @@
 	if r.err != nil {
 		return nil, r.err
 	}
+	var err error
+	if g.Tree, err = siteTree(r); err != nil {
+		return nil, err
+	}
 	text, key := []byte(r.root.Get("gather.rules").Raw), "gather.rules"
 	if file := r.text("gather.rules_file", ""); file != "" {
-		var err error
 		if text, err = os.ReadFile(file); err != nil {
 			return nil, &KeyError{File: "site", Key: "gather.rules_file", Err: err}
 		}
 		key, g.fromFile = "gather.rules_file", true
 	}
-	var err error
 	if g.Rules, err = gather.ParseClasses(text); err != nil {
 		var bad *gather.RulesBad
 		if !errors.As(err, &bad) {
@@ -85,10 +88,10 @@
 		if !known[name] {
 			return &KeyError{File: "site", Key: at + "classes." + name, Says: "the configuration has no such class"}
 		}
-		if most := memoryMB << 20 / gatherMemory; g.Reads*(r.Memory.Bytes+g.PartsMost*partMemory) > most {
+		if most := memoryMB << 20 / gatherMemory; g.Reads*(g.Tree.merges()*r.Memory.Bytes+g.PartsMost*partMemory) > most {
 			return &KeyError{File: "site", Key: "gather.reads_at_once", Says: fmt.Sprintf(
-				"%d reads of %d bytes (%sclasses.%s.memory.bytes) and %d parts of %d are over the %d bytes kept for them, a quarter of limits.memory_mb",
-				g.Reads, r.Memory.Bytes, at, name, g.PartsMost, partMemory, most)}
+				"%d reads of %d merges (tree.fan_out and one) of %d bytes (%sclasses.%s.memory.bytes) and %d parts of %d are over the %d bytes kept for them, a quarter of limits.memory_mb",
+				g.Reads, g.Tree.merges(), r.Memory.Bytes, at, name, g.PartsMost, partMemory, most)}
 		}
 	}
 	if set.MostUnits > 0 && g.Units > set.MostUnits {
--- /dev/null
+++ b/internal/config/gather_tree_test.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"wheatsaddle/choice"
+)
+
+func TestGatherTree(t *testing.T) {
+	const rules = `"rules":{"classes":{"c":{"order":[{"key":"k","type":"integer"}],"memory":{"bytes":1048576}}}}`
+	read := func(more string) (*Site, error) { return ParseSite([]byte(`{"gather":{` + rules + more + `}}`)) }
+	s, err := read("")
+	if err != nil || s.Gather.Tree != nil || s.Gather.Tree.merges() != 1 {
+		t.Fatal(err)
+	}
+	s, err = read(`,"peers":[{"name":"a","address":"127.0.0.1:1"},{"name":"b","address":"[::1]:2"}],"tree":{"silent_ms":70,"rest_ms":5,"fan_out":2}`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := s.Gather.Tree
+	if x.Peers[1] != (GatherPeer{"b", "[::1]:2"}) || x.Silent != 70*time.Millisecond || x.Rest != 5*time.Millisecond || x.RestMost != 30*time.Second ||
+		x.LeastParts != 8 || x.GroupMost != 16 || x.Copies != 1 || x.Connections != 8 || x.BytesMost != 64<<20 || x.merges() != 3 {
+		t.Errorf("%+v", x)
+	}
+	set := choice.Settings{Classes: []choice.Class{{Name: "c"}}}
+	var key *KeyError
+	if err = s.Gather.Check(set, 256); err != nil { // a read may hold a merge for each group
+		t.Error(err)
+	}
+	if err = s.Gather.Check(set, 230); !errors.As(err, &key) || !strings.Contains(err.Error(), "fan_out") {
+		t.Error(err)
+	}
+	one := `,"peers":[{"name":"a","address":"127.0.0.1:1"}]`
+	for text, want := range map[string]string{
+		`,"tree":{}`:                                          "gather.tree",
+		`,"peers":[]`:                                         "gather.peers",
+		`,"peers":[{"name":"a"}]`:                             "gather.peers.0",
+		one + `,"tree":{"copies":9}`:                          "gather.tree.copies",
+		one + `,"tree":{"depth":2}`:                           "gather.tree",
+		one + `,"tree":{"rest_ms":9,"rest_most_ms":8}`:        "gather.tree.rest_most_ms",
+		`,"peers":[{"name":"a","address":"127.0.0.1:99999"}]`: "gather.peers.0.address",
+		`,"peers":[{"name":"a","address":"127.0.0.1:1"},{"name":"a","address":"127.0.0.1:2"}]`: "gather.peers.1.name",
+	} {
+		if _, err := read(text); !errors.As(err, &key) || !strings.HasPrefix(key.Key, want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/httpfront/gathered_peer.go
@@ -0,0 +1,29 @@
+package httpfront
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/internal/core"
+)
+
+// GatherPeer makes a client's gathered read one to another process, as the client would have sent it there: all but the id,
+// the deadline and the fields of the gather.
+func GatherPeer(client *core.Request, to *fasthttp.Request) {
+	line, rest, _ := bytes.Cut(client.Payload.(*call).head, []byte("\r\n"))
+	uri := bytes.Split(line, []byte(" "))[1]
+	to.Header.SetMethod(fasthttp.MethodGet)
+	to.SetRequestURIBytes(uri)
+	to.Header.Set("Tier", client.Plan)
+	to.Header.SetCookie("extent", client.Key)
+	if _, key, keyed := bytes.Cut(rest, []byte("\r\nIdempotency-Key: ")); keyed {
+		to.Header.SetBytesV("Idempotency-Key", key)
+	}
+	info := append([]byte("volume="), client.Volume...)
+	info = strconv.AppendFloat(append(info, ",units="...), client.Units, 'g', -1, 64)
+	info = strconv.AppendInt(append(info, ",shard="...), int64(client.Shard), 10)
+	info = strconv.AppendInt(append(info, ",hosts="...), int64(client.Hosts), 10)
+	to.Header.SetBytesV("IO-Info", info)
+}
