rehearse gather: gathered reads under faults, each row held against the flat merge

TestJudge: 19 answers, good and spoilt, each judged as it is. TestPlayed plays both modes in one process against scatter.Run: no row wrong, and rows spoilt on their way are found.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -72,7 +72,7 @@
 			}
 			return cli.ShowAppHelp(c)
 		},
-		Commands: []*cli.Command{addressesCommand(), loadCommand(), costCommand(), coldstartCommand(),
+		Commands: []*cli.Command{addressesCommand(), loadCommand(), costCommand(), coldstartCommand(), gatherCommand(),
 			{Name: "shape-schema", Usage: "print the JSON Schema of a shape of traffic", Action: func(c *cli.Context) error {
 				_, err := c.App.Writer.Write(arrival.Schema)
 				return err
--- /dev/null
+++ b/internal/lab/gathers/client.go
@@ -0,0 +1,142 @@
+package gathers
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+// patience is how much longer than its deadline a client waits, so that a late answer is seen as one.
+const patience = 500 * time.Millisecond
+
+// times are when rows of an answer came, from when the read was due.
+type times struct {
+	marks []mark
+	end   time.Duration
+}
+
+type mark struct {
+	rows int // so many have come
+	at   time.Duration
+}
+
+// after is when so many rows had come; ok: they did.
+func (t *times) after(rows int) (at time.Duration, ok bool) {
+	for _, m := range t.marks {
+		if m.rows >= rows {
+			return m.at, true
+		}
+	}
+	return 0, false
+}
+
+// asker sends gathered reads, each on a connection of its own: nothing is sent twice.
+type asker struct {
+	http     *http.Client
+	plan     string
+	hosts    int
+	deadline time.Duration
+}
+
+func newAsker(plan string, hosts int, deadline time.Duration) *asker {
+	return &asker{plan: plan, hosts: hosts, deadline: deadline,
+		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: 64 << 10}}}
+}
+
+var errNoConn = errors.New("no connection came up")
+
+// ask asks one process and reads what comes. An error is *answer broken*: what came before is in the answer.
+func (k *asker) ask(ctx context.Context, to string, q read, seq uint64, due time.Time) (a answer, t times, err error) {
+	ctx, stop := context.WithDeadline(ctx, due.Add(k.deadline+patience))
+	defer stop()
+	left := time.Until(due.Add(k.deadline))
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/%s/x", to, q.class), nil)
+	if err != nil {
+		return a, t, err
+	}
+	for name, value := range map[string]string{"X-Request-Id": q.id, "Tier": k.plan, "Cookie": fmt.Sprintf("extent=%016x", seq),
+		"X-Deadline-Ms": strconv.FormatInt(max(1, left.Milliseconds()), 10),
+		"IO-Info":       fmt.Sprintf("volume=%016x,units=1,shard=%d,hosts=%d", seq%7+1, q.shards[0], k.hosts),
+		"X-Gather":      list(q.shards)} {
+		r.Header.Set(name, value)
+	}
+	if q.token != "" {
+		r.Header.Set("X-Gather-Token", q.token)
+	}
+	resp, err := k.http.Do(r)
+	defer func() { t.end = time.Since(due) }()
+	if err != nil {
+		return a, t, err
+	}
+	defer resp.Body.Close()
+	a.code = resp.StatusCode
+	var text []byte
+	piece := make([]byte, 64<<10)
+	rows := 0
+	for err == nil {
+		var n int
+		n, err = resp.Body.Read(piece)
+		if n > 0 {
+			rows += bytes.Count(piece[:n], []byte("\n"))
+			t.marks = append(t.marks, mark{rows, time.Since(due)})
+			text = append(text, piece[:n]...)
+		}
+	}
+	if a.code != http.StatusOK {
+		a.err = gjson.GetBytes(text, "code").Str
+		return a, t, nil
+	}
+	if !errors.Is(err, io.EOF) {
+		text = text[:bytes.LastIndexByte(text, '\n')+1]
+	}
+	for line := range bytes.Lines(text) {
+		a.rows = append(a.rows, bytes.TrimSuffix(line, []byte("\n")))
+	}
+	if !errors.Is(err, io.EOF) {
+		return a, t, err
+	}
+	return a, t, a.result(resp.Trailer.Get("X-Gather-Result"))
+}
+
+// result reads the trailer.
+func (a *answer) result(text string) error {
+	if !gjson.Valid(text) {
+		return fmt.Errorf("no result after the rows: %.80q", text)
+	}
+	g := gjson.Parse(text)
+	a.ended, a.whole = true, g.Get("whole").Bool()
+	for _, key := range []string{"missing", "cut"} {
+		for _, v := range g.Get(key).Array() {
+			s, err := strconv.Atoi(v.String())
+			if err != nil {
+				return fmt.Errorf("result: %s: %q is no shard", key, v)
+			}
+			a.named = append(a.named, s)
+		}
+	}
+	a.conflicts, a.truncated, a.token, a.err = int(g.Get("conflicts").Int()), g.Get("truncated").Str, g.Get("token").Str, g.Get("code").Str
+	return nil
+}
+
+// list is shards in the header's form.
+func list(shards []int) string {
+	var all []string
+	for from, to := 0, 0; from < len(shards); from = to + 1 {
+		for to = from; to+1 < len(shards) && shards[to+1] == shards[to]+1; to++ {
+		}
+		if text := strconv.Itoa(shards[from]); to == from {
+			all = append(all, text)
+		} else {
+			all = append(all, fmt.Sprint(text, "-", shards[to]))
+		}
+	}
+	return strings.Join(all, ",")
+}
--- /dev/null
+++ b/internal/lab/gathers/gathers_test.go
@@ -0,0 +1,154 @@
+package gathers
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"testing"
+	"time"
+)
+
+// small is a world of few parties, under more faults.
+func small() World {
+	w := Defaults()
+	w.Processes, w.Shards, w.Copies, w.Rows.Count = 2, 3, 2, 60
+	return w
+}
+
+// The judge finds what is wrong with an answer and nothing where nothing is.
+func TestJudge(t *testing.T) {
+	w := Defaults()
+	w.Rows.Seed, w.Rows.Count = 3, 120
+	tr := newTruth(w.Rows, w.Shards)
+	shards := []int{0, 1, 4}
+	texts := func(rows []row) (all [][]byte) {
+		for _, r := range rows {
+			all = append(all, []byte(r.text))
+		}
+		return all
+	}
+	flat := texts(tr.flat(shards))
+	q := func(class string) read { return read{class: class, shards: shards, after: -1} }
+	without := texts(tr.flat([]int{0, 1})) // what is left where part 4 is missing
+	older := func() ([][]byte, int) {      // a row that an older version stands in for
+		for i, x := range tr.flat(shards) {
+			for _, s := range shards {
+				if y, ok := tr.shards[s][x.k]; ok && y.v < x.v {
+					all := slices.Clone(flat)
+					all[i] = []byte(y.text)
+					return all, s
+				}
+			}
+		}
+		t.Fatal("no row has versions")
+		return nil, 0
+	}
+	stale, _ := older()
+	swapped := slices.Clone(flat)
+	swapped[3], swapped[4] = swapped[4], swapped[3]
+	strange := slices.Clone(flat)
+	strange[5] = bytes.Replace(strange[5], []byte(`"x":"`), []byte(`"x":"!`), 1)
+	next := q(page)
+	next.after = parse(flat[pageRows-1]).k
+	for _, x := range []struct {
+		name string
+		q    read
+		a    answer
+		want Verdict
+	}{
+		{"whole", q(listing), answer{rows: flat, ended: true, whole: true}, Verdict{}},
+		{"top", q(top), answer{rows: flat[:topRows], ended: true, whole: true, truncated: "top"}, Verdict{}},
+		{"second page", next, answer{rows: flat[pageRows : 2*pageRows], ended: true, whole: true, truncated: "top"}, Verdict{}},
+		{"a part missing and named", q(listing), answer{rows: without, ended: true, named: []int{4}}, Verdict{}},
+		{"cut in the middle of the rows", q(listing), answer{rows: flat[:50]}, Verdict{}},
+		{"ended early by a code", q(top), answer{rows: flat[:20], ended: true, named: []int{1}, err: "gather-incomplete"}, Verdict{}},
+		{"a row left out", q(listing), answer{rows: slices.Delete(slices.Clone(flat), 7, 8), ended: true, whole: true}, Verdict{Lost: 1}},
+		{"the last rows left out", q(listing), answer{rows: flat[:len(flat)-2], ended: true, whole: true}, Verdict{Lost: 2}},
+		{"a row left out in part", q(listing), answer{rows: without[1:], ended: true, named: []int{4}}, Verdict{Lost: 1}},
+		{"a row left out of what was cut", q(top), answer{rows: flat[1:20]}, Verdict{Lost: 1}},
+		{"top is short", q(top), answer{rows: flat[:topRows-1], ended: true, whole: true}, Verdict{Lost: 1}},
+		{"top is long", q(top), answer{rows: flat[:topRows+2], ended: true, whole: true}, Verdict{Wrong: 2}},
+		{"a row twice", q(listing), answer{rows: slices.Insert(slices.Clone(flat), 9, flat[9]), ended: true, whole: true}, Verdict{Doubled: 1}},
+		{"a page again", next, answer{rows: flat[:pageRows], ended: true, whole: true}, Verdict{Wrong: pageRows, Lost: pageRows}},
+		{"out of order", q(listing), answer{rows: swapped, ended: true, whole: true}, Verdict{Wrong: 1}},
+		{"an older version", q(listing), answer{rows: stale, ended: true, whole: true}, Verdict{Wrong: 1}},
+		{"an older version, its newer's part named", q(listing), answer{rows: stale, ended: true, named: shards}, Verdict{}},
+		{"no row of anybody", q(listing), answer{rows: strange, ended: true, named: shards}, Verdict{Wrong: 1}},
+		{"missing and not named", q(listing), answer{rows: nil, ended: true, named: []int{0, 1}}, Verdict{Lost: w.Rows.Count}},
+	} {
+		if got := tr.judge(x.q, x.a); got != x.want {
+			t.Errorf("%s: %+v, not %+v", x.name, got, x.want)
+		}
+	}
+}
+
+// The same seed plays the same faults, and each kind is among those of a run.
+func TestSchedule(t *testing.T) {
+	w := Defaults()
+	one, two := schedule(4, w, 20*time.Second), schedule(4, w, 20*time.Second)
+	var f happened
+	for i, c := range one {
+		for j, x := range c.nodes {
+			if two[i].nodes[j] != x {
+				t.Fatal("another draw")
+			}
+			if x.Late > 0 {
+				f.Late++
+			} else if x.Stop > 0 {
+				f.Stopped++
+			} else if x.Cut {
+				f.Cut++
+			} else if x.Never {
+				f.Never++
+			}
+		}
+		for to, x := range c.links {
+			if two[i].links[to] != x {
+				t.Fatal("another draw")
+			}
+			if x.Silent {
+				f.Silenced++
+			} else if x.ResetAfter > 0 {
+				f.Reset++
+			} else {
+				f.Delayed++
+			}
+		}
+		if c.kill >= 0 {
+			f.Killed++
+		}
+	}
+	if len(f.absent()) > 0 || f.Killed != 1 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// The player, the client and the judge against the coordinator in this process: rows are right in both modes, under faults;
+// a row that is spoilt on its way is found.
+func TestPlayed(t *testing.T) {
+	opt := Options{World: small(), For: 2 * time.Second, Rate: 60}
+	opt.World.Rows.Seed = 1
+	for _, m := range Modes {
+		for _, spoilt := range []bool{false, true} {
+			d, err := openDoors(opt.World, m, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(d.close)
+			if spoilt {
+				d.spoil = func(rows []byte) []byte {
+					_, rest, _ := bytes.Cut(rows, []byte("\n"))
+					return rest
+				}
+			}
+			all, err := play(context.Background(), opt, d, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := lineOf(all)
+			if got := l.Verdict != (Verdict{}); got != spoilt || l.Ends["failed"] > 0 && !spoilt || l.Reads < 100 || l.Ends["whole"] == 0 {
+				t.Errorf("%s, spoilt %v: %+v", m.Name, spoilt, l)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/gathers/report.go
@@ -0,0 +1,199 @@
+package gathers
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Line is one seed in one mode; times are milliseconds from when a read was due.
+type Line struct {
+	Mode     string         `json:"mode"`
+	Seed     uint64         `json:"seed"`
+	Reads    int            `json:"reads"`
+	Ends     map[string]int `json:"ends"`
+	First    [2]float64     `json:"first_row_p50_p99"`
+	Most     [2]float64     `json:"most_rows_p50_p99"` // until 95% of the rows, where they came
+	Whole    [2]float64     `json:"whole_p50_p99"`     // of whole reads
+	MostHere float64        `json:"share_most_rows"`   // reads of which 95% of the rows came
+	Asked    float64        `json:"parts_asked"`       // at nodes, for a read
+	Verdict  Verdict        `json:"verdict"`
+	Happened happened       `json:"faults"`
+	Examples []string       `json:"examples,omitempty"` // of rows that are not right and ends that are not known
+}
+
+// share of reads with an end.
+func (l *Line) share(end int) float64 {
+	return float64(l.Ends[endNames[end]]) / float64(max(1, l.Reads))
+}
+
+// Report is the result.
+type Report struct {
+	World  World    `json:"world"`
+	Rate   float64  `json:"rate"`
+	For    float64  `json:"seconds"`
+	Modes  []Mode   `json:"modes"`
+	Lines  []Line   `json:"lines"`
+	Wrong  bool     `json:"wrong"`  // rows are not right, somewhere
+	Absent []string `json:"absent"` // faults that did not happen in a mode
+}
+
+const examplesMost = 5
+
+// Run plays each seed in each mode.
+func Run(ctx context.Context, opt Options) (*Report, error) {
+	rep := &Report{World: opt.World, Rate: opt.Rate, For: opt.For.Seconds(), Modes: Modes}
+	for _, m := range Modes {
+		var met happened
+		for _, seed := range opt.Seeds {
+			l, err := runOne(ctx, opt, m, seed)
+			if err != nil {
+				return nil, fmt.Errorf("%s, seed %d: %w", m.Name, seed, err)
+			}
+			met.add(l.Happened)
+			rep.Wrong = rep.Wrong || l.Verdict != (Verdict{})
+			rep.Lines = append(rep.Lines, l)
+		}
+		for _, name := range met.absent() {
+			rep.Absent = append(rep.Absent, m.Name+": "+name)
+		}
+	}
+	return rep, nil
+}
+
+func runOne(ctx context.Context, opt Options, m Mode, seed uint64) (Line, error) {
+	opt.World.Rows.Seed = seed
+	log := opt.Log.WithFields(logrus.Fields{"mode": m.Name, "seed": seed})
+	log.WithField("processes", opt.World.Processes).Info("starting")
+	f, err := fleetOf(ctx, opt.Daemon, opt.World, m, seed)
+	if err != nil {
+		return Line{}, err
+	}
+	defer f.close()
+	log.WithField("for", opt.For.String()).Info("reading, under faults")
+	all, err := play(ctx, opt, f, seed)
+	if err != nil {
+		return Line{}, err
+	}
+	l := lineOf(all)
+	l.Mode, l.Seed, l.Happened = m.Name, seed, f.happened()
+	l.Asked = float64(f.asked()) / float64(max(1, l.Reads))
+	if l.Verdict != (Verdict{}) {
+		log.WithField("rows", fmt.Sprintf("%+v", l.Verdict)).Error("rows are not right")
+	}
+	for _, e := range l.Examples {
+		log.Warn(e)
+	}
+	return l, nil
+}
+
+func lineOf(all []one) Line {
+	l := Line{Reads: len(all), Ends: map[string]int{}}
+	var first, most, wholes []time.Duration
+	for _, o := range all {
+		l.Ends[endNames[o.end]]++
+		l.Verdict.add(o.verdict)
+		if o.first > 0 {
+			first = append(first, o.first)
+		}
+		if o.most > 0 {
+			most = append(most, o.most)
+		}
+		if o.end == whole {
+			wholes = append(wholes, o.took)
+		}
+		if o.why != "" && len(l.Examples) < examplesMost {
+			l.Examples = append(l.Examples, o.why)
+		}
+	}
+	l.First, l.Most, l.Whole = quantiles(first), quantiles(most), quantiles(wholes)
+	l.MostHere = float64(len(most)) / float64(max(1, len(all)))
+	return l
+}
+
+func quantiles(all []time.Duration) (q [2]float64) {
+	slices.Sort(all)
+	for i, at := range []float64{0.5, 0.99} {
+		if n := len(all); n > 0 {
+			q[i] = math.Round(float64(all[min(n-1, int(at*float64(n)))])/float64(time.Millisecond)*10) / 10
+		}
+	}
+	return q
+}
+
+// Print writes the table: a row a mode, of each figure the median of the seeds and in brackets the lowest and highest.
+func (rep *Report) Print(out io.Writer) error {
+	w := rep.World
+	fmt.Fprintf(out, "%d processes, %d nodes (%d shards of %d rows, %d copies), %g reads/s for %.0f s a seed; ms from when a read was due\n",
+		w.Processes, w.Shards*w.Copies, w.Shards, w.Rows.Count, w.Copies, rep.Rate, rep.For)
+	columns := []struct {
+		name string
+		form string
+		of   func(*Line) float64
+	}{
+		{"reads", "%.0f", func(l *Line) float64 { return float64(l.Reads) }},
+		{"whole p50", "%.0f", func(l *Line) float64 { return l.Whole[0] }},
+		{"p99", "%.0f", func(l *Line) float64 { return l.Whole[1] }},
+		{"95% of rows p50", "%.0f", func(l *Line) float64 { return l.Most[0] }},
+		{"p99", "%.0f", func(l *Line) float64 { return l.Most[1] }},
+		{"first row p50", "%.0f", func(l *Line) float64 { return l.First[0] }},
+		{"p99", "%.0f", func(l *Line) float64 { return l.First[1] }},
+		{"whole %", "%.1f", func(l *Line) float64 { return 100 * l.share(whole) }},
+		{"named in part %", "%.1f", func(l *Line) float64 { return 100 * l.share(inPart) }},
+		{"refused %", "%.1f", func(l *Line) float64 { return 100 * l.share(refused) }},
+		{"late %", "%.1f", func(l *Line) float64 { return 100 * l.share(late) }},
+		{"broken %", "%.1f", func(l *Line) float64 { return 100 * l.share(broken) }},
+		{"failed %", "%.1f", func(l *Line) float64 { return 100 * l.share(failed) }},
+		{"parts asked", "%.2f", func(l *Line) float64 { return l.Asked }},
+		{"rows wrong", "", func(l *Line) float64 { return float64(l.Verdict.Wrong) }},
+		{"doubled", "", func(l *Line) float64 { return float64(l.Verdict.Doubled) }},
+		{"lost", "", func(l *Line) float64 { return float64(l.Verdict.Lost) }},
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, c := range columns {
+		fmt.Fprint(t, "\t", c.name)
+	}
+	fmt.Fprintln(t)
+	for _, m := range rep.Modes {
+		fmt.Fprint(t, m.Name)
+		for _, c := range columns {
+			var all []float64
+			sum := 0.0
+			for i := range rep.Lines {
+				if l := &rep.Lines[i]; l.Mode == m.Name {
+					all = append(all, c.of(l))
+					sum += c.of(l)
+				}
+			}
+			if slices.Sort(all); c.form == "" { // a count over all seeds
+				fmt.Fprintf(t, "\t%.0f", sum)
+			} else {
+				fmt.Fprintf(t, "\t"+c.form+" ("+c.form+" to "+c.form+")", all[len(all)/2], all[0], all[len(all)-1])
+			}
+		}
+		fmt.Fprintln(t)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, m := range rep.Modes {
+		var met happened
+		for _, l := range rep.Lines {
+			if l.Mode == m.Name {
+				met.add(l.Happened)
+			}
+		}
+		fmt.Fprintf(out, "faults %s: parts late %d, stopped %d, cut %d, silent for good %d; links silent %d, reset %d, slow %d; processes killed %d\n", m.Name,
+			met.Late, met.Stopped, met.Cut, met.Never, met.Silenced, met.Reset, met.Delayed, met.Killed)
+	}
+	for _, a := range rep.Absent {
+		fmt.Fprintln(out, "a fault that did not happen:", a)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/gathers/run.go
@@ -0,0 +1,211 @@
+// Package gathers is the experiment on gathered reads: processes of the built program, stand-in nodes that hold sorted
+// rows, links between them, and faults in all of these while clients send gathered reads at a rate that waits for no
+// answer. Some ask for every row, some for the first ones, some for pages by token. Every answer is held against the
+// flat merge, which package gather has no part in.
+//
+// Invariants: the same seed plays the same faults and reads to each mode; each read that was due is counted under one
+// end; a fault that did not happen is named.
+package gathers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wheatsaddle/internal/standin/node"
+)
+
+// Options are the experiment's.
+type Options struct {
+	World  World
+	Seeds  []uint64
+	For    time.Duration // of one seed in one mode
+	Rate   float64       // reads a second, to all processes together
+	Daemon string        // path of the built program; "": beside this one, or built
+	Log    logrus.FieldLogger
+}
+
+// Defaults are 8 processes and 24 nodes.
+func Defaults() World {
+	return World{Processes: 8, Shards: 8, Copies: 3, Rows: node.Rows{Count: 300, Shared: 0.3, Same: 0.5, Pad: 40, Piece: 32}}
+}
+
+// The ends of a read.
+const (
+	whole   = iota
+	inPart  // with what is missing named
+	refused // before a row went out
+	late    // the daemon said so, or nothing was heard in time
+	broken  // the connection ended in the middle, or came up to nobody
+	failed  // anything else
+	ends
+)
+
+// endNames are the ends in tables and JSON.
+var endNames = [ends]string{"whole", "in part", "refused", "late", "broken", "failed"}
+
+// one is what came of a read.
+type one struct {
+	end     int
+	took    time.Duration // of whole ones, until the end
+	first   time.Duration // until the first row; 0: none came
+	most    time.Duration // until 95% of the rows; 0: they did not come
+	verdict Verdict
+	why     string // of failed, and where rows were not right
+}
+
+const (
+	mostShare = 0.95
+	pagesMost = 4 // that one client asks for
+	subset    = 0.2
+)
+
+// player plays one seed in one mode.
+type player struct {
+	opt   Options
+	fleet fleet
+	truth *truth
+	ask   *asker
+	start time.Time
+	mu    sync.Mutex
+	all   []one
+	wg    sync.WaitGroup
+}
+
+// play runs the reads and the faults of a seed.
+func play(ctx context.Context, opt Options, f fleet, seed uint64) ([]one, error) {
+	p := &player{opt: opt, fleet: f, truth: newTruth(opt.World.Rows, opt.World.Shards), ask: newAsker(plan, opt.World.Processes, deadline)}
+	p.start = time.Now()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	faults := make(chan error, 1)
+	go func() { faults <- p.faults(ctx, schedule(seed, opt.World, opt.For)) }()
+	err := p.reads(ctx, rand.New(rand.NewPCG(seed, 26)))
+	p.wg.Wait()
+	stop()
+	return p.all, errors.Join(err, <-faults)
+}
+
+// wait waits until a moment of the run; false: it has ended.
+func (p *player) wait(ctx context.Context, at time.Duration) bool {
+	t := time.NewTimer(time.Until(p.start.Add(at)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (p *player) faults(ctx context.Context, all []change) error {
+	var kills sync.WaitGroup
+	defer kills.Wait()
+	var mu sync.Mutex
+	var errs []error
+	note := func(err error) {
+		mu.Lock()
+		defer mu.Unlock()
+		errs = append(errs, err)
+	}
+	for _, c := range all {
+		if !p.wait(ctx, c.at) {
+			break
+		}
+		if kill := c.kill; kill >= 0 { // it takes longer than a round
+			c.kill = -1
+			kills.Go(func() { note(p.fleet.kill(ctx, kill)) })
+		}
+		note(p.fleet.play(c))
+	}
+	kills.Wait()
+	return errors.Join(errs...)
+}
+
+// reads sends the reads when they are due, whatever came of those before.
+func (p *player) reads(ctx context.Context, rng *rand.Rand) error {
+	at := time.Duration(0)
+	for n := uint64(1); ; n++ {
+		at += time.Duration(rng.ExpFloat64() / p.opt.Rate * float64(time.Second))
+		if at >= p.opt.For {
+			return nil
+		}
+		q := read{id: fmt.Sprintf("g%d", n), class: []string{listing, top, page}[rng.IntN(3)], after: -1}
+		for s := range p.opt.World.Shards {
+			q.shards = append(q.shards, s)
+		}
+		if rng.Float64() < subset {
+			least := min(2, len(q.shards))
+			rng.Shuffle(len(q.shards), func(i, j int) { q.shards[i], q.shards[j] = q.shards[j], q.shards[i] })
+			q.shards = q.shards[:least+rng.IntN(len(q.shards)-least+1)]
+			slices.Sort(q.shards)
+		}
+		to := rng.IntN(p.opt.World.Processes)
+		if !p.wait(ctx, at) {
+			return ctx.Err()
+		}
+		due := p.start.Add(at)
+		p.wg.Go(func() { p.client(ctx, to, q, n, due) })
+	}
+}
+
+// client is one read, and of pages those after it, each due when the one before is here.
+func (p *player) client(ctx context.Context, to int, q read, seq uint64, due time.Time) {
+	for k := 1; ; k++ {
+		target := ""
+		for i := 0; target == "" && i < p.opt.World.Processes; i++ { // one that is down is passed over
+			target = p.fleet.target((to + i) % p.opt.World.Processes)
+		}
+		a, t, err := p.ask.ask(ctx, target, q, seq, due)
+		o := p.took(q, a, t, err)
+		p.mu.Lock()
+		p.all = append(p.all, o)
+		p.mu.Unlock()
+		if q.class != page || k == pagesMost || o.end != whole || a.token == "" || len(a.rows) == 0 {
+			return
+		}
+		q.token, q.after, due = a.token, parse(a.rows[len(a.rows)-1]).k, time.Now()
+		q.id = fmt.Sprintf("g%d.%d", seq, k)
+	}
+}
+
+// took counts a read under its end.
+func (p *player) took(q read, a answer, t times, err error) (o one) {
+	o.verdict = p.truth.judge(q, a)
+	if o.verdict != (Verdict{}) {
+		o.why = fmt.Sprintf("%s of %s at %d, %d rows, whole %v, named %v, ended by %q: %+v", q.id, q.class, q.after, len(a.rows), a.whole, a.named, a.err, o.verdict)
+	}
+	if len(a.rows) > 0 {
+		o.first, _ = t.after(1)
+	}
+	expected := len(p.truth.page(q))
+	if expected == 0 { // a page after the last row
+		o.most, o.first = t.end, t.end
+	} else if at, ok := t.after(int(mostShare*float64(expected) + 0.999)); ok {
+		o.most = at
+	}
+	slow := t.end > deadline
+	switch {
+	case a.code == http.StatusOK && err == nil && a.whole && !slow:
+		o.end, o.took = whole, t.end
+	case a.code == http.StatusOK && err == nil && !slow && (len(a.named) > 0 || a.err != "" || a.conflicts > 0):
+		o.end = inPart
+	case a.code == http.StatusServiceUnavailable && !slow:
+		o.end = refused
+	case a.code == http.StatusGatewayTimeout || slow:
+		o.end = late
+	case err != nil:
+		o.end = broken
+	default:
+		o.end = failed
+		o.why += fmt.Sprintf("%s of %s: %d %s, neither whole nor is anything named", q.id, q.class, a.code, a.err)
+	}
+	return o
+}
