Registry: the watch takes the checker's types; the checker has contexts and wider selects

The watch was open in the walks: its actor waits at four channels and ends its calls by contexts, for which the checker had no operations. First4 and First5 are selects, WithCancel makes a cancel a step that touches all it closes. The clock and the network of a Watcher are two fields that a test can set; Run sets the real ones. No behaviour changes: go test ./internal/registry ./internal/interleave/... passes.

--- a/internal/interleave/steps/chan.go
+++ b/internal/interleave/steps/chan.go
@@ -220,6 +220,46 @@
 	return va, vb, choose("either", true, taking(a, &va, &ok), taking(b, &vb, &ok)) == 0
 }
 
+// First4 is a select of four receives; which says of them, from 0, which one came. A nil channel never does.
+func First4[A, B, C, D any](a <-chan A, b <-chan B, c <-chan C, d <-chan D) (va A, vb B, vc C, vd D, which int) {
+	if !il.On() {
+		select {
+		case va = <-a:
+		case vb = <-b:
+			which = 1
+		case vc = <-c:
+			which = 2
+		case vd = <-d:
+			which = 3
+		}
+		return va, vb, vc, vd, which
+	}
+	var ok bool
+	which = choose("first", true, taking(a, &va, &ok), taking(b, &vb, &ok), taking(c, &vc, &ok), taking(d, &vd, &ok))
+	return va, vb, vc, vd, which
+}
+
+// First5 is a select of five receives.
+func First5[A, B, C, D, E any](a <-chan A, b <-chan B, c <-chan C, d <-chan D, e <-chan E) (va A, vb B, vc C, vd D, ve E, which int) {
+	if !il.On() {
+		select {
+		case va = <-a:
+		case vb = <-b:
+			which = 1
+		case vc = <-c:
+			which = 2
+		case vd = <-d:
+			which = 3
+		case ve = <-e:
+			which = 4
+		}
+		return va, vb, vc, vd, ve, which
+	}
+	var ok bool
+	which = choose("first", true, taking(a, &va, &ok), taking(b, &vb, &ok), taking(c, &vc, &ok), taking(d, &vd, &ok), taking(e, &ve, &ok))
+	return va, vb, vc, vd, ve, which
+}
+
 // SendOr is a select of ch <- v and <-done; true: it was sent.
 func SendOr[T, D any](ch chan<- T, v T, done <-chan D) bool {
 	if !il.On() {
--- a/internal/interleave/sync/ordinary.go
+++ b/internal/interleave/sync/ordinary.go
@@ -6,6 +6,7 @@
 package sync
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -14,6 +15,8 @@
 	Mutex   = sync.Mutex
 	RWMutex = sync.RWMutex
 	Once    = sync.Once
+
+	WaitGroup = sync.WaitGroup // no step under the checker either
 )
 
 // Go is a go statement.
@@ -67,6 +70,41 @@
 	}
 }
 
+// First4 is a select of four receives; which says of them, from 0, which one came. A nil channel never does.
+func First4[A, B, C, D any](a <-chan A, b <-chan B, c <-chan C, d <-chan D) (va A, vb B, vc C, vd D, which int) {
+	select {
+	case va = <-a:
+	case vb = <-b:
+		which = 1
+	case vc = <-c:
+		which = 2
+	case vd = <-d:
+		which = 3
+	}
+	return va, vb, vc, vd, which
+}
+
+// First5 is a select of five receives.
+func First5[A, B, C, D, E any](a <-chan A, b <-chan B, c <-chan C, d <-chan D, e <-chan E) (va A, vb B, vc C, vd D, ve E, which int) {
+	select {
+	case va = <-a:
+	case vb = <-b:
+		which = 1
+	case vc = <-c:
+		which = 2
+	case vd = <-d:
+		which = 3
+	case ve = <-e:
+		which = 4
+	}
+	return va, vb, vc, vd, ve, which
+}
+
+// WithCancel is context.WithCancel; under the checker the cancel is a step.
+func WithCancel(parent context.Context) (context.Context, context.CancelFunc) {
+	return context.WithCancel(parent)
+}
+
 // SendOr is a select of ch <- v and <-done; true: it was sent.
 func SendOr[T, D any](ch chan<- T, v T, done <-chan D) bool {
 	select {
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -9,8 +9,6 @@
 	"io"
 	"net"
 	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +16,8 @@
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/interleave/sync"
+	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/listclock"
 )
 
@@ -35,8 +35,10 @@
 	once    sync.Once
 	clock   *listclock.Clock
 	calls   map[int]context.CancelFunc
-	start   time.Time
 	logged  atomic.Int64 // when a bad list was last logged, since the start
+	// The clock and the network; a test's may be others.
+	since func() time.Duration // the start
+	call  func(ctx context.Context, address string, index int64, put func(line)) error
 }
 
 // line is what a call read, or its end.
@@ -54,49 +56,57 @@
 // a new one speaks or it ends by itself. It returns false once the context ended.
 func (w *Watcher) Move(ctx context.Context, address string) bool {
 	w.init()
-	select {
-	case w.moves <- address:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sync.SendOr(w.moves, address, ctx.Done())
 }
 
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
-	w.init()
-	w.clock, w.calls, w.start = listclock.New(w.Clock), map[int]context.CancelFunc{}, time.Now()
-	w.step(ctx, listclock.Event{Kind: listclock.Begin}, nil)
+	start := time.Now()
+	w.since, w.call = func() time.Duration { return time.Since(start) }, w.watch
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
+	w.run(ctx, wake.C, func(at time.Duration) { wake.Reset(at - w.since()) })
+}
+
+// run is Run by a clock that wakes it at the times it names.
+func (w *Watcher) run(ctx context.Context, wake <-chan time.Time, reset func(time.Duration)) {
+	w.init()
+	w.clock, w.calls = listclock.New(w.Clock), map[int]context.CancelFunc{}
+	w.step(ctx, listclock.Event{Kind: listclock.Begin}, nil)
 	for {
-		wake.Reset(w.clock.Wake() - time.Since(w.start))
-		select {
-		case <-ctx.Done():
+		reset(w.clock.Wake())
+		_, address, _, l, which := sync.First4(ctx.Done(), w.moves, wake, w.mail)
+		switch which {
+		case 0:
 			return
-		case address := <-w.moves:
+		case 1:
 			if address != w.Address {
 				w.Address = address
 				w.step(ctx, listclock.Event{Kind: listclock.Moved}, nil)
 			}
-		case <-wake.C:
+		case 2:
 			w.step(ctx, listclock.Event{Kind: listclock.Passed}, errSilent)
-		case l := <-w.mail:
-			switch {
-			case w.calls[l.call] == nil: // of a call that is over
-			case l.err != nil:
-				w.calls[l.call]()
-				delete(w.calls, l.call)
-				var no *refusedError
-				w.step(ctx, listclock.Event{Kind: listclock.Ended, Call: l.call, Refused: errors.As(l.err, &no)}, l.err)
-			default:
-				w.step(ctx, listclock.Event{Kind: listclock.Spoke, Call: l.call}, nil)
-				w.spoke(l)
-			}
+		default:
+			w.took(ctx, l)
 		}
 	}
 }
 
+// took takes what a call read.
+func (w *Watcher) took(ctx context.Context, l line) {
+	switch {
+	case w.calls[l.call] == nil: // of a call that is over
+	case l.err != nil:
+		w.calls[l.call]()
+		delete(w.calls, l.call)
+		var no *refusedError
+		w.step(ctx, listclock.Event{Kind: listclock.Ended, Call: l.call, Refused: errors.As(l.err, &no)}, l.err)
+	default:
+		w.step(ctx, listclock.Event{Kind: listclock.Spoke, Call: l.call}, nil)
+		w.spoke(l)
+	}
+}
+
 // refusedError is a call that was turned away by word: the service can be overbooked.
 type refusedError struct{ status int }
 
@@ -105,7 +115,7 @@
 var errSilent = errors.New("watch: silent")
 
 func (w *Watcher) step(ctx context.Context, e listclock.Event, why error) {
-	for _, a := range w.clock.Step(time.Since(w.start), e) {
+	for _, a := range w.clock.Step(w.since(), e) {
 		switch a.Do {
 		case listclock.Open:
 			w.open(ctx, a.Call)
@@ -126,24 +136,23 @@
 	if l.list == nil || !l.list.Full && l.list.Index < w.Index {
 		return
 	}
+	sync.Writes(&w.Index)
 	w.Index = l.list.Index
 	w.Tell(w.apply(*l.list))
 }
 
 // open starts a call at the present address from the version held.
 func (w *Watcher) open(ctx context.Context, call int) {
-	in, stop := context.WithCancel(ctx)
+	in, stop := sync.WithCancel(ctx)
 	w.calls[call] = stop
-	go func(address string, index int64) {
+	address, index := w.Address, w.Index
+	sync.Go(func() {
 		put := func(l line) {
 			l.call = call
-			select {
-			case w.mail <- l:
-			case <-in.Done():
-			}
+			sync.SendOr(w.mail, l, in.Done())
 		}
-		put(line{err: w.watch(in, address, index, put)})
-	}(w.Address, w.Index)
+		put(line{err: w.call(in, address, index, put)})
+	})
 }
 
 // watch holds one connection: it asks for what came after the version held, and reads lines. How
@@ -244,7 +253,7 @@
 // mayLog says that what a list has that is bad may be logged: an agent may be asked many times a
 // second, and have the same each time.
 func (w *Watcher) mayLog() bool {
-	now, last := int64(time.Since(w.start)), w.logged.Load()
+	now, last := int64(w.since()), w.logged.Load()
 	return (last == 0 || now-last >= int64(badEvery)) && w.logged.CompareAndSwap(last, max(now, 1))
 }
 
