Peers: recording, merging, reading and the round walked in every order

The state of what processes share was open in the walks. The driver takes the checker's types, its loop gets its ticks as an argument, and the members are an interface that a walk fills. The wake at half of the buffer goes by the buffer's own size. Mutants of one test are built side by side.

--- a/internal/interleave/mutant/mutant.go
+++ b/internal/interleave/mutant/mutant.go
@@ -5,11 +5,14 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 
 	il "wheatsaddle/internal/interleave"
@@ -38,6 +41,8 @@
 	if Inside() || os.Getenv(il.ReplayEnv) != "" {
 		return
 	}
+	var all sync.WaitGroup
+	room := make(chan struct{}, 4) // builds at once
 	for _, m := range list {
 		text, err := os.ReadFile(m.File)
 		if err != nil {
@@ -46,40 +51,58 @@
 		if n := strings.Count(string(text), m.Old); n != 1 {
 			t.Fatalf("%s has %d times %q", m.File, n, m.Old)
 		}
-		dir := t.TempDir()
-		at, err := filepath.Abs(m.File)
-		if err != nil {
-			t.Fatal(err)
-		}
-		mutated, overlay := filepath.Join(dir, "mutant.go"), filepath.Join(dir, "overlay.json")
-		list, _ := json.Marshal(map[string]map[string]string{"Replace": {at: mutated}})
-		for path, text := range map[string][]byte{mutated: []byte(strings.Replace(string(text), m.Old, m.New, 1)), overlay: list} {
-			if err := os.WriteFile(path, text, 0o600); err != nil {
-				t.Fatal(err)
-			}
-		}
 		if m.Test == "" {
 			m.Test = t.Name()
 		}
-		bin := filepath.Join(dir, "mutant.test")
-		build := exec.Command("go", "test", "-c", "-tags", "interleave", "-vet=off", "-overlay", overlay, "-o", bin, ".")
-		if out, err := build.CombinedOutput(); err != nil {
-			t.Fatalf("%q for %q does not build: %v\n%s", m.New, m.Old, err, out)
-		}
-		run := func(env string) string {
-			c := exec.Command(bin, "-test.run", "^"+m.Test+"$", "-test.timeout", "2m")
-			c.Env = append(os.Environ(), insideEnv+"=1", env)
-			out, err := c.CombinedOutput()
-			if err == nil || !strings.Contains(string(out), m.Want) {
-				t.Fatalf("%q for %q: want %q, got %v\n%s", m.New, m.Old, m.Want, err, out)
+		dir := t.TempDir()
+		all.Go(func() {
+			room <- struct{}{}
+			defer func() { <-room }()
+			if got, err := find(dir, string(text), m); err != nil {
+				t.Errorf("%q for %q: %v", m.New, m.Old, err)
+			} else {
+				t.Logf("found: %q for %q (%s): schedule %s", m.New, m.Old, m.Want, got)
 			}
-			return string(out)
+		})
+	}
+	all.Wait()
+}
+
+// find gives the schedule in which the mutant fails, now and when it is replayed.
+func find(dir, text string, m Mutant) (string, error) {
+	at, err := filepath.Abs(m.File)
+	if err != nil {
+		return "", err
+	}
+	mutated, overlay := filepath.Join(dir, "mutant.go"), filepath.Join(dir, "overlay.json")
+	list, _ := json.Marshal(map[string]map[string]string{"Replace": {at: mutated}})
+	for path, text := range map[string][]byte{mutated: []byte(strings.Replace(text, m.Old, m.New, 1)), overlay: list} {
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			return "", err
 		}
-		got := schedule.FindStringSubmatch(run(il.ReplayEnv + "="))
-		if got == nil {
-			t.Fatalf("%q for %q: no schedule", m.New, m.Old)
+	}
+	bin := filepath.Join(dir, "mutant.test")
+	build := exec.Command("go", "test", "-c", "-tags", "interleave", "-vet=off", "-overlay", overlay, "-o", bin, ".")
+	if out, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("does not build: %w\n%s", err, out)
+	}
+	run := func(env string) (string, error) {
+		c := exec.Command(bin, "-test.run", "^"+m.Test+"$", "-test.timeout", "2m")
+		c.Env = append(os.Environ(), insideEnv+"=1", env)
+		out, err := c.CombinedOutput()
+		if err == nil || !strings.Contains(string(out), m.Want) {
+			return "", fmt.Errorf("want %q, got %v\n%s", m.Want, err, out)
 		}
-		run(il.ReplayEnv + "=" + got[1])
-		t.Logf("found: %q for %q (%s): schedule %s", m.New, m.Old, m.Want, got[1])
+		return string(out), nil
+	}
+	out, err := run(il.ReplayEnv + "=")
+	if err != nil {
+		return "", err
+	}
+	got := schedule.FindStringSubmatch(out)
+	if got == nil {
+		return "", errors.New("no schedule")
 	}
+	_, err = run(il.ReplayEnv + "=" + got[1])
+	return got[1], err
 }
--- a/internal/interleave/steps/chan.go
+++ b/internal/interleave/steps/chan.go
@@ -220,22 +220,15 @@
 	return va, vb, choose("either", true, taking(a, &va, &ok), taking(b, &vb, &ok)) == 0
 }
 
-// First4 is a select of four receives; which says of them, from 0, which one came. A nil channel never does.
+// First3 is a select of three receives; which says of them, from 0, which one came. A nil channel never does.
+func First3[A, B, C any](a <-chan A, b <-chan B, c <-chan C) (va A, vb B, vc C, which int) {
+	va, vb, vc, _, _, which = First5(a, b, c, (<-chan struct{})(nil), (<-chan struct{})(nil))
+	return va, vb, vc, which
+}
+
+// First4 is a select of four receives.
 func First4[A, B, C, D any](a <-chan A, b <-chan B, c <-chan C, d <-chan D) (va A, vb B, vc C, vd D, which int) {
-	if !il.On() {
-		select {
-		case va = <-a:
-		case vb = <-b:
-			which = 1
-		case vc = <-c:
-			which = 2
-		case vd = <-d:
-			which = 3
-		}
-		return va, vb, vc, vd, which
-	}
-	var ok bool
-	which = choose("first", true, taking(a, &va, &ok), taking(b, &vb, &ok), taking(c, &vc, &ok), taking(d, &vd, &ok))
+	va, vb, vc, vd, _, which = First5(a, b, c, d, (<-chan struct{})(nil))
 	return va, vb, vc, vd, which
 }
 
@@ -275,6 +268,23 @@
 	return choose("send or done", true, sending(ch, v), taking(done, &d, &ok)) == 0
 }
 
+// SendOrEither is a select of ch <- v, <-a and <-b; true: it was sent.
+func SendOrEither[T, A, B any](ch chan<- T, v T, a <-chan A, b <-chan B) bool {
+	if !il.On() {
+		select {
+		case ch <- v:
+			return true
+		case <-a:
+		case <-b:
+		}
+		return false
+	}
+	var va A
+	var vb B
+	var ok bool
+	return choose("send or done", true, sending(ch, v), taking(a, &va, &ok), taking(b, &vb, &ok)) == 0
+}
+
 // Close is close(ch).
 func Close[T any](ch chan<- T) {
 	if il.On() {
--- a/internal/interleave/sync/interleave.go
+++ b/internal/interleave/sync/interleave.go
@@ -27,6 +27,9 @@
 func Recv[T any](ch <-chan T) (T, bool)                    { return steps.Recv(ch) }
 func TryRecv[T any](ch <-chan T) (v T, ok, had bool)       { return steps.TryRecv(ch) }
 func Either[A, B any](a <-chan A, b <-chan B) (A, B, bool) { return steps.Either(a, b) }
+func First3[A, B, C any](a <-chan A, b <-chan B, c <-chan C) (A, B, C, int) {
+	return steps.First3(a, b, c)
+}
 func First4[A, B, C, D any](a <-chan A, b <-chan B, c <-chan C, d <-chan D) (A, B, C, D, int) {
 	return steps.First4(a, b, c, d)
 }
@@ -37,6 +40,9 @@
 	return steps.WithCancel(parent)
 }
 func SendOr[T, D any](ch chan<- T, v T, done <-chan D) bool { return steps.SendOr(ch, v, done) }
-func Close[T any](ch chan<- T)                              { steps.Close(ch) }
-func Pause(done <-chan struct{}, d time.Duration) bool      { return steps.Pause(done, d) }
-func PauseFor(kind, on string, d time.Duration)             { steps.PauseFor(kind, on, d) }
+func SendOrEither[T, A, B any](ch chan<- T, v T, a <-chan A, b <-chan B) bool {
+	return steps.SendOrEither(ch, v, a, b)
+}
+func Close[T any](ch chan<- T)                         { steps.Close(ch) }
+func Pause(done <-chan struct{}, d time.Duration) bool { return steps.Pause(done, d) }
+func PauseFor(kind, on string, d time.Duration)        { steps.PauseFor(kind, on, d) }
--- a/internal/interleave/sync/ordinary.go
+++ b/internal/interleave/sync/ordinary.go
@@ -70,7 +70,19 @@
 	}
 }
 
-// First4 is a select of four receives; which says of them, from 0, which one came. A nil channel never does.
+// First3 is a select of three receives; which says of them, from 0, which one came. A nil channel never does.
+func First3[A, B, C any](a <-chan A, b <-chan B, c <-chan C) (va A, vb B, vc C, which int) {
+	select {
+	case va = <-a:
+	case vb = <-b:
+		which = 1
+	case vc = <-c:
+		which = 2
+	}
+	return va, vb, vc, which
+}
+
+// First4 is a select of four receives.
 func First4[A, B, C, D any](a <-chan A, b <-chan B, c <-chan C, d <-chan D) (va A, vb B, vc C, vd D, which int) {
 	select {
 	case va = <-a:
@@ -115,6 +127,17 @@
 	}
 }
 
+// SendOrEither is a select of ch <- v, <-a and <-b; true: it was sent.
+func SendOrEither[T, A, B any](ch chan<- T, v T, a <-chan A, b <-chan B) bool {
+	select {
+	case ch <- v:
+		return true
+	case <-a:
+	case <-b:
+	}
+	return false
+}
+
 // Close is close(ch).
 func Close[T any](ch chan<- T) { close(ch) }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -19,13 +19,13 @@
 	"runtime"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
 
+	"wheatsaddle/internal/interleave/sync"
+	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/observations"
 	"wheatsaddle/internal/operr"
 )
@@ -91,10 +91,22 @@
 	how    observations.Outcome
 }
 
+// members are the library's; a walk of every order has its own.
+type members interface {
+	Members() []*memberlist.Node
+	NumMembers() int
+	LocalNode() *memberlist.Node
+	Join(seeds []string) (int, error)
+	Leave(time.Duration) error
+	Shutdown() error
+	SendBestEffort(*memberlist.Node, []byte) error
+	SendReliable(*memberlist.Node, []byte) error
+}
+
 // Peers is the running driver.
 type Peers struct {
 	opt    Options
-	list   *memberlist.Memberlist
+	list   members
 	inbox  chan []byte
 	wake   chan struct{}
 	stop   context.CancelFunc
@@ -128,18 +140,18 @@
 		begin := time.Now()
 		opt.Since = func() time.Duration { return time.Since(begin) }
 	}
-	p := &Peers{opt: opt, state: state, inbox: make(chan []byte, inboxSize), wake: make(chan struct{}, 1),
-		rand: rand.New(rand.NewPCG(opt.Seed, 0x70656572))}
+	p := newPeers(opt, state, bufferSize)
 	state.Yield = runtime.Gosched // the core has its turn, also on one processor
-	p.buffer.in, p.buffer.spare = make([]outcome, 0, bufferSize), make([]outcome, 0, bufferSize)
 	conf, err := p.config()
 	if err != nil {
 		return nil, err
 	}
-	if p.list, err = memberlist.Create(conf); err != nil {
+	list, err := memberlist.Create(conf)
+	if err != nil {
 		_ = conf.Transport.Shutdown()
 		return nil, &NoListen{Address: opt.Listen, Err: err}
 	}
+	p.list = list
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	p.tasks.Add(2)
@@ -148,6 +160,13 @@
 	return p, nil
 }
 
+func newPeers(opt Options, state *observations.State, size int) *Peers {
+	p := &Peers{opt: opt, state: state, inbox: make(chan []byte, inboxSize), wake: make(chan struct{}, 1),
+		rand: rand.New(rand.NewPCG(opt.Seed, 0x70656572))}
+	p.buffer.in, p.buffer.spare = make([]outcome, 0, size), make([]outcome, 0, size)
+	return p
+}
+
 // config is the library's.
 func (p *Peers) config() (*memberlist.Config, error) {
 	conf := memberlist.DefaultLANConfig()
@@ -236,7 +255,8 @@
 func (p *Peers) Observe(node string, since int64, class string, units, millis float64, how observations.Outcome) {
 	b := &p.buffer
 	b.Lock()
-	n := len(b.in)
+	sync.Writes(&b.in)
+	n, half := len(b.in), cap(b.in)/2
 	if n == cap(b.in) {
 		b.lost++
 	} else {
@@ -244,11 +264,8 @@
 		b.all++
 	}
 	b.Unlock()
-	if n == bufferSize/2 {
-		select {
-		case p.wake <- struct{}{}:
-		default:
-		}
+	if n == half {
+		sync.TrySend(p.wake, struct{}{})
 	}
 }
 
@@ -256,9 +273,11 @@
 func (p *Peers) drain() {
 	b := &p.buffer
 	b.Lock()
+	sync.Writes(&b.in)
 	got := b.in
 	b.in, b.spare = b.spare[:0], got
 	b.Unlock()
+	sync.Writes(p.state)
 	now := p.opt.Since()
 	for i := range got {
 		o := &got[i]
@@ -285,9 +304,11 @@
 	c := Counts{Members: int64(p.list.NumMembers()), Rounds: p.rounds.Load(), Received: p.received.Load(), In: p.in.Load(),
 		Sent: p.sent.Load(), Out: p.out.Load(), Unsent: p.unsent.Load(), Full: p.full.Load(), Left: p.left.Load()}
 	p.mu.Lock()
+	sync.Reads(p.state)
 	c.State = p.state.Counts()
 	p.mu.Unlock()
 	p.buffer.Lock()
+	sync.Reads(&p.buffer.in)
 	c.Outcomes, c.Lost = p.buffer.all, p.buffer.lost
 	p.buffer.Unlock()
 	return c
@@ -317,17 +338,22 @@
 	defer p.tasks.Done()
 	tick := time.NewTicker(p.opt.Every)
 	defer tick.Stop()
+	p.loop(ctx, tick.C)
+}
+
+// loop is run's by a clock that ticks as it is told.
+func (p *Peers) loop(ctx context.Context, tick <-chan time.Time) {
 	for {
-		select {
-		case <-tick.C:
+		switch _, _, m, _, which := sync.First4(tick, p.wake, p.inbox, ctx.Done()); which {
+		case 0:
 			p.round()
-		case <-p.wake:
+		case 1:
 			p.mu.Lock()
 			p.drain()
 			p.mu.Unlock()
-		case m := <-p.inbox:
+		case 2:
 			p.message(m)
-		case <-ctx.Done():
+		default:
 			return
 		}
 	}
@@ -399,6 +425,7 @@
 		return
 	}
 	p.mu.Lock()
+	sync.Writes(p.state)
 	now := p.opt.Since()
 	if !digest {
 		err := p.state.Merge(now, m)
@@ -474,9 +501,7 @@
 	if len(b) == 0 {
 		return
 	}
-	select {
-	case d.inbox <- append([]byte(nil), b...):
-	default:
+	if !sync.TrySend(d.inbox, append([]byte(nil), b...)) {
 		d.full.Add(1)
 	}
 }
