Registry: what comes after the stop is not told; the watch walked in every order

Found by the walk of a watch, a beat that passes and a stop: the actor waits at its stop, its moves, its timer and its calls' lines at once, and where several are ready chance chooses. A line put after the context had ended could be taken and told, and so could any number after it. Wrong was the select in run, which took its turn without a look at the context; it looks now, after each wait.

Six lost or moved lines are found and replayed, the look at the context among them.

--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -76,9 +76,10 @@
 	for {
 		reset(w.clock.Wake())
 		_, address, _, l, which := sync.First4(ctx.Done(), w.moves, wake, w.mail)
-		switch which {
-		case 0:
+		if ctx.Err() != nil { // chance may have chosen another: what comes after the stop is not told
 			return
+		}
+		switch which {
 		case 1:
 			if address != w.Address {
 				w.Address = address
--- /dev/null
+++ b/internal/registry/watch_interleave_test.go
@@ -0,0 +1,216 @@
+//go:build interleave
+
+package registry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
+	il "wheatsaddle/internal/interleave"
+	"wheatsaddle/internal/interleave/mutant"
+	"wheatsaddle/internal/interleave/steps"
+	"wheatsaddle/internal/interleave/sync"
+	"wheatsaddle/internal/listclock"
+)
+
+// watched is a watch with two list services: each call reads the texts of its address, and then stands
+// until it is closed, or ends.
+type watched struct {
+	w       *Watcher
+	ctx     context.Context
+	stop    func()
+	texts   map[string][]string
+	ends    bool // the old service's calls end after their texts
+	wake    chan time.Time
+	now     time.Duration
+	due     time.Duration
+	open    int // calls
+	stopped bool
+	over    bool // the watch has come back
+	told    []int
+	whole   bool              // stopped when version 4 was told, and not before
+	old     []context.Context // of the calls at the old address
+	spoke   bool              // the new address has said something
+}
+
+func version(n int, full bool) string {
+	return list(n, full, strings.Replace(entry, "s-1", fmt.Sprint("s-", n), 1)) + "\n"
+}
+
+func newWatched(texts map[string][]string, ends bool) *watched {
+	log, _ := logtest.NewNullLogger()
+	d := &watched{texts: texts, ends: ends, wake: make(chan time.Time)}
+	d.w = &Watcher{Address: "old", Log: log, Tell: d.tell, Clock: listclock.Settings{Pushed: true}}
+	d.w.since, d.w.call = func() time.Duration { return d.now }, d.call
+	ctx, cancel := steps.Root(context.Background())
+	d.ctx, d.stop = ctx, func() { cancel(); d.stopped = true }
+	return d
+}
+
+func (d *watched) tell(n core.News) {
+	if d.over {
+		il.Fail("told after the watch had ended")
+	}
+	if n.Kind == choice.ListFailed {
+		return
+	}
+	if n.Nodes[0].Zone == "late" {
+		il.Fail("told what came after the stop")
+	}
+	v := 0
+	if _, err := fmt.Sscanf(n.Nodes[0].ID, "s-%d", &v); err != nil {
+		il.Fail("told %+v", n)
+	}
+	if len(d.told) > 0 && v < d.told[len(d.told)-1] {
+		il.Fail("told version %d after %v", v, d.told)
+	}
+	if d.told = append(d.told, v); v == 4 && d.whole {
+		d.stop()
+	}
+}
+
+// call stands in for the network alone: the lines are read by the real code.
+func (d *watched) call(ctx context.Context, address string, _ int64, put func(line)) error {
+	d.open++
+	defer func() { d.open-- }()
+	if address == "old" {
+		d.old = append(d.old, ctx)
+	}
+	return d.w.lines(&says{d, ctx, address, d.texts[address]}, func(l line) {
+		if d.stopped && l.list != nil {
+			l.list.Nodes[0].Zone = "late"
+		}
+		d.spoke = d.spoke || address == "new"
+		put(l)
+	})
+}
+
+type says struct {
+	*watched
+	ctx     context.Context
+	address string
+	left    []string
+}
+
+func (s *says) Read(p []byte) (n int, err error) {
+	if len(s.left) == 0 {
+		if s.ends && s.address == "old" {
+			return 0, io.EOF
+		}
+		sync.Recv(s.ctx.Done())
+		return 0, io.ErrClosedPipe
+	}
+	n = copy(p, s.left[0])
+	s.left = s.left[1:]
+	return n, nil
+}
+
+// counts: the old address's call stands, once heard, until the new one speaks.
+func (d *watched) counts() error {
+	if len(d.told) > 0 && len(d.old) > 0 && d.old[0].Err() != nil && !d.spoke {
+		return errors.New("the old call was closed before the new one spoke")
+	}
+	return nil
+}
+
+func (d *watched) run() {
+	d.w.run(d.ctx, d.wake, func(at time.Duration) { d.due = at })
+	d.over = true
+}
+
+func (d *watched) ended() error {
+	if d.open != 0 {
+		return fmt.Errorf("%d calls are left open", d.open)
+	}
+	return nil
+}
+
+var both = map[string][]string{
+	"old": {version(1, true), version(2, false)},
+	"new": {version(3, true), version(4, false)},
+}
+
+// A watch whose address ends its calls, time that passes, a move, and a stop at any moment: nothing that
+// came after the stop is told, no call is left open, and nobody waits for ever.
+func TestInterleaveWatchStop(t *testing.T) {
+	beat := func(d *watched) {
+		sync.Point("time", "passes")
+		d.now = d.due
+		sync.SendOr(d.wake, time.Time{}, d.ctx.Done())
+	}
+	move := func(d *watched) {
+		if !d.w.Move(d.ctx, "new") && d.ctx.Err() == nil {
+			il.Fail("the move was not taken")
+		}
+	}
+	for _, x := range []struct {
+		name  string
+		run   func(*watched)
+		ends  bool
+		most  int // preemptions
+		texts map[string][]string
+		lost  []mutant.Mutant
+	}{
+		{"ends", beat, true, 0, map[string][]string{"old": {version(1, true)}}, nil},
+		{"silent", beat, false, 1, map[string][]string{"old": {version(1, true)}}, []mutant.Mutant{
+			{File: "watch.go", Old: "		if ctx.Err() != nil { //", New: "		if which == 0 { //", Want: "told what came after the stop"},
+			{File: "watch.go", Old: "			sync.SendOr(w.mail, l, in.Done())", New: "			sync.Send(w.mail, l)", Want: "deadlock: watch.1 at send"}}},
+		{"move", move, false, 1, map[string][]string{"new": {version(3, true)}}, []mutant.Mutant{
+			{File: "watch.go", Old: "	return sync.SendOr(w.moves, address, ctx.Done())", New: "	sync.Send(w.moves, address)\n	return true",
+				Want: "deadlock: move at send"}}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			il.Check(t, il.Options{Bounded: true, Preemptions: x.most}, func() il.World {
+				d := newWatched(x.texts, x.ends)
+				return il.World{
+					Threads: []il.Thread{
+						{Name: "watch", Run: d.run},
+						{Name: x.name, Run: func() { x.run(d) }},
+						{Name: "stop", Run: d.stop},
+					},
+					Check: d.ended,
+				}
+			})
+			mutant.Found(t, x.lost...)
+		})
+	}
+}
+
+// A move while the old address goes on: its call counts until the new one speaks, and then nothing of it is
+// told; nothing of the new one is lost.
+func TestInterleaveWatchMove(t *testing.T) {
+	il.Check(t, il.Options{Bounded: true, Preemptions: 1}, func() il.World {
+		d := newWatched(map[string][]string{"old": {version(1, true), version(2, false)}, "new": {version(3, true), version(4, false)}}, false)
+		d.whole = true
+		return il.World{
+			Threads: []il.Thread{
+				{Name: "watch", Run: d.run},
+				{Name: "move", Run: func() { d.w.Move(d.ctx, "new") }},
+			},
+			Always: d.counts,
+			Check: func() error {
+				if got := fmt.Sprint(d.told); got != "[3 4]" && got != "[1 3 4]" && got != "[1 2 3 4]" {
+					return fmt.Errorf("told %s", got)
+				}
+				return d.ended()
+			},
+		}
+	})
+	mutant.Found(t,
+		mutant.Mutant{File: "watch.go", Old: "	case w.calls[l.call] == nil: // of a call that is over\n	case l.err != nil:",
+			New: "	case l.err != nil && w.calls[l.call] != nil:", Want: "told [2 3 4]"},
+		mutant.Mutant{File: "watch.go", Old: "	address, index := w.Address, w.Index\n	sync.Go(func() {\n",
+			New: "	address := w.Address\n	sync.Go(func() {\n		sync.Reads(&w.Index)\n		index := w.Index\n", Want: "data race: "},
+		mutant.Mutant{File: "watch.go", Old: "				w.Address = address\n", New: "				w.Address = address\n				w.calls[1]()\n",
+			Want: "the old call was closed before the new one spoke"},
+	)
+}
