Scatter: the run of a gathered read walked in every order; an empty piece is taken at once

Run takes the checker's types, and its clock as an argument of run. Walked: a part and its second copy with the timer, the client's going while bytes wait for room, a writer that finds the client gone, two parts.

Found: a piece of no bytes was never taken, so its sender waited until the read's end (deadlock: run.2 at first, with no other part: run*4 run.1 run.2*2 run*2 run.3*2 run*2). feed passes over a sink that holds nothing. No asker sends one today; Piece now answers it at once, and the walk fails without that.

--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"wheatsaddle/internal/interleave/sync"
 )
 
 // batchMost is how many bytes of rows go to the writer at once, and one row.
@@ -42,26 +44,20 @@
 // Piece gives the next bytes and waits until the merge has taken them: back-pressure. The bytes are the caller's again
 // then. False: no more is needed.
 func (s *Sink) Piece(data []byte) bool {
-	select {
-	case s.pieces <- piece{s, data}:
-	case <-s.off:
-		return false
-	case <-s.done:
-		return false
-	}
-	select {
-	case <-s.took:
+	if len(data) == 0 {
 		return true
-	case <-s.off: // the loop is done with data: it closed off
-		return false
-	case <-s.done:
+	}
+	if !sync.SendOrEither(s.pieces, piece{s, data}, s.off, s.done) {
 		return false
 	}
+	// Off: the loop is done with data, and closed it.
+	_, _, _, which := sync.First3(s.took, s.off, s.done)
+	return which == 0
 }
 
 // End says, once, how the asking ended, with its last bytes, or all of a whole body; those are the gather's from now on.
 // It does not block. Errors: nil, *Refusal, *gather.Limited, others.
-func (s *Sink) End(data []byte, err error) { s.ends <- ending{s, data, err} }
+func (s *Sink) End(data []byte, err error) { sync.Send(s.ends, ending{s, data, err}) }
 
 // Options of Run.
 type Options struct {
@@ -73,22 +69,34 @@
 // Run carries a gathered read out and returns its one final answer. The context's end says that the client left. Run waits
 // for a Write that is out, and for nothing else.
 func Run(ctx context.Context, g *Gather, asker Asker, opt Options) Final {
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	now := func() time.Duration { return time.Since(opt.Arrived) }
+	return run(ctx, g, asker, opt, clock{now, wake.C, func(at time.Duration) { wake.Reset(max(0, at-now())) }})
+}
+
+// clock is what run knows of time.
+type clock struct {
+	now   func() time.Duration // since the request arrived
+	wake  <-chan time.Time
+	reset func(at time.Duration)
+}
+
+func run(ctx context.Context, g *Gather, asker Asker, opt Options, c clock) Final {
+	now := c.now
 	done := make(chan struct{})
-	defer close(done)
+	defer sync.Close(done)
 	// Each asking sends one end, so that none blocks.
 	ends := make(chan ending, len(g.parts)*(1+max(g.r.Again, copiesMost)+moreMost))
 	pieces := make(chan piece)
 	write, wrote := make(chan []byte), make(chan error, 1)
-	defer close(write)
-	go func() {
-		for b := range write {
-			wrote <- opt.Write(b)
+	defer sync.Close(write)
+	sync.Go(func() {
+		for b, ok := sync.Recv(write); ok; b, ok = sync.Recv(write) {
+			sync.Send(wrote, opt.Write(b))
 		}
-	}()
+	})
 	out := map[string][]*Sink{} // askings by part, in order of numbers
-	now := func() time.Duration { return time.Since(opt.Arrived) }
-	wake := time.NewTimer(0)
-	defer wake.Stop()
 	var rows, spare []byte
 	busy := false
 	// feed gives the merge what it has room for.
@@ -98,6 +106,9 @@
 			if len(s.held) == 0 && s.ending == nil {
 				continue
 			}
+			if len(s.held) > 0 {
+				sync.Reads(&s.held[0])
+			}
 			n := g.Take(now(), id, s.ask.Copy, s.held)
 			s.held = s.held[n:]
 			fed = fed || n > 0
@@ -109,7 +120,7 @@
 				g.Ended(now(), id, s.ask.Copy, s.ending.err)
 				fed = true
 			default:
-				s.took <- struct{}{}
+				sync.Send(s.took, struct{}{})
 			}
 		}
 		return fed
@@ -125,7 +136,7 @@
 			}
 			if len(rows) > 0 {
 				busy = true
-				write <- rows
+				sync.Send(write, rows)
 				rows, spare = spare[:0], rows
 			}
 			for _, a := range g.Step(now()) {
@@ -140,13 +151,13 @@
 					s := out[id][i]
 					out[id] = slices.Delete(out[id], i, i+1)
 					s.held, s.ending = nil, nil
-					close(s.off)
+					sync.Close(s.off)
 					asker.Off(s.ask)
 				}
 			}
 			if f, ok := g.Final(); ok {
 				if busy {
-					if err := <-wrote; err != nil { // it left before its last rows
+					if err, _ := sync.Recv(wrote); err != nil { // it left before its last rows
 						f.Kind = Left
 					}
 				}
@@ -154,22 +165,22 @@
 			}
 			again = again || g.Wake() <= now()
 		}
-		wake.Reset(max(0, g.Wake()-now()))
-		select {
-		case <-ctx.Done():
+		c.reset(g.Wake())
+		switch _, err, p, e, _, which := sync.First5(ctx.Done(), wrote, pieces, ends, c.wake); which {
+		case 0:
 			g.Leave()
-		case err := <-wrote:
+		case 1:
 			if busy = false; err != nil {
 				g.Leave()
 			}
-		case p := <-pieces:
+		case 2:
 			p.from.held = p.data
-		case e := <-ends:
+		case 3:
+			e := e // its own: it is kept
 			if len(e.data) > opt.PartMost {
 				e.data, e.err = e.data[:opt.PartMost:opt.PartMost], &PartLong{e.from.ask.Part.ID, opt.PartMost}
 			}
 			e.from.held, e.from.ending = e.data, &e
-		case <-wake.C:
 		}
 	}
 }
