What the watch, the fronts and iSCSI log at warn carries code and advice; a test reads the logs' lines

Errors that reached an operator's log without a code: the watch's end (refused, silent, a connection that ended or never came up), a bad line and bad entries (coded, but logged without it), the shutdown and the three listeners that may end, a storage target's connection and a session that panicked. New types: list-refused, list-silent, list-call, sock-ended, iscsi-dropped, iscsi-panicked; a list that is too long and an answer that is no stream are list-malformed. The start's listen errors carry sock-listen or sock-in-use already, through what wraps them.

houserules.BareLogs names each line at warn or above with WithError, with err in its format, or with operr.Fields of an error that is made bare; the test of internal/operr/page asks it of all packages of the daemon. TestWatch and TestTurnedAwayWatch hold the codes.

--- a/cmd/wheatsaddle/blocks.go
+++ b/cmd/wheatsaddle/blocks.go
@@ -52,7 +52,7 @@
 	f := &blockFront{file: file, dialer: d, core: co, target: iscsi.NewTarget(ic, co, set, log), sockets: ic.Sessions + 2*len(ic.Storage)}
 	go func() {
 		if err := f.target.Serve(ln); err != nil {
-			log.WithFields(operr.Fields(err)).Error("iscsi front ended")
+			log.WithFields(operr.Fields(&sock.EndedError{Front: "iscsi", Address: ic.Listen, Err: err})).Error("iscsi front ended")
 		}
 	}()
 	log.WithFields(logrus.Fields{"listen": ic.Listen, "targets": len(ic.Targets), "storage": len(ic.Storage)}).Info("serving iscsi")
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -269,7 +269,7 @@
 	}()
 	select {
 	case err = <-served:
-		return fmt.Errorf("serve: %w", err)
+		return &sock.EndedError{Front: "http", Address: conf.Listen, Err: err}
 	case <-term:
 	}
 	serving.Store(false) // another process is to serve the clients now
@@ -293,7 +293,7 @@
 	}
 	defer time.AfterFunc(time.Until(kill.Add(-answerMargin)), co.Finish).Stop()
 	if err = srv.Shutdown(end); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		log.WithError(err).Warn("shutdown")
+		log.WithFields(operr.Fields(&sock.EndedError{Front: "http", Address: conf.Listen, Err: err})).Warn("shutdown")
 	}
 	<-blocksDone
 	log.Info("stopped")
@@ -336,7 +336,7 @@
 	}
 	go func() {
 		if err := door.Serve(ln); err != nil {
-			log.WithError(err).Error("the operators' door has closed")
+			log.WithFields(operr.Fields(&sock.EndedError{Front: "operators' door", Address: conf.Operator, Err: err})).Error("the operators' door has closed")
 		}
 	}()
 	log.WithField("operator", conf.Operator).Info("the operators' door is open")
--- a/internal/houserules/houserules.go
+++ b/internal/houserules/houserules.go
@@ -85,12 +85,30 @@
 // or method of the package in a folder, directly or through others of it. Check methods are for tests
 // and are passed over.
 func BareErrors(folder string) ([]string, error) {
+	b, err := read(folder, false)
+	if err != nil {
+		return nil, err
+	}
+	var found []string
+	for _, d := range b.all {
+		if d.Name.Name != "Check" && d.Type.Results != nil && ast.IsExported(d.Name.Name) && (d.Recv == nil || ast.IsExported(receiver(d))) {
+			if pos := b.gives(d); pos.IsValid() {
+				found = append(found, fmt.Sprintf("%v: %s gives a bare error", b.set.Position(pos), d.Name.Name))
+			}
+		}
+	}
+	slices.Sort(found)
+	return found, nil
+}
+
+// read finds the functions and variables of a package that give or hold a bare error. Wrapped: one that
+// wraps another is what that one is.
+func read(folder string, wrapped bool) (*bare, error) {
 	files, err := filepath.Glob(filepath.Join(folder, "*.go"))
 	if err != nil {
 		return nil, err
 	}
-	b := &bare{set: token.NewFileSet(), funcs: map[string]token.Pos{}, vars: map[string]token.Pos{}}
-	var all []*ast.FuncDecl
+	b := &bare{wrapped: wrapped, set: token.NewFileSet(), funcs: map[string]token.Pos{}, vars: map[string]token.Pos{}}
 	for _, path := range files {
 		if strings.HasSuffix(path, "_test.go") {
 			continue
@@ -102,8 +120,8 @@
 		for _, d := range f.Decls {
 			switch d := d.(type) {
 			case *ast.FuncDecl:
-				if d.Body != nil && d.Name.Name != "Check" && d.Type.Results != nil {
-					all = append(all, d)
+				if d.Body != nil {
+					b.all = append(b.all, d)
 				}
 			case *ast.GenDecl:
 				b.globals(d)
@@ -112,28 +130,21 @@
 	}
 	for again := true; again; { // until no function more is found to give a bare error
 		again = false
-		for _, d := range all {
-			if _, known := b.funcs[d.Name.Name]; !known {
+		for _, d := range b.all {
+			if _, known := b.funcs[d.Name.Name]; !known && d.Type.Results != nil && d.Name.Name != "Check" {
 				if pos := b.gives(d); pos.IsValid() {
 					b.funcs[d.Name.Name], again = pos, true
 				}
 			}
 		}
 	}
-	var found []string
-	for _, d := range all {
-		if ast.IsExported(d.Name.Name) && (d.Recv == nil || ast.IsExported(receiver(d))) {
-			if pos := b.gives(d); pos.IsValid() {
-				found = append(found, fmt.Sprintf("%v: %s gives a bare error", b.set.Position(pos), d.Name.Name))
-			}
-		}
-	}
-	slices.Sort(found)
-	return found, nil
+	return b, nil
 }
 
 type bare struct {
+	wrapped     bool
 	set         *token.FileSet
+	all         []*ast.FuncDecl
 	funcs, vars map[string]token.Pos // that give or hold a bare error, and where it is made
 }
 
@@ -163,8 +174,18 @@
 		case *ast.SelectorExpr:
 			if x, ok := f.X.(*ast.Ident); ok {
 				switch x.Name + "." + f.Sel.Name {
-				case "errors.New", "errors.Join", "fmt.Errorf":
+				case "errors.New", "errors.Join":
 					return e.Pos()
+				case "fmt.Errorf":
+					if !b.wrapped || !wraps(e) {
+						return e.Pos()
+					}
+					for _, a := range e.Args[1:] {
+						if pos := b.made(a, local); pos.IsValid() {
+							return pos
+						}
+					}
+					return token.NoPos
 				}
 			}
 			return b.funcs[f.Sel.Name] // a method of the package, or one of the same name
@@ -175,6 +196,31 @@
 	return token.NoPos
 }
 
+// wraps: a format that keeps the error within.
+func wraps(e *ast.CallExpr) bool {
+	f, ok := e.Args[0].(*ast.BasicLit)
+	return ok && strings.Contains(f.Value, "%w")
+}
+
+// assign keeps which variables hold a bare error.
+func (b *bare) assign(n *ast.AssignStmt, local map[string]token.Pos) {
+	for i, l := range n.Lhs {
+		id, ok := l.(*ast.Ident)
+		if !ok || id.Name == "_" {
+			continue
+		}
+		value := n.Rhs[min(i, len(n.Rhs)-1)]
+		if len(n.Rhs) == 1 && len(n.Lhs) > 1 && i != len(n.Lhs)-1 {
+			continue // the error is the last result
+		}
+		if pos := b.made(value, local); pos.IsValid() {
+			local[id.Name] = pos
+		} else if _, typed := value.(*ast.UnaryExpr); typed { // err = &Type{...}
+			delete(local, id.Name)
+		}
+	}
+}
+
 // gives says where a bare error that a function returns is made. Function literals in it are passed over.
 func (b *bare) gives(d *ast.FuncDecl) (at token.Pos) {
 	local := map[string]token.Pos{}
@@ -189,21 +235,7 @@
 		case *ast.FuncLit:
 			return false
 		case *ast.AssignStmt:
-			for i, l := range n.Lhs {
-				id, ok := l.(*ast.Ident)
-				if !ok || id.Name == "_" {
-					continue
-				}
-				value := n.Rhs[min(i, len(n.Rhs)-1)]
-				if len(n.Rhs) == 1 && len(n.Lhs) > 1 && i != len(n.Lhs)-1 {
-					continue // the error is the last result
-				}
-				if pos := b.made(value, local); pos.IsValid() {
-					local[id.Name] = pos
-				} else if _, typed := value.(*ast.UnaryExpr); typed { // err = &Type{...}
-					delete(local, id.Name)
-				}
-			}
+			b.assign(n, local)
 		case *ast.ReturnStmt:
 			for _, r := range n.Results {
 				if pos := b.made(r, local); pos.IsValid() && !at.IsValid() {
--- a/internal/houserules/houserules_test.go
+++ b/internal/houserules/houserules_test.go
@@ -31,6 +31,18 @@
 func Good() error { err := errors.New("in it"); err = &Full{err}; return err }
 func quiet() error { return errors.New("d") }
 var Tag struct { A int ` + "`json:\"gold\"`" + ` }
+func logs(log L) {
+	err := helper2()
+	log.WithError(err).WithField("a", 1).Warn("x")      // line 27
+	log.WithField("a", 1).Errorf("x: %v", err)          // line 28
+	log.WithFields(operr.Fields(errAt)).Error("x")      // line 29
+	go func() { log.WithFields(operr.Fields(quiet())).Fatal("x") }() // line 30
+	log.WithError(err).Debug("x")
+	log.WithFields(operr.Fields(fmt.Errorf("x: %w", err))).Warn("x")
+	t.Errorf("x: %v", err)
+	log.WithFields(operr.Fields(&Full{err})).Warn("x")
+	log.WithField("a", 1).Errorf("x: %v", 7)
+}
 const path, golden, class = "/gold/x", "of gold", "silver"
 `
 
@@ -66,5 +78,7 @@
 	}
 	holds("bare", found, err, "15: Direct", "17: Through", "17: Method", "18: Named", "13: Global")
 	found, err = Names(files, Words{Whole: []string{"gold", "silver"}, Anywhere: []string{"harbourtown"}})
-	holds("names", found, err, "5:1", "25:29", "25:51")
+	holds("names", found, err, "5:1", "37:29", "37:51")
+	found, err = BareLogs(dir)
+	holds("logs", found, err, "27:", "28:", "29:", "30:")
 }
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -19,6 +19,7 @@
 	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/sock"
 )
 
@@ -260,7 +261,7 @@
 		if x := m.from; x.link != nil {
 			x.heard, x.pinged = time.Now(), false
 			if err := x.hear(m.pdu); err != nil {
-				p.d.Log.WithError(err).Warnf("storage target %s: connection dropped", p.name)
+				p.d.Log.WithFields(operr.Fields(&Dropped{p.name, err})).Warn("storage target: connection dropped")
 				x.down()
 			}
 			x.finished()
--- a/internal/iscsi/nexus.go
+++ b/internal/iscsi/nexus.go
@@ -8,6 +8,7 @@
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/operr"
 )
 
 // nexus is one session with the storage target by one of its portals: one connection, many
@@ -351,7 +352,7 @@
 	}
 	switch quiet := now.Sub(x.heard); {
 	case quiet > peerDeadAfter:
-		x.p.d.Log.Warnf("storage target %s is silent: connection dropped", x.p.name)
+		x.p.d.Log.WithFields(operr.Fields(&Dropped{x.p.name, errSilent})).Warn("storage target: connection dropped")
 		x.down()
 	case quiet > peerPingAfter && !x.pinged:
 		x.pinged = true
--- a/internal/iscsi/target.go
+++ b/internal/iscsi/target.go
@@ -18,6 +18,7 @@
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/sock"
 )
 
@@ -89,7 +90,7 @@
 		go func() {
 			defer func() {
 				if p := recover(); p != nil { // one session's fault must not end the others
-					t.log.WithField("stack", string(debug.Stack())).Errorf("iscsi session panicked: %v", p)
+					t.log.WithField("stack", string(debug.Stack())).WithFields(operr.Fields(&Panicked{fmt.Sprint(p)})).Error("iscsi session ended")
 				}
 				t.mu.Lock()
 				delete(t.sessions, s)
--- a/internal/operr/page/page_test.go
+++ b/internal/operr/page/page_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
@@ -80,3 +81,25 @@
 		}
 	}
 }
+
+// What the daemon logs at warn or above with an error has the error's code and advice.
+func TestLoggedErrorsHaveCodes(t *testing.T) {
+	for _, top := range []string{"choice", "gather", "internal", "cmd/wheatsaddle"} {
+		err := filepath.WalkDir(filepath.Join(root, top), func(path string, d fs.DirEntry, err error) error {
+			switch {
+			case err != nil || !d.IsDir():
+				return err
+			case d.Name() == "lab" || d.Name() == "standin" || d.Name() == "testdata": // not the daemon's
+				return fs.SkipDir
+			}
+			found, err := houserules.BareLogs(path)
+			for _, f := range found {
+				t.Error(f)
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/registry/errors.go
+++ b/internal/registry/errors.go
@@ -69,7 +69,53 @@
 	return "Have the address corrected in the list's service; until then the node is reached by its other addresses alone."
 }
 
+// RefusedError is a call for the list that was turned away by word: the service can be overbooked.
+type RefusedError struct{ Status int }
+
+func (e *RefusedError) Error() string { return fmt.Sprintf("watch: status %d", e.Status) }
+
+// Code implements operr.Coded.
+func (e *RefusedError) Code() string { return "list-refused" }
+
+// Advice implements operr.Coded.
+func (e *RefusedError) Advice() string {
+	return "See why the list's service turns calls away (its load, the path, its rights); the list as last held counts until it takes one."
+}
+
+// SilentError is a watch that has said nothing for longer than its beats are apart.
+type SilentError struct{}
+
+func (e *SilentError) Error() string { return "watch: silent" }
+
+// Code implements operr.Coded.
+func (e *SilentError) Code() string { return "list-silent" }
+
+// Advice implements operr.Coded.
+func (e *SilentError) Advice() string {
+	return "See whether the list's service runs and what is between it and this host; another call is out beside the silent one, and the list as last held counts."
+}
+
+// CallError is a call for the list that never came up, or whose connection ended.
+type CallError struct {
+	Address string
+	Err     error
+}
+
+func (e *CallError) Error() string { return fmt.Sprintf("watch: %s: %v", e.Address, e.Err) }
+
+// Unwrap gives the system's word.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Code implements operr.Coded.
+func (e *CallError) Code() string { return "list-call" }
+
+// Advice implements operr.Coded.
+func (e *CallError) Advice() string {
+	return "See whether the list's service runs at the address and is reached from this host; it is asked again, and the list as last held counts meanwhile."
+}
+
 func init() {
+	operr.Register(&RefusedError{503}, &SilentError{}, &CallError{"127.0.0.1:7000", errors.New("connection refused")})
 	operr.Register(&MalformedError{"index", "missing or not a number"}, &EntryError{3, "s-1", errors.New("name: missing")},
 		&AddressError{3, "s-1", errors.New("addresses.1: not text")})
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"pgregory.net/rapid"
 
@@ -108,6 +110,22 @@
 	return s, asked
 }
 
+// codes are those of what was logged at warn and above; each line has one, and an advice.
+func codes(t *testing.T, hook *logtest.Hook) (all []string) {
+	t.Helper()
+	for _, e := range hook.AllEntries() {
+		if e.Level > logrus.WarnLevel {
+			continue
+		}
+		code, _ := e.Data["code"].(string)
+		if advice, _ := e.Data["advice"].(string); code == "" || advice == "" {
+			t.Errorf("%q %v has no code or no advice", e.Message, e.Data)
+		}
+		all = append(all, code)
+	}
+	return all
+}
+
 // Guards the list through what can happen to a watch: its end, silence past the beat, and a
 // bad line, after none of which anything told is lost or told twice.
 func TestWatch(t *testing.T) {
@@ -140,12 +158,9 @@
 	}
 	stop()
 	<-ended
-	named := false
-	for _, e := range hook.AllEntries() {
-		named = named || strings.Contains(e.Message, "bad watch line")
-	}
-	if !named {
-		t.Error("the bad line was not named")
+	said := codes(t, hook)
+	if !slices.Contains(said, "list-malformed") || !slices.Contains(said, "list-call") {
+		t.Errorf("said %v", said)
 	}
 }
 
@@ -236,13 +251,16 @@
 	s.Refuse()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	log, _ := logtest.NewNullLogger()
+	log, hook := logtest.NewNullLogger()
 	told := make(chan core.News, 64)
 	w := &Watcher{Address: s.Addr(), Tell: func(n core.News) { told <- n }, Log: log, Clock: listclock.Settings{Pushed: true}}
 	go w.Run(ctx)
 	if n := <-told; n.Kind != choice.ListFailed {
 		t.Errorf("told %+v first", n)
 	}
+	if said := codes(t, hook); !slices.Equal(said, []string{"list-refused"}) {
+		t.Errorf("said %v", said)
+	}
 	s.Up()
 	if n := <-told; n.Kind != choice.ListFull || len(n.Nodes) != 1 {
 		t.Errorf("told %+v once the list came", n)
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -19,6 +19,7 @@
 	"wheatsaddle/internal/interleave/sync"
 	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/listclock"
+	"wheatsaddle/internal/operr"
 )
 
 // Watcher is the list's actor. It alone applies what its calls read; when to call is its clock's.
@@ -86,7 +87,7 @@
 				w.step(ctx, listclock.Event{Kind: listclock.Moved}, nil)
 			}
 		case 2:
-			w.step(ctx, listclock.Event{Kind: listclock.Passed}, errSilent)
+			w.step(ctx, listclock.Event{Kind: listclock.Passed}, &SilentError{})
 		default:
 			w.took(ctx, l)
 		}
@@ -100,7 +101,7 @@
 	case l.err != nil:
 		w.calls[l.call]()
 		delete(w.calls, l.call)
-		var no *refusedError
+		var no *RefusedError
 		w.step(ctx, listclock.Event{Kind: listclock.Ended, Call: l.call, Refused: errors.As(l.err, &no)}, l.err)
 	default:
 		w.step(ctx, listclock.Event{Kind: listclock.Spoke, Call: l.call}, nil)
@@ -108,13 +109,6 @@
 	}
 }
 
-// refusedError is a call that was turned away by word: the service can be overbooked.
-type refusedError struct{ status int }
-
-func (e *refusedError) Error() string { return fmt.Sprintf("watch: status %d", e.status) }
-
-var errSilent = errors.New("watch: silent")
-
 func (w *Watcher) step(ctx context.Context, e listclock.Event, why error) {
 	for _, a := range w.clock.Step(w.since(), e) {
 		switch a.Do {
@@ -125,7 +119,7 @@
 			delete(w.calls, a.Call)
 		case listclock.Down:
 			// once for each time it goes down, not for each try
-			w.Log.WithError(why).Warn("watch ended, connecting again")
+			w.Log.WithFields(operr.Fields(why)).Warn("watch ended, connecting again")
 			w.Tell(core.News{Kind: choice.ListFailed})
 		}
 	}
@@ -152,7 +146,12 @@
 			l.call = call
 			sync.SendOr(w.mail, l, in.Done())
 		}
-		put(line{err: w.call(in, address, index, put)})
+		err := w.call(in, address, index, put)
+		var c operr.Coded
+		if !errors.As(err, &c) {
+			err = &CallError{address, err}
+		}
+		put(line{err: err})
 	})
 }
 
@@ -181,10 +180,10 @@
 	}
 	defer resp.CloseBodyStream()
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return &refusedError{resp.StatusCode()}
+		return &RefusedError{resp.StatusCode()}
 	}
 	if resp.BodyStream() == nil {
-		return errors.New("watch: not a stream")
+		return &MalformedError{Says: "the answer to a watch is not a stream"}
 	}
 	return w.lines(resp.BodyStream(), put)
 }
@@ -211,7 +210,7 @@
 			open := deep.of(text)
 			if object != nil || open {
 				if object = append(append(object, text...), '\n'); len(object) > lineMost {
-					return fmt.Errorf("watch: a list of over %d bytes", lineMost)
+					return &MalformedError{Says: fmt.Sprintf("over %d bytes", lineMost)}
 				}
 				text = object
 			}
@@ -225,17 +224,17 @@
 		object, deep = nil, depth{}
 		if err != nil {
 			if w.mayLog() {
-				w.Log.WithError(err).Warn("bad watch line passed over")
+				w.Log.WithFields(operr.Fields(err)).Warn("bad watch line passed over")
 			}
 			put(line{})
 			return err
 		}
 		if len(l.Bad)+len(l.Partly) > 0 && w.mayLog() {
 			for _, bad := range l.Bad {
-				w.Log.WithError(bad).Warn("list entry left out")
+				w.Log.WithFields(operr.Fields(bad)).Warn("list entry left out")
 			}
 			for _, bad := range l.Partly {
-				w.Log.WithError(bad).Warn("address left out")
+				w.Log.WithFields(operr.Fields(bad)).Warn("address left out")
 			}
 		}
 		if l.Index < last { // guards against an old list after a new one
--- a/internal/sock/errors.go
+++ b/internal/sock/errors.go
@@ -87,6 +87,26 @@
 	return "Have the platform pass a listening TCP socket at the descriptor that ROUTER_PASSED_SOCKET names, or unset it: the program then binds listen itself."
 }
 
+// EndedError is a listener that has closed while it was to go on, or did not close well.
+type EndedError struct {
+	Front   string
+	Address string
+	Err     error
+}
+
+func (e *EndedError) Error() string { return fmt.Sprintf("%s at %s: %v", e.Front, e.Address, e.Err) }
+
+// Unwrap gives the system's word.
+func (e *EndedError) Unwrap() error { return e.Err }
+
+// Code implements operr.Coded.
+func (e *EndedError) Code() string { return "sock-ended" }
+
+// Advice implements operr.Coded.
+func (e *EndedError) Advice() string {
+	return "Nothing is accepted at " + e.Address + " any more: start the program again, and see its descriptors and memory if it comes again."
+}
+
 // ListenTCP listens on host:port.
 func ListenTCP(address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
@@ -110,5 +130,5 @@
 
 func init() {
 	operr.Register(&InUse{Address: "127.0.0.1:80"}, &ListenError{"/run/c.sock", errors.New("/run/c.sock: is there and is no socket")},
-		&PassedError{Name: "4", Says: "descriptor 4 is no stream socket"})
+		&PassedError{Name: "4", Says: "descriptor 4 is no stream socket"}, &EndedError{"http", "127.0.0.1:80", errors.New("accept: too many open files")})
 }
