--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -404,21 +404,24 @@
 }
 
 func newFront(t *testing.T, do script) *front {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newFrontOn(t, ln, dialer(), do)
+}
+
+func newFrontOn(t *testing.T, ln net.Listener, d *Dialer, do script) *front {
 	n := newStandin(t, do)
 	set := testModule()
 	var log *logrus.Logger
 	log, _ = logtest.NewNullLogger()
-	d := dialer()
 	c, err := core.New(core.Options{Settings: set, Seed: 1, Connect: d.Connect, Log: log})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Stop)
 	c.List(core.News{Kind: choice.ListStale, Nodes: []core.Node{{Node: choice.Node{ID: "n", Weight: 1}, Addresses: at(n.ln)}}})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	t.Cleanup(func() { ln.Close() })
 	f := &front{standin: n, srv: NewServer(c, set, 50, log), address: ln.Addr().String(), served: make(chan error, 1), dialer: d}
 	f.srv.http.ReadTimeout = time.Hour // no test may pass because somebody's time ran out
--- /dev/null
+++ b/internal/httpfront/refused_test.go
@@ -0,0 +1,77 @@
+package httpfront
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/sock"
+	"wheatsaddle/internal/standin/refuser"
+)
+
+// Where every copy past the process is refused, on clients' connections and on nodes': bodies and answers
+// of all framings and sizes, held, streamed and relayed, pass byte for byte, and no copy was tried.
+func TestRefusedCopies(t *testing.T) {
+	ln, err := refuser.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	d := dialer()
+	d.dial = func(ctx context.Context, a address.Addr, within time.Duration) (sock.Stream, address.Why, error) {
+		nc, err := (&net.Dialer{Timeout: within}).DialContext(ctx, "tcp", a.String())
+		if err != nil {
+			return nil, address.Refused, err
+		}
+		return ln.Of(nc), 0, nil
+	}
+	var answer atomic.Pointer[bytes.Buffer]
+	f := newFrontOn(t, ln, d, func(nc net.Conn) bool { _, err := nc.Write(answer.Load().Bytes()); return err == nil })
+	text := bytes.Repeat([]byte("0123456789abcdef"), 20_000)
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	id := 0
+	for _, size := range []int{0, 1, 3000, bodyMost, bodyMost + 1, len(text)} {
+		for _, chunked := range []bool{false, true} {
+			var b bytes.Buffer
+			if _, framed := put(0, text[:size], chunked, false); chunked {
+				b.WriteString("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				b.Write(framed)
+			} else {
+				fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, framed)
+			}
+			answer.Store(&b)
+			id++
+			head, body := put(id, text[:size], chunked, false)
+			io.WriteString(nc, head)
+			nc.Write(body)
+			var r fasthttp.Response
+			if err := r.Read(br); err != nil || r.StatusCode() != 200 || !bytes.Equal(r.Body(), text[:size]) {
+				t.Fatalf("%d bytes, chunked %v: %v %d, %d bytes", size, chunked, err, r.StatusCode(), len(r.Body()))
+			}
+			if got := f.last.Load().Body(); !bytes.Equal(got, text[:size]) {
+				t.Errorf("%d bytes, chunked %v: %d bytes came to the node", size, chunked, len(got))
+			}
+		}
+	}
+	if n := ln.Count(); n > 0 {
+		t.Errorf("%d copies were tried", n)
+	}
+	if _, err := io.Copy(ln.Of(nc), io.LimitReader(strings.NewReader("x"), 1)); err == nil || ln.Count() != 1 {
+		t.Error("the stand-in refuses nothing")
+	}
+}
--- /dev/null
+++ b/internal/meter/refused_test.go
@@ -0,0 +1,34 @@
+package meter
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/internal/standin/refuser"
+)
+
+// Where copies past the process are refused, a long page of counts comes whole, and none was tried.
+func TestRefusedCopies(t *testing.T) {
+	ln, err := refuser.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, _ := logtest.NewNullLogger()
+	m := Serve(ln, log)
+	defer m.Close()
+	const series = 2000
+	for i := range series {
+		m.Counter("some", "of", fmt.Sprint(i)).Inc()
+	}
+	_, body, err := fasthttp.Get(nil, "http://"+ln.Addr().String()+"/metrics")
+	if n := strings.Count(string(body), "wheatsaddle_some{"); err != nil || n != series {
+		t.Errorf("%d of %d series, %v", n, series, err)
+	}
+	if n := ln.Count(); n > 0 {
+		t.Errorf("%d copies were tried", n)
+	}
+}
--- /dev/null
+++ b/internal/operator/refused_test.go
@@ -0,0 +1,32 @@
+package operator
+
+import (
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/standin/refuser"
+)
+
+// Where copies past the process are refused, the door's answers come whole, and none was tried.
+func TestRefusedCopies(t *testing.T) {
+	ln, err := refuser.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &Door{Ready: func() bool { return true }, Counts: func() core.Figures { return core.Figures{} }}
+	ended := make(chan error, 1)
+	go func() { ended <- d.Serve(ln) }()
+	for path, want := range map[string]string{"/api/ready": "ready\n", "/api/telemetry": string(Encode(core.Figures{}))} {
+		if code, body, err := fasthttp.Get(nil, "http://"+ln.Addr().String()+path); err != nil || code != 200 || string(body) != want {
+			t.Errorf("%s: %d %q %v", path, code, body, err)
+		}
+	}
+	if err := d.Close(); err != nil || <-ended != nil {
+		t.Error(err)
+	}
+	if n := ln.Count(); n > 0 {
+		t.Errorf("%d copies were tried", n)
+	}
+}
--- a/internal/peers/errors.go
+++ b/internal/peers/errors.go
@@ -1,11 +1,14 @@
 package peers
 
 import (
+	"errors"
 	"fmt"
 
 	"wheatsaddle/internal/operr"
 )
 
+var errNoOne = errors.New("it stands for every address of this machine, and peers.advertise does not say which the others reach")
+
 // NoListen is an address on which the process cannot listen for peers.
 type NoListen struct {
 	Address string
@@ -20,7 +23,7 @@
 
 // Advice is for the operator.
 func (e *NoListen) Advice() string {
-	return "give peers.listen an IP address of this machine and a port that is free for UDP and TCP"
+	return "give peers.listen an IP address of this machine and a port that is free for UDP and TCP; with 0.0.0.0 or [::] set peers.advertise to the one that the others reach"
 }
 
 // Forbidden says that the platform does not let processes talk to each other.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,6 +28,7 @@
 	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/observations"
 	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/sock"
 )
 
 // What is sent: a digest that asks for one in return, one that does not, or cells.
@@ -180,6 +181,9 @@
 	if err != nil {
 		return nil, &NoListen{Address: p.opt.Listen, Err: err}
 	}
+	if p.opt.Advertise == "" && net.ParseIP(host).IsUnspecified() { // the library would start a program to learn which to tell
+		return nil, &NoListen{Address: p.opt.Listen, Err: errNoOne}
+	}
 	conf.BindAddr, conf.BindPort, conf.AdvertisePort = host, port, port
 	if p.opt.Advertise != "" {
 		if conf.AdvertiseAddr, conf.AdvertisePort, err = split(p.opt.Advertise); err != nil {
@@ -231,7 +235,11 @@
 }
 
 func (v *via) DialAddressTimeout(a memberlist.Address, wait time.Duration) (net.Conn, error) {
-	return v.NetTransport.DialAddressTimeout(v.way(a), wait)
+	nc, err := v.NetTransport.DialAddressTimeout(v.way(a), wait)
+	if err != nil {
+		return nil, err
+	}
+	return sock.Plain(nc)
 }
 
 func (v *via) WriteTo(b []byte, addr string) (time.Time, error) {
--- /dev/null
+++ b/internal/peers/refused_test.go
@@ -0,0 +1,28 @@
+package peers
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"wheatsaddle/internal/observations"
+)
+
+// To listen at every address without a word on which the others reach would start a program (ip route):
+// it is an error with a code. Where that word is there, it is none.
+func TestStartsNoProgram(t *testing.T) {
+	opt := Options{Name: "p", Every: time.Hour, Burst: 8, State: observations.Defaults(), Log: quiet()}
+	for _, opt.Listen = range []string{"0.0.0.0:0", "[::]:0"} {
+		_, err := Start(opt)
+		var no *NoListen
+		if !errors.As(err, &no) {
+			t.Errorf("%s: %v", opt.Listen, err)
+		}
+	}
+	opt.Listen, opt.Advertise = "0.0.0.0:0", "127.0.0.1:9"
+	p, err := Start(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Kill()
+}
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strconv"
 	"time"
 
@@ -20,6 +19,7 @@
 	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/listclock"
 	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/sock"
 )
 
 // Watcher is the list's actor. It alone applies what its calls read; when to call is its clock's.
@@ -158,7 +158,7 @@
 // watch holds one connection: it asks for what came after the version held, and reads lines. How
 // long it may be silent is the clock's to say.
 func (w *Watcher) watch(ctx context.Context, address string, index int64, put func(line)) error {
-	nc, err := (&net.Dialer{Timeout: dialWait}).DialContext(ctx, "tcp", address)
+	nc, err := sock.DialTCP(ctx, address, dialWait)
 	if err != nil {
 		return err
 	}
--- a/internal/sock/dial.go
+++ b/internal/sock/dial.go
@@ -24,7 +24,11 @@
 	if err != nil {
 		return nil, WhyNot(err, a.Kind()), err
 	}
-	return nc.(Stream), 0, nil // TCP and Unix connections both are
+	s, err := Plain(nc)
+	if err != nil {
+		return nil, address.Refused, err
+	}
+	return s, 0, nil
 }
 
 var (
--- a/internal/sock/errors.go
+++ b/internal/sock/errors.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, listenError(address, err)
 	}
-	return ln, nil
+	return plainListener{ln}, nil
 }
 
 // listenError is the system's word on a listen, with its code.
--- a/internal/sock/listen.go
+++ b/internal/sock/listen.go
@@ -27,7 +27,7 @@
 		if err != nil {
 			return nil, listenError(to, err)
 		}
-		return ln, nil
+		return plainListener{ln}, nil
 	}
 	lock, err := holdLock(path + ".lock")
 	if err != nil {
@@ -39,7 +39,7 @@
 		return nil, listenError(path, err)
 	}
 	l.lock = lock
-	return l, nil
+	return plainListener{l}, nil
 }
 
 // holdLock takes the lock of a socket file for as long as it is open. It orders those that find
--- a/internal/sock/passed.go
+++ b/internal/sock/passed.go
@@ -48,5 +48,5 @@
 		ln.Close()
 		return nil, &PassedError{Name: name, Says: fmt.Sprintf("descriptor %d is no TCP socket", fd)}
 	}
-	return ln, nil
+	return plainListener{ln}, nil
 }
