Idle connections are given back to a node that turns new ones away

No setting tells a node's cap (conn-idle, connect-timeout and prices.handshake are all that is told; prices.connection is 0 and not read). A refused connect was 'could not connect' for one attempt and shut the node for 50 to 500 ms; what we held idle stayed for 0.6 of conn-idle (9 s), whoever else found no room. A new connection that its node had closed at once had the request written on it all the same and ended as one that may have run.

A new connection is looked at before its first request: one already ended proves that nothing ran. Without a sign nothing is done.

--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -101,9 +101,14 @@
 
 // attempt makes an attempt and the channel of its results.
 func attempt(t testing.TB, until time.Time) (*core.Attempt, chan core.Result) {
+	t.Helper()
+	return attemptOf(t, good, until)
+}
+
+func attemptOf(t testing.TB, text string, until time.Time) (*core.Attempt, chan core.Result) {
 	t.Helper()
 	var m fasthttp.Request
-	if err := m.Read(bufio.NewReader(strings.NewReader(good))); err != nil {
+	if err := m.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
 		t.Fatal(err)
 	}
 	r, err := decode(&m, &allKeyed)
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -94,6 +94,7 @@
 	idle     []*conn // the longest idle first
 	busy     map[*core.Attempt]*conn
 	line     *pool.Pool[*core.Attempt] // that wait for a connection
+	scarce   pool.Scarcity             // of room for connections at the node
 	since    time.Time                 // the line's time counts from here
 	conns    int
 	closing  bool
@@ -199,7 +200,8 @@
 // next is when the line or the idle connections have to be looked at.
 func (n *node) next() (at time.Time, ok bool) {
 	if len(n.idle) > 0 {
-		at, ok = n.idle[0].idleAt.Add(n.idleMost()+retireEvery/2), true
+		most := n.idleMost()
+		at, ok = n.idle[0].idleAt.Add(most+min(most, retireEvery)/2), true
 	}
 	if n.paths != nil && n.conns > 0 {
 		if next := time.Now().Add(retireEvery); !ok || next.Before(at) {
@@ -216,7 +218,35 @@
 
 // idleMost is how long a connection is kept idle: less than the node keeps it.
 func (n *node) idleMost() time.Duration {
-	return time.Duration(retireShare * float64(n.dialer.ConnIdle))
+	_, most := n.keep()
+	return most
+}
+
+// keep is how many connections are kept idle, and for how long.
+func (n *node) keep() (int, time.Duration) {
+	return n.scarce.Keep(time.Since(n.since), connsMost, time.Duration(retireShare*float64(n.dialer.ConnIdle)))
+}
+
+// heed takes what a new connection says of the node's room, once.
+func (n *node) heed(c *conn) {
+	says := c.room
+	c.room = unsaid
+	switch now := time.Since(n.since); {
+	case says == none:
+		n.scarce.Refused(now)
+	case says == doubt || says == room && c.late:
+		n.scarce.Late(now)
+	case says == room:
+		n.scarce.Timely(c.began)
+	}
+	n.giveBack()
+}
+
+// giveBack closes what is idle beyond what is kept at a node that has no room for more.
+func (n *node) giveBack() {
+	for kept, _ := n.keep(); len(n.idle) > kept; {
+		n.drop(n.idle[0])
+	}
 }
 
 // retire closes the connections that have been idle for long.
@@ -269,6 +299,7 @@
 		if m.back.stop != nil {
 			m.back.stop()
 		}
+		n.heed(m.back)
 		if m.broken {
 			n.gone()
 		} else {
@@ -322,6 +353,7 @@
 	if n.closing {
 		n.drop(c)
 	}
+	n.giveBack()
 }
 
 // opened takes a connection that has come up, or has not.
@@ -330,6 +362,7 @@
 	switch {
 	case failed:
 		n.gone()
+		n.heed(c)
 		if a, ok := n.line.Failed(now, c.opening, len(n.busy)); ok {
 			sync.Go(func() { a.Done(core.Result{Status: choice.NoConn}) })
 		}
@@ -338,7 +371,9 @@
 		sync.Close(c.jobs)
 		n.gone()
 	default:
-		n.dialer.usual.took(n.line.Up(now, c.opening))
+		took := n.line.Up(now, c.opening)
+		n.dialer.usual.took(took)
+		c.late = took > n.dialer.ConnectTimeout/2
 		if n.line.Len() == 0 && len(n.idle) > 0 {
 			sync.Close(c.jobs) // one opened beside a late one: one to spare is enough
 			n.gone()
@@ -419,7 +454,7 @@
 		return nil
 	}
 	n.conns++
-	return &conn{node: n, address: n.address, host: n.host, jobs: make(chan job, 1)}
+	return &conn{node: n, address: n.address, host: n.host, jobs: make(chan job, 1), began: time.Since(n.since)}
 }
 
 // probing takes an idle connection, or a new one; nil: none is left.
@@ -469,6 +504,10 @@
 	attempt *core.Attempt
 	idleAt  time.Time
 	opening int           // its name in the line, while it comes up
+	began   time.Duration // its coming up
+	late    bool          // it came up late
+	asked   bool          // a request was written on it
+	room    roomWord      // what it says of the node's room, until that is heeded
 	place   *list.Element // in the dialer's idle set, whose lock guards it
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -481,6 +520,16 @@
 	identity, says string
 }
 
+// roomWord is what a new connection says of the node's room for more.
+type roomWord uint8
+
+const (
+	unsaid roomWord = iota
+	room            // its first request was answered
+	doubt           // it did not come up in time, or ended with no answer
+	none            // it was refused
+)
+
 // cancel gives the attempt up: its connection is closed and never used again.
 func (c *conn) cancel() { c.stop() }
 
@@ -531,7 +580,17 @@
 	if c.nc != nil {
 		return nil
 	}
-	_, err := c.come(ctx)
+	why, err := c.come(ctx)
+	switch {
+	case err == nil && !sock.Quiet(c.nc): // ended before anything was asked: nothing has run
+		c.nc.Close()
+		c.room, err = none, errSpoilt
+	case err == nil:
+	case why == address.Refused && ctx.Err() == nil:
+		c.room = none
+	case why == address.TimedOut:
+		c.room = doubt
+	}
 	return err
 }
 
@@ -622,10 +681,15 @@
 func (c *conn) exchange(j job) (r core.Result, reuse, cut bool) {
 	a, nc := j.attempt, c.nc
 	unwatch := context.AfterFunc(j.ctx, func() { nc.Close() })
+	first := !c.asked
+	c.asked = true
 	c.out = a.Req.Payload.(*call).encode(c.out[:0], c.host, time.Until(a.Until))
 	n, err := nc.Write(c.out)
 	if err != nil || n < len(c.out) {
 		unwatch()
+		if first && j.ctx.Err() == nil {
+			c.room = doubt
+		}
 		return ended(j.ctx, choice.NoConn), false, true // the last byte was not written: it has not run
 	}
 	a.Written()
@@ -642,12 +706,21 @@
 		case j.ctx.Err() != nil:
 			return core.Result{Status: choice.TimedOut}, false, false
 		}
+		if first && !c.in.begun { // closed with no answer: for lack of room, or for another cause
+			c.room = doubt
+		}
 		return core.Result{Status: choice.Reset}, false, false
 	}
 	if c.identity != "" {
 		c.says = string(c.resp.Header.Peek(c.identity))
 	}
 	r = decodeReply(&c.resp, rep)
+	switch {
+	case first && r.Status == choice.Full && !clean: // turned away with its connection
+		c.room = none
+	case first:
+		c.room = room
+	}
 	if rep.relay != nil && r.Payload == nil {
 		return r, false, false // not served: its relay was dropped, and the rest of it is not read
 	}
--- /dev/null
+++ b/internal/httpfront/scarce_test.go
@@ -0,0 +1,67 @@
+package httpfront
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/core"
+	capped "wheatsaddle/internal/standin/node"
+)
+
+// A node that holds four connections of three schedulers together. One has had a burst, and was refused
+// in it: what it holds idle it gives back, so that the others find room, and all are served from then on.
+func TestNodeNearItsCap(t *testing.T) {
+	const most, burst = 4, 5
+	n := capped.New(capped.Options{Name: "n", Conns: most, Workers: 2 * burst,
+		Service: func(*fasthttp.Request) time.Duration { return 20 * time.Millisecond }})
+	defer n.Close()
+	a, err := n.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []core.Peer
+	for range 3 {
+		d := dialer()
+		d.ConnIdle = time.Hour // nothing is closed for its age alone
+		p := d.Connect("n", []address.Addr{a})
+		defer p.Close()
+		all = append(all, p)
+	}
+	asked := 0
+	send := func(p core.Peer) chan core.Result {
+		asked++
+		text := strings.Replace(good, "y=1", "shard=0", 1)
+		a, end := attemptOf(t, strings.Replace(text, "Key: k1", fmt.Sprint("Key: k", asked), 1), later())
+		p.Send(a)
+		return end
+	}
+	for refused := 0; refused < 3; { // closed with no answer may have another cause, once or twice
+		var got []chan core.Result
+		for range burst {
+			got = append(got, send(all[0]))
+		}
+		for _, end := range got {
+			if r := <-end; r.Status != choice.OK {
+				refused++
+			}
+		}
+	}
+	for i, p := range all {
+		tries := 0
+		waitFor(t, func() bool { tries++; return (<-send(all[0])).Status == choice.OK && (<-send(p)).Status == choice.OK })
+		t.Logf("scheduler %d: tries until it is served: %d", i, tries)
+	}
+	for range 20 {
+		for i, p := range all {
+			if r := <-send(p); r.Status != choice.OK {
+				t.Fatalf("scheduler %d: %v", i, r.Status)
+			}
+		}
+	}
+}
