A client that goes behind bytes of its own is seen going

The lines were peek's 'waiting' taken as an end of the watch.

The watch goes on behind waiting bytes and asks the socket's state (TCP_INFO, read with an ordinary getsockopt; where the system does not say, it is as before). TestWatch and TestClientGone have the case; both hang without the mend. TestNothingIsHeldBack: TCP_NODELAY is on at both ends, so a reset over unread bytes takes no answer with it.

--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -573,6 +573,16 @@
 	if !<-closed {
 		t.Error("the attempt goes on")
 	}
+	if nc, err = net.Dial("tcp", f.address); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(nc, good)
+	<-came
+	io.WriteString(nc, strings.Repeat(good, 100)) // more than is read ahead: bytes wait when it goes
+	nc.Close()
+	if !<-closed {
+		t.Error("the attempt of one who sent much and went goes on")
+	}
 }
 
 // A request sent ahead of an answer is served after it, the watch having taken none of it.
--- a/internal/sock/plain_test.go
+++ b/internal/sock/plain_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"reflect"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -111,3 +112,35 @@
 		})
 	}
 }
+
+// Nothing that is written is held back: it would go with a connection that is closed over unread bytes.
+func TestNothingIsHeldBack(t *testing.T) {
+	ln, err := ListenTCP("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ours, err := DialTCP(context.Background(), ln.Addr().String(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ours.Close()
+	theirs, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer theirs.Close()
+	for _, s := range []Stream{ours, theirs.(Stream)} {
+		raw, err := s.SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := raw.Control(func(fd uintptr) {
+			if v, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY); err != nil || v == 0 {
+				t.Errorf("TCP_NODELAY: %d %v", v, err)
+			}
+		}); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -344,8 +344,8 @@
 		gone := false
 		err = raw.Read(func(fd uintptr) bool {
 			state := peek(fd)
-			gone = state == closed
-			return state != open
+			gone = state == closed || state == waiting && wentBehind(fd)
+			return gone
 		})
 		if err == nil && gone {
 			close(left)
@@ -385,6 +385,16 @@
 	return waiting
 }
 
+// What TCP_INFO says first, tcpi_state: the other side has ended its sending, or reset.
+const tcpClose, tcpCloseWait = 7, 8
+
+// wentBehind says whether the other side has gone behind bytes that wait; false where the system does not say.
+func wentBehind(fd uintptr) bool {
+	info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+	state := byte(info) // of a machine that has the low byte first
+	return err == nil && (state == tcpClose || state == tcpCloseWait)
+}
+
 // Quiet says whether an idle connection still stands and holds nothing to read.
 func Quiet(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -42,6 +42,7 @@
 		t.Errorf("%q %v", b, err)
 	}
 	left := in.Watch()
+	io.WriteString(out, "much at once, and gone: nobody reads it")
 	out.Close()
 	<-left
 	in.Unwatch()
