The daemon opens connections ahead of need and probes, as the start decides

Need: coldstart's Connect and Probe were decided and ignored. Change: core.Peer.Connect, core.Core.Ahead and Probe; the node actor opens one connection where it has none that is free or coming up, it does not drain, and a descriptor is vacant (no idle connection of another node gives way to it). It counts in the dialer's bound and, once up, is an idle one; who wants a connection meanwhile waits for it, as it is in the node's line. A node with several addresses: a work that its book drops once a connection is up. A failed connect and a full node go to the start (ConnectSlow, NodeFull). Setting start.connections_ahead, 8.

--- a/cmd/wheatsaddle/start.go
+++ b/cmd/wheatsaddle/start.go
@@ -53,7 +53,7 @@
 	c := conf.Settings
 	s, err := coldstart.New(coldstart.Settings{Hosts: c.Hosts, Name: conf.Name, ListPriced: set.ListPriced, ListMost: set.ListMost,
 		Told: span(c.AskWithin), ColdUnits: c.ColdUnits, TipSpan: span(c.TipSpan), ColdSpan: span(c.ColdSpan), Aim: tightest(c),
-		RetryMost: span(c.MaxHoldOff)})
+		RetryMost: span(c.MaxHoldOff), Connects: set.Ahead, MayProbe: c.MayProbe})
 	if err != nil {
 		return nil, err
 	}
@@ -122,6 +122,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var recall choice.Learned
+	var ahead, probes []string
 	for _, a := range b.s.Step(time.Since(b.began), e) {
 		switch a := a.(type) {
 		case coldstart.AskList:
@@ -144,6 +145,10 @@
 					recall.Nodes = append(recall.Nodes, n)
 				}
 			}
+		case coldstart.Connect:
+			ahead = append(ahead, a.Node)
+		case coldstart.Probe:
+			probes = append(probes, a.Node)
 		case coldstart.Ready:
 			b.said.Store(true)
 		case coldstart.Refuse:
@@ -160,6 +165,16 @@
 		recall.Classes = b.learned.Classes
 		go b.core.Recall(recall)
 	}
+	if len(ahead)+len(probes) > 0 {
+		go func() {
+			for _, id := range ahead {
+				b.core.Ahead(id)
+			}
+			for _, id := range probes {
+				b.core.Probe(id)
+			}
+		}()
+	}
 	return retry, refused
 }
 
--- a/cmd/wheatsaddle/start_test.go
+++ b/cmd/wheatsaddle/start_test.go
@@ -15,24 +15,30 @@
 	"wheatsaddle/internal/core"
 )
 
-// quick is a node that serves at once.
-type quick struct{ core.Peer }
+// quick is a node that serves at once, and notes what is opened or asked ahead of need.
+type quick struct {
+	core.Peer
+	ahead chan string
+}
 
 func (quick) Send(a *core.Attempt) bool {
 	go a.Done(core.Result{Status: choice.OK})
 	return true
 }
-func (quick) Drain(bool) {}
-func (quick) Close()     {}
+func (q quick) Connect(func(choice.Status)) bool                    { q.ahead <- "connect"; return true }
+func (q quick) Probe(func(core.Result, time.Duration)) (taken bool) { q.ahead <- "probe"; return true }
+func (quick) Drain(bool)                                            {}
+func (quick) Close()                                                {}
 
 // A start with the section on asks the list, serves what it has heard, keeps what it learned, and the
 // next start has it again; off, there is none of it.
 func TestStartKeepsWhatItLearned(t *testing.T) {
 	log, hook := logtest.NewNullLogger()
-	conf := &config.Config{Name: "n0", Settings: choice.Settings{Hosts: 1, MaxAttempts: 1, MeanUnits: 1, MostUnits: 9, MaxHoldOff: 1000,
+	conf := &config.Config{Name: "n0", Settings: choice.Settings{Hosts: 1, MaxAttempts: 1, MeanUnits: 1, MostUnits: 9, MaxHoldOff: 1000, MayProbe: true,
 		Classes: []choice.Class{{Name: "read", Aim: 30000, Deadline: 60000, Worth: 1}}, Plans: []choice.Plan{{Name: "basic", Reserve: 1000}}}}
 	node := core.Node{Node: choice.Node{ID: "s", Since: 5, Weight: 1}}
-	set := &config.SiteStart{On: true, Snapshot: filepath.Join(t.TempDir(), "learned"), ListMost: 40}
+	set := &config.SiteStart{On: true, Snapshot: filepath.Join(t.TempDir(), "learned"), ListMost: 40, Ahead: 1}
+	ahead := make(chan string, 8)
 	if b, err := newStarter(nil, conf, nil, log); b != nil || err != nil || b.gate() != nil || b.run(nil) || !b.ready(true) {
 		t.Fatal("without the section there is a start")
 	}
@@ -43,7 +49,7 @@
 			t.Fatal(err)
 		}
 		co, err := core.New(core.Options{Settings: conf.Settings, Log: log, Start: b.gate(),
-			Connect: func(string, []address.Addr) core.Peer { return quick{} }})
+			Connect: func(string, []address.Addr) core.Peer { return quick{ahead: ahead} }})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -76,6 +82,9 @@
 	life(func(_ *starter, co *core.Core) { // nothing is sent: what it knows is the snapshot's
 		for l, _ := co.Learned(); len(l.Nodes) == 0; l, _ = co.Learned() {
 		}
+		if c, p := <-ahead, <-ahead; c != "connect" || p != "probe" {
+			t.Errorf("ahead of need: %s, %s", c, p)
+		}
 	})
 	for _, e := range hook.AllEntries() {
 		t.Error(e.String())
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -43,6 +43,7 @@
 	Snapshot   string  // file of what was learned; empty: none is kept
 	ListPriced bool    // calls of the list cost its service: they are spread over the fleet
 	ListMost   float64 // calls of the list a second that the fleet may make
+	Ahead      int     // nodes to which a connection is opened before it is needed
 }
 
 // SiteAddresses is the section addresses.
@@ -138,7 +139,8 @@
 	}
 	if v := r.root.Get("start"); v.Exists() {
 		s.Start = &SiteStart{On: !v.Get("on").Exists() || v.Get("on").Bool(), Snapshot: r.text("start.snapshot", ""),
-			ListPriced: v.Get("list_priced").Bool(), ListMost: r.num("start.list_calls_per_second", 40, 0)}
+			ListPriced: v.Get("list_priced").Bool(), ListMost: r.num("start.list_calls_per_second", 40, 0),
+			Ahead: int(r.num("start.connections_ahead", 8, 0))}
 	}
 	seen := map[address.Addr]string{}
 	if e := r.root.Get("metrics"); e.Exists() {
--- a/internal/config/site_test.go
+++ b/internal/config/site_test.go
@@ -28,7 +28,7 @@
 		t.Errorf("%+v", l)
 	}
 	s, err = ParseSite([]byte(`{"start":{"snapshot":"/tmp/x","list_priced":true}}`))
-	if err != nil || *s.Start != (SiteStart{On: true, Snapshot: "/tmp/x", ListPriced: true, ListMost: 40}) {
+	if err != nil || *s.Start != (SiteStart{On: true, Snapshot: "/tmp/x", ListPriced: true, ListMost: 40, Ahead: 8}) {
 		t.Errorf("%+v %v", s, err)
 	}
 	if s, err := ParseSite([]byte(`{}`)); err != nil || s.Addresses != nil || s.Start != nil || len(s.Listen) != 0 {
--- /dev/null
+++ b/internal/core/ahead_test.go
@@ -0,0 +1,58 @@
+package core
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"wheatsaddle/choice"
+)
+
+// begins is a start that notes what it is told.
+type begins struct {
+	Starting
+	over  bool
+	ended []choice.Status
+}
+
+func (b *begins) Over() bool                             { return b.over }
+func (b *begins) Ended(_ string, s choice.Status)        { b.ended = append(b.ended, s) }
+func (b *begins) Admit(string) (w time.Duration, r bool) { return }
+
+// Connections ahead and probes go to nodes that may be used, and to no other; that one failed, or found
+// the node full, reaches the start for as long as it lasts. That it came up is no service.
+func TestAheadAndProbe(t *testing.T) {
+	r, b := start(t, settings()), &begins{}
+	r.opt.Start = b
+	r.list(choice.ListStale, node("up", 0, choice.NodeUp), node("leaves", 0, choice.NodeDraining), node("out", 0, choice.NodeUp),
+		node("gone", 0, choice.NodeUp))
+	if _, err := r.Exclude("out"); err != nil {
+		t.Fatal(err)
+	}
+	gone := r.peer("gone")
+	r.list(choice.ListFull, node("up", 0, choice.NodeUp), node("leaves", 0, choice.NodeDraining), node("out", 0, choice.NodeUp))
+	for _, id := range []string{"up", "leaves", "out", "gone", "none"} {
+		r.Ahead(id)
+		r.Probe(id)
+	}
+	r.Open() // all was taken
+	for id, p := range map[string]*fake{"leaves": r.peer("leaves"), "out": r.peer("out"), "gone": gone} {
+		if len(p.ahead)+len(p.probes) > 0 {
+			t.Errorf("%s was connected to %d times and probed %d times", id, len(p.ahead), len(p.probes))
+		}
+	}
+	up := r.peer("up")
+	if len(up.ahead) != 1 || len(up.probes) != 1 {
+		t.Fatalf("the node was connected to %d times and probed %d times", len(up.ahead), len(up.probes))
+	}
+	for _, s := range []choice.Status{choice.OK, choice.Moot, choice.NoConn} {
+		up.ahead[0](s)
+		up.probes[0](Result{Status: s}, time.Millisecond)
+	}
+	up.probes[0](Result{Status: choice.Full}, time.Millisecond)
+	b.over = true
+	up.ahead[0](choice.NoConn)
+	if want := []choice.Status{choice.NoConn, choice.NoConn, choice.Full}; !reflect.DeepEqual(b.ended, want) {
+		t.Errorf("told %v, want %v", b.ended, want)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -152,6 +152,9 @@
 	Send(*Attempt) bool // false: its mailbox is full and nothing was sent
 	Cancel(*Attempt)
 	Probe(func(Result, time.Duration)) bool
+	// Connect opens one connection ahead of need: nothing where one is free, the node drains or left, or no
+	// descriptor is free (Moot). What came of it is told from a goroutine of its own. False: nothing will be.
+	Connect(func(choice.Status)) bool
 	Drain(bool) // true: nothing more is written to it, also of what waits in its mailbox
 	// Readdress gives the node's addresses from now on: connections to one that went finish
 	// what they carry.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -29,6 +29,8 @@
 	full    bool
 	drained bool
 	closed  bool
+	ahead   []func(choice.Status) // the core's actor's, as probes
+	probes  []func(Result, time.Duration)
 	to      [][]address.Addr // changes of its addresses
 }
 
@@ -48,11 +50,18 @@
 	}
 	return !f.full
 }
-func (f *fake) Cancel(a *Attempt)                      { f.cancels <- a }
-func (f *fake) Probe(func(Result, time.Duration)) bool { return false }
-func (f *fake) Drain(on bool)                          { f.mu.Lock(); f.drained = on; f.mu.Unlock() }
-func (f *fake) Readdress(to []address.Addr)            { f.mu.Lock(); f.to = append(f.to, to); f.mu.Unlock() }
-func (f *fake) Close()                                 { f.mu.Lock(); f.closed = true; f.mu.Unlock() }
+func (f *fake) Cancel(a *Attempt) { f.cancels <- a }
+func (f *fake) Probe(told func(Result, time.Duration)) bool {
+	f.probes = append(f.probes, told)
+	return true
+}
+func (f *fake) Connect(told func(choice.Status)) bool {
+	f.ahead = append(f.ahead, told)
+	return true
+}
+func (f *fake) Drain(on bool)               { f.mu.Lock(); f.drained = on; f.mu.Unlock() }
+func (f *fake) Readdress(to []address.Addr) { f.mu.Lock(); f.to = append(f.to, to); f.mu.Unlock() }
+func (f *fake) Close()                      { f.mu.Lock(); f.closed = true; f.mu.Unlock() }
 
 type rig struct {
 	*Core
--- /dev/null
+++ b/internal/httpfront/ahead.go
@@ -0,0 +1,82 @@
+package httpfront
+
+import (
+	"context"
+	"time"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/interleave/sync"
+	"wheatsaddle/internal/sock"
+)
+
+// Connect implements core.Peer.
+func (n *node) Connect(f func(choice.Status)) bool { return n.mail.Put(nodeMessage{ahead: f}) }
+
+// ahead opens a connection that nobody waits for. One that is free or coming up is enough, and no
+// idle one of another node gives its descriptor for it. Once it is up it is an idle one like any other,
+// and while it comes up it is the line's: who wants a connection meanwhile waits for it.
+func (n *node) ahead(f func(choice.Status)) {
+	for k := len(n.idle); k > 0 && !sock.Quiet(n.idle[k-1].nc); k = len(n.idle) {
+		n.drop(n.idle[k-1])
+	}
+	if n.draining.Load() || n.closing || n.conns > len(n.busy) {
+		sync.Go(func() { f(choice.Moot) })
+		return
+	}
+	if n.paths != nil {
+		n.paths.ahead(f)
+		return
+	}
+	c := n.fresh(n.dialer.vacant)
+	if c == nil {
+		sync.Go(func() { f(choice.Moot) })
+		return
+	}
+	n.bring(c, time.Since(n.since), f)
+}
+
+// bring begins to bring a connection up; f, if any, is told whether it came.
+func (n *node) bring(c *conn, now time.Duration, f func(choice.Status)) {
+	c.opening = n.line.Opening(now)
+	sync.Go(func() {
+		err := c.dial(context.Background())
+		n.mail.Must(nodeMessage{opened: c, broken: err != nil})
+		if f != nil {
+			f(cameUp(err == nil))
+		}
+		if err == nil {
+			c.run()
+		}
+	})
+}
+
+func cameUp(ok bool) choice.Status {
+	if ok {
+		return choice.OK
+	}
+	return choice.NoConn
+}
+
+// ahead has the book open the way for a work that is dropped once a connection is up: that is idle then.
+// The caller knows that there is none.
+func (p *paths) ahead(f func(choice.Status)) {
+	if len(p.works) > 0 || p.n.dialer.open.Load() >= p.n.dialer.ConnsMost { // it opens for those that wait
+		go f(choice.Moot)
+		return
+	}
+	w := p.add(&work{ahead: f})
+	w.ctx, w.stop = context.WithTimeout(context.Background(), p.n.dialer.ConnectTimeout)
+	p.want(w, false, false)
+}
+
+// enough ends the works ahead: a connection has come up, which the book has not heard of yet.
+func (p *paths) enough() {
+	for _, w := range p.works {
+		if w.ahead != nil { // one at most
+			p.over(w)
+			go w.ahead(choice.OK)
+			p.book.Step(address.Event{Kind: address.Drop, Req: w.req})
+		}
+	}
+}
--- /dev/null
+++ b/internal/httpfront/ahead_interleave_test.go
@@ -0,0 +1,63 @@
+//go:build interleave
+
+package httpfront
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
+	il "wheatsaddle/internal/interleave"
+	"wheatsaddle/internal/interleave/mutant"
+	"wheatsaddle/internal/interleave/sync"
+	"wheatsaddle/internal/sock"
+)
+
+// A connection ahead meets an attempt that comes while it is opened, and a drain: both end, nothing is
+// written after the drain, the attempt opens no second one, and every connection is counted out.
+func TestInterleaveAhead(t *testing.T) {
+	fd := standingSocket(t)
+	a, _ := attempt(t, later())
+	il.Check(t, il.Options{Bounded: true, Preemptions: 1}, func() il.World {
+		n, drains, tries, all := meet(fd, a.Req, time.Hour, 1)
+		n.dialer.ConnsMost = 2
+		dials, dial := 0, n.dialer.dial
+		n.dialer.dial = func(ctx context.Context, a address.Addr, wait time.Duration) (sock.Stream, address.Why, error) {
+			dials++
+			return dial(ctx, a, wait)
+		}
+		told := make(chan choice.Status, 1)
+		return il.World{
+			Threads: []il.Thread{
+				{Name: "actor", Run: n.loop},
+				{Name: "core", Run: func() {
+					n.Connect(func(s choice.Status) { sync.Send(told, s) })
+					n.Send(tries[0])
+					if s, _ := sync.Recv(told); s != choice.OK && s != choice.Moot {
+						il.Fail("ahead ended with %v", s)
+					}
+					if s, _ := sync.Recv(all); s != choice.OK && s != choice.NoConn {
+						il.Fail("ended with %v", s)
+					}
+					n.Close()
+				}},
+				{Name: "list", Run: func() { n.Drain(true); *drains = true }},
+			},
+			Check: func() error {
+				if dials > 1 {
+					return errors.New("a second connection was opened beside one ahead")
+				}
+				return n.ended()
+			},
+		}
+	})
+	mutant.Found(t,
+		mutant.Mutant{File: "ahead.go", Old: "	if n.draining.Load() || n.closing || n.conns > len(n.busy) {\n		sync.Go(func() { f(choice.Moot) })\n		return",
+			New: "	if n.draining.Load() || n.closing || n.conns > len(n.busy) {\n		return", Want: "deadlock"},
+		mutant.Mutant{File: "ahead.go", Old: "	c.opening = n.line.Opening(now)", New: "	if c.opening = 0; f == nil {\n		c.opening = n.line.Opening(now)\n	}",
+			Want: "a second connection"},
+	)
+}
--- /dev/null
+++ b/internal/httpfront/ahead_test.go
@@ -0,0 +1,129 @@
+package httpfront
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/core"
+	standnode "wheatsaddle/internal/standin/node"
+)
+
+// until waits for a condition.
+func until(cond func() bool) {
+	for !cond() {
+		runtime.Gosched()
+	}
+}
+
+// aheadOf asks for a connection ahead and says what came of it.
+func aheadOf(t *testing.T, p core.Peer) choice.Status {
+	t.Helper()
+	told := make(chan choice.Status, 2)
+	if !p.Connect(func(s choice.Status) { told <- s }) {
+		t.Fatal("not taken")
+	}
+	return <-told
+}
+
+// newNode is a stand-in node on one or two ports, and a dialer.
+func newNode(t *testing.T, ports int, service func(*fasthttp.Request) time.Duration) (n *standnode.Node, at []address.Addr, d *Dialer) {
+	n = standnode.New(standnode.Options{Name: "n", Service: service})
+	t.Cleanup(n.Close)
+	for range ports {
+		a, err := n.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		at = append(at, a)
+	}
+	d = dialer()
+	d.ConnsMost, d.ConnectTimeout = 2, 300*ms
+	return n, at, d
+}
+
+// A connection ahead is one idle connection: the next attempt goes by it, a second one is not opened
+// beside it, and it gives way, is closed and counted like any other. Where the node drains or left, a
+// descriptor is lacking, or the node is not there, nothing is held. With one address and with several.
+func TestAhead(t *testing.T) {
+	for ports := 1; ports <= 2; ports++ {
+		t.Run(fmt.Sprint(ports), func(t *testing.T) {
+			n, at, d := newNode(t, ports, nil)
+			p, other := d.Connect("n", at), d.Connect("n", at)
+			want := func(p core.Peer, want choice.Status, accepted int, open int64) {
+				t.Helper()
+				if got := aheadOf(t, p); got != want {
+					t.Fatalf("ended as %v, want %v", got, want)
+				}
+				until(func() bool { return n.Counts().Conns >= accepted && d.open.Load() == open })
+				if got := n.Counts().Conns; got != accepted {
+					t.Fatalf("%d connections, want %d", got, accepted)
+				}
+			}
+			p.Drain(true)
+			want(p, choice.Moot, 0, 0)
+			p.Drain(false)
+			want(p, choice.OK, 1, 1)
+			if ports == 1 {
+				until(func() bool { d.idle.mu.Lock(); defer d.idle.mu.Unlock(); return d.idle.list.Len() == 1 })
+			}
+			want(p, choice.Moot, 1, 1)
+			(&routed{t: t, n: n, d: d, p: p}).served(readText)
+			want(p, choice.Moot, 1, 1)
+			d.ConnsMost = 1 // none is to spare, and an idle one does not give way to what nobody needs
+			want(other, choice.Moot, 1, 1)
+			d.ConnsMost = 2
+			for _, a := range at {
+				if err := n.Set(a, standnode.Refused); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want(other, choice.NoConn, 1, 1)
+			p.Close()
+			other.Close()
+			until(func() bool { return d.open.Load() == 0 })
+		})
+	}
+}
+
+// Who wants a connection while one comes up ahead waits for that; all that are in use leave room for one.
+func TestAheadIsTheLines(t *testing.T) {
+	let := make(chan bool)
+	n, at, d := newNode(t, 1, func(*fasthttp.Request) time.Duration { <-let; return 0 })
+	d.Wait = time.Minute // no connect is late
+	p := d.Connect("n", at)
+	told := make(chan choice.Status, 2)
+	p.Connect(func(s choice.Status) { told <- s })
+	_, got, _ := (&routed{t: t, n: n, d: d, p: p}).send(readText, time.Minute)
+	until(func() bool { return n.Counts().Requests == 1 })
+	if s := <-told; s != choice.OK || n.Counts().Conns != 1 {
+		t.Errorf("%v, %d connections for one attempt", s, n.Counts().Conns)
+	}
+	if s := aheadOf(t, p); s != choice.OK { // beside the one in use
+		t.Error(s)
+	}
+	until(func() bool { return n.Counts().Conns == 2 })
+	close(let)
+	if r := <-got; r.Status != choice.OK {
+		t.Error(r.Status)
+	}
+	p.Close()
+	until(func() bool { return d.open.Load() == 0 })
+}
+
+// A probe of a node that has no room says so.
+func TestProbeOfFullNode(t *testing.T) {
+	n := newStandin(t, say("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+	p := dialer().Connect("n", at(n.ln))
+	got := make(chan core.Result, 1)
+	p.Probe(func(r core.Result, _ time.Duration) { got <- r })
+	if r := <-got; r.Status != choice.Full {
+		t.Errorf("%v", r.Status)
+	}
+	p.Close()
+}
--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -256,7 +256,7 @@
 		rep.limited = string(h.Peek(hdrLimited)) == "1"
 		r.Status, r.Payload = choice.OK, rep
 		return r
-	case (code == 503 || code == 504) && string(h.Peek("X-Not-Run")) == "1":
+	case turnedAway(m):
 		r.Status = choice.Full
 	case code >= 400 && code < 500 && code != fasthttp.StatusRequestTimeout && code != fasthttp.StatusTooManyRequests:
 		r.Status, r.Bad = choice.Moot, true
@@ -265,6 +265,12 @@
 	return r
 }
 
+// turnedAway says that the node had no room for what it answers.
+func turnedAway(m *fasthttp.Response) bool {
+	code := m.StatusCode()
+	return (code == 503 || code == 504) && string(m.Header.Peek("X-Not-Run")) == "1"
+}
+
 // figure reads a non-negative number; anything else is absent.
 func figure(text []byte) (float64, bool) {
 	v, err := strconv.ParseFloat(string(bytes.TrimSpace(text)), 64)
--- a/internal/httpfront/idle.go
+++ b/internal/httpfront/idle.go
@@ -54,13 +54,16 @@
 	return true
 }
 
-// place takes a place among the open connections, an idle one's if there is no other. One that finds
-// none is never counted, not for a moment: another would be refused a place that is free.
-func (d *Dialer) place() bool {
+// place takes a place among the open connections, an idle one's if there is no other.
+func (d *Dialer) place() bool { return d.vacant() || d.idle.evict() }
+
+// vacant takes a place that is free. One that finds none is never counted, not for a moment: another
+// would be refused a place that is free.
+func (d *Dialer) vacant() bool {
 	for n := d.open.Load(); n < d.ConnsMost; n = d.open.Load() {
 		if d.open.CompareAndSwap(n, n+1) {
 			return true
 		}
 	}
-	return d.idle.evict()
+	return false
 }
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -78,6 +78,7 @@
 	opened       *conn // has come up, or not if broken
 	evicted      *conn // another node has its place
 	probe        func(core.Result, time.Duration)
+	ahead        func(choice.Status) // of a connection that nobody waits for
 	close        bool
 	path         *pathMessage
 }
@@ -279,6 +280,8 @@
 			sync.Close(m.back.jobs)
 		}
 		n.gone()
+	case m.ahead != nil:
+		n.ahead(m.ahead)
 	case n.paths != nil:
 		if m.cancel != nil && n.busy[m.cancel] != nil {
 			n.busy[m.cancel].cancel()
@@ -433,24 +436,17 @@
 
 // open begins to bring up another connection; false: there is no room for one.
 func (n *node) open(now time.Duration) bool {
-	c := n.fresh()
+	c := n.fresh(n.dialer.place)
 	if c == nil {
 		return false
 	}
-	c.opening = n.line.Opening(now)
-	sync.Go(func() {
-		err := c.dial(context.Background())
-		n.mail.Must(nodeMessage{opened: c, broken: err != nil})
-		if err == nil {
-			c.run()
-		}
-	})
+	n.bring(c, now, nil)
 	return true
 }
 
-// fresh is a connection not yet up; nil: there is no room for one.
-func (n *node) fresh() *conn {
-	if n.conns >= connsMost || !n.dialer.place() {
+// fresh is a connection not yet up, with a place among the open ones; nil: there is no room for one.
+func (n *node) fresh(place func() bool) *conn {
+	if n.conns >= connsMost || !place() {
 		return nil
 	}
 	n.conns++
@@ -461,7 +457,7 @@
 func (n *node) probing() *conn {
 	c := n.free()
 	if c == nil {
-		if c = n.fresh(); c != nil {
+		if c = n.fresh(n.dialer.place); c != nil {
 			sync.Go(c.run)
 		}
 	}
@@ -884,8 +880,11 @@
 	}
 	rep.Drop()
 	r := core.Result{Status: choice.Errored, Load: decodeLoad(string(rep.body))}
-	if c.resp.StatusCode() == fasthttp.StatusOK {
+	switch {
+	case c.resp.StatusCode() == fasthttp.StatusOK:
 		r.Status = choice.OK
+	case turnedAway(&c.resp):
+		r.Status = choice.Full
 	}
 	return r, clean
 }
--- a/internal/httpfront/paths.go
+++ b/internal/httpfront/paths.go
@@ -59,6 +59,7 @@
 	req     address.Req
 	attempt *core.Attempt
 	probe   func(core.Result, time.Duration)
+	ahead   func(choice.Status) // nothing is to be written: a connection is enough
 	ctx     context.Context
 	stop    context.CancelFunc
 	unwatch func() bool
@@ -156,7 +157,9 @@
 func (p *paths) hear(m *pathMessage) {
 	switch {
 	case m.up != nil:
-		m.up.ready = p.conns[m.up.id] == m.up // else a late winner, and told to quit
+		if m.up.ready = p.conns[m.up.id] == m.up; m.up.ready { // else a late winner, and told to quit
+			p.enough()
+		}
 		p.book.Step(address.Event{Kind: address.Connected, Conn: m.up.id})
 	case m.failed != nil:
 		if p.conns[m.failed.id] == m.failed {
@@ -213,9 +216,13 @@
 // finish ends a work that was never written.
 func (p *paths) finish(w *work, r core.Result) {
 	p.over(w)
-	if w.probe != nil {
+	switch {
+	case w.probe != nil:
 		go w.probe(r, time.Since(w.began))
 		return
+	case w.ahead != nil:
+		go w.ahead(r.Status)
+		return
 	}
 	go w.attempt.Done(r) // the core's mailbox may have to be waited for
 }
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -187,6 +187,9 @@
 // Probe implements core.Peer: these targets report no load.
 func (p *peer) Probe(func(core.Result, time.Duration)) bool { return false }
 
+// Connect implements core.Peer: a target has one session, which stands or is being opened.
+func (p *peer) Connect(func(choice.Status)) bool { return false }
+
 // Drain implements core.Peer: it binds at once, also what waits in the mailbox.
 func (p *peer) Drain(on bool) {
 	if p.draining.Swap(on) != on {
--- a/internal/scatter/run_test.go
+++ b/internal/scatter/run_test.go
@@ -109,6 +109,7 @@
 	}
 }
 func (p *peer) Probe(func(core.Result, time.Duration)) bool { return false }
+func (p *peer) Connect(func(choice.Status)) bool            { return false }
 func (p *peer) Drain(bool)                                  {}
 func (p *peer) Readdress([]address.Addr)                    {}
 func (p *peer) Close()                                      {}
