The start paces the list's calls after the first, and hears that the held list holds

Need: only the first call of the list was the start's; a refused or silent one waited as listclock drew. A watch that begins with an empty line left the start guessing until the nodes counted as warm. Change: registry.Watcher.Pace (nil: listclock's waits) with listclock's Paced, Due and Missed: until a call first speaks coldstart says when the list is asked for; the bound at which what was missed counts as told stays listclock's and goes before (a call turned away by word moves it fourfold). Only where list_priced is set and lists are asked for. Watcher.Quiet: an empty first line is word that what is held holds. The starter has one lock; what goes to the core goes in order from one goroutine.

--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -219,8 +219,8 @@
 		}
 	}
 	watcher := &registry.Watcher{Address: conf.Discovery, Index: known.Index, Known: known.Nodes, Tell: tell, Log: log,
-		Clock: listClock(conf)}
-	go begin.watch(ctx, watcher.Run)
+		Clock: listClock(conf), Pace: begin.pace(), Quiet: begin.quiet}
+	go watcher.Run(ctx)
 	// Ready: the clients' socket is served and the list is discovery's, or discovery has been
 	// waited for long enough.
 	ready := func() bool {
--- a/cmd/wheatsaddle/start.go
+++ b/cmd/wheatsaddle/start.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"io/fs"
 	"slices"
@@ -17,32 +16,40 @@
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/registry"
 )
 
 const keepEvery = 5 * time.Second // a snapshot is written, and at the stop
 
 // starter drives the start of this process; it has no rule of its own. nil: the section is off.
+//
+// One lock guards all of it, and is never held while anything waits: the core's actor calls in here.
+// What goes to the core goes in the order in which it was decided, from one goroutine that ends when
+// there is no more.
 type starter struct {
-	core  *core.Core
-	log   logrus.FieldLogger
-	path  string
-	held  []core.Node
-	began time.Time
-	ask   chan struct{} // closed at the first AskList
-	ended chan struct{}
-	over  atomic.Bool
-	said  atomic.Bool // ready
-
-	order sync.Mutex // of news on their way to the core; its actor never takes it
-	heard bool       // the list's first word went there
+	core   *core.Core
+	log    logrus.FieldLogger
+	path   string
+	priced bool
+	held   []core.Node
+	began  time.Time
+	due    chan struct{} // the list is to be asked for
+	ended  chan struct{} // stop was called
+	kept   chan struct{} // the last snapshot is written
+	over   atomic.Bool
+	said   atomic.Bool // ready
 
 	mu      sync.Mutex // of all below
 	s       *coldstart.Start
+	heard   bool // the list's first word is on its way to the core
 	learned choice.Learned
-	since   map[string]float64 // as the list gives it
-	guess   float64            // the start that held nodes were given
-	timer   *time.Timer
-	asked   bool
+	had     map[string]choice.LearnedNode // of learned, by id
+	since   map[string]float64            // as the list gives it
+	guess   float64                       // the start that held nodes were given
+	timer   *time.Timer                   // of the next Tick; nil: it was stopped, or none was asked for yet
+	stopped bool
+	out     []func(*core.Core) // what goes to the core: bounded by what one start decides
+	sending bool
 }
 
 func newStarter(set *config.SiteStart, conf *config.Config, held []core.Node, log logrus.FieldLogger) (*starter, error) {
@@ -57,8 +64,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &starter{log: log, path: set.Snapshot, held: held, began: time.Now(), ask: make(chan struct{}), ended: make(chan struct{}),
-		s: s, since: map[string]float64{}}, nil
+	return &starter{log: log, path: set.Snapshot, priced: set.ListPriced, held: held, began: time.Now(), due: make(chan struct{}, 1),
+		ended: make(chan struct{}), kept: make(chan struct{}), s: s, since: map[string]float64{}}, nil
 }
 
 // settings are the decisions' for a start beside the whole fleet; as given, without the section.
@@ -89,13 +96,7 @@
 		s, err := snapshot.Read(b.path, time.Now())
 		switch {
 		case err == nil:
-			for _, n := range s.Nodes {
-				begun.Snapshot = append(begun.Snapshot, coldstart.Node{ID: n.ID, Since: n.Since})
-				b.learned.Nodes = append(b.learned.Nodes, choice.LearnedNode{ID: n.ID, Since: n.Since, Window: n.Window, Usual: n.Usual, Best: n.Best, Failing: n.Failing})
-			}
-			for _, k := range s.Classes {
-				b.learned.Classes = append(b.learned.Classes, choice.LearnedClass{Name: k.Name, Weight: k.Weight, Slope: k.Slope, Delay: k.Delay})
-			}
+			begun.Snapshot = b.recalls(s)
 		case !errors.Is(err, fs.ErrNotExist):
 			b.log.WithFields(operr.Fields(err)).Warn("starting without a snapshot")
 		}
@@ -105,6 +106,24 @@
 	return true
 }
 
+// recalls takes a snapshot as what was learned.
+func (b *starter) recalls(s *snapshot.Snapshot) (nodes []coldstart.Node) {
+	l, had := choice.Learned{}, map[string]choice.LearnedNode{}
+	for _, n := range s.Nodes {
+		nodes = append(nodes, coldstart.Node{ID: n.ID, Since: n.Since})
+		if _, twice := had[n.ID]; !twice {
+			had[n.ID] = choice.LearnedNode{ID: n.ID, Since: n.Since, Window: n.Window, Usual: n.Usual, Best: n.Best, Failing: n.Failing}
+		}
+	}
+	for _, k := range s.Classes {
+		l.Classes = append(l.Classes, choice.LearnedClass{Name: k.Name, Weight: k.Weight, Slope: k.Slope, Delay: k.Delay})
+	}
+	b.mu.Lock()
+	b.learned, b.had = l, had
+	b.mu.Unlock()
+	return nodes
+}
+
 func (b *starter) nodes(list []core.Node) (ns []coldstart.Node) {
 	for _, n := range list {
 		x := coldstart.Node{ID: n.ID, Since: n.Since}
@@ -116,19 +135,25 @@
 	return ns
 }
 
-// step gives the start an event and does what it says; refused is for Asked and Turned. Messages to
-// the core go out from a goroutine of their own: the core's actor calls in here too.
+// step gives the start an event and does what it says; refused is for Asked and Turned.
 func (b *starter) step(e coldstart.Event) (retry time.Duration, refused bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.stepped(e)
+}
+
+// stepped is step under the lock.
+func (b *starter) stepped(e coldstart.Event) (retry time.Duration, refused bool) {
+	if b.stopped {
+		return 0, false
+	}
 	var recall choice.Learned
-	var ahead, probes []string
 	for _, a := range b.s.Step(time.Since(b.began), e) {
 		switch a := a.(type) {
 		case coldstart.AskList:
-			if !b.asked {
-				b.asked = true
-				close(b.ask)
+			select {
+			case b.due <- struct{}{}:
+			default: // said already
 			}
 		case coldstart.UseHeld:
 			b.guess = float64(time.Now().UnixMilli())
@@ -136,48 +161,62 @@
 			for i := range guessed {
 				guessed[i].Since = b.guess
 			}
-			go b.useHeld(guessed)
+			b.put(func(c *core.Core) { c.List(core.News{Kind: choice.ListChange, Nodes: guessed}) })
 		case coldstart.Warm:
 			recall.Nodes = append(recall.Nodes, choice.LearnedNode{ID: a.Node, Since: b.since[a.Node], Guessed: b.guess})
 		case coldstart.Recall:
-			for _, n := range b.learned.Nodes {
-				if n.ID == a.Node {
-					recall.Nodes = append(recall.Nodes, n)
-				}
+			if n, ok := b.had[a.Node]; ok {
+				recall.Nodes = append(recall.Nodes, n)
 			}
 		case coldstart.Connect:
-			ahead = append(ahead, a.Node)
+			b.put(func(c *core.Core) { c.Ahead(a.Node) })
 		case coldstart.Probe:
-			probes = append(probes, a.Node)
+			b.put(func(c *core.Core) { c.Probe(a.Node) })
 		case coldstart.Ready:
 			b.said.Store(true)
 		case coldstart.Refuse:
 			retry, refused = a.RetryAfter, true
 		case coldstart.WakeAt:
-			if b.timer != nil {
-				b.timer.Stop()
+			wait := time.Until(b.began.Add(a.At))
+			if b.timer == nil {
+				b.timer = time.AfterFunc(wait, func() { b.step(coldstart.Tick{}) })
+			} else {
+				b.timer.Reset(wait)
 			}
-			b.timer = time.AfterFunc(time.Until(b.began.Add(a.At)), func() { b.step(coldstart.Tick{}) })
 		}
 	}
 	b.over.Store(b.s.Phase() == coldstart.Serving)
 	if len(recall.Nodes) > 0 {
 		recall.Classes = b.learned.Classes
-		go b.core.Recall(recall)
-	}
-	if len(ahead)+len(probes) > 0 {
-		go func() {
-			for _, id := range ahead {
-				b.core.Ahead(id)
-			}
-			for _, id := range probes {
-				b.core.Probe(id)
-			}
-		}()
+		b.put(func(c *core.Core) { c.Recall(recall) })
 	}
 	return retry, refused
 }
 
+// put lines up a message to the core; under the lock.
+func (b *starter) put(f func(*core.Core)) {
+	if b.out = append(b.out, f); !b.sending {
+		b.sending = true
+		go b.send()
+	}
+}
+
+// send hands over what is lined up: the core's mailbox may have to be waited for.
+func (b *starter) send() {
+	for {
+		b.mu.Lock()
+		if len(b.out) == 0 {
+			b.out, b.sending = nil, false
+			b.mu.Unlock()
+			return
+		}
+		f := b.out[0]
+		b.out = b.out[1:]
+		b.mu.Unlock()
+		f(b.core)
+	}
+}
+
 // Over says that the start has no say any more.
 func (b *starter) Over() bool { return b.over.Load() }
 
@@ -204,59 +243,74 @@
 	}
 }
 
-// useHeld gives the core the held list, unless the list's own word went there first.
-func (b *starter) useHeld(guessed []core.Node) {
-	b.order.Lock()
-	defer b.order.Unlock()
-	if !b.heard {
-		b.core.List(core.News{Kind: choice.ListChange, Nodes: guessed})
-	}
-}
-
-// list takes the list's word to the core; false: the section is off. A first word that is but what
-// changed counts with what was held: the core has that as guessed, or not at all.
+// list takes the list's word to the core, and comes back once it is there; false: the section is off.
+// A first word that is but what changed counts with what was held: the core has that as guessed, or not
+// at all.
 func (b *starter) list(n core.News) bool {
 	if b == nil {
 		return false
 	}
-	b.order.Lock()
-	defer b.order.Unlock()
-	if b.heard || n.Kind != choice.ListFull && n.Kind != choice.ListChange {
+	b.mu.Lock()
+	if b.heard && !b.sending {
+		b.mu.Unlock()
 		b.core.List(n)
 		return true
 	}
-	b.heard = true
-	if n.Kind == choice.ListChange {
+	first := !b.heard && (n.Kind == choice.ListFull || n.Kind == choice.ListChange)
+	if first {
+		b.heard = true
 		n.Nodes = slices.Clone(n.Nodes)
+		named := map[string]bool{}
+		for _, x := range n.Nodes {
+			named[x.ID] = true
+		}
 		for _, x := range b.held {
-			if !slices.ContainsFunc(n.Nodes, func(y core.Node) bool { return y.ID == x.ID }) {
+			if n.Kind == choice.ListChange && !named[x.ID] {
 				n.Nodes = append(n.Nodes, x)
 			}
 		}
 	}
-	b.core.List(n)
-	here := slices.DeleteFunc(slices.Clone(n.Nodes), func(x core.Node) bool { return x.State == choice.NodeGone })
-	b.mu.Lock()
-	for _, x := range here {
-		b.since[x.ID] = x.Since
+	there := make(chan struct{})
+	b.put(func(c *core.Core) { c.List(n); close(there) })
+	if first {
+		here := slices.DeleteFunc(slices.Clone(n.Nodes), func(x core.Node) bool { return x.State == choice.NodeGone })
+		for _, x := range here {
+			b.since[x.ID] = x.Since
+		}
+		b.stepped(coldstart.ListSpoke{Nodes: b.nodes(here)})
 	}
 	b.mu.Unlock()
-	b.step(coldstart.ListSpoke{Nodes: b.nodes(here)})
+	<-there
 	return true
 }
 
-// watch runs the list's watch from the first call on. Further calls are the watch's own.
-func (b *starter) watch(ctx context.Context, run func(context.Context)) {
-	if b != nil {
-		select {
-		case <-b.ask:
-		case <-ctx.Done():
-			return
-		}
+// quiet takes the word that nothing came after the list held: as a first word, that it holds.
+func (b *starter) quiet() {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	first := !b.heard && len(b.held) > 0
+	b.mu.Unlock()
+	if first {
+		b.list(core.News{Kind: choice.ListChange})
+	}
+}
+
+// pace is the list's watch's, as long as nothing was heard; nil: it has its own.
+func (b *starter) pace() registry.Pace {
+	if b == nil || !b.priced {
+		return nil
 	}
-	run(ctx)
+	return b
 }
 
+// Due is registry.Pace's.
+func (b *starter) Due() <-chan struct{} { return b.due }
+
+// Missed is registry.Pace's.
+func (b *starter) Missed() { b.step(coldstart.ListRefused{}) }
+
 // ready is what the start says, or, without it, what is said today.
 func (b *starter) ready(today bool) bool {
 	if b == nil {
@@ -265,18 +319,19 @@
 	return b.said.Load()
 }
 
-// keep writes the snapshot from time to time.
+// keep writes the snapshot from time to time, and at the end.
 func (b *starter) keep() {
+	defer close(b.kept)
 	tick := time.NewTicker(keepEvery)
 	defer tick.Stop()
-	for {
+	for done := false; !done; {
 		select {
 		case <-tick.C:
-			if b.Over() { // before, it knows less than the file
-				b.write()
-			}
 		case <-b.ended:
-			return
+			done = true
+		}
+		if b.Over() { // before, it knows less than the file
+			b.write()
 		}
 	}
 }
@@ -285,9 +340,18 @@
 	if b.path == "" {
 		return
 	}
+	if s := b.snapshot(); s != nil {
+		if err := snapshot.Write(b.path, s); err != nil {
+			b.log.WithFields(operr.Fields(err)).Warn("no snapshot was written")
+		}
+	}
+}
+
+// snapshot is what was learned by now; nil: nothing.
+func (b *starter) snapshot() *snapshot.Snapshot {
 	l, ok := b.core.Learned()
 	if !ok || len(l.Nodes) == 0 {
-		return
+		return nil
 	}
 	s := &snapshot.Snapshot{Made: time.Now()}
 	for _, n := range l.Nodes {
@@ -296,9 +360,7 @@
 	for _, k := range l.Classes {
 		s.Classes = append(s.Classes, snapshot.ClassState{Name: k.Name, Weight: k.Weight, Slope: k.Slope, Delay: k.Delay})
 	}
-	if err := snapshot.Write(b.path, s); err != nil {
-		b.log.WithFields(operr.Fields(err)).Warn("no snapshot was written")
-	}
+	return s
 }
 
 // stop ends it, with a last snapshot. The core must still run.
@@ -307,11 +369,10 @@
 		return
 	}
 	close(b.ended)
-	if b.Over() {
-		b.write()
-	}
+	<-b.kept
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.stopped = true // a Tick that waits for the lock does nothing any more
 	if b.timer != nil {
 		b.timer.Stop()
 	}
--- a/cmd/wheatsaddle/start_test.go
+++ b/cmd/wheatsaddle/start_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
-	"context"
 	"path/filepath"
+	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"wheatsaddle/choice"
@@ -13,6 +15,8 @@
 	"wheatsaddle/internal/coldstart/snapshot"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/registry"
+	"wheatsaddle/internal/standin/discovery"
 )
 
 // quick is a node that serves at once, and notes what is opened or asked ahead of need.
@@ -30,48 +34,68 @@
 func (quick) Drain(bool)                                            {}
 func (quick) Close()                                                {}
 
+// startConf is a scheduler's alone, and startNode its node.
+func startConf() *config.Config {
+	return &config.Config{Name: "n0", Settings: choice.Settings{Hosts: 1, MaxAttempts: 1, MeanUnits: 1, MostUnits: 9, MaxHoldOff: 1000, MayProbe: true,
+		AskMode: true, Classes: []choice.Class{{Name: "read", Aim: 30000, Deadline: 60000, Worth: 1}}, Plans: []choice.Plan{{Name: "basic", Reserve: 1000}}}}
+}
+
+var startNode = core.Node{Node: choice.Node{ID: "s", Since: 5, Weight: 1}}
+
+// begun is a start that runs, with a core whose nodes note what is opened ahead; both end with the test.
+func begun(t *testing.T, set *config.SiteStart, log logrus.FieldLogger, held ...core.Node) (*starter, *core.Core, chan string) {
+	t.Helper()
+	conf, ahead := startConf(), make(chan string, 8)
+	b, err := newStarter(set, conf, held, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	co, err := core.New(core.Options{Settings: conf.Settings, Log: log, Start: b.gate(),
+		Connect: func(string, []address.Addr) core.Peer { return quick{ahead: ahead} }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(co.Stop)
+	t.Cleanup(b.stop)
+	b.run(co)
+	return b, co, ahead
+}
+
+// served has a request of the node's shard served.
+func served(t *testing.T, co *core.Core) {
+	t.Helper()
+	got := make(chan core.Answer, 1)
+	co.Submit(&core.Request{Request: choice.Request{ID: "r", Class: "read", Plan: "basic", Volume: "v", Units: 1, Hosts: 1},
+		Arrived: time.Now(), Patience: time.Minute, Answer: func(a core.Answer) { got <- a }})
+	if a := <-got; a.Kind != core.Served {
+		t.Fatalf("%+v", a)
+	}
+}
+
 // A start with the section on asks the list, serves what it has heard, keeps what it learned, and the
 // next start has it again; off, there is none of it.
 func TestStartKeepsWhatItLearned(t *testing.T) {
 	log, hook := logtest.NewNullLogger()
-	conf := &config.Config{Name: "n0", Settings: choice.Settings{Hosts: 1, MaxAttempts: 1, MeanUnits: 1, MostUnits: 9, MaxHoldOff: 1000, MayProbe: true,
-		Classes: []choice.Class{{Name: "read", Aim: 30000, Deadline: 60000, Worth: 1}}, Plans: []choice.Plan{{Name: "basic", Reserve: 1000}}}}
-	node := core.Node{Node: choice.Node{ID: "s", Since: 5, Weight: 1}}
 	set := &config.SiteStart{On: true, Snapshot: filepath.Join(t.TempDir(), "learned"), ListMost: 40, Ahead: 1}
-	ahead := make(chan string, 8)
-	if b, err := newStarter(nil, conf, nil, log); b != nil || err != nil || b.gate() != nil || b.run(nil) || !b.ready(true) {
+	if b, err := newStarter(nil, startConf(), nil, log); b != nil || err != nil || b.gate() != nil || b.run(nil) || !b.ready(true) || b.pace() != nil {
 		t.Fatal("without the section there is a start")
 	}
-	life := func(do func(*starter, *core.Core)) {
+	life := func(do func(*starter, *core.Core, chan string)) {
 		t.Helper()
-		b, err := newStarter(set, conf, []core.Node{node}, log)
-		if err != nil {
-			t.Fatal(err)
-		}
-		co, err := core.New(core.Options{Settings: conf.Settings, Log: log, Start: b.gate(),
-			Connect: func(string, []address.Addr) core.Peer { return quick{ahead: ahead} }})
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer co.Stop()
-		defer b.stop()
-		b.run(co)
-		b.watch(t.Context(), func(context.Context) {}) // comes back once the list may be asked
-		if b.ready(true) {
-			t.Error("ready before the list")
-		}
-		if !b.list(core.News{Kind: choice.ListFull, Nodes: []core.Node{node}}) || !b.ready(false) {
-			t.Error("not ready with the list")
-		}
-		do(b, co)
+		t.Run("life", func(t *testing.T) {
+			b, co, ahead := begun(t, set, log, startNode)
+			<-b.Due() // the list may be asked for
+			if b.ready(true) {
+				t.Error("ready before the list")
+			}
+			if !b.list(core.News{Kind: choice.ListFull, Nodes: []core.Node{startNode}}) || !b.ready(false) {
+				t.Error("not ready with the list")
+			}
+			do(b, co, ahead)
+		})
 	}
-	life(func(b *starter, co *core.Core) {
-		served := make(chan core.Answer, 1)
-		co.Submit(&core.Request{Request: choice.Request{ID: "r", Class: "read", Plan: "basic", Volume: "v", Units: 1, Hosts: 1},
-			Arrived: time.Now(), Patience: time.Minute, Answer: func(a core.Answer) { served <- a }})
-		if a := <-served; a.Kind != core.Served {
-			t.Fatalf("%+v", a)
-		}
+	life(func(b *starter, co *core.Core, _ chan string) {
+		served(t, co)
 		for l, _ := co.Learned(); len(l.Nodes) == 0; l, _ = co.Learned() {
 		}
 		b.write()
@@ -79,7 +103,7 @@
 	if s, err := snapshot.Read(set.Snapshot, time.Now()); err != nil || len(s.Nodes) != 1 || s.Nodes[0].ID != "s" || len(s.Classes) != 1 {
 		t.Fatalf("%+v, %v", s, err)
 	}
-	life(func(_ *starter, co *core.Core) { // nothing is sent: what it knows is the snapshot's
+	life(func(_ *starter, co *core.Core, ahead chan string) { // nothing is sent: what it knows is the snapshot's
 		for l, _ := co.Learned(); len(l.Nodes) == 0; l, _ = co.Learned() {
 		}
 		if c, p := <-ahead, <-ahead; c != "connect" || p != "probe" {
@@ -90,3 +114,55 @@
 		t.Error(e.String())
 	}
 }
+
+// The start sets the pace of the calls that its list's service turns away, and the first that is
+// answered ends it. What is held holds, once the watch says that nothing came after it; where nothing is
+// held such a word is none.
+func TestStartPacesTheList(t *testing.T) {
+	s, err := discovery.New(discovery.Options{Index: 40})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	s.Set(discovery.Fault{Refuse: true})
+	log, _ := logtest.NewNullLogger()
+	set := &config.SiteStart{On: true, ListPriced: true, ListMost: 40}
+	b, co, _ := begun(t, set, log)
+	var missed atomic.Int64
+	w := &registry.Watcher{Address: s.Addr(), Log: log, Clock: listClock(startConf()), Pace: counted{b.pace(), &missed}, Quiet: b.quiet,
+		Tell: func(n core.News) { b.list(n) }}
+	ended := make(chan bool)
+	go func() { w.Run(t.Context()); close(ended) }()
+	t.Cleanup(func() { <-ended })
+	for missed.Load() < 2 { // less than a second apart, where the clock alone would wait for longer
+		runtime.Gosched()
+	}
+	b.quiet()
+	if b.ready(true) {
+		t.Error("ready with no list")
+	}
+	s.Put(discovery.Entry{Name: "s", Address: "127.0.0.1:1", Status: discovery.Active, Weight: 1})
+	s.Set(discovery.Fault{})
+	for !b.ready(false) {
+		runtime.Gosched()
+	}
+	served(t, co)
+
+	b, co, _ = begun(t, set, log, startNode)
+	if b.quiet(); !b.ready(false) {
+		t.Error("the list held does not hold")
+	}
+	served(t, co)
+	for l, _ := co.Learned(); len(l.Nodes) == 0; l, _ = co.Learned() {
+	}
+	if l, _ := co.Learned(); l.Nodes[0].Since != startNode.Since {
+		t.Errorf("the node's start is guessed: %+v", l.Nodes)
+	}
+}
+
+type counted struct {
+	registry.Pace
+	missed *atomic.Int64
+}
+
+func (c counted) Missed() { c.missed.Add(1); c.Pace.Missed() }
--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -23,6 +23,9 @@
 //     heard; and where it fell silent one more, beside it, if that is not answered: the bound goes before
 //     the spread over the fleet. A call that was turned away moves it off fourfold (the wire's
 //     rules.ask-within), so none is repeated for it.
+//   - Paced (asked only): until a call first speaks, another says when the list is asked for (Due); a call that
+//     came to nothing is told to it (Missed). What was missed since the start counts as told all the same:
+//     a call is out before that, Due or not, and that goes before any other wait.
 //   - At most Most calls are open.
 //   - A call at the address before a move counts until one at the new address speaks.
 //   - A call is opened once, closed or ended once, and never heard of after that.
@@ -68,6 +71,7 @@
 	// Longest mean wait, as a part of Told: after a call that stood, and after one turned away, which
 	// moves that time off fourfold (the wire's rules.ask-within).
 	standTold, turnedTold = 0.5, 2.5
+	turnedTimes           = 4                      // what a call turned away makes of Told
 	spread                = 0.5                    // a wait is drawn from 1-spread to 1+spread times itself
 	answerLeft            = time.Second            // of Told, for the answer
 	repeatLeft            = 500 * time.Millisecond // ... and for that of the one repeat
@@ -80,6 +84,7 @@
 	Hosts  int           // schedulers that ask for the same list; 0: this one
 	Told   time.Duration // when what the list says counts as told at the latest; 0 or longer: Told
 	Grace  time.Duration // of the drain rule; 0: not known
+	Paced  bool          // while nothing was heard yet, another says when to ask
 	Wait   time.Duration // a call may wait for so long before it says anything; 0: it beats
 	Seed   uint64
 }
@@ -94,6 +99,7 @@
 	Ended              // a call's connection has ended, never came up, or was turned away
 	Moved              // the list is at another address from now on
 	Passed             // time has passed: Wake is over
+	Due                // Paced: the list is to be asked for
 )
 
 // Event is one thing that happened.
@@ -109,9 +115,10 @@
 
 // The kinds of actions.
 const (
-	Open  Do = iota // a call at the present address
-	Close           // a call
-	Down            // no call stands: said once until one speaks
+	Open   Do = iota // a call at the present address
+	Close            // a call
+	Down             // no call stands: said once until one speaks
+	Missed           // Paced: a call came to nothing
 )
 
 // Action is one thing to do.
@@ -180,8 +187,15 @@
 	i := c.find(e.Call)
 	switch e.Kind {
 	case Begin:
-		c.heard = c.now
-		c.open()
+		if c.heard = c.now; c.paced() {
+			c.next = c.bound()
+		} else {
+			c.open()
+		}
+	case Due:
+		if c.paced() && !c.calling() {
+			c.open()
+		}
 	case Moved:
 		c.moved()
 	case Spoke:
@@ -275,7 +289,7 @@
 	k := &c.calls[i]
 	k.spoke, k.silent, k.heard, c.heard = true, false, c.now, c.now
 	c.repeat = never
-	c.down = false
+	c.down, c.set.Paced = false, false
 	id, here := k.id, k.moves == c.moves
 	for j := len(c.calls) - 1; j >= 0; j-- {
 		if o := c.calls[j]; o.id != id && (here || o.moves < c.moves && o.id < id) {
@@ -300,7 +314,7 @@
 	case c.pushed():
 		c.next = min(c.next, max(c.now, k.opened+c.Every()))
 	case !c.calling() && c.next == never:
-		c.next = c.now + c.wait(k.spoke)
+		c.again(k.spoke)
 	}
 }
 
@@ -309,6 +323,37 @@
 	return slices.ContainsFunc(c.calls, func(k call) bool { return k.moves == c.moves && (!k.spoke || !k.silent) })
 }
 
+// paced says that another says when the list is asked for.
+func (c *Clock) paced() bool { return c.set.Paced && !c.pushed() }
+
+// again sets the next call after one that ended, and had spoken or not.
+func (c *Clock) again(stood bool) {
+	if !c.paced() {
+		c.next = c.now + c.wait(stood)
+		return
+	}
+	c.next = c.bound()
+	c.act(Missed, 0)
+}
+
+// bound is when the list is asked for at the latest where another sets the pace. A repeat is drawn: a
+// fleet's would else be made at one instant. Once all that may be counts as told there is no hurry.
+func (c *Clock) bound() time.Duration {
+	told := c.set.Told
+	if c.now < c.turned {
+		told *= turnedTimes
+	}
+	left := c.heard + told - answerLeft - c.now
+	switch {
+	case c.ids == 0:
+		return c.now + max(left, 0)
+	case left > leastWait:
+		late := min(left, answerLeft)
+		return c.now + left - time.Duration(float64(late)*c.rng.Float64())
+	}
+	return c.now + time.Duration(turnedTold*(1+spread)*float64(c.set.Told))
+}
+
 // wait draws the time before the list is asked for again.
 func (c *Clock) wait(stood bool) time.Duration {
 	w := max(leastWait, time.Duration(c.set.Hosts)*time.Second/CallsMost) * time.Duration(c.factor)
@@ -353,7 +398,7 @@
 			if k := c.calls[i]; !k.spoke && c.now >= k.opened+c.first() {
 				c.close(i)
 				if !c.calling() {
-					c.next = c.now + c.wait(false)
+					c.again(false)
 				}
 			}
 		}
--- /dev/null
+++ b/internal/registry/pace_test.go
@@ -0,0 +1,98 @@
+package registry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/valyala/fasthttp"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/listclock"
+	"wheatsaddle/internal/standin/discovery"
+)
+
+// pace is one set by the test.
+type pace struct {
+	due    chan struct{}
+	missed chan bool
+}
+
+func (p pace) Due() <-chan struct{} { return p.due }
+func (p pace) Missed()              { p.missed <- true }
+
+// watching runs a watcher until the test ends.
+func watching(t *testing.T, w *Watcher) (news chan core.News) {
+	news = make(chan core.News, 100)
+	w.Log, _ = logtest.NewNullLogger()
+	w.Tell = func(n core.News) { news <- n }
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan bool)
+	go func() { w.Run(ctx); close(ended) }()
+	t.Cleanup(func() { stop(); <-ended })
+	return news
+}
+
+// At a process's start the list is asked for when the pace says so, whatever the service does, and
+// each call that came to nothing is told to it. The hour of Told leaves all to the pace.
+func TestPace(t *testing.T) {
+	s, asked := service(t, 40)
+	p := pace{make(chan struct{}, 1), make(chan bool, 100)}
+	news := watching(t, &Watcher{Address: s.Addr(), Pace: p, Clock: listclock.Settings{Hosts: 1000}})
+	for i, f := range []discovery.Fault{{Refuse: true}, {Down: true}, {Refuse: true}} {
+		s.Set(f)
+		if len(asked) > 0 {
+			t.Fatalf("%d: asked before it was due", i)
+		}
+		p.due <- struct{}{}
+		<-p.missed
+		for len(asked) > 0 {
+			<-asked
+		}
+	}
+	if n := <-news; n.Kind != choice.ListFailed {
+		t.Errorf("%+v", n)
+	}
+	s.Set(discovery.Fault{})
+	p.due <- struct{}{}
+	if n := <-news; n.Kind != choice.ListFull || len(p.missed) > 0 {
+		t.Errorf("%+v, %d more missed", n, len(p.missed))
+	}
+}
+
+// A watch that begins with an empty line says that nothing came after the version held; an empty line
+// after a list that could not be used does not.
+func TestQuiet(t *testing.T) {
+	for first, want := range map[string]bool{"": true, list(3, false, entry): false} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		go func() {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if (&fasthttp.Request{}).Read(bufio.NewReader(nc)) == nil {
+				fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n1\r\n\n\r\n", len(first)+1, first)
+			}
+			nc.Close()
+		}()
+		quiet := make(chan bool, 10)
+		w := &Watcher{Address: ln.Addr().String(), Index: 7, Quiet: func() { quiet <- true }, Clock: listclock.Settings{Pushed: true, Grace: time.Minute}}
+		news := watching(t, w)
+		if want {
+			<-quiet
+			continue
+		}
+		if n := <-news; n.Kind != choice.ListFailed || len(quiet) > 0 { // it ended after its two lines
+			t.Errorf("%+v, %d", n, len(quiet))
+		}
+	}
+}
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -30,6 +30,8 @@
 	Tell    func(core.News)
 	Log     logrus.FieldLogger
 	Clock   listclock.Settings
+	Pace    Pace   // of a process that starts; nil: the clock's own waits
+	Quiet   func() // told of each sign of life that says that nothing came after the version held; nil: nobody
 	held    map[string]core.Node
 	moves   chan string
 	mail    chan line
@@ -42,11 +44,18 @@
 	call  func(ctx context.Context, address string, index int64, put func(line)) error
 }
 
+// Pace says when a process that starts asks for the list, until a call first speaks. It must not block.
+type Pace interface {
+	Due() <-chan struct{} // ask now
+	Missed()              // a call was turned away, failed or stayed silent
+}
+
 // line is what a call read, or its end.
 type line struct {
-	call int
-	list *List // nil: a sign of life, or the end
-	err  error // the call has ended
+	call  int
+	list  *List // nil: a sign of life, or the end
+	quiet bool  // nothing is new
+	err   error // the call has ended
 }
 
 func (w *Watcher) init() {
@@ -72,11 +81,16 @@
 // run is Run by a clock that wakes it at the times it names.
 func (w *Watcher) run(ctx context.Context, wake <-chan time.Time, reset func(time.Duration)) {
 	w.init()
-	w.clock, w.calls = listclock.New(w.Clock), map[int]context.CancelFunc{}
+	set := w.Clock
+	var due <-chan struct{}
+	if w.Pace != nil {
+		set.Paced, due = true, w.Pace.Due()
+	}
+	w.clock, w.calls = listclock.New(set), map[int]context.CancelFunc{}
 	w.step(ctx, listclock.Event{Kind: listclock.Begin}, nil)
 	for {
 		reset(w.clock.Wake())
-		_, address, _, l, which := sync.First4(ctx.Done(), w.moves, wake, w.mail)
+		_, address, _, l, _, which := sync.First5(ctx.Done(), w.moves, wake, w.mail, due)
 		if ctx.Err() != nil { // chance may have chosen another: what comes after the stop is not told
 			return
 		}
@@ -88,8 +102,10 @@
 			}
 		case 2:
 			w.step(ctx, listclock.Event{Kind: listclock.Passed}, &SilentError{})
-		default:
+		case 3:
 			w.took(ctx, l)
+		default:
+			w.step(ctx, listclock.Event{Kind: listclock.Due}, nil)
 		}
 	}
 }
@@ -121,12 +137,17 @@
 			// once for each time it goes down, not for each try
 			w.Log.WithFields(operr.Fields(why)).Warn("watch ended, connecting again")
 			w.Tell(core.News{Kind: choice.ListFailed})
+		case listclock.Missed:
+			w.Pace.Missed()
 		}
 	}
 }
 
 // spoke takes a line.
 func (w *Watcher) spoke(l line) {
+	if l.quiet && w.Quiet != nil {
+		w.Quiet()
+	}
 	// Guards the held list against a source that lags behind the watch it replaces.
 	if l.list == nil || !l.list.Full && l.list.Index < w.Index {
 		return
@@ -203,7 +224,7 @@
 		text := bytes.TrimSpace(raw)
 		cut := object != nil && (len(text) == 0 || raw[0] == '{')
 		if len(text) == 0 && !cut {
-			put(line{})
+			put(line{quiet: last < 0}) // after a list of its own that is that one's word
 			continue
 		}
 		if !cut {
