discovery: nobody listens, resets in every mode, one capacity for several services

Fault.Shut keeps the port by a bound socket without a listener; Options.Shared has several services wait in one queue, with the worst second counted.

go test -race -count=3 ./internal/standin/discovery: passed.

--- a/internal/standin/discovery/conn.go
+++ b/internal/standin/discovery/conn.go
@@ -43,7 +43,7 @@
 func (s *Service) accept(ln net.Listener, name string) {
 	for {
 		nc, err := ln.Accept()
-		if err != nil {
+		if err != nil { // closed, or shut
 			return
 		}
 		who := name
@@ -55,10 +55,11 @@
 		n := &conn{s: s, nc: nc, kick: make(chan struct{}, 1), asks: make(chan ask), gone: make(chan struct{})}
 		s.mu.Lock()
 		n.c = s.caller(who)
+		n.c.counts.Came++
 		switch {
 		case s.closed || len(s.conns) >= s.opt.Conns:
 			nc.Close()
-		case n.c.fault.Down && s.opt.Mode != Push:
+		case n.c.fault.resets(s.opt.Mode):
 			n.c.counts.Downs++
 			n.reset()
 		default:
@@ -177,13 +178,7 @@
 		s.mu.Unlock()
 		return n.fail(fasthttp.StatusServiceUnavailable, &n.c.counts.Refused, &n.c.counts.Failed)
 	}
-	now := time.Now()
-	end, out := s.queue.Call(now.Sub(s.start))
-	at := s.start.Add(end)
-	waited := at.Sub(now)
-	if out == Served {
-		waited -= s.queue.each
-	}
+	at, waited, out := s.room.call(time.Now())
 	if waited > 0 {
 		n.c.counts.Waited++
 		n.c.counts.Longest = max(n.c.counts.Longest, waited)
--- a/internal/standin/discovery/discovery_test.go
+++ b/internal/standin/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"reflect"
 	"strings"
@@ -375,6 +376,45 @@
 	if _, _, err = r.get("y", ""); err != nil {
 		t.Error(err)
 	}
+
+	for f, want := range map[Fault]error{{Reset: true}: syscall.ECONNRESET, {Shut: true}: syscall.ECONNREFUSED} {
+		r, x, y := push(t)
+		at, _ := r.s.AddrFor("x")
+		set := func(f Fault) {
+			if err := r.s.Set(f, "x"); err != nil {
+				t.Error(err)
+			}
+		}
+		set(f)
+		set(f)
+		if l, err := x(); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%+v: its watch: %+v %v", f, l, err)
+		}
+		if _, _, err := r.get("x", ""); !errors.Is(err, want) {
+			t.Errorf("%+v: a call: %v", f, err)
+		}
+		if c := r.s.Counts("x"); c.Downs < c.Came || f.Shut != (c.Came == 1) {
+			t.Errorf("%+v: %+v", f, c)
+		}
+		r.s.Put(node("a", Leaving))
+		fine(r, y)
+		set(Fault{})
+		if again, err := r.s.AddrFor("x"); again != at || err != nil {
+			t.Errorf("%+v: it was at %s and is at %s, %v", f, at, again, err)
+		}
+		if l, _, err := r.get("x", ""); err != nil || l.Index != 4 {
+			t.Errorf("%+v: when it is over: %+v %v", f, l, err)
+		}
+		r.s.Set(Fault{Shut: true})
+		if nc, err := net.Dial("tcp", r.s.Addr()); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("all are shut, and one is not: %v %v", nc, err)
+		}
+		if at, err := r.s.AddrFor("new"); err != nil {
+			t.Error(err)
+		} else if _, err = net.Dial("tcp", at); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("one that came later is not shut: %v", err)
+		}
+	}
 }
 
 // What comes at once before a small capacity is served, fails by waiting, or finds the queue full.
@@ -392,6 +432,21 @@
 	if a, b := r.s.Counts("0"), r.s.Counts("1"); a.Calls != 4 || b.Calls != 4 {
 		t.Errorf("%+v %+v", a, b)
 	}
+
+	// Two services share one: of eight calls, four at each, no more are served than of eight at one.
+	one, err := NewCapacity(Options{Capacity: 2, Patience: time.Millisecond, Queue: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	both := []*rig{newRig(t, Options{Mode: Poll, Shared: one}), newRig(t, Options{Mode: Poll, Shared: one})}
+	for i := range 8 {
+		wg.Go(func() { both[i%2].get("x", "") })
+	}
+	wg.Wait()
+	a, b := both[0].s.Counts(), both[1].s.Counts()
+	if l := one.Load(); l.Calls != 8 || l.Refused != a.Failed+b.Failed || a.Full+b.Full == 0 || a.Calls != 4 || b.Calls != 4 || l.Peak < 3 || l.Peak > 8 {
+		t.Errorf("%+v, %+v and %+v", l, a, b)
+	}
 }
 
 // What grows has a bound, and the errors have codes.
--- a/internal/standin/discovery/fault.go
+++ b/internal/standin/discovery/fault.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"errors"
 	"net"
 	"slices"
 	"time"
@@ -11,6 +12,8 @@
 	// Down: in mode Push the agent accepts and says nothing; otherwise connections are reset, those
 	// that come too.
 	Down    bool
+	Reset   bool          // connections are reset, those that come too, in every mode
+	Shut    bool          // nobody listens at the callers' own addresses, or, for all, at any; the port stays taken
 	Silent  bool          // open watches fall silent, and calls get no answer
 	Answers bool          // with Silent: calls that come from now on are answered, and their watches speak
 	Lost    bool          // with Silent or Down: what fell silent stays so when it is over
@@ -19,9 +22,12 @@
 	epoch   int
 }
 
+// resets says whether connections are reset under it.
+func (f Fault) resets(m Mode) bool { return f.Reset || f.Shut || f.Down && m != Push }
+
 // Set puts a fault in place of the one before, for the callers named, or for all, those too that
 // come later.
-func (s *Service) Set(f Fault, callers ...string) {
+func (s *Service) Set(f Fault, callers ...string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.epoch++
@@ -41,12 +47,19 @@
 		if n.busy && f.Lost && n.mute(f) {
 			n.lost = true
 		}
-		if f.Down && s.opt.Mode != Push {
+		if f.resets(s.opt.Mode) {
 			n.c.counts.Downs++
 			n.reset()
 		}
 	})
 	s.kick()
+	var errs []error
+	for name, p := range s.lns {
+		if len(callers) == 0 || name != "" && slices.Contains(callers, name) {
+			errs = append(errs, p.shut(f.Shut))
+		}
+	}
+	return errors.Join(errs...)
 }
 
 // each goes over callers by name, or all, and their connections; under s.mu.
@@ -68,19 +81,21 @@
 }
 
 // Up ends all faults, those too that have not happened yet.
-func (s *Service) Up(callers ...string) { s.Set(Fault{}, callers...) }
+func (s *Service) Up(callers ...string) error { return s.Set(Fault{}, callers...) }
 
 // Down has the service down.
-func (s *Service) Down(callers ...string) { s.Set(Fault{Down: true}, callers...) }
+func (s *Service) Down(callers ...string) error { return s.Set(Fault{Down: true}, callers...) }
 
 // Silent has the service say nothing.
-func (s *Service) Silent(callers ...string) { s.Set(Fault{Silent: true}, callers...) }
+func (s *Service) Silent(callers ...string) error { return s.Set(Fault{Silent: true}, callers...) }
 
 // Late has all that is told come later.
-func (s *Service) Late(by time.Duration, callers ...string) { s.Set(Fault{Late: by}, callers...) }
+func (s *Service) Late(by time.Duration, callers ...string) error {
+	return s.Set(Fault{Late: by}, callers...)
+}
 
 // Refuse has calls answered with 503.
-func (s *Service) Refuse(callers ...string) { s.Set(Fault{Refuse: true}, callers...) }
+func (s *Service) Refuse(callers ...string) error { return s.Set(Fault{Refuse: true}, callers...) }
 
 // Reset resets open watches and calls that wait, now.
 func (s *Service) Reset(callers ...string) {
@@ -134,7 +149,7 @@
 
 // mute says whether a fault silences the connection; under s.mu.
 func (n *conn) mute(f Fault) bool {
-	return f.Down && n.s.opt.Mode == Push || f.Silent && (!f.Answers || n.asked < f.epoch)
+	return f.Down && n.s.opt.Mode == Push && !f.resets(Push) || f.Silent && (!f.Answers || n.asked < f.epoch)
 }
 
 // silent says whether the connection says nothing at present, and counts it once; under s.mu.
--- a/internal/standin/discovery/service.go
+++ b/internal/standin/discovery/service.go
@@ -35,6 +35,9 @@
 	Conns       int                      // at most, more are closed at once; 0: 4096
 	Tolds       int                      // kept for each caller; 0: 16384
 	Heard       func(caller, uri string) // of each call, as it comes; nil: nobody hears
+	Shared      *Capacity                // with other services, over Capacity, Patience and Queue; nil: one of its own
+	// Written is told of each list that was written whole, as Told has it; it must not call the service. nil: nobody.
+	Written func(caller string, full bool, entries []Entry, at time.Time)
 }
 
 func (o *Options) fill() error {
@@ -66,6 +69,7 @@
 
 // Counts are what a caller, or all of them, saw.
 type Counts struct {
+	Came    int // connections
 	Calls   int // read whole
 	Served  int // answered with a list, or a watch opened
 	Failed  int // answered with an error: TooLong, Full, Refused, and calls that mean nothing
@@ -88,7 +92,7 @@
 
 func (c *Counts) add(o Counts) {
 	longest := max(c.Longest, o.Longest)
-	for _, p := range [][2]*int{{&c.Calls, &o.Calls}, {&c.Served, &o.Served}, {&c.Failed, &o.Failed}, {&c.Watches, &o.Watches},
+	for _, p := range [][2]*int{{&c.Came, &o.Came}, {&c.Calls, &o.Calls}, {&c.Served, &o.Served}, {&c.Failed, &o.Failed}, {&c.Watches, &o.Watches},
 		{&c.Open, &o.Open}, {&c.Lines, &o.Lines}, {&c.Beats, &o.Beats}, {&c.Waited, &o.Waited}, {&c.TooLong, &o.TooLong},
 		{&c.Full, &o.Full}, {&c.Downs, &o.Downs}, {&c.Silences, &o.Silences}, {&c.Refused, &o.Refused}, {&c.Lates, &o.Lates},
 		{&c.Resets, &o.Resets}, {&c.Cuts, &o.Cuts}, {&c.Olds, &o.Olds}, {&c.Said, &o.Said}, {&c.Forgotten, &o.Forgotten}} {
@@ -123,17 +127,15 @@
 // Service is a running stand-in.
 type Service struct {
 	opt     Options
-	start   time.Time
 	mu      sync.Mutex
 	book    *Book
-	queue   *Queue
+	room    *Capacity
 	puts    []put // of the versions that the history holds
 	epoch   int   // counts the faults set
 	fault   Fault // of callers that come
 	once    once
 	callers map[string]*caller
-	addrs   map[string]string
-	lns     []net.Listener
+	lns     map[string]*port
 	conns   map[*conn]bool
 	closed  bool
 	wg      sync.WaitGroup
@@ -154,12 +156,12 @@
 	if err := opt.fill(); err != nil {
 		return nil, err
 	}
-	each := time.Duration(0)
-	if opt.Capacity > 0 {
-		each = time.Duration(float64(time.Second) / opt.Capacity)
+	room := opt.Shared
+	if room == nil {
+		room = newCapacity(opt)
 	}
-	s := &Service{opt: opt, start: time.Now(), book: NewBook(opt.Index, opt.Keep), queue: NewQueue(each, opt.Patience, opt.Queue),
-		callers: map[string]*caller{}, addrs: map[string]string{}, conns: map[*conn]bool{}}
+	s := &Service{opt: opt, book: NewBook(opt.Index, opt.Keep), room: room,
+		callers: map[string]*caller{}, lns: map[string]*port{}, conns: map[*conn]bool{}}
 	if _, err := s.AddrFor(""); err != nil {
 		return nil, err
 	}
@@ -170,33 +172,32 @@
 func (s *Service) Addr() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.addrs[""]
+	return s.lns[""].addr
 }
 
 // AddrFor is where whoever calls is the caller of that name.
 func (s *Service) AddrFor(name string) (string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a, ok := s.addrs[name]; ok {
-		return a, nil
+	if p, ok := s.lns[name]; ok {
+		return p.addr, nil
 	}
 	if s.closed {
 		return "", &NoListener{name, net.ErrClosed}
 	}
-	if len(s.addrs) > s.opt.Callers {
+	if len(s.lns) > s.opt.Callers {
 		return "", &TooManyCallers{s.opt.Callers}
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	p, err := newPort(s, name)
 	if err != nil {
 		return "", &NoListener{name, err}
 	}
+	f := s.fault
 	if name != "" {
-		s.caller(name)
+		f = s.caller(name).fault
 	}
-	s.addrs[name] = ln.Addr().String()
-	s.lns = append(s.lns, ln)
-	s.wg.Go(func() { s.accept(ln, name) })
-	return s.addrs[name], nil
+	s.lns[name] = p
+	return p.addr, p.shut(f.Shut)
 }
 
 // caller is under s.mu.
@@ -217,8 +218,8 @@
 func (s *Service) Close() {
 	s.mu.Lock()
 	s.closed = true
-	for _, ln := range s.lns {
-		ln.Close()
+	for _, p := range s.lns {
+		p.close()
 	}
 	for n := range s.conns {
 		n.nc.Close()
@@ -341,6 +342,9 @@
 		}
 	}
 	c.held = l.Index
+	if s.opt.Written != nil {
+		s.opt.Written(c.name, l.Full, fresh, at)
+	}
 	for i := range fresh {
 		t := told{l.Index, &fresh[i], at}
 		if len(c.tolds) < s.opt.Tolds {
