procs: the list is the stand-in of discovery; large fleets without links

procs had a service of its own beside internal/standin/discovery. Now it gives each daemon one of discovery's, all with one capacity (Options.List); rows, verdicts and NewList stay. A daemon that was started with the list names its version, so that it is told what has changed, as the platform does. With Options.Direct daemons reach nodes and list straight and the list is one service with a caller for each daemon.

--- a/internal/lab/procs/daemon.go
+++ b/internal/lab/procs/daemon.go
@@ -42,6 +42,7 @@
 	Seed                    uint64
 	MemoryMB                int
 	Known                   []Entry
+	Index                   int64 // version of Known; 0: 1
 	Settings                map[string]any
 }
 
@@ -50,7 +51,7 @@
 	text, err := json.Marshal(map[string]any{
 		"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "operator": c.Operator, "seed": fmt.Sprintf("%x", c.Seed),
 		"limits":   map[string]any{"cores": 1, "memory_mb": c.MemoryMB, "sockets": 1024},
-		"known":    map[string]any{"index": 1, "snapshot": true, "endpoints": append([]Entry{}, c.Known...)},
+		"known":    map[string]any{"index": max(c.Index, 1), "snapshot": true, "endpoints": append([]Entry{}, c.Known...)},
 		"settings": c.Settings})
 	if err != nil {
 		return err
--- a/internal/lab/procs/fleet.go
+++ b/internal/lab/procs/fleet.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"os"
@@ -22,6 +21,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/internal/lab/audit"
+	"wheatsaddle/internal/standin/discovery"
 	"wheatsaddle/internal/standin/link"
 	"wheatsaddle/internal/standin/node"
 )
@@ -37,6 +37,7 @@
 	Name     string
 	Shard    int
 	Workers  int
+	Queue    int // 0: 256
 	Service  func(*fasthttp.Request) time.Duration
 	Unlisted bool // at the start
 	Cold     bool // it starts with the fleet, cold; else it has long been there
@@ -59,7 +60,11 @@
 	Doors    bool                                                  // each daemon has an operators' door
 	Peers    bool                                                  // links between each two daemons, TCP and UDP
 	Args     func(f *Fleet, i int) []string                        // further arguments of a daemon; nil: none
-	NewList  func(scheduler int, told func([]Entry)) (List, error) // nil: this package's push
+	NewList  func(scheduler int, told func([]Entry)) (List, error) // nil: a stand-in of discovery
+	List     discovery.Options                                     // of that; its capacity is the whole fleet's
+	// Direct: daemons reach nodes and list without a link, and the list is one for all, with a caller for each
+	// daemon. For fleets so large that links would be thousands; what only links see of an attempt's end is not seen.
+	Direct bool
 }
 
 // Fleet is what runs.
@@ -73,14 +78,16 @@
 	real     []string
 	procs    []*Proc
 	lists    []List
-	clients  []*link.Link   // to each daemon
-	listings []*link.Link   // from each daemon to its list
-	storage  [][]*link.Link // from each daemon to each node
-	peers    [][]*link.Link // [i][j], i < j
+	service  *discovery.Service  // of all daemons; nil: each has one of its own
+	room     *discovery.Capacity // of the lists, unless NewList makes them
+	clients  []*link.Link        // to each daemon
+	listings []*link.Link        // from each daemon to its list
+	storage  [][]*link.Link      // from each daemon to each node
+	peers    [][]*link.Link      // [i][j], i < j
 	peerAt   []string
 	doors    []string
-	since    []float64 // since_ms of each node
-	status   []string  // of each node on the list
+	since    []int64            // since_ms of each node
+	status   []discovery.Status // of each node on the list
 	mu       sync.Mutex
 	h        audit.History
 	down     map[int]span // of a daemon that is not up: since when, and why
@@ -148,17 +155,21 @@
 		}
 	}
 	for _, s := range opt.Nodes {
-		n := node.New(node.Options{Name: s.Name, Shard: s.Shard, Workers: s.Workers, Service: s.Service, Queue: 256, Record: true, Rows: s.Rows})
+		queue := s.Queue
+		if queue == 0 {
+			queue = 256
+		}
+		n := node.New(node.Options{Name: s.Name, Shard: s.Shard, Workers: s.Workers, Service: s.Service, Queue: queue, Record: true, Rows: s.Rows})
 		f.nodes = append(f.nodes, n)
 		a, err := n.Listen("127.0.0.1:0")
 		if err != nil {
 			return f, err
 		}
-		status := "active"
+		status := discovery.Active
 		if s.Unlisted {
-			status = "left"
+			status = discovery.Left
 		}
-		since := -1e6
+		since := int64(-1e6)
 		if s.Cold {
 			since = f.chill(s.Name)
 		}
@@ -208,35 +219,31 @@
 			f.peers[i] = append(f.peers[i], l)
 		}
 	}
+	var err error
+	if f.room, err = discovery.NewCapacity(f.opt.List); err != nil {
+		return err
+	}
 	for i := range f.opt.Daemons {
-		told := func(entries []Entry) {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			for _, e := range entries {
-				f.h.Told = append(f.h.Told, audit.Told{Scheduler: i, Node: e.Name, Word: words[e.Status], At: f.now()})
-			}
-		}
-		made := f.opt.NewList
-		if made == nil {
-			made = func(_ int, told func([]Entry)) (List, error) { return newList(told) }
-		}
-		list, err := made(i, told)
+		list, err := f.list(i)
 		if err != nil {
 			return err
 		}
 		f.lists = append(f.lists, list)
-		listing, err := join("tcp", list.Addr(), "")
-		if err != nil {
-			return err
-		}
-		f.listings = append(f.listings, listing)
-		f.storage = append(f.storage, nil)
-		for _, real := range f.real {
-			l, err := join("tcp", real, "")
+		at := list.Addr()
+		if !f.opt.Direct {
+			listing, err := join("tcp", at, "")
 			if err != nil {
 				return err
 			}
-			f.storage[i] = append(f.storage[i], l)
+			at, f.listings = listing.Addr(), append(f.listings, listing)
+			f.storage = append(f.storage, nil)
+			for _, real := range f.real {
+				l, err := join("tcp", real, "")
+				if err != nil {
+					return err
+				}
+				f.storage[i] = append(f.storage[i], l)
+			}
 		}
 		listen, err := FreeAddress()
 		if err != nil {
@@ -251,8 +258,10 @@
 		for j := range f.nodes {
 			entries = append(entries, f.entry(i, j))
 		}
-		if err := list.Put(entries...); err != nil {
-			return err
+		if i == 0 || !f.opt.Direct {
+			if err := list.Put(entries...); err != nil {
+				return err
+			}
 		}
 		if f.opt.ListDown {
 			if err := list.Set(ListDown); err != nil {
@@ -260,8 +269,10 @@
 			}
 			f.h.Deaf = append(f.h.Deaf, audit.Span{Scheduler: i, From: 0, To: audit.Never, Turned: true})
 		}
+		index := int64(0)
 		if f.opt.Known {
-			known = slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.Status == "left" })
+			known = slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.Status == discovery.Left })
+			index = firstIndex + 1
 		}
 		door := ""
 		if f.opt.Doors {
@@ -271,7 +282,7 @@
 		}
 		f.doors = append(f.doors, door)
 		name := fmt.Sprint("n", i)
-		conf := Config{Name: name, Listen: listen, Operator: door, Discovery: listing.Addr(), Seed: f.opt.Seed + uint64(i), MemoryMB: memoryMB, Known: known,
+		conf := Config{Name: name, Listen: listen, Operator: door, Discovery: at, Seed: f.opt.Seed + uint64(i), MemoryMB: memoryMB, Known: known, Index: index,
 			Settings: over(Defaults(f.opt.Daemons, i, shards), f.opt.Settings)}
 		f.settings = conf.Settings
 		dir := filepath.Join(f.dir, name)
@@ -291,17 +302,6 @@
 	return nil
 }
 
-func (f *Fleet) entry(i, j int) Entry {
-	return Entry{Name: f.opt.Nodes[j].Name, Address: f.storage[i][j].Addr(), Group: f.opt.Nodes[j].Shard, Status: f.status[j], Weight: 1,
-		SinceMS: f.since[j]}
-}
-
-// chill notes that a node starts cold now, and gives its since_ms: the Unix time.
-func (f *Fleet) chill(node string) float64 {
-	f.h.Cold = append(f.h.Cold, audit.Change{Node: node, At: f.now()})
-	return float64(time.Now().UnixMilli())
-}
-
 func (f *Fleet) now() time.Duration { return time.Since(f.start) }
 
 // The parties and the links between them: node j, process i, the list of daemon i; client to daemon i,
@@ -333,42 +333,6 @@
 	return f.PeerLink(i, j).Back()
 }
 
-// Mark lists a node as active, leaving or left, at all lists.
-func (f *Fleet) Mark(j int, status string) error {
-	f.mu.Lock()
-	f.status[j] = status
-	f.h.Changed = append(f.h.Changed, audit.Change{Node: f.opt.Nodes[j].Name, Word: words[status], At: f.now()})
-	f.mu.Unlock()
-	var errs []error
-	for i, l := range f.lists {
-		errs = append(errs, l.Put(f.entry(i, j)))
-	}
-	return errors.Join(errs...)
-}
-
-// Replace lists a node as one that started just now under its name, at all lists.
-func (f *Fleet) Replace(j int) error {
-	f.mu.Lock()
-	f.since[j] = f.chill(f.opt.Nodes[j].Name)
-	f.mu.Unlock()
-	return f.Mark(j, "active")
-}
-
-// SetList switches the fault of daemon i's list.
-func (f *Fleet) SetList(i int, fault ListFault) error {
-	f.mu.Lock()
-	k := slices.IndexFunc(f.h.Deaf, func(s audit.Span) bool { return s.Scheduler == i && s.To == audit.Never })
-	heard := fault == ListWell || fault == ListMute // by who asks
-	if !heard && k < 0 {
-		f.h.Deaf = append(f.h.Deaf, audit.Span{Scheduler: i, From: f.now(), To: audit.Never, Turned: fault != ListSilent})
-	}
-	if heard && k >= 0 {
-		f.h.Deaf[k].To = f.now()
-	}
-	f.mu.Unlock()
-	return f.lists[i].Set(fault)
-}
-
 // Wait waits until a condition holds: it says nil.
 func (f *Fleet) Wait(ctx context.Context, what string, cond func() error) error {
 	t := time.NewTicker(lookEvery)
@@ -498,6 +462,9 @@
 	for _, l := range f.lists {
 		l.Close()
 	}
+	if f.service != nil {
+		f.service.Close()
+	}
 	for _, n := range f.nodes {
 		n.Close()
 	}
--- a/internal/lab/procs/list.go
+++ b/internal/lab/procs/list.go
@@ -1,27 +1,17 @@
 package procs
 
 import (
-	"bufio"
-	"encoding/json"
+	"errors"
 	"fmt"
-	"net"
-	"sync"
+	"slices"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"wheatsaddle/internal/lab/audit"
+	"wheatsaddle/internal/standin/discovery"
 )
 
 // Entry is a node as a list has it.
-type Entry struct {
-	Name    string  `json:"name"`
-	Address string  `json:"address"`
-	Group   int     `json:"group"`
-	Status  string  `json:"status"` // active, leaving, left
-	Weight  float64 `json:"weight"`
-	SinceMS float64 `json:"since_ms"`
-}
+type Entry = discovery.Entry
 
 // ListFault is what a list's service does instead of speaking.
 type ListFault int
@@ -35,8 +25,11 @@
 	ListDown             // nobody listens
 )
 
-// List is one scheduler's list service. Each scheduler has one of its own, as its nodes' addresses are
-// those of its own links.
+var listFaults = map[ListFault]discovery.Fault{ListWell: {}, ListSilent: {Silent: true}, ListMute: {Silent: true, Answers: true, Lost: true},
+	ListReset: {Reset: true}, ListDown: {Shut: true}}
+
+// List is one scheduler's list service. Where there are links each scheduler has one of its own, as its
+// nodes' addresses are those of its links; else it is the scheduler's part of the fleet's one.
 type List interface {
 	Addr() string
 	Put(entries ...Entry) error // changes, told to all watches in one line
@@ -45,240 +38,151 @@
 	Close()
 }
 
-const (
-	beatEvery = 2 * time.Second
-	writeMost = 2 * time.Second
-)
+// firstIndex is the version of a list before its first entry. A caller that holds none names an earlier one,
+// which the history does not reach: it is told the whole list.
+const firstIndex = 8
 
-// list is the protocol's push: a chunked answer with one JSON object a line.
+// list is a stand-in of the list's service as one caller sees it.
 type list struct {
-	told    func([]Entry)
-	addr    string
-	mu      sync.Mutex
-	ln      net.Listener
-	fault   ListFault
-	index   int64
-	entries map[string]Entry
-	order   []string
-	changes map[int64][]Entry
-	watches map[net.Conn]bool
-	moved   chan struct{} // closed with each change of fault or list
-	asked   int
-	muted   int // how often the watches that stood were muted
-	closed  bool
-	wg      sync.WaitGroup
+	*discovery.Service
+	caller, at string
+	own        bool // it is this list's alone, and is closed with it
 }
 
-func newList(told func([]Entry)) (*list, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	l := &list{told: told, addr: ln.Addr().String(), entries: map[string]Entry{}, changes: map[int64][]Entry{}, watches: map[net.Conn]bool{},
-		moved: make(chan struct{})}
-	l.listen(ln)
-	return l, nil
-}
-
-func (l *list) listen(ln net.Listener) {
-	l.ln = ln
-	l.wg.Add(1)
-	go func() {
-		defer l.wg.Done()
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			l.mu.Lock()
-			l.asked++
-			bad := l.closed || l.fault == ListReset || l.fault == ListDown
-			if !bad {
-				l.watches[nc] = true
-				l.wg.Add(1)
-			}
-			l.mu.Unlock()
-			if bad {
-				breakConn(nc)
-				continue
-			}
-			go func() {
-				defer l.wg.Done()
-				l.watch(nc)
-				nc.Close()
-				l.mu.Lock()
-				delete(l.watches, nc)
-				l.mu.Unlock()
-			}()
-		}
-	}()
-}
-
-func breakConn(nc net.Conn) {
-	if t, ok := nc.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	nc.Close()
+func newList(s *discovery.Service, caller string, own bool) (*list, error) {
+	at, err := s.AddrFor(caller)
+	return &list{s, caller, at, own}, err
 }
 
 // Addr implements List.
-func (l *list) Addr() string { return l.addr }
+func (l *list) Addr() string { return l.at }
 
 // Asked implements List.
-func (l *list) Asked() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.asked
-}
+func (l *list) Asked() int { return l.Counts(l.caller).Came }
 
 // Put implements List.
-func (l *list) Put(entries ...Entry) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.index++
-	for _, e := range entries {
-		if _, known := l.entries[e.Name]; !known {
-			l.order = append(l.order, e.Name)
-		}
-		l.entries[e.Name] = e
-	}
-	l.changes[l.index] = entries
-	l.wake()
-	return nil
-}
-
-func (l *list) wake() {
-	close(l.moved)
-	l.moved = make(chan struct{})
-}
+func (l *list) Put(entries ...Entry) error { l.Service.Put(entries...); return nil }
 
 // Set implements List.
-func (l *list) Set(f ListFault) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	was := l.fault
-	l.fault = f
-	if f == ListMute {
-		l.muted++
-	}
-	if f == ListReset || f == ListDown {
-		for nc := range l.watches {
-			breakConn(nc)
-		}
-	}
-	if f == ListDown && was != ListDown {
-		l.ln.Close()
-	}
-	if f != ListDown && was == ListDown && !l.closed {
-		ln, err := net.Listen("tcp", l.addr)
-		if err != nil {
-			return err
-		}
-		l.listen(ln)
-	}
-	l.wake()
-	return nil
-}
+func (l *list) Set(f ListFault) error { return l.Service.Set(listFaults[f], l.caller) }
 
 // Close implements List.
 func (l *list) Close() {
-	l.mu.Lock()
-	l.closed = true
-	l.ln.Close()
-	for nc := range l.watches {
-		nc.Close()
+	if l.own {
+		l.Service.Close()
 	}
-	l.wake()
-	l.mu.Unlock()
-	l.wg.Wait()
 }
 
-// watch serves one watch from the version asked for.
-func (l *list) watch(nc net.Conn) {
-	var q fasthttp.Request
-	if q.Read(bufio.NewReader(nc)) != nil {
-		return
+// list makes daemon i's list.
+func (f *Fleet) list(i int) (List, error) {
+	if f.opt.NewList != nil {
+		return f.opt.NewList(i, func(entries []Entry) { f.told(i, entries) })
 	}
-	after := int64(q.URI().QueryArgs().GetUintOrZero("after"))
-	head := false
-	l.mu.Lock()
-	muted := l.muted
-	l.mu.Unlock()
-	for first := true; ; {
-		l.mu.Lock()
-		f, moved, closed, mute := l.fault, l.moved, l.closed, muted != l.muted
-		var lines [][]Entry
-		full, index := first, l.index
-		if full { // the whole list first, as of now
-			var all []Entry
-			for _, name := range l.order {
-				if e := l.entries[name]; e.Status != "left" {
-					all = append(all, e)
-				}
-			}
-			lines = [][]Entry{all}
-		} else {
-			for i := after + 1; i <= index; i++ {
-				lines = append(lines, l.changes[i])
+	name := func(i int) string { return fmt.Sprint("n", i) }
+	s := f.service
+	if s == nil {
+		opt := f.opt.List
+		opt.Shared, opt.Index = f.room, firstIndex
+		callers := map[string]int{}
+		for k := range f.opt.Daemons {
+			callers[name(k)] = k
+		}
+		opt.Written = func(caller string, full bool, entries []Entry, _ time.Time) {
+			if full { // it says of those that it leaves out that they have left
+				entries = append(slices.Clone(entries), f.left()...)
 			}
+			f.told(callers[caller], entries)
 		}
-		l.mu.Unlock()
-		if closed || f == ListReset || f == ListDown {
-			return
+		var err error
+		if s, err = discovery.New(opt); err != nil {
+			return nil, err
 		}
-		if f != ListSilent && !mute {
-			if err := nc.SetWriteDeadline(time.Now().Add(writeMost)); err != nil {
-				return
-			}
-			if !head {
-				head = true
-				if _, err := fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
-					return
-				}
-			}
-			for i, entries := range lines {
-				at := after + 1 + int64(i)
-				if full {
-					at = index
-				}
-				text, err := json.Marshal(map[string]any{"index": at, "snapshot": full, "endpoints": append([]Entry{}, entries...)})
-				if err != nil || !chunk(nc, string(text)) {
-					return
-				}
-				l.told(l.what(entries, full))
-			}
-			if len(lines) == 0 && !chunk(nc, "") {
-				return
-			}
-			first, after = false, index
+		if f.opt.Direct {
+			f.service = s
 		}
-		t := time.NewTimer(beatEvery)
-		select {
-		case <-moved:
-		case <-t.C:
+	}
+	l, err := newList(s, name(i), !f.opt.Direct)
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// told notes what was written to daemon i.
+func (f *Fleet) told(i int, entries []Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range entries {
+		f.h.Told = append(f.h.Told, audit.Told{Scheduler: i, Node: e.Name, Word: words[e.Status], At: f.now()})
+	}
+}
+
+// left are the nodes that have left the list.
+func (f *Fleet) left() (all []Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for j, s := range f.status {
+		if s == discovery.Left {
+			all = append(all, Entry{Name: f.opt.Nodes[j].Name, Status: s})
 		}
-		t.Stop()
 	}
+	return all
 }
 
-// what a line says; a full list also says of those that it leaves out that they have left.
-func (l *list) what(entries []Entry, full bool) []Entry {
-	if !full {
-		return entries
+// Calls are those of the list, of all daemons.
+func (f *Fleet) Calls() discovery.Load { return f.room.Load() }
+
+func (f *Fleet) entry(i, j int) Entry {
+	at := f.real[j]
+	if !f.opt.Direct {
+		at = f.storage[i][j].Addr()
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, name := range l.order {
-		if e := l.entries[name]; e.Status == "left" {
-			entries = append(entries, e)
+	return Entry{Name: f.opt.Nodes[j].Name, Address: at, Group: f.opt.Nodes[j].Shard, Status: f.status[j], Weight: 1, SinceMS: f.since[j]}
+}
+
+// chill notes that a node starts cold now, and gives its since_ms: the Unix time.
+func (f *Fleet) chill(node string) int64 {
+	f.h.Cold = append(f.h.Cold, audit.Change{Node: node, At: f.now()})
+	return time.Now().UnixMilli()
+}
+
+// Mark lists a node as active, leaving or left, at all lists.
+func (f *Fleet) Mark(j int, status string) error {
+	f.mu.Lock()
+	f.status[j] = discovery.Status(status)
+	f.h.Changed = append(f.h.Changed, audit.Change{Node: f.opt.Nodes[j].Name, Word: words[f.status[j]], At: f.now()})
+	f.mu.Unlock()
+	var errs []error
+	for i, l := range f.lists {
+		if i == 0 || !f.opt.Direct {
+			errs = append(errs, l.Put(f.entry(i, j)))
 		}
 	}
-	return entries
+	return errors.Join(errs...)
 }
 
-func chunk(nc net.Conn, line string) bool {
-	_, err := fmt.Fprintf(nc, "%x\r\n%s\n\r\n", len(line)+1, line)
-	return err == nil
+// Replace lists a node as one that started just now under its name, at all lists.
+func (f *Fleet) Replace(j int) error {
+	f.mu.Lock()
+	f.since[j] = f.chill(f.opt.Nodes[j].Name)
+	f.mu.Unlock()
+	return f.Mark(j, "active")
+}
+
+// SetList switches the fault of daemon i's list.
+func (f *Fleet) SetList(i int, fault ListFault) error {
+	f.mu.Lock()
+	k := slices.IndexFunc(f.h.Deaf, func(s audit.Span) bool { return s.Scheduler == i && s.To == audit.Never })
+	heard := fault == ListWell || fault == ListMute // by who asks
+	if !heard && k < 0 {
+		f.h.Deaf = append(f.h.Deaf, audit.Span{Scheduler: i, From: f.now(), To: audit.Never, Turned: fault != ListSilent})
+	}
+	if heard && k >= 0 {
+		f.h.Deaf[k].To = f.now()
+	}
+	f.mu.Unlock()
+	return f.lists[i].Set(fault)
 }
 
-var words = map[string]audit.Word{"active": audit.Active, "leaving": audit.Draining, "left": audit.Gone}
+var words = map[discovery.Status]audit.Word{discovery.Active: audit.Active, discovery.Leaving: audit.Draining, discovery.Left: audit.Gone}
