standin/node: a node that has started cold works slower, falls past what it bears, and comes back

Options.Cold says what one bears, Chill has it start; past N + 3 sqrt(N) + 3 requests of mean work it stops listening, and is back cold. Saw tells of connects, requests and falls as they happen. Off by default.

--- a/internal/standin/node/fault.go
+++ b/internal/standin/node/fault.go
@@ -93,6 +93,7 @@
 				p.n.wg.Add(1)
 			}
 			p.n.mu.Unlock()
+			p.n.saw(Connected)
 			if full {
 				nc.Close()
 				continue
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -16,6 +16,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,8 @@
 	Identity  string                                // header in which it says its name; empty: it does not
 	Body      []byte                                // of an answer; nil: the request's id
 	Record    bool                                  // every attempt from its first byte on, for Attempts
+	Cold      *Cold                                 // what it bears after Chill; nil: as much as ever
+	Saw       func(Saw)                             // told as it happens, from the connections' goroutines; nil: nobody
 	TellShard bool                                  // answers end with shard=N, so that clients know where a new object was put
 	Rows      *Rows                                 // what the parts of gathered reads are answered with; nil: nothing else than other requests
 }
@@ -69,6 +72,9 @@
 	slots    chan struct{}
 	wg       sync.WaitGroup
 	closed   bool
+	done     chan struct{} // closed with it
+	turn     sync.Mutex    // held while a fall changes what listens
+	cold     cold
 	attempts []*Attempt
 
 	rows      []key // of its shard
@@ -91,7 +97,7 @@
 		opt.Slow = 400 * time.Millisecond
 	}
 	n := &Node{opt: opt, ports: map[address.Addr]*port{}, conns: map[*link]bool{}, byID: map[string][]Arrival{}, byKey: map[string]int{},
-		memory: map[string]time.Time{}, slots: make(chan struct{}, opt.Workers), rowCounts: map[string]RowCounts{}}
+		memory: map[string]time.Time{}, slots: make(chan struct{}, opt.Workers), done: make(chan struct{}), rowCounts: map[string]RowCounts{}}
 	if opt.Rows != nil {
 		n.rows = opt.Rows.keys(opt.Shard)
 	}
@@ -256,11 +262,16 @@
 
 // Close ends the node and waits for its goroutines.
 func (n *Node) Close() {
+	n.turn.Lock()
 	n.mu.Lock()
+	if !n.closed {
+		close(n.done)
+	}
 	n.closed = true
 	ports := n.ports
 	n.ports = map[address.Addr]*port{}
 	n.mu.Unlock()
+	n.turn.Unlock()
 	var errs []error
 	for _, p := range ports {
 		errs = append(errs, p.shut())
@@ -362,6 +373,11 @@
 	n.mu.Lock()
 	n.byID[id] = append(n.byID[id], Arrival{At: time.Now(), By: l.port.at})
 	n.mu.Unlock()
+	n.saw(Asked)
+	if n.opt.Cold != nil && n.ask(Units(q)) {
+		n.wg.Go(n.fall)
+		return false
+	}
 	if code, away := n.admit(q, f); code != 0 {
 		n.mu.Lock()
 		if away {
@@ -411,6 +427,18 @@
 	return l.port.n.opt.Name
 }
 
+// Units is a request's work, as its IO-Info has it.
+func Units(q *fasthttp.Request) float64 {
+	for part := range strings.SplitSeq(string(q.Header.Peek("IO-Info")), ",") {
+		if v, ok := strings.CutPrefix(part, "units="); ok {
+			if units, err := strconv.ParseFloat(v, 64); err == nil {
+				return units
+			}
+		}
+	}
+	return 1
+}
+
 // admit says with which code a request is turned away, if it is; away: without X-Not-Run it
 // would not be a turning away.
 func (n *Node) admit(q *fasthttp.Request, f Fault) (code int, away bool) {
@@ -462,7 +490,7 @@
 	n.mu.Unlock()
 	l.rec.set(func(a *Attempt) { a.Ran = time.Now() })
 	if n.opt.Service != nil {
-		time.Sleep(n.opt.Service(q))
+		time.Sleep(n.slower(n.opt.Service(q)))
 	}
 	return true
 }
--- a/internal/standin/node/node_test.go
+++ b/internal/standin/node/node_test.go
@@ -108,3 +108,58 @@
 		}
 	}
 }
+
+// A cold node works slower, falls past what it bears, is back cold, and warms; a warm one bears all.
+func TestCold(t *testing.T) {
+	const units, span = 4, 10 * time.Millisecond
+	set := &Cold{Power: 0.5, Span: time.Hour, Units: units, Mean: 1, Within: time.Hour, Back: span}
+	saw := make(chan Saw, 100)
+	n := New(Options{Cold: set, Saw: func(s Saw) { saw <- s }, Service: func(*fasthttp.Request) time.Duration { return span }})
+	a, err := n.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	for i := range 3 {
+		if at := time.Now(); i == 0 {
+			if n.slower(span) != span {
+				t.Error("a warm node is slow")
+			}
+		} else if _, err := ask(a, fmt.Sprint("s", i), "", 0, time.Minute); err != nil || time.Since(at) < 2*span*9/10 {
+			t.Errorf("a cold node takes %v, %v", time.Since(at), err)
+		}
+		n.Chill()
+	}
+	until := func(want Saw) {
+		for s := range saw {
+			if s == want {
+				return
+			}
+		}
+	}
+	for life := range 2 {
+		bears := int(set.bears(0)) // 4 + 3*2 + 3
+		if life == 0 && bears != 13 {
+			t.Errorf("it bears %d", bears)
+		}
+		for i := range bears - life { // in the second life one has come before
+			if _, err := ask(a, fmt.Sprint(life, i), "", 0, time.Minute); err != nil {
+				t.Fatalf("life %d, request %d: %v", life, i, err)
+			}
+		}
+		if _, err := ask(a, "last", "", 0, time.Minute); err == nil {
+			t.Error("one more is served")
+		}
+		until(Fell)
+		if falls, worst := n.Falls(); falls != life+1 || worst <= 1 {
+			t.Errorf("%d falls at %v", falls, worst)
+		}
+		until(Returned)
+		if _, err := ask(a, "back", "", 0, time.Minute); err != nil {
+			t.Error(err)
+		}
+	}
+	if p := set.power(set.Span / 2); p != 0.75 {
+		t.Errorf("half warm: %v", p)
+	}
+}
