rehearse coldstart: real processes of the daemon on one machine, today beside coldstart

Ports come in blocks that one program at a time holds: of 300 daemons some found theirs taken by a test beside it.

--- a/internal/lab/coldstart/run.go
+++ b/internal/lab/coldstart/run.go
@@ -1,6 +1,7 @@
 package coldstart
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -89,6 +90,16 @@
 	}
 }
 
+// Fill sets what is not said.
+func (o *Options) Fill(virtual bool) {
+	hosts, seeds := 300, 1
+	if virtual {
+		hosts, seeds = 1000, 50
+	}
+	o.Hosts, o.Seeds = cmp.Or(o.Hosts, hosts), cmp.Or(o.Seeds, seeds)
+	o.Nodes, o.Capacity = cmp.Or(o.Nodes, max(o.Hosts/5, 1)), cmp.Or(o.Capacity, 0.4*float64(o.Hosts))
+}
+
 // Check says what of the options cannot be.
 func (o *Options) Check() error {
 	for _, k := range []struct {
--- a/internal/lab/procs/daemon.go
+++ b/internal/lab/procs/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,7 +14,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -60,15 +60,43 @@
 }
 
 // Ports of daemons are below those that the kernel gives to connections (ip_local_port_range), so
-// that no connection takes one between two starts.
-const portFrom, portTo = 20000, 32000
+// that no connection takes one between two starts. They come in blocks, each of which one program at a
+// time holds, by the name of a socket that nobody connects to, until it ends: two that run beside each
+// other never give the same port.
+const portFrom, portTo, portBlock = 20000, 32000, 50
 
-var nextPort atomic.Int64
+var ports struct {
+	sync.Mutex
+	blocks []int
+	names  []net.Listener
+	next   int
+}
+
+// claim takes one more block. The lock is held.
+func claim() bool {
+	const all = (portTo - portFrom) / portBlock
+	for k := range all {
+		block := (os.Getpid()*61 + len(ports.blocks) + k) % all // programs begin apart
+		if ln, err := net.Listen("unix", fmt.Sprintf("@wheatsaddle-ports-%d", block)); err == nil {
+			ports.blocks, ports.names = append(ports.blocks, block), append(ports.names, ln)
+			return true
+		}
+	}
+	return false
+}
 
 // FreeAddress is a loopback address that nobody listens on and no connection takes.
 func FreeAddress() (string, error) {
+	ports.Lock()
+	defer ports.Unlock()
 	for range portTo - portFrom {
-		port := portFrom + (int64(os.Getpid())*61+nextPort.Add(1))%(portTo-portFrom)
+		if ports.next >= len(ports.blocks)*portBlock && !claim() {
+			if ports.next = 0; len(ports.blocks) == 0 {
+				break
+			}
+		}
+		port := portFrom + ports.blocks[ports.next/portBlock]*portBlock + ports.next%portBlock
+		ports.next++
 		ln, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
 		if err == nil {
 			return ln.Addr().String(), ln.Close()
@@ -86,6 +114,7 @@
 	daemon, config string
 	log            string
 	args, env      []string
+	lines          func([]byte) // told of what it writes, line by line; nil: nobody
 	mu             sync.Mutex
 	cmd            *exec.Cmd
 	ended          chan struct{} // closed when cmd has ended; its error is then in err
@@ -109,6 +138,10 @@
 	c := exec.Command(p.daemon, p.args...)
 	c.Env = append(append(os.Environ(), "ROUTER_CONFIG="+p.config, "TMPDIR="+filepath.Dir(p.config)), p.env...)
 	c.Stdout, c.Stderr = out, out
+	if p.lines != nil {
+		both := &lined{out: p.log, line: p.lines}
+		c.Stdout, c.Stderr = both, both
+	}
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		return &NoDaemon{Err: err}
@@ -125,6 +158,31 @@
 	return nil
 }
 
+// lined tells of what a process writes line by line, and keeps it in its log.
+type lined struct {
+	out  string
+	line func([]byte)
+	rest []byte
+}
+
+func (l *lined) Write(p []byte) (int, error) {
+	l.rest = append(l.rest, p...)
+	for {
+		i := bytes.IndexByte(l.rest, '\n')
+		if i < 0 {
+			break
+		}
+		l.line(l.rest[:i])
+		l.rest = l.rest[i+1:]
+	}
+	f, err := os.OpenFile(l.out, os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return 0, err
+	}
+	defer f.Close()
+	return f.Write(p)
+}
+
 // Signal sends it a signal.
 func (p *Proc) Signal(s syscall.Signal) error {
 	p.mu.Lock()
--- a/internal/lab/procs/fleet.go
+++ b/internal/lab/procs/fleet.go
@@ -8,6 +8,7 @@
 package procs
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -20,6 +21,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/lab/audit"
 	"wheatsaddle/internal/standin/discovery"
 	"wheatsaddle/internal/standin/link"
@@ -30,6 +32,7 @@
 	memoryMB  = 128
 	lookEvery = 20 * time.Millisecond
 	logEnd    = 1500 // bytes of a log that an error shows
+	logsMost  = 12   // logs that it shows
 )
 
 // Storage is one stand-in node.
@@ -42,6 +45,8 @@
 	Unlisted bool // at the start
 	Cold     bool // it starts with the fleet, cold; else it has long been there
 	Rows     *node.Rows
+	Linked   bool // with Direct: all daemons reach it by one link
+	Tune     func(*node.Options)
 }
 
 // thePlan is the one plan of a fleet's volumes.
@@ -62,9 +67,13 @@
 	Args     func(f *Fleet, i int) []string                        // further arguments of a daemon; nil: none
 	NewList  func(scheduler int, told func([]Entry)) (List, error) // nil: a stand-in of discovery
 	List     discovery.Options                                     // of that; its capacity is the whole fleet's
-	// Direct: daemons reach nodes and list without a link, and the list is one for all, with a caller for each
-	// daemon. For fleets so large that links would be thousands; what only links see of an attempt's end is not seen.
-	Direct bool
+	// Direct: nobody has a link but Storage.Linked, and the list is one for all, with a caller for each daemon. For
+	// fleets so large that links would be thousands; what only links see of an attempt's end is not seen.
+	Direct   bool
+	Idle     bool // the daemons are not started: Launch does
+	MemoryMB int  // of a daemon; 0: 128
+	Env      []string
+	Said     func(i int, line []byte) // each line that daemon i writes; nil: nobody hears
 }
 
 // Fleet is what runs.
@@ -159,9 +168,17 @@
 		if queue == 0 {
 			queue = 256
 		}
-		n := node.New(node.Options{Name: s.Name, Shard: s.Shard, Workers: s.Workers, Service: s.Service, Queue: queue, Record: true, Rows: s.Rows})
+		made := node.Options{Name: s.Name, Shard: s.Shard, Workers: s.Workers, Service: s.Service, Queue: queue, Record: true, Rows: s.Rows}
+		if s.Tune != nil {
+			s.Tune(&made)
+		}
+		n := node.New(made)
 		f.nodes = append(f.nodes, n)
-		a, err := n.Listen("127.0.0.1:0")
+		at, err := FreeAddress() // one that no connection takes while the node is down
+		if err != nil {
+			return f, err
+		}
+		a, err := n.Listen(at)
 		if err != nil {
 			return f, err
 		}
@@ -180,6 +197,9 @@
 		return f, err
 	}
 	for i := range f.procs {
+		if opt.Idle {
+			return f, nil
+		}
 		if err = f.procs[i].Start(); err != nil {
 			return f, err
 		}
@@ -203,6 +223,9 @@
 		shards = max(shards, s.Shard+1)
 	}
 	for range f.opt.Daemons {
+		if f.opt.Direct {
+			break
+		}
 		at, err := FreeAddress()
 		if err != nil {
 			return err
@@ -211,7 +234,7 @@
 	}
 	f.peers = make([][]*link.Link, f.opt.Daemons)
 	for i := range f.opt.Daemons {
-		for j := i + 1; j < f.opt.Daemons && f.opt.Peers; j++ {
+		for j := i + 1; j < f.opt.Daemons && f.opt.Peers && !f.opt.Direct; j++ {
 			l, err := join("both", f.peerAt[j], f.peerAt[i])
 			if err != nil {
 				return err
@@ -230,7 +253,19 @@
 		}
 		f.lists = append(f.lists, list)
 		at := list.Addr()
-		if !f.opt.Direct {
+		switch {
+		case f.opt.Direct && i == 0: // one row of links, for all
+			f.storage = make([][]*link.Link, 1)
+			for j, real := range f.real {
+				var l *link.Link
+				if f.opt.Nodes[j].Linked {
+					if l, err = join("tcp", real, ""); err != nil {
+						return err
+					}
+				}
+				f.storage[0] = append(f.storage[0], l)
+			}
+		case !f.opt.Direct:
 			listing, err := join("tcp", at, "")
 			if err != nil {
 				return err
@@ -249,11 +284,13 @@
 		if err != nil {
 			return err
 		}
-		front, err := join("tcp", listen, "")
-		if err != nil {
-			return err
+		if !f.opt.Direct {
+			front, err := join("tcp", listen, "")
+			if err != nil {
+				return err
+			}
+			f.clients = append(f.clients, front)
 		}
-		f.clients = append(f.clients, front)
 		var entries, known []Entry
 		for j := range f.nodes {
 			entries = append(entries, f.entry(i, j))
@@ -282,7 +319,7 @@
 		}
 		f.doors = append(f.doors, door)
 		name := fmt.Sprint("n", i)
-		conf := Config{Name: name, Listen: listen, Operator: door, Discovery: at, Seed: f.opt.Seed + uint64(i), MemoryMB: memoryMB, Known: known, Index: index,
+		conf := Config{Name: name, Listen: listen, Operator: door, Discovery: at, Seed: f.opt.Seed + uint64(i), MemoryMB: cmp.Or(f.opt.MemoryMB, memoryMB), Known: known, Index: index,
 			Settings: over(Defaults(f.opt.Daemons, i, shards), f.opt.Settings)}
 		f.settings = conf.Settings
 		dir := filepath.Join(f.dir, name)
@@ -297,7 +334,11 @@
 		if f.opt.Args != nil {
 			args = f.opt.Args(f, i)
 		}
-		f.procs = append(f.procs, NewProc(f.opt.Daemon, file, filepath.Join(dir, "log"), name, listen, args...))
+		p := NewProc(f.opt.Daemon, file, filepath.Join(dir, "log"), name, listen, args...)
+		if p.env = f.opt.Env; f.opt.Said != nil {
+			p.lines = func(line []byte) { f.opt.Said(i, line) }
+		}
+		f.procs = append(f.procs, p)
 	}
 	return nil
 }
@@ -311,7 +352,24 @@
 func (f *Fleet) List(i int) List                 { return f.lists[i] }
 func (f *Fleet) ClientLink(i int) *link.Link     { return f.clients[i] }
 func (f *Fleet) ListLink(i int) *link.Link       { return f.listings[i] }
-func (f *Fleet) StorageLink(i, j int) *link.Link { return f.storage[i][j] }
+func (f *Fleet) StorageLink(i, j int) *link.Link { return f.storage[min(i, len(f.storage)-1)][j] }
+
+// Front is where clients find daemon i.
+func (f *Fleet) Front(i int) string {
+	if f.opt.Direct {
+		return f.procs[i].Listen
+	}
+	return f.clients[i].Addr()
+}
+
+// Break sets the fault of a node's address.
+func (f *Fleet) Break(j int, fault node.Fault) error {
+	a, err := address.Parse(f.real[j])
+	if err != nil {
+		return err
+	}
+	return f.nodes[j].Set(a, fault)
+}
 
 // Dir is a directory of daemon i's own, e.g. for its site file.
 func (f *Fleet) Dir(i int) string { return filepath.Join(f.dir, fmt.Sprint("n", i)) }
@@ -350,15 +408,26 @@
 	}
 }
 
-// Logs are the ends of the daemons' logs.
+// Logs are the ends of the daemons' logs, of those that have ended first, and of no more than logsMost.
 func (f *Fleet) Logs() (text string) {
-	for _, p := range f.procs {
+	shown := slices.Clone(f.procs)
+	slices.SortStableFunc(shown, func(a, b *Proc) int {
+		return cmp.Compare(btoi(a.Alive()), btoi(b.Alive()))
+	})
+	for _, p := range shown[:min(len(shown), logsMost)] {
 		log := p.Log()
 		text += fmt.Sprintf("--- %s\n%s\n", p.Name, log[max(0, len(log)-logEnd):])
 	}
 	return text
 }
 
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // WaitReady waits until daemon i says that it is ready.
 func (f *Fleet) WaitReady(ctx context.Context, i int) error {
 	ctx, stop := context.WithCancel(ctx)
@@ -397,9 +466,12 @@
 	return f.procs[i].Signal(syscall.SIGTERM)
 }
 
+// Launch starts daemon i, for the first time or once it has ended, and does not wait.
+func (f *Fleet) Launch(i int) error { return f.procs[i].Start() }
+
 // Restart starts daemon i again once it has ended, and waits until it is ready.
 func (f *Fleet) Restart(ctx context.Context, i int) error {
-	if err := f.procs[i].Start(); err != nil {
+	if err := f.Launch(i); err != nil {
 		return err
 	}
 	if err := f.WaitReady(ctx, i); err != nil {
@@ -450,12 +522,19 @@
 // Close ends all of it.
 func (f *Fleet) Close() {
 	close(f.done)
+	for _, p := range f.procs {
+		if p.Alive() {
+			_ = p.Signal(syscall.SIGKILL) // all at once: Reap waits for each
+		}
+	}
 	for _, p := range f.procs {
 		p.Reap()
 	}
 	for _, all := range slices.Concat([][]*link.Link{f.clients, f.listings}, f.storage, f.peers) {
 		for _, l := range all {
-			l.Close()
+			if l != nil {
+				l.Close()
+			}
 		}
 	}
 	f.load.Wait()
--- a/internal/lab/procs/history.go
+++ b/internal/lab/procs/history.go
@@ -39,6 +39,9 @@
 	for j, n := range f.nodes {
 		conns := map[string][]link.Conn{} // in order; a port may come again
 		for i := range f.storage {
+			if f.storage[i][j] == nil {
+				continue
+			}
 			for _, c := range f.storage[i][j].Conns() {
 				conns[c.Out] = append(conns[c.Out], c)
 			}
--- a/internal/lab/procs/list.go
+++ b/internal/lab/procs/list.go
@@ -133,10 +133,13 @@
 // Calls are those of the list, of all daemons.
 func (f *Fleet) Calls() discovery.Load { return f.room.Load() }
 
+// CallsFrom has Calls count from now.
+func (f *Fleet) CallsFrom() { f.room.Forget() }
+
 func (f *Fleet) entry(i, j int) Entry {
 	at := f.real[j]
-	if !f.opt.Direct {
-		at = f.storage[i][j].Addr()
+	if l := f.StorageLink(i, j); l != nil {
+		at = l.Addr()
 	}
 	return Entry{Name: f.opt.Nodes[j].Name, Address: at, Group: f.opt.Nodes[j].Shard, Status: f.status[j], Weight: 1, SinceMS: f.since[j]}
 }
--- a/internal/lab/procs/traffic.go
+++ b/internal/lab/procs/traffic.go
@@ -95,7 +95,7 @@
 		m.Body = []byte(strings.Repeat("x", a.Body))
 	}
 	if c.nc == nil {
-		nc, err := net.DialTimeout("tcp", f.clients[c.to].Addr(), a.Deadline)
+		nc, err := net.DialTimeout("tcp", f.Front(c.to), a.Deadline)
 		if err != nil {
 			return Outcome{ID: id, None: true}
 		}
--- a/internal/standin/discovery/capacity.go
+++ b/internal/standin/discovery/capacity.go
@@ -45,6 +45,13 @@
 	return c.load
 }
 
+// Forget has Load count from now.
+func (c *Capacity) Forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls, c.load = nil, Load{}
+}
+
 // call takes a call that comes now, and says when it ends, how long it waits and what becomes of it.
 func (c *Capacity) call(now time.Time) (at time.Time, waits time.Duration, out Outcome) {
 	c.mu.Lock()
