Processes tell the type, the window and the queue of nodes

The daemon told a node's shard and cold mark alone; observations.Health had room for the rest, so steps without a node were shared out evenly and no queue was ever in an estimate. choice.Scheduler.Standing (a file of its own) tells windows and parts of the shards' lines; core.Standing asks the actor once a round, does not wait over 20 ms, nor at all where it is far behind. estimate.types of the site file maps names and patterns of names to hardware, as list entries have no key for it; errors are config-key. A window that moved by under an eighth is no news.

--- /dev/null
+++ b/choice/standing.go
@@ -0,0 +1,52 @@
+package choice
+
+// Standing is how one listed node stands with this instance.
+type Standing struct {
+	ID     string
+	Since  float64 // the start that its figures are of
+	Window float64 // what may be out there; 0: nothing new is sent to it
+	Queue  float64 // its part of what waits for its shard
+}
+
+// Standing tells how nodes stand, in the order of their ids and at most so many. What waits for a shard is
+// shared out over the shard's nodes by their windows, as it will be sent; new objects, which any
+// shard may take, are in no node's part. It decides nothing.
+func (s *Scheduler) Standing(most int) []Standing {
+	all := make([]Standing, 0, max(0, min(most, len(s.listed))))
+	for _, n := range s.listed {
+		if len(all) >= most {
+			break
+		}
+		if n.State == NodeGone {
+			continue
+		}
+		one := Standing{ID: n.ID, Since: n.Since}
+		if n.State == NodeUp {
+			one.Window = n.window
+			one.Queue = s.lanes[n.Shard].part(n)
+		}
+		all = append(all, one)
+	}
+	return all
+}
+
+// part is what of a lane's line is for one of its nodes.
+func (l *lane) part(n *node) float64 {
+	waits, windows, up := 0, 0.0, 0
+	for _, q := range l.queues {
+		waits += len(q)
+	}
+	if waits == 0 {
+		return 0
+	}
+	for _, o := range l.nodes {
+		if o.State == NodeUp {
+			windows += o.window
+			up++
+		}
+	}
+	if windows <= 0 {
+		return float64(waits) / float64(up)
+	}
+	return float64(waits) * n.window / windows
+}
--- a/cmd/wheatsaddle/peers.go
+++ b/cmd/wheatsaddle/peers.go
@@ -21,12 +21,26 @@
 	"wheatsaddle/internal/peers"
 )
 
+// standWait is how long a round waits for the core's word of how nodes stand.
+const standWait = 20 * time.Millisecond
+
 // fleet is what this process tells the others and hears from them; nil: the site's file has no section peers.
 type fleet struct {
 	peers    *peers.Peers
 	coldSpan float64
-	mu       sync.Mutex
-	nodes    map[string]choice.Node
+	types    config.NodeTypes
+	most     int // nodes that are told of
+
+	mu    sync.Mutex
+	nodes map[string]listed
+	core  *core.Core                   // nil: it does not run yet
+	stood map[string]core.NodeStanding // as the core last said; tell's alone
+}
+
+// listed is a node as the list has it, with the hardware that the site's file says it is.
+type listed struct {
+	choice.Node
+	kind string
 }
 
 // mayPeer says whether the platform allows what the site's file names.
@@ -49,7 +63,10 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{coldSpan: conf.Settings.ColdSpan, nodes: map[string]choice.Node{}}
+	f := &fleet{coldSpan: conf.Settings.ColdSpan, most: s.State.Nodes, nodes: map[string]listed{}}
+	if at.Estimate != nil {
+		f.types = at.Estimate.Types
+	}
 	f.peers, err = peers.Start(peers.Options{Name: conf.Name, Incarnation: uint64(time.Now().UnixMilli()), Listen: s.Listen,
 		Advertise: s.Advertise, Seeds: s.Seeds, Via: s.Via, Every: s.Every, Burst: s.Burst, Key: key, State: s.State,
 		Seed: uint64(conf.Seed), Log: log, Tell: f.tell})
@@ -149,20 +166,44 @@
 		clear(f.nodes)
 	}
 	for _, x := range n.Nodes {
-		if f.nodes[x.ID] = x.Node; x.State == choice.NodeGone {
+		if f.nodes[x.ID] = (listed{x.Node, f.types.Of(x.ID)}); x.State == choice.NodeGone {
 			delete(f.nodes, x.ID)
 		}
 	}
 }
 
-// tell puts the list's nodes into the state, before each round.
+// runs takes the core, which says how nodes stand.
+func (f *fleet) runs(co *core.Core) {
+	if f != nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.core = co
+	}
+}
+
+// tell puts the list's nodes and how they stand into the state, before each round. A core that has no time to say
+// it has said it before.
 func (f *fleet) tell(now time.Duration, s *observations.State) {
+	f.mu.Lock()
+	co := f.core
+	f.mu.Unlock()
+	if co != nil {
+		if all, ok := co.Standing(f.most, standWait); ok {
+			f.stood = make(map[string]core.NodeStanding, len(all))
+			for _, n := range all {
+				f.stood[n.Node] = n
+			}
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, id := range slices.Sorted(maps.Keys(f.nodes)) {
 		n := f.nodes[id]
-		cold := n.Since > 0 && float64(time.Now().UnixMilli())-n.Since < f.coldSpan
-		s.SetNode(now, n.ID, int64(n.Since), observations.Health{Shard: n.Shard, Cold: cold})
+		h := observations.Health{Type: n.kind, Shard: n.Shard, Cold: n.Since > 0 && float64(time.Now().UnixMilli())-n.Since < f.coldSpan}
+		if at, ok := f.stood[id]; ok && at.Since >= int64(n.Since) { // else of a life before
+			h.Window, h.Queue = at.Window, at.Queue
+		}
+		s.SetNode(now, n.ID, int64(n.Since), h)
 	}
 }
 
--- a/cmd/wheatsaddle/peers_test.go
+++ b/cmd/wheatsaddle/peers_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/meter"
@@ -50,14 +51,28 @@
 	}
 }
 
+// none is a node that nothing is sent to.
+type none struct{}
+
+func (none) Send(*core.Attempt) bool                     { return false }
+func (none) Cancel(*core.Attempt)                        {}
+func (none) Probe(func(core.Result, time.Duration)) bool { return false }
+func (none) Drain(bool)                                  {}
+func (none) Readdress([]address.Addr)                    {}
+func (none) Close()                                      {}
+
 // What one process sees of a listed node the other has in its views, without what was cancelled.
 func TestFleetTellsAndHears(t *testing.T) {
 	log, _ := logtest.NewNullLogger()
 	state := observations.Defaults()
 	state.HalfLife, state.Expire = time.Hour, 24*time.Hour // nothing fades while the test runs
+	site, err := config.ParseSite([]byte(`{"estimate":{"types":{"n*":"disk"}}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
 	start := func(name string, seeds ...string) *fleet {
-		f, err := startFleet(&config.Site{Peers: &config.SitePeers{Listen: "127.0.0.1:0", Seeds: seeds, Every: 20 * time.Millisecond,
-			Burst: 8, State: state}}, &config.Config{Name: name, Settings: choice.Settings{MayTell: true, ColdSpan: 1e9}}, log)
+		site.Peers = &config.SitePeers{Listen: "127.0.0.1:0", Seeds: seeds, Every: 20 * time.Millisecond, Burst: 8, State: state}
+		f, err := startFleet(site, &config.Config{Name: name, Settings: choice.Settings{MayTell: true, ColdSpan: 1e9}}, log)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -67,18 +82,32 @@
 	a := start("a")
 	b := start("b", a.peers.Address())
 	since := time.Now().UnixMilli()
-	a.heard(core.News{Kind: choice.ListFull, Nodes: []core.Node{{Node: choice.Node{ID: "n", Shard: 3, Since: float64(since)}}}})
+	news := core.News{Kind: choice.ListFull, Nodes: []core.Node{{Node: choice.Node{ID: "n", Shard: 3, Since: float64(since)}}}}
+	co, err := core.New(core.Options{Settings: choice.Settings{Hosts: 1, MeanUnits: 1, MostUnits: 1, MaxAttempts: 1, ColdUnits: 1, TipSpan: 1, TipMultiple: 1,
+		ColdFrom: 0.5, ColdSpan: 1, Classes: []choice.Class{{Name: "c", Aim: 1, Deadline: 1, Worth: 1}},
+		Plans: []choice.Plan{{Name: "p", Rate: 1, Reserve: 1, Weight: 1, Price: 1}}}, Log: log,
+		Connect: func(string, []address.Addr) core.Peer { return none{} }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(co.Stop)
+	co.List(news)
+	a.runs(co)
+	a.heard(news)
 	tell := a.observe()
 	for _, s := range []choice.Status{choice.OK, choice.Full, choice.TimedOut, choice.Reset, choice.Cancelled, choice.Moot} {
 		tell("n", since, "c", 2, 5, s)
 	}
 	var v []observations.View
-	for end := time.Now().Add(time.Minute); len(v) < 2; time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(time.Minute); len(v) < 2 || v[0].Window == 0; time.Sleep(5 * time.Millisecond) {
 		if v = b.peers.Views(); time.Now().After(end) {
 			t.Fatalf("never heard: %+v", v)
 		}
 	}
 	near := func(x float64) bool { return x > 0.9 && x <= 1 }
+	if n := v[0]; n.Type != "disk" || n.Window <= 0 || n.Queue != 0 {
+		t.Errorf("%+v", n)
+	}
 	if c := v[1]; c.Key != (observations.Key{Node: "n", Since: since, Class: "c"}) || c.Shard != 3 || !c.Cold ||
 		!near(c.Sums.N) || !near(c.Turned) || !near(c.Late) || !near(c.Failed) {
 		t.Errorf("%+v", c)
@@ -99,6 +128,7 @@
 		t.Error("observing while off")
 	}
 	off.heard(core.News{})
+	off.runs(co)
 	off.stop()
 }
 
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -199,6 +199,7 @@
 		return config.Refused(err)
 	}
 	defer co.Stop()
+	others.runs(co)
 	if !begin.run(co) {
 		co.List(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
 	}
--- a/internal/config/peers_test.go
+++ b/internal/config/peers_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -52,3 +53,27 @@
 		}
 	}
 }
+
+// A node's type comes from its own name, else the longest pattern; a pattern that is none and a type that
+// cannot be told are errors with their key.
+func TestNodeTypes(t *testing.T) {
+	s, err := ParseSite([]byte(`{"estimate":{"types":{"n-*":"disk","n-1[0-9]?":"flash","n-[0-9]*":"mixed","n-12":"tape","n.x":"odd"}}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for node, want := range map[string]string{"n-12": "tape", "n-13": "mixed", "n-1": "mixed", "n-135": "flash", "n-a": "disk", "n.x": "odd", "m": ""} {
+		if got := s.Estimate.Types.Of(node); got != want {
+			t.Errorf("%s: %q, want %q", node, got, want)
+		}
+	}
+	for types, want := range map[string]string{
+		`{"n-[":"disk"}`: `site: estimate.types.n-[: "n-[" is not a node's name or a pattern`,
+		`{"n":""}`:       "estimate.types.n", `{"n":3}`: "estimate.types.n",
+		`{"n":"` + strings.Repeat("é", 40) + `"}`: "at most 64 bytes",
+	} {
+		var key *KeyError
+		if _, err := ParseSite([]byte(`{"estimate":{"types":` + types + `}}`)); !errors.As(err, &key) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v; want %q", types, err, want)
+		}
+	}
+}
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -57,16 +57,18 @@
 	BytesMost, AtOnce int
 	Prices            cost.Prices
 	Doubt             float64
+	Types             NodeTypes
 }
 
-func siteEstimate(r *reader) *SiteEstimate {
+func siteEstimate(r *reader) (*SiteEstimate, error) {
 	d := cost.Defaults()
-	return &SiteEstimate{
+	types, err := nodeTypes(r)
+	return &SiteEstimate{Types: types,
 		BytesMost: int(r.num("estimate.bytes_most", 262144, 1024)), AtOnce: int(r.num("estimate.at_once", 1, 1)),
 		Prices: cost.Prices{Work: r.num("estimate.price_work", d.Prices.Work, 0), End: r.num("estimate.price_end", d.Prices.End, 0),
 			Late: r.num("estimate.price_late", d.Prices.Late, 0)},
 		Doubt: r.num("estimate.doubt", d.Doubt, 0),
-	}
+	}, err
 }
 
 // Listener is one further address of a front.
@@ -130,7 +132,9 @@
 		}
 	}
 	if r.root.Get("estimate").Exists() {
-		s.Estimate = siteEstimate(r)
+		if s.Estimate, err = siteEstimate(r); err != nil {
+			return nil, err
+		}
 	}
 	if r.root.Get("gather").Exists() {
 		if s.Gather, err = siteGather(r); err != nil {
--- /dev/null
+++ b/internal/core/standing_test.go
@@ -0,0 +1,37 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"wheatsaddle/choice"
+)
+
+// How nodes stand comes from the actor; where that has no time, or its calls are too many, nobody waits longer than
+// was said.
+func TestStandingNeverWaitsLong(t *testing.T) {
+	r := start(t, settings())
+	n := node("a", 0, choice.NodeUp)
+	n.Since = 41
+	r.list(choice.ListStale, n, node("b", 1, choice.NodeDraining))
+	all, ok := r.Standing(8, time.Minute)
+	if !ok || len(all) != 2 || all[0].Node != "a" || all[0].Since != 41 || all[0].Window <= 0 || all[1].Window != 0 {
+		t.Fatalf("%v %+v", ok, all)
+	}
+	stuck, free := make(chan struct{}), make(chan struct{})
+	r.post(message{call: func() { close(stuck); <-free }})
+	<-stuck
+	for range controlSize + 1 { // the last finds no room, and does not wait at all
+		if _, ok := r.Standing(8, time.Millisecond); ok {
+			t.Fatal("an actor that stands still has answered")
+		}
+	}
+	if _, ok := r.Standing(8, time.Hour); ok {
+		t.Fatal("it had no room")
+	}
+	close(free)
+	r.Open()
+	if _, ok := r.Standing(8, time.Minute); !ok {
+		t.Error("it does not answer again")
+	}
+}
--- a/internal/observations/own.go
+++ b/internal/observations/own.go
@@ -176,13 +176,21 @@
 		return
 	}
 	h.Window, h.Queue = min(max(h.Window, 0), loadMost), min(max(h.Queue, 0), loadMost)
-	// The same health is told again in time that it does not expire with the others.
-	n.dirty = n.dirty || !n.isTold || h != n.health || now-n.told > s.set.Expire/4
-	if n.dirty {
+	// The same health is told again in time that it does not expire with the others; windows and queues
+	// move all the time, and by little that is no news.
+	was := n.health
+	if near(h.Window, was.Window) && near(h.Queue, was.Queue) {
+		h.Window, h.Queue = was.Window, was.Queue
+	}
+	if !n.isTold || h != was || now-n.told > s.set.Expire/4 {
+		n.dirty = true
 		n.health, n.told, n.isTold = h, now, true
 	}
 }
 
+// near says that a load is what was told of it, within an eighth or half of one.
+func near(a, b float64) bool { return math.Abs(a-b) <= max(max(a, b)/8, 0.5) && (a == 0) == (b == 0) }
+
 // SetList tells which version of the list this process holds.
 func (s *State) SetList(now time.Duration, v int64) {
 	if !s.hasList || v != s.list || now-s.listAt > s.set.Expire/4 {
--- a/internal/observations/state_test.go
+++ b/internal/observations/state_test.go
@@ -355,6 +355,32 @@
 	}
 }
 
+// Windows and queues that move by little are not told again, however often; what was told stays near what is, and a
+// node that may have nothing out is told at once.
+func TestLittleMovesAreNoNews(t *testing.T) {
+	p, q := state(t, small(), "p", 1, ""), state(t, small(), "q", 1, "")
+	cells := func(h Health) int64 {
+		before := q.Counts().Cells
+		p.SetNode(0, "n", 1, h)
+		feed(q, 0, all(t, p, 0)...)
+		return q.Counts().Cells - before
+	}
+	told := int64(0)
+	for i := range 400 { // from 16 to 8 and back, in steps of a fortieth
+		w := 12 + 4*math.Cos(float64(i)*math.Pi/200)
+		told += cells(Health{Window: w, Queue: 0.2})
+		if v := q.Views(0)[0]; math.Abs(v.Window-w) > max(v.Window, w)/8 {
+			t.Fatalf("window %v, told %v", w, v.Window)
+		}
+	}
+	if told < 8 || told > 20 {
+		t.Errorf("told %d times of 400", told)
+	}
+	if cells(Health{}) != 1 || cells(Health{Window: 0.3}) != 1 || cells(Health{Window: 0.3, Type: "ssd"}) != 1 {
+		t.Error("a window of none, one that opens or a type is not told")
+	}
+}
+
 func TestALaterVersionIsCountedAndDropped(t *testing.T) {
 	s := state(t, small(), "me", 1, "")
 	m := forge("p", 1, told{cellID{}, 1, 0, []byte{2}})
