The list version of each process is told, and how many are behind is counted

observations.State.SetList was never called. News of the list carry its index (registry sets it as it takes a list), the fleet tells it each round; it merges by origin. Gauges: oldest and newest version, processes that say one and those behind, among members. fleet.tell took its peers without a lock while Start still ran; the first round waits for it now.

go test ./internal/observations ./internal/registry ./internal/peers ./cmd/wheatsaddle, ./internal/lab/procs -run TestTold -count 3 (types, windows and versions with three daemons, one with a silent list).

--- a/cmd/wheatsaddle/peers.go
+++ b/cmd/wheatsaddle/peers.go
@@ -33,6 +33,8 @@
 
 	mu    sync.Mutex
 	nodes map[string]listed
+	index int64 // version of the list; 0: none was heard
+	lists observations.ListSpread
 	core  *core.Core                   // nil: it does not run yet
 	stood map[string]core.NodeStanding // as the core last said; tell's alone
 }
@@ -67,6 +69,8 @@
 	if at.Estimate != nil {
 		f.types = at.Estimate.Types
 	}
+	f.mu.Lock() // the first round waits for it
+	defer f.mu.Unlock()
 	f.peers, err = peers.Start(peers.Options{Name: conf.Name, Incarnation: uint64(time.Now().UnixMilli()), Listen: s.Listen,
 		Advertise: s.Advertise, Seeds: s.Seeds, Via: s.Via, Every: s.Every, Burst: s.Burst, Key: key, State: s.State,
 		Seed: uint64(conf.Seed), Log: log, Tell: f.tell})
@@ -108,6 +112,18 @@
 	} {
 		m.Gauge(func() float64 { return float64(of(f.peers.Counts())) }, name)
 	}
+	for name, of := range map[string]func(observations.ListSpread) int64{
+		"peers_list_oldest_version":   func(l observations.ListSpread) int64 { return l.Oldest },
+		"peers_list_newest_version":   func(l observations.ListSpread) int64 { return l.Newest },
+		"peers_list_processes":        func(l observations.ListSpread) int64 { return int64(l.Processes) },
+		"peers_list_processes_behind": func(l observations.ListSpread) int64 { return int64(l.Behind) },
+	} {
+		m.Gauge(func() float64 {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return float64(of(f.lists))
+		}, name)
+	}
 }
 
 func peerKey(file string) ([]byte, error) {
@@ -165,6 +181,9 @@
 	if n.Kind == choice.ListFull || n.Kind == choice.ListStale {
 		clear(f.nodes)
 	}
+	if n.Index != 0 {
+		f.index = n.Index
+	}
 	for _, x := range n.Nodes {
 		if f.nodes[x.ID] = (listed{x.Node, f.types.Of(x.ID)}); x.State == choice.NodeGone {
 			delete(f.nodes, x.ID)
@@ -185,7 +204,7 @@
 // it has said it before.
 func (f *fleet) tell(now time.Duration, s *observations.State) {
 	f.mu.Lock()
-	co := f.core
+	co, known := f.core, f.peers
 	f.mu.Unlock()
 	if co != nil {
 		if all, ok := co.Standing(f.most, standWait); ok {
@@ -195,8 +214,13 @@
 			}
 		}
 	}
+	members := known.Members()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.index != 0 {
+		s.SetList(now, f.index)
+	}
+	f.lists = s.ListSpread(now, members)
 	for _, id := range slices.Sorted(maps.Keys(f.nodes)) {
 		n := f.nodes[id]
 		h := observations.Health{Type: n.kind, Shard: n.Shard, Cold: n.Since > 0 && float64(time.Now().UnixMilli())-n.Since < f.coldSpan}
--- a/cmd/wheatsaddle/peers_test.go
+++ b/cmd/wheatsaddle/peers_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -82,7 +83,7 @@
 	a := start("a")
 	b := start("b", a.peers.Address())
 	since := time.Now().UnixMilli()
-	news := core.News{Kind: choice.ListFull, Nodes: []core.Node{{Node: choice.Node{ID: "n", Shard: 3, Since: float64(since)}}}}
+	news := core.News{Kind: choice.ListFull, Index: 5, Nodes: []core.Node{{Node: choice.Node{ID: "n", Shard: 3, Since: float64(since)}}}}
 	co, err := core.New(core.Options{Settings: choice.Settings{Hosts: 1, MeanUnits: 1, MostUnits: 1, MaxAttempts: 1, ColdUnits: 1, TipSpan: 1, TipMultiple: 1,
 		ColdFrom: 0.5, ColdSpan: 1, Classes: []choice.Class{{Name: "c", Aim: 1, Deadline: 1, Worth: 1}},
 		Plans: []choice.Plan{{Name: "p", Rate: 1, Reserve: 1, Weight: 1, Price: 1}}}, Log: log,
@@ -119,8 +120,19 @@
 	m := meter.Serve(ln, log)
 	defer m.Close()
 	b.count(m)
-	if _, body, err := fasthttp.Get(nil, "http://"+ln.Addr().String()+"/metrics"); err != nil || !strings.Contains(string(body), "wheatsaddle_observations_origins 1\n") {
-		t.Errorf("counts: %v %s", err, body)
+	told := func(lines ...string) bool {
+		_, body, err := fasthttp.Get(nil, "http://"+ln.Addr().String()+"/metrics")
+		return err == nil && !slices.ContainsFunc(lines, func(l string) bool { return !strings.Contains(string(body), "wheatsaddle_"+l+"\n") })
+	}
+	if !told("observations_origins 1") {
+		t.Error("b does not count a")
+	}
+	b.heard(core.News{Kind: choice.ListChange, Index: 7})
+	b.heard(core.News{Kind: choice.ListFailed}) // says no version
+	for end := time.Now().Add(time.Minute); !told("peers_list_oldest_version 5", "peers_list_newest_version 7", "peers_list_processes 2", "peers_list_processes_behind 1"); {
+		if time.Sleep(5 * time.Millisecond); time.Now().After(end) {
+			t.Fatal("list versions are not counted")
+		}
 	}
 	var off *fleet
 	off.count(m)
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -203,7 +203,7 @@
 	if !begin.run(co) {
 		co.List(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
 	}
-	others.heard(core.News{Kind: choice.ListStale, Nodes: known.Nodes})
+	others.heard(core.News{Kind: choice.ListStale, Nodes: known.Nodes, Index: known.Index})
 	defer begin.stop()
 
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -172,6 +172,7 @@
 type News struct {
 	Kind  choice.EventKind
 	Nodes []Node
+	Index int64 // version of the list from now on; 0: not said
 }
 
 // Options start a Core.
--- a/internal/lab/procs/peers_test.go
+++ b/internal/lab/procs/peers_test.go
@@ -33,6 +33,7 @@
 		over[k] = v
 	}
 	opt.Settings = over
+	more := opt.Args
 	opt.Args = func(f *Fleet, i int) []string {
 		at, err := FreeAddress()
 		if err != nil {
@@ -62,7 +63,11 @@
 		if err := os.WriteFile(file, text, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		return []string{"--site", file}
+		args := []string{"--site", file}
+		if more != nil {
+			args = append(args, more(f, i)...)
+		}
+		return args
 	}
 	w := begin(t, opt)
 	return w, metrics
--- /dev/null
+++ b/internal/lab/procs/tell_test.go
@@ -0,0 +1,89 @@
+package procs
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"wheatsaddle/internal/observations"
+)
+
+// site puts sections over the site file of a daemon that is about to start.
+func site(f *Fleet, i int, sections map[string]any) error {
+	file := filepath.Join(f.Dir(i), "site.json")
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	all, _ := gjson.ParseBytes(text).Value().(map[string]any)
+	for k, v := range sections {
+		all[k] = v
+	}
+	if text, err = json.Marshal(all); err != nil {
+		return err
+	}
+	return os.WriteFile(file, text, 0o600)
+}
+
+// views are the stranger's.
+func (s *stranger) views() map[observations.Key]observations.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[observations.Key]observations.View{}
+	for _, v := range s.state.Views(time.Since(s.start)) {
+		all[v.Key] = v
+	}
+	return all
+}
+
+// What processes tell of nodes: hardware by the site's files, and windows, none where nothing new is sent. A process whose list is silent is counted as behind at all of them, until it has heard.
+func TestTold(t *testing.T) {
+	w := &sharing{}
+	w.world, w.metrics = shares(t, Options{Args: func(f *Fleet, i int) []string {
+		if err := site(f, i, map[string]any{"estimate": map[string]any{"types": map[string]any{"s*": "disk", "s1": "flash"}}}); err != nil {
+			t.Error(err)
+		}
+		return nil
+	}})
+	w.traffic()
+	w.serves(some)
+	s := w.stranger("s", w.everyone()...)
+	node := func(name string) (v observations.View) {
+		w.learn0(s)
+		for k, x := range s.views() {
+			if k.Node == name && k.Class == "" {
+				v = x
+			}
+		}
+		return v
+	}
+	w.until("all tell of nodes", func() bool {
+		a, b := node("s0"), node("s1")
+		return a.Type == "disk" && b.Type == "flash" && a.Origins == 3 && b.Origins == 3 && a.Window >= 1 && b.Window >= 1
+	})
+	if e := w.estimate(0, "s1"); e.Get("work.0.type").Str != "flash" {
+		t.Error(e)
+	}
+
+	w.must(w.Mark(0, "leaving"))
+	w.until("a node that leaves has no window", func() bool { return node("s0").Window == 0 })
+	w.must(w.Mark(0, "active"))
+	w.until("it has one again", func() bool { return node("s0").Window >= 1 })
+
+	w.must(w.SetList(2, ListSilent))
+	w.must(w.Mark(1, "leaving"))
+	w.counts("peers_list_processes_behind", func(_ int, v float64) bool { return v == 1 })
+	w.counts("peers_list_processes", func(_ int, v float64) bool { return v == 3 })
+	for i := range w.opt.Daemons {
+		if old, now := w.count(i, "peers_list_oldest_version"), w.count(i, "peers_list_newest_version"); now != old+1 {
+			t.Errorf("daemon %d: versions %v to %v", i, old, now)
+		}
+	}
+	w.must(w.SetList(2, ListWell))
+	w.counts("peers_list_processes_behind", func(_ int, v float64) bool { return v == 0 })
+	w.end()
+}
--- a/internal/observations/state_test.go
+++ b/internal/observations/state_test.go
@@ -381,6 +381,36 @@
 	}
 }
 
+// List versions merge by origin like all else: the later word of each counts, in any order. Who is gone is not behind,
+// nor who has said nothing for the expiry.
+func TestListVersionsByProcess(t *testing.T) {
+	set := small()
+	s := state(t, set, "me", 1, "")
+	var messages [][]byte
+	for i := range 3 {
+		p := state(t, set, fmt.Sprint("p", i), 1, "")
+		p.SetList(0, 4)
+		messages = append(messages, all(t, p, 0)...)
+		p.SetList(time.Second, int64(5+i))
+		messages = append(messages, all(t, p, time.Second)...)
+	}
+	slices.Reverse(messages)
+	feed(s, time.Second, messages...)
+	if got := fmt.Sprint(s.Lists(time.Second)); got != "[{p0 5 0s} {p1 6 0s} {p2 7 0s}]" {
+		t.Error(got)
+	}
+	if got := s.ListSpread(time.Second, []string{"me", "p0", "p1", "p2", "p9"}); got != (ListSpread{5, 7, 3, 2}) {
+		t.Errorf("%+v", got)
+	}
+	s.SetList(time.Second, 6)
+	if got := s.ListSpread(time.Second, []string{"p1", "p2"}); got != (ListSpread{6, 7, 3, 2}) {
+		t.Errorf("without p0: %+v", got)
+	}
+	if got := s.ListSpread(time.Second+set.Expire, []string{"p0", "p1", "p2"}); got != (ListSpread{6, 6, 1, 0}) {
+		t.Errorf("expired: %+v", got)
+	}
+}
+
 func TestALaterVersionIsCountedAndDropped(t *testing.T) {
 	s := state(t, small(), "me", 1, "")
 	m := forge("p", 1, told{cellID{}, 1, 0, []byte{2}})
--- a/internal/observations/views.go
+++ b/internal/observations/views.go
@@ -292,6 +292,41 @@
 	return sum / float64(len(v))
 }
 
+// ListSpread is how the versions of the node list differ among processes.
+type ListSpread struct {
+	Oldest, Newest int64
+	Processes      int // that say which version they hold
+	Behind         int // ... and hold an older one than another does
+}
+
+// ListSpread looks at the processes named and at this one. One that is gone would count as behind until
+// what it told expires: so the caller names those that are there.
+func (s *State) ListSpread(now time.Duration, there []string) (all ListSpread) {
+	var held []int64
+	if s.hasList {
+		held = append(held, s.list)
+	}
+	for _, name := range there {
+		o := s.others[name]
+		if o == nil || name == s.self {
+			continue
+		}
+		if c := o.cells[cellID{}]; c != nil && now-c.born < s.set.Expire {
+			held = append(held, (&input{b: c.body}).int())
+		}
+	}
+	if len(held) == 0 {
+		return all
+	}
+	all = ListSpread{Oldest: slices.Min(held), Newest: slices.Max(held), Processes: len(held)}
+	for _, v := range held {
+		if v < all.Newest {
+			all.Behind++
+		}
+	}
+	return all
+}
+
 // Lists are the versions of the node list that origins hold, by origin; this process's own too.
 func (s *State) Lists(now time.Duration) []ListVersion {
 	s.expire(now)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -322,6 +322,15 @@
 	return c
 }
 
+// Members are the names of those that are known to be up, this process too.
+func (p *Peers) Members() []string {
+	var names []string
+	for _, n := range p.list.Members() {
+		names = append(names, n.Name)
+	}
+	return names
+}
+
 // Address is where others reach this process.
 func (p *Peers) Address() string { return p.list.LocalNode().Address() }
 
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -154,7 +154,9 @@
 	}
 	sync.Writes(&w.Index)
 	w.Index = l.list.Index
-	w.Tell(w.apply(*l.list))
+	news := w.apply(*l.list)
+	news.Index = w.Index
+	w.Tell(news)
 }
 
 // open starts a call at the present address from the version held.
