What is shared remembers twice: steady in quiet times, right soon after a change

Each slot now keeps sums by two half-lives (1.5 and 6 s); it begins anew where the two tell of two nodes (4 standard errors, times or refusals), and in a view an origin counts with its short memory where the long one is over 2 from what all saw lately. Both are clipped; a message whose short memory is no part of its long one is refused; message version 2.

--- a/cmd/rehearse/cost.go
+++ b/cmd/rehearse/cost.go
@@ -14,9 +14,12 @@
 	return &cli.Command{
 		Name: "cost", Usage: "the estimate of plans beside the fleet's mean and own answers only, in virtual time",
 		Flags: []cli.Flag{
-			&cli.Uint64Flag{Name: "seeds", Value: 10, Usage: "worlds, from seed 1"},
+			&cli.Uint64Flag{Name: "seeds", Value: 10, Usage: "worlds"},
+			&cli.Uint64Flag{Name: "first", Value: 1, Usage: "seed of the first"},
 			&cli.DurationFlag{Name: "for", Value: time.Minute, Usage: "of decisions in each; a node turns slow halfway"},
-			&cli.DurationFlag{Name: "half-life", Value: 1500 * time.Millisecond, Usage: "of an answer's weight"},
+			&cli.DurationFlag{Name: "half-life", Value: 1500 * time.Millisecond, Usage: "of an answer's weight in the short memory"},
+			&cli.DurationFlag{Name: "every", Value: 500 * time.Millisecond, Usage: "between rounds; in each a process asks one other"},
+			&cli.Float64Flag{Name: "slow", Value: 5, Usage: "times that the node is slower from then on"},
 			&cli.StringFlag{Name: "json", Usage: "write the result to `FILE`"},
 		},
 		Action: func(c *cli.Context) error {
@@ -27,12 +30,13 @@
 			if err != nil {
 				return err
 			}
-			opt := costs.Options{For: c.Duration("for"), HalfLife: c.Duration("half-life")}
-			if n := c.Uint64("seeds"); n < 1 || n > 1000 || opt.For < 20*time.Second || opt.For > time.Hour || opt.HalfLife < 100*time.Millisecond {
-				return usage{errors.New("seeds must be 1 to 1000, for 20s to 1h, half-life 100ms or more")}
+			opt := costs.Options{For: c.Duration("for"), HalfLife: c.Duration("half-life"), Every: c.Duration("every"), Slow: c.Float64("slow")}
+			if n := c.Uint64("seeds"); n < 1 || n > 1000 || opt.For < 20*time.Second || opt.For > time.Hour || opt.HalfLife < 100*time.Millisecond ||
+				opt.Every < 20*time.Millisecond || opt.Every > time.Minute || !(opt.Slow >= 0.01 && opt.Slow <= 100) {
+				return usage{errors.New("seeds must be 1 to 1000, for 20s to 1h, half-life 100ms or more, every 20ms to 1m, slow 0.01 to 100")}
 			}
 			for s := range c.Uint64("seeds") {
-				opt.Seeds = append(opt.Seeds, s+1)
+				opt.Seeds = append(opt.Seeds, s+c.Uint64("first"))
 			}
 			log.WithField("seeds", len(opt.Seeds)).Info("playing")
 			rep, err := costs.Run(opt)
--- a/internal/lab/costs/costs.go
+++ b/internal/lab/costs/costs.go
@@ -23,7 +23,9 @@
 type Options struct {
 	Seeds    []uint64
 	For      time.Duration // of one seed; the node turns slow at half of it
-	HalfLife time.Duration // of an answer's weight
+	HalfLife time.Duration // of an answer's weight in the short memory
+	Every    time.Duration // between a process's rounds
+	Slow     float64       // times that the node is then slower
 }
 
 const (
@@ -74,13 +76,15 @@
 // Report is the result.
 type Report struct {
 	HalfLife float64  `json:"half_life_s"`
+	Every    float64  `json:"every_s"`
+	Slow     float64  `json:"slow_times"`
 	Rows     []Row    `json:"rows"`
 	Missed   []string `json:"missed"`
 }
 
 // Run plays the seeds.
 func Run(opt Options) (*Report, error) {
-	rep := &Report{HalfLife: opt.HalfLife.Seconds()}
+	rep := &Report{HalfLife: opt.HalfLife.Seconds(), Every: opt.Every.Seconds(), Slow: opt.Slow}
 	var sum Row
 	rows := make([]Row, len(opt.Seeds))
 	var group errgroup.Group
@@ -155,11 +159,13 @@
 }
 
 func play(seed uint64, opt Options) (Row, error) {
-	w := newWorld(seed, opt.HalfLife)
 	r := Row{Seed: seed}
+	w, err := newWorld(seed, opt)
+	if err != nil {
+		return r, err
+	}
 	var est [ways]*cost.Estimator
 	for k := range est {
-		var err error
 		if est[k], err = cost.New(cost.Defaults(class)); err != nil {
 			return r, err
 		}
@@ -169,7 +175,7 @@
 	for t := millis(warm); t < end; t += every {
 		w.run(t)
 		if t >= turn && t < turn+every {
-			w.nodes[slowNode].factor *= slowTimes
+			w.nodes[slowNode].factor *= opt.Slow
 		}
 		if t > turn {
 			if wrong := w.anyWrong(est[pooled]); wrong {
@@ -190,7 +196,7 @@
 	const units = (1 + unitsTop) / 2.0
 	slow := w.nodes[slowNode].mean(units)
 	for p := range processes {
-		e.Learn(w.views(&w.shared[p], processes))
+		e.Learn(w.processes[p].shared.Views(w.time()))
 		held, _ := e.Node(nodeName(slowNode), class, units)
 		for n := range w.nodes {
 			v, _ := e.Node(nodeName(n), class, units)
@@ -204,10 +210,10 @@
 
 func (w *world) decide(r *Row, est *[ways]*cost.Estimator, turning bool) error {
 	p := w.rng.IntN(processes)
-	shared := w.views(&w.shared[p], processes)
+	shared := w.processes[p].shared.Views(w.time())
 	est[pooled].Learn(shared)
 	est[fleetMean].Learn(flat(shared))
-	est[ownOnly].Learn(w.views(&w.own[p], 1))
+	est[ownOnly].Learn(w.processes[p].alone.Views(w.time()))
 	plans := w.offers()
 	d := &decision{left: offered * repeats}
 	var bounds [ways][offered][2]float64
@@ -297,8 +303,8 @@
 
 // Print writes the table.
 func (rep *Report) Print(out io.Writer) error {
-	fmt.Fprintf(out, "%d processes, %d nodes of %d kinds, one turns %g times slower; half-life %.1f s; virtual time\n",
-		processes, nodeCount, perShard, slowTimes, rep.HalfLife)
+	fmt.Fprintf(out, "%d processes, %d nodes of %d kinds, one turns %g times slower; half-life %.1f s, rounds each %.2f s; virtual time\n",
+		processes, nodeCount, perShard, rep.Slow, rep.HalfLife, rep.Every)
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "seed\tdecisions\tin the 90%\tfleet mean\town only\t| excess %\tfleet mean\town only\t| in the 5 s %\tfleet mean\town only\t| right after s\talike")
 	for _, r := range rep.Rows {
--- a/internal/lab/costs/world.go
+++ b/internal/lab/costs/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -23,10 +24,8 @@
 	scatter   = 0.5  // spread over mean of a service
 	homeShare = 0.7  // of a process's requests go to its two home shards
 	perSecond = 100.0
-	tellAfter = 500.0 // until the others know of an answer
 	unitsTop  = 8
 	class     = "read"
-	slowTimes = 5.0
 )
 
 var kinds = [perShard]struct {
@@ -65,34 +64,75 @@
 	return (kinds[x.kind].level + kinds[x.kind].unit*units) * x.factor
 }
 
-// sums are one process's decayed sums of one node.
-type sums struct {
-	s    observations.Sums
-	last float64
+// process is one scheduler: what it saw alone, and what it shares with the others, in the daemon's own state.
+type process struct {
+	alone, shared *observations.State
+	slots         [nodeCount][2]*observations.Slot
 }
 
 type world struct {
-	now      float64
-	seq      int
-	events   queue
-	rng      *rand.Rand
-	nodes    [nodeCount]node
-	halfLife float64
-	own      [processes][nodeCount]sums // the process's own answers
-	shared   [processes][nodeCount]sums // and with them what the others told
-}
-
-func newWorld(seed uint64, halfLife time.Duration) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 24)), halfLife: millis(halfLife)}
+	now       float64
+	seq       int
+	events    queue
+	rng       *rand.Rand
+	turns     *rand.Rand // of the rounds: who asks whom
+	nodes     [nodeCount]node
+	processes [processes]process
+}
+
+func newWorld(seed uint64, opt Options) (*world, error) {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 24)), turns: rand.New(rand.NewPCG(seed, 25))}
 	for i := range w.nodes {
 		w.nodes[i] = node{kind: i % perShard, factor: math.Exp(ownSpread * w.rng.NormFloat64())}
 	}
+	set := observations.Defaults()
+	set.HalfLife, set.Expire = opt.HalfLife, max(set.Expire, opt.HalfLife)
 	for p := range processes {
+		x := &w.processes[p]
+		for i, s := range []**observations.State{&x.alone, &x.shared} {
+			var err error
+			if *s, err = observations.New(set, fmt.Sprint("p", p), 1); err != nil {
+				return nil, err
+			}
+			for n := range nodeCount {
+				(*s).SetNode(0, nodeName(n), 1, observations.Health{Type: kinds[n%perShard].name, Shard: n / perShard, Window: workers})
+				x.slots[n][i] = (*s).Slot(0, observations.Key{Node: nodeName(n), Since: 1, Class: class})
+			}
+		}
 		w.after(w.gap(), func() { w.arrive(p) })
+		w.after(millis(opt.Every)*float64(p)/processes, func() { w.round(p, millis(opt.Every), nil) })
+	}
+	return w, nil
+}
+
+// round is what internal/peers does: the process asks the next of the others, in a drawn order, and each gives the other
+// what it lacks.
+func (w *world) round(p int, every float64, turns []int) {
+	if len(turns) == 0 {
+		turns = w.turns.Perm(processes)
+	}
+	w.processes[p].alone.Digest(w.time()) // it looks at its own slots as often
+	if q := turns[0]; q != p {
+		a, b := w.processes[p].shared, w.processes[q].shared
+		w.give(a, b)
+		w.give(b, a)
+	}
+	w.after(every, func() { w.round(p, every, turns[1:]) })
+}
+
+// give gives b what a holds and b lacks. A failure would be a defect of the state, which has tests of its own.
+func (w *world) give(a, b *observations.State) {
+	messages, err := a.Diff(w.time(), b.Digest(w.time()))
+	for _, m := range messages {
+		err = errors.Join(err, b.Merge(w.time(), m))
+	}
+	if err != nil {
+		panic(err)
 	}
-	return w
 }
 
+func (w *world) time() time.Duration { return time.Duration(w.now * float64(time.Millisecond)) }
+
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func (w *world) gap() float64 { return w.rng.ExpFloat64() * 1000 / perSecond }
@@ -142,53 +182,29 @@
 	n, units := shard*perShard+w.rng.IntN(perShard), float64(1+w.rng.IntN(unitsTop))
 	took := w.out(n, units, true)
 	w.after(took, func() {
-		w.record(&w.own[p][n], units, took)
-		w.record(&w.shared[p][n], units, took)
-		w.after(tellAfter, func() {
-			for o := range processes {
-				if o != p {
-					w.record(&w.shared[o][n], units, took)
-				}
-			}
-		})
+		for _, l := range w.processes[p].slots[n] {
+			l.Record(w.time(), units, took, observations.Served)
+		}
 	})
 }
 
-func (w *world) decayed(a *sums) observations.Sums {
-	f := math.Exp2(-(w.now - a.last) / w.halfLife)
-	s := a.s
-	return observations.Sums{N: s.N * f, X: s.X * f, Y: s.Y * f, XX: s.XX * f, XY: s.XY * f, YY: s.YY * f}
-}
-
-func (w *world) record(a *sums, x, y float64) {
-	s := w.decayed(a)
-	a.s, a.last = observations.Sums{N: s.N + 1, X: s.X + x, Y: s.Y + y, XX: s.XX + x*x, XY: s.XY + x*y, YY: s.YY + y*y}, w.now
-}
-
 func nodeName(n int) string { return fmt.Sprintf("n-%02d", n) }
 
-// views are what a process knows, from the sums given.
-func (w *world) views(from *[nodeCount]sums, origins int) []observations.View {
-	views := make([]observations.View, nodeCount)
-	for n := range views {
-		views[n] = observations.View{Key: observations.Key{Node: nodeName(n), Since: 1, Class: class}, Type: kinds[n%perShard].name,
-			Shard: n / perShard, Sums: w.decayed(&from[n]), Window: workers, Origins: origins}
-	}
-	return views
-}
-
 // flat is what "fleet mean" knows: each node has the fleet's answers.
 func flat(views []observations.View) []observations.View {
 	var all observations.Sums
-	part := 1 / float64(len(views))
+	n := 0.0
 	for _, v := range views {
-		s := v.Sums
-		all = observations.Sums{N: all.N + s.N*part, X: all.X + s.X*part, Y: all.Y + s.Y*part,
-			XX: all.XX + s.XX*part, XY: all.XY + s.XY*part, YY: all.YY + s.YY*part}
+		if v.Class != "" {
+			all = all.Add(v.Sums)
+			n++
+		}
 	}
 	out := slices.Clone(views)
 	for i := range out {
-		out[i].Sums, out[i].Type = all, ""
+		if out[i].Type = ""; out[i].Class != "" {
+			out[i].Sums = all.Scale(1/n, 1, 1)
+		}
 	}
 	return out
 }
@@ -210,8 +226,7 @@
 // step calls done with the time of its end, at that time or as soon as it is known.
 func (w *world) step(s *cost.Step, p *played, done func(end float64)) {
 	if s.Work != nil {
-		var n int
-		fmt.Sscanf(s.Work.Node, "n-%d", &n)
+		n := 10*int(s.Work.Node[2]-'0') + int(s.Work.Node[3]-'0')
 		took := w.out(n, s.Work.Units, false)
 		p.work += took
 		done(w.now + took)
--- a/internal/observations/codec.go
+++ b/internal/observations/codec.go
@@ -11,7 +11,7 @@
 
 // A message is: "WO", version, kind, what the kind says, and a CRC-32C of all before it.
 const (
-	version     = 1
+	version     = 2 // 1 had one memory
 	kindCells   = 1 // origin, incarnation, then cells of it to the end
 	kindDigest  = 2 // sender, then origins with the hash of each bucket
 	headSize    = 4
@@ -127,20 +127,12 @@
 	return f
 }
 
-// figures are what one origin says of one class on one node.
-type figures struct {
-	since                int64
-	sums                 Sums
-	turned, failed, late float64
-	bins                 [bins]float64
-}
-
-func (f *figures) weight() float64 { return f.sums.N + f.turned + f.failed + f.late }
-
 func (f *figures) append(b []byte) []byte {
 	b = binary.AppendVarint(b, f.since)
-	for _, v := range []float64{f.sums.N, f.sums.X, f.sums.Y, f.sums.XX, f.sums.XY, f.sums.YY, f.turned, f.failed, f.late} {
-		b = appendFloat(b, v)
+	for _, m := range [...]*memory{&f.long, &f.short} {
+		for _, v := range m.all() {
+			b = appendFloat(b, *v)
+		}
 	}
 	last := 0
 	for i, n := range f.bins {
@@ -161,8 +153,10 @@
 
 func (r *input) figures(f *figures) {
 	*f = figures{since: r.int()}
-	for _, v := range []*float64{&f.sums.N, &f.sums.X, &f.sums.Y, &f.sums.XX, &f.sums.XY, &f.sums.YY, &f.turned, &f.failed, &f.late} {
-		*v = r.float(sumMost)
+	for _, m := range [...]*memory{&f.long, &f.short} {
+		for _, v := range m.all() {
+			*v = r.float(sumMost)
+		}
 	}
 	at, all := 0, 0.0
 	for first := true; len(r.b) > 0; first = false {
@@ -175,7 +169,7 @@
 		f.bins[at] = float64(r.uint(1<<34)) / countScale
 		all += f.bins[at]
 	}
-	if !f.sums.fits() || all > f.sums.N*1.01+2 {
+	if !f.long.sums.fits() || !f.short.sums.fits() || !f.short.within(&f.long) || all > f.short.sums.N*1.01+2 {
 		r.fail("sums that no observations have")
 	}
 }
--- a/internal/observations/own.go
+++ b/internal/observations/own.go
@@ -28,7 +28,8 @@
 	dirty  bool
 	base   time.Duration // weights are 1 here
 	last   time.Duration
-	f      figures // in weights of base
+	anew   time.Duration // when it last forgot all
+	f      figures       // in weights of base
 }
 
 // Slot finds or makes the place of a key. It never is nil: what has no place, by the bounds or as an
@@ -62,7 +63,7 @@
 	if len(n.classes) >= l.s.set.Classes {
 		return false
 	}
-	l.placed, l.base, l.last, l.f = true, now, now, figures{since: l.key.Since}
+	l.placed, l.base, l.last, l.anew, l.f = true, now, now, now, figures{since: l.key.Since}
 	n.classes = append(n.classes, l)
 	return true
 }
@@ -110,56 +111,60 @@
 		l.rebase(at)
 		p = 0
 	}
-	w := math.Exp2(p)
+	w := math.Exp2(p / longer)
+	short := w * w * w * w
 	f := &l.f
 	switch o {
 	case Served:
-		wx, wy := w*units, w*millis
-		f.sums.N += w
-		f.sums.X += wx
-		f.sums.Y += wy
-		f.sums.XX += wx * units
-		f.sums.XY += wx * millis
-		f.sums.YY += wy * millis
-		f.bins[bin(millis)] += w
+		f.long.sums.served(w, units, millis)
+		f.short.sums.served(short, units, millis)
+		f.bins[bin(millis)] += short
 	case TurnedAway:
-		f.turned += w
+		f.long.turned += w
+		f.short.turned += short
 	case Failed:
-		f.failed += w
+		f.long.failed += w
+		f.short.failed += short
 	case Late:
-		f.late += w
+		f.long.late += w
+		f.short.late += short
 	}
 	l.last, l.dirty = at, true
 }
 
-func (l *Slot) rebase(at time.Duration) {
-	l.f.scale(decay(at-l.base, l.s.set.HalfLife))
-	l.base = at
+func (s *Sums) served(w, x, y float64) {
+	wx, wy := w*x, w*y
+	s.N += w
+	s.X += wx
+	s.Y += wy
+	s.XX += wx * x
+	s.XY += wx * y
+	s.YY += wy * y
 }
 
-func decay(age, halfLife time.Duration) float64 {
-	return math.Exp2(-float64(age) / float64(halfLife))
-}
-
-// decay lowers the weight of all but the buckets.
-func (f *figures) decay(w float64) {
-	f.sums = f.sums.Scale(w, 1, 1)
-	f.turned *= w
-	f.failed *= w
-	f.late *= w
+func (l *Slot) rebase(at time.Duration) {
+	l.f.scale(at-l.base, l.s.set.HalfLife)
+	l.base = at
 }
 
-func (f *figures) scale(w float64) {
-	f.decay(w)
-	for i := range f.bins {
-		f.bins[i] *= w
+// settle lets the slot begin anew where its memories tell of two nodes: what it saw before a change would only
+// be in the way. Others still know, and say so in their own slots.
+func (l *Slot) settle(now time.Duration) {
+	if l.s.lost == "anew" || now-l.anew < anewPause*l.s.set.HalfLife {
+		return
+	}
+	f := l.f
+	f.decay(max(now, l.last)-l.base, l.s.set.HalfLife)
+	if f.short.weight() >= anewLeast && apart(&f.short, &f.long, true) > anewApart {
+		l.anew, l.base, l.last, l.f = now, now, max(now, l.last), figures{since: l.key.Since}
+		l.s.counts.Anew++
 	}
 }
 
 // at is what the slot holds at now.
 func (l *Slot) at(now time.Duration) figures {
 	f := l.f
-	f.scale(decay(max(now, l.last)-l.base, l.s.set.HalfLife))
+	f.scale(max(now, l.last)-l.base, l.s.set.HalfLife)
 	return f
 }
 
--- a/internal/observations/state.go
+++ b/internal/observations/state.go
@@ -51,6 +51,7 @@
 	Expired                  int64 // cells too old when they came
 	Unreadable, LaterVersion int64 // messages dropped
 	Beyond                   int64 // what the bounds left out
+	Anew                     int64 // times that an own slot began anew: its node had changed
 	Impossible               int64 // own figures that cannot be
 	Refuted                  int64 // times that this process's name came with figures of another life
 	Origins, Held            int64 // now: others, and their cells
@@ -128,6 +129,7 @@
 		}
 		for _, l := range n.classes {
 			if l.dirty {
+				l.settle(now)
 				f := l.at(now)
 				put(cellID{name, l.key.Class}, f.append(nil))
 				l.dirty = false
--- a/internal/observations/state_test.go
+++ b/internal/observations/state_test.go
@@ -154,7 +154,7 @@
 // sequence, and a late copy of something whose successor has expired.
 func oldOverNew(t rapid.TB, lost string) error {
 	figure := func(n float64) []byte {
-		f := figures{sums: Sums{n, n, n, n, n, n}}
+		f := figures{long: memory{sums: Sums{n, n, n, n, n, n}}}
 		return f.append(nil)
 	}
 	id, set := cellID{"n", "c"}, small()
@@ -203,23 +203,27 @@
 	s := state(t, set, "me", 1, lost)
 	k := Key{"n0", 1, "c0"}
 	most, total := 0.0, 0.0
+	end := 6 * time.Second // so that memories can differ
 	for i := range 2 + r.IntN(3) {
 		p := state(t, set, fmt.Sprintf("p%d", i), 1, "")
 		slot, n := p.Slot(0, k), 20+r.IntN(200)
-		for range n {
-			slot.Record(0, 1+r.Float64(), 10+r.Float64(), Served)
+		for j := range n {
+			slot.Record(end*time.Duration(j)/time.Duration(n), 1+r.Float64(), 10+r.Float64(), Served)
 		}
 		most, total = max(most, float64(n)), total+float64(n)
-		feed(s, 0, all(t, p, 0)...)
+		feed(s, end, all(t, p, end)...)
 	}
 	bad := state(t, set, "bad", 1, "")
 	slot := bad.Slot(0, k)
-	scale := math.Pow(10, r.Float64()*10-3)
-	for range 1 + r.IntN(5000) {
-		slot.Record(0, r.Float64()*scale, min(r.Float64()*scale, millisMax), []Outcome{Served, Served, Failed}[r.IntN(3)])
+	for range 1 + r.IntN(3) {
+		scale := math.Pow(10, r.Float64()*10-3)
+		at := time.Duration(r.Int64N(int64(end)))
+		for range 1 + r.IntN(3000) {
+			slot.Record(at, r.Float64()*scale, min(r.Float64()*scale, millisMax), []Outcome{Served, Served, Failed}[r.IntN(3)])
+		}
 	}
-	feed(s, 0, all(t, bad, 0)...)
-	for _, v := range s.Views(0) {
+	feed(s, end, all(t, bad, end)...)
+	for _, v := range s.Views(end) {
 		p99, _ := Quantile(v.Sketch, 0.99)
 		switch c := set.Clip; {
 		case v.Sums.N+v.Failed > total+c*max(most, thin)+1:
@@ -310,7 +314,7 @@
 	feed(relay, 0, all(t, p, time.Hour+set.HalfLife)...) // clocks an hour apart
 	feed(q, time.Minute, all(t, relay, set.HalfLife)...)
 	v := q.Views(time.Minute)[0]
-	if want := 0.25; math.Abs(v.Sums.N-want) > 1e-6 || math.Abs(v.Sums.XY-16*want) > 1e-4 || v.Age != 2*set.HalfLife-set.HalfLife {
+	if want := math.Exp2(-2.0 / longer); math.Abs(v.Sums.N-want) > 1e-6 || math.Abs(v.Sums.XY-16*want) > 1e-4 || v.Age != 2*set.HalfLife-set.HalfLife {
 		t.Errorf("%+v, age %v", v.Sums, v.Age)
 	}
 	if n := len(q.Views(time.Minute + set.Expire)); n != 0 {
@@ -341,7 +345,8 @@
 	if exchange() == 0 || exchange() != 0 {
 		t.Error("nothing was sent at first, or something that is held")
 	}
-	largest := figures{since: math.MinInt64, sums: Sums{1e30, 1e30, 1e30, 1e30, 1e30, 1e30}}
+	huge := memory{sums: Sums{1e30, 1e30, 1e30, 1e30, 1e30, 1e30}}
+	largest := figures{since: math.MinInt64, long: huge, short: huge}
 	for i := range largest.bins {
 		largest.bins[i] = 1e12
 	}
--- a/internal/observations/views.go
+++ b/internal/observations/views.go
@@ -20,17 +20,18 @@
 	origin string
 	slot   *Slot // this process's own
 	body   []byte
-	age    time.Duration
-	weight float64 // of decay
+	age    time.Duration // since it was told or renewed
+	old    time.Duration // ... since its weights were 1
+	short  float64       // what is left of them, once it is read
 }
 
-func (w *row) read(f *figures) {
+func (w *row) read(f *figures, halfLife time.Duration) {
 	if w.slot != nil {
 		*f = w.slot.f
 	} else {
 		(&input{b: w.body}).figures(f)
 	}
-	f.decay(w.weight)
+	w.short = f.decay(w.old, halfLife)
 }
 
 type healthRow struct {
@@ -91,9 +92,9 @@
 			healths = append(healths, healthRow{name, n.since, n.health, now - n.told})
 		}
 		for _, l := range n.classes {
-			if l.last > l.base || l.f.weight() > 0 {
-				rows = append(rows, row{Key{name, n.since, l.key.Class}, s.self, l, nil, now - l.last,
-					decay(max(now, l.last)-l.base, s.set.HalfLife)})
+			if l.last > l.base || l.f.long.weight() > 0 {
+				rows = append(rows, row{key: Key{name, n.since, l.key.Class}, origin: s.self, slot: l, age: now - l.last,
+					old: max(now, l.last) - l.base})
 			}
 		}
 	}
@@ -116,7 +117,7 @@
 				healths = append(healths, healthRow{id.node, since, h, age})
 				continue
 			}
-			rows = append(rows, row{Key{id.node, since, id.class}, name, nil, c.body, age, decay(age, s.set.HalfLife)})
+			rows = append(rows, row{key: Key{id.node, since, id.class}, origin: name, body: c.body, age: age, old: age})
 		}
 	}
 	slices.SortFunc(rows, func(a, b row) int { return cmp.Or(a.key.compare(b.key), cmp.Compare(a.origin, b.origin)) })
@@ -137,7 +138,8 @@
 		cmp.Compare(a.Window, b.Window), cmp.Compare(a.Queue, b.Queue))
 }
 
-// join sums the origins of one key, each clipped.
+// join sums the origins of one key, each clipped. Of each the long memory counts, unless it tells of another node
+// than all saw lately: then the short one does.
 func (s *State) join(rows []row) View {
 	v := View{Key: rows[0].key, Origins: len(rows), Age: rows[0].age}
 	for len(s.read) < len(rows) {
@@ -145,46 +147,57 @@
 	}
 	all := s.read[:len(rows)]
 	for i := range rows {
-		rows[i].read(&all[i])
+		rows[i].read(&all[i], s.set.HalfLife)
+		v.Age = min(v.Age, rows[i].age)
+	}
+	long, short := clips(all, s.set.Clip, (*figures).longs), clips(all, s.set.Clip, (*figures).shorts)
+	if s.lost == "clip" {
+		for i := range rows {
+			long[i], short[i] = clipping{1, 1, 1}, clipping{1, 1, 1}
+		}
+	}
+	var lately, sum memory
+	for i := range all {
+		lately.add(all[i].short.clipped(short[i]))
 	}
-	clip := clips(all, s.set.Clip)
 	var counts [bins]float64
 	for i := range rows {
-		f, c := &all[i], clip[i]
-		if s.lost == "clip" {
-			c = clipping{1, 1, 1}
+		f, c := &all[i], short[i]
+		m := f.long.clipped(long[i])
+		if s.lost != "lately" && apart(&m, &lately, false) > stillApart {
+			m = f.short.clipped(c)
 		}
-		v.Sums = v.Sums.Add(f.sums.Scale(c.n, c.x, c.y))
-		v.Turned += f.turned * c.n
-		v.Failed += f.failed * c.n
-		v.Late += f.late * c.n
-		v.Age = min(v.Age, rows[i].age)
+		sum.add(m)
 		shift := 0
 		if c.y != 1 {
 			shift = int(math.Round(math.Log(c.y) / math.Log(buckets.LowerBound(1)/buckets.LowerBound(0))))
 		}
 		for b, n := range f.bins {
 			if n > 0 {
-				counts[min(max(b+shift, 0), bins-1)] += n * rows[i].weight * c.n
+				counts[min(max(b+shift, 0), bins-1)] += n * rows[i].short * c.n
 			}
 		}
 	}
+	v.Sums, v.Turned, v.Failed, v.Late = sum.sums, sum.turned, sum.failed, sum.late
 	v.Sketch = sketchOf(&counts)
 	return v
 }
 
+func (f *figures) longs() *memory  { return &f.long }
+func (f *figures) shorts() *memory { return &f.short }
+
 // clipping is what one origin's weight, units and times are multiplied with.
 type clipping struct{ n, x, y float64 }
 
 // clips finds who stands out. From three origins on, one counts for at most clip times the median weight, and the
 // root mean square of its units and of its times is brought within clip of the median over origins, in which
 // no voice is louder than the median weight.
-func clips(rows []figures, clip float64) []clipping {
+func clips(rows []figures, clip float64, of func(*figures) *memory) []clipping {
 	out := make([]clipping, len(rows))
 	var weights []float64
 	for i := range rows {
 		out[i] = clipping{1, 1, 1}
-		if w := rows[i].weight(); w >= voteLeast {
+		if w := of(&rows[i]).weight(); w >= voteLeast {
 			weights = append(weights, w)
 		}
 	}
@@ -195,19 +208,19 @@
 	ref := max(weights[(len(weights)-1)/2], thin)
 	var xs, ys []vote
 	for i := range rows {
-		f := &rows[i]
-		out[i].n = min(1, clip*ref/max(f.weight(), 1e-9))
-		if f.weight() >= voteLeast && f.sums.N > 0 {
-			n := min(f.sums.N, ref)
-			xs = append(xs, vote{rms(f.sums.XX, f.sums.N), n})
-			ys = append(ys, vote{rms(f.sums.YY, f.sums.N), n})
+		m := of(&rows[i])
+		out[i].n = min(1, clip*ref/max(m.weight(), 1e-9))
+		if m.weight() >= voteLeast && m.sums.N > 0 {
+			n := min(m.sums.N, ref)
+			xs = append(xs, vote{rms(m.sums.XX, m.sums.N), n})
+			ys = append(ys, vote{rms(m.sums.YY, m.sums.N), n})
 		}
 	}
 	x, y := median(xs), median(ys)
 	for i := range rows {
-		if f := &rows[i]; f.sums.N > 0 {
-			out[i].x = within(rms(f.sums.XX, f.sums.N), x, clip)
-			out[i].y = within(rms(f.sums.YY, f.sums.N), y, clip)
+		if m := of(&rows[i]); m.sums.N > 0 {
+			out[i].x = within(rms(m.sums.XX, m.sums.N), x, clip)
+			out[i].y = within(rms(m.sums.YY, m.sums.N), y, clip)
 		}
 	}
 	return out
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -283,7 +283,7 @@
 			b[j] = byte(r.Uint32())
 		}
 		if i%3 > 0 {
-			b = append([]byte{byte(tagAsk + i%3), 'W', 'O', byte(1 + i%2)}, b...)
+			b = append([]byte{byte(tagAsk + i%3), 'W', 'O', byte(2 + i%2)}, b...)
 		}
 		if err := c.peers[2].list.SendReliable(to, b); err != nil {
 			t.Fatal(err)
