scatter: a part refused after rows went out is asked again with growing waits; reports say why

X-Gather-Result told no reason, so one was added (why, by shard): scatter-refused. While the list still has the dead node the module refuses with a Retry-After of some 10 ms, and each refusal counted as an asking against again. A refused asking never ran; once the client has rows, it now counts only against refusedMost, each after a wait that doubles. Before the first row a refusal counts as before, so that a full shard is told at once.

--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -7,7 +7,8 @@
 //	S2  No part is asked while AtOnce askings of parts are out; one whose bytes wait for room does not count.
 //	S3  Nothing is asked once the parts' time (the client's less the share for the merge) is past.
 //	S4  A part that may have run is asked again only where the class is safe to repeat.
-//	S5  A part is asked at most 1+Again times, and where it stopped at a limit at most moreMost times more.
+//	S5  A part is asked at most 1+Again times, and at most moreMost times more where it stopped at a limit, and refusedMost
+//	    where it was refused after rows had gone out, each after a longer wait.
 //	S6  A refused part is not asked again before its Retry-After.
 //	S7  At the final answer each asking has ended or is called off.
 //	S8  The rows are those of the flat merge, or the answer names what is missing.
@@ -29,6 +30,10 @@
 	againMost = 16
 	copyMost  = 2 // askings of one part that are out
 
+	refusedMost  = 20 // refusals of a part that do not count as askings
+	refusedLeast = 10 * time.Millisecond
+	refusedGrows = 6 // how often the wait after them doubles
+
 	framesAtOnce = 64 // rows of a partial result between two looks at its length
 )
 
@@ -85,6 +90,7 @@
 	last time.Duration // when it last said something
 	held bool          // some of it waits for room
 	due  time.Duration // of a group: its share of the time is over
+	more bool          // it was asked for more rows
 }
 
 type part struct {
@@ -99,6 +105,7 @@
 	limited bool          // it stopped at its limit of rows
 	over    bool          // it is whole or given up
 	notYet  time.Duration // its Retry-After
+	refused int           // refusals that did not count as askings
 	why     error
 	group   *handed // nil: asked by the process itself
 }
@@ -133,6 +140,7 @@
 	actions  []Action
 	offs     []Action // since the last Step
 	demands  map[string]gather.Demand
+	began    bool // rows have gone out
 	partial  bool // rows go out encoded, for a merge that this one is a part of
 	most     int  // of a partial result: rows after which it ends; 0: none
 	rows     int  // of a partial result
@@ -216,13 +224,23 @@
 	if i < 0 || g.final != nil {
 		return
 	}
+	more := p.live[i].more
 	p.live = slices.Delete(p.live, i, i+1)
 	if p.over {
 		return
 	}
 	var ref *Refusal
 	if errors.As(err, &ref) {
-		p.notYet = max(p.notYet, now+ref.After)
+		wait := ref.After
+		if g.began && p.refused < refusedMost { // it never ran, and the client has rows of an answer that lacks it
+			wait = max(wait, refusedLeast<<min(p.refused, refusedGrows))
+			if p.refused++; more {
+				p.more--
+			} else {
+				p.used--
+			}
+		}
+		p.notYet = max(p.notYet, now+wait)
 		p.why = err
 		return
 	}
@@ -246,7 +264,9 @@
 	if g.final != nil || g.left {
 		return nil, false
 	}
-	return g.m.Next()
+	row, ok := g.m.Next()
+	g.began = g.began || ok
+	return row, ok
 }
 
 // Partial makes it the gathering of a partial result, which ends after so many rows; 0: with the last.
@@ -256,7 +276,7 @@
 func (g *Gather) Append(dst []byte, most int) []byte {
 	for len(dst) < most && g.final == nil && !g.left {
 		if !g.partial {
-			row, ok := g.m.Next()
+			row, ok := g.Next()
 			if !ok {
 				return dst
 			}
@@ -272,6 +292,7 @@
 		}
 		dst, _ = g.m.AppendPartial(dst, n)
 		got := rowsOf(dst[at:])
+		g.began = g.began || got > 0
 		if g.rows += got; got < n { // it waits for parts, or is at its end
 			return dst
 		}
@@ -440,7 +461,7 @@
 	if g.r.Safe { // else it could not be asked again for more
 		a.Rows = d.Rows
 	}
-	p.live = append(p.live, asking{no: p.next, last: now})
+	p.live = append(p.live, asking{no: p.next, last: now, more: more})
 	if g.r.Silent > 0 {
 		g.wake = min(g.wake, now+g.r.Silent)
 	}
--- a/internal/scatter/report.go
+++ b/internal/scatter/report.go
@@ -5,22 +5,25 @@
 	"errors"
 	"strconv"
 
+	"wheatsaddle/gather"
 	"wheatsaddle/internal/operr"
 )
 
 // Report is what a client is told of a final answer, as JSON.
 type Report struct {
-	Whole     bool   `json:"whole"`
-	Missing   []int  `json:"missing,omitempty"`   // shards of which nothing came
-	Cut       []int  `json:"cut,omitempty"`       // that ended before their end
-	Conflict  []int  `json:"conflict,omitempty"`  // that are in conflict, with themselves or others
-	Conflicts int64  `json:"conflicts,omitempty"` // keys whose rows differ
-	Truncated string `json:"truncated,omitempty"` // the rule that ended it
-	Token     string `json:"token,omitempty"`     // to go on
-	Limited   bool   `json:"limited,omitempty"`   // of a partial result: it stopped at its rows
-	Code      string `json:"code,omitempty"`      // why it ended early or could not begin
-	Error     string `json:"error,omitempty"`
-	Advice    string `json:"advice,omitempty"`
+	Whole    bool  `json:"whole"`
+	Missing  []int `json:"missing,omitempty"`  // shards of which nothing came
+	Cut      []int `json:"cut,omitempty"`      // that ended before their end
+	Conflict []int `json:"conflict,omitempty"` // that are in conflict, with themselves or others
+	// Why is why a part is missing or cut, by shard: a code, and of a part that failed its cause.
+	Why       map[string]string `json:"why,omitempty"`
+	Conflicts int64             `json:"conflicts,omitempty"` // keys whose rows differ
+	Truncated string            `json:"truncated,omitempty"` // the rule that ended it
+	Token     string            `json:"token,omitempty"`     // to go on
+	Limited   bool              `json:"limited,omitempty"`   // of a partial result: it stopped at its rows
+	Code      string            `json:"code,omitempty"`      // why it ended early or could not begin
+	Error     string            `json:"error,omitempty"`
+	Advice    string            `json:"advice,omitempty"`
 }
 
 // Report words a final answer. Error and Advice are left out of a whole one and, to keep a trailer short, where brief.
@@ -32,6 +35,12 @@
 		if err != nil {
 			shard = p.Shard
 		}
+		if p.Missing || p.Cut {
+			if r.Why == nil {
+				r.Why = map[string]string{}
+			}
+			r.Why[strconv.Itoa(shard)] = reason(p.Why)
+		}
 		if p.Missing {
 			r.Missing = append(r.Missing, shard)
 		}
@@ -76,3 +85,18 @@
 	}
 	return f.Result.Err
 }
+
+func reason(err error) string {
+	var failed *Failed
+	var told *gather.Told
+	var c operr.Coded
+	switch {
+	case errors.As(err, &failed):
+		return failed.Code() + ": " + failed.Cause
+	case errors.As(err, &told): // by a partial result
+		return told.Why
+	case errors.As(err, &c):
+		return c.Code()
+	}
+	return "internal"
+}
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -87,7 +87,7 @@
 	done := make(chan struct{})
 	defer sync.Close(done)
 	// Each asking sends one end, so that none blocks.
-	ends := make(chan ending, len(g.parts)*(1+max(g.r.Again, copiesMost)+moreMost))
+	ends := make(chan ending, len(g.parts)*(1+max(g.r.Again, copiesMost)+moreMost+refusedMost))
 	pieces := make(chan piece)
 	write, wrote := make(chan []byte), make(chan error, 1)
 	defer sync.Close(write)
