--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -41,6 +41,7 @@
 	Units                   float64
 	Scheduler               int
 	At, GivesUp             time.Duration
+	Of                      string // of a part of a gathered read: the client's request, whose end is the part's; "": it is a client's
 }
 
 // Sent is an attempt as its node saw it. Whole, Ended: Never where that was not.
@@ -168,7 +169,9 @@
 		c.ends[a.ID] = append(c.ends[a.ID], a)
 	}
 	for _, t := range h.Taken {
-		c.answers(t)
+		if t.Of == "" {
+			c.answers(t)
+		}
 		c.attempts(t)
 	}
 	c.strays()
@@ -203,6 +206,11 @@
 
 func (c *check) answers(t Taken) {
 	ends, sent := c.ends[t.ID], c.sent[t.ID]
+	for _, p := range c.h.Taken { // what its parts sent is its own
+		if p.Of == t.ID {
+			sent = append(slices.Clip(sent), c.sent[p.ID]...)
+		}
+	}
 	if len(ends) != 1 {
 		c.say("answer", t.ID, "", "ended %d times", len(ends))
 		return
@@ -244,7 +252,7 @@
 				c.say("two-out", t.ID, s.Node, "sent at %v while one was out at %s", s.First, before.Node)
 			}
 		}
-		for _, a := range c.ends[t.ID] {
+		for _, a := range c.ends[cmp.Or(t.Of, t.ID)] {
 			if (a.End == Whole || a.End == Left) && s.First > a.At+c.r.Slack && !c.stood(a.At, min(s.First, a.At+stoodMost)) {
 				c.say("late", t.ID, s.Node, "sent at %v, ended at %v", s.First, a.At)
 			}
--- a/internal/lab/audit/audit_test.go
+++ b/internal/lab/audit/audit_test.go
@@ -42,6 +42,19 @@
 	return h
 }
 
+// gathered is a read of which n parts were sent, the last of them so long after its start.
+func gathered(n int, plan string, last time.Duration) (h History) {
+	h = one("g", "read", 0)
+	h.Sent, h.Executed = nil, nil
+	for i := range n {
+		o := one(fmt.Sprint("g/", i, "/1"), "read", last*time.Duration(i)/time.Duration(n))
+		o.Taken[0].Of, o.Taken[0].Plan, o.Answered = "g", plan, nil
+		h.add(o)
+	}
+	h.Answered[0].At = 30 * ms
+	return h
+}
+
 func drained(h History, word Word) History {
 	h.Changed = []Change{{"a", word, 0}}
 	h.Told = []Told{{0, "a", word, 10 * ms}}
@@ -113,6 +126,10 @@
 		{"limit", "limit", many(8, "small")},
 		{"in the limit", "", many(6, "small")},
 		{"no limit", "", many(60, "basic")},
+		{"parts", "", gathered(6, "small", 20*ms)},
+		{"parts over the limit", "limit", gathered(8, "small", 20*ms)},
+		{"a part after the read's end", "late", gathered(4, "basic", 200*ms)},
+		{"a part of nobody", "stray", edit("read", func(h *History) { h.Sent[0].ID = "g/0/1"; h.Executed = nil })},
 		{"cold", "cold", History{Cold: []Change{{Node: "a"}}}.with(many(8, "basic"))},
 		{"in the budget", "", History{Cold: []Change{{Node: "a"}}}.with(many(7, "basic"))},
 	} {
--- a/internal/lab/procs/history.go
+++ b/internal/lab/procs/history.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"wheatsaddle/internal/lab/audit"
@@ -36,14 +37,19 @@
 		}
 		return t.Sub(f.start)
 	}
+	type from struct { // in order; a port may come again
+		link.Conn
+		scheduler int
+	}
+	parts := partsOf(h.Taken)
 	for j, n := range f.nodes {
-		conns := map[string][]link.Conn{} // in order; a port may come again
+		conns := map[string][]from{}
 		for i := range f.storage {
 			if f.storage[i][j] == nil {
 				continue
 			}
 			for _, c := range f.storage[i][j].Conns() {
-				conns[c.Out] = append(conns[c.Out], c)
+				conns[c.Out] = append(conns[c.Out], from{c, i})
 			}
 		}
 		name := f.opt.Nodes[j].Name
@@ -56,6 +62,9 @@
 				if !c.Ended.IsZero() {
 					s.Ended = min(s.Ended, max(at(c.Ended), s.First))
 				}
+				if t, ok := parts(a.ID, c.scheduler, s.First); ok {
+					h.Taken = append(h.Taken, t)
+				}
 				break
 			}
 			h.Sent = append(h.Sent, s)
@@ -68,6 +77,25 @@
 	return h
 }
 
+// partsOf makes the parts of gathered reads, which no client sent, requests of the scheduler that sent them, one for each of
+// their ids (the client's, a slash and more).
+func partsOf(taken []audit.Taken) func(id string, scheduler int, at time.Duration) (audit.Taken, bool) {
+	byID := map[string]audit.Taken{}
+	for _, t := range taken {
+		byID[t.ID] = t
+	}
+	return func(id string, scheduler int, at time.Duration) (audit.Taken, bool) {
+		of, _, part := strings.Cut(id, "/")
+		t, known := byID[of]
+		if _, seen := byID[id]; seen || !part || !known {
+			return t, false
+		}
+		t.ID, t.Of, t.Scheduler, t.At = id, of, scheduler, at
+		byID[id] = t
+		return t, true
+	}
+}
+
 // Rules are the auditor's figures out of the daemons' settings.
 func (f *Fleet) Rules() audit.Rules {
 	set := f.settings
--- a/internal/lab/procs/procs_test.go
+++ b/internal/lab/procs/procs_test.go
@@ -71,6 +71,9 @@
 		opt.Daemons = 3
 	}
 	for j := range 4 {
+		if len(opt.Nodes) > j { // the row's own
+			break
+		}
 		opt.Nodes = append(opt.Nodes, Storage{Name: fmt.Sprint("s", j), Shard: j / 2,
 			Service: func(*fasthttp.Request) time.Duration { return service }})
 	}
