scatter: a peer is asked over a connection that no copy goes past

Cause: TestNoRefusedSystemCalls named tree_ask.go, which dialled a plain TCP connection; where splice is refused a copy to it fails.

Change: sock.DialTCP as elsewhere.

Measured: the rule's test and those of scatter pass.

--- a/internal/scatter/tree_ask.go
+++ b/internal/scatter/tree_ask.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 	"wheatsaddle/gather"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/sock"
 )
 
 const (
@@ -360,8 +360,7 @@
 		t.count(func(n *TreeCounts) { n.Connected-- })
 		<-t.slots[x.Peer]
 	}()
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", t.addrs[x.Peer])
+	nc, err := sock.DialTCP(ctx, t.addrs[x.Peer], 0) // until the context ends
 	if err != nil {
 		return failed(err.Error()), 0
 	}
