--- a/cmd/wheatsaddle/peers.go
+++ b/cmd/wheatsaddle/peers.go
@@ -27,6 +27,7 @@
 // fleet is what this process tells the others and hears from them; nil: the site's file has no section peers.
 type fleet struct {
 	peers    *peers.Peers
+	begin    *starter // nil: the site's file has no section start
 	coldSpan float64
 	types    config.NodeTypes
 	most     int // nodes that are told of
@@ -53,7 +54,7 @@
 	return nil
 }
 
-func startFleet(at *config.Site, conf *config.Config, log logrus.FieldLogger) (*fleet, error) {
+func startFleet(at *config.Site, conf *config.Config, begin *starter, log logrus.FieldLogger) (*fleet, error) {
 	if err := mayPeer(at, conf.Settings); err != nil || at.Peers == nil {
 		if err != nil {
 			log.WithFields(operr.Fields(err)).Error("peers are off")
@@ -65,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{coldSpan: conf.Settings.ColdSpan, most: s.State.Nodes, nodes: map[string]listed{}}
+	f := &fleet{begin: begin, coldSpan: conf.Settings.ColdSpan, most: s.State.Nodes, nodes: map[string]listed{}}
 	if at.Estimate != nil {
 		f.types = at.Estimate.Types
 	}
@@ -73,7 +74,7 @@
 	defer f.mu.Unlock()
 	f.peers, err = peers.Start(peers.Options{Name: conf.Name, Incarnation: uint64(time.Now().UnixMilli()), Listen: s.Listen,
 		Advertise: s.Advertise, Seeds: s.Seeds, Via: s.Via, Every: s.Every, Burst: s.Burst, Key: key, State: s.State,
-		Seed: uint64(conf.Seed), Log: log, Tell: f.tell})
+		Seed: uint64(conf.Seed), Log: log, Tell: f.tell, Give: begin.give()})
 	if err != nil {
 		return nil, err
 	}
@@ -101,6 +102,9 @@
 		"peers_overrun_messages":      func(c peers.Counts) int64 { return c.Full },
 		"peers_outcomes":              func(c peers.Counts) int64 { return c.Outcomes },
 		"peers_outcomes_lost":         func(c peers.Counts) int64 { return c.Lost },
+		"peers_given_snapshots":       func(c peers.Counts) int64 { return c.Given },
+		"peers_taken_snapshots":       func(c peers.Counts) int64 { return c.Taken },
+		"peers_unusable_snapshots":    func(c peers.Counts) int64 { return c.Unusable },
 		"observations_messages":       func(c peers.Counts) int64 { return c.State.Messages },
 		"observations_unreadable":     func(c peers.Counts) int64 { return c.State.Unreadable },
 		"observations_later_versions": func(c peers.Counts) int64 { return c.State.LaterVersion },
@@ -203,6 +207,7 @@
 // tell puts the list's nodes and how they stand into the state, before each round. A core that has no time to say
 // it has said it before.
 func (f *fleet) tell(now time.Duration, s *observations.State) {
+	f.begin.told(now, s)
 	f.mu.Lock()
 	co, known := f.core, f.peers
 	f.mu.Unlock()
--- a/cmd/wheatsaddle/peers_test.go
+++ b/cmd/wheatsaddle/peers_test.go
@@ -74,7 +74,7 @@
 	}
 	start := func(name string, seeds ...string) *fleet {
 		site.Peers = &config.SitePeers{Listen: "127.0.0.1:0", Seeds: seeds, Every: 20 * time.Millisecond, Burst: 8, State: state}
-		f, err := startFleet(site, &config.Config{Name: name, Settings: choice.Settings{MayTell: true, ColdSpan: 1e9}}, log)
+		f, err := startFleet(site, &config.Config{Name: name, Settings: choice.Settings{MayTell: true, ColdSpan: 1e9}}, nil, log)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -187,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	others, err := startFleet(at.held, conf, log)
+	others, err := startFleet(at.held, conf, begin, log)
 	if err != nil {
 		return err
 	}
@@ -205,6 +205,7 @@
 	}
 	others.heard(core.News{Kind: choice.ListStale, Nodes: known.Nodes, Index: known.Index})
 	defer begin.stop()
+	begin.ask(others)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/cmd/wheatsaddle/start.go
+++ b/cmd/wheatsaddle/start.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"io/fs"
 	"slices"
@@ -15,11 +16,16 @@
 	"wheatsaddle/internal/coldstart/snapshot"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/observations"
 	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/peers"
 	"wheatsaddle/internal/registry"
 )
 
-const keepEvery = 5 * time.Second // a snapshot is written, and at the stop
+const (
+	keepEvery = 5 * time.Second  // a snapshot is written, and at the stop
+	askFor    = 10 * time.Second // the other processes are asked for one
+)
 
 // starter drives the start of this process; it has no rule of its own. nil: the section is off.
 //
@@ -37,13 +43,14 @@
 	ended  chan struct{} // stop was called
 	kept   chan struct{} // the last snapshot is written
 	over   atomic.Bool
-	said   atomic.Bool // ready
+	said   atomic.Bool        // ready
+	unask  context.CancelFunc // no other process is asked any more; nil: none was
 
 	mu      sync.Mutex // of all below
 	s       *coldstart.Start
 	heard   bool // the list's first word is on its way to the core
 	learned choice.Learned
-	had     map[string]choice.LearnedNode // of learned, by id
+	had     map[string]choice.LearnedNode // of learned, by id; nil: there is none
 	since   map[string]float64            // as the list gives it
 	guess   float64                       // the start that held nodes were given
 	timer   *time.Timer                   // of the next Tick; nil: it was stopped, or none was asked for yet
@@ -319,6 +326,62 @@
 	return b.said.Load()
 }
 
+// ask has one of the other processes hand over what it learned, where there is no snapshot of this one's.
+func (b *starter) ask(others *fleet) {
+	if b == nil || others == nil || b.had != nil {
+		return
+	}
+	ctx, unask := context.WithTimeout(context.Background(), askFor)
+	b.unask = unask
+	go func() {
+		defer unask()
+		others.peers.Ask(ctx, peers.Snapshot, b.take)
+	}()
+}
+
+// take takes what another process handed over.
+func (b *starter) take(text []byte) error {
+	s, err := snapshot.Parse("of a peer", text)
+	if err != nil {
+		return err
+	}
+	b.step(coldstart.Given{Snapshot: b.recalls(s)})
+	return nil
+}
+
+// give is what this process hands over, once its start is over: before, it knows less than others. nil:
+// the section is off.
+func (b *starter) give() func(peers.Kind) []byte {
+	if b == nil {
+		return nil
+	}
+	return func(kind peers.Kind) []byte {
+		if kind != peers.Snapshot || !b.Over() {
+			return nil
+		}
+		s := b.snapshot()
+		if s == nil {
+			return nil
+		}
+		text, err := snapshot.Encode(s)
+		if err != nil {
+			b.log.WithFields(operr.Fields(err)).Warn("no snapshot was handed over")
+			return nil
+		}
+		return text
+	}
+}
+
+// told tells the start what the other processes say of the nodes' starts.
+func (b *starter) told(now time.Duration, s *observations.State) {
+	if b == nil || b.Over() {
+		return
+	}
+	for _, v := range s.Views(now) {
+		b.step(coldstart.Peer{Node: coldstart.Node{ID: v.Node, Since: float64(v.Since)}})
+	}
+}
+
 // keep writes the snapshot from time to time, and at the end.
 func (b *starter) keep() {
 	defer close(b.kept)
@@ -369,6 +432,9 @@
 		return
 	}
 	close(b.ended)
+	if b.unask != nil {
+		b.unask()
+	}
 	<-b.kept
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/cmd/wheatsaddle/start_test.go
+++ b/cmd/wheatsaddle/start_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"path/filepath"
 	"runtime"
 	"sync/atomic"
@@ -12,9 +13,12 @@
 
 	"wheatsaddle/choice"
 	"wheatsaddle/internal/address"
+	"wheatsaddle/internal/coldstart"
 	"wheatsaddle/internal/coldstart/snapshot"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/observations"
+	"wheatsaddle/internal/peers"
 	"wheatsaddle/internal/registry"
 	"wheatsaddle/internal/standin/discovery"
 )
@@ -22,6 +26,7 @@
 // quick is a node that serves at once, and notes what is opened or asked ahead of need.
 type quick struct {
 	core.Peer
+	id    string
 	ahead chan string
 }
 
@@ -29,10 +34,13 @@
 	go a.Done(core.Result{Status: choice.OK})
 	return true
 }
-func (q quick) Connect(func(choice.Status)) bool                    { q.ahead <- "connect"; return true }
-func (q quick) Probe(func(core.Result, time.Duration)) (taken bool) { q.ahead <- "probe"; return true }
-func (quick) Drain(bool)                                            {}
-func (quick) Close()                                                {}
+func (q quick) Connect(func(choice.Status)) bool { q.ahead <- "connect " + q.id; return true }
+func (q quick) Probe(func(core.Result, time.Duration)) (taken bool) {
+	q.ahead <- "probe " + q.id
+	return true
+}
+func (quick) Drain(bool) {}
+func (quick) Close()     {}
 
 // startConf is a scheduler's alone, and startNode its node.
 func startConf() *config.Config {
@@ -51,7 +59,7 @@
 		t.Fatal(err)
 	}
 	co, err := core.New(core.Options{Settings: conf.Settings, Log: log, Start: b.gate(),
-		Connect: func(string, []address.Addr) core.Peer { return quick{ahead: ahead} }})
+		Connect: func(id string, _ []address.Addr) core.Peer { return quick{id: id, ahead: ahead} }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -106,7 +114,7 @@
 	life(func(_ *starter, co *core.Core, ahead chan string) { // nothing is sent: what it knows is the snapshot's
 		for l, _ := co.Learned(); len(l.Nodes) == 0; l, _ = co.Learned() {
 		}
-		if c, p := <-ahead, <-ahead; c != "connect" || p != "probe" {
+		if c, p := <-ahead, <-ahead; c != "connect s" || p != "probe s" {
 			t.Errorf("ahead of need: %s, %s", c, p)
 		}
 	})
@@ -148,8 +156,8 @@
 	}
 	served(t, co)
 
-	b, co, _ = begun(t, set, log, startNode)
-	if b.quiet(); !b.ready(false) {
+	next, co, _ := begun(t, set, log, startNode)
+	if next.quiet(); !next.ready(false) {
 		t.Error("the list held does not hold")
 	}
 	served(t, co)
@@ -166,3 +174,88 @@
 }
 
 func (c counted) Missed() { c.missed.Add(1); c.Pace.Missed() }
+
+// A process that starts without a snapshot has what another learned, once the list says that the node's
+// start is the same; what cannot be read is counted, and the next is asked. Another that starts hands
+// nothing over.
+func TestPeerHandsOver(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	set := &config.SiteStart{On: true, ListMost: 40, Ahead: 1}
+	site := &config.Site{Peers: &config.SitePeers{Listen: "127.0.0.1:0", Every: 20 * time.Millisecond, Burst: 8, State: observations.Defaults()}}
+	join := func(name string, b *starter) *fleet {
+		f, err := startFleet(site, &config.Config{Name: name, Settings: choice.Settings{MayTell: true}}, b, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(f.stop)
+		site.Peers.Seeds = append(site.Peers.Seeds, f.peers.Address())
+		return f
+	}
+	list := core.News{Kind: choice.ListFull, Nodes: []core.Node{startNode}}
+	old, co, _ := begun(t, set, log)
+	old.list(list)
+	served(t, co)
+	for old.snapshot() == nil {
+		runtime.Gosched()
+	}
+	if len(old.give()(peers.Snapshot)) > 0 {
+		t.Error("handed over while it starts")
+	}
+	old.over.Store(true)
+	join("old", old)
+	liar, err := peers.Start(peers.Options{Name: "liar", Listen: "127.0.0.1:0", Seeds: site.Peers.Seeds, Every: 20 * time.Millisecond, Burst: 8,
+		State: observations.Defaults(), Log: log, Give: func(peers.Kind) []byte { return []byte("wslearn\x01 but torn") }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(liar.Stop)
+	site.Peers.Seeds = append(site.Peers.Seeds, liar.Address())
+	for life, met := 0, false; !met; life++ { // until one of them asked the liar first
+		b, co, ahead := begun(t, set, log)
+		f := join(fmt.Sprint("new-", life), b)
+		for f.peers.Counts().Members < 3 {
+			runtime.Gosched()
+		}
+		b.ask(f)
+		b.list(list)
+		if s := <-ahead; s != "connect s" {
+			t.Errorf("ahead of need: %s", s)
+		}
+		for l, _ := co.Learned(); len(l.Nodes) == 0; l, _ = co.Learned() { // nothing was sent
+		}
+		n := f.peers.Counts()
+		if met = n.Unusable > 0; n.Taken != 1 {
+			t.Fatalf("%+v", n)
+		}
+		f.stop()
+		site.Peers.Seeds = site.Peers.Seeds[:2]
+	}
+}
+
+// What the other processes say of a node's start reaches the start: of a later one it is not opened ahead.
+func TestPeersWordOfAStart(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	set := &config.SiteStart{On: true, ListPriced: true, ListMost: 0.1, Ahead: 2, Snapshot: filepath.Join(t.TempDir(), "learned")}
+	slot := func(id string) time.Duration { return coldstart.Slot(time.Second, "connect", "n0", id) }
+	first, last := "a", "b"
+	if slot(first) > slot(last) {
+		first, last = last, first
+	}
+	node := func(id string, shard int) core.Node {
+		return core.Node{Node: choice.Node{ID: id, Shard: shard, Since: 5, Weight: 1}}
+	}
+	if err := snapshot.Write(set.Snapshot, &snapshot.Snapshot{Made: time.Now(), Nodes: []snapshot.NodeState{{ID: first, Since: 5}, {ID: last, Since: 5}}}); err != nil {
+		t.Fatal(err)
+	}
+	s, err := observations.New(observations.Defaults(), "other", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.SetNode(0, first, 6, observations.Health{})
+	s.SetNode(0, last, 5, observations.Health{})
+	b, _, ahead := begun(t, set, log, node("a", 0), node("b", 1))
+	b.told(0, s)
+	if got := <-ahead; got != "connect "+last {
+		t.Errorf("ahead of need: %s, want %s alone", got, last)
+	}
+}
--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -12,6 +12,8 @@
 //     call that is turned away is followed by none within half of the gap; none once the list spoke.
 //   - told: the first call comes before what the list says counts as told; that goes before the spread.
 //   - restarts: nothing that the snapshot has of a node is recalled, unless the list gives the same start.
+//   - peers: what another process says, or hands over, takes no care away: no node is warm before the list
+//     says so, whatever comes, and what the process learned itself goes before.
 //   - bounds: at most NodesMost nodes are held; what is past them is not opened ahead nor shut.
 //
 // It knows no clock and does no I/O. It does not decide which request goes to which node: choice does,
@@ -41,15 +43,18 @@
 	factor  int
 	heardAt time.Duration
 	heldAt  time.Duration // the held list is in use from here
+	givenAt time.Duration // another process's snapshot came then
 	until   time.Duration // learning ends: no node is cold any more
 	any     node          // stands for requests to any node
 	loss    loss          // of one rule: for tests
 }
 
 type node struct {
-	since   float64
+	since   float64       // its start as the list gives it, or gave it when it was held
+	had     float64       // ... as the snapshot has it
+	listed  bool          // the list has spoken of it
 	guessed bool          // taken for one that has just started
-	learned bool          // the snapshot has it
+	learned bool          // the snapshot has it, of this life as far as known
 	linked  bool          // a connection was opened ahead, or it answered
 	shut    time.Duration // a node that was full or slow to connect rests until then
 	gap     time.Duration
@@ -88,6 +93,8 @@
 		s.shut(now, e.Node)
 	case Answered:
 		s.answered(e.Node)
+	case Given:
+		s.given(now, e.Snapshot)
 	case Peer:
 		s.told(e.Node)
 	case Asked:
@@ -121,17 +128,7 @@
 			s.nodes[n.ID] = &node{since: n.Since}
 		}
 	}
-	for _, n := range e.Snapshot {
-		x := s.nodes[n.ID]
-		if x == nil && len(s.nodes) < s.set.NodesMost {
-			x = &node{}
-			s.nodes[n.ID] = x
-		}
-		if x != nil && !x.learned {
-			x.since, x.learned = n.Since, true
-			s.used = append(s.used, n.ID)
-		}
-	}
+	s.learn(e.Snapshot)
 	if len(e.HeldList) == 0 {
 		return
 	}
@@ -147,6 +144,33 @@
 	}
 }
 
+// learn notes what a snapshot has. Once the list has spoken, nodes of the same start alone.
+func (s *Start) learn(snapshot []Node) {
+	for _, n := range snapshot {
+		x := s.nodes[n.ID]
+		if x == nil && s.phase < Heard && len(s.nodes) < s.set.NodesMost {
+			x = &node{}
+			s.nodes[n.ID] = x
+		}
+		if x == nil || x.learned || s.phase >= Heard && (!x.listed || x.since != n.Since) {
+			continue
+		}
+		x.had, x.learned = n.Since, true
+		s.used = append(s.used, n.ID)
+		if s.phase >= Heard {
+			s.act(Recall{n.ID})
+		}
+	}
+}
+
+// given takes another process's snapshot, where there is none of the process's own.
+func (s *Start) given(now time.Duration, snapshot []Node) {
+	if s.begun && s.phase < Serving && len(s.used) == 0 {
+		s.givenAt = now
+		s.learn(snapshot)
+	}
+}
+
 // part is this process's part of what a node bears that has just started.
 func (s *Start) part() float64 {
 	if s.loss == "parts" {
@@ -172,10 +196,10 @@
 			if len(s.nodes) >= s.set.NodesMost {
 				continue
 			}
-			x = &node{since: n.Since}
+			x = &node{}
 			s.nodes[n.ID] = x
 		}
-		same := x.since == n.Since || s.loss == "restarts"
+		same := x.had == n.Since || s.loss == "restarts"
 		if x.guessed && s.inUse {
 			s.act(Warm{n.ID})
 		}
@@ -186,17 +210,22 @@
 			s.act(ColdPart{n.ID, s.part(), n.At})
 			s.until = max(s.until, min(n.At, now)+s.set.ColdSpan)
 		}
-		x.since, x.guessed = n.Since, false
+		x.since, x.guessed, x.listed = n.Since, false, true
 	}
 }
 
-// told takes a peer's word on a node's start while the list has not spoken.
+// told takes a peer's word on a node's start while the list has not spoken. Of a later start than what
+// was learned, the node is not opened ahead. That a node has not started anew is the list's to say: a
+// peer that is wrong, or lies, would have a cold one taken for warm.
 func (s *Start) told(n Node) {
 	x := s.nodes[n.ID]
-	if x == nil || !x.guessed || !s.inUse || s.phase >= Heard {
+	if x == nil || s.phase >= Heard {
 		return
 	}
-	if x.since == n.Since {
+	if n.Since > x.had {
+		x.learned = false
+	}
+	if s.loss == "peers" && x.guessed && s.inUse && x.since == n.Since {
 		x.guessed = false
 		s.act(Warm{n.ID})
 	}
@@ -327,7 +356,7 @@
 	if s.phase == Held {
 		from = s.heldAt
 	}
-	return from + Slot(connectFor, "connect", s.set.Name, id)
+	return max(from, s.givenAt) + Slot(connectFor, "connect", s.set.Name, id)
 }
 
 // link opens what is due of the connections ahead: to the nodes that the last life used most.
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -85,6 +86,29 @@
 		t.Errorf("ready: %v, phase %v", ready, s.Phase())
 	}
 
+	// A snapshot that is handed over: before the list it waits for it, after it what still holds is recalled,
+	// and connections are opened ahead from then on. A peer's word of a later start keeps one from it.
+	for at, want := range map[time.Duration]string{500 * ms: "[b]", 3 * time.Second: "[b]"} {
+		s, _ = New(set(300, "h", true))
+		all = run(t, s, 25*time.Second, map[time.Duration]Event{0: Begun{HeldList: list}, at: Given{[]Node{{ID: "b", Since: 7}, {ID: "c", Since: 8}, {ID: "x"}}},
+			600 * ms: Peer{Node{ID: "c", Since: 9}}, 700 * ms: Peer{Node{ID: "a"}}, 2500 * ms: ListSpoke{list}, 4 * time.Second: Given{[]Node{{ID: "a"}}}})
+		var recalled, opened []string
+		for _, d := range find[Recall](all) {
+			recalled = append(recalled, d.a.(Recall).Node)
+		}
+		for _, d := range find[Connect](all) {
+			if opened = append(opened, d.a.(Connect).Node); d.at < at {
+				t.Errorf("opened at %v, given at %v", d.at, at)
+			}
+		}
+		if fmt.Sprint(recalled) != want || slices.Contains(opened, "c") || !slices.Contains(opened, "b") {
+			t.Errorf("given at %v: recalled %v, opened %v", at, recalled, opened)
+		}
+		if w := find[Warm](all); len(w) != 3 || w[0].at != 2500*ms {
+			t.Errorf("warm: %v", w)
+		}
+	}
+
 	s, _ = New(set(300, "h", false)) // pushed: asked at once, nothing is sent before it or a second
 	all = run(t, s, time.Second, map[time.Duration]Event{0: Begun{HeldList: list}, 100 * ms: ListRefused{}, 120 * ms: Asked{"a"}})
 	if ask := find[AskList](all); len(ask) < 2 || ask[0].at != 0 || ask[1].at > 100*ms+askGap*3/2+10*ms {
@@ -150,7 +174,7 @@
 		return Node{ids.Draw(t, "id"), float64(rapid.IntRange(0, 2).Draw(t, "since")), 0}
 	}), 0, 6)
 	now, wake, refusedAt := time.Duration(0), time.Duration(0), time.Duration(-1)
-	snapshot, listed, heard := map[string]float64{}, map[string]float64{}, false
+	snapshot, listed, heard := map[string][]float64{}, map[string]float64{}, false
 	readies, phase := 0, Nothing
 	step := func(e Event) error {
 		_, wasRefused := e.(ListRefused)
@@ -170,9 +194,13 @@
 					return fmt.Errorf("list: asked at %v, refused at %v, heard: %v", now, refusedAt, heard)
 				}
 			case Recall:
-				if snapshot[a.Node] != listed[a.Node] {
+				if start, ok := listed[a.Node]; !ok || !slices.Contains(snapshot[a.Node], start) {
 					return fmt.Errorf("restarts: recalled %s", a.Node)
 				}
+			case Warm:
+				if _, ok := e.(ListSpoke); !ok {
+					return fmt.Errorf("peers: %s is warm by %T", a.Node, e)
+				}
 			}
 		}
 		if wasRefused && calling && !heard {
@@ -190,11 +218,12 @@
 		return nil
 	}
 	begun := Begun{nodes.Draw(t, "held"), nodes.Draw(t, "snapshot")}
-	for _, n := range begun.Snapshot {
-		if _, twice := snapshot[n.ID]; !twice {
-			snapshot[n.ID] = n.Since
+	knows := func(ns []Node) { // the first of a node counts
+		for _, n := range slices.Backward(ns) {
+			snapshot[n.ID] = []float64{n.Since}
 		}
 	}
+	knows(begun.Snapshot)
 	if err := step(begun); err != nil {
 		return err
 	}
@@ -209,7 +238,7 @@
 		now = to
 		var e Event
 		id := ids.Draw(t, "node")
-		switch rapid.IntRange(0, 9).Draw(t, "kind") {
+		switch rapid.IntRange(0, 10).Draw(t, "kind") {
 		case 0:
 			spoke := ListSpoke{nodes.Draw(t, "listed")}
 			seen := map[string]bool{}
@@ -233,7 +262,17 @@
 		case 6:
 			e = Turned{id}
 		case 7:
-			e = Peer{Node{ID: id}}
+			e = Peer{Node{ID: id, Since: float64(rapid.IntRange(0, 2).Draw(t, "told"))}}
+		case 8:
+			given := Given{nodes.Draw(t, "given")}
+			if e = given; len(s.used) == 0 {
+				for _, n := range given.Snapshot { // heard: the one of the list's start counts
+					snapshot[n.ID] = append(snapshot[n.ID], n.Since)
+				}
+				if !heard {
+					knows(given.Snapshot)
+				}
+			}
 		default:
 			e = Asked{id}
 		}
@@ -270,7 +309,7 @@
 
 // Each rule's loss is found by the line of its own.
 func TestLossesAreFound(t *testing.T) {
-	for _, rule := range []string{"phases", "ready", "refusals", "list", "restarts"} {
+	for _, rule := range []string{"phases", "ready", "refusals", "list", "restarts", "peers"} {
 		found := ""
 		gen := rapid.Custom(func(t *rapid.T) string {
 			if err := follow(t, loss(rule)); err != nil {
--- a/internal/coldstart/events.go
+++ b/internal/coldstart/events.go
@@ -47,6 +47,8 @@
 	Asked struct{ Node string }
 	// Turned is a request that the decisions refuse: Refuse words it.
 	Turned struct{ Node string }
+	// Given is a snapshot that another process has handed over, the most used nodes first.
+	Given struct{ Snapshot []Node }
 	// Peer is what another process says of a node's start.
 	Peer struct{ Node Node }
 	// Tick is time that has passed: what WakeAt asked for.
@@ -61,6 +63,7 @@
 func (Answered) event()    {}
 func (Asked) event()       {}
 func (Turned) event()      {}
+func (Given) event()       {}
 func (Peer) event()        {}
 func (Tick) event()        {}
 
@@ -80,7 +83,7 @@
 		Units float64
 		At    time.Duration
 	}
-	// Warm takes back what ColdPart assumed: the list's (or a peer's) word on the node's start holds.
+	// Warm takes back what ColdPart assumed: the list's word on the node's start holds.
 	Warm struct{ Node string }
 	// Recall takes what the snapshot has of a node: its start is the same.
 	Recall struct{ Node string }
--- a/internal/coldstart/snapshot/snapshot.go
+++ b/internal/coldstart/snapshot/snapshot.go
@@ -134,6 +134,19 @@
 
 // Decode reads the file's bytes.
 func Decode(path string, text []byte, now time.Time) (*Snapshot, error) {
+	s, err := Parse(path, text)
+	if err != nil {
+		return nil, err
+	}
+	if age := now.Sub(s.Made); age > MaxAge || age < -skew {
+		return nil, &Unusable{path, "old", fmt.Sprintf("made %s before now", age.Round(time.Millisecond))}
+	}
+	return s, nil
+}
+
+// Parse reads the bytes of a snapshot whose age is known otherwise: another process made it when asked,
+// and no clock is compared.
+func Parse(path string, text []byte) (*Snapshot, error) {
 	bad := func(why, form string, args ...any) (*Snapshot, error) {
 		return nil, &Unusable{path, why, fmt.Sprintf(form, args...)}
 	}
@@ -155,9 +168,6 @@
 	if err := json.Unmarshal(body, s); err != nil || s.Version != Version {
 		return bad("foreign", "version %d, %v", s.Version, err)
 	}
-	if age := now.Sub(s.Made); age > MaxAge || age < -skew {
-		return bad("old", "made %s before now", age.Round(time.Millisecond))
-	}
 	return s, nil
 }
 
@@ -189,7 +199,10 @@
 	if err != nil {
 		return &Failed{path, "encode", err}
 	}
-	f, err := os.CreateTemp(filepath.Dir(path), "."+filepath.Base(path)+".*")
+	// One name: a process that is killed while it writes leaves one behind, and not one at each kill.
+	beside := filepath.Join(filepath.Dir(path), "."+filepath.Base(path)+".new")
+	os.Remove(beside)
+	f, err := os.OpenFile(beside, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
 	if err != nil {
 		return &Failed{path, "create", err}
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -31,11 +31,14 @@
 	"wheatsaddle/internal/sock"
 )
 
-// What is sent: a digest that asks for one in return, one that does not, or cells.
+// What is sent: a digest that asks for one in return, one that does not, cells, or what is asked for by
+// one that starts and given to it.
 const (
 	tagAsk = 'a' + iota
 	tagReply
 	tagCells
+	tagWant
+	tagGive
 )
 
 const (
@@ -63,6 +66,7 @@
 	State       observations.Settings
 	Seed        uint64
 	Tell        func(now time.Duration, s *observations.State) // before each round, to say what else is known; may be nil
+	Give        func(Kind) []byte                              // what is handed over to one that asks; empty: nothing; may be nil
 	Log         logrus.FieldLogger
 	Transport   memberlist.NodeAwareTransport // tests: instead of the network
 	Since       func() time.Duration          // tests: the clock; nil: since Start
@@ -82,6 +86,9 @@
 	Left     int64 // ... left for a later round
 	Outcomes int64 // taken
 	Lost     int64 // ... and left out: the buffer was full
+	Given    int64 // handed over to others
+	Taken    int64 // handed over by others
+	Unusable int64 // ... and dropped: not asked for, too long, or not readable
 }
 
 // outcome is counted as of when it is drained: Every at most after it was, a small part of a half-life.
@@ -126,7 +133,9 @@
 	turns []string
 	rand  *rand.Rand
 
-	asks, messages int // taken since the last round, by run alone
+	hand handOver
+
+	asks, messages, wants int // taken since the last round, by run alone
 
 	rounds, received, in, sent, out, unsent, full, left atomic.Int64
 }
@@ -310,7 +319,8 @@
 // Counts are the figures now.
 func (p *Peers) Counts() Counts {
 	c := Counts{Members: int64(p.list.NumMembers()), Rounds: p.rounds.Load(), Received: p.received.Load(), In: p.in.Load(),
-		Sent: p.sent.Load(), Out: p.out.Load(), Unsent: p.unsent.Load(), Full: p.full.Load(), Left: p.left.Load()}
+		Sent: p.sent.Load(), Out: p.out.Load(), Unsent: p.unsent.Load(), Full: p.full.Load(), Left: p.left.Load(),
+		Given: p.hand.given.Load(), Taken: p.hand.taken.Load(), Unusable: p.hand.unusable.Load()}
 	p.mu.Lock()
 	sync.Reads(p.state)
 	c.State = p.state.Counts()
@@ -379,7 +389,7 @@
 // round sends the digest to the next member.
 func (p *Peers) round() {
 	p.rounds.Add(1)
-	p.asks, p.messages = 0, 0
+	p.asks, p.messages, p.wants = 0, 0, 0
 	members := map[string]*memberlist.Node{}
 	for _, n := range p.list.Members() {
 		if n.Name != p.opt.Name {
@@ -441,6 +451,10 @@
 		p.full.Add(1)
 		return
 	}
+	if tag == tagWant {
+		p.wanted(m)
+		return
+	}
 	p.mu.Lock()
 	sync.Writes(p.state)
 	now := p.opt.Since()
@@ -518,6 +532,10 @@
 	if len(b) == 0 {
 		return
 	}
+	if b[0] == tagGive {
+		d.hand.came(b[1:])
+		return
+	}
 	if !sync.TrySend(d.inbox, append([]byte(nil), b...)) {
 		d.full.Add(1)
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -102,6 +102,7 @@
 	w     *world
 	peers []*Peers
 	seeds []string
+	give  func(i int) func(Kind) []byte
 }
 
 func quiet() logrus.FieldLogger {
@@ -120,7 +121,11 @@
 }
 
 func (c *crowd) start(i int, incarnation uint64, f *faulty) *Peers {
-	p, err := Start(Options{Name: fmt.Sprint("p", i), Incarnation: incarnation, Listen: f.me, Seeds: c.seeds, Every: 20 * time.Millisecond,
+	var give func(Kind) []byte
+	if c.give != nil {
+		give = c.give(i)
+	}
+	p, err := Start(Options{Give: give, Name: fmt.Sprint("p", i), Incarnation: incarnation, Listen: f.me, Seeds: c.seeds, Every: 20 * time.Millisecond,
 		Burst: 8, State: observations.Defaults(), Seed: uint64(i), Log: quiet(), Transport: f})
 	if err != nil {
 		c.t.Fatal(err)
@@ -128,8 +133,10 @@
 	return p
 }
 
-func gather(t *testing.T, n int, share float64) *crowd {
-	c := &crowd{t: t, w: &world{rand: rand.New(rand.NewPCG(20261201, uint64(n))), share: share, half: map[string]int{}}}
+func gather(t *testing.T, n int, share float64) *crowd { return giving(t, n, share, nil) }
+
+func giving(t *testing.T, n int, share float64, give func(i int) func(Kind) []byte) *crowd {
+	c := &crowd{t: t, give: give, w: &world{rand: rand.New(rand.NewPCG(20261201, uint64(n))), share: share, half: map[string]int{}}}
 	var ways []*faulty
 	for i := range n {
 		f := c.transport(0)
