--- a/internal/core/ahead_test.go
+++ b/internal/core/ahead_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -56,3 +57,43 @@
 		t.Errorf("told %v, want %v", b.ended, want)
 	}
 }
+
+// What was learned comes with the nodes used most first; what was used long ago counts for less, and a
+// node that left is forgotten.
+func TestLearnedInOrderOfUse(t *testing.T) {
+	r := start(t, settings())
+	r.opt.Start = &begins{over: true}
+	ids := []string{"a", "b", "c", "d"}
+	var list []Node
+	for shard, id := range ids {
+		list = append(list, node(id, shard, choice.NodeUp))
+	}
+	r.list(choice.ListFull, list...)
+	for shard, times := range []int{2, 4, 3, 1} {
+		for i := range times {
+			id, got := fmt.Sprint(ids[shard], i), make(chan Answer, 8)
+			r.Submit(&Request{Request: choice.Request{ID: id, Class: "read", Plan: "basic", Volume: "v", Units: 1, Hosts: 1, Shard: shard},
+				Arrived: time.Now(), Patience: time.Minute, Answer: func(a Answer) { got <- a }})
+			(<-r.peer(ids[shard]).sent).Done(Result{Status: choice.OK})
+			one(t, got, Served)
+		}
+	}
+	order := func() (got string) {
+		l, _ := r.Learned()
+		for _, n := range l.Nodes {
+			got += n.ID
+		}
+		return got
+	}
+	if got := order(); got != "bcad" {
+		t.Errorf("%s", got)
+	}
+	r.call(func(now float64) ([]string, error) { r.uses["b"] = use{4, now - 4*useHalf}; return nil, nil })
+	if got := order(); got != "cadb" {
+		t.Errorf("%s", got)
+	}
+	r.list(choice.ListFull, list[:2]...)
+	if r.call(func(float64) ([]string, error) { return nil, nil }); len(r.uses) != 2 {
+		t.Errorf("%d nodes are held", len(r.uses))
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -253,6 +253,7 @@
 	untold  int       // late ends since
 
 	recalled choice.Learned // to be given to the module after the next step
+	uses     map[string]use // by node of the list
 }
 
 // New checks the settings and starts the actor.
@@ -269,7 +270,7 @@
 	c := &Core{opt: opt, mod: mod, mail: make(chan message, mailboxSize), stop: make(chan struct{}),
 		ended: make(chan struct{}), origin: now, base: float64(now.UnixMicro()) / 1000,
 		reqs: map[string]*entry{}, peers: map[string]Peer{}, nodes: map[string]Node{},
-		classes: map[string]bool{}, plans: map[string]bool{}, book: book, control: make(chan message, controlSize)}
+		uses: map[string]use{}, classes: map[string]bool{}, plans: map[string]bool{}, book: book, control: make(chan message, controlSize)}
 	book.Load(c.clock(now), opt.Excluded)
 	names := []string{}
 	for _, k := range opt.Settings.Classes {
@@ -684,6 +685,7 @@
 	p, ok := c.peers[a.Node]
 	if ok {
 		t.peer = p
+		c.used(a.Node, now)
 	}
 	if !ok || e.answered || !p.Send(t) {
 		// Never written: told to the module in the next step, so that no mailbox is waited for.
@@ -754,6 +756,7 @@
 		p.Close()
 		delete(c.peers, id)
 		delete(c.nodes, id)
+		delete(c.uses, id)
 	}
 }
 
--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -1,6 +1,9 @@
 package core
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"wheatsaddle/choice"
@@ -39,16 +42,47 @@
 	return id
 }
 
-// Learned tells what the module learned; false: the actor has ended.
+// use is how many attempts a node had; one that is useHalf old counts for half.
+type use struct{ n, at float64 }
+
+const useHalf = 30e3 // ms
+
+func (u use) now(now float64) float64 { return u.n * math.Exp2((u.at-now)/useHalf) }
+
+// used counts an attempt to a node of the list, where a start is to know of it.
+func (c *Core) used(node string, now float64) {
+	if c.opt.Start != nil {
+		c.uses[node] = use{c.uses[node].now(now) + 1, now}
+	}
+}
+
+// Learned tells what the module learned, the nodes used most first; false: the actor has ended.
 func (c *Core) Learned() (choice.Learned, bool) {
-	got := make(chan choice.Learned, 1)
-	c.post(message{call: func() { got <- c.mod.Learned() }})
+	type node struct {
+		choice.LearnedNode
+		use float64
+	}
+	var l choice.Learned
+	var nodes []node
+	done := make(chan struct{})
+	c.post(message{call: func() {
+		l = c.mod.Learned()
+		now := c.clock(time.Now())
+		for _, n := range l.Nodes {
+			nodes = append(nodes, node{n, c.uses[n.ID].now(now)})
+		}
+		close(done)
+	}})
 	select {
-	case l := <-got:
-		return l, true
+	case <-done:
 	case <-c.ended:
 		return choice.Learned{}, false
 	}
+	slices.SortStableFunc(nodes, func(a, b node) int { return cmp.Compare(b.use, a.use) })
+	for i := range nodes {
+		l.Nodes[i] = nodes[i].LearnedNode
+	}
+	return l, true
 }
 
 // Recall gives the module what an earlier life learned, after the news that were handed over before.
