--- a/internal/config/gather.go
+++ b/internal/config/gather.go
@@ -88,6 +88,9 @@
 		if !known[name] {
 			return &KeyError{File: "site", Key: at + "classes." + name, Says: "the configuration has no such class"}
 		}
+		if why := g.Tree.fits(r, g.PartsMost); why != "" {
+			return &KeyError{File: "site", Key: at + "classes." + name + ".memory.bytes", Says: why}
+		}
 		if most := memoryMB << 20 / gatherMemory; g.Reads*(g.Tree.merges()*r.Memory.Bytes+g.PartsMost*partMemory) > most {
 			return &KeyError{File: "site", Key: "gather.reads_at_once", Says: fmt.Sprintf(
 				"%d reads of %d merges (tree.fan_out and one) of %d bytes (%sclasses.%s.memory.bytes) and %d parts of %d are over the %d bytes kept for them, a quarter of limits.memory_mb",
--- a/internal/config/gather_tree.go
+++ b/internal/config/gather_tree.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"wheatsaddle/gather"
 )
 
 // SiteTree is what the section gather says of peers: parts of a read are handed on to them.
@@ -62,3 +64,11 @@
 	}
 	return 1 + t.FanOut
 }
+
+// fits says what is wrong with a class's memory: where all peers rest, one merge has all parts of a read.
+func (t *SiteTree) fits(r *gather.Rules, parts int) (why string) {
+	if least := 2 * r.Records.MaxBytes * (parts + 1); t != nil && r.Memory.Bytes < least {
+		why = fmt.Sprintf("is under %d, what %d parts (parts_most) need where no peer takes any: two records (records.max_bytes) each", least, parts)
+	}
+	return why
+}
--- a/internal/config/gather_tree_test.go
+++ b/internal/config/gather_tree_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestGatherTree(t *testing.T) {
-	const rules = `"rules":{"classes":{"c":{"order":[{"key":"k","type":"integer"}],"memory":{"bytes":1048576}}}}`
+	const rules = `"rules":{"classes":{"c":{"order":[{"key":"k","type":"integer"}],"memory":{"bytes":1048576},"records":{"max_bytes":4096}}}}`
 	read := func(more string) (*Site, error) { return ParseSite([]byte(`{"gather":{` + rules + more + `}}`)) }
 	s, err := read("")
 	if err != nil || s.Gather.Tree != nil || s.Gather.Tree.merges() != 1 {
@@ -33,6 +33,10 @@
 	if err = s.Gather.Check(set, 230); !errors.As(err, &key) || !strings.Contains(err.Error(), "fan_out") {
 		t.Error(err)
 	}
+	s.Gather.PartsMost = 128
+	if err = s.Gather.Check(set, 1024); !errors.As(err, &key) || key.Key != "gather.rules.classes.c.memory.bytes" {
+		t.Error(err)
+	}
 	one := `,"peers":[{"name":"a","address":"127.0.0.1:1"}]`
 	for text, want := range map[string]string{
 		`,"tree":{}`:                                          "gather.tree",
