The start's phases walked in every order

The starter was open in the walks. It takes the checker's types; the core is an interface and the clock two fields that a test can set. The actor never waits for whoever waits for it, the held list never goes over the list's own word, a stopped start decides nothing.

--- a/cmd/wheatsaddle/start.go
+++ b/cmd/wheatsaddle/start.go
@@ -5,8 +5,6 @@
 	"errors"
 	"io/fs"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +14,8 @@
 	"wheatsaddle/internal/coldstart/snapshot"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/interleave/sync"
+	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/observations"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/peers"
@@ -33,7 +33,7 @@
 // What goes to the core goes in the order in which it was decided, from one goroutine that ends when
 // there is no more.
 type starter struct {
-	core   *core.Core
+	core   startCore
 	log    logrus.FieldLogger
 	path   string
 	priced bool
@@ -46,6 +46,10 @@
 	said   atomic.Bool        // ready
 	unask  context.CancelFunc // no other process is asked any more; nil: none was
 
+	// The clock; a test's may be another.
+	now  func() time.Duration // since it began
+	wake func(at time.Duration)
+
 	mu      sync.Mutex // of all below
 	s       *coldstart.Start
 	heard   bool // the list's first word is on its way to the core
@@ -55,10 +59,19 @@
 	guess   float64                       // the start that held nodes were given
 	timer   *time.Timer                   // of the next Tick; nil: it was stopped, or none was asked for yet
 	stopped bool
-	out     []func(*core.Core) // what goes to the core: bounded by what one start decides
+	out     []func(startCore) // what goes to the core: bounded by what one start decides
 	sending bool
 }
 
+// startCore is what the start says to the core: core.Core, or a walk's actor.
+type startCore interface {
+	List(core.News)
+	Recall(choice.Learned)
+	Ahead(node string)
+	Probe(node string)
+	Learned() (choice.Learned, bool)
+}
+
 func newStarter(set *config.SiteStart, conf *config.Config, held []core.Node, log logrus.FieldLogger) (*starter, error) {
 	if set == nil || !set.On {
 		return nil, nil
@@ -71,8 +84,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &starter{log: log, path: set.Snapshot, priced: set.ListPriced, held: held, began: time.Now(), due: make(chan struct{}, 1),
-		ended: make(chan struct{}), kept: make(chan struct{}), s: s, since: map[string]float64{}}, nil
+	b := &starter{log: log, path: set.Snapshot, priced: set.ListPriced, held: held, began: time.Now(), due: make(chan struct{}, 1),
+		ended: make(chan struct{}), kept: make(chan struct{}), s: s, since: map[string]float64{}}
+	b.now, b.wake = func() time.Duration { return time.Since(b.began) }, b.wakeAt
+	return b, nil
 }
 
 // settings are the decisions' for a start beside the whole fleet; as given, without the section.
@@ -109,7 +124,7 @@
 		}
 	}
 	b.step(begun)
-	go b.keep()
+	sync.Go(b.keep)
 	return true
 }
 
@@ -154,21 +169,19 @@
 	if b.stopped {
 		return 0, false
 	}
+	sync.Writes(b.s)
 	var recall choice.Learned
-	for _, a := range b.s.Step(time.Since(b.began), e) {
+	for _, a := range b.s.Step(b.now(), e) {
 		switch a := a.(type) {
 		case coldstart.AskList:
-			select {
-			case b.due <- struct{}{}:
-			default: // said already
-			}
+			sync.TrySend(b.due, struct{}{}) // or said already
 		case coldstart.UseHeld:
 			b.guess = float64(time.Now().UnixMilli())
 			guessed := slices.Clone(b.held)
 			for i := range guessed {
 				guessed[i].Since = b.guess
 			}
-			b.put(func(c *core.Core) { c.List(core.News{Kind: choice.ListChange, Nodes: guessed}) })
+			b.put(func(c startCore) { c.List(core.News{Kind: choice.ListChange, Nodes: guessed}) })
 		case coldstart.Warm:
 			recall.Nodes = append(recall.Nodes, choice.LearnedNode{ID: a.Node, Since: b.since[a.Node], Guessed: b.guess})
 		case coldstart.Recall:
@@ -176,35 +189,41 @@
 				recall.Nodes = append(recall.Nodes, n)
 			}
 		case coldstart.Connect:
-			b.put(func(c *core.Core) { c.Ahead(a.Node) })
+			b.put(func(c startCore) { c.Ahead(a.Node) })
 		case coldstart.Probe:
-			b.put(func(c *core.Core) { c.Probe(a.Node) })
+			b.put(func(c startCore) { c.Probe(a.Node) })
 		case coldstart.Ready:
 			b.said.Store(true)
 		case coldstart.Refuse:
 			retry, refused = a.RetryAfter, true
 		case coldstart.WakeAt:
-			wait := time.Until(b.began.Add(a.At))
-			if b.timer == nil {
-				b.timer = time.AfterFunc(wait, func() { b.step(coldstart.Tick{}) })
-			} else {
-				b.timer.Reset(wait)
-			}
+			b.wake(a.At)
 		}
 	}
 	b.over.Store(b.s.Phase() == coldstart.Serving)
 	if len(recall.Nodes) > 0 {
 		recall.Classes = b.learned.Classes
-		b.put(func(c *core.Core) { c.Recall(recall) })
+		b.put(func(c startCore) { c.Recall(recall) })
 	}
 	return retry, refused
 }
 
+// wakeAt sets the timer of the next Tick; under the lock.
+func (b *starter) wakeAt(at time.Duration) {
+	wait := time.Until(b.began.Add(at))
+	if b.timer == nil {
+		b.timer = time.AfterFunc(wait, func() { b.step(coldstart.Tick{}) })
+	} else {
+		b.timer.Reset(wait)
+	}
+}
+
 // put lines up a message to the core; under the lock.
-func (b *starter) put(f func(*core.Core)) {
+func (b *starter) put(f func(startCore)) {
+	sync.Writes(&b.out)
 	if b.out = append(b.out, f); !b.sending {
 		b.sending = true
-		go b.send()
+		sync.Go(b.send)
 	}
 }
 
@@ -212,6 +231,7 @@
 func (b *starter) send() {
 	for {
 		b.mu.Lock()
+		sync.Writes(&b.out)
 		if len(b.out) == 0 {
 			b.out, b.sending = nil, false
 			b.mu.Unlock()
@@ -278,7 +298,7 @@
 		}
 	}
 	there := make(chan struct{})
-	b.put(func(c *core.Core) { c.List(n); close(there) })
+	b.put(func(c startCore) { c.List(n); sync.Close(there) })
 	if first {
 		here := slices.DeleteFunc(slices.Clone(n.Nodes), func(x core.Node) bool { return x.State == choice.NodeGone })
 		for _, x := range here {
@@ -287,7 +307,7 @@
 		b.stepped(coldstart.ListSpoke{Nodes: b.nodes(here)})
 	}
 	b.mu.Unlock()
-	<-there
+	sync.Recv(there)
 	return true
 }
 
@@ -384,15 +404,12 @@
 
 // keep writes the snapshot from time to time, and at the end.
 func (b *starter) keep() {
-	defer close(b.kept)
+	defer sync.Close(b.kept)
 	tick := time.NewTicker(keepEvery)
 	defer tick.Stop()
 	for done := false; !done; {
-		select {
-		case <-tick.C:
-		case <-b.ended:
-			done = true
-		}
+		_, _, ticked := sync.Either(tick.C, b.ended)
+		done = !ticked
 		if b.Over() { // before, it knows less than the file
 			b.write()
 		}
@@ -431,11 +448,11 @@
 	if b == nil {
 		return
 	}
-	close(b.ended)
+	sync.Close(b.ended)
 	if b.unask != nil {
 		b.unask()
 	}
-	<-b.kept
+	sync.Recv(b.kept)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.stopped = true // a Tick that waits for the lock does nothing any more
--- /dev/null
+++ b/cmd/wheatsaddle/start_interleave_test.go
@@ -0,0 +1,136 @@
+//go:build interleave
+
+package main
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"wheatsaddle/choice"
+	"wheatsaddle/internal/coldstart"
+	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/core"
+	il "wheatsaddle/internal/interleave"
+	"wheatsaddle/internal/interleave/mutant"
+	"wheatsaddle/internal/interleave/sync"
+)
+
+// actor stands in for the core: one at a time takes what is put, and asks the start about each node.
+type actor struct {
+	b       *starter
+	mail    chan string
+	quit    chan struct{}
+	took    []string
+	listed  bool // it was given the list's word
+	stopped bool // the start's stop has come back
+}
+
+func (c *actor) put(what string) {
+	if sync.SendOr(c.mail, what, c.quit) && what == "list" {
+		c.listed = true
+	}
+}
+
+func (c *actor) List(n core.News) {
+	what := "list"
+	if len(n.Nodes) > 0 && n.Nodes[0].Zone == "held" {
+		what = "held"
+	}
+	c.put(what)
+}
+func (c *actor) Recall(choice.Learned)           { c.put("recall") }
+func (c *actor) Ahead(string)                    { c.put("ahead") }
+func (c *actor) Probe(string)                    { c.put("probe") }
+func (c *actor) Learned() (choice.Learned, bool) { return choice.Learned{}, false }
+
+func (c *actor) run() {
+	for {
+		what, _, came := sync.Either(c.mail, c.quit)
+		if !came {
+			return
+		}
+		c.took = append(c.took, what)
+		c.b.Admit("s")
+		c.b.Ended("s", choice.OK)
+	}
+}
+
+func (c *actor) at(what string) int {
+	for i, x := range c.took {
+		if x == what {
+			return i
+		}
+	}
+	return -1
+}
+
+// The start begins, the core's actor asks, the list speaks, a timer comes, and the start is stopped: the
+// actor never waits for whoever waits for it, the held list never goes over the list's own word, which is with
+// the core when list comes back; a stopped start decides nothing, and leaves nothing unsent and no goroutine.
+func TestInterleaveStart(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	conf := &config.Config{Name: "n0", Settings: choice.Settings{Hosts: 1, MaxAttempts: 1, MeanUnits: 1, MostUnits: 9, MaxHoldOff: 1000,
+		Classes: []choice.Class{{Name: "read", Aim: 30000, Deadline: 60000, Worth: 1}}, Plans: []choice.Plan{{Name: "basic", Reserve: 1000}}}}
+	node := core.Node{Node: choice.Node{ID: "s", Since: 5, Weight: 1}}
+	held := node
+	held.Zone = "held"
+	il.Check(t, il.Options{Bounded: true, Preemptions: 1}, func() il.World {
+		b, err := newStarter(&config.SiteStart{On: true, ListMost: 40}, conf, []core.Node{held}, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &actor{b: b, mail: make(chan string), quit: make(chan struct{})}
+		b.core = c
+		passed := time.Duration(0)
+		b.now = func() time.Duration { return passed }
+		b.wake = func(time.Duration) {
+			if c.stopped {
+				il.Fail("a timer after the stop")
+			}
+		}
+		return il.World{
+			Threads: []il.Thread{
+				{Name: "actor", Run: c.run},
+				{Name: "timer", Run: func() {
+					sync.Point("time", "passes")
+					passed = 10 * time.Second
+					b.step(coldstart.Tick{})
+				}},
+				{Name: "main", Run: func() {
+					b.step(coldstart.Begun{HeldList: b.nodes(b.held)})
+					sync.Go(b.keep)
+					b.list(core.News{Kind: choice.ListFull, Nodes: []core.Node{node}})
+					if !c.listed {
+						il.Fail("the list's word is not with the core")
+					}
+					b.stop()
+					c.stopped = true
+					sync.Close(c.quit)
+				}},
+			},
+			Always: func() error {
+				if h, l := c.at("held"), c.at("list"); l >= 0 && h > l {
+					return fmt.Errorf("the core took %v", c.took)
+				}
+				return nil
+			},
+			Check: func() error {
+				if b.sending || len(b.out) > 0 {
+					return fmt.Errorf("%d are not sent", len(b.out))
+				}
+				return nil
+			},
+		}
+	})
+	mutant.Found(t,
+		mutant.Mutant{File: "start.go", Old: "	b.mu.Unlock()\n	sync.Recv(there)\n", New: "	sync.Recv(there)\n	b.mu.Unlock()\n", Want: "deadlock: "},
+		mutant.Mutant{File: "start.go", Old: "			b.put(func(c startCore) { c.List(core.News{Kind: choice.ListChange, Nodes: guessed}) })",
+			New: "			sync.Go(func() { b.core.List(core.News{Kind: choice.ListChange, Nodes: guessed}) })", Want: "the core took "},
+		mutant.Mutant{File: "start.go", Old: "		f := b.out[0]\n		b.out = b.out[1:]\n		b.mu.Unlock()\n",
+			New: "		b.mu.Unlock()\n		sync.Writes(&b.out)\n		f := b.out[0]\n		b.out = b.out[1:]\n", Want: "data race: "},
+		mutant.Mutant{File: "start.go", Old: "	if b.stopped {\n		return 0, false\n	}\n", New: "", Want: "a timer after the stop"},
+	)
+}
--- a/internal/scatter/run_interleave_test.go
+++ b/internal/scatter/run_interleave_test.go
@@ -116,15 +116,16 @@
 			return []il.Thread{{Name: "timer", Run: func() { d.goes(1) }}}
 		}, []mutant.Mutant{
 			{File: "run.go", Old: "			p.from.held = p.data\n", New: "			p.from.held = p.data\n			sync.TrySend(p.from.took, struct{}{})\n", Want: "data race: "},
-			{File: "run.go", Old: "make(chan ending, len(g.parts)*(1+g.r.Again+moreMost))", New: "make(chan ending)", Want: "deadlock: "}}},
+			{File: "run.go", Old: "make(chan ending, len(g.parts)*(1+max(g.r.Again, copiesMost)+moreMost+refusedMost))", New: "make(chan ending)", Want: "deadlock: "}}},
 		{"leave", 1, 150, 0, false, 1, func(d *walked, leave func()) []il.Thread {
 			return []il.Thread{{Name: "client", Run: leave}}
 		}, []mutant.Mutant{
 			{File: "run.go", Old: "sync.SendOrEither(s.pieces, piece{s, data}, s.off, s.done)", New: "sync.SendOr(s.pieces, piece{s, data}, make(chan int))", Want: "deadlock: "},
 			{File: "run.go", Old: "sync.First3(s.took, s.off, s.done)", New: "sync.First3(s.took, (chan struct{})(nil), (chan struct{})(nil))", Want: "deadlock: "}}},
 		{"write", 1, 150, 0, true, 1, func(*walked, func()) []il.Thread { return nil }, []mutant.Mutant{
-			{File: "run.go", Old: "				if busy {\n", New: "				if false {\n", Want: "written after the final answer"}}},
+			{File: "run.go", Old: "			sync.Send(wrote, opt.Write(b))\n", New: "			opt.Write(b)\n			sync.Send(wrote, error(nil))\n", Want: "served, and the client has left"}}},
 		{"parts", 2, 100, 0, false, 0, func(*walked, func()) []il.Thread { return nil }, []mutant.Mutant{
+			{File: "run.go", Old: "				if busy {\n", New: "				if false {\n", Want: "written after the final answer"},
 			{File: "run.go", Old: "			s.held = s.held[n:]\n", New: "			s.held = nil\n", Want: "not whole"},
 			{File: "run.go", Old: "	if len(data) == 0 {\n		return true\n	}\n", New: "", Want: "deadlock: "}}},
 	} {
