--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -605,7 +605,8 @@
 	}
 }
 
-// Shutdown answers what was taken before it returns.
+// Shutdown answers what was taken before it returns, and sends on nothing that it reads later: what a
+// client sent ahead is not read any more, and the close over it takes no answer with it.
 func TestShutdownAnswers(t *testing.T) {
 	came, hold := make(chan bool, 1), make(chan bool)
 	f := newFront(t, func(nc net.Conn) bool { came <- true; <-hold; return say(fine)(nc) })
@@ -616,16 +617,23 @@
 	defer nc.Close()
 	io.WriteString(nc, good)
 	<-came
+	for i := range 100 { // more than is read ahead: bytes are unread at the close
+		io.WriteString(nc, strings.Replace(good, "9b1f", fmt.Sprintf("%04d", i), 1))
+	}
 	down := make(chan error, 1)
 	go func() { down <- f.srv.Shutdown(context.Background()) }()
 	<-f.served // it accepts no more
 	close(hold)
+	br := bufio.NewReader(nc)
 	r := &fasthttp.Response{}
-	if err := r.Read(bufio.NewReader(nc)); err != nil || string(r.Body()) != "abc" {
-		t.Errorf("%v %q", err, r.Body())
+	if err := r.Read(br); err != nil || string(r.Body()) != "abc" || !r.ConnectionClose() {
+		t.Errorf("%v %q", err, r)
+	}
+	if err := r.Read(br); err == nil {
+		t.Errorf("another answer: %s", r)
 	}
-	if err := <-down; err != nil {
-		t.Error(err)
+	if err := <-down; err != nil || f.requests.Load() != 1 {
+		t.Errorf("%v, %d requests came to the node", err, f.requests.Load())
 	}
 }
 
