--- a/internal/lab/gathers/gathers_test.go
+++ b/internal/lab/gathers/gathers_test.go
@@ -143,8 +143,8 @@
 		t.Fatal(err)
 	}
 	for i, l := range rep.Lines {
-		if Modes[i].Tree != (l.Handed > 0) {
-			t.Errorf("%s: %v parts handed on", l.Mode, l.Handed)
+		if Modes[i].Tree != (l.Parts.Handed > 0) {
+			t.Errorf("%s: %v parts handed on", l.Mode, l.Parts.Handed)
 		}
 		if l.Verdict != (Verdict{}) || l.Ends["failed"] > 0 || l.Ends["whole"] == 0 || l.Happened.Killed != 1 {
 			t.Errorf("%+v", l)
--- a/internal/lab/gathers/report.go
+++ b/internal/lab/gathers/report.go
@@ -22,18 +22,18 @@
 	Most     [2]float64     `json:"most_rows_p50_p99"` // until 95% of the rows, where they came
 	Whole    [2]float64     `json:"whole_p50_p99"`     // of whole reads
 	MostHere float64        `json:"share_most_rows"`   // reads of which 95% of the rows came
-	Asked    float64        `json:"parts_asked"`       // at nodes, for a read
-	Handed   float64        `json:"parts_handed_on"`   // of those
-	Sent     float64        `json:"sent_late_p99"`     // the client's own lateness: of a busy machine the times say less
+	Parts    Parts          `json:"parts"`
+	Sent     float64        `json:"sent_late_p99"` // the client's own lateness: of a busy machine the times say less
 	Verdict  Verdict        `json:"verdict"`
 	Happened happened       `json:"faults"`
 	Examples []string       `json:"examples,omitempty"` // of rows that are not right and ends that are not known
 }
 
+// each is how many there are of something for each read.
+func (l *Line) each(n int) float64 { return float64(n) / float64(max(1, l.Reads)) }
+
 // share of reads with an end.
-func (l *Line) share(end int) float64 {
-	return float64(l.Ends[endNames[end]]) / float64(max(1, l.Reads))
-}
+func (l *Line) share(end int) float64 { return l.each(l.Ends[endNames[end]]) }
 
 // Report is the result.
 type Report struct {
@@ -87,8 +87,7 @@
 	}
 	l := lineOf(all)
 	l.Mode, l.Seed, l.Happened = m.Name, seed, f.happened()
-	asked, handed := f.asked()
-	l.Asked, l.Handed = float64(asked)/float64(max(1, l.Reads)), float64(handed)/float64(max(1, l.Reads))
+	l.Parts = f.parts()
 	if l.Verdict != (Verdict{}) {
 		log.WithField("rows", fmt.Sprintf("%+v", l.Verdict)).Error("rows are not right")
 	}
@@ -157,8 +156,8 @@
 		{"late %", "%.1f", func(l *Line) float64 { return 100 * l.share(late) }},
 		{"broken %", "%.1f", func(l *Line) float64 { return 100 * l.share(broken) }},
 		{"failed %", "%.1f", func(l *Line) float64 { return 100 * l.share(failed) }},
-		{"parts asked", "%.2f", func(l *Line) float64 { return l.Asked }},
-		{"handed on", "%.2f", func(l *Line) float64 { return l.Handed }},
+		{"parts asked a read", "%.2f", func(l *Line) float64 { return l.each(l.Parts.Asked) }},
+		{"handed on", "%.2f", func(l *Line) float64 { return l.each(l.Parts.Handed) }},
 		{"sent late p99", "%.0f", func(l *Line) float64 { return l.Sent }},
 		{"rows wrong", "", func(l *Line) float64 { return float64(l.Verdict.Wrong) }},
 		{"doubled", "", func(l *Line) float64 { return float64(l.Verdict.Doubled) }},
@@ -193,13 +192,15 @@
 	}
 	for _, m := range rep.Modes {
 		var met happened
+		var parts Parts
 		for _, l := range rep.Lines {
 			if l.Mode == m.Name {
 				met.add(l.Happened)
+				parts.Again, parts.Same = parts.Again+l.Parts.Again, parts.Same+l.Parts.Same
 			}
 		}
-		fmt.Fprintf(out, "faults %s: parts late %d, stopped %d, cut %d, silent for good %d; links silent %d, reset %d, slow %d; processes killed %d\n", m.Name,
-			met.Late, met.Stopped, met.Cut, met.Never, met.Silenced, met.Reset, met.Delayed, met.Killed)
+		fmt.Fprintf(out, "faults %s: parts late %d, stopped %d, cut %d, silent for good %d; links silent %d, reset %d, slow %d; processes killed %d; parts asked again %d, at the same node %d\n", m.Name,
+			met.Late, met.Stopped, met.Cut, met.Never, met.Silenced, met.Reset, met.Delayed, met.Killed, parts.Again, parts.Same)
 	}
 	for _, a := range rep.Absent {
 		fmt.Fprintln(out, "a fault that did not happen:", a)
--- a/internal/lab/gathers/world.go
+++ b/internal/lab/gathers/world.go
@@ -214,15 +214,36 @@
 	return happened{Late: c.Late, Stopped: c.Stopped, Cut: c.Cut, Never: c.Never}
 }
 
-// asked is how often nodes were asked for a part, and for how many by a peer that parts were handed on to.
-func (f *processes) asked() (n, handed int) {
+// Parts is what nodes were asked for.
+type Parts struct {
+	Asked  int `json:"asked"`
+	Handed int `json:"handed_on"` // by peers that they were handed on to
+	Again  int `json:"again"`     // after an asking before
+	Same   int `json:"same_node"` // ... at the node that had that one
+}
+
+// parts are told by the askings' ids: READ/PART/COPY, or READ/GROUP/COPY/PART/COPY, where the first copy is a peer's.
+func (f *processes) parts() (p Parts) {
+	at := map[string]int{} // node by id
 	for j := range f.w.Shards * f.w.Copies {
-		n += f.Node(j).RowCounts("").Asked
-		f.Node(j).Each(func(id string, _ []node.Arrival) {
-			if parts := strings.Split(id, "/"); len(parts) == 5 && parts[2] == "1" { // READ/GROUP/COPY/PART/COPY, and the first is a peer's
-				handed++
+		f.Node(j).Each(func(id string, _ []node.Arrival) { at[id] = j })
+	}
+	for id, j := range at {
+		p.Asked++
+		all := strings.Split(id, "/")
+		if len(all) == 5 && all[2] == "1" {
+			p.Handed++
+		}
+		part, copy := id[:strings.LastIndexByte(id, '/')+1], 0
+		if _, err := fmt.Sscan(all[len(all)-1], &copy); err != nil {
+			continue
+		}
+		if before, ok := at[fmt.Sprint(part, copy-1)]; ok {
+			p.Again++
+			if before == j {
+				p.Same++
 			}
-		})
+		}
 	}
-	return n, handed
+	return p
 }
