Peers: a message that asks for what nobody hands over is counted

Change: a question too short or of nobody known counts as unusable, and the test sums it. Excluded: the answers, which were counted.

Measured: go test -count=3 ./internal/peers passes.

--- a/internal/peers/hand.go
+++ b/internal/peers/hand.go
@@ -117,7 +117,8 @@
 
 // wanted answers one that asks. What is handed over is made, and sent, beside the rounds.
 func (p *Peers) wanted(m []byte) {
-	if len(m) <= wantHead || p.opt.Give == nil {
+	if len(m) <= wantHead {
+		p.hand.unusable.Add(1)
 		return
 	}
 	number, kind, name := m[:8], Kind(m[8]), string(m[wantHead:])
@@ -125,6 +126,9 @@
 		if to.Name != name || name == p.opt.Name {
 			continue
 		}
+		if p.opt.Give == nil { // this process hands nothing over
+			return
+		}
 		if p.wants++; p.wants > wantsMost || !p.hand.begin() {
 			p.send(to, tagGive, number)
 			return
@@ -144,6 +148,7 @@
 		}()
 		return
 	}
+	p.hand.unusable.Add(1) // of nobody
 }
 
 func (h *handOver) begin() bool {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -298,7 +298,7 @@
 	}
 	await(t, "all of it counted", func() bool {
 		n := c.peers[0].Counts()
-		return n.State.Unreadable+n.State.LaterVersion+n.Full >= 300 && n.State.LaterVersion > 0
+		return n.State.Unreadable+n.State.LaterVersion+n.Full+n.Unusable >= 300 && n.State.LaterVersion > 0
 	})
 	same := false
 	c.peers[0].Do(func(now time.Duration, s *observations.State) { same = s.Same(now, before) })
