--- a/internal/lab/gathers/run.go
+++ b/internal/lab/gathers/run.go
@@ -86,10 +86,10 @@
 func play(ctx context.Context, opt Options, f *processes, seed uint64) ([]one, error) {
 	p := &player{opt: opt, fleet: f, truth: newTruth(opt.World.Rows, opt.World.Shards), ask: newAsker(plan, opt.World.Processes, deadline)}
 	p.start = time.Now()
-	ctx, stop := context.WithCancel(ctx)
+	running, stop := context.WithCancel(ctx)
 	defer stop()
 	faults := make(chan error, 1)
-	go func() { faults <- p.faults(ctx, schedule(seed, opt.World, opt.For)) }()
+	go func() { faults <- p.faults(ctx, running, schedule(seed, opt.World, opt.For)) }()
 	err := p.reads(ctx, rand.New(rand.NewPCG(seed, 26)))
 	p.wg.Wait()
 	stop()
@@ -108,7 +108,8 @@
 	}
 }
 
-func (p *player) faults(ctx context.Context, all []change) error {
+// faults plays the changes while reads are sent; a process that is killed is waited for, also past their end.
+func (p *player) faults(ctx, running context.Context, all []change) error {
 	var kills sync.WaitGroup
 	defer kills.Wait()
 	var mu sync.Mutex
@@ -119,7 +120,7 @@
 		errs = append(errs, err)
 	}
 	for _, c := range all {
-		if !p.wait(ctx, c.at) {
+		if !p.wait(running, c.at) {
 			break
 		}
 		if p.opt.spoil != (node.RowFault{}) {
