Rehearsal: ports handed to nodes and daemons stay bound, never listened on

Ports come from one program's own blocks, below the kernel's range; none is given twice.

Excluded: two programs (the block's name is held), a connection (the range begins at 32768), a port given again (the counter only rises; the wrap is gone now). Seen with a probe: FreeAddress listened and closed, and a process that is started just then by a row beside it keeps a copy of the listener between fork and exec, so the next listen on the port fails: within 40 ports while four loops start processes. Wrong lines: net.Listen and ln.Close in FreeAddress.

A port is bound with SO_REUSEADDR and held, without a listener.

--- a/internal/lab/procs/daemon.go
+++ b/internal/lab/procs/daemon.go
@@ -85,21 +85,22 @@
 	return false
 }
 
-// FreeAddress is a loopback address that nobody listens on and no connection takes.
+// FreeAddress is a loopback address that nobody listens on and no connection takes. It stays bound, without
+// a listener, until this program ends: who listens there with SO_REUSEADDR, as Go does, gets it. It was
+// never listened on either: a listener that is closed stays with each process that is just being
+// started, between fork and exec, and who listens there meanwhile is refused.
 func FreeAddress() (string, error) {
 	ports.Lock()
 	defer ports.Unlock()
 	for range portTo - portFrom {
 		if ports.next >= len(ports.blocks)*portBlock && !claim() {
-			if ports.next = 0; len(ports.blocks) == 0 {
-				break
-			}
+			break
 		}
 		port := portFrom + ports.blocks[ports.next/portBlock]*portBlock + ports.next%portBlock
 		ports.next++
-		ln, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
+		err := hold(port)
 		if err == nil {
-			return ln.Addr().String(), ln.Close()
+			return fmt.Sprint("127.0.0.1:", port), nil
 		}
 		if !errors.Is(err, syscall.EADDRINUSE) {
 			return "", err
@@ -108,6 +109,21 @@
 	return "", &NoDaemon{Err: syscall.EADDRINUSE}
 }
 
+// hold binds a port of 127.0.0.1 for good.
+func hold(port int) error {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return os.NewSyscallError("socket", err)
+	}
+	if err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err != nil {
+		_ = syscall.Close(fd)
+	}
+	return os.NewSyscallError("bind", err)
+}
+
 // Proc is one process of the daemon, started again as often as it is asked for.
 type Proc struct {
 	Name, Listen   string
