Limits: a volume's store counts from the host's first request, not from the volume's

Excluded by probes and variants: late connections, windows (docs/incidents/limits.md).

Wrong line: the store began at the volume's first request. It counts from the host's first request now; what a process before it spent lies before that. A volume in debt to its limit is not forgotten any more.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -162,7 +162,7 @@
 	if s.reqs[q.ID] != nil {
 		return
 	}
-	if s.set.BudgetSpan > 0 {
+	if s.opened = math.Min(s.opened, s.now); s.set.BudgetSpan > 0 {
 		s.takes = append(s.takes, s.now)
 	}
 	c, plan := s.classOf[q.Class], s.planOf[q.Plan]
@@ -479,8 +479,10 @@
 func (s *Scheduler) volume(id string, plan *Plan, hosts int) *volume {
 	v := s.volumes[id]
 	if v == nil {
-		// The limit's store starts empty: a restarted host cannot know what it spent.
+		// A restarted host cannot know what it spent: the limit's store was empty at its first
+		// request of all. Since then only this host has drawn on its part, and not for this volume.
 		v = &volume{plan: plan, at: s.now}
+		v.limit = math.Min(plan.Limit*(s.now-s.opened)/1000, plan.LimitBurst) / float64(max(hosts, 1))
 		s.volumes[id] = v
 		s.known = append(s.known, v)
 		v.hosts = max(hosts, 1)
--- a/choice/state.go
+++ b/choice/state.go
@@ -14,6 +14,7 @@
 	set       Settings
 	rng       *rand.Rand
 	now       float64
+	opened    float64 // its first request came; before: infinite
 	out       []Action
 	classes   []*class
 	classOf   map[string]*class
@@ -229,7 +230,8 @@
 func remember(set Settings, seed int64) *Scheduler {
 	s := &Scheduler{set: set, rng: rand.New(rand.NewSource(seed)), classOf: map[string]*class{},
 		planOf: map[string]*Plan{}, reqs: map[string]*request{}, volumes: map[string]*volume{},
-		lanes: map[int]*lane{}, nodes: map[string]*node{}, keys: map[string]*turn{}, unserved: map[first]tried{}, now: math.NaN()}
+		lanes: map[int]*lane{}, nodes: map[string]*node{}, keys: map[string]*turn{}, unserved: map[first]tried{},
+		now: math.NaN(), opened: math.Inf(1)}
 	for i := range set.Plans {
 		s.planOf[set.Plans[i].Name] = &set.Plans[i]
 	}
@@ -262,9 +264,13 @@
 // forget drops what was not seen for a span, so that memory stays bounded.
 func (s *Scheduler) forget(span float64) {
 	s.compact()
-	s.known = slices.DeleteFunc(s.known, func(v *volume) bool { return s.now-v.at > span })
+	old := func(v *volume) bool { // the store of its limit, too, is as it would be of one not seen before
+		filled := v.limit + v.plan.Limit/float64(v.hosts)*(s.now-v.at)/1000
+		return s.now-v.at > span && (v.plan.Limit == 0 || filled >= v.plan.LimitBurst/float64(v.hosts))
+	}
+	s.known = slices.DeleteFunc(s.known, old)
 	for id, v := range s.volumes {
-		if s.now-v.at > span {
+		if old(v) {
 			delete(s.volumes, id)
 		}
 	}
