Drains: a node is used for part of a long grace, with half a second kept for delays

Now: min(half, grace less 500 ms) after the word of a watch that stands; nothing at 250 ms, where a host that stands still would send past the grace. The peer closes at 0.4 of what is left, at once by hand, on old word and after a fault of the module. Tests: the part, a second word, old word, full, a short grace; the peer's closing.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,8 @@
 	sweepSpan   = 10.0   // how often waiting requests are reviewed: well inside any aim
 	beatSpan    = 100.0  // a timer that tells this host's own stalls ...
 	beatLate    = 100.0  // ... past due by this: more than a busy step takes
+	drainShare  = 0.5    // a node that drains is used for this part of the grace ...
+	drainRest   = 500.0  // ... less what is kept for delays: of the list's word, of a host that stands still
 	forgetSpan  = 60e3   // a volume or key not seen for this long is forgotten: past any deadline and rest
 	lastMargin  = 4.0    // a waiting request is answered this long before its client leaves
 	usageSpan   = 1000.0 // memory of a volume's use: entitlement is counted by the second
@@ -304,7 +306,7 @@
 // shed refuses at once what has no use in waiting: the client may come back later.
 func (s *Scheduler) shed(l *lane) {
 	rate, base, next := s.pace(l)
-	up := slices.ContainsFunc(l.nodes, func(n *node) bool { return n.State == NodeUp && !n.silent })
+	up := slices.ContainsFunc(l.nodes, func(n *node) bool { return s.usable(n) && !n.silent })
 	sum, heard := 0.0, math.Inf(-1)
 	for _, n := range l.nodes {
 		heard = math.Max(heard, n.told)
@@ -657,7 +659,7 @@
 func (s *Scheduler) pace(l *lane) (rate, usual, next float64) {
 	next = math.Inf(1)
 	for _, n := range l.nodes {
-		if n.State != NodeUp {
+		if !s.usable(n) {
 			continue
 		}
 		rate += n.window * s.set.MeanUnits / s.usual(n)
@@ -759,7 +761,7 @@
 func (s *Scheduler) route(l *lane, r *request) *node {
 	var best *node
 	for _, n := range l.nodes {
-		if n.State != NodeUp {
+		if !s.usable(n) {
 			continue
 		}
 		if !n.room(s.now, r.band) {
@@ -927,6 +929,7 @@
 		s.asked = s.now + s.askGap*(0.5+s.rng.Float64())
 		return
 	}
+	stood := s.tuned // else the list's word may be old, and the grace over
 	if ev.Kind == ListStale {
 		s.act(Action{Kind: SetTimer, Wait: tickSpan, Tag: "tick"})
 	} else {
@@ -935,7 +938,7 @@
 	seen := map[string]bool{}
 	for _, e := range ev.Nodes {
 		seen[e.ID] = true
-		s.entry(e)
+		s.entry(e, stood)
 	}
 	for _, n := range s.listed {
 		if ev.Kind != ListChange && !seen[n.ID] {
@@ -951,10 +954,10 @@
 	s.ask()
 }
 
-func (s *Scheduler) entry(e Node) {
+func (s *Scheduler) entry(e Node, stood bool) {
 	n := s.nodes[e.ID]
 	if n == nil {
-		n = &node{window: windowStart, coldAt: math.Inf(-1), told: math.Inf(-1), heard: s.now}
+		n = &node{window: windowStart, coldAt: math.Inf(-1), drainAt: math.Inf(-1), told: math.Inf(-1), heard: s.now}
 		n.Node = e
 		s.list(n)
 		if e.Since > 0 {
@@ -964,9 +967,24 @@
 		s.chill(n, math.Max(e.Since, n.coldAt))
 		n.silent, n.next, n.gateGap, n.failing = false, 0, 0, 0
 	}
+	if stood && n.State == NodeUp && e.State == NodeDraining {
+		n.drainAt = s.now
+	}
 	n.Node = e
 }
 
+// DrainUse is how long a node that drains is used after the word of a watch that stands: the one that
+// follows is listed seconds later, and nobody else has its shard. Short graces leave no time for it.
+func (s Settings) DrainUse() float64 {
+	return math.Max(0, math.Min(drainShare*s.DrainGrace, s.DrainGrace-drainRest))
+}
+
+// usable says that a node is up, or drains since so little that it may be used and has taken all since.
+// Harm: a node that ends faster than its grace cuts off what was sent last.
+func (s *Scheduler) usable(n *node) bool {
+	return n.State == NodeUp || n.State == NodeDraining && n.gateGap == 0 && s.now-n.drainAt < s.set.DrainUse()
+}
+
 // ask subscribes to the list, again after a failure, well before we would be deemed told.
 func (s *Scheduler) ask() {
 	if s.set.AskMode && !s.tuned && s.now >= s.asked {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -751,3 +751,47 @@
 		t.Errorf("%d out at a full node", len(n.out))
 	}
 }
+
+// Told by a watch that stands that a node drains, a host uses it for a part of the grace while it
+// takes work: nobody else has its shard yet. Not where the word may be old, and not past a "full".
+func TestDrainingNodeIsUsedForPartOfTheGrace(t *testing.T) {
+	drains := Event{Kind: ListChange, Nodes: []Node{{ID: "a", Shard: 0, State: NodeDraining}}}
+	sends := func(r *rig, id string, now float64) int {
+		return count(r.at(now, call(id, "safe", 0, now+2000)), Send)
+	}
+	r := newRig(t, testSettings())
+	r.step(Event{Kind: ListChange}) // the watch stands
+	r.step(drains)
+	if sends(r, "x", 1100) != 1 || sends(r, "y", 1000+r.s.set.DrainUse()) != 0 {
+		t.Error("within its part of the grace: not sent, or sent past it")
+	}
+	r = newRig(t, testSettings())
+	r.step(Event{Kind: ListChange})
+	r.step(drains)
+	r.at(1100, drains) // told again: the grace counts from the first word
+	if sends(r, "x", 1050+r.s.set.DrainUse()) != 0 {
+		t.Error("a second word began the grace anew")
+	}
+	r = newRig(t, testSettings())
+	r.step(Event{Kind: ListChange})
+	r.step(Event{Kind: ListFailed})
+	r.step(drains)
+	if sends(r, "x", 1010) != 0 {
+		t.Error("sent on the word of a list that may be old")
+	}
+	r = newRig(t, testSettings())
+	r.step(Event{Kind: ListChange})
+	r.step(drains)
+	sends(r, "x", 1010)
+	if acts := r.at(1020, done("x", 0, Full, false)); count(acts, Send) != 0 || sends(r, "y", 1200) != 0 {
+		t.Error("sent again to a draining node that takes nothing more")
+	}
+	set := testSettings()
+	set.DrainGrace = 250 // what is kept for delays is longer
+	r = newRig(t, set)
+	r.step(Event{Kind: ListChange})
+	r.step(drains)
+	if sends(r, "x", 1001) != 0 {
+		t.Error("used within a grace that leaves no time for it")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -153,6 +153,7 @@
 	turn    float64 // ... this part of the time that all hosts' turns take
 	good    bool    // its last answer came in good time, and nothing is out for longer
 	coldAt  float64 // start that it may be cold from
+	drainAt float64 // when this host was told that it drains
 	sent    []flow  // sends and answers within TipSpan
 	served  []flow
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,6 +30,9 @@
 	answerIdle = time.Hour // wait of the loop with no timer set
 	// timerRound covers the rounding of a timer's time: else the loop would spin for the last of it.
 	timerRound = 2 * time.Microsecond
+	// drainGuard is the part of what the module leaves of the grace after which a draining node's peer is
+	// closed to new work, whatever the module says.
+	drainGuard = 0.4
 	// avoidedEvery is how often the nodes that the module avoids are counted, in ms: telemetry
 	// may lag 0.5 s.
 	avoidedEvery = 100
@@ -211,6 +214,7 @@
 	at    float64
 	tag   string
 	guard *entry
+	drain string // a node whose peer is closed to new work from then on
 }
 
 type dues []due
@@ -254,6 +258,8 @@
 
 	recalled choice.Learned // to be given to the module after the next step
 	uses     map[string]use // by node of the list
+	// standing: the last word of the list came by a watch that stands.
+	standing bool
 }
 
 // New checks the settings and starts the actor.
@@ -454,6 +460,10 @@
 		d := heap.Pop(&c.timers).(due)
 		c.late.Saw(c.since(now), c.since(now)-c.since(d.at))
 		switch {
+		case d.drain != "":
+			if p, n := c.peers[d.drain], c.nodes[d.drain]; p != nil {
+				p.Drain(c.book.View(now, n.Node).State != choice.NodeUp)
+			}
 		case d.guard == nil:
 			c.events = append(c.events, choice.Event{Kind: choice.Timer, Tag: d.tag})
 		case !d.guard.answered:
@@ -497,6 +507,9 @@
 			delete(c.reqs, id)
 		}
 		c.timers = c.timers[:0]
+		for id, n := range c.nodes { // the drains' timers are gone with the others
+			c.peers[id].Drain(c.book.View(now, n.Node).State != choice.NodeUp)
+		}
 		mod, err := choice.New(c.opt.Settings, c.opt.Seed+1)
 		if err != nil {
 			panic(fmt.Sprintf("settings that were good no longer are: %v", err))
@@ -723,9 +736,17 @@
 		case !slices.Equal(c.nodes[x.ID].Addresses, x.Addresses):
 			p.Readdress(x.Addresses) // the node stays: its windows and its warmth are the same
 		}
-		p.Drain(view.State != choice.NodeUp)
+		was, had := c.nodes[x.ID]
+		if use := c.opt.Settings.DrainUse(); had && c.standing && use > 0 && was.State == choice.NodeUp && x.State == choice.NodeDraining && view == x.Node {
+			// The module may use it for a part of the grace, and decides so itself. The peer is
+			// closed a little later, for what waits in a mailbox then.
+			heap.Push(&c.timers, due{at: now + use + drainGuard*(c.opt.Settings.DrainGrace-use), drain: x.ID})
+		} else if !had || was.State != choice.NodeDraining || view.State == choice.NodeUp || view != x.Node {
+			p.Drain(view.State != choice.NodeUp)
+		}
 		c.nodes[x.ID] = x
 	}
+	c.standing = n.Kind == choice.ListFull || n.Kind == choice.ListChange
 	if n.Kind == choice.ListFull || n.Kind == choice.ListStale {
 		for id := range c.peers {
 			if !seen[id] {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -377,3 +377,39 @@
 	a.Done(Result{Status: choice.OK})
 	one(t, got, Served)
 }
+
+// A node that a standing watch tells to drain stays open to the module for a part of the grace, and its
+// peer is closed to new work before the grace is over. By hand, by a list that may be old, and after
+// the module's fault it is closed at once.
+func TestDrainBindsWithinTheGrace(t *testing.T) {
+	set := settings()
+	set.DrainGrace = 60e3
+	drained := func(r *rig, name string) bool {
+		f := r.peer(name)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.drained
+	}
+	r := start(t, set)
+	r.list(choice.ListStale, node("a", 0, choice.NodeUp), node("b", 1, choice.NodeUp), node("c", 2, choice.NodeUp))
+	r.list(choice.ListChange, node("a", 0, choice.NodeDraining)) // the first word of the watch
+	r.list(choice.ListChange, node("b", 1, choice.NodeDraining))
+	if !drained(r, "a") || drained(r, "b") {
+		t.Errorf("drained: a %v, b %v", drained(r, "a"), drained(r, "b"))
+	}
+	r.list(choice.ListFailed)
+	r.list(choice.ListChange, node("c", 2, choice.NodeDraining))
+	if !drained(r, "c") {
+		t.Error("the first word after a broken watch is not bound at once")
+	}
+	if _, err := r.Exclude("b"); err != nil || !drained(r, "b") {
+		t.Errorf("by hand: %v, drained %v", err, drained(r, "b"))
+	}
+	set.DrainGrace = 560
+	r = start(t, set)
+	r.list(choice.ListFull, node("a", 0, choice.NodeUp))
+	r.list(choice.ListChange, node("a", 0, choice.NodeDraining))
+	for !drained(r, "a") {
+		time.Sleep(time.Millisecond)
+	}
+}
