--- a/internal/lab/procs/start_test.go
+++ b/internal/lab/procs/start_test.go
@@ -367,6 +367,73 @@
 	}
 }
 
+// Part 2: what a peer hands over to daemons that start together without a snapshot, over cold nodes, the list down until
+// it has. Each row is what the one peer does that has something; in each the start goes on, and no rule is broken.
+func TestStartsFromPeers(t *testing.T) {
+	for _, x := range []struct {
+		fault, expected string
+		run             func(*starting, *stranger)
+		taken, unusable float64 // of each daemon, at the end
+	}{
+		{fault: "the peer is silent", expected: "nothing is taken", run: func(s *starting, p *stranger) {
+			s.until("all have asked it", func() bool { return p.asked() == s.opt.Daemons })
+		}},
+		{fault: "the peer is killed before it answers", expected: "nothing is taken", run: func(s *starting, p *stranger) {
+			s.until("one has asked it", func() bool { return p.asked() > 0 })
+			p.once.Do(func() { _ = p.list.Shutdown() }) // it takes no leave
+		}},
+		{fault: "the peer hands over nonsense, and what nobody asked for", expected: "dropped and counted", unusable: 2, run: func(s *starting, p *stranger) {
+			p.give([]byte("nonsense"))
+			for _, n := range s.names() {
+				p.tell(n, tagGive, append(make([]byte, 8), encoded(s.Fleet, learned(s.Fleet, 0, 1, 2, 3))...))
+			}
+		}},
+		{fault: "the peer lies of cold nodes", expected: "taken; nobody takes a cold node for a warm one", taken: 1, run: func(s *starting, p *stranger) {
+			lies := learned(s.Fleet, 0, 2, 1, 3) // of the starts that the list will give
+			lies.Nodes = append(lies.Nodes, snapshot.NodeState{ID: "none", Window: 1e9, Usual: -1, Best: -1, Failing: -1})
+			lies.Classes = []snapshot.ClassState{{Name: "read", Weight: 1e9, Slope: -1e9, Delay: -1}, {Name: "none"}}
+			p.give(encoded(s.Fleet, lies))
+		}},
+	} {
+		t.Run(x.fault, func(t *testing.T) {
+			s := starts(t, Options{Known: true, ListDown: true}, nil, nil, true)
+			s.chill(0, 2)
+			s.launch(s.everyone()...)
+			s.each("it listens", s.listens)
+			p := s.stranger("s", s.everyone()...)
+			x.run(s, p)
+			s.counts("peers_unusable_snapshots", func(_ int, v float64) bool { return v >= x.unusable })
+			s.counts("peers_taken_snapshots", func(_ int, v float64) bool { return v == x.taken })
+			s.traffic(5, 10*time.Millisecond)
+			s.serves(some)
+			s.lists(ListWell)
+			s.finish()
+			t.Log(x.expected)
+		})
+	}
+}
+
+// One that starts anew takes what another has learned, beside one that is stopped while it may be asked.
+func TestStartsFromOneOfTwo(t *testing.T) {
+	s := starts(t, Options{Known: true}, nil, nil, true)
+	s.launch(s.everyone()...)
+	s.traffic(3, 30*time.Millisecond)
+	file := func(i int) string { return filepath.Join(s.Dir(i), "learned") }
+	s.each("its start is over", func(i int) bool { _, err := os.Stat(file(i)); return err == nil })
+	s.kill(0)
+	s.must(os.Remove(file(0)))
+	s.must(s.Stop(1))
+	s.chill(0, 2)
+	s.launch(0)
+	s.until("it takes what the other has", func() bool { return s.listens(0) && s.count(0, "peers_taken_snapshots") == 1 })
+	if n := s.count(2, "peers_given_snapshots"); n != 1 {
+		t.Errorf("%v were given", n)
+	}
+	s.serves(some, 1)
+	s.must(s.Continue(1))
+	s.finish()
+}
+
 // finish has each daemon serve and be ready, and asks the auditor and the nodes.
 func (s *starting) finish() {
 	s.t.Helper()
--- a/internal/lab/procs/stranger_test.go
+++ b/internal/lab/procs/stranger_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"io"
 	"log"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -30,6 +32,7 @@
 	heard [][]byte          // cells, as they came
 	once  sync.Once
 	wants map[string][]byte // the numbers of those that asked to be handed something
+	gives []byte            // to each of them at once; nil: nothing
 }
 
 // fenced reaches the allowed addresses alone.
@@ -113,7 +116,11 @@
 		return
 	}
 	if tag == tagWant && len(m) > 9 {
-		s.wants[string(m[9:])] = m[:8]
+		number, who := slices.Clip(m[:8]), string(m[9:])
+		s.wants[who] = number
+		if s.gives != nil {
+			go s.tell(who, tagGive, append(number, s.gives...))
+		}
 		return
 	}
 	if from, err := observations.Sender(m); err == nil {
@@ -140,6 +147,24 @@
 	s.t.Errorf("%s is no member", daemon)
 }
 
+// asked is how many daemons have asked to be handed something.
+func (s *stranger) asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.wants)
+}
+
+// give hands something over to each that has asked, and will ask.
+func (s *stranger) give(text []byte) {
+	s.mu.Lock()
+	s.gives = text
+	wants := maps.Clone(s.wants)
+	s.mu.Unlock()
+	for to, number := range wants {
+		s.tell(to, tagGive, append(number, text...))
+	}
+}
+
 // learn asks the daemons what they hold, until each holds what all together do.
 func (w *world) learn(s *stranger, daemons ...string) {
 	w.t.Helper()
