--- a/cmd/rehearse/cost.go
+++ b/cmd/rehearse/cost.go
@@ -3,20 +3,26 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"os"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v2"
 
 	"wheatsaddle/internal/lab/costs"
+	"wheatsaddle/internal/lab/procs"
 )
 
 func costCommand() *cli.Command {
 	return &cli.Command{
-		Name: "cost", Usage: "the estimate of plans beside the fleet's mean and own answers only, in virtual time",
+		Name: "cost", Usage: "the estimate of plans beside the fleet's mean and own answers only: in virtual time, or of processes",
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seeds", Value: 10, Usage: "worlds"},
 			&cli.Uint64Flag{Name: "first", Value: 1, Usage: "seed of the first"},
-			&cli.DurationFlag{Name: "for", Value: time.Minute, Usage: "of decisions in each; a node turns slow halfway"},
+			&cli.IntFlag{Name: "processes", Usage: "of the built daemon, over 24 stand-in nodes, in real time; 0: all in virtual time"},
+			&cli.BoolFlag{Name: "alone", Usage: "the processes tell each other nothing"},
+			&cli.DurationFlag{Name: "for", Value: time.Minute, Usage: "of decisions in each, in virtual time; a node turns slow halfway"},
 			&cli.DurationFlag{Name: "half-life", Value: 1500 * time.Millisecond, Usage: "of an answer's weight in the short memory"},
 			&cli.DurationFlag{Name: "every", Value: 500 * time.Millisecond, Usage: "between rounds; in each a process asks one other"},
 			&cli.Float64Flag{Name: "slow", Value: 5, Usage: "times that the node is slower from then on"},
@@ -38,21 +44,50 @@
 			for s := range c.Uint64("seeds") {
 				opt.Seeds = append(opt.Seeds, s+c.Uint64("first"))
 			}
+			if c.Int("processes") != 0 {
+				return realCost(c, log, opt)
+			}
 			log.WithField("seeds", len(opt.Seeds)).Info("playing")
 			rep, err := costs.Run(opt)
 			if err != nil {
 				return err
 			}
-			if err := rep.Print(c.App.Writer); err != nil {
-				return err
-			}
-			if err := writeJSON(c.String("json"), rep); err != nil {
-				return err
-			}
-			if len(rep.Missed) > 0 {
-				return bound(fmt.Sprintf("%d bounds missed", len(rep.Missed)))
-			}
-			return nil
+			return tellCost(c, rep, rep.Missed)
 		},
 	}
 }
+
+func tellCost(c *cli.Context, rep interface{ Print(io.Writer) error }, missed []string) error {
+	if err := rep.Print(c.App.Writer); err != nil {
+		return err
+	}
+	if err := writeJSON(c.String("json"), rep); err != nil {
+		return err
+	}
+	if len(missed) > 0 {
+		return bound(fmt.Sprintf("%d bounds missed", len(missed)))
+	}
+	return nil
+}
+
+func realCost(c *cli.Context, log logrus.FieldLogger, set costs.Options) error {
+	opt := costs.RealDefaults()
+	opt.Seeds, opt.HalfLife, opt.Every, opt.Slow, opt.Log = set.Seeds, set.HalfLife, set.Every, set.Slow, log
+	opt.Processes, opt.Alone = c.Int("processes"), c.Bool("alone")
+	if opt.Processes < 2 || opt.Processes > 16 || c.IsSet("for") {
+		return usage{errors.New("processes must be 2 to 16, and for is of virtual time")}
+	}
+	dir, err := os.MkdirTemp("", "rehearse")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	if opt.Daemon, err = procs.Build(c.Context, dir); err != nil {
+		return err
+	}
+	rep, err := costs.RunReal(c.Context, opt)
+	if err != nil {
+		return err
+	}
+	return tellCost(c, rep, rep.Missed)
+}
--- a/internal/lab/costs/costs.go
+++ b/internal/lab/costs/costs.go
@@ -3,12 +3,16 @@
 // process is offered several plans for one piece of work and three estimates of them: the fleet's mean, its
 // own answers alone, and what all told, pooled from node to type to fleet. Every plan is then played in the
 // same world, so that it is known which would have been cheapest and whether the interval held.
+//
+// RunReal is the same with processes of the built daemon and stand-in nodes, in real time: plans are asked of at
+// the operators' doors and carried out as requests. What the machine adds to each is measured beside it.
 package costs
 
 import (
 	"fmt"
 	"io"
 	"math"
+	"math/rand/v2"
 	"runtime"
 	"slices"
 	"text/tabwriter"
@@ -61,11 +65,11 @@
 type Row struct {
 	Seed      uint64        `json:"seed"` // 0: all
 	Decisions int           `json:"decisions"`
-	Cover     [ways]float64 `json:"cover"`         // share of ends within the 90% interval
-	Excess    [ways]float64 `json:"excess"`        // cost of what was called cheapest, over the best in hindsight
-	Turning   [ways]float64 `json:"excess_in_5_s"` // ... within 5 s of the slowing
-	Right     float64       `json:"right_after_s"` // until the slow node stands right among all at every process, for good
-	Alike     float64       `json:"alike"`         // share of decisions in which the first was not told apart from the best
+	Cover     [ways]float64 `json:"cover"`                  // share of ends within the 90% interval
+	Excess    [ways]float64 `json:"excess"`                 // cost of what was called cheapest, over the best in hindsight
+	Turning   [ways]float64 `json:"excess_in_5_s,omitzero"` // ... within 5 s of the slowing; with processes nothing is offered then
+	Right     float64       `json:"right_after_s"`          // until the slow node stands right among all at every process, for good
+	Alike     float64       `json:"alike"`                  // share of decisions in which the first was not told apart from the best
 	held      [ways]int
 	ends      int
 	best      [2]float64 // summed cost in hindsight: settled, turning
@@ -99,40 +103,47 @@
 		return nil, err
 	}
 	for _, r := range rows {
-		for i := range 2 {
-			sum.best[i] += r.best[i]
-			for k := range ways {
-				sum.chosen[i][k] += r.chosen[i][k]
-			}
-		}
-		for k := range ways {
-			sum.held[k] += r.held[k]
-		}
-		sum.ends, sum.Decisions, sum.alike = sum.ends+r.ends, sum.Decisions+r.Decisions, sum.alike+r.alike
-		sum.Right = max(sum.Right, r.Right)
+		sum.add(&r)
 		r.shares()
 		rep.Rows = append(rep.Rows, r)
 	}
 	sum.shares()
 	rep.Rows = append(rep.Rows, sum)
-	for _, r := range rep.Rows {
-		rep.judge(r)
+	for i := range rep.Rows {
+		rep.Missed = append(rep.Missed, rep.Rows[i].missed()...)
 	}
 	return rep, nil
 }
 
+func (r *Row) add(o *Row) {
+	for i := range 2 {
+		r.best[i] += o.best[i]
+		for k := range ways {
+			r.chosen[i][k] += o.chosen[i][k]
+		}
+	}
+	for k := range ways {
+		r.held[k] += o.held[k]
+	}
+	r.ends, r.Decisions, r.alike = r.ends+o.ends, r.Decisions+o.Decisions, r.alike+o.alike
+	r.Right = max(r.Right, o.Right)
+}
+
 func (r *Row) shares() {
 	for k := range ways {
 		r.Cover[k] = float64(r.held[k]) / float64(max(r.ends, 1))
 		r.Excess[k] = r.chosen[0][k]/r.best[0] - 1
-		r.Turning[k] = r.chosen[1][k]/r.best[1] - 1
+		if r.best[1] > 0 {
+			r.Turning[k] = r.chosen[1][k]/r.best[1] - 1
+		}
 	}
 	r.Alike = float64(r.alike) / float64(max(r.Decisions, 1))
 }
 
-func (rep *Report) judge(r Row) {
+// missed are the bounds that a row does not meet.
+func (r *Row) missed() (all []string) {
 	miss := func(form string, args ...any) {
-		rep.Missed = append(rep.Missed, fmt.Sprintf("seed %d: ", r.Seed)+fmt.Sprintf(form, args...))
+		all = append(all, fmt.Sprintf("seed %d: ", r.Seed)+fmt.Sprintf(form, args...))
 	}
 	if c := r.Cover[pooled]; !(c >= coverLeast && c <= coverMost) {
 		miss("the 90%% interval holds %.3f", c)
@@ -149,6 +160,7 @@
 	if !(r.Right*1000 <= settle) {
 		miss("the order is right after %.1f s", r.Right)
 	}
+	return all
 }
 
 // decision is one choice that is being played.
@@ -214,7 +226,9 @@
 	est[pooled].Learn(shared)
 	est[fleetMean].Learn(flat(shared))
 	est[ownOnly].Learn(w.processes[p].alone.Views(w.time()))
-	plans := w.offers()
+	plans := offers(w.rng, nodeCount/perShard, func(n int, units float64) *cost.Work {
+		return &cost.Work{Shard: n / perShard, Class: class, Units: units, Node: nodeName(n)}
+	})
 	d := &decision{left: offered * repeats}
 	var bounds [ways][offered][2]float64
 	for k, e := range est {
@@ -222,15 +236,9 @@
 		if err != nil {
 			return err
 		}
-		for at, a := range got.Plans {
-			i := int(a.Name[0] - 'a')
-			if at == 0 {
-				d.first[k] = i
-			}
-			bounds[k][i] = [2]float64{a.Low, a.High}
-			if k == pooled && at == 0 && len(a.Alike) > 0 {
-				r.alike++
-			}
+		d.first[k], bounds[k] = read(got)
+		if k == pooled && len(got.Plans[0].Alike) > 0 {
+			r.alike++
 		}
 	}
 	r.Decisions++
@@ -238,15 +246,10 @@
 	if turning {
 		phase = 1
 	}
-	prices := cost.Defaults(class).Prices
 	for i := range plans {
 		for n := range repeats {
 			w.play(&plans[i].Root, func(got played) {
-				c := prices.Work*got.work + prices.End*got.end
-				if got.end > millis(deadline) {
-					c += prices.Late * millis(deadline)
-				}
-				d.costs[i] += c / repeats
+				d.costs[i] += got.cost(millis(deadline)) / repeats
 				if n == 0 && !turning {
 					r.ends++
 					for k := range ways {
@@ -267,25 +270,42 @@
 	return nil
 }
 
-// offers are ways of one piece of work: reads of some shards, in one shape, on other nodes each.
-func (w *world) offers() []cost.Plan {
-	shards := w.rng.Perm(nodeCount / perShard)[:1+w.rng.IntN(6)]
-	units := make([]float64, len(shards))
+// read is the plan that a ranking calls cheapest, and each one's interval.
+func read(got cost.Ranking) (first int, bounds [offered][2]float64) {
+	for _, a := range got.Plans {
+		bounds[a.Name[0]-'a'] = [2]float64{a.Low, a.High}
+	}
+	return int(got.Plans[0].Name[0] - 'a'), bounds
+}
+
+// cost is what the order goes by, of what then came.
+func (p *played) cost(deadline float64) float64 {
+	prices := cost.Defaults(class).Prices
+	c := prices.Work*p.work + prices.End*p.end
+	if p.refused || p.end > deadline {
+		c += prices.Late * deadline
+	}
+	return c
+}
+
+// offers are ways of one piece of work: reads in some groups of a node of each kind, in one shape, at other
+// nodes each.
+func offers(rng *rand.Rand, groups int, work func(n int, units float64) *cost.Work) []cost.Plan {
+	of := rng.Perm(groups)[:1+rng.IntN(min(6, groups))]
+	units := make([]float64, len(of))
 	for i := range units {
-		units[i] = float64(1 + w.rng.IntN(unitsTop))
+		units[i] = float64(1 + rng.IntN(unitsTop))
 	}
-	shape := w.rng.IntN(4)
+	shape := rng.IntN(4)
 	plans := make([]cost.Plan, offered)
 	for i := range plans {
 		var steps []cost.Step
-		for j, s := range shards {
-			first := w.rng.IntN(perShard)
-			at := func(n int) cost.Step {
-				return cost.Step{Work: &cost.Work{Shard: s, Class: class, Units: units[j], Node: nodeName(s*perShard + n%perShard)}}
-			}
+		for j, g := range of {
+			first := rng.IntN(perShard)
+			at := func(n int) cost.Step { return cost.Step{Work: work(g*perShard+n%perShard, units[j])} }
 			step := at(first)
 			if shape == 2 { // a copy beside it
-				step = cost.Step{Any: []cost.Step{at(first), at(first + 1 + w.rng.IntN(perShard-1))}}
+				step = cost.Step{Any: []cost.Step{at(first), at(first + 1 + rng.IntN(perShard-1))}}
 			}
 			steps = append(steps, step)
 		}
@@ -305,25 +325,34 @@
 func (rep *Report) Print(out io.Writer) error {
 	fmt.Fprintf(out, "%d processes, %d nodes of %d kinds, one turns %g times slower; half-life %.1f s, rounds each %.2f s; virtual time\n",
 		processes, nodeCount, perShard, rep.Slow, rep.HalfLife, rep.Every)
-	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	t := table(out)
 	fmt.Fprintln(t, "seed\tdecisions\tin the 90%\tfleet mean\town only\t| excess %\tfleet mean\town only\t| in the 5 s %\tfleet mean\town only\t| right after s\talike")
 	for _, r := range rep.Rows {
-		name := fmt.Sprint(r.Seed)
-		if r.Seed == 0 {
-			name = "all"
-		}
-		fmt.Fprintf(t, "%s\t%d\t%.3f\t%.3f\t%.3f\t| %.2f\t%.2f\t%.2f\t| %.2f\t%.2f\t%.2f\t| %.1f\t%.2f\n", name, r.Decisions,
+		fmt.Fprintf(t, "%s\t%d\t%.3f\t%.3f\t%.3f\t| %.2f\t%.2f\t%.2f\t| %.2f\t%.2f\t%.2f\t| %.1f\t%.2f\n", r.name(), r.Decisions,
 			r.Cover[pooled], r.Cover[fleetMean], r.Cover[ownOnly], 100*r.Excess[pooled], 100*r.Excess[fleetMean], 100*r.Excess[ownOnly],
 			100*r.Turning[pooled], 100*r.Turning[fleetMean], 100*r.Turning[ownOnly], math.Round(r.Right*10)/10, r.Alike)
 	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
-	if len(rep.Missed) == 0 {
+	return printMissed(out, rep.Missed)
+}
+
+func table(out io.Writer) *tabwriter.Writer { return tabwriter.NewWriter(out, 0, 0, 2, ' ', 0) }
+
+func (r *Row) name() string {
+	if r.Seed == 0 {
+		return "all"
+	}
+	return fmt.Sprint(r.Seed)
+}
+
+func printMissed(out io.Writer, missed []string) error {
+	if len(missed) == 0 {
 		_, err := fmt.Fprintln(out, "bounds: all met; interval, excess and order at each seed, half of the others' excess over all")
 		return err
 	}
-	for _, m := range rep.Missed {
+	for _, m := range missed {
 		if _, err := fmt.Fprintln(out, "bound missed:", m); err != nil {
 			return err
 		}
--- a/internal/lab/costs/world.go
+++ b/internal/lab/costs/world.go
@@ -210,7 +210,10 @@
 }
 
 // played is what came of a plan once.
-type played struct{ work, end float64 }
+type played struct {
+	work, end float64
+	refused   bool // a step of it; in virtual time none is
+}
 
 // play tries a plan in the world as it is, from now on; it takes nothing from anybody, so that every plan of
 // a decision, and the traffic, meet the same nodes.
