--- a/internal/lab/costs/costs_test.go
+++ b/internal/lab/costs/costs_test.go
@@ -1,9 +1,14 @@
 package costs
 
 import (
+	"io"
 	"reflect"
 	"testing"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wheatsaddle/internal/lab/procs"
 )
 
 // Guards the bounds of the estimate at two of the ten seeds, that a seed gives one result, and that a bound
@@ -28,3 +33,37 @@
 		t.Errorf("answers that never fade: %+v", old.Missed)
 	}
 }
+
+// Guards that with processes an estimate rests on what others told: each of three is asked at its own nodes alone, so of
+// two in three the others know. When one of them turns slow its order is right again at all; where nothing is told it is not.
+func TestProcessesTellEachOther(t *testing.T) {
+	if testing.Short() {
+		t.Skip("several processes")
+	}
+	daemon, err := procs.Build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, alone := range []bool{false, true} {
+		opt := RealDefaults()
+		opt.Seeds, opt.Daemon, opt.Processes, opt.Groups, opt.Home, opt.Decisions = []uint64{1}, daemon, 3, 3, 1, 1
+		opt.Warm, opt.Settled, opt.Watch, opt.Alone = 100, 5, time.Minute, alone
+		if alone {
+			opt.Watch = 3 * time.Second
+		}
+		quiet := logrus.New()
+		quiet.SetOutput(io.Discard)
+		opt.Log = quiet
+		rep, err := RunReal(t.Context(), opt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := rep.Rows[0]
+		if alone != (r.Right > opt.Watch.Seconds()*0.9) {
+			t.Errorf("alone %v: the order was wrong until %.1f s of %v", alone, r.Right, opt.Watch)
+		}
+		if r.Decisions != 3 || r.ends != 3*offered*carriedOut || r.Requests < 300 || r.Refused > r.Requests/10 || len(r.slept) == 0 || len(r.added) == 0 {
+			t.Errorf("%+v", r)
+		}
+	}
+}
--- a/internal/lab/costs/real.go
+++ b/internal/lab/costs/real.go
@@ -32,9 +32,10 @@
 // adds is a small part.
 const (
 	stretch      = 4.0 // of all services
-	realWorkers  = 16  // of a node: they sleep
-	realRepeats  = 8   // executions of each plan
-	warmAnswers  = 500 // that each process gives before the first question
+	realWorkers  = 64  // of a node: they sleep
+	carriedOut   = 2   // times that a process carries out each plan
+	hindsight    = 6   // times that each is tried at the nodes themselves, past all processes
+	decideEvery  = 500 * time.Millisecond
 	lookEvery    = 100 * time.Millisecond
 	probeFor     = 10 * time.Millisecond
 	clientsMost  = 128 // connections to one process
@@ -50,6 +51,7 @@
 	Daemon    string // its path
 	Processes int
 	Groups    int // of a node of each kind; one to a shard
+	Warm      int // answers that each process gives before the first question
 	Decisions int // of each process, before a node turns slow
 	HalfLife  time.Duration
 	Every     time.Duration // between a process's rounds
@@ -63,7 +65,7 @@
 
 // RealDefaults are the issue's figures.
 func RealDefaults() RealOptions {
-	return RealOptions{Processes: processes, Groups: nodeCount / perShard, Decisions: 8, HalfLife: 1500 * time.Millisecond,
+	return RealOptions{Processes: processes, Groups: nodeCount / perShard, Warm: 500, Decisions: 12, HalfLife: 1500 * time.Millisecond,
 		Every: 500 * time.Millisecond, Slow: 5, Home: homeShare, Watch: 8 * time.Second}
 }
 
@@ -79,6 +81,7 @@
 	Row
 	Requests int     `json:"requests"`
 	Refused  int     `json:"refused"` // of those, not served
+	Busy     int     `json:"busy"`    // estimates that a process had no time for, and was asked again
 	Added    Noise   `json:"added"`   // to a request's drawn service, until its client had the answer
 	Slept    Noise   `json:"slept"`   // longer than was asked for, by a sleep of 10 ms of this program
 	Took     float64 `json:"took_s"`
@@ -110,7 +113,7 @@
 			return nil, err
 		}
 		sum.add(&r.Row)
-		sum.Requests, sum.Refused, sum.Took = sum.Requests+r.Requests, sum.Refused+r.Refused, sum.Took+r.Took
+		sum.Requests, sum.Refused, sum.Busy, sum.Took = sum.Requests+r.Requests, sum.Refused+r.Refused, sum.Busy+r.Busy, sum.Took+r.Took
 		sum.added, sum.slept = append(sum.added, r.added...), append(sum.slept, r.slept...)
 		rep.Rows = append(rep.Rows, r)
 	}
@@ -138,14 +141,15 @@
 
 // real is a world of processes.
 type real struct {
-	opt   RealOptions
-	f     *procs.Fleet
-	nodes []server
-	slow  atomic.Bool // the slow node is
-	pools []*client.Pool
-	door  *http.Client
-	begin time.Time
-	seq   atomic.Uint64
+	opt      RealOptions
+	f        *procs.Fleet
+	nodes    []server
+	slow     atomic.Bool    // the slow node is
+	pools    []*client.Pool // to each process
+	straight []*client.Pool // to each node
+	door     *http.Client
+	begin    time.Time
+	seq      atomic.Uint64
 
 	mu    sync.Mutex // of what follows
 	alone []answers  // what each process's clients had
@@ -174,7 +178,7 @@
 func newReal(ctx context.Context, opt RealOptions, seed uint64) (*real, error) {
 	rng := rand.New(rand.NewPCG(seed, 24))
 	w := &real{opt: opt, begin: time.Now(), gave: make([]int, opt.Processes), right: make([]time.Duration, opt.Processes),
-		door: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: estimatesAt}}}
+		door: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	w.row.Seed = seed
 	var nodes []procs.Storage
 	types := map[string]string{}
@@ -237,14 +241,16 @@
 	for p := range opt.Processes {
 		w.pools = append(w.pools, &client.Pool{Address: w.f.Front(p), Most: clientsMost})
 	}
+	for n := range w.nodes {
+		w.straight = append(w.straight, &client.Pool{Address: w.f.NodeAddr(n)})
+	}
 	return w, bad
 }
 
 func (w *real) close() {
-	for _, p := range w.pools {
+	for _, p := range slices.Concat(w.pools, w.straight) {
 		p.Close()
 	}
-	w.door.CloseIdleConnections()
 	w.f.Close()
 }
 
@@ -279,19 +285,29 @@
 	return float64(n), luck
 }
 
-// ask has a process serve one request, and gives its time; false: it was not served.
-func (w *real) ask(p, n int, units float64, luck uint64) (took float64, served bool) {
+// send sends one request, and gives its time; false: it was not served.
+func (w *real) send(to *client.Pool, n int, units float64, luck uint64) (took float64, served bool) {
 	seq := w.seq.Add(1)
-	slow := w.slow.Load()
 	m := client.Message{ID: fmt.Sprintf(idForm, luck, int(units), seq), Class: class, Plan: thePlan, Extent: fmt.Sprintf("%016x", seq),
-		Volume: fmt.Sprintf("%016x", p), Units: units, Shard: n, Hosts: w.opt.Processes, Deadline: requestMost}
+		Volume: fmt.Sprintf("%016x", seq%64), Units: units, Shard: n, Hosts: w.opt.Processes, Deadline: requestMost}
 	begin := time.Now()
-	a := w.pools[p].Do(&m, begin)
-	took = millis(a.Ended.Sub(begin))
+	a := to.Do(&m, begin)
+	return millis(a.Ended.Sub(begin)), a.Outcome == client.Served
+}
+
+// direct tries a request at a node itself.
+func (w *real) direct(n int, units float64, luck uint64) (took float64, served bool) {
+	return w.send(w.straight[n], n, units, luck)
+}
+
+// ask has a process serve one request.
+func (w *real) ask(p, n int, units float64, luck uint64) (took float64, served bool) {
+	slow := w.slow.Load()
+	took, served = w.send(w.pools[p], n, units, luck)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.row.Requests++
-	if a.Outcome != client.Served {
+	if !served {
 		w.row.Refused++
 		return took, false
 	}
@@ -355,46 +371,58 @@
 	return json.Marshal(map[string]any{"plans": all, "deadline_ms": millis(deadline)})
 }
 
-// estimate asks at a process's door.
+// estimate asks at a process's door, again where that has no time.
 func (w *real) estimate(ctx context.Context, p int, plans []cost.Plan) (r cost.Ranking, err error) {
 	body, err := question(plans, realDeadline)
 	if err != nil {
 		return r, err
 	}
+	for {
+		code, text, err := w.post(ctx, p, body)
+		if err != nil {
+			return r, err
+		}
+		if code == http.StatusServiceUnavailable || gjson.GetBytes(text, "code").Str == (&cost.OutOfTime{}).Code() {
+			w.mu.Lock()
+			w.row.Busy++
+			w.mu.Unlock()
+			continue
+		}
+		for _, a := range gjson.GetBytes(text, "plans").Array() {
+			r.Plans = append(r.Plans, cost.Answer{Name: a.Get("name").Str, Mean: a.Get("mean_ms").Num, Low: a.Get("p5_ms").Num, High: a.Get("p95_ms").Num,
+				Basis: cost.Basis{Origins: int(a.Get("rests_on.origins").Num)}, Alike: make([]int, len(a.Get("alike").Array()))})
+		}
+		if code != http.StatusOK || len(r.Plans) != len(plans) {
+			err = fmt.Errorf("process %d: estimate: %d %s", p, code, text)
+		}
+		return r, err
+	}
+}
+
+func (w *real) post(ctx context.Context, p int, body []byte) (code int, text []byte, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.f.Door(p)+"/api/estimate", bytes.NewReader(body))
 	if err != nil {
-		return r, err
+		return 0, nil, err
 	}
 	resp, err := w.door.Do(req)
 	if err != nil {
-		return r, err
+		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("process %d: estimate: %d %s", p, resp.StatusCode, text)
-	}
-	for _, a := range gjson.GetBytes(text, "plans").Array() {
-		one := cost.Answer{Name: a.Get("name").Str, Mean: a.Get("mean_ms").Num, Low: a.Get("p5_ms").Num, High: a.Get("p95_ms").Num,
-			Basis: cost.Basis{Origins: int(a.Get("rests_on.origins").Num)}, Alike: make([]int, len(a.Get("alike").Array()))}
-		r.Plans = append(r.Plans, one)
-	}
-	if err == nil && len(r.Plans) != len(plans) {
-		err = fmt.Errorf("process %d: estimate: %s", p, text)
-	}
-	return r, err
+	text, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, text, err
 }
 
-// carry carries a step out, as requests to a process.
-func (w *real) carry(p int, s *cost.Step, luck uint64) played {
+// carry carries a step out, as requests.
+func carry(ask func(n int, units float64, luck uint64) (float64, bool), s *cost.Step, luck uint64) played {
 	if s.Work != nil {
-		took, ok := w.ask(p, s.Work.Shard, s.Work.Units, luck)
+		took, ok := ask(s.Work.Shard, s.Work.Units, luck)
 		return played{took, took, !ok}
 	}
 	next := func(i int) uint64 { return rand.NewPCG(luck, uint64(i)).Uint64() }
 	var sum played
 	for i := range s.Then {
-		got := w.carry(p, &s.Then[i], next(i))
+		got := carry(ask, &s.Then[i], next(i))
 		sum = played{sum.work + got.work, sum.end + got.end, sum.refused || got.refused}
 	}
 	if s.Then != nil {
@@ -410,7 +438,7 @@
 	got := make([]played, len(steps))
 	var all sync.WaitGroup
 	for i := range steps {
-		all.Go(func() { got[i] = w.carry(p, &steps[i], next(i)) })
+		all.Go(func() { got[i] = carry(ask, &steps[i], next(i)) })
 	}
 	all.Wait()
 	slices.SortFunc(got, func(a, b played) int { return cmp.Compare(a.end, b.end) })
@@ -435,7 +463,8 @@
 	return got, err
 }
 
-// plan has a process choose among plans, and all of them carried out.
+// plan has a process choose among plans and carry all of them out. For hindsight each is tried more often, by nobody's
+// door: what is only tried teaches no process.
 func (w *real) plan(ctx context.Context, p int, rng *rand.Rand) error {
 	var est [ways]*cost.Estimator
 	for k := range est {
@@ -444,6 +473,8 @@
 			return err
 		}
 	}
+	next := time.NewTicker(decideEvery)
+	defer next.Stop()
 	for range w.opt.Decisions {
 		plans := offers(rng, w.opt.Groups, func(n int, units float64) *cost.Work {
 			return &cost.Work{Shard: n, Class: class, Units: units, Node: nodeName(n)}
@@ -455,16 +486,26 @@
 		if err != nil {
 			return err
 		}
+		var lucks [carriedOut + hindsight]uint64
+		for n := range lucks {
+			lucks[n] = rng.Uint64()
+		}
 		var costs [offered]float64
-		var ends [offered][]played
-		for range realRepeats {
-			luck := rng.Uint64()
-			var all sync.WaitGroup
+		var ends [offered][len(lucks)]played
+		var all sync.WaitGroup
+		for n := range lucks {
+			ask := w.direct
+			if n < carriedOut {
+				ask = func(n int, units float64, luck uint64) (float64, bool) { return w.ask(p, n, units, luck) }
+			}
 			for i := range plans {
-				all.Go(func() { ends[i] = append(ends[i], w.carry(p, &plans[i].Root, luck)) })
+				all.Go(func() { ends[i][n] = carry(ask, &plans[i].Root, lucks[n]) })
+			}
+			if n < carriedOut {
+				all.Wait()
 			}
-			all.Wait()
 		}
+		all.Wait()
 		w.mu.Lock()
 		r := &w.row
 		r.Decisions++
@@ -473,7 +514,7 @@
 		}
 		for i := range ends {
 			for _, e := range ends[i] {
-				costs[i] += e.cost(millis(realDeadline)) / realRepeats
+				costs[i] += e.cost(millis(realDeadline)) / float64(len(lucks))
 			}
 		}
 		r.best[0] += slices.Min(costs[:])
@@ -481,15 +522,20 @@
 			first, bounds := read(got[k])
 			r.chosen[0][k] += costs[first]
 			for i := range ends {
-				for _, e := range ends[i] {
+				for _, e := range ends[i][:carriedOut] {
 					if !e.refused && e.end >= bounds[i][0] && e.end <= bounds[i][1] {
 						r.held[k]++
 					}
 				}
 			}
 		}
-		r.ends += offered * realRepeats
+		r.ends += offered * carriedOut
 		w.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-next.C:
+		}
 	}
 	return nil
 }
@@ -576,7 +622,7 @@
 		w.mu.Lock()
 		least := slices.Min(w.gave)
 		w.mu.Unlock()
-		if least < warmAnswers {
+		if least < w.opt.Warm {
 			return fmt.Errorf("one has given %d answers", least)
 		}
 		for p := range w.opt.Processes {
@@ -637,11 +683,11 @@
 	fmt.Fprintf(out, "%d processes, %d nodes of %d kinds, one turns %g times slower; half-life %.1f s, rounds each %.2f s; %s; real time\n",
 		rep.Processes, rep.Nodes, perShard, rep.Slow, rep.HalfLife, rep.Every, told)
 	t := table(out)
-	fmt.Fprintln(t, "seed\tdecisions\tin the 90%\tfleet mean\town only\t| excess %\tfleet mean\town only\t| right after s\talike\t| requests\trefused\tadded ms p50\tp90\tp99\tsleeps ms p50\tp99\t| took s")
+	fmt.Fprintln(t, "seed\tdecisions\tin the 90%\tfleet mean\town only\t| excess %\tfleet mean\town only\t| right after s\talike\t| requests\trefused\tbusy\tadded ms p50\tp90\tp99\tsleeps ms p50\tp99\t| took s")
 	for _, r := range rep.Rows {
-		fmt.Fprintf(t, "%s\t%d\t%.3f\t%.3f\t%.3f\t| %.2f\t%.2f\t%.2f\t| %.1f\t%.2f\t| %d\t%d\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t| %.0f\n", r.name(), r.Decisions,
+		fmt.Fprintf(t, "%s\t%d\t%.3f\t%.3f\t%.3f\t| %.2f\t%.2f\t%.2f\t| %.1f\t%.2f\t| %d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t| %.0f\n", r.name(), r.Decisions,
 			r.Cover[pooled], r.Cover[fleetMean], r.Cover[ownOnly], 100*r.Excess[pooled], 100*r.Excess[fleetMean], 100*r.Excess[ownOnly],
-			r.Right, r.Alike, r.Requests, r.Refused, r.Added.P50, r.Added.P90, r.Added.P99, r.Slept.P50, r.Slept.P99, r.Took)
+			r.Right, r.Alike, r.Requests, r.Refused, r.Busy, r.Added.P50, r.Added.P90, r.Added.P99, r.Slept.P50, r.Slept.P99, r.Took)
 	}
 	if err := t.Flush(); err != nil {
 		return err
--- a/internal/lab/procs/fleet.go
+++ b/internal/lab/procs/fleet.go
@@ -355,6 +355,9 @@
 func (f *Fleet) ListLink(i int) *link.Link       { return f.listings[i] }
 func (f *Fleet) StorageLink(i, j int) *link.Link { return f.storage[min(i, len(f.storage)-1)][j] }
 
+// NodeAddr is where node j itself listens, past all links.
+func (f *Fleet) NodeAddr(j int) string { return f.real[j] }
+
 // Front is where clients find daemon i.
 func (f *Fleet) Front(i int) string {
 	if f.opt.Direct {
