Codes: every line logged at warn or above has one, and a test holds it

The house rule on logs now names each loud line without operr.Fields (its own test has one more broken line; with the rule's new condition out that test fails).

--- a/cmd/wheatsaddle/main.go
+++ b/cmd/wheatsaddle/main.go
@@ -31,7 +31,7 @@
 				&cli.StringFlag{Name: "of", Value: "site", Usage: "site or plans"}}, Action: func(c *cli.Context) error {
 				text, known := map[string][]byte{"site": config.SiteSchema, "plans": cost.Schema}[c.String("of")]
 				if !known {
-					return fmt.Errorf("of: %q is neither site nor plans", c.String("of"))
+					return &config.SchemaError{Of: c.String("of")}
 				}
 				_, err := c.App.Writer.Write(text)
 				return err
--- a/cmd/wheatsaddle/site.go
+++ b/cmd/wheatsaddle/site.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// restarts keeps the held value of a section that counts after a restart, and names it if the file has another.
+func restarts[T any](next *T, held T, key string, later []string) []string {
+	if !reflect.DeepEqual(*next, held) {
+		later = append(later, key)
+	}
+	*next = held
+	return later
+}
+
 // reload reads the file again. It is checked whole first; a bad one changes nothing.
 func (s *site) reload() {
 	if s.file == "" {
@@ -79,25 +88,13 @@
 		s.log.WithFields(operr.Fields(err)).Error("the site's file counts as it was")
 		return
 	}
-	if !reflect.DeepEqual(next.Listen, s.held.Listen) {
-		s.log.WithField("keys", "listen").Warn("changed, and need a restart")
-		next.Listen = s.held.Listen
-	}
-	if !reflect.DeepEqual(next.Metrics, s.held.Metrics) {
-		s.log.WithField("keys", "metrics").Warn("changed, and need a restart")
-		next.Metrics = s.held.Metrics
-	}
-	if !reflect.DeepEqual(next.Peers, s.held.Peers) {
-		s.log.WithField("keys", "peers").Warn("changed, and need a restart")
-		next.Peers = s.held.Peers
-	}
-	if !reflect.DeepEqual(next.Estimate, s.held.Estimate) {
-		s.log.WithField("keys", "estimate").Warn("changed, and need a restart")
-		next.Estimate = s.held.Estimate
-	}
-	if !reflect.DeepEqual(next.Start, s.held.Start) {
-		s.log.WithField("keys", "start").Warn("changed, and need a restart")
-		next.Start = s.held.Start
+	later := restarts(&next.Listen, s.held.Listen, "listen", nil)
+	later = restarts(&next.Metrics, s.held.Metrics, "metrics", later)
+	later = restarts(&next.Peers, s.held.Peers, "peers", later)
+	later = restarts(&next.Estimate, s.held.Estimate, "estimate", later)
+	later = restarts(&next.Start, s.held.Start, "start", later)
+	for _, key := range later {
+		s.log.WithFields(operr.Fields(&config.RestartError{Keys: key})).Warn("changed, and need a restart")
 	}
 	s.held = next
 	s.apply()
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -116,6 +116,32 @@
 	return "Put " + e.Key + " back and send SIGHUP; to do without it, restart. Nothing of the file was taken."
 }
 
+// RestartError names keys that have changed, and count from the next start on.
+type RestartError struct{ Keys string }
+
+func (e *RestartError) Error() string { return e.Keys + ": changed, and counts after a restart" }
+
+// Code implements operr.Coded.
+func (e *RestartError) Code() string { return "config-restart" }
+
+// Advice implements operr.Coded.
+func (e *RestartError) Advice() string {
+	return "Restart the process for the new value of " + e.Keys + ", or put the old one back; all else of the file counts now."
+}
+
+// SchemaError is a schema asked for that there is none of.
+type SchemaError struct{ Of string }
+
+func (e *SchemaError) Error() string { return fmt.Sprintf("of: %q is neither site nor plans", e.Of) }
+
+// Code implements operr.Coded.
+func (e *SchemaError) Code() string { return "config-schema" }
+
+// Advice implements operr.Coded.
+func (e *SchemaError) Advice() string {
+	return "Ask with --of site for the site's file, or with --of plans for what the estimate takes."
+}
+
 // RefusedError is a set of settings that the decisions cannot work with, though each key was read.
 type RefusedError struct{ Err error }
 
@@ -144,6 +170,6 @@
 	none := fmt.Errorf("open site.json: no such file or directory")
 	operr.Register(&KeyError{File: "configuration", Key: "limits.sockets", Value: `"x"`, Want: "a number of at least 64"},
 		&JSONError{File: "configuration"}, &FileError{Named: "site", Err: none}, &UnsetError{"ROUTER_CONFIG"},
-		&LostKeyError{"settings.rules", "missing; the configuration before had it"},
+		&LostKeyError{"settings.rules", "missing; the configuration before had it"}, &RestartError{"listen"}, &SchemaError{"nodes"},
 		&RefusedError{fmt.Errorf("settings: MaxAttempts is -1")})
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 	"wheatsaddle/internal/exclusion"
 	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/margin"
+	"wheatsaddle/internal/operr"
 )
 
 const (
@@ -501,7 +502,7 @@
 		if p == nil {
 			return
 		}
-		c.opt.Log.WithField("stack", string(debug.Stack())).Errorf("module panicked: %v", p)
+		c.opt.Log.WithFields(operr.Fields(&Panicked{fmt.Sprint(p)})).WithField("stack", string(debug.Stack())).Error("the decisions start anew")
 		for id, e := range c.reqs {
 			c.answer(e, Answer{Kind: Failed, Cause: CauseBroken})
 			delete(c.reqs, id)
--- a/internal/core/errors.go
+++ b/internal/core/errors.go
@@ -34,4 +34,34 @@
 	return "Nothing, if the process was told to stop; else read its log from before this line and restart it."
 }
 
-func init() { operr.Register(&Busy{controlWait}, &Ended{}) }
+// Panicked says that a decision broke. All that was open is answered as failed, and the decisions start anew.
+type Panicked struct{ Says string }
+
+func (e *Panicked) Error() string { return "module panicked: " + e.Says }
+
+// Code implements operr.Coded.
+func (e *Panicked) Code() string { return "core-panicked" }
+
+// Advice implements operr.Coded.
+func (e *Panicked) Advice() string {
+	return "Send the line with its stack to the developers: it is a fault of the program. The process goes on with the list as it is held; what was learned of the nodes is lost."
+}
+
+// AnsweredLate says that a request's answer was decided after the time its client had given.
+type AnsweredLate struct{ By time.Duration }
+
+func (e *AnsweredLate) Error() string {
+	return "a request ended " + e.By.Round(time.Millisecond).String() + " after its client's time"
+}
+
+// Code implements operr.Coded.
+func (e *AnsweredLate) Code() string { return "core-answered-late" }
+
+// Advice implements operr.Coded.
+func (e *AnsweredLate) Advice() string {
+	return "Look at timer_late_ms: where it is near late_ms the process had no processor, so give it more (limits.cores) or move its neighbours; else look at the node of the last attempt."
+}
+
+func init() {
+	operr.Register(&Busy{controlWait}, &Ended{}, &Panicked{"index out of range"}, &AnsweredLate{time.Second})
+}
--- a/internal/core/late.go
+++ b/internal/core/late.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wheatsaddle/choice"
+	"wheatsaddle/internal/operr"
 )
 
 // lateEvery is how often a request that ended late has a line of the log.
@@ -39,7 +40,7 @@
 		}
 		tries = append(tries, text)
 	}
-	c.opt.Log.WithFields(logrus.Fields{"id": e.req.ID, "class": e.req.Class, "kind": kindWords[a.Kind],
+	c.opt.Log.WithFields(operr.Fields(&AnsweredLate{late})).WithFields(logrus.Fields{"id": e.req.ID, "class": e.req.Class, "kind": kindWords[a.Kind],
 		"late_ms": late.Milliseconds(), "attempts": strings.Join(tries, ", "), "others": c.untold,
 		"timer_late_ms": c.late.Worst().Milliseconds()}).Warn("a request ended after its client's time")
 	c.told, c.untold = now, 0
--- a/internal/houserules/houserules_test.go
+++ b/internal/houserules/houserules_test.go
@@ -42,6 +42,7 @@
 	t.Errorf("x: %v", err)
 	log.WithFields(operr.Fields(&Full{err})).Warn("x")
 	log.WithField("a", 1).Errorf("x: %v", 7)
+	log.WithField("a", 1).Info("x")
 }
 const path, golden, class = "/gold/x", "of gold", "silver"
 `
@@ -78,7 +79,7 @@
 	}
 	holds("bare", found, err, "15: Direct", "17: Through", "17: Method", "18: Named", "13: Global")
 	found, err = Names(files, Words{Whole: []string{"gold", "silver"}, Anywhere: []string{"harbourtown"}})
-	holds("names", found, err, "5:1", "37:29", "37:51")
+	holds("names", found, err, "5:1", "38:29", "38:51")
 	found, err = BareLogs(dir)
-	holds("logs", found, err, "27:", "28:", "29:", "30:")
+	holds("logs", found, err, "27:", "28:", "29:", "30:", "35:")
 }
--- a/internal/houserules/logs.go
+++ b/internal/houserules/logs.go
@@ -11,8 +11,8 @@
 // loud are the levels that an operator reads.
 var loud = []string{"Warn", "Error", "Fatal", "Panic"}
 
-// BareLogs names each line that a package in a folder logs at warn or above with an error and without its
-// code: by WithError, or as an argument of a format; and by operr.Fields of an error that is made bare.
+// BareLogs names each line that a package in a folder logs at warn or above without a code: without operr.Fields,
+// with an error by WithError or as an argument of a format, and by operr.Fields of an error that is made bare.
 func BareLogs(folder string) ([]string, error) {
 	b, err := read(folder, true)
 	if err != nil {
@@ -47,7 +47,7 @@
 	if !slices.Contains(loud, level) {
 		return ""
 	}
-	says := ""
+	says, coded := "", false
 	for _, a := range n.Args {
 		if id, ok := a.(*ast.Ident); ok && id.Name == "err" {
 			says = "an error in the text has no code: use operr.Fields"
@@ -56,10 +56,13 @@
 	for x := f.X; ; {
 		switch c := x.(type) {
 		case *ast.Ident: // a logger by its name
-			if strings.EqualFold(c.Name, "log") {
-				return says
+			if !strings.EqualFold(c.Name, "log") {
+				return ""
 			}
-			return ""
+			if says == "" && !coded {
+				says = "no code: use operr.Fields"
+			}
+			return says
 		case *ast.SelectorExpr:
 			x = c.Sel
 		case *ast.CallExpr:
@@ -71,8 +74,10 @@
 				says = "WithError has no code: use operr.Fields"
 			}
 			for _, a := range c.Args {
-				if in, ok := a.(*ast.CallExpr); ok && fields(in) && len(in.Args) == 1 && b.made(in.Args[0], local).IsValid() {
-					says = "a bare error is logged"
+				if in, ok := a.(*ast.CallExpr); ok && fields(in) {
+					if coded = true; len(in.Args) == 1 && b.made(in.Args[0], local).IsValid() {
+						says = "a bare error is logged"
+					}
 				}
 			}
 			x = s.X
