Watch's tests and the keyed repeat play in a clock of the test, paths without margins

TestWatch, TestMove, TestTurnedAwayWatch, TestPace and TestQuiet compared with a real clock: an agent that answers later than 20 ms was asked again, and the calls seen were one more. TestKeyedRepeat plays in synctest. Tests of paths where nothing is to be suspected use settings by which no pause of the machine is one.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -191,28 +192,30 @@
 // A repeat that waits for a connection until its group has forgotten the key does not begin any more: the
 // decision to send it came in time, its first byte would not.
 func TestKeyedRepeatBeginsWithinItsWindow(t *testing.T) {
-	set := settings()
-	set.Classes[1].Memory = 1000
-	r := start(t, set)
-	r.list(choice.ListStale, node("n", 0, choice.NodeUp))
-	sent := time.Now()
-	_, got := r.ask("a", "record", time.Minute)
-	first := <-r.peer("n").sent
-	if !first.By.IsZero() {
-		t.Errorf("a first attempt is bound: %v", first.By)
-	}
-	first.Done(Result{Status: choice.Reset})
-	again := <-r.peer("n").sent
-	if again.By.Before(sent.Add(time.Second)) || again.By.After(time.Now().Add(time.Second)) {
-		t.Fatalf("may begin until %v after the request, want 1 s after the first attempt", again.By.Sub(sent))
-	}
-	time.Sleep(time.Until(again.By) + time.Millisecond)
-	if !again.Moot() || again.Begin() {
-		t.Error("begins although its window is over")
-	}
-	again.Done(Result{Status: choice.Moot})
-	one(t, got, Failed)
-	none(t, r, got)
+	synctest.Test(t, func(t *testing.T) {
+		set := settings()
+		set.Classes[1].Memory = 1000
+		r := start(t, set)
+		r.list(choice.ListStale, node("n", 0, choice.NodeUp))
+		sent := time.Now()
+		_, got := r.ask("a", "record", time.Minute)
+		first := <-r.peer("n").sent
+		if !first.By.IsZero() {
+			t.Errorf("a first attempt is bound: %v", first.By)
+		}
+		first.Done(Result{Status: choice.Reset})
+		again := <-r.peer("n").sent
+		if again.By.Before(sent.Add(time.Second)) || again.By.After(time.Now().Add(time.Second)) {
+			t.Fatalf("may begin until %v after the request, want 1 s after the first attempt", again.By.Sub(sent))
+		}
+		time.Sleep(time.Until(again.By) + time.Millisecond)
+		if !again.Moot() || again.Begin() {
+			t.Error("begins although its window is over")
+		}
+		again.Done(Result{Status: choice.Moot})
+		one(t, got, Failed)
+		none(t, r, got)
+	})
 }
 
 func TestDepartedCancels(t *testing.T) {
--- a/internal/httpfront/paths_test.go
+++ b/internal/httpfront/paths_test.go
@@ -38,6 +38,14 @@
 	gate  atomic.Pointer[chan struct{}]
 }
 
+// patient are settings by which no pause of the machine makes an address suspect.
+func patient() address.Settings {
+	s := quick()
+	s.SuspectLeast, s.SuspectMost, s.DoubtAfter = time.Minute, 2*time.Minute, time.Minute
+	s.Delay, s.DelayLeast, s.DelayMost = 2*time.Second, 2*time.Second, 2*time.Second
+	return s
+}
+
 // quick are settings for tests that wait for a suspicion or a back-off.
 func quick() address.Settings {
 	s := address.Defaults()
@@ -71,7 +79,7 @@
 		r.at = append(r.at, a)
 	}
 	r.d = dialer()
-	r.d.ConnectTimeout = 300 * ms
+	r.d.ConnectTimeout = time.Minute // no verdict is of the machine's speed
 	r.d.Safe = map[string]bool{"balance-read": true}
 	var log *logrus.Logger
 	log, r.hook = logtest.NewNullLogger()
@@ -150,7 +158,7 @@
 // Requests go by the preferred address on one kept connection, each executed once, and by the
 // next one when it refuses; it is returned to after it is back.
 func TestPathsOrder(t *testing.T) {
-	r := newRouted(t, quick())
+	r := newRouted(t, patient())
 	for range 20 {
 		if by := r.served(recordText); by != r.at[0] {
 			t.Fatalf("went by %v", by)
@@ -230,7 +238,7 @@
 
 // All addresses fail at once, then one returns: no burst of connects.
 func TestPathsAllDown(t *testing.T) {
-	r := newRouted(t, quick())
+	r := newRouted(t, patient())
 	r.served(readText)
 	for i := range r.at {
 		r.set(i, standnode.Refused)
@@ -315,7 +323,7 @@
 // A drain while connects race: all that waits ends, nothing is written, and what comes up late
 // is closed.
 func TestPathsDrainInRace(t *testing.T) {
-	r := newRouted(t, quick())
+	r := newRouted(t, patient())
 	held := make(chan struct{})
 	var waiting atomic.Int64
 	r.d.dial = func(ctx context.Context, a address.Addr, within time.Duration) (sock.Stream, address.Why, error) {
@@ -355,7 +363,7 @@
 // The last descriptor goes halfway through a race: the address is not blamed, and serves when
 // there are some again.
 func TestPathsNoDescriptors(t *testing.T) {
-	r := newRouted(t, quick())
+	r := newRouted(t, patient())
 	var lack atomic.Bool
 	r.d.dial = func(ctx context.Context, a address.Addr, within time.Duration) (sock.Stream, address.Why, error) {
 		if lack.Load() {
@@ -393,7 +401,7 @@
 
 // A machine without IPv6: said once for all nodes, at no more than info, and the others serve.
 func TestPathsNoIPv6(t *testing.T) {
-	r := newRouted(t, quick())
+	r := newRouted(t, patient())
 	r.d.dial = func(ctx context.Context, a address.Addr, within time.Duration) (sock.Stream, address.Why, error) {
 		if a.Kind() == address.IPv6 {
 			return nil, sock.WhyNot(syscall.EAFNOSUPPORT, a.Kind()), syscall.EAFNOSUPPORT
@@ -425,7 +433,7 @@
 // One address, then several, then one again, by the same peer: what is out is finished by the
 // connection that carries it.
 func TestReaddress(t *testing.T) {
-	r := newRouted(t, quick())
+	r := newRouted(t, patient())
 	release := make(chan bool)
 	slow := newStandin(t, func(nc net.Conn) bool { <-release; fmt.Fprint(nc, fine); return true })
 	r.p = r.d.Connect("m", at(slow.ln))
@@ -459,7 +467,9 @@
 // Addresses are reordered, added and removed while requests are in flight: each gets one
 // answer, whole, and runs once.
 func TestReaddressUnderLoad(t *testing.T) {
-	r := newRouted(t, quick())
+	book := patient()
+	book.Rate, book.Burst = 1e6, 1e6 // each change costs connects: how many fall into a second is the machine's speed
+	r := newRouted(t, book)
 	set := testModule()
 	f, c := r.through(set, 50)
 	list := func(kind choice.EventKind, to ...address.Addr) {
--- a/internal/registry/pace_test.go
+++ b/internal/registry/pace_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,41 +27,63 @@
 func (p pace) Due() <-chan struct{} { return p.due }
 func (p pace) Missed()              { p.missed <- true }
 
-// watching runs a watcher until the test ends.
-func watching(t *testing.T, w *Watcher) (news chan core.News) {
-	news = make(chan core.News, 100)
-	w.Log, _ = logtest.NewNullLogger()
-	w.Tell = func(n core.News) { news <- n }
-	ctx, stop := context.WithCancel(context.Background())
+// played is a watcher whose clock stands until the test lets time pass: no verdict is of the machine's speed.
+type played struct {
+	ctx  context.Context
+	stop func() // and wait for its end
+	news chan core.News
+	hook *logtest.Hook
+	now  atomic.Int64
+	wake chan time.Time
+}
+
+// watching runs a watcher until the test ends, or stops it.
+func watching(t *testing.T, w *Watcher) *played {
+	p := &played{news: make(chan core.News, 100), wake: make(chan time.Time)}
+	w.Log, p.hook = logtest.NewNullLogger()
+	w.Tell = func(n core.News) { p.news <- n }
+	w.since, w.call = func() time.Duration { return time.Duration(p.now.Load()) }, w.watch
+	ctx, end := context.WithCancel(context.Background())
 	ended := make(chan bool)
-	go func() { w.Run(ctx); close(ended) }()
-	t.Cleanup(func() { stop(); <-ended })
-	return news
+	go func() { w.run(ctx, p.wake, func(time.Duration) {}); close(ended) }()
+	p.ctx, p.stop = ctx, func() { end(); <-ended }
+	t.Cleanup(p.stop)
+	return p
+}
+
+// pass lets time pass, once the watcher is done with what it took before.
+func (p *played) pass(by time.Duration) {
+	p.wake <- time.Time{}
+	p.now.Add(int64(by))
+	p.wake <- time.Time{}
 }
 
 // At a process's start the list is asked for when the pace says so, whatever the service does, and
-// each call that came to nothing is told to it. The hour of Told leaves all to the pace.
+// each call that came to nothing is told to it. Its clock stands, so no call is due for what counts as told.
 func TestPace(t *testing.T) {
 	s, asked := service(t, 40)
-	p := pace{make(chan struct{}, 1), make(chan bool, 100)}
-	news := watching(t, &Watcher{Address: s.Addr(), Pace: p, Clock: listclock.Settings{Hosts: 1000}})
+	p := pace{make(chan struct{}), make(chan bool, 100)}
+	w := watching(t, &Watcher{Address: s.Addr(), Pace: p, Clock: listclock.Settings{Hosts: 1000}})
 	for i, f := range []discovery.Fault{{Refuse: true}, {Down: true}, {Refuse: true}} {
 		s.Set(f)
 		if len(asked) > 0 {
 			t.Fatalf("%d: asked before it was due", i)
 		}
 		p.due <- struct{}{}
+		if f.Down {
+			w.pass(listclock.Patience)
+		}
 		<-p.missed
 		for len(asked) > 0 {
 			<-asked
 		}
 	}
-	if n := <-news; n.Kind != choice.ListFailed {
+	if n := <-w.news; n.Kind != choice.ListFailed {
 		t.Errorf("%+v", n)
 	}
 	s.Set(discovery.Fault{})
 	p.due <- struct{}{}
-	if n := <-news; n.Kind != choice.ListFull || len(p.missed) > 0 {
+	if n := <-w.news; n.Kind != choice.ListFull || len(p.missed) > 0 {
 		t.Errorf("%+v, %d more missed", n, len(p.missed))
 	}
 }
@@ -86,7 +109,7 @@
 		}()
 		quiet := make(chan bool, 10)
 		w := &Watcher{Address: ln.Addr().String(), Index: 7, Quiet: func() { quiet <- true }, Clock: listclock.Settings{Pushed: true, Grace: time.Minute}}
-		news := watching(t, w)
+		news := watching(t, w).news
 		if want {
 			<-quiet
 			continue
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -101,7 +100,7 @@
 // service is the stand-in, with one node listed at version index+1, and what was asked of it.
 func service(t *testing.T, index int64) (s *discovery.Service, asked chan string) {
 	asked = make(chan string, 100)
-	s, err := discovery.New(discovery.Options{Index: index, Beat: 100 * time.Millisecond, Heard: func(_, uri string) { asked <- uri }})
+	s, err := discovery.New(discovery.Options{Index: index, Beat: time.Hour, Heard: func(_, uri string) { asked <- uri }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -130,24 +129,20 @@
 // bad line, after none of which anything told is lost or told twice.
 func TestWatch(t *testing.T) {
 	s, asked := service(t, 40)
-	news := make(chan core.News, 100)
-	log, hook := logtest.NewNullLogger()
-	w := &Watcher{Address: s.Addr(), Index: 7, Log: log, Clock: listclock.Settings{Pushed: true}, Tell: func(n core.News) { news <- n }}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan bool)
-	go func() { w.Run(ctx); close(ended) }()
+	p := watching(t, &Watcher{Address: s.Addr(), Index: 7, Clock: listclock.Settings{Pushed: true}})
+	const every = 100 * time.Millisecond // past it an agent that ended its call is asked again
 	full, change, failed := choice.ListFull, choice.ListChange, choice.ListFailed
 	for i, x := range []struct {
 		do   func()
 		want choice.EventKind
 	}{
 		{func() {}, full}, {func() { s.Put(one) }, change},
-		{func() { s.Reset() }, failed}, {func() { s.Put(one) }, change},
-		{func() { s.Set(discovery.Fault{Silent: true, Answers: true}) }, change}, // the first line of a watch opened beside the silent one
-		{func() { s.Say("nonsense"); s.Put(one) }, failed}, {func() {}, change},  // nothing after a bad line is believed on its connection
+		{func() { s.Reset() }, failed}, {func() { p.pass(every); s.Put(one) }, change},
+		{func() { s.Set(discovery.Fault{Silent: true, Answers: true}); p.pass(listclock.Silent) }, change}, // the first line of a watch opened beside the silent one
+		{func() { s.Say("nonsense"); s.Put(one) }, failed}, {func() { p.pass(every) }, change},             // nothing after a bad line is believed on its connection
 	} {
 		x.do()
-		if n := <-news; n.Kind != x.want {
+		if n := <-p.news; n.Kind != x.want {
 			t.Fatalf("%d: %+v, want kind %v", i, n, x.want)
 		}
 	}
@@ -156,9 +151,8 @@
 			t.Errorf("asked %s, want after=%s", uri, want)
 		}
 	}
-	stop()
-	<-ended
-	said := codes(t, hook)
+	p.stop()
+	said := codes(t, p.hook)
 	if !slices.Contains(said, "list-malformed") || !slices.Contains(said, "list-call") {
 		t.Errorf("said %v", said)
 	}
@@ -169,12 +163,9 @@
 func TestMove(t *testing.T) {
 	old, _ := service(t, 40)
 	later, asked := service(t, 40)
-	news := make(chan core.News, 100)
-	log, _ := logtest.NewNullLogger()
-	w := &Watcher{Address: old.Addr(), Log: log, Clock: listclock.Settings{Pushed: true}, Tell: func(n core.News) { news <- n }}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan bool)
-	go func() { w.Run(ctx); close(ended) }()
+	w := &Watcher{Address: old.Addr(), Clock: listclock.Settings{Pushed: true}}
+	p := watching(t, w)
+	ctx, news := p.ctx, p.news
 	<-news
 	if !w.Move(ctx, "127.0.0.1:1") || !w.Move(ctx, later.Addr()) {
 		t.Error("the move was not taken")
@@ -188,8 +179,7 @@
 	if uri := <-asked; uri != path+"?watch=1&after=41" {
 		t.Errorf("asked %s", uri)
 	}
-	stop()
-	<-ended
+	p.stop()
 	if w.Index != 42 || len(w.calls) != 1 || len(news) != 0 {
 		t.Errorf("index %d, %d calls open, %d more news", w.Index, len(w.calls), len(news))
 	}
@@ -249,19 +239,16 @@
 	t.Cleanup(s.Close)
 	s.Put(one)
 	s.Refuse()
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	log, hook := logtest.NewNullLogger()
-	told := make(chan core.News, 64)
-	w := &Watcher{Address: s.Addr(), Tell: func(n core.News) { told <- n }, Log: log, Clock: listclock.Settings{Pushed: true}}
-	go w.Run(ctx)
+	p := watching(t, &Watcher{Address: s.Addr(), Clock: listclock.Settings{Pushed: true}})
+	told := p.news
 	if n := <-told; n.Kind != choice.ListFailed {
 		t.Errorf("told %+v first", n)
 	}
-	if said := codes(t, hook); !slices.Equal(said, []string{"list-refused"}) {
+	if said := codes(t, p.hook); !slices.Equal(said, []string{"list-refused"}) {
 		t.Errorf("said %v", said)
 	}
 	s.Up()
+	p.pass(30 * time.Second) // past the wait after a call that was turned away
 	if n := <-told; n.Kind != choice.ListFull || len(n.Nodes) != 1 {
 		t.Errorf("told %+v once the list came", n)
 	}
