Gathered reads: a part asked again passes over the nodes that failed it

Found by mutation: hide, show, the list heard, others waiting, up by the list, the last one kept; S10's own fault.

Also: the tree takes who is alive (T9) and counts groups, take-overs, rows and failures by code into a tally that outlives it.

A node out by hand or for a request is NodeOut in the module's view: it has none of a drain's grace, unlike a drain by the list.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -794,4 +794,10 @@
 	if sends(r, "x", 1001) != 0 {
 		t.Error("used within a grace that leaves no time for it")
 	}
+	r = newRig(t, testSettings())
+	r.step(Event{Kind: ListChange})
+	r.step(Event{Kind: ListChange, Nodes: []Node{{ID: "a", Shard: 0, State: NodeOut}}})
+	if sends(r, "x", 1001) != 0 {
+		t.Error("used though it is out by hand")
+	}
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -88,6 +88,7 @@
 const (
 	NodeUp NodeState = iota
 	NodeDraining
+	NodeOut // kept from new work at once, by hand or for a request: no grace
 	NodeGone
 )
 
--- a/cmd/wheatsaddle/gathered.go
+++ b/cmd/wheatsaddle/gathered.go
@@ -11,6 +11,7 @@
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/cost"
 	"wheatsaddle/internal/httpfront"
+	"wheatsaddle/internal/meter"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/scatter"
 )
@@ -23,6 +24,8 @@
 	log   logrus.FieldLogger
 	reads scatter.Gate
 	tree  scatter.Grouper // nil: each part is asked here
+	alive func() []string // names of the processes that are; nil: nobody knows
+	tally scatter.Tally   // of all trees
 
 	treeSet *config.SiteTree // that it was opened by
 }
@@ -155,7 +158,29 @@
 	return err
 }
 
-func startGather(at *site, conf *config.Config, co *core.Core, srv *httpfront.Server, know views) (*gatherer, error) {
-	g := &gatherer{core: co, srv: srv, know: know, log: at.log}
+func startGather(at *site, conf *config.Config, co *core.Core, srv *httpfront.Server, others *fleet) (*gatherer, error) {
+	g := &gatherer{core: co, srv: srv, know: others.views(), alive: others.members(), log: at.log}
+	g.count(at.meter)
 	return g, g.take(at.held, conf)
 }
+
+// count puts the counts of gathered reads where counts are served.
+func (g *gatherer) count(m *meter.Meter) {
+	m.Gauge(func() float64 { return float64(g.reads.In()) }, "gather_reads")
+	for name, of := range map[string]func(scatter.TreeCounts) int{
+		"gather_tree_reads":       func(c scatter.TreeCounts) int { return c.Handed },
+		"gather_tree_groups":      func(c scatter.TreeCounts) int { return c.Groups },
+		"gather_tree_taken_over":  func(c scatter.TreeCounts) int { return c.TakenOver },
+		"gather_tree_copies":      func(c scatter.TreeCounts) int { return c.Asked },
+		"gather_tree_own_copies":  func(c scatter.TreeCounts) int { return c.Own },
+		"gather_tree_good_copies": func(c scatter.TreeCounts) int { return c.Good },
+		"gather_tree_rows":        func(c scatter.TreeCounts) int { return c.Rows },
+		"gather_tree_set_aside":   func(c scatter.TreeCounts) int { return c.SetAside },
+		"gather_tree_connections": func(c scatter.TreeCounts) int { return c.Connected },
+	} {
+		m.Gauge(func() float64 { return float64(of(g.tally.Counts())) }, name)
+	}
+	for _, code := range scatter.Codes {
+		m.Gauge(func() float64 { return float64(g.tally.Failures(code)) }, "gather_tree_failures", "code", code)
+	}
+}
--- a/cmd/wheatsaddle/peers.go
+++ b/cmd/wheatsaddle/peers.go
@@ -90,6 +90,14 @@
 	return f.peers.Views
 }
 
+// members are the names of the processes that are known to be up; nil: nobody is asked.
+func (f *fleet) members() func() []string {
+	if f == nil {
+		return nil
+	}
+	return f.peers.Members
+}
+
 // count puts the counts of what is shared where counts are served.
 func (f *fleet) count(m *meter.Meter) {
 	if f == nil {
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -245,7 +245,7 @@
 	}
 	srv := httpfront.NewServer(co, conf.Settings, clients, log)
 	srv.Bodies = semaphore.NewWeighted(int64(conf.MemoryMB) << 20 / bodyShare)
-	gathered, err := startGather(at, conf, co, srv, others.views())
+	gathered, err := startGather(at, conf, co, srv, others)
 	if err != nil {
 		return err
 	}
--- a/cmd/wheatsaddle/tree.go
+++ b/cmd/wheatsaddle/tree.go
@@ -21,7 +21,7 @@
 		return g.tree, nil
 	}
 	opt := scatter.TreeOptions{Seed: uint64(conf.Seed), Conns: set.Connections, BytesMost: set.BytesMost, IDMost: idMost, Log: g.log,
-		Request: httpfront.GatherPeer, Limited: map[string]bool{},
+		Request: httpfront.GatherPeer, Limited: map[string]bool{}, Alive: g.alive, Tally: &g.tally,
 		Rules: scatter.TreeRules{LeastParts: set.LeastParts, GroupMost: set.GroupMost, FanOut: set.FanOut, Copies: set.Copies, Silent: set.Silent,
 			Rest: set.Rest, RestMax: set.RestMost}}
 	for _, p := range conf.Settings.Plans {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,6 +74,8 @@
 	Patience       time.Duration // how long the client waits from then
 	Payload        any           // the front's own, handed to the peers
 	Answer         func(Answer)  // called exactly once unless the client leaves first; must not block
+	Trail          *Trail        // filled with the nodes that it goes to; nil: nobody asks
+	Past           []*Trail      // of earlier requests for the same, the newest first: another node is asked where one is free
 }
 
 // Held is a payload that holds something until it is served or dropped.
@@ -261,6 +263,8 @@
 	uses     map[string]use // by node of the list
 	// standing: the last word of the list came by a watch that stands.
 	standing bool
+	aside    []*entry // arrived in this turn, to pass over nodes
+	heard    bool     // the last word of the list was good
 }
 
 // New checks the settings and starts the actor.
@@ -478,20 +482,27 @@
 		c.avoided = now
 		c.tally(now)
 	}
-	if len(c.events) == 0 {
-		return
+	if events := c.events; len(events) > 0 {
+		c.events = nil
+		if c.steps(now, events) && c.events == nil {
+			c.events = events[:0]
+		}
+	}
+	for _, e := range c.aside {
+		c.pass(e, now)
 	}
-	events := c.events
-	c.events = nil
+	c.aside = c.aside[:0]
+}
+
+// steps runs the module and does what it says; false: it panicked.
+func (c *Core) steps(now float64, events []choice.Event) bool {
 	if !c.step(now, events) {
-		return
+		return false
 	}
 	for i := range c.actions {
 		c.do(&c.actions[i], now)
 	}
-	if c.events == nil {
-		c.events = events[:0]
-	}
+	return true
 }
 
 // step runs the module. Should it panic, all that is open is failed and a new module starts
@@ -576,6 +587,10 @@
 	e := &entry{req: r}
 	c.reqs[r.ID] = e
 	heap.Push(&c.timers, due{at: r.NotAfter + float64(guardAfter.Milliseconds()), guard: e})
+	if len(r.Past) > 0 {
+		c.aside = append(c.aside, e)
+		return
+	}
 	c.events = append(c.events, choice.Event{Kind: choice.Arrival, Req: r.Request})
 }
 
@@ -696,6 +711,9 @@
 	t.done = func(r Result) { c.post(message{attempt: t, result: r}) }
 	e.attempts = append(e.attempts, t)
 	e.open++
+	if e.req.Trail != nil {
+		e.req.Trail.nodes = append(e.req.Trail.nodes, a.Node)
+	}
 	p, ok := c.peers[a.Node]
 	if ok {
 		t.peer = p
@@ -719,6 +737,7 @@
 // book of exclusions shows them.
 func (c *Core) list(n *News, now float64) {
 	ev := choice.Event{Kind: n.Kind}
+	c.heard = n.Kind == choice.ListFull || n.Kind == choice.ListChange
 	seen := map[string]bool{}
 	for _, x := range n.Nodes {
 		seen[x.ID] = true
--- /dev/null
+++ b/internal/core/pass_test.go
@@ -0,0 +1,100 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"wheatsaddle/choice"
+)
+
+func TestPassOver(t *testing.T) {
+	trail := func(nodes ...string) *Trail { return &Trail{nodes} }
+	for _, c := range []struct {
+		past []*Trail
+		up   []string
+		want string
+	}{
+		{[]*Trail{trail("a")}, []string{"a", "b"}, "[a]"},
+		{[]*Trail{trail("a")}, []string{"a"}, "[]"},                                             // nobody else has the shard
+		{[]*Trail{trail("b"), trail("a")}, []string{"a", "b"}, "[b]"},                           // the newest
+		{[]*Trail{trail("a", "b"), trail("c")}, []string{"a", "b", "c"}, "[b a]"},               // the last of its attempts first
+		{[]*Trail{trail("x"), trail(), trail("a"), trail("a")}, []string{"a", "b", "c"}, "[a]"}, // one that left, none, twice
+	} {
+		if got := fmt.Sprint(passOver(c.past, c.up)); got != c.want {
+			t.Errorf("%v of %v: %s, not %s", c.past, c.up, got, c.want)
+		}
+	}
+}
+
+// A request that follows others goes to another node of the shard, and only it does: the module's view is the list's again.
+func TestARequestPassesOverNodes(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		amid   func(*rig)
+		past   int // requests before it that it names
+		want   string
+		inTurn bool // the list must be asked for
+	}{
+		{name: "none named", want: "a"},
+		{name: "one", past: 1, want: "b"},
+		{name: "both: the newest", past: 2, want: "a"},
+		{name: "the other is out by hand", past: 1, want: "a", amid: func(r *rig) { _, _ = r.Exclude("b") }},
+		{name: "the other drains", past: 1, want: "a", amid: func(r *rig) { r.list(choice.ListChange, node("b", 0, choice.NodeDraining)) }},
+		{name: "the list is not heard", past: 1, want: "a", inTurn: true, amid: func(r *rig) { r.list(choice.ListFailed) }},
+		{name: "the list is heard", past: 1, want: "b", inTurn: true},
+		{name: "others wait for the shard", past: 1, want: "a", amid: func(r *rig) {
+			r.Submit(&Request{Request: choice.Request{ID: "w", Class: "read", Plan: "capped", Volume: "w", Units: 5, Hosts: 1},
+				Arrived: time.Now(), Patience: time.Minute, Answer: func(Answer) {}})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := settings()
+			set.Plans[0].Reserve = 0 // what has none is refused where no node can take it
+			set.AskMode, set.AskWithin = c.inTurn, 2000
+			set.Plans = append(set.Plans, choice.Plan{Name: "capped", Rate: 1, Weight: 1, Price: 1, Limit: 1, LimitBurst: 1})
+			r := start(t, set)
+			r.list(choice.ListFull, node("a", 0, choice.NodeUp), node("b", 0, choice.NodeUp))
+			var trails []*Trail
+			goes := func(id string, past []*Trail) string {
+				got := make(chan Answer, 8)
+				q := &Request{Request: choice.Request{ID: id, Class: "read", Plan: "basic", Volume: "v", Units: 1, Hosts: 1}, Trail: &Trail{}, Past: past,
+					Arrived: time.Now(), Patience: time.Minute, Answer: func(x Answer) { got <- x }}
+				r.Submit(q)
+				var a *Attempt
+				select {
+				case a = <-r.peer("a").sent:
+				case a = <-r.peer("b").sent:
+				}
+				a.Done(Result{Status: choice.OK})
+				one(t, got, Served)
+				trails = slices.Insert(trails, 0, q.Trail)
+				return a.Node
+			}
+			if got := goes("1", nil); got != "a" {
+				t.Fatalf("the first went to %s", got)
+			}
+			if c.past == 2 {
+				goes("2", trails)
+			}
+			if c.amid != nil {
+				c.amid(r)
+			}
+			var away []string
+			_, _ = r.call(func(now float64) ([]string, error) {
+				away = r.away(&entry{req: &Request{Past: trails[:c.past]}}, now)
+				return nil, nil
+			})
+			if passes := c.past == 2 || c.want == "b"; passes != (len(away) == 1) {
+				t.Errorf("kept from %v", away)
+			}
+			if got := goes("3", trails[:c.past]); got != c.want {
+				t.Errorf("it went to %s, not %s", got, c.want)
+			}
+			if got := goes("4", nil); got != "a" {
+				t.Errorf("the next, which follows nothing, went to %s", got)
+			}
+		})
+	}
+}
--- a/internal/exclusion/exclusion.go
+++ b/internal/exclusion/exclusion.go
@@ -144,7 +144,7 @@
 		return n
 	}
 	if _, out := b.excluded[n.ID]; out {
-		n.State = choice.NodeDraining
+		n.State = choice.NodeOut
 		return n
 	}
 	if at, ok := b.included[n.ID]; ok && now-at <= b.set.ColdSpan && n.Since < at {
--- a/internal/exclusion/exclusion_test.go
+++ b/internal/exclusion/exclusion_test.go
@@ -41,7 +41,7 @@
 	if changed, err := b.Exclude(1500, "s-1"); changed || err != nil {
 		t.Fatalf("a repeated exclude changed something: %v %v", changed, err)
 	}
-	if v := b.View(2000, up("s-1", 0)); v.State != choice.NodeDraining {
+	if v := b.View(2000, up("s-1", 0)); v.State != choice.NodeOut {
 		t.Fatalf("excluded, listed as up, shown as %v", v.State)
 	}
 	if v := b.View(2000, up("s-2", 0)); v.State != choice.NodeUp {
@@ -159,7 +159,7 @@
 				t.Fatal(err)
 			}
 			for _, x := range ids {
-				if v := b.View(now, up(x, 0)); out[x] != (v.State == choice.NodeDraining) {
+				if v := b.View(now, up(x, 0)); out[x] != (v.State == choice.NodeOut) {
 					t.Fatalf("%s: out %v, shown %v", x, out[x], v.State)
 				}
 			}
--- a/internal/scatter/core.go
+++ b/internal/scatter/core.go
@@ -33,6 +33,7 @@
 	PartMost int                          // bytes of a part's body; 0: any
 	mu       sync.Mutex
 	out      map[string]*asked
+	trails   map[string]*core.Trail // of all askings
 }
 
 // asked is an asking that is out.
@@ -51,7 +52,7 @@
 	if r.Key != "" { // the module knows a repeat by it: parts are not each other's
 		r.Key += "/" + a.Part.ID
 	}
-	r.Payload = c.Payload(r, a)
+	r.Payload, r.Trail = c.Payload(r, a), &core.Trail{}
 	r.Answer = func(x core.Answer) {
 		switch x.Kind {
 		case core.Served:
@@ -76,9 +77,14 @@
 	}
 	c.mu.Lock()
 	if c.out == nil {
-		c.out = map[string]*asked{}
+		c.out, c.trails = map[string]*asked{}, map[string]*core.Trail{}
+	}
+	c.out[r.ID], c.trails[r.ID] = &asked{req: r}, r.Trail
+	for _, no := range a.Past {
+		if t := c.trails[c.id(Ask{Part: a.Part, Copy: no})]; t != nil {
+			r.Past = append(r.Past, t)
+		}
 	}
-	c.out[r.ID] = &asked{req: r}
 	c.mu.Unlock()
 	c.Core.Submit(r)
 }
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -12,6 +12,8 @@
 //	S6  A refused part is not asked again before its Retry-After.
 //	S7  At the final answer each asking has ended or is called off.
 //	S8  The rows are those of the flat merge, or the answer names what is missing.
+//	S10 An asking names those of its part that failed or are out, so that it can pass over their nodes; refused ones and those that
+//	    stopped at a limit are not among them.
 //	S9  The final answer comes at the client's deadline at the latest.
 package scatter
 
@@ -54,6 +56,7 @@
 	Until time.Duration // the part's deadline, from the arrival of the client's request
 	Rows  int           // rows from its start; 0 is all
 	Peer  string        // of a group: who is asked; "": the process itself
+	Past  []int         // copies that failed or are silent, the newest first: another node is to be asked
 }
 
 // Action is an asking that goes out, or is called off.
@@ -107,6 +110,7 @@
 	notYet  time.Duration // its Retry-After
 	refused int           // refusals that did not count as askings
 	why     error
+	failed  []int   // numbers of askings
 	group   *handed // nil: asked by the process itself
 }
 
@@ -123,6 +127,7 @@
 	faultOff
 	faultDrop
 	faultEnd
+	faultPast
 )
 
 // Gather is one gathered read. Not for several goroutines at once.
@@ -206,6 +211,7 @@
 	if err := g.m.Add(id, no, data[:n]); err != nil {
 		g.offs = append(g.offs, Action{Ask: Ask{Part: p.Part, Copy: no}, Off: true})
 		p.ran, p.live = true, slices.Delete(p.live, i, i+1) // it differs: gather has named it
+		p.failed = append(p.failed, no)
 		p.why = err
 		return len(data)
 	}
@@ -246,6 +252,9 @@
 	}
 	p.ran = true
 	p.limited = errors.As(err, new(*gather.Limited))
+	if err != nil && !p.limited {
+		p.failed = append(p.failed, no)
+	}
 	p.last = hopeless(err)
 	g.heard(p, err)
 	if bad := g.m.End(id, no, err); bad != nil {
@@ -458,6 +467,13 @@
 		p.used++
 	}
 	a := Ask{Part: p.Part, Copy: p.next, Until: g.until}
+	if g.fault != faultPast {
+		a.Past = slices.Clone(p.failed)
+		for _, x := range p.live {
+			a.Past = append(a.Past, x.no)
+		}
+		slices.SortFunc(a.Past, func(a, b int) int { return b - a })
+	}
 	if g.r.Safe { // else it could not be asked again for more
 		a.Rows = d.Rows
 	}
--- a/internal/scatter/plan_test.go
+++ b/internal/scatter/plan_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,7 +76,7 @@
 	var outs []*out
 	refused := map[string]time.Duration{}
 	asked, limited, free := map[string]int{}, map[string]int{}, map[string]int{}
-	ran := map[string]bool{}
+	ran, bad := map[string]bool{}, map[string][]int{}
 	var got []string
 	var first *Final
 	for now := time.Duration(0); ; now += 5 * ms {
@@ -120,6 +121,16 @@
 				case now < refused[id]:
 					return "S6"
 				}
+				past := slices.Clone(bad[id])
+				for _, o := range outs {
+					if o.Part.ID == id {
+						past = append(past, o.Copy)
+					}
+				}
+				slices.Sort(past)
+				if slices.Reverse(past); !slices.Equal(past, a.Past) {
+					return fmt.Sprintf("S10: %v, not %v", a.Past, past)
+				}
 				if !r.Safe && a.Rows != 0 {
 					return "S4: may need more"
 				}
@@ -185,6 +196,9 @@
 				refused[o.Part.ID] = now + wait
 			} else {
 				ran[o.Part.ID] = true
+				if end == errCut {
+					bad[o.Part.ID] = append(bad[o.Part.ID], o.Copy)
+				}
 			}
 			if _, ok := end.(*gather.Limited); ok {
 				limited[o.Part.ID]++
@@ -230,12 +244,12 @@
 // Each rule taken away is found, by the invariant that it upholds.
 func TestMutationsAreFound(t *testing.T) {
 	for f, want := range map[fault]string{faultEnd: "S1", faultAtOnce: "S2", faultTime: "S3", faultUnsafe: "S4",
-		faultAgain: "S5", faultRetry: "S6", faultOff: "S7", faultDrop: "S8", faultFinal: "S9"} {
+		faultAgain: "S5", faultRetry: "S6", faultOff: "S7", faultDrop: "S8", faultFinal: "S9", faultPast: "S10"} {
 		found := map[string]int{}
 		gen := rapid.Custom(func(t *rapid.T) string { return play(t, f) })
 		for seed := 0; seed < 2000 && found[want] == 0; seed++ {
-			if b := gen.Example(seed); b != "" {
-				found[b[:2]]++
+			if b, _, _ := strings.Cut(gen.Example(seed), ":"); b != "" {
+				found[b]++
 			}
 		}
 		if found[want] == 0 {
--- a/internal/scatter/tree.go
+++ b/internal/scatter/tree.go
@@ -26,6 +26,8 @@
 //	    before the last of 1+Copies equal shares of the time, however slow the peers are, unless what they brought waits for the merge.
 //	T7  At most two copies of a group are out. While one is left to ask, it is asked when the newest was silent for Silent.
 //	T8  The same seed and events make the same decisions.
+//	T9  Where it is known who is alive, a read is handed on to nobody else, whatever rest or trial is due; one that joins is asked
+//	    as one that was there, and one that comes back rests on for what it did before.
 
 const (
 	groupLeast = 2  // a group of one saves nothing
@@ -108,6 +110,7 @@
 	rng   *rand.Rand
 	peers []*peerState // by name
 	tried int          // trials so far
+	known bool         // which peers are alive
 	fault treeFault
 }
 
@@ -116,6 +119,7 @@
 	fails  int           // since it was good
 	notYet time.Duration // its rest, or its Retry-After
 	trial  int           // the one that is out; 0: none
+	alive  bool          // where that is known
 }
 
 type treeFault uint8 // what a test takes away, to see that its loss is found
@@ -135,6 +139,7 @@
 	treeSilent
 	treeLost
 	treeClock
+	treeDead
 )
 
 // NewBook makes the book of a process. Errors: *RulesBad.
@@ -158,6 +163,7 @@
 	var good, first []*peerState
 	for _, p := range b.peers {
 		switch {
+		case b.known && !p.alive && b.fault != treeDead: // left out
 		case now < p.notYet && b.fault != treeNoRest:
 		case p.fails == 0 || b.fault == treeNoTrial:
 			good = append(good, p)
@@ -236,6 +242,14 @@
 	return b.peers[i]
 }
 
+// Alive says which processes are, from now on; before the first word all may be.
+func (b *Book) Alive(names []string) {
+	b.known = true
+	for _, p := range b.peers {
+		p.alive = slices.Contains(names, p.name)
+	}
+}
+
 // Ended says how an asking of a peer ended, with the number of its trial; after is the Retry-After of PeerRefused. It may be
 // called again as more is known: what is bad already does not rest longer for it.
 func (b *Book) Ended(now time.Duration, peer string, trial int, o Outcome, after time.Duration) {
@@ -295,12 +309,13 @@
 	Fails int
 	Rests time.Duration // how much longer; 0: not
 	Trial bool          // one is out
+	Gone  bool          // it is known not to be alive
 }
 
 // Standing of all peers, by name.
 func (b *Book) Standing(now time.Duration) (all []Standing) {
 	for _, p := range b.peers {
-		all = append(all, Standing{p.name, p.fails, max(0, p.notYet-now), p.trial != 0})
+		all = append(all, Standing{p.name, p.fails, max(0, p.notYet-now), p.trial != 0, b.known && !p.alive})
 	}
 	return all
 }
--- a/internal/scatter/tree_ask.go
+++ b/internal/scatter/tree_ask.go
@@ -39,12 +39,17 @@
 	Limited   map[string]bool // plans with a limit
 	// Request makes a client's request one to a peer: all but id, deadline and the fields of the gather.
 	Request func(client *core.Request, to *fasthttp.Request)
+	Alive   func() []string // names of the processes that are known to be; nil: nobody knows. It must not wait for the net
+	Tally   *Tally          // nil: its own
 	Log     logrus.FieldLogger
 }
 
 // TreeCounts are of all reads so far.
 type TreeCounts struct {
 	Handed    int // reads of which parts were handed on
+	Groups    int // ... and the groups of them
+	TakenOver int // times that the next was asked for a group
+	Rows      int // that peers brought; of several copies all
 	Asked     int // copies of groups asked of peers
 	Good      int // ... that were whole, and first
 	Bad       int // ... that failed, were cut, nonsense, lost parts, or were passed by another copy
@@ -55,6 +60,45 @@
 	Connected int // now
 }
 
+// Tally counts; it outlives a Tree.
+type Tally struct {
+	mu    sync.Mutex
+	n     TreeCounts
+	codes map[string]int // of bad and refused copies
+}
+
+func (t *Tally) count(f func(*TreeCounts)) {
+	t.mu.Lock()
+	f(&t.n)
+	t.mu.Unlock()
+}
+
+func (t *Tally) failed(code string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.codes == nil {
+		t.codes = map[string]int{}
+	}
+	t.codes[code]++
+}
+
+// Counts are those of now.
+func (t *Tally) Counts() TreeCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.n
+}
+
+// Codes are why copies asked of peers were no good.
+var Codes = []string{(*PeerFailed)(nil).Code(), (*PeerLost)(nil).Code(), (*PeerNonsense)(nil).Code(), (*Refusal)(nil).Code()}
+
+// Failures are the copies that ended with a code.
+func (t *Tally) Failures(code string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.codes[code]
+}
+
 // Tree hands parts of gathered reads on to peers. It holds no rule: Book, handOn and partialCheck decide.
 type Tree struct {
 	opt   TreeOptions
@@ -63,10 +107,10 @@
 	book  *Book
 	slots map[string]chan struct{}
 	addrs map[string]string
-	n     TreeCounts
-	stop  context.Context
-	end   context.CancelFunc
-	wg    sync.WaitGroup
+	*Tally
+	stop context.Context
+	end  context.CancelFunc
+	wg   sync.WaitGroup
 }
 
 // OpenTree makes it. Errors: *RulesBad.
@@ -85,7 +129,10 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Tree{opt: opt, start: time.Now(), book: book, slots: map[string]chan struct{}{}, addrs: map[string]string{}}
+	t := &Tree{opt: opt, start: time.Now(), book: book, Tally: opt.Tally, slots: map[string]chan struct{}{}, addrs: map[string]string{}}
+	if t.Tally == nil {
+		t.Tally = &Tally{}
+	}
 	t.stop, t.end = context.WithCancel(context.Background())
 	for _, p := range opt.Peers {
 		t.slots[p.Name], t.addrs[p.Name] = make(chan struct{}, opt.Conns), p.Address
@@ -99,13 +146,6 @@
 	t.wg.Wait()
 }
 
-// Counts are those of now.
-func (t *Tree) Counts() TreeCounts {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.n
-}
-
 // Standing of the peers now.
 func (t *Tree) Standing() []Standing {
 	t.mu.Lock()
@@ -121,15 +161,20 @@
 
 // Group implements Grouper.
 func (t *Tree) Group(r Read) ([]gather.Part, Asker) {
+	var alive []string
+	if t.opt.Alive != nil {
+		alive = t.opt.Alive()
+	}
 	t.mu.Lock()
-	plan := t.book.Split(time.Since(t.start), r.Parts, r.Rules.Safe && len(r.Client.ID)+idRoom <= t.opt.IDMost, t.opt.Limited[r.Client.Plan])
-	if len(plan.Groups) > 0 {
-		t.n.Handed++
+	if t.opt.Alive != nil {
+		t.book.Alive(alive)
 	}
+	plan := t.book.Split(time.Since(t.start), r.Parts, r.Rules.Safe && len(r.Client.ID)+idRoom <= t.opt.IDMost, t.opt.Limited[r.Client.Plan])
 	t.mu.Unlock()
 	if len(plan.Groups) == 0 {
 		return r.Parts, r.Own
 	}
+	t.count(func(n *TreeCounts) { n.Handed++; n.Groups += len(plan.Groups) })
 	return plan.Parts(), &treeAsker{t: t, Read: r, plan: plan, out: map[string][]*copyOf{}}
 }
 
@@ -174,8 +219,12 @@
 		c.trial = g.Trial
 	}
 	a.mu.Lock()
-	a.out[x.Part.ID] = append(a.out[x.Part.ID], c)
+	before := a.out[x.Part.ID]
+	a.out[x.Part.ID] = append(before, c)
 	a.mu.Unlock()
+	if n := len(before); n > 0 && before[n-1].Peer != x.Peer {
+		a.t.count(func(n *TreeCounts) { n.TakenOver++ })
+	}
 	if x.Peer == "" {
 		a.nest.Add(1)
 	}
@@ -239,7 +288,7 @@
 	case good:
 		a.t.heard(c.Peer, c.trial, PeerGood, 0, nil)
 	case after > 0:
-		a.t.heard(c.Peer, c.trial, PeerRefused, after, nil)
+		a.t.heard(c.Peer, c.trial, PeerRefused, after, &Refusal{after})
 	default:
 		a.t.heard(c.Peer, c.trial, PeerBad, 0, err)
 	}
@@ -251,21 +300,27 @@
 	was := t.book.fails(peer)
 	t.book.Ended(time.Since(t.start), peer, trial, o, after)
 	is := t.book.fails(peer)
-	switch o {
-	case PeerGood:
-		t.n.Good++
-	case PeerBad:
-		t.n.Bad++
-	case PeerRefused:
-		t.n.Refused++
-	}
-	if errors.As(err, new(*PeerNonsense)) {
-		t.n.Nonsense++
-	}
-	if is > was {
-		t.n.SetAside++
-	}
 	t.mu.Unlock()
+	t.count(func(n *TreeCounts) {
+		switch o {
+		case PeerGood:
+			n.Good++
+		case PeerBad:
+			n.Bad++
+		case PeerRefused:
+			n.Refused++
+		}
+		if errors.As(err, new(*PeerNonsense)) {
+			n.Nonsense++
+		}
+		if is > was {
+			n.SetAside++
+		}
+	})
+	var c operr.Coded
+	if errors.As(err, &c) {
+		t.failed(c.Code())
+	}
 	switch {
 	case was == 0 && is > 0:
 		t.opt.Log.WithFields(operr.Fields(err)).Warn("gather: a peer is set aside")
@@ -274,12 +329,6 @@
 	}
 }
 
-func (t *Tree) count(f func(*TreeCounts)) {
-	t.mu.Lock()
-	f(&t.n)
-	t.mu.Unlock()
-}
-
 // nested gathers a group on the process itself.
 func (a *treeAsker) nested(ctx context.Context, c *copyOf, until time.Time, to *Sink) {
 	f := a.Here(ctx, c.Ask, until, func(b []byte) error {
@@ -426,6 +475,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { a.t.count(func(n *TreeCounts) { n.Rows += check.rows }) }()
 	buf := make([]byte, pieceMost)
 	for {
 		n, err := body.Read(buf)
--- a/internal/scatter/tree_ask_test.go
+++ b/internal/scatter/tree_ask_test.go
@@ -222,6 +222,12 @@
 		kind     Kind
 	}{
 		{name: "none", happened: func(f *forest) bool { return f.tree.Counts().Good == 3 && f.asked.Load() == treeParts }},
+		{name: "one is known to be gone", fault: func(f *forest) {
+			f.tree.opt.Alive = func() []string { return []string{"q0", "q2", "other"} }
+		}, happened: func(f *forest) bool {
+			n := f.tree.Counts()
+			return n.Groups == 2 && n.Rows == 8*treeRows && f.peers[1].asked.Load() == 0 && f.tree.Standing()[1].Gone
+		}},
 		{name: "one killed mid-gather", fault: func(f *forest) { set(f.peers[0], link.Fault{ResetAfter: 9000}) }, aside: 1,
 			happened: func(f *forest) bool { return f.peers[0].link.Counts(link.Backward).Reset > 0 }},
 		{name: "one's answer is cut", fault: func(f *forest) { f.peers[1].cut = 9000 }, aside: 1,
@@ -280,6 +286,14 @@
 					aside++
 				}
 			}
+			failed := 0
+			for _, code := range Codes {
+				failed += f.tree.Failures(code)
+			}
+			if n := f.tree.Counts(); failed != n.Bad+n.Refused || failed < aside || n.TakenOver == 0 != (aside == 0) ||
+				f.tree.Failures((*PeerNonsense)(nil).Code()) != c.nonsense {
+				t.Errorf("%d failures by code, %+v", failed, n)
+			}
 			if n := f.tree.Counts(); aside != c.aside || n.Nonsense != c.nonsense || (n.Own > 0) != c.own {
 				t.Errorf("%d rest, not %d: %+v %+v", aside, c.aside, n, f.tree.Standing())
 			}
--- a/internal/scatter/tree_test.go
+++ b/internal/scatter/tree_test.go
@@ -32,6 +32,7 @@
 	fails  int
 	notYet time.Duration
 	trials int
+	gone   bool // it is known not to be alive
 }
 
 // playBook drives a book through random reads and says which invariant it broke.
@@ -83,6 +84,16 @@
 			out = slices.Delete(out, i, i+1)
 			continue
 		}
+		if rapid.IntRange(0, 3).Draw(t, "members") == 0 {
+			var alive []string
+			for _, p := range set.Peers {
+				if model[p].gone = rapid.Bool().Draw(t, "gone"); !model[p].gone {
+					alive = append(alive, p)
+				}
+			}
+			b.Alive(alive)
+			twin.Alive(alive)
+		}
 		parts := leaves(rapid.IntRange(1, 30).Draw(t, "parts"))
 		safe, limited := rapid.IntRange(0, 4).Draw(t, "safe") > 0, rapid.IntRange(0, 4).Draw(t, "limited") == 0
 		plan := b.Split(now, parts, safe, limited)
@@ -125,6 +136,8 @@
 				switch {
 				case uses[peer] || k == 0 && lead[peer] || len(g.Order) > set.Copies:
 					return "T3"
+				case m.gone:
+					return "T9"
 				case now < m.notYet:
 					return "T4"
 				case m.fails > 0 && (k > 0 || g.Trial == 0 || m.trials > 0):
@@ -162,7 +175,7 @@
 
 func TestBookMutationsAreFound(t *testing.T) {
 	for f, want := range map[treeFault]string{treeLosesPart: "T1", treeUnsafe: "T2", treeTwice: "T3", treeNoRest: "T4", treeEarly: "T4",
-		treeNoGrowth: "T4", treeNoTrial: "T5", treeClock: "T8"} {
+		treeNoGrowth: "T4", treeNoTrial: "T5", treeClock: "T8", treeDead: "T9"} {
 		gen, found := rapid.Custom(func(t *rapid.T) string { return playBook(t, f) }), map[string]int{}
 		for seed := 0; seed < 3000 && found[want] == 0; seed++ {
 			if b := gen.Example(seed); b != "" {
@@ -208,6 +221,14 @@
 	if got := sizes(220*ms, 24); !slices.Equal(got, []int{6, 6, 6, 6}) || b.Standing(220 * ms)[1] != (Standing{Name: "q1"}) {
 		t.Errorf("back: %v %v", got, b.Standing(220*ms))
 	}
+	for _, c := range []struct { // where it is known who is alive
+		alive []string
+		want  []int
+	}{{[]string{"q0", "q2", "other"}, []int{6, 6, 12}}, {nil, []int{24}}, {[]string{"q0", "q1", "q2"}, []int{6, 6, 6, 6}}} {
+		if b.Alive(c.alive); !slices.Equal(sizes(300*ms, 24), c.want) {
+			t.Errorf("alive %v: %v, not %v", c.alive, sizes(300*ms, 24), c.want)
+		}
+	}
 	for _, bad := range []func(*TreeRules){func(r *TreeRules) { r.Peers = nil }, func(r *TreeRules) { r.Peers[1] = "q0" }, func(r *TreeRules) { r.LeastParts = 3 },
 		func(r *TreeRules) { r.GroupMost = 1 }, func(r *TreeRules) { r.FanOut = 0 }, func(r *TreeRules) { r.Copies = 9 }, func(r *TreeRules) { r.Silent = 0 },
 		func(r *TreeRules) { r.RestMax = 1 }} {
