Tree over peers: groups go to processes known alive; a cold node under gathered reads

Where the site has the section peers, a read is handed on only to members that are alive: TestTreeOverMembers (four daemons; one leaves by SIGTERM and comes back). The tree's counts are served where metrics is on. A row of TestGathers asks a cold node by 24 gathered reads at once of three daemons; the auditor's budget holds (young-limit 4: 13 units).

--- a/internal/lab/procs/gather_test.go
+++ b/internal/lab/procs/gather_test.go
@@ -32,10 +32,10 @@
 
 const rowsEach = 400 // of a shard, 160 KB: longer than a daemon holds of an answer
 
-func gathers(t *testing.T, need, more string) *gathering {
+func gathers(t *testing.T, need, more string, settings map[string]any) *gathering {
 	t.Helper()
 	g := &gathering{rows: &node.Rows{Seed: 5, Count: rowsEach, Pad: 400}}
-	opt := Options{Args: func(f *Fleet, i int) []string {
+	opt := Options{Settings: settings, Args: func(f *Fleet, i int) []string {
 		file := filepath.Join(f.Dir(i), "site.json")
 		rules := fmt.Sprintf(`{"order":[{"key":"k","type":"integer"}],"complete":{"need":%q},"memory":{"bytes":1048576}}`, need)
 		text := fmt.Sprintf(`{"gather":{"parts_most":8,"share":0.1,"rules":{"classes":{"read":%s}}%s}}`, rules, more)
@@ -222,11 +222,12 @@
 // Part 4: gathered reads. Each row is a fault and what is expected of three daemons; the rows are the flat merge's, or the
 // result names what is missing, and the auditor's rules hold for every part.
 func TestGathers(t *testing.T) {
-	const any, all = "best-effort", "all"
+	const effort, all = "best-effort", "all"
 	listed := []int{0, 1, 2}
 	for _, x := range []struct {
 		fault, expected string
 		need, more      string
+		set             map[string]any
 		run             func(*gathering)
 	}{
 		{fault: "none", expected: "the flat merge, from each daemon", need: all, run: func(g *gathering) {
@@ -251,7 +252,7 @@
 				t.Error("no second copy was sent")
 			}
 		}},
-		{fault: "a part cut halfway, each time", expected: "asked again as often as allowed, then named", need: any, run: func(g *gathering) {
+		{fault: "a part cut halfway, each time", expected: "asked again as often as allowed, then named", need: effort, run: func(g *gathering) {
 			g.fault(node.RowFault{After: 200, Cut: true}, 0)
 			a := g.wait(g.ask(0, thePlan, 1, long))
 			g.holds(a, listed...)
@@ -275,7 +276,7 @@
 			}
 			g.whole(g.wait(r), listed...)
 		}},
-		{fault: "a part never", expected: "named as missing within the client's time", need: any, run: func(g *gathering) {
+		{fault: "a part never", expected: "named as missing within the client's time", need: effort, run: func(g *gathering) {
 			g.fault(node.RowFault{Late: time.Hour}, 2)
 			a := g.wait(g.ask(0, thePlan, 1, brief))
 			if g.holds(a, listed...); g.count(2, late) == 0 {
@@ -361,7 +362,7 @@
 			})
 			g.whole(a, 1, 2, 3)
 		}},
-		{fault: "a volume over its limit", expected: "every part counts; what is over is named", need: any, run: func(g *gathering) {
+		{fault: "a volume over its limit", expected: "every part counts; what is over is named", need: effort, run: func(g *gathering) {
 			missing := 0
 			var reads []*read
 			for n := range 12 { // as many as the daemons gather at once
@@ -376,9 +377,29 @@
 				t.Error("36 units at once of a volume that may have 10, and 20 a second, and nothing was missing")
 			}
 		}},
+		{fault: "the only node of a shard is cold", expected: "no more than its budget is asked; what is missing is named", need: effort, more: `,"reads_at_once":8`,
+			set: map[string]any{"extra": map[string]any{"young-limit": 4}}, run: func(g *gathering) {
+				g.fault(node.RowFault{Late: time.Hour}, 3) // what it answers would allow more
+				g.must(g.Replace(6))
+				for i := range g.opt.Daemons {
+					g.until("it is told", func() bool {
+						return slices.ContainsFunc(g.History().Told, func(x audit.Told) bool { return x.Scheduler == i && x.Node == "s6" && x.Word == audit.Active })
+					})
+				}
+				var reads []*read
+				for n := range 8 * g.opt.Daemons { // 13 units are its budget
+					reads = append(reads, g.ask(n%g.opt.Daemons, thePlan, 1, brief))
+				}
+				for _, r := range reads {
+					a := g.wait(r)
+					g.holds(a, 0, 1, 2, 3)
+					g.names(a, "missing", "[3]")
+				}
+				g.happens(3, late, 1)
+			}},
 	} {
 		t.Run(x.fault, func(t *testing.T) {
-			g := gathers(t, x.need, x.more)
+			g := gathers(t, x.need, x.more, x.set)
 			x.run(g)
 			g.serves(some)
 			g.end()
--- a/internal/lab/procs/peers_test.go
+++ b/internal/lab/procs/peers_test.go
@@ -23,6 +23,25 @@
 	"wheatsaddle/internal/standin/link"
 )
 
+// peerSite are the sections by which a daemon tells the others and serves its counts, and where.
+func peerSite(t *testing.T, f *Fleet, i int) (site map[string]any, metrics string) {
+	t.Helper()
+	at, err := FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	seeds, via := []string{}, map[string]string{}
+	for j := range f.opt.Daemons {
+		if j != i {
+			seeds = append(seeds, f.PeerAddr(j))
+			via[f.PeerAddr(j)] = f.PeerSeen(i, j)
+		}
+	}
+	// Nothing fades while a row runs.
+	return map[string]any{"metrics": map[string]any{"address": at},
+		"peers": map[string]any{"listen": f.PeerAddr(i), "seeds": seeds, "via": via, "every_ms": 50, "half_life_ms": 60000}}, at
+}
+
 // shares starts daemons that tell each other, but for those named.
 func shares(t *testing.T, opt Options, silent ...int) (*world, []string) {
 	t.Helper()
@@ -35,21 +54,9 @@
 	opt.Settings = over
 	more := opt.Args
 	opt.Args = func(f *Fleet, i int) []string {
-		at, err := FreeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
+		site, at := peerSite(t, f, i)
 		metrics = append(metrics, at)
-		site := map[string]any{"metrics": map[string]any{"address": at}, "estimate": map[string]any{}}
-		seeds, via := []string{}, map[string]string{}
-		for j := range f.opt.Daemons {
-			if j != i {
-				seeds = append(seeds, f.PeerAddr(j))
-				via[f.PeerAddr(j)] = f.PeerSeen(i, j)
-			}
-		}
-		// Nothing fades while a row runs.
-		site["peers"] = map[string]any{"listen": f.PeerAddr(i), "seeds": seeds, "via": via, "every_ms": 50, "half_life_ms": 60000}
+		site["estimate"] = map[string]any{}
 		for _, s := range silent {
 			if s == i {
 				delete(site, "peers")
--- a/internal/lab/procs/tree_test.go
+++ b/internal/lab/procs/tree_test.go
@@ -33,12 +33,13 @@
 	rows  *node.Rows
 	reads []audit.Taken
 	ends  []audit.Answered
+	who   sharing // where they know who is alive
 }
 
 const noPlanOf = "small" // a plan with a limit
 
 // plantGrove starts four daemons over shards of one node each; tree: that of the site, "": nothing is handed on; rules: put over the class
-func plantGrove(t *testing.T, shards, rows int, tree, rules string) *grove {
+func plantGrove(t *testing.T, shards, rows int, tree, rules string, members ...bool) *grove {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("several processes")
@@ -46,7 +47,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), rowMost)
 	t.Cleanup(cancel)
 	g := &grove{root: 3, rows: &node.Rows{Seed: 9, Count: rows, Shared: 0.2, Same: 0.5, Pad: 24}}
-	opt := Options{Daemon: daemon, Seed: 7, Daemons: 4, Settings: map[string]any{"ceilings": map[string]any{"peers": true},
+	opt := Options{Daemon: daemon, Seed: 7, Daemons: 4, Peers: len(members) > 0, Settings: map[string]any{"ceilings": map[string]any{"peers": true},
 		"profiles": append(Defaults(1, 0, 1)["profiles"].([]map[string]any),
 			map[string]any{"name": "read-once", "goal-time": 200, "deadline": 1000, "worth": 2., "late-worth": 1., "repeat": "unsafe"})}}
 	for j := range shards {
@@ -75,7 +76,14 @@
 			peers = append(peers, map[string]any{"name": fmt.Sprint("n", i), "address": "127.0.0.1:1"}) // itself: passed over
 			section["peers"], section["tree"] = peers, json.RawMessage(tree)
 		}
-		text, err := json.Marshal(map[string]any{"gather": section})
+		site := map[string]any{}
+		if opt.Peers {
+			var at string
+			site, at = peerSite(t, f, i)
+			g.who.metrics = append(g.who.metrics, at)
+		}
+		site["gather"] = section
+		text, err := json.Marshal(site)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -91,6 +99,7 @@
 	}
 	t.Cleanup(f.Close)
 	g.world = &world{Fleet: f, t: t, ctx: ctx}
+	g.who.world = g.world
 	for i := range opt.Daemons { // the root last: its peers have the list then
 		g.must(g.Wait(ctx, fmt.Sprint("daemon ", i, " gathers all"), func() error {
 			if r := g.readAt(i, "read", thePlan, 8*time.Second); r.err != nil || !r.result.Get("whole").Bool() || !g.asked(shards) {
@@ -342,6 +351,44 @@
 	}
 }
 
+// Where the processes know who is alive, one that leaves is left out before anybody has asked it, and one that comes is asked.
+func TestTreeOverMembers(t *testing.T) {
+	t.Parallel()
+	treeRow(t, func() {
+		const patience = 8 * time.Second
+		g := plantGrove(t, 12, 50, `{"least_parts":4,"rest_ms":60000,"rest_most_ms":60000}`, "", true)
+		members := func(n float64) {
+			g.until("members", func() bool { return g.who.count(g.root, "peers_members") == n })
+		}
+		conns := func() int { return g.links[1].Counts(link.Forward).Conns }
+		read := func(groups float64) {
+			was := g.who.count(g.root, "gather_tree_groups")
+			g.whole("a read", g.read("read", thePlan, patience), patience)
+			if n := g.who.count(g.root, "gather_tree_groups") - was; n != groups {
+				t.Errorf("%v groups, not %v", n, groups)
+			}
+		}
+		members(4)
+		read(3)
+		before := conns()
+		g.must(g.Term(1))
+		g.must(g.Proc(1).End(g.ctx))
+		members(3)
+		if read(2); conns() != before {
+			t.Error("one that left was asked")
+		}
+		g.must(g.Restart(g.ctx, 1))
+		members(4)
+		if read(3); conns() == before {
+			t.Error("one that is back was not asked")
+		}
+		if n := g.who.count(g.root, "gather_tree_rows"); n < 3*100 || g.who.count(g.root, `gather_tree_failures{code="scatter-peer-failed"}`) != 0 {
+			t.Errorf("%v rows, or a failure\n%s", n, g.Proc(g.root).Log())
+		}
+		g.finish()
+	})
+}
+
 func treeRow(t *testing.T, run func()) {
 	rows <- struct{}{}
 	defer func() { <-rows }()
