--- a/choice/choice.go
+++ b/choice/choice.go
@@ -325,7 +325,8 @@
 			wait := math.Max(0, mine-r.units)*sum/c.weight/rate + next
 			early := r.band != bandReserve && s.now+wait+base > r.aimAt
 			late := r.band == bandLate && l.crowded()
-			if early || late || s.now >= r.aimAt || base > s.roomFor(r, heard) ||
+			spent := s.handed && r.vol.plan.Limit > 0 && !r.limitPaid && r.vol.limit < r.units
+			if early || late || spent || s.now >= r.aimAt || base > s.roomFor(r, heard) ||
 				s.now+hopeShare*base > r.aimAt {
 				s.dequeue(r)
 				mine -= r.units
@@ -484,7 +485,9 @@
 		// A restarted host cannot know what it spent: the limit's store was empty at its first
 		// request of all. Since then only this host has drawn on its part, and not for this volume.
 		v = &volume{plan: plan, at: s.now}
-		v.limit = math.Min(plan.Limit*(s.now-s.opened)/1000, plan.LimitBurst) / float64(max(hosts, 1))
+		if !s.handed {
+			v.limit = math.Min(plan.Limit*(s.now-s.opened)/1000, plan.LimitBurst) / float64(max(hosts, 1))
+		}
 		s.volumes[id] = v
 		s.known = append(s.known, v)
 		v.hosts = max(hosts, 1)
@@ -499,7 +502,9 @@
 	v.at = s.now
 	part := 1 / float64(v.hosts)
 	v.store = math.Min(v.store+v.plan.Reserve*part*gone/1000, v.plan.Reserve*part+s.set.MostUnits)
-	v.limit = math.Min(v.limit+v.plan.Limit/float64(v.hosts)*gone/1000, v.plan.LimitBurst/float64(v.hosts))
+	if !s.handed {
+		v.limit = math.Min(v.limit+v.plan.Limit/float64(v.hosts)*gone/1000, v.plan.LimitBurst/float64(v.hosts))
+	}
 	v.level *= math.Exp(-gone / usageSpan)
 }
 
--- /dev/null
+++ b/choice/handover_test.go
@@ -0,0 +1,97 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+)
+
+// limited is a rig whose one plan has a limit: so much a second and at once.
+func limited(t *testing.T, limit, burst float64) *rig {
+	set := testSettings()
+	set.Plans[0].Limit, set.Plans[0].LimitBurst = limit, burst
+	return newRig(t, set)
+}
+
+// After the handover a limit's store is spent and no longer refilled, a request that waits for more is refused, and what
+// has no limit is served on. Retune changes nothing of it.
+func TestHandOverSpendsNoMore(t *testing.T) {
+	r := limited(t, 20, 4)
+	served := func(i int) bool {
+		id := fmt.Sprint("x", i)
+		acts := r.step(call(id, "safe", 0, r.now+2000))
+		out := sent(acts, id)
+		if out {
+			r.at(r.now+1, done(id, 0, OK, true))
+		} else if !refused(acts, id) {
+			t.Fatalf("%s waits: %v", id, acts)
+		}
+		return out
+	}
+	if acts := r.step(call("early", "safe", 0, r.now+2000)); sent(acts, "early") {
+		t.Fatal("served from an empty store")
+	}
+	r.at(r.now+200, Event{Kind: Timer, Tag: "sweep"}) // the store is full, less one
+	r.step(done("early", 0, OK, true))
+	wait := call("waits", "safe", 0, r.now+2000)
+	wait.Req.Units = 8 // never
+	if acts := r.step(wait); sent(acts, "waits") || refused(acts, "waits") {
+		t.Fatalf("%v", acts)
+	}
+	r.s.HandOver()
+	if acts := r.step(Event{Kind: Timer, Tag: "sweep"}); !refused(acts, "waits") {
+		t.Errorf("it waits on: %v", acts)
+	}
+	if err := r.s.Retune(r.s.set); err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for i := range 40 {
+		r.now += 500
+		if served(i) {
+			n++
+		}
+	}
+	if n != 3 {
+		t.Errorf("%d units after the handover, the store had 3", n)
+	}
+	late := call("late", "safe", 0, r.now+2000)
+	late.Req.Volume = "other" // one that is seen after it
+	if acts := r.step(late); !refused(acts, "late") {
+		t.Errorf("%v", acts)
+	}
+	free := limited(t, 0, 0)
+	free.s.HandOver()
+	if acts := free.step(call("free", "safe", 0, free.now+2000)); !sent(acts, "free") {
+		t.Errorf("no limit, and not sent: %v", acts)
+	}
+}
+
+// Two instances of one host, the second from the first's handover on: together they draw no more than one does.
+func TestHandOverKeepsTheLimit(t *testing.T) {
+	const rate, burst = 20.0, 10.0
+	first, second := limited(t, rate, burst), limited(t, rate, burst)
+	drawn, from := 0.0, first.now
+	for i := range 4000 {
+		now := from + float64(i)
+		if i == 2000 {
+			first.s.HandOver()
+		}
+		for k, r := range []*rig{first, second} {
+			if k == 1 && i < 2000 {
+				continue
+			}
+			for _, a := range r.at(now, call(fmt.Sprint("x", k, "-", i), "safe", 0, now+2000)) {
+				if a.Kind == Send {
+					r.at(now, done(a.ID, a.Attempt, OK, true))
+					drawn++
+				}
+			}
+		}
+		if most := burst + rate*float64(i)/1000 + 1; drawn > most {
+			t.Fatalf("%v units after %d ms, %v are allowed", drawn, i, most)
+		}
+	}
+	if drawn < rate*3 {
+		t.Errorf("%v units in 4 s", drawn)
+	}
+}
--- a/choice/limit_test.go
+++ b/choice/limit_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 )
 
-// limited is testSettings with a plan that has a limit.
-func limited(limit, burst float64) Settings {
+// limitedSettings is testSettings with a plan that has a limit.
+func limitedSettings(limit, burst float64) Settings {
 	set := testSettings()
 	set.Plans[0].Limit, set.Plans[0].LimitBurst = limit, burst
 	return set
@@ -37,7 +37,7 @@
 		after        float64 // ms since the host's first request
 		hosts, wants int
 	}{{"at once", 0, 1, 0}, {"a second later", 1000, 1, 4}, {"part of two", 1000, 2, 2}, {"full", 60e3, 1, 12}, {"part of a full one", 60e3, 2, 6}} {
-		r := newRig(t, limited(4, 12))
+		r := newRig(t, limitedSettings(4, 12))
 		r.at(5000) // nothing has come: nothing fills
 		r.asks("first", 1, 1)
 		r.at(5000 + k.after)
@@ -49,7 +49,7 @@
 
 // A volume is kept as long as its store is not full again, however slowly it fills.
 func TestForgetsNoDebtToALimit(t *testing.T) {
-	r := newRig(t, limited(0.1, 12))
+	r := newRig(t, limitedSettings(0.1, 12))
 	r.asks("first", 1, 1)
 	r.at(r.now + 130e3)
 	if n := r.asks("v", 1, 20); n != 12 {
@@ -70,7 +70,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		limit := rapid.Float64Range(0.2, 20).Draw(rt, "limit")
 		burst := rapid.Float64Range(4, 40).Draw(rt, "burst")
-		set := limited(limit, burst)
+		set := limitedSettings(limit, burst)
 		hosts := []*rig{newRig(t, set), newRig(t, set)}
 		type store struct{ level, at float64 }
 		stores := map[string]*store{}
--- a/choice/retune.go
+++ b/choice/retune.go
@@ -130,3 +130,9 @@
 		s.retired = len(kept) - len(s.classOf)
 	}
 }
+
+// HandOver tells the instance that another process of its host serves from now on, with stores of
+// limits that start empty. This one's are no longer refilled; what they hold may be spent, and a request
+// that would wait for more is refused: its client finds it at the other process. Together the two
+// never hold more than one instance would.
+func (s *Scheduler) HandOver() { s.handed = true }
--- a/choice/state.go
+++ b/choice/state.go
@@ -50,6 +50,7 @@
 	sharers   float64 // hosts that work with one node, as estimated
 	pooled    float64 // when that was last learnt
 	pool      float64 // usual latency over all nodes
+	handed    bool    // another process of this host fills the limits' stores now
 	retired   int     // class objects that take no new requests, kept for those under way
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -265,6 +265,7 @@
 	standing bool
 	aside    []*entry // arrived in this turn, to pass over nodes
 	heard    bool     // the last word of the list was good
+	handed   bool     // another process fills the limits' stores; also of a module that comes after this one
 }
 
 // New checks the settings and starts the actor.
@@ -527,6 +528,9 @@
 			panic(fmt.Sprintf("settings that were good no longer are: %v", err))
 		}
 		c.mod = mod
+		if c.handed {
+			mod.HandOver()
+		}
 		stale := choice.Event{Kind: choice.ListStale}
 		for _, n := range c.nodes {
 			stale.Nodes = append(stale.Nodes, c.book.View(now, n.Node))
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,340 @@
+package handover
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wheatsaddle/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m) }
+
+const ms = time.Millisecond
+
+var times = Settings{Try: 5 * ms, Sweep: 20 * ms, Quiet: 500 * ms, Tell: 1000 * ms}
+
+// What goes in, and what comes out, in order.
+func TestScripts(t *testing.T) {
+	type line struct {
+		at   time.Duration
+		in   Event
+		out  []Action
+		next time.Duration
+	}
+	all := func(d ...Do) (acts []Action) {
+		for _, x := range d {
+			acts = append(acts, Action{Do: x})
+		}
+		return acts
+	}
+	sweep := Action{Sweep, times.Quiet}
+	term := Event{Kind: Term, By: 900 * ms}
+	for name, script := range map[string][]line{
+		"alone, then the end": {
+			{0, Event{Kind: Begun}, all(Try), Never}, {0, Event{Kind: Had}, all(Accept), Never},
+			{100 * ms, term, all(TellModule), Never}, {101 * ms, Event{Kind: Told}, all(ShutDoor), Never},
+			{102 * ms, Event{Kind: Shut}, append(all(Release), sweep), Never},
+			{103 * ms, Event{Kind: Open, N: 2}, nil, 123 * ms}, {110 * ms, Event{Kind: Tick}, nil, 123 * ms}, {123 * ms, Event{Kind: Tick}, []Action{sweep}, Never},
+			{124 * ms, Event{Kind: Open}, all(End), Never}, {200 * ms, term, nil, Never},
+		},
+		"beside another, the wait is long": {
+			{50 * ms, Event{Kind: Begun}, all(Try), Never}, {50 * ms, Event{Kind: Begun}, nil, Never}, {50 * ms, Event{Kind: Held}, nil, 55 * ms},
+			{55 * ms, Event{Kind: Tick}, all(Try), Never}, {1000 * ms, Event{Kind: Held}, nil, 1005 * ms}, {1005 * ms, Event{Kind: Tick}, all(Try), Never},
+			{1050 * ms, Event{Kind: Held}, all(Warn), 1055 * ms}, {1055 * ms, Event{Kind: Tick}, all(Try), Never},
+			{1055 * ms, Event{Kind: Held}, nil, 1060 * ms}, {1060 * ms, Event{Kind: Tick}, all(Try), Never}, {1060 * ms, Event{Kind: Had}, all(Accept), Never},
+		},
+		"no lock, after SIGTERM": {
+			{0, Event{Kind: Begun}, all(Try), Never}, {0, term, all(TellModule), Never}, {0, Event{Kind: NoLock}, nil, Never},
+		},
+		"ended while it waits": {
+			{0, Event{Kind: Begun}, all(Try), Never}, {0, Event{Kind: Held}, nil, 5 * ms}, {2 * ms, term, all(TellModule), Never},
+			{2 * ms, Event{Kind: Told}, all(ShutDoor), Never}, {2 * ms, Event{Kind: Shut}, []Action{sweep}, Never}, {2 * ms, Event{Kind: Open}, all(End), Never},
+			{5 * ms, Event{Kind: Tick}, nil, Never},
+		},
+		"the lock comes after SIGTERM": {
+			{0, Event{Kind: Begun}, all(Try), Never}, {0, term, all(TellModule), Never}, {0, Event{Kind: Told}, all(ShutDoor), Never},
+			{0, Event{Kind: Shut}, []Action{sweep}, Never}, {0, Event{Kind: Had}, all(Release), Never}, {0, Event{Kind: Open, N: 1}, nil, 20 * ms},
+		},
+		"no lock": {
+			{0, Event{Kind: Begun}, all(Try), Never}, {0, Event{Kind: NoLock}, all(Accept), Never}, {0, term, all(TellModule), Never},
+			{0, Event{Kind: Told}, all(ShutDoor), Never}, {0, Event{Kind: Shut}, []Action{sweep}, Never},
+		},
+		"the module has no time, then it has": {
+			{0, Event{Kind: Begun}, all(Try), Never}, {0, Event{Kind: Had}, all(Accept), Never}, {0, term, all(TellModule), Never},
+			{100 * ms, Event{Kind: Untold}, nil, 120 * ms}, {120 * ms, Event{Kind: Tick}, all(TellModule), Never}, {121 * ms, Event{Kind: Told}, all(ShutDoor), Never},
+		},
+		"the module never hears": {
+			{0, Event{Kind: Begun}, all(Try), Never}, {0, Event{Kind: Had}, all(Accept), Never}, {0, term, all(TellModule), Never},
+			{900 * ms, Event{Kind: Untold}, all(ShutDoor), Never}, {900 * ms, Event{Kind: Shut}, []Action{{Do: Sweep}}, Never}, {900 * ms, Event{Kind: Open, N: 3}, all(End), Never},
+		},
+		"connections in use until the time is up": {
+			{0, Event{Kind: Begun}, all(Try), Never}, {0, Event{Kind: Had}, all(Accept), Never}, {0, term, all(TellModule), Never},
+			{0, Event{Kind: Told}, all(ShutDoor), Never}, {0, Event{Kind: Shut}, append(all(Release), sweep), Never},
+			{890 * ms, Event{Kind: Open, N: 1}, nil, 900 * ms}, {900 * ms, Event{Kind: Tick}, []Action{{Do: Sweep}}, Never}, {900 * ms, Event{Kind: Open, N: 1}, all(End), Never},
+		},
+	} {
+		b := New(times)
+		for i, l := range script {
+			got := b.Step(l.at, l.in)
+			if !slices.Equal(got, l.out) || b.Next() != l.next || b.Check() != nil {
+				t.Errorf("%s, line %d: %v, next %v, want %v, %v (%v)", name, i, got, b.Next(), l.out, l.next, b.Check())
+			}
+		}
+		if last := script[len(script)-1].out; b.Ended() != (b.phase == gone) || slices.Equal(last, all(End)) && !b.Ended() {
+			t.Errorf("%s: ended %v", name, b.Ended())
+		}
+	}
+}
+
+// A world of processes with one lock: what each driver still has to do, in every order.
+const most = 3
+
+type proc struct {
+	book    Book
+	todo    [3]Action
+	n       int
+	up      bool // started, and neither ended nor killed
+	was     bool // started once
+	fills   bool // its module fills limits, and it has accepted
+	accepts bool
+	open    int // connections
+}
+
+type planet struct {
+	procs [most]proc
+	owner int8 // of the lock; -1: nobody
+}
+
+// feed gives process i an event.
+func (w *planet) feed(i int, now time.Duration, e Event) {
+	p := &w.procs[i]
+	for _, a := range p.book.Step(now, e) {
+		p.todo[p.n] = a
+		p.n++
+	}
+}
+
+// carry does process i's first action; lucky and open are what the outside decides.
+func (w *planet) carry(i int, now time.Duration, lucky bool, open int) error {
+	p := &w.procs[i]
+	a := p.todo[0]
+	copy(p.todo[:], p.todo[1:])
+	p.n--
+	p.todo[p.n] = Action{}
+	switch a.Do {
+	case Try:
+		e := Event{Kind: Held}
+		if w.owner < 0 {
+			w.owner, e.Kind = int8(i), Had
+		}
+		w.feed(i, now, e)
+	case Accept:
+		p.accepts, p.fills, p.open = true, true, open
+	case TellModule:
+		if lucky {
+			p.fills = false
+			w.feed(i, now, Event{Kind: Told})
+		} else {
+			w.feed(i, now, Event{Kind: Untold})
+		}
+	case ShutDoor:
+		p.accepts = false
+		w.feed(i, now, Event{Kind: Shut})
+	case Release:
+		if w.owner != int8(i) {
+			return fmt.Errorf("process %d lets go what it has not", i)
+		}
+		w.owner = -1
+	case Sweep:
+		p.open = min(p.open, open)
+		w.feed(i, now, Event{Kind: Open, N: p.open})
+	case End:
+		if p.open > 0 && now < p.book.by {
+			return fmt.Errorf("empty: process %d ends with %d connections open before its time", i, p.open)
+		}
+		w.end(i)
+	}
+	return nil
+}
+
+// end is the process's end: the kernel lets the lock go, and whatever it held of it.
+func (w *planet) end(i int) {
+	if w.owner == int8(i) {
+		w.owner = -1
+	}
+	w.procs[i] = proc{was: true, book: w.procs[i].book}
+}
+
+func (w *planet) check() error {
+	fills := 0
+	for i := range w.procs {
+		p := &w.procs[i]
+		if !p.up {
+			continue
+		}
+		if err := p.book.Check(); err != nil {
+			return fmt.Errorf("process %d: %w", i, err)
+		}
+		if p.accepts && w.owner != int8(i) {
+			return fmt.Errorf("turn: process %d accepts, the lock is %d's", i, w.owner)
+		}
+		if p.accepts && p.book.phase > shutting {
+			return fmt.Errorf("once: process %d", i)
+		}
+		if p.fills {
+			fills++
+		}
+	}
+	if fills > 1 {
+		return fmt.Errorf("one: %d processes fill limits", fills)
+	}
+	// Nobody is stuck: who has nothing to do, and has not ended, awaits a time, a signal, or accepts.
+	for i := range w.procs {
+		if p := &w.procs[i]; p.up && p.n == 0 && p.book.next == Never && !p.accepts && p.book.phase != fresh {
+			return fmt.Errorf("next: process %d stands still in phase %d", i, p.book.phase)
+		}
+	}
+	return nil
+}
+
+// Every order of starts, signals, kills and steps of up to three processes, each started once. Stopped processes are the
+// orders in which one does nothing for long.
+func TestEveryOrder(t *testing.T) {
+	const now = 0 // times are equal: every wait may be over at once, or never
+	for _, n := range []int{2, 3} {
+		seen := map[planet]bool{}
+		first := planet{owner: -1}
+		line := []planet{first}
+		seen[first] = true
+		served, ended := 0, 0
+		for len(line) > 0 {
+			w := line[len(line)-1]
+			line = line[:len(line)-1]
+			add := func(next planet, err error) {
+				if err == nil {
+					err = next.check()
+				}
+				if err != nil {
+					t.Fatalf("%v\n%+v", err, next)
+				}
+				if !seen[next] {
+					seen[next] = true
+					line = append(line, next)
+				}
+			}
+			for i := range n {
+				p := w.procs[i]
+				if !p.up {
+					if next := w; !p.was && (i == 0 || w.procs[i-1].was) {
+						next.procs[i] = proc{book: *New(Settings{Tell: 1}), up: true, was: true}
+						next.feed(i, now, Event{Kind: Begun})
+						add(next, nil)
+					}
+					continue
+				}
+				if p.accepts {
+					served |= 1 << i
+				}
+				next := w
+				next.end(i) // kill -9
+				add(next, nil)
+				if p.n > 0 {
+					for _, out := range []struct {
+						lucky bool
+						open  int
+					}{{true, 0}, {true, 1}, {false, 0}} {
+						next, known := w, w.procs[i].todo[0].Do
+						err := next.carry(i, now, out.lucky, out.open)
+						if known == End {
+							ended |= 1 << i
+						}
+						add(next, err)
+					}
+					continue
+				}
+				if p.book.next != Never {
+					next = w
+					next.feed(i, now, Event{Kind: Tick})
+					add(next, nil)
+				}
+				for _, by := range []time.Duration{now, 1} {
+					next = w
+					next.feed(i, now, Event{Kind: Term, By: by})
+					add(next, nil)
+				}
+			}
+		}
+		if all := 1<<n - 1; served != all || ended != all {
+			t.Errorf("%d processes: served %b, ended %b", n, served, ended)
+		}
+		t.Logf("%d processes: %d states", n, len(seen))
+	}
+}
+
+// The same with times: a process whose lock came free has it within Try, one after SIGTERM is gone by its time.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, now := planet{owner: -1}, time.Duration(0)
+		var termed [most]time.Duration
+		i := func() int { return rapid.IntRange(0, most-1).Draw(t, "process") }
+		settle := func() {
+			for k := range w.procs {
+				for w.procs[k].up && w.procs[k].n > 0 {
+					if err := w.carry(k, now, rapid.Bool().Draw(t, "heard"), rapid.IntRange(0, 2).Draw(t, "open")); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				settle()
+				if err := w.check(); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"start": func(t *rapid.T) {
+				if k := i(); !w.procs[k].up {
+					w.procs[k] = proc{book: *New(times), up: true}
+					w.feed(k, now, Event{Kind: Begun})
+				}
+			},
+			"kill": func(*rapid.T) { w.end(i()) },
+			"term": func(t *rapid.T) {
+				if k := i(); w.procs[k].up && w.procs[k].book.phase < telling {
+					termed[k] = now + time.Duration(rapid.IntRange(0, 60).Draw(t, "left"))*ms
+					w.feed(k, now, Event{Kind: Term, By: termed[k]})
+				}
+			},
+			"time": func(t *rapid.T) {
+				span := time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * ms
+				for end := now + span; now < end; { // from one awaited time to the next
+					now = end
+					for k := range w.procs {
+						if w.procs[k].up {
+							now = min(now, max(w.procs[k].book.Next(), now-span))
+						}
+					}
+					for k := range w.procs {
+						if w.procs[k].up {
+							w.feed(k, now, Event{Kind: Tick})
+						}
+					}
+					settle()
+					for k := range w.procs {
+						if p := &w.procs[k]; p.up && p.book.phase >= telling && now > termed[k] {
+							t.Fatalf("empty: process %d is up at %v, its time was %v", k, now, termed[k])
+						}
+						if p := &w.procs[k]; p.up && p.book.phase == waiting && w.owner < 0 && p.book.Next() > now+times.Try {
+							t.Fatalf("next: process %d looks again at %v", k, p.book.Next())
+						}
+					}
+				}
+			},
+		})
+	})
+}
--- a/internal/operr/page/main.go
+++ b/internal/operr/page/main.go
@@ -20,6 +20,7 @@
 	_ "wheatsaddle/internal/cost"
 	_ "wheatsaddle/internal/exclusion"
 	_ "wheatsaddle/internal/exclusion/store"
+	_ "wheatsaddle/internal/handover"
 	_ "wheatsaddle/internal/iscsi"
 	_ "wheatsaddle/internal/lab/procs"
 	_ "wheatsaddle/internal/meter"
