Passed socket: one process accepts at a time, in turn by a lock in $TMPDIR

Both processes accepted beside each other. Accepts wait behind a gate until the lock is had; at SIGTERM the module is told, accepting ends, the lock goes, answers close their connections and the process ends when it is empty. A passed socket that another holder made block again no longer holds up Close (test fails without the line). Nothing changes where the variable is unset.

--- a/cmd/wheatsaddle/blocks.go
+++ b/cmd/wheatsaddle/blocks.go
@@ -45,7 +45,7 @@
 		co.Stop()
 		return nil, fmt.Errorf("iscsi: listen: %w", err)
 	}
-	if ln, err = at.listen("iscsi", ln); err != nil {
+	if ln, err = at.listen("iscsi", ln, nil); err != nil {
 		co.Stop()
 		return nil, err
 	}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -240,7 +240,8 @@
 	if err != nil {
 		return err
 	}
-	if ln, err = at.listen("http", ln); err != nil {
+	turn := share(conf, ln, log)
+	if ln, err = at.listen("http", ln, turn.door()); err != nil {
 		return err
 	}
 	srv := httpfront.NewServer(co, conf.Settings, clients, log)
@@ -251,6 +252,7 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(ln, clients) }()
+	turn.run(co, srv)
 	serving.Store(true)
 	log.WithFields(logrus.Fields{"name": conf.Name, "listen": conf.Listen, "nodes": len(known.Nodes), "version": version,
 		"list": conf.ListMode, "list_price": conf.ListPrice}).Info("serving")
@@ -276,11 +278,13 @@
 	}
 	serving.Store(false) // another process is to serve the clients now
 	kill := time.Now().Add(graceOf(conf))
-	log.Info("stopping: accepting a little longer")
 	go others.stop() // it takes some time, which the end does not have
-	time.Sleep(newcomersFor)
-	srv.KeepFree()
-	time.Sleep(acceptFor - newcomersFor)
+	if turn == nil {
+		log.Info("stopping: accepting a little longer")
+		time.Sleep(newcomersFor)
+		srv.KeepFree()
+		time.Sleep(acceptFor - newcomersFor)
+	}
 	end, stop := context.WithDeadline(context.Background(), kill.Add(-exitMargin))
 	defer stop()
 	blocksDone := make(chan struct{})
@@ -288,6 +292,7 @@
 		defer close(blocksDone)
 		blocks.shutdown(end)
 	}()
+	turn.leave(kill.Add(-closeMargin))
 	// Clients use the connections that they have for as long as these stay open, and nobody
 	// else serves them until this program is back.
 	for srv.StopAccepting() > 0 && time.Until(kill) > closeMargin {
--- a/cmd/wheatsaddle/site.go
+++ b/cmd/wheatsaddle/site.go
@@ -101,9 +101,9 @@
 	s.log.Info("site's file read again")
 }
 
-// listen adds a front's further addresses to the one it has.
-func (s *site) listen(front string, first net.Listener) (net.Listener, error) {
-	all := []net.Listener{first}
+// listen adds a front's further addresses to the one it has, all behind the gate, if any.
+func (s *site) listen(front string, first net.Listener, gate *sock.Gate) (net.Listener, error) {
+	all := []net.Listener{gate.Listener(first)}
 	for i, l := range s.held.Listen[front] {
 		ln, err := sock.Listen(l.Address, l.Mode)
 		if err != nil {
@@ -113,7 +113,7 @@
 			return nil, fmt.Errorf("site: listen.%s.%d: %w", front, i, err)
 		}
 		s.log.WithFields(logrus.Fields{"front": front, "address": ln.Addr().String()}).Info("listening")
-		all = append(all, ln)
+		all = append(all, gate.Listener(ln))
 	}
 	return sock.Merge(all...), nil
 }
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -41,6 +41,7 @@
 	// is counted.
 	Bodies *semaphore.Weighted
 	keep   atomic.Bool // some connections free
+	leaves atomic.Bool // each answer closes its connection
 
 	gathered atomic.Pointer[scatter.Service] // nil: reads are not gathered
 }
@@ -134,10 +135,33 @@
 // to a program that stops, and one that finds all of its in use takes it for gone.
 func (s *Server) KeepFree() { s.keep.Store(true) }
 
+// Leave closes each connection with its next answer: another process takes the clients' new ones. One on which a
+// further request waits already is answered first, as closing over unread bytes would reset it.
+func (s *Server) Leave() { s.leaves.Store(true) }
+
+// Sweep closes the connections that were quiet for so long, and returns how many are open.
+func (s *Server) Sweep(quiet time.Duration) int {
+	if l := s.ln.Load(); l != nil {
+		return l.Sweep(quiet)
+	}
+	return 0
+}
+
+// parting is the end of each request.
+func (s *Server) parting(ctx *fasthttp.RequestCtx) {
+	if !s.leaves.Load() {
+		return
+	}
+	if c, ok := ctx.Conn().(*sock.Conn); !ok || !c.Asked() {
+		ctx.SetConnectionClose()
+	}
+}
+
 // Shutdown stops accepting, closes connections between requests and waits for the answers.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	defer s.parting(ctx)
 	if string(ctx.Path()) == readyPath && ctx.IsGet() {
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		return
--- a/internal/sock/passed.go
+++ b/internal/sock/passed.go
@@ -44,9 +44,22 @@
 	if err != nil {
 		return nil, &PassedError{Name: name, Err: err}
 	}
-	if _, ok := ln.(*net.TCPListener); !ok {
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
 		ln.Close()
 		return nil, &PassedError{Name: name, Says: fmt.Sprintf("descriptor %d is no TCP socket", fd)}
 	}
-	return plainListener{ln}, nil
+	return plainListener{&passed{tcp}}, nil
+}
+
+// passed is a listener whose socket others hold too. What says that it does not block belongs to them all: who
+// passes it on may have made it block again (os.File.Fd does), and an accept that blocks outlasts Close.
+type passed struct{ *net.TCPListener }
+
+// Accept implements net.Listener.
+func (p *passed) Accept() (net.Conn, error) {
+	if raw, err := p.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), true) })
+	}
+	return p.TCPListener.Accept()
 }
--- a/internal/sock/passed_test.go
+++ b/internal/sock/passed_test.go
@@ -1,10 +1,15 @@
 package sock
 
 import (
+	"errors"
 	"net"
 	"os"
+	"runtime"
 	"strconv"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 )
 
 // The clients' socket of a process replacement: a descriptor that both processes accept on.
@@ -68,3 +73,54 @@
 		t.Fatal("descriptor -1 was taken")
 	}
 }
+
+// Another holder of the socket makes it block between two accepts, as one that passes it on does: the listener still
+// closes, and the socket is left to the others.
+func TestPassedCloses(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	f, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	other, err := syscall.Dup(int(f.Fd())) // Passed takes the descriptor over
+	if err != nil {
+		t.Fatal(err)
+	}
+	passed, err := Passed(strconv.Itoa(other))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Fd() // it blocks
+	ended := make(chan error)
+	go func() {
+		_, err := passed.Accept()
+		ended <- err
+	}()
+	for inAccept := false; !inAccept; {
+		stack := make([]byte, 1<<20)
+		inAccept = strings.Contains(string(stack[:runtime.Stack(stack, true)]), "(*TCPListener).Accept")
+	}
+	closed := make(chan error)
+	go func() { closed <- passed.Close() }()
+	select {
+	case err := <-closed:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("Close waits for an accept that blocks")
+	}
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		t.Error(err)
+	}
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc.Close()
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -175,6 +175,28 @@
 	}
 }
 
+// Sweep closes the connections on which nothing was asked for so long, and none on which something waits. It returns
+// how many are open then.
+func (l *Listener) Sweep(quiet time.Duration) int {
+	now := time.Now()
+	var may []*Conn
+	l.mu.Lock()
+	sync.Reads(&l.open)
+	for _, c := range l.open {
+		if c.phase.Load() != active && now.Sub(time.Unix(0, c.since.Load())) >= quiet {
+			may = append(may, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range may {
+		c.doom()
+	}
+	return l.Held()
+}
+
+// Asked says whether bytes of a further request wait already.
+func (c *Conn) Asked() bool { return c.asks() == waiting }
+
 // tend sheds also while nobody comes: clients at a limit of their own open no connection.
 func (l *Listener) tend() {
 	tick := time.NewTicker(shedEvery)
--- /dev/null
+++ b/internal/sock/turn_test.go
@@ -0,0 +1,105 @@
+package sock
+
+import (
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// Behind a gate connections wait and none is refused; a gate that is shut before it opened ends the accepts.
+func TestGate(t *testing.T) {
+	ln, err := ListenTCP("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if (*Gate)(nil).Listener(ln) != ln {
+		t.Error("no gate, and another listener")
+	}
+	g := NewGate()
+	at := g.Listener(ln)
+	got := make(chan error, 2)
+	accept := func() {
+		nc, err := at.Accept()
+		if err == nil {
+			nc.Close()
+		}
+		got <- err
+	}
+	go accept()
+	nc, err := net.Dial("tcp", ln.Addr().String()) // waits in the queue
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	select {
+	case err := <-got:
+		t.Fatalf("accepted before it is open: %v", err)
+	case <-time.After(20 * time.Millisecond):
+	}
+	g.Open()
+	g.Open()
+	if err := <-got; err != nil {
+		t.Fatal(err)
+	}
+	at.Close()
+	if err := at.Close(); err == nil {
+		t.Error("closed twice")
+	}
+	other, err := ListenTCP("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at = NewGate().Listener(other)
+	go accept()
+	at.Close()
+	if err := <-got; !errors.Is(err, net.ErrClosed) {
+		t.Error(err)
+	}
+}
+
+// One at a time has the lock of an address; another address has another. One that was let go is had by the next, also
+// where its file is left, and one whose file was cleared away under it is no lock.
+func TestLockInTurn(t *testing.T) {
+	dir := t.TempDir()
+	at := func(port int) *Lock { return LockOf(dir, &net.TCPAddr{IP: net.ParseIP("::1"), Port: port}) }
+	a, b, other := at(80), at(80), at(81)
+	try := func(what string, l *Lock, want bool) {
+		t.Helper()
+		if had, err := l.Try(); had != want || err != nil {
+			t.Fatalf("%s: %v %v", what, had, err)
+		}
+	}
+	try("the first", a, true)
+	try("the second", b, false)
+	try("of another address", other, true)
+	a.Release()
+	a.Release()
+	try("the second, at last", b, true)
+	c := at(80)
+	try("a third", c, false)
+	if err := os.Remove(b.Path); err != nil {
+		t.Fatal(err)
+	}
+	b.Release()
+	try("a file that is gone", c, false)
+	try("anew", c, true)
+	try("who comes then", at(80), false)
+	if filepath.Dir(c.Path) != dir {
+		t.Error(c.Path)
+	}
+	for _, bad := range []*Lock{LockOf(filepath.Join(dir, "none"), &net.TCPAddr{Port: 80}), {Path: dir}} {
+		if had, err := bad.Try(); had || err == nil {
+			t.Errorf("%s: %v %v", bad.Path, had, err)
+		}
+	}
+	link := filepath.Join(dir, "link")
+	if err := os.Symlink(c.Path, link); err != nil {
+		t.Fatal(err)
+	}
+	if had, err := (&Lock{Path: link}).Try(); had || err == nil {
+		t.Errorf("another's link was followed: %v %v", had, err)
+	}
+}
