--- a/internal/lab/procs/daemon.go
+++ b/internal/lab/procs/daemon.go
@@ -130,6 +130,8 @@
 	daemon, config string
 	log            string
 	args, env      []string
+	passed         *os.File     // the clients' listening socket, inherited as descriptor 3; nil: the daemon binds
+	door           string       // of a daemon with a passed socket: where it says that it is ready
 	lines          func([]byte) // told of what it writes, line by line; nil: nobody
 	mu             sync.Mutex
 	cmd            *exec.Cmd
@@ -152,7 +154,11 @@
 	}
 	defer out.Close()
 	c := exec.Command(p.daemon, p.args...)
-	c.Env = append(append(os.Environ(), "ROUTER_CONFIG="+p.config, "TMPDIR="+filepath.Dir(p.config)), p.env...)
+	c.Env = append(os.Environ(), "ROUTER_CONFIG="+p.config, "TMPDIR="+filepath.Dir(p.config))
+	if p.passed != nil {
+		c.ExtraFiles, c.Env = []*os.File{p.passed}, append(c.Env, "ROUTER_PASSED_SOCKET=3")
+	}
+	c.Env = append(c.Env, p.env...)
 	c.Stdout, c.Stderr = out, out
 	if p.lines != nil {
 		both := &lined{out: p.log, line: p.lines}
@@ -273,13 +279,17 @@
 	if !p.Alive() {
 		return os.ErrProcessDone
 	}
-	nc, err := net.DialTimeout("tcp", p.Listen, time.Second)
+	at, path := p.Listen, "/health/ready"
+	if p.passed != nil { // it may wait for its turn there
+		at, path = p.door, "/api/ready"
+	}
+	nc, err := net.DialTimeout("tcp", at, time.Second)
 	if err != nil {
 		return err
 	}
 	defer nc.Close()
 	_ = nc.SetDeadline(time.Now().Add(time.Second))
-	if _, err := io.WriteString(nc, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(nc, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
 		return err
 	}
 	line, err := bufio.NewReader(nc).ReadString('\n')
--- a/internal/lab/procs/fleet.go
+++ b/internal/lab/procs/fleet.go
@@ -12,6 +12,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -63,6 +64,7 @@
 	Known    bool                                                  // the daemons are started with the list
 	ListDown bool                                                  // nobody listens at the lists' services at first
 	Doors    bool                                                  // each daemon has an operators' door
+	Passed   bool                                                  // the clients' sockets are held here, and passed; needs Doors
 	Peers    bool                                                  // links between each two daemons, TCP and UDP
 	Args     func(f *Fleet, i int) []string                        // further arguments of a daemon; nil: none
 	NewList  func(scheduler int, told func([]Entry)) (List, error) // nil: a stand-in of discovery
@@ -95,6 +97,8 @@
 	peers    [][]*link.Link      // [i][j], i < j
 	peerAt   []string
 	doors    []string
+	confs    []Config
+	beside   []*Proc            // started beside those of procs
 	since    []int64            // since_ms of each node
 	status   []discovery.Status // of each node on the list
 	mu       sync.Mutex
@@ -322,7 +326,7 @@
 		name := fmt.Sprint("n", i)
 		conf := Config{Name: name, Listen: listen, Operator: door, Discovery: at, Seed: f.opt.Seed + uint64(i), MemoryMB: cmp.Or(f.opt.MemoryMB, memoryMB), Known: known, Index: index,
 			Settings: over(Defaults(f.opt.Daemons, i, shards), f.opt.Settings)}
-		f.settings = conf.Settings
+		f.settings, f.confs = conf.Settings, append(f.confs, conf)
 		dir := filepath.Join(f.dir, name)
 		if err := os.Mkdir(dir, 0o700); err != nil {
 			return err
@@ -340,10 +344,50 @@
 			p.lines = func(line []byte) { f.opt.Said(i, line) }
 		}
 		f.procs = append(f.procs, p)
+		if f.opt.Passed {
+			if p.passed, err = listening(listen); err != nil {
+				return err
+			}
+			p.door = door
+		}
 	}
 	return nil
 }
 
+// listening is a listening socket that nobody here accepts on.
+func listening(at string) (*os.File, error) {
+	ln, err := net.Listen("tcp", at)
+	if err != nil {
+		return nil, err
+	}
+	defer ln.Close()
+	return ln.(*net.TCPListener).File()
+}
+
+// Beside makes one more process of scheduler i, on the same passed socket and with an operators' address of its own.
+// Change says what is to be different, before it is started; nil: nothing.
+func (f *Fleet) Beside(i int, change func(*Proc)) (*Proc, error) {
+	door, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	conf, dir := f.confs[i], f.Dir(i)
+	conf.Operator = door
+	n := len(f.beside) + 1
+	file := filepath.Join(dir, fmt.Sprintf("config-%d.json", n))
+	if err := conf.Write(file); err != nil {
+		return nil, err
+	}
+	old := f.procs[i]
+	p := NewProc(f.opt.Daemon, file, filepath.Join(dir, fmt.Sprint("log-", n)), fmt.Sprint(conf.Name, "-", n), conf.Listen, old.args...)
+	p.passed, p.door, p.env = old.passed, door, slices.Clone(old.env)
+	f.beside = append(f.beside, p)
+	if change != nil {
+		change(p)
+	}
+	return p, p.Start()
+}
+
 func (f *Fleet) now() time.Duration { return time.Since(f.start) }
 
 // The parties and the links between them: node j, process i, the list of daemon i; client to daemon i,
@@ -414,7 +458,7 @@
 
 // Logs are the ends of the daemons' logs, of those that have ended first, and of no more than logsMost.
 func (f *Fleet) Logs() (text string) {
-	shown := slices.Clone(f.procs)
+	shown := slices.Concat(f.procs, f.beside)
 	slices.SortStableFunc(shown, func(a, b *Proc) int {
 		return cmp.Compare(btoi(a.Alive()), btoi(b.Alive()))
 	})
@@ -526,14 +570,20 @@
 // Close ends all of it.
 func (f *Fleet) Close() {
 	close(f.done)
-	for _, p := range f.procs {
+	all := slices.Concat(f.procs, f.beside)
+	for _, p := range all {
 		if p.Alive() {
 			_ = p.Signal(syscall.SIGKILL) // all at once: Reap waits for each
 		}
 	}
-	for _, p := range f.procs {
+	for _, p := range all {
 		p.Reap()
 	}
+	for _, p := range f.procs {
+		if p.passed != nil {
+			_ = p.passed.Close()
+		}
+	}
 	for _, all := range slices.Concat([][]*link.Link{f.clients, f.listings}, f.storage, f.peers) {
 		for _, l := range all {
 			if l != nil {
--- a/internal/lab/procs/traffic.go
+++ b/internal/lab/procs/traffic.go
@@ -187,6 +187,7 @@
 	Clients int
 	Gap     time.Duration
 	Ask     func(scheduler, client, n int) Ask
+	Once    bool                     // a connection for each request
 	Skip    func(scheduler int) bool // where nothing is to be sent for now; nil: nowhere
 }
 
@@ -207,6 +208,9 @@
 						c.Close() // what is left of it has ended by then
 					} else {
 						c.Ask(l.Ask(s, k, n))
+						if l.Once {
+							c.Close()
+						}
 					}
 					select {
 					case <-ctx.Done():
