--- /dev/null
+++ b/internal/core/handover_test.go
@@ -0,0 +1,54 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wheatsaddle/choice"
+)
+
+// After the handover no limit is filled, also not by the module that follows one that panicked: what waits for it is
+// refused. An actor that has no time is to be told again, one that has ended fills nothing.
+func TestHandOver(t *testing.T) {
+	set := settings()
+	for i := range set.Plans {
+		set.Plans[i].Limit, set.Plans[i].LimitBurst = 1e6, 1e6
+	}
+	r := start(t, set)
+	r.list(choice.ListStale, node("n", 0, choice.NodeUp))
+	busy, free := make(chan bool), make(chan bool)
+	r.post(message{call: func() { busy <- true; <-free }})
+	<-busy
+	if r.HandOver(time.Millisecond) {
+		t.Error("heard by an actor that has no time")
+	}
+	close(free)
+	if !r.HandOver(time.Minute) {
+		t.Error("not heard")
+	}
+	_, got := r.ask("a", "read", time.Minute)
+	one(t, got, Refused)
+	r.post(message{call: func() {
+		r.mod = nil
+		r.events = append(r.events, choice.Event{Kind: choice.Timer, Tag: "tick"})
+	}})
+	_, got = r.ask("panics", "read", time.Minute)
+	<-got
+	_, got = r.ask("b", "read", time.Minute)
+	one(t, got, Refused)
+}
+
+func TestHandOverAfterTheEnd(t *testing.T) {
+	c, err := New(Options{Settings: settings(), Log: logrus.New()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Stop()
+	for range 2 * controlSize { // also once its mailbox is full
+		if !c.HandOver(time.Minute) {
+			t.Fatal("an actor that has ended is asked on")
+		}
+	}
+}
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -165,3 +165,35 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// A sweep closes what was quiet for so long, and neither what is in use nor what has just been asked on.
+func TestSweep(t *testing.T) {
+	l, in, out := pair(t, 10)
+	if n := l.Sweep(time.Hour); n != 1 || in.Asked() {
+		t.Errorf("%d open", n)
+	}
+	io.WriteString(out, "x")
+	for !in.Asked() {
+		runtime.Gosched()
+	}
+	if n := l.Sweep(0); n != 1 {
+		t.Errorf("closed over unread bytes: %d open", n)
+	}
+	b := make([]byte, 1)
+	if _, err := in.Read(b); err != nil {
+		t.Fatal(err)
+	}
+	if n := l.Sweep(0); n != 1 {
+		t.Errorf("closed in use: %d open", n)
+	}
+	in.Idle(true)
+	if n := l.Sweep(time.Hour); n != 1 {
+		t.Errorf("closed too soon: %d open", n)
+	}
+	if n := l.Sweep(0); n != 0 {
+		t.Errorf("%d open", n)
+	}
+	if _, err := out.Read(b); err != io.EOF {
+		t.Error(err)
+	}
+}
