--- a/cmd/wheatsaddle/handover.go
+++ b/cmd/wheatsaddle/handover.go
@@ -30,6 +30,7 @@
 	srv   *httpfront.Server
 	log   logrus.FieldLogger
 	begin time.Time
+	left  int // connections open at the last sweep
 	term  chan time.Duration
 	done  chan struct{}
 }
@@ -125,7 +126,10 @@
 		s.lock.Release()
 		s.log.Info("stopping: the passed socket is the next process's")
 	case handover.Sweep:
-		return came(handover.Open, s.srv.Sweep(a.Quiet))
+		s.left = s.srv.Sweep(a.Quiet)
+		return came(handover.Open, s.left)
+	case handover.End:
+		s.log.WithField("open", s.left).Info("stopping: made way")
 	}
 	return nil
 }
