--- a/choice/choice.go
+++ b/choice/choice.go
@@ -503,7 +503,7 @@
 	part := 1 / float64(v.hosts)
 	v.store = math.Min(v.store+v.plan.Reserve*part*gone/1000, v.plan.Reserve*part+s.set.MostUnits)
 	if !s.handed {
-		v.limit = math.Min(v.limit+v.plan.Limit/float64(v.hosts)*gone/1000, v.plan.LimitBurst/float64(v.hosts))
+		v.limit = math.Min(v.limit+v.plan.Limit*part*gone/1000, v.plan.LimitBurst*part)
 	}
 	v.level *= math.Exp(-gone / usageSpan)
 }
@@ -962,8 +962,8 @@
 func (s *Scheduler) entry(e Node, stood bool) {
 	n := s.nodes[e.ID]
 	if n == nil {
-		n = &node{window: windowStart, coldAt: math.Inf(-1), drainAt: math.Inf(-1), told: math.Inf(-1), heard: s.now}
-		n.Node = e
+		n = &node{window: windowStart, coldAt: math.Inf(-1), told: math.Inf(-1), heard: s.now}
+		n.Node, n.drainAt = e, math.Inf(-1)
 		s.list(n)
 		if e.Since > 0 {
 			s.chill(n, e.Since)
@@ -987,7 +987,8 @@
 // usable says that a node is up, or drains since so little that it may be used and has taken all since.
 // Harm: a node that ends faster than its grace cuts off what was sent last.
 func (s *Scheduler) usable(n *node) bool {
-	return n.State == NodeUp || n.State == NodeDraining && n.gateGap == 0 && s.now-n.drainAt < s.set.DrainUse()
+	return n.State == NodeUp ||
+		n.State == NodeDraining && n.gateGap == 0 && s.now-n.drainAt < s.set.DrainUse()
 }
 
 // ask subscribes to the list, again after a failure, well before we would be deemed told.
