--- a/internal/lab/coldstart/real.go
+++ b/internal/lab/coldstart/real.go
@@ -581,6 +581,9 @@
 		w.row.Served++
 	case client.Refused:
 		w.row.Refused++
+		if i%10 >= w.sc.Killed {
+			w.row.StayRefused++
+		}
 	case client.Failed:
 		w.row.Failed++
 	case client.Reset, client.TimedOut:
--- a/internal/lab/coldstart/realreport.go
+++ b/internal/lab/coldstart/realreport.go
@@ -26,6 +26,7 @@
 	Falls                   int
 	ColdLoad                float64 // most that a cold node got, as a part of what it bears
 	Served, Refused, Failed int     // in the first 10 s of each process
+	StayRefused             int     // of Refused: by processes that were not killed
 	Unanswered              int     // no answer in time, or a reset, where the process lived
 	UnsafeTwice             int     // requests of an unsafe class that ran more than once
 	LinksWaited             int     // connects that waited at links to silent nodes, at the end
@@ -142,14 +143,14 @@
 	fmt.Fprintf(out, "%d processes, %d nodes, seed %d; the list's service answers %.0f calls a second; counts are of the first 10 s of each process\n",
 		r.Options.Hosts, r.Options.Nodes, r.Options.Seed, r.Options.Capacity)
 	tw := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "scenario\tstart\texec to listen (worst)\tt50\tt99\tt100\tt99 from first exec\tlist/s\tlist refused\tconnects/s\trequests/s\tfalls\tcold load\tserved\trefused\tfailed\tunanswered")
+	fmt.Fprintln(tw, "scenario\tstart\texec to listen (worst)\tt50\tt99\tt100\tt99 from first exec\tlist/s\tlist refused\tconnects/s\trequests/s\tfalls\tcold load\tserved\trefused\tby those that stay\tfailed\tunanswered")
 	for _, x := range r.Rows {
 		whole := fmt.Sprintf("%.2f", x.Whole99)
 		if x.Whole99 > 1e6 {
 			whole = "not"
 		}
-		fmt.Fprintf(tw, "%s\t%s\t%.2f (%.2f)\t%.2f\t%.2f\t%.2f\t%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%d\t%d\t%d\t%d\n", x.Scenario, x.Start, x.BareMean, x.BareWorst,
-			x.T50, x.T99, x.T100, whole, x.ListPeak, x.ListRefused, x.Connects, x.Requests, x.Falls, x.ColdLoad, x.Served, x.Refused, x.Failed, x.Unanswered)
+		fmt.Fprintf(tw, "%s\t%s\t%.2f (%.2f)\t%.2f\t%.2f\t%.2f\t%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%d\t%d\t%d\t%d\t%d\n", x.Scenario, x.Start, x.BareMean, x.BareWorst,
+			x.T50, x.T99, x.T100, whole, x.ListPeak, x.ListRefused, x.Connects, x.Requests, x.Falls, x.ColdLoad, x.Served, x.Refused, x.StayRefused, x.Failed, x.Unanswered)
 	}
 	return tw.Flush()
 }
