--- a/internal/lab/costs/costs_test.go
+++ b/internal/lab/costs/costs_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
 
 	"wheatsaddle/internal/lab/procs"
 )
@@ -40,6 +41,9 @@
 	if testing.Short() {
 		t.Skip("several processes")
 	}
+	t.Cleanup(func() {
+		goleak.VerifyNone(t, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+	})
 	daemon, err := procs.Build(t.Context(), t.TempDir())
 	if err != nil {
 		t.Fatal(err)
@@ -47,6 +51,7 @@
 	for _, alone := range []bool{false, true} {
 		opt := RealDefaults()
 		opt.Seeds, opt.Daemon, opt.Processes, opt.Groups, opt.Home, opt.Decisions = []uint64{1}, daemon, 3, 3, 1, 1
+		opt.HalfLife, opt.Every = time.Second, 100*time.Millisecond // soon told, and soon right
 		opt.Warm, opt.Settled, opt.Watch, opt.Alone = 100, 5, time.Minute, alone
 		if alone {
 			opt.Watch = 3 * time.Second
