--- a/internal/lab/procs/gather_test.go
+++ b/internal/lab/procs/gather_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -78,6 +79,46 @@
 	g.until("the fault happens", func() bool { return g.count(shard, of) >= least })
 }
 
+// gathered is a gathered read of all shards as its client sends it, now.
+func (f *Fleet) gathered(scheduler int, class, plan string, units float64, patience time.Duration, more ...string) (audit.Taken, []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next++
+	m := client.Message{ID: fmt.Sprintf("g%06d", f.next), Class: class, Plan: plan, Extent: fmt.Sprintf("%016x", f.next), Volume: fmt.Sprintf("%016x", 99),
+		Units: units, Shard: -1, Hosts: f.opt.Daemons, Deadline: patience}
+	text := bytes.Replace(m.Append(nil), []byte("\r\n\r\n"), []byte("\r\n"+strings.Join(append(more, "X-Gather: all"), "\r\n")+"\r\n\r\n"), 1)
+	now := f.now()
+	return audit.Taken{ID: m.ID, Class: class, Plan: plan, Volume: m.Volume, Units: units, Scheduler: scheduler, At: now, GivesUp: now + patience}, text
+}
+
+// heard is what came back on its connection; code 0: no head of an answer.
+type heard struct {
+	code   int
+	head   http.Header
+	body   []byte
+	result gjson.Result // the trailer's, or the body's
+	err    error
+}
+
+func hear(nc net.Conn, text []byte) (h heard) {
+	if _, h.err = nc.Write(text); h.err != nil {
+		return h
+	}
+	br := bufio.NewReader(nc)
+	res, err := http.ReadResponse(br, nil)
+	if h.err = err; err != nil {
+		return h
+	}
+	h.code, h.head = res.StatusCode, res.Header
+	if h.body, h.err = io.ReadAll(res.Body); h.err == nil && br.Buffered() > 0 {
+		h.err = fmt.Errorf("%d bytes after the answer", br.Buffered())
+	}
+	if h.result = gjson.ParseBytes(h.body); h.code == http.StatusOK {
+		h.result = gjson.Parse(res.Trailer.Get("X-Gather-Result"))
+	}
+	return h
+}
+
 // answer is what a client had of a gathered read.
 type answer struct {
 	id     string
@@ -98,20 +139,14 @@
 func (g *gathering) ask(scheduler int, plan string, units float64, patience time.Duration, more ...string) *read {
 	g.t.Helper()
 	f := g.Fleet
-	f.mu.Lock()
-	f.next++
-	id := fmt.Sprintf("g%06d", f.next)
-	m := client.Message{ID: id, Class: "read", Plan: plan, Extent: fmt.Sprintf("%016x", f.next), Volume: fmt.Sprintf("%016x", 99), Units: units,
-		Shard: -1, Hosts: f.opt.Daemons, Deadline: patience}
-	f.mu.Unlock()
-	text := strings.Replace(string(m.Append(nil)), "\r\n\r\n", "\r\n"+strings.Join(append(more, "X-Gather: all"), "\r\n")+"\r\n\r\n", 1)
+	taken, text := f.gathered(scheduler, "read", plan, units, patience, more...)
+	id := taken.ID
 	nc, err := net.Dial("tcp", f.clients[scheduler].Addr())
 	g.must(err)
 	ctx, leave := context.WithCancel(g.ctx)
 	context.AfterFunc(ctx, func() { nc.Close() })
 	f.mu.Lock()
-	now := f.now()
-	f.h.Taken = append(f.h.Taken, audit.Taken{ID: id, Class: m.Class, Plan: plan, Volume: m.Volume, Units: units, Scheduler: scheduler, At: now, GivesUp: now + patience})
+	f.h.Taken = append(f.h.Taken, taken)
 	f.mu.Unlock()
 	r := &read{leave, make(chan answer, 1)}
 	go func() {
@@ -126,22 +161,15 @@
 			f.mu.Unlock()
 			r.done <- a
 		}()
-		if _, err := io.WriteString(nc, text); err != nil {
-			return
-		}
-		res, err := http.ReadResponse(bufio.NewReader(nc), nil)
-		if err != nil {
+		h := hear(nc, text)
+		if a.code, a.head, a.result = h.code, h.head, h.result; a.code == 0 {
 			return
 		}
-		body, err := io.ReadAll(res.Body)
-		a.code, a.head = res.StatusCode, res.Header
-		if a.end = audit.Whole; err != nil {
+		if a.end = audit.Whole; h.err != nil {
 			a.end = audit.Cut
 		}
 		if a.code == 200 {
-			a.rows, a.result = strings.Fields(string(body)), gjson.Parse(res.Trailer.Get("X-Gather-Result"))
-		} else {
-			a.result = gjson.ParseBytes(body)
+			a.rows = strings.Fields(string(h.body))
 		}
 	}()
 	return r
--- a/internal/lab/procs/tree_test.go
+++ b/internal/lab/procs/tree_test.go
@@ -1,13 +1,11 @@
 package procs
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -17,10 +15,7 @@
 	"testing"
 	"time"
 
-	"github.com/tidwall/gjson"
-
 	"wheatsaddle/internal/lab/audit"
-	"wheatsaddle/internal/lab/client"
 	"wheatsaddle/internal/standin/link"
 	"wheatsaddle/internal/standin/node"
 )
@@ -113,12 +108,9 @@
 
 // gathered is how a gathered read ended for its client.
 type gathered struct {
-	code   int
-	rows   [][]byte
-	result gjson.Result
-	took   time.Duration
-	bytes  int
-	err    error
+	heard
+	rows [][]byte
+	took time.Duration
 }
 
 // read asks the root for all shards.
@@ -128,21 +120,14 @@
 
 func (g *grove) readAt(i int, class, plan string, patience time.Duration) (r gathered) {
 	f := g.Fleet
-	f.mu.Lock()
-	f.next++
-	id := fmt.Sprintf("q%06d", f.next)
-	f.mu.Unlock()
-	m := client.Message{ID: id, Class: class, Plan: plan, Extent: fmt.Sprintf("%016x", f.next), Volume: fmt.Sprintf("%016x", 1), Units: 1, Hosts: 4, Deadline: patience}
-	text := bytes.Replace(m.Append(nil), []byte("\r\n\r\n"), []byte("\r\nX-Gather: all\r\n\r\n"), 1)
-	begin := f.now()
+	taken, text := f.gathered(i, class, plan, 1, patience)
 	defer func() {
-		g.reads = append(g.reads, audit.Taken{ID: id, Class: class, Plan: plan, Volume: m.Volume, Units: 1, Scheduler: i, At: begin, GivesUp: begin + patience})
 		end := audit.Whole
 		if r.err != nil {
 			end = audit.Cut
 		}
-		g.ends = append(g.ends, audit.Answered{ID: id, At: f.now(), End: end})
-		r.took = f.now() - begin
+		g.reads, g.ends = append(g.reads, taken), append(g.ends, audit.Answered{ID: taken.ID, At: f.now(), End: end})
+		r.took = f.now() - taken.At
 	}()
 	nc, err := net.Dial("tcp", f.ClientLink(i).Addr())
 	if err != nil {
@@ -153,22 +138,8 @@
 	if r.err = nc.SetDeadline(time.Now().Add(patience + 2*time.Second)); r.err != nil {
 		return r
 	}
-	if _, r.err = nc.Write(text); r.err != nil {
-		return r
-	}
-	br := bufio.NewReader(nc)
-	res, err := http.ReadResponse(br, nil)
-	if err != nil {
-		r.err = err
-		return r
-	}
-	body, err := io.ReadAll(res.Body)
-	if r.code, r.err, r.bytes = res.StatusCode, err, len(body); err == nil && br.Buffered() > 0 {
-		r.err = fmt.Errorf("%d bytes after the answer", br.Buffered())
-	}
-	if text := res.Trailer.Get("X-Gather-Result"); text != "" {
-		r.result = gjson.Parse(text)
-		r.rows = bytes.Split(bytes.TrimSuffix(body, []byte("\n")), []byte("\n"))
+	if r.heard = hear(nc, text); r.code == http.StatusOK {
+		r.rows = bytes.Split(bytes.TrimSuffix(r.body, []byte("\n")), []byte("\n"))
 	}
 	return r
 }
--- a/internal/scatter/run_test.go
+++ b/internal/scatter/run_test.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -27,92 +24,61 @@
 	each   = 200 // rows of a shard: more than its share of the merge's memory
 )
 
-// shard is a stand-in node on the loopback: it has its rows and a fault.
+// shard is the one node of its shard, as core reaches it: it has its rows and a fault.
 type shard struct {
-	i      int
-	fault  string
-	srv    *httptest.Server
-	asked  atomic.Int32
-	open   atomic.Int32
-	silent chan struct{} // ends the silence at the test's end
+	i           int
+	fault       string
+	life        context.Context
+	asked, open atomic.Int32
+	mu          sync.Mutex
+	out         map[*core.Attempt]context.CancelFunc
 }
 
-func (s *shard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	n := s.asked.Add(1)
-	s.open.Add(1)
-	defer s.open.Add(-1)
-	text := body(s.i, shards, each)
-	switch {
-	case s.fault == "full":
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case s.fault == "silent":
-		select {
-		case <-r.Context().Done():
-		case <-s.silent:
-		}
-		return
-	case s.fault == "cut" || s.fault == "cut once" && n == 1:
-		w.Header().Set("Content-Length", fmt.Sprint(len(text)))
-		text = text[:len(text)/2]
-	case s.fault == "late": // the others have all answered
-		time.Sleep(20 * time.Millisecond)
-	}
-	_, _ = w.Write(text)
-}
-
-// peer sends attempts to a shard over HTTP.
-type peer struct {
-	url string
-	mu  sync.Mutex
-	out map[*core.Attempt]context.CancelFunc
-}
-
-func (p *peer) Send(a *core.Attempt) bool {
-	ctx, cancel := context.WithDeadline(context.Background(), a.Until)
-	p.mu.Lock()
-	p.out[a] = cancel
-	p.mu.Unlock()
+func (s *shard) Send(a *core.Attempt) bool {
+	ctx, cancel := context.WithDeadline(s.life, a.Until)
+	s.mu.Lock()
+	s.out[a] = cancel
+	s.mu.Unlock()
 	go func() {
-		defer p.Cancel(a)
+		defer s.Cancel(a)
 		if !a.Begin() {
 			a.Done(core.Result{Status: choice.Moot})
 			return
 		}
-		q, _ := http.NewRequestWithContext(ctx, http.MethodGet, p.url, nil)
-		res, err := http.DefaultClient.Do(q)
-		if err != nil {
-			a.Done(core.Result{Status: choice.TimedOut})
-			return
-		}
-		defer func() { _ = res.Body.Close() }()
-		text, err := io.ReadAll(res.Body)
+		n := s.asked.Add(1)
+		s.open.Add(1)
+		defer s.open.Add(-1)
+		r := core.Result{Status: choice.OK, Payload: body(s.i, shards, each)}
 		switch {
-		case err != nil:
-			a.Done(core.Result{Status: choice.Reset})
-		case res.StatusCode == http.StatusServiceUnavailable:
-			a.Done(core.Result{Status: choice.Full})
-		default:
-			a.Written()
-			a.Done(core.Result{Status: choice.OK, Payload: text})
+		case s.fault == "full":
+			r = core.Result{Status: choice.Full}
+		case s.fault == "silent":
+			<-ctx.Done()
+			r = core.Result{Status: choice.Cancelled}
+		case s.fault == "cut" || s.fault == "cut once" && n == 1:
+			r = core.Result{Status: choice.Reset}
+		case s.fault == "late": // the others have all answered
+			time.Sleep(20 * time.Millisecond)
 		}
+		a.Written()
+		a.Done(r)
 	}()
 	return true
 }
 
-func (p *peer) Cancel(a *core.Attempt) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if cancel := p.out[a]; cancel != nil {
+func (s *shard) Cancel(a *core.Attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancel := s.out[a]; cancel != nil {
 		cancel()
-		delete(p.out, a)
+		delete(s.out, a)
 	}
 }
-func (p *peer) Probe(func(core.Result, time.Duration)) bool { return false }
-func (p *peer) Connect(func(choice.Status)) bool            { return false }
-func (p *peer) Drain(bool)                                  {}
-func (p *peer) Readdress([]address.Addr)                    {}
-func (p *peer) Close()                                      {}
+func (s *shard) Probe(func(core.Result, time.Duration)) bool { return false }
+func (s *shard) Connect(func(choice.Status)) bool            { return false }
+func (s *shard) Drain(bool)                                  {}
+func (s *shard) Readdress([]address.Addr)                    {}
+func (s *shard) Close()                                      {}
 
 type world struct {
 	c      *core.Core
@@ -125,24 +91,16 @@
 	t.Helper()
 	w := &world{}
 	var nodes []core.Node
-	silent := make(chan struct{})
+	life, end := context.WithCancel(context.Background())
 	for i, f := range faults {
-		s := &shard{i: i, fault: f, silent: silent}
-		s.srv = httptest.NewServer(s)
-		w.shards = append(w.shards, s)
+		w.shards = append(w.shards, &shard{i: i, fault: f, life: life, out: map[*core.Attempt]context.CancelFunc{}})
 		w.parts = append(w.parts, gather.Part{ID: fmt.Sprint("p", i), Shard: i})
-		at, errs := address.List([]string{strings.TrimPrefix(s.srv.URL, "http://")})
-		if len(errs) > 0 {
-			t.Fatal(errs)
-		}
-		nodes = append(nodes, core.Node{Node: choice.Node{ID: fmt.Sprint("n", i), Shard: i, State: choice.NodeUp, Weight: 1}, Addresses: at})
+		nodes = append(nodes, core.Node{Node: choice.Node{ID: fmt.Sprint(i), Shard: i, State: choice.NodeUp, Weight: 1}})
 	}
 	log, _ := logtest.NewNullLogger()
 	var err error
 	w.c, err = core.New(core.Options{Seed: 7, Log: log,
-		Connect: func(_ string, at []address.Addr) core.Peer {
-			return &peer{url: "http://" + at[0].String() + "/", out: map[*core.Attempt]context.CancelFunc{}}
-		},
+		Connect: func(name string, _ []address.Addr) core.Peer { return w.shards[name[0]-'0'] },
 		Settings: choice.Settings{Hosts: 1, MeanUnits: 2, MostUnits: 6, MaxAttempts: 3, MayCancel: true, HoldOff: true, MaxHoldOff: 1000,
 			DrainGrace: 250, ColdUnits: 100, TipSpan: 3000, TipMultiple: 3, ColdFrom: 0.25, ColdSpan: 17000,
 			Classes: []choice.Class{{Name: "read", Aim: 60e3, Deadline: 120e3, Worth: 3}},
@@ -156,11 +114,7 @@
 		Body: func(x any) Body { return Body{Data: x.([]byte)} }}
 	t.Cleanup(func() {
 		w.c.Stop()
-		close(silent)
-		for _, s := range w.shards {
-			s.srv.Close()
-		}
-		http.DefaultClient.CloseIdleConnections()
+		end()
 		await(t, "no goroutine is left", func() bool { return goleak.Find() == nil })
 	})
 	return w
@@ -209,7 +163,7 @@
 // flat are the rows of all shards but some, merged.
 func flat(without ...int) []string { return flatOf(shards, each, without) }
 
-// Over core and the loopback: the answer is the flat merge, or says what is missing.
+// Over core: the answer is the flat merge, or says what is missing.
 func TestParts(t *testing.T) {
 	for name, c := range map[string]struct {
 		faults  [shards]string
