--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -12,8 +12,8 @@
 //	S6  A refused part is not asked again before its Retry-After.
 //	S7  At the final answer each asking has ended or is called off.
 //	S8  The rows are those of the flat merge, or the answer names what is missing.
-//	S10 An asking names those of its part that failed or are out, so that it can pass over their nodes; refused ones and those that
-//	    stopped at a limit are not among them.
+//	S10 An asking names those of its part that failed, were refused or are out, so that it can pass over the nodes that they went to;
+//	    those that stopped at a limit are not among them.
 //	S9  The final answer comes at the client's deadline at the latest.
 package scatter
 
@@ -56,7 +56,7 @@
 	Until time.Duration // the part's deadline, from the arrival of the client's request
 	Rows  int           // rows from its start; 0 is all
 	Peer  string        // of a group: who is asked; "": the process itself
-	Past  []int         // copies that failed or are silent, the newest first: another node is to be asked
+	Past  []int         // copies that failed, were refused or are out, the newest first: another node is to be asked
 }
 
 // Action is an asking that goes out, or is called off.
@@ -236,7 +236,8 @@
 		return
 	}
 	var ref *Refusal
-	if errors.As(err, &ref) {
+	if errors.As(err, &ref) { // it may have gone to nodes: one that fails in a safe class ends so
+		p.failed = append(p.failed, no)
 		wait := ref.After
 		if g.began && p.refused < refusedMost { // it never ran, and the client has rows of an answer that lacks it
 			wait = max(wait, refusedLeast<<min(p.refused, refusedGrows))
