--- a/cmd/wheatsaddle/start_interleave_test.go
+++ b/cmd/wheatsaddle/start_interleave_test.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -70,6 +71,8 @@
 // The start begins, the core's actor asks, the list speaks, a timer comes, and the start is stopped: the
 // actor never waits for whoever waits for it, the held list never goes over the list's own word, which is with
 // the core when list comes back; a stopped start decides nothing, and leaves nothing unsent and no goroutine.
+// Ready is not said before the phase allows it (the list was heard, or ReadyMost is over), is said when the list
+// is back, once, and stays.
 func TestInterleaveStart(t *testing.T) {
 	log, _ := logtest.NewNullLogger()
 	conf := &config.Config{Name: "n0", Settings: choice.Settings{Hosts: 1, MaxAttempts: 1, MeanUnits: 1, MostUnits: 9, MaxHoldOff: 1000,
@@ -84,7 +87,7 @@
 		}
 		c := &actor{b: b, mail: make(chan string), quit: make(chan struct{})}
 		b.core = c
-		passed := time.Duration(0)
+		passed, said := time.Duration(0), false
 		b.now = func() time.Duration { return passed }
 		b.wake = func(time.Duration) {
 			if c.stopped {
@@ -106,6 +109,9 @@
 					if !c.listed {
 						il.Fail("the list's word is not with the core")
 					}
+					if !b.ready(false) {
+						il.Fail("the list is back, and ready is not said")
+					}
 					b.stop()
 					c.stopped = true
 					sync.Close(c.quit)
@@ -115,6 +121,14 @@
 				if h, l := c.at("held"), c.at("list"); l >= 0 && h > l {
 					return fmt.Errorf("the core took %v", c.took)
 				}
+				switch ready := b.ready(false); {
+				case said && !ready:
+					return errors.New("ready was taken back")
+				case ready && b.s.Phase() < coldstart.Heard && passed == 0:
+					return errors.New("ready before the list was heard")
+				case ready:
+					said = true
+				}
 				return nil
 			},
 			Check: func() error {
@@ -132,5 +146,8 @@
 		mutant.Mutant{File: "start.go", Old: "		f := b.out[0]\n		b.out = b.out[1:]\n		b.mu.Unlock()\n",
 			New: "		b.mu.Unlock()\n		sync.Writes(&b.out)\n		f := b.out[0]\n		b.out = b.out[1:]\n", Want: "data race: "},
 		mutant.Mutant{File: "start.go", Old: "	if b.stopped {\n		return 0, false\n	}\n", New: "", Want: "a timer after the stop"},
+		mutant.Mutant{File: "start.go", Old: "			b.said.Store(true)", New: "			sync.Go(func() { b.said.Store(true) })", Want: "the list is back, and ready is not said"},
+		mutant.Mutant{File: "start.go", Old: "	b.over.Store(b.s.Phase() == coldstart.Serving)", New: "	b.said.Store(true)\n	b.over.Store(b.s.Phase() == coldstart.Serving)",
+			Want: "ready before the list was heard"},
 	)
 }
