Tests of the program and of sockets share their start and their pair of ends; keys keep their field

upAt starts the program and connects; both gives the two ends of a connection. The log line of a key that needs a restart keeps its field keys beside code and advice (TestReload asks for it).

--- a/cmd/wheatsaddle/large_test.go
+++ b/cmd/wheatsaddle/large_test.go
@@ -87,17 +87,7 @@
 	var log strings.Builder
 	c := program([]string{"ROUTER_CONFIG=" + file})
 	c.Stderr = &log
-	if err := c.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer c.Process.Kill()
-	var nc net.Conn
-	for nc == nil {
-		if nc, err = net.Dial("tcp", listen); err != nil {
-			time.Sleep(10 * time.Millisecond) // not up yet
-		}
-	}
-	defer nc.Close()
+	nc := upAt(t, c, listen)
 	br, serial, descriptors := bufio.NewReader(nc), 0, 0
 	ask := func(shard int) {
 		t.Helper()
--- a/cmd/wheatsaddle/main_test.go
+++ b/cmd/wheatsaddle/main_test.go
@@ -64,6 +64,23 @@
 const read = "GET /balance-read/x HTTP/1.1\r\nHost: o\r\nX-Request-Id: r1\r\nTier: basic\r\nCookie: extent=7f3a9c21e0b4d655\r\n" +
 	"X-Deadline-Ms: 50000\r\nIO-Info: volume=00000003b4d60021,units=2,shard=0,hosts=1\r\n\r\n"
 
+// upAt starts the program, and connects to it once it takes connections. Both end with the test.
+func upAt(t *testing.T, c *exec.Cmd, listen string) net.Conn {
+	t.Helper()
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Process.Kill() })
+	for {
+		nc, err := net.Dial("tcp", listen)
+		if err == nil {
+			t.Cleanup(func() { nc.Close() })
+			return nc
+		}
+		time.Sleep(10 * time.Millisecond) // not up yet
+	}
+}
+
 // With discovery down the program serves from the known list; at SIGTERM it answers what it
 // has taken, serves on the connections that are open when new ones are refused, and exits 0.
 func TestServeAndStop(t *testing.T) {
@@ -90,17 +107,7 @@
 	var log bytes.Buffer
 	c := program([]string{"ROUTER_CONFIG=" + file})
 	c.Stderr = &log
-	if err := c.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer c.Process.Kill()
-	var nc net.Conn
-	for nc == nil {
-		if nc, err = net.Dial("tcp", listen); err != nil {
-			time.Sleep(10 * time.Millisecond) // not up yet
-		}
-	}
-	defer nc.Close()
+	nc := upAt(t, c, listen)
 	fmt.Fprint(nc, read)
 	<-came
 	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
--- a/cmd/wheatsaddle/reload.go
+++ b/cmd/wheatsaddle/reload.go
@@ -42,7 +42,7 @@
 		return held, false
 	}
 	if later := restartKeys(held, conf); len(later) > 0 {
-		log.WithFields(operr.Fields(&config.RestartError{Keys: strings.Join(later, " ")})).Warn("changed, and need a restart")
+		log.WithFields(operr.Fields(&config.RestartError{Keys: strings.Join(later, " ")})).WithField("keys", strings.Join(later, " ")).Warn("changed, and need a restart")
 	}
 	next := *held
 	next.Discovery, next.Cores, next.MemoryMB = conf.Discovery, conf.Cores, conf.MemoryMB
--- a/cmd/wheatsaddle/site.go
+++ b/cmd/wheatsaddle/site.go
@@ -94,7 +94,7 @@
 	later = restarts(&next.Estimate, s.held.Estimate, "estimate", later)
 	later = restarts(&next.Start, s.held.Start, "start", later)
 	for _, key := range later {
-		s.log.WithFields(operr.Fields(&config.RestartError{Keys: key})).Warn("changed, and need a restart")
+		s.log.WithFields(operr.Fields(&config.RestartError{Keys: key})).WithField("keys", key).Warn("changed, and need a restart")
 	}
 	s.held = next
 	s.apply()
--- a/internal/sock/plain_test.go
+++ b/internal/sock/plain_test.go
@@ -71,16 +71,7 @@
 			} else if to, err = address.Parse(ln.Addr().String()); err != nil {
 				t.Fatal(err)
 			}
-			ours, _, err := Dial(context.Background(), to, time.Minute)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer ours.Close()
-			theirs, err := ln.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer theirs.Close()
+			ours, theirs := both(t, ln, to)
 			for _, nc := range []net.Conn{ours, theirs} {
 				if _, ok := nc.(io.ReaderFrom); ok {
 					t.Errorf("%T takes a copy", nc)
@@ -113,6 +104,21 @@
 	}
 }
 
+// both are the ends of a connection to a listener, until the test ends.
+func both(t *testing.T, ln net.Listener, to address.Addr) (ours Stream, theirs net.Conn) {
+	t.Helper()
+	ours, _, err := Dial(context.Background(), to, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ours.Close() })
+	if theirs, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { theirs.Close() })
+	return ours, theirs
+}
+
 // Nothing that is written is held back: it would go with a connection that is closed over unread bytes.
 func TestNothingIsHeldBack(t *testing.T) {
 	ln, err := ListenTCP("127.0.0.1:0")
@@ -120,16 +126,11 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	ours, err := DialTCP(context.Background(), ln.Addr().String(), time.Minute)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ours.Close()
-	theirs, err := ln.Accept()
+	to, err := address.Parse(ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer theirs.Close()
+	ours, theirs := both(t, ln, to)
 	for _, s := range []Stream{ours, theirs.(Stream)} {
 		raw, err := s.SyscallConn()
 		if err != nil {
