--- a/internal/core/handover_test.go
+++ b/internal/core/handover_test.go
@@ -28,16 +28,26 @@
 	if !r.HandOver(time.Minute) {
 		t.Error("not heard")
 	}
-	_, got := r.ask("a", "read", time.Minute)
-	one(t, got, Refused)
+	refused := func(id string) {
+		t.Helper()
+		_, got := r.ask(id, "read", time.Minute)
+		select {
+		case a := <-got:
+			if a.Kind != Refused {
+				t.Errorf("%s: %+v", id, a)
+			}
+		case <-r.peer("n").sent:
+			t.Errorf("%s is sent", id)
+		}
+	}
+	refused("a")
 	r.post(message{call: func() {
 		r.mod = nil
 		r.events = append(r.events, choice.Event{Kind: choice.Timer, Tag: "tick"})
 	}})
-	_, got = r.ask("panics", "read", time.Minute)
+	_, got := r.ask("panics", "read", time.Minute)
 	<-got
-	_, got = r.ask("b", "read", time.Minute)
-	one(t, got, Refused)
+	refused("b")
 }
 
 func TestHandOverAfterTheEnd(t *testing.T) {
