--- a/internal/lab/procs/start_test.go
+++ b/internal/lab/procs/start_test.go
@@ -125,7 +125,7 @@
 	s.stop = s.Run(s.ctx, Load{Clients: clients, Gap: gap, Ask: usual, Skip: func(i int) bool { return !s.listens(i) }})
 }
 
-// heavy is more than the nodes can do: a cold one that is taken for a warm one falls.
+// heavy is more than the nodes can do.
 func (s *starting) heavy() (stop func()) {
 	return s.Run(s.ctx, Load{Clients: 12, Gap: 5 * time.Millisecond, Skip: func(i int) bool { return !s.listens(i) },
 		Ask: func(i, client, n int) Ask {
@@ -346,7 +346,7 @@
 					}
 				}
 			}},
-		{fault: "six start at once over cold nodes, the list down at first", expected: "no cold node gets more than it bears", opt: Options{Known: true, Daemons: 6, ListDown: true},
+		{fault: "six start at once over cold nodes under load, the list down at first", expected: "no cold node gets more than it bears", opt: Options{Known: true, Daemons: 6, ListDown: true},
 			run: func(s *starting) {
 				stop := s.heavy()
 				s.missed(2)
