--- a/internal/lab/costs/costs_test.go
+++ b/internal/lab/costs/costs_test.go
@@ -75,3 +75,31 @@
 		}
 	}
 }
+
+// A bound is missed, or not shown where the machine's part is as large: the excess of who knows all, and what is added to
+// requests at p90.
+func TestNotShown(t *testing.T) {
+	for _, x := range []struct {
+		held            int
+		chosen, known   float64
+		added           float64
+		missed, unshown int
+	}{
+		{90, 100, 100, 1, 0, 0},
+		{80, 100, 100, 1, 1, 0},
+		{80, 100, 100, 20, 0, 1},
+		{99, 100, 100, 20, 0, 1},
+		{90, 107, 100, 1, 1, 0},
+		{90, 107, 103, 1, 0, 1},
+		{90, 107, 101, 20, 1, 0},
+		{80, 107, 103, 1, 1, 1},
+	} {
+		r := RealRow{Row: Row{Seed: 1, ends: 100, best: [2]float64{100}}, known: x.known, added: []float64{x.added}}
+		r.held[pooled], r.chosen[0] = x.held, [ways]float64{x.chosen, 200, 200}
+		rep := &RealReport{Rows: []RealRow{r}}
+		rep.judge()
+		if len(rep.Missed) != x.missed || len(rep.Unshown) != x.unshown {
+			t.Errorf("%+v: missed %q, not shown %q", x, rep.Missed, rep.Unshown)
+		}
+	}
+}
--- a/internal/lab/costs/real.go
+++ b/internal/lab/costs/real.go
@@ -125,6 +125,12 @@
 		rep.Rows = append(rep.Rows, r)
 	}
 	rep.Rows = append(rep.Rows, sum)
+	rep.judge()
+	return rep, nil
+}
+
+// judge makes the rows' shares and says which bounds are missed, and which the machine cannot show.
+func (rep *RealReport) judge() {
 	for i := range rep.Rows {
 		r := &rep.Rows[i]
 		r.shares()
@@ -147,7 +153,6 @@
 			}
 		}
 	}
-	return rep, nil
 }
 
 // meanService is that of a request before the slowing, in milliseconds.
