TestReaddressUnderLoad has its settings back: its failure is no margin

With settings by which nothing can be suspected it still fails under load: 503 with no run, a read that ran twice, a request without an answer for many seconds. That is a fault of path, book or stand-in that suspicion hides, and is open; no settings of the test are its mend.

--- a/internal/httpfront/paths_test.go
+++ b/internal/httpfront/paths_test.go
@@ -467,9 +467,7 @@
 // Addresses are reordered, added and removed while requests are in flight: each gets one
 // answer, whole, and runs once.
 func TestReaddressUnderLoad(t *testing.T) {
-	book := patient()
-	book.Rate, book.Burst = 1e6, 1e6 // each change costs connects: how many fall into a second is the machine's speed
-	r := newRouted(t, book)
+	r := newRouted(t, quick())
 	set := testModule()
 	f, c := r.through(set, 50)
 	list := func(kind choice.EventKind, to ...address.Addr) {
