--- a/cmd/wheatsaddle/handover_test.go
+++ b/cmd/wheatsaddle/handover_test.go
@@ -1,14 +1,18 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"testing"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/valyala/fasthttp"
 
+	"wheatsaddle/choice"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/handover"
+	"wheatsaddle/internal/httpfront"
 )
 
 // Who binds its own socket shares nothing: no gate, no lock, no goroutine. A wait that is long is told with what to do.
@@ -42,3 +46,43 @@
 	}
 	other.do(handover.Action{Do: handover.Release})
 }
+
+// Nothing is accepted before the turn, and nothing after SIGTERM; what is open is answered, and closes with it.
+func TestShareOpensAndShuts(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, _ := logtest.NewNullLogger()
+	s := share(&config.Config{Passed: "3"}, ln, log)
+	s.srv = httpfront.NewServer(nil, choice.Settings{}, 4, log)
+	served := make(chan error, 1)
+	go func() { served <- s.srv.Serve(s.door().Listener(ln), 4) }()
+	nc, err := net.Dial("tcp", ln.Addr().String()) // it waits in the socket
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for _, closes := range []bool{false, true} {
+		if closes {
+			s.do(handover.Action{Do: handover.ShutDoor})
+			if late, err := net.Dial("tcp", ln.Addr().String()); err == nil {
+				late.Close()
+				t.Error("it accepts on")
+			}
+		} else {
+			s.do(handover.Action{Do: handover.Accept})
+		}
+		fmt.Fprint(nc, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		var r fasthttp.Response
+		if err := r.Read(br); err != nil || r.StatusCode() != 200 || r.ConnectionClose() != closes {
+			t.Errorf("%v %d, closes %v", err, r.StatusCode(), r.ConnectionClose())
+		}
+	}
+	if err := s.srv.Shutdown(t.Context()); err != nil {
+		t.Error(err)
+	}
+	<-served
+}
--- a/internal/lab/procs/replace_test.go
+++ b/internal/lab/procs/replace_test.go
@@ -67,6 +67,7 @@
 	r.must(r.now.End(r.ctx))
 	r.says(r.now, saysLeft)
 	r.says(r.now, saysEmpty)
+	r.silent(r.now, "accepting a little longer")
 	r.now = p
 }
 
