--- a/internal/httpfront/leave_test.go
+++ b/internal/httpfront/leave_test.go
@@ -30,6 +30,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { nc.Close() })
+		nc.SetDeadline(time.Now().Add(10 * time.Second)) // one that stays open fails here
 		return client{nc, bufio.NewReader(nc)}
 	}
 	answered := func(what string, c client, closes bool) {
