Peers' hand-over test: a question that met only lost datagrams is asked anew

With one datagram in ten lost, all five members can be asked in vain; Ask then waits for members to come, which in the daemon the start's own time bounds. Excluded: a deadlock (the loop selects on the look for a member). The test bounds each question and asks again.

--- a/internal/peers/hand_test.go
+++ b/internal/peers/hand_test.go
@@ -31,7 +31,10 @@
 	for spoilt := false; !spoilt; spoilt = p.Counts().Unusable > 0 { // until the one with nonsense was asked too
 		had := 0
 		await(t, "handed over", func() bool {
-			return p.Ask(t.Context(), Snapshot, func(b []byte) error {
+			// Where all of them were asked in vain, as datagrams were lost, it waits for members to come: it is asked anew.
+			ctx, stop := context.WithTimeout(t.Context(), 6*giveWait)
+			defer stop()
+			return p.Ask(ctx, Snapshot, func(b []byte) error {
 				if !bytes.Equal(b, good) {
 					return errors.New("not what it must be")
 				}
