Auditor: a client that never gives up is no late one, whatever the slack

Never plus the slack overflows; the row passed only where the machine had stood still meanwhile or nothing was compared. Wrong line: a.At > t.GivesUp+Slack. A row of the auditor's test fails without it.

--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -227,7 +227,7 @@
 	case a.End == Unheard && paused:
 	case a.End != Whole && !killed && !unsent:
 		c.say("answer", t.ID, "", "no whole answer by %v (end %d, %d attempts)", a.At, a.End, len(sent))
-	case a.End == Whole && a.At > t.GivesUp+c.r.Slack && !paused && !stood:
+	case a.End == Whole && a.At-c.r.Slack > t.GivesUp && !paused && !stood:
 		c.say("answer", t.ID, "", "answered at %v, its client gave up at %v", a.At, t.GivesUp)
 	}
 }
--- a/internal/lab/audit/audit_test.go
+++ b/internal/lab/audit/audit_test.go
@@ -120,6 +120,7 @@
 		{"deaf", "", History{Deaf: []Span{{Scheduler: 0, From: 0, To: 100 * ms}}}.with(one("r", "read", 1310*ms), Change{"a", Gone, 0})},
 		{"turned away", "", History{Deaf: []Span{{To: 100 * ms, Turned: true}}}.with(one("r", "read", 3900*ms), Change{"a", Gone, 0})},
 		{"too long after", "drain", History{Deaf: []Span{{To: 100 * ms, Turned: true}}}.with(one("r", "read", 4500*ms), Change{"a", Gone, 0})},
+		{"late, never given up", "", edit("read", func(h *History) { h.Taken[0].GivesUp, h.Answered[0].At = Never, 1900*ms })},
 		{"late, stopped", "", edit("read", func(h *History) { h.Answered[0].At, h.Paused = 1900*ms, []Span{{From: 402 * ms, To: 1500 * ms}} })},
 		{"late, stood still", "", edit("read", func(h *History) { h.Answered[0].At, h.Stood = 1500*ms, []Span{{From: 1300 * ms, To: 1400 * ms}} })},
 		{"after its client left", "late", edit("read", func(h *History) { h.Answered[0].End = Left; again(h, 460*ms) })},
