--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -786,18 +786,18 @@
 	if acts := r.at(1020, done("x", 0, Full, false)); count(acts, Send) != 0 || sends(r, "y", 1200) != 0 {
 		t.Error("sent again to a draining node that takes nothing more")
 	}
-	set := testSettings()
-	set.DrainGrace = 250 // what is kept for delays is longer
-	r = newRig(t, set)
-	r.step(Event{Kind: ListChange})
-	r.step(drains)
-	if sends(r, "x", 1001) != 0 {
-		t.Error("used within a grace that leaves no time for it")
-	}
-	r = newRig(t, testSettings())
-	r.step(Event{Kind: ListChange})
-	r.step(Event{Kind: ListChange, Nodes: []Node{{ID: "a", Shard: 0, State: NodeOut}}})
-	if sends(r, "x", 1001) != 0 {
-		t.Error("used though it is out by hand")
+	for _, k := range []struct {
+		name  string
+		grace float64
+		state NodeState
+	}{{"a grace that leaves no time", 250, NodeDraining}, {"out by hand", 1000, NodeOut}} {
+		set := testSettings()
+		set.DrainGrace = k.grace
+		r = newRig(t, set)
+		r.step(Event{Kind: ListChange})
+		r.step(Event{Kind: ListChange, Nodes: []Node{{ID: "a", Shard: 0, State: k.state}}})
+		if sends(r, "x", 1001) != 0 {
+			t.Error("used: " + k.name)
+		}
 	}
 }
