Listener at its cap interrupts the request that has stalled longest

Change: when no connection without a request can be closed, the request that has waited for its next byte for at least 1 s, and longest, times out early, and the server rejects it: nothing of it was sent. The rest of a request that was answered early has a minimum rate as well, where a byte now and then kept the connection lingering. The new package datarate, without I/O, decides on waits: a stall timeout and a minimum average rate over the bytes that were transferred.

Failed before, with the line taken out: TestStalledRequestIsInterruptedAtCapacity ("was not interrupted"), TestLingerEndsWhileRestOfRequestDrips (lingers after 3.5 s). Interleavings of the package pass.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -18,8 +18,9 @@
 	lingering              // closed after a response; the peer has not closed yet
 )
 
-// Conn is an accepted connection. The listener may close it only while its phase is fresh or idle and it has no input. Only the
-// server's goroutine reads. PeerClosed, HasPendingInput and Close may be called from any goroutine.
+// Conn is an accepted connection. The listener may close it only while its phase is fresh or idle and it has no input. It may
+// interrupt the read of a request that has stopped arriving; the server then answers and closes it. Only the server's goroutine
+// reads. PeerClosed, HasPendingInput and Close may be called from any goroutine.
 type Conn struct {
 	net.Conn
 	listener   *Listener
@@ -29,6 +30,8 @@
 	watchDone  chan struct{}
 	readAhead  readAheadBuffer
 
+	requestRead requestRead
+
 	firstReadMu sync.Mutex // held while a request's first bytes are read, and while markClosing checks for input and changes the phase
 
 	// The fields below belong to the server's goroutine.
@@ -47,7 +50,9 @@
 		c.SetIdle(true)
 	}
 	if c.phase.Load() == active {
+		c.requestRead.begin(time.Now())
 		n, err := c.readActive(p)
+		c.requestRead.end()
 		c.read += max(n, 0)
 		return n, err
 	}
--- a/internal/transport/evict.go
+++ b/internal/transport/evict.go
@@ -19,6 +19,9 @@
 	// limits of their own, and an idle connection may keep one of them from opening another.
 	idleEvictShare   = 0.4
 	silentEvictAfter = 500 * time.Millisecond // a connection that sent nothing for this long is evicted before all others
+	// stalledRequestAfter is the wait for the next byte of a request after which a listener at its capacity interrupts the
+	// request, if it can evict no connection.
+	stalledRequestAfter = time.Second
 )
 
 // candidate is a connection that may be evicted.
@@ -70,7 +73,7 @@
 
 // evictForCapacity closes the longest idle connections while more than idleEvictShare of the capacity have had a request. At
 // the capacity, or without a free descriptor, it closes one more: a silent one if possible, else an idle one, else any
-// evictable one.
+// evictable one. If there is none, it interrupts the request that has waited longest for its next byte.
 func (l *Listener) evictForCapacity(now time.Time) {
 	evictable, requested, full := l.candidates(now)
 	surplus := requested - int(idleEvictShare*float64(l.capacity))
@@ -86,6 +89,34 @@
 			}
 		}
 	}
+	if full {
+		l.interruptLongestStalled(now)
+	}
+}
+
+// interruptLongestStalled interrupts the request that has stopped arriving for the longest time, if any has for
+// stalledRequestAfter. No attempt of it was sent, so the server can reject it, and its client can retry safely.
+func (l *Listener) interruptLongestStalled(now time.Time) {
+	if !l.answersInterrupted {
+		return
+	}
+	if c := l.longestStalled(now); c != nil && c.interruptRead(now, stalledRequestAfter) {
+		l.interruptedRequests.Add(1)
+	}
+}
+
+// longestStalled returns the connection on which the server has waited longest for the rest of a request, or nil.
+func (l *Listener) longestStalled(now time.Time) (longest *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sync.Reads(&l.open)
+	longestWait := time.Duration(0)
+	for _, c := range l.open {
+		if wait := c.requestRead.waitingFor(now); wait > longestWait {
+			longest, longestWait = c, wait
+		}
+	}
+	return longest
 }
 
 // CloseIdle closes the connections that have been fresh or idle for at least minIdle and have no input to read. It returns the
--- a/internal/transport/linger.go
+++ b/internal/transport/linger.go
@@ -4,16 +4,19 @@
 	"syscall"
 	"time"
 
+	"wheatsaddle/internal/datarate"
 	"wheatsaddle/internal/interleave/sync"
 )
 
 const (
-	lingerTimeout      = 500 * time.Millisecond  // wait for the peer's close
-	discardReadTimeout = 2500 * time.Millisecond // wait for more bytes of a request that was answered early
-	discardLimit       = 4 << 20                 // bytes discarded of such a request
-	discardBufferSize  = 16 << 10
+	lingerTimeout     = 500 * time.Millisecond // wait for the peer's close
+	discardLimit      = 4 << 20                // bytes discarded of a request that was answered early
+	discardBufferSize = 16 << 10
 )
 
+// discardLimits bound the waits for more bytes of a request that was answered early.
+var discardLimits = datarate.Limits{StallTimeout: 2500 * time.Millisecond, MinBytesPerSecond: 32 << 10}
+
 // DiscardInput marks the remaining input as the remainder of a request that is answered early. Close then reads and discards it
 // for a while, because a client may read the response only after it has sent the whole request.
 func (c *Conn) DiscardInput() { c.discardInput = true }
@@ -33,7 +36,7 @@
 }
 
 // linger closes the socket when the peer has closed, or after the listener's linger time. After DiscardInput it closes the
-// socket once no input has come for discardReadTimeout or discardLimit is used up. Closing a socket with unread input,
+// socket once the input is slower than discardLimits allow, or discardLimit is used up. Closing a socket with unread input,
 // or receiving input after a close, resets the connection, and the peer may then lose a response that it has not read yet. A
 // further request that arrives meanwhile is not read. Its client sees the end of file and may retry elsewhere.
 func (c *Conn) linger() {
@@ -43,12 +46,17 @@
 		return
 	}
 	remaining := discardLimit
+	transfer, waitStart := datarate.NewTransfer(discardLimits), time.Now()
 	_ = raw.Read(func(fd uintptr) bool {
 		if c.discardInput {
-			_ = c.Conn.SetReadDeadline(time.Now().Add(discardReadTimeout))
+			before := remaining
 			if !discard(fd, &remaining) {
 				return true
 			}
+			now := time.Now()
+			transfer.Record(now.Sub(waitStart), before-remaining)
+			waitStart = now
+			_ = c.Conn.SetReadDeadline(now.Add(transfer.Allowance()))
 		}
 		s := inspect(fd)
 		closed, _ := tcpPeerClosed(fd)
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -32,8 +32,8 @@
 var transientErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM}
 
 // Listener limits the open connections. At the capacity it evicts a connection without a request
-// to admit a new one, so that clients that send nothing cannot lock others out. While every connection
-// has a request, new ones stay in the kernel's backlog. Accept retries after transient errors,
+// to admit a new one, so that clients that send nothing, or stop within a request, cannot lock others out.
+// While every connection has a request that arrives or is handled, new ones stay in the kernel's backlog. Accept retries after transient errors,
 // such as a lack of descriptors, because servers stop at the first error of Accept.
 type Listener struct {
 	net.Listener
@@ -49,15 +49,19 @@
 	linger       time.Duration // how long Close waits for the peer's close after a response; 0: it does not wait
 	drainLimit   time.Duration // upper bound on the time that StopAccepting spends on the queue
 	noDescriptor atomic.Bool   // the last accept failed for lack of a descriptor or of memory
+
+	answersInterrupted  bool         // the server answers a request whose read times out
+	interruptedRequests atomic.Int64 // requests interrupted to admit other connections
 }
 
 // LimitWithOverflow is Limit with overflow connections beyond the capacity, whose requests the
 // server rejects (OverCapacity). Without them a client in the backlog, whose connect has succeeded,
 // would get no response until another connection closes. Connections that close after a response
-// wait for the peer's close for up to lingerTimeout, or longer after DiscardInput.
+// wait for the peer's close for up to lingerTimeout, or longer after DiscardInput. At the capacity
+// the read of a request that has stopped arriving may time out early (Conn.Interrupted).
 func LimitWithOverflow(ln net.Listener, capacity, overflow int) *Listener {
 	l := limit(ln, capacity)
-	l.overflow, l.linger = overflow, lingerTimeout
+	l.overflow, l.linger, l.answersInterrupted = overflow, lingerTimeout, true
 	go l.evictPeriodically()
 	return l
 }
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -46,7 +46,7 @@
 	if c.watchDone == nil {
 		return
 	}
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = c.SetReadDeadline(deadlineOver)
 	<-c.watchDone
 	c.watchDone = nil
 	c.readAhead.watch(false)
