A client that stops in a body is answered within 3 s, whatever length it declared

What callers saw: a client that sent the head of a long write and some KiB of its body held its connection for 2.5 s and a second for each 32 KiB it had declared, 258 s for 8 MiB.

Cause: bodyTimeout took the time of the whole declared body for the read of its first 8 KiB, which fasthttp makes before the handler. Told apart by where a client stops: no answer within 20 s after 0 to 8,191 bytes of 8 MiB, 4.5 s at 64 KiB, 2.5 s after 8 KiB and more.

Change: the first piece has 2.5 s. Later pieces, relayed answers and gathered rows have a minimum rate beside the timeout of each piece, which a byte now and then restarted without an end. Found on the way: a client that rests on a new connection and then takes 2 s for its head was cut off, and one that expects 100 Continue on a connection that rested past the write timeout got a close.

--- /dev/null
+++ b/cmd/wheatsaddle/frontmetrics.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"wheatsaddle/internal/httpfront"
+	"wheatsaddle/internal/metrics"
+	"wheatsaddle/internal/transport"
+)
+
+// registerFrontMetrics registers the metrics of the HTTP front: the clients' connections by state, and the requests that
+// stopped arriving.
+func registerFrontMetrics(m *metrics.Registry, front *httpfront.Server) {
+	for state, count := range map[string]func(transport.ConnCounts) int{
+		"fresh":     func(c transport.ConnCounts) int { return c.Fresh },
+		"reading":   func(c transport.ConnCounts) int { return c.Reading },
+		"handling":  func(c transport.ConnCounts) int { return c.Handling },
+		"idle":      func(c transport.ConnCounts) int { return c.Idle },
+		"lingering": func(c transport.ConnCounts) int { return c.Lingering },
+	} {
+		m.Gauge(func() float64 { return float64(count(front.ConnCounts())) }, "client_connections", "state", state)
+	}
+	m.Gauge(func() float64 { return front.ConnCounts().LongestRead.Seconds() }, "client_longest_read_seconds")
+	m.Gauge(func() float64 { return float64(front.ConnCounts().Interrupted) }, "client_requests_interrupted")
+	m.Gauge(func() float64 { return float64(front.TimedOutRequests()) }, "client_requests_timed_out")
+}
--- a/cmd/wheatsaddle/startup.go
+++ b/cmd/wheatsaddle/startup.go
@@ -186,6 +186,7 @@
 	}
 	s.front = httpfront.NewServer(s.core, s.conf.Settings, s.clientConns, s.log)
 	s.front.BodyMemory = semaphore.NewWeighted(bodyMemory(s.conf))
+	registerFrontMetrics(s.site.registry, s.front)
 	if s.gather, err = startGather(s.site, s.conf, s.core, s.front, s.fleet); err != nil {
 		return err
 	}
--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -9,15 +9,22 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/semaphore"
+
+	"wheatsaddle/internal/datarate"
 )
 
 const (
-	// bodyReadTimeout bounds each read of a body. A client may send as slowly as 64 kB per second, in pieces of any size.
-	bodyReadTimeout = readTimeout
-	minMemoryStep   = 256 << 10 // minimum amount of memory acquired at a time for a chunked body
-	bodyReadSize    = 32 << 10
+	minClientRate = 32 << 10  // bytes per second of a request or response body, half the rate of the slowest supported client
+	minMemoryStep = 256 << 10 // minimum amount of memory acquired at a time for a chunked body
+	bodyReadSize  = 32 << 10
+	// firstPieceTimeout is the read timeout of the first 8 KiB of a body, which fasthttp reads before it calls the handler. It
+	// does not depend on the length that the client declares, because no more than that is read within it.
+	firstPieceTimeout = readTimeout
 )
 
+// bodyLimits bound the waits for the client while a request body arrives.
+var bodyLimits = datarate.Limits{StallTimeout: readTimeout, MinBytesPerSecond: minClientRate}
+
 var (
 	errNoBodyMemory = errors.New("read body: request body memory is exhausted")
 	errBodyStalled  = errors.New("body: the client stood still")
@@ -60,8 +67,8 @@
 	}
 }
 
-// readBody reads the body of a request, with a separate deadline for each piece. A body longer than maxBufferedBody acquires
-// memory from budget as it grows, and fails with errNoBodyMemory if none is free. After an error release need not be called.
+// readBody reads the body of a request, within bodyLimits. A body longer than maxBufferedBody acquires memory from budget as
+// it grows, and fails with errNoBodyMemory if none is free. After an error release need not be called.
 func readBody(ctx *fasthttp.RequestCtx, budget *semaphore.Weighted) (requestBody, error) {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
@@ -80,6 +87,7 @@
 		result.body = make([]byte, 0, size)
 	}
 	nc := ctx.Conn()
+	transfer := datarate.NewTransfer(bodyLimits)
 	for {
 		if size >= 0 && len(result.body) == size {
 			_ = nc.SetReadDeadline(time.Time{})
@@ -93,8 +101,10 @@
 			}
 			result.body = grown
 		}
-		_ = nc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+		start := time.Now()
+		_ = nc.SetReadDeadline(start.Add(transfer.Allowance()))
 		n, err := stream.Read(result.body[len(result.body):cap(result.body)])
+		transfer.Record(time.Since(start), n)
 		result.body = result.body[:len(result.body)+n]
 		if err == io.EOF && size >= 0 && len(result.body) < size {
 			err = io.ErrUnexpectedEOF // for a body with Content-Length, fasthttp's stream does not report a truncation
--- a/internal/httpfront/gathered.go
+++ b/internal/httpfront/gathered.go
@@ -129,7 +129,7 @@
 	}
 	conn := ctx.Conn().(*transport.Conn)
 	readCtx, cancel := context.WithCancel(context.Background())
-	g := &gatherStream{conn: conn, cancel: cancel, head: &ctx.Response.Header, writeDeadline: r.ReceivedAt.Add(r.Timeout + writeMargin),
+	g := &gatherStream{conn: conn, cancel: cancel, head: &ctx.Response.Header, pace: newResponsePace(conn), writeDeadline: r.ReceivedAt.Add(r.Timeout + writeMargin),
 		pieces: make(chan []byte), consumed: make(chan struct{}, 1), closed: make(chan struct{}), result: make(chan scattergather.Final, 1), readDone: make(chan struct{})}
 	g.peerClosed = conn.Watch()
 	r.ClientDisconnected = g.abandoned
@@ -169,6 +169,7 @@
 	peerClosed    <-chan struct{}
 	cancel        context.CancelFunc
 	head          *fasthttp.ResponseHeader
+	pace          responsePace
 	writeDeadline time.Time // time after which the client no longer waits
 	pieces        chan []byte
 	consumed      chan struct{}
@@ -207,7 +208,14 @@
 
 // Read implements io.Reader.
 func (g *gatherStream) Read(p []byte) (int, error) {
-	_ = g.conn.SetWriteDeadline(g.writeDeadline)
+	g.pace.pieceRequested()
+	n, err := g.readPiece(p)
+	g.pace.passPiece(n, g.writeDeadline)
+	return n, err
+}
+
+// readPiece waits for rows or the result.
+func (g *gatherStream) readPiece(p []byte) (int, error) {
 	for len(g.piece) == 0 {
 		if g.pending {
 			g.pending = false
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -3,17 +3,12 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"sync"
 	"time"
 )
 
-const (
-	// relayReadTimeout bounds each read of a relayed body from the node, as nodes write long bodies in pieces with pauses.
-	relayReadTimeout = 3 * time.Second
-	// relayWriteTimeout bounds each write of a relayed piece to the client. A client that keeps reading is never cut off.
-	relayWriteTimeout = 5 * time.Second
-)
+// relayReadTimeout bounds each read of a relayed body from the node, as nodes write long bodies in pieces with pauses.
+const relayReadTimeout = 3 * time.Second
 
 var errBodyTruncated = errors.New("relay response: body from the node is truncated")
 
@@ -23,7 +18,7 @@
 type relay struct {
 	buffered  []byte
 	remaining io.Reader                // the node's body, decoded
-	client    net.Conn                 // connection whose write deadline is extended for each piece; nil: none
+	pace      responsePace             // write deadlines of the client's connection
 	finish    func(complete bool) bool // ends the read of the body and reports whether the connection may carry another request
 	closeOnce sync.Once
 	mu        sync.Mutex
@@ -42,9 +37,14 @@
 
 // Read implements io.Reader.
 func (r *relay) Read(p []byte) (int, error) {
-	if r.client != nil {
-		_ = r.client.SetWriteDeadline(time.Now().Add(relayWriteTimeout))
-	}
+	r.pace.pieceRequested()
+	n, err := r.readPiece(p)
+	r.pace.passPiece(n, time.Time{})
+	return n, err
+}
+
+// readPiece reads from the first piece, and then from the node.
+func (r *relay) readPiece(p []byte) (int, error) {
 	if len(r.buffered) > 0 {
 		n := copy(p, r.buffered)
 		r.buffered = r.buffered[n:]
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -29,7 +29,6 @@
 	rejectRetryAfter  = 50 * time.Millisecond // the time of one or two typical requests
 	minRetryAfter     = 10 * time.Millisecond // a rejection always has a positive Retry-After
 	closeIdleInterval = 5 * time.Millisecond
-	minBodyRate       = 32 << 10 // bytes per second of a request body, half the rate of the slowest supported client
 )
 
 // Server accepts client connections and answers their requests.
@@ -45,6 +44,8 @@
 	rejectIncoming      atomic.Bool // reject requests that are still arriving; each response closes its connection, even if unread bytes wait
 
 	scatterGather atomic.Pointer[scattergather.Service] // nil: gathered reads are off
+
+	timedOutRequests atomic.Int64
 }
 
 // NewServer returns a server for at most conns client connections. The given settings determine the write timeout of responses
@@ -54,34 +55,26 @@
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.reject, Concurrency: 2 * (conns + overflowConns), MaxRequestBodySize: maxRequestBody, StreamRequestBody: true,
 		HeaderReceived: s.requestTimeouts,
-		ReadBufferSize: maxHeadSize, WriteBufferSize: 4096, ReadTimeout: readTimeout, WriteTimeout: maxDeadline(settings) + writeMargin, IdleTimeout: idleTimeout,
+		ReadBufferSize: maxHeadSize, WriteBufferSize: 4096, ReadTimeout: readTimeout, WriteTimeout: responseTimeout(maxDeadline(settings)), IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true,
-		SecureErrorLogMessage: true, DisablePreParseMultipartForm: true, Logger: debugLogger{log}, ConnState: trackState,
+		SecureErrorLogMessage: true, DisablePreParseMultipartForm: true, Logger: debugLogger{log}, ConnState: s.trackState,
 	}
 	return s
 }
 
-// requestTimeouts returns the timeouts of one request, which depend on its head.
+// requestTimeouts returns the timeouts of one request, which depend on its head. The head has readTimeout from its first byte.
+// The read timeout begins at the end of the head and ends when fasthttp has read the first piece of the body; from then on
+// readBody bounds the waits.
 func (s *Server) requestTimeouts(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if string(h.RequestURI()) == readyPath { // the readiness check does not use the core
-		return fasthttp.RequestConfig{ReadTimeout: bodyTimeout(h)}
-	}
-	return fasthttp.RequestConfig{ReadTimeout: bodyTimeout(h), WriteTimeout: s.bounds().maxDeadline + writeMargin}
-}
-
-// bodyTimeout returns the read timeout of the first part of a body, which fasthttp reads before it calls the handler. Clients
-// may send as slowly as 64 kB per second. The head has readTimeout from its first byte, which is not part of this timeout. The
-// handler gives each further piece of the body bodyReadTimeout.
-func bodyTimeout(h *fasthttp.RequestHeader) time.Duration {
-	size := max(h.ContentLength(), 0)
-	if h.ContentLength() == -1 { // chunked
-		size = maxBufferedBody
+		return fasthttp.RequestConfig{ReadTimeout: firstPieceTimeout}
 	}
-	return bodyReadTimeout + time.Duration(size)*time.Second/minBodyRate
+	return fasthttp.RequestConfig{ReadTimeout: firstPieceTimeout, WriteTimeout: responseTimeout(s.bounds().maxDeadline)}
 }
 
-// trackState records which connections are between requests.
-func trackState(nc net.Conn, st fasthttp.ConnState) {
+// trackState records which connections are between requests, and sets the deadlines of a request at its first byte. fasthttp
+// leaves those of the connection's start or of the previous response in place, which may be over soon.
+func (s *Server) trackState(nc net.Conn, st fasthttp.ConnState) {
 	c, ok := nc.(*transport.Conn)
 	if !ok {
 		return
@@ -91,6 +84,9 @@
 		c.ResponseDone()
 	case fasthttp.StateActive:
 		c.SetIdle(false)
+		headEnd := time.Now().Add(s.http.ReadTimeout)
+		_ = c.SetReadDeadline(headEnd)
+		_ = c.SetWriteDeadline(headEnd.Add(writeMargin)) // of 100 Continue
 	}
 }
 
@@ -101,6 +97,7 @@
 
 // reject answers a request that could not be read.
 func (s *Server) reject(ctx *fasthttp.RequestCtx, err error) {
+	_ = ctx.Conn().SetWriteDeadline(time.Now().Add(writeMargin)) // fasthttp sets none
 	code := fasthttp.StatusBadRequest
 	var bufferErr *fasthttp.ErrSmallBuffer
 	var netErr net.Error
@@ -109,10 +106,11 @@
 		code = fasthttp.StatusRequestEntityTooLarge
 	case errors.As(err, &bufferErr):
 		code = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &netErr) && netErr.Timeout() && s.rejectIncoming.Load():
+	case errors.As(err, &netErr) && netErr.Timeout() && s.rejectsIncomplete(ctx):
 		s.rejectIncomplete(ctx)
 		return
 	case errors.As(err, &netErr) && netErr.Timeout():
+		s.timedOutRequests.Add(1)
 		code = fasthttp.StatusRequestTimeout
 	}
 	ctx.Error(fasthttp.StatusMessage(code), code)
@@ -127,7 +125,14 @@
 	ctx.SetConnectionClose()
 }
 
-// rejectIncomplete rejects a request that is still arriving when the program stops.
+// rejectsIncomplete reports whether the read of a request timed out early, because the program stops or the connection is
+// needed for another client.
+func (s *Server) rejectsIncomplete(ctx *fasthttp.RequestCtx) bool {
+	conn, ok := ctx.Conn().(*transport.Conn)
+	return s.rejectIncoming.Load() || ok && conn.Interrupted()
+}
+
+// rejectIncomplete rejects a request of which no more is read.
 func (s *Server) rejectIncomplete(ctx *fasthttp.RequestCtx) {
 	writeResponse(ctx, core.Answer{Kind: core.Rejected, RetryAfter: rejectRetryAfter})
 	closeDiscardingInput(ctx)
@@ -160,6 +165,17 @@
 // connection.
 func (s *Server) CloseAfterResponses() { s.closeAfterResponses.Store(true) }
 
+// ConnCounts returns the open client connections by state. Any goroutine may call it.
+func (s *Server) ConnCounts() transport.ConnCounts {
+	if l := s.ln.Load(); l != nil {
+		return l.Counts()
+	}
+	return transport.ConnCounts{}
+}
+
+// TimedOutRequests returns the number of requests that were answered with 408 so far. Any goroutine may call it.
+func (s *Server) TimedOutRequests() int64 { return s.timedOutRequests.Load() }
+
 // CloseIdle closes the connections that have been idle for at least minIdle, and returns how many are still open.
 func (s *Server) CloseIdle(minIdle time.Duration) int {
 	if l := s.ln.Load(); l != nil {
@@ -319,9 +335,10 @@
 		writeResponse(ctx, <-answers)
 	case errors.As(err, &m):
 		ctx.Error(m.Problem, m.Status)
-	case errors.Is(err, errBodyStalled) && s.rejectIncoming.Load():
+	case errors.Is(err, errBodyStalled) && s.rejectsIncomplete(ctx):
 		s.rejectIncomplete(ctx)
 	case errors.Is(err, errBodyStalled):
+		s.timedOutRequests.Add(1)
 		ctx.Error(err.Error(), fasthttp.StatusRequestTimeout)
 	default:
 		ctx.Error("body: "+err.Error(), fasthttp.StatusBadRequest)
@@ -334,7 +351,7 @@
 	case core.Served:
 		rep := a.Payload.(*nodeResponse)
 		if rep.relay != nil {
-			rep.relay.client = ctx.Conn()
+			rep.relay.pace = newResponsePace(ctx.Conn())
 			ctx.Response.ImmediateHeaderFlush = true
 			ctx.Response.SetBodyStream(rep.relay, -1) // chunked, so that a truncated response lacks its last chunk
 			return
