iSCSI: an initiator that stops within a PDU or its write data is ended within 3 s

What callers saw: a session stayed open for a minute after its initiator had stopped within a PDU, and one with a byte now and then as long; at the maximum of sessions no other initiator could log in. A write whose data never came held its buffer until the command's deadline.

Cause: the same as on the HTTP front, a wait that the client's data do not bound.

Change: pduReader bounds the waits within a PDU by datarate; between two PDUs an initiator may be silent as before. A write whose data stop for 2.5 s gets CHECK CONDITION, ABORTED COMMAND.

Failed before: the four cases of TestInitiatorThatStopsWithinPDUIsClosed (open after 3.05 s), TestWriteDataThatStopEndInTime (30 s).

--- a/internal/iscsi/command.go
+++ b/internal/iscsi/command.go
@@ -24,6 +24,7 @@
 	expectedLength    uint32        // the initiator's expected data transfer length
 	writeData         []byte        // data of a write
 	received          uint32        // bytes of writeData received so far
+	lastDataAt        time.Time     // arrival of the command or of the last write data
 	dataSN            uint32        // DataSN of the next Data-Out
 	targetTransferTag uint32        // of the outstanding R2T; noTag: unsolicited data
 	burstLeft         uint32        // bytes still expected in this sequence
@@ -51,7 +52,8 @@
 	if s.tasks[itt] != nil {
 		return s.sendReject(p, 0x07) // task in progress
 	}
-	task := &scsiTask{initiatorTaskTag: itt, receivedAt: time.Now(), expectedLength: p.u32(20), targetTransferTag: noTag}
+	now := time.Now()
+	task := &scsiTask{initiatorTaskTag: itt, receivedAt: now, lastDataAt: now, expectedLength: p.u32(20), targetTransferTag: noTag}
 	s.tasks[itt] = task
 	cdb := p.bhs[32:48]
 	lun, ok := p.lun()
@@ -193,6 +195,7 @@
 		return fmt.Errorf("%w: Data-Out out of sequence", errProtocol)
 	}
 	copy(task.writeData[task.received:], p.data)
+	task.lastDataAt = time.Now()
 	task.received, task.burstLeft, task.dataSN = task.received+n, task.burstLeft-n, task.dataSN+1
 	switch {
 	case task.received == task.length:
@@ -205,6 +208,11 @@
 	return nil
 }
 
+// dataTimedOut reports whether the write data of a task that is not submitted yet have stopped arriving, or are too late.
+func (task *scsiTask) dataTimedOut(now time.Time) bool {
+	return task.request == nil && (now.Sub(task.receivedAt) > task.deadline || now.Sub(task.lastDataAt) > pduLimits.StallTimeout)
+}
+
 // submit submits the task's request to the core. Its deadline counts from the arrival of the command.
 func (s *session) submit(task *scsiTask) {
 	u := task.unit
--- a/internal/iscsi/login.go
+++ b/internal/iscsi/login.go
@@ -36,12 +36,10 @@
 
 // login negotiates with the initiator until the full feature phase.
 func (s *session) login() error {
-	if err := s.conn.SetReadDeadline(time.Now().Add(time.Duration(s.target.conf.LoginTimeout * float64(time.Millisecond)))); err != nil {
-		return err
-	}
+	s.reader.setDeadline(time.Now().Add(time.Duration(s.target.conf.LoginTimeout * float64(time.Millisecond))))
 	var text []byte
 	for round := 0; round < maxLoginRequests; round++ {
-		p, err := s.receiveFraming.read(s.reader)
+		p, err := s.reader.read(s.receiveFraming)
 		if err != nil {
 			return err
 		}
@@ -107,7 +105,8 @@
 			}
 			s.receiveFraming = framing{s.params.headerDigest, s.params.dataDigest, ownMaxSegment}
 			s.sendFraming = s.receiveFraming
-			return s.conn.SetReadDeadline(time.Time{})
+			s.reader.setDeadline(time.Time{})
+			return nil
 		}
 	}
 	return fmt.Errorf("%w: too many login requests", errProtocol)
--- a/internal/iscsi/session.go
+++ b/internal/iscsi/session.go
@@ -1,7 +1,6 @@
 package iscsi
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"net"
@@ -15,7 +14,7 @@
 type session struct {
 	target                      *Target
 	conn                        net.Conn
-	reader                      *bufio.Reader
+	reader                      *pduReader
 	receiveFraming, sendFraming framing
 	params                      params
 	units                       map[uint16]*unit
@@ -45,7 +44,7 @@
 
 // newSession returns a session that has yet to log in.
 func newSession(t *Target, nc net.Conn) *session {
-	return &session{target: t, conn: nc, reader: bufio.NewReaderSize(nc, 16<<10), params: defaultParams(), receiveFraming: framing{maxDataSegment: 8192},
+	return &session{target: t, conn: nc, reader: newPDUReader(nc), params: defaultParams(), receiveFraming: framing{maxDataSegment: 8192},
 		tasks: map[uint32]*scsiTask{}, wake: make(chan struct{}, 1), lastPDUAt: time.Now()}
 }
 
@@ -99,7 +98,7 @@
 // resynchronize the stream.
 func (s *session) readPDUs(pdus chan<- *pdu, failed chan<- error, done <-chan struct{}) {
 	for {
-		p, err := s.receiveFraming.read(s.reader)
+		p, err := s.reader.read(s.receiveFraming)
 		if err != nil {
 			failed <- err
 			return
@@ -161,8 +160,8 @@
 // checkTimeouts handles the timeouts of a task's write data, of the logout at shutdown, and of an initiator that sends nothing.
 func (s *session) checkTimeouts(now time.Time) error {
 	for _, task := range s.tasks {
-		if task.request == nil && now.Sub(task.receivedAt) > task.deadline {
-			s.finishTask(task, statusCheckCondition, &senseTimeout, nil, 0) // its write data did not arrive in time
+		if task.dataTimedOut(now) {
+			s.finishTask(task, statusCheckCondition, &senseTimeout, nil, 0)
 		}
 	}
 	if s.draining.Load() {
