A body and its share of the memory budget are released together, when nothing uses them

Cause: the handler returned the share when it returned; core's guard timer referred to the answered request, and so to its body, until the deadline. Told apart by heap profiles and the new metrics of guard timers, requests and body memory.

Change: the payload of a request has one owner, core, which releases it once the request is answered and no attempt is outstanding, and before the answer is passed on. The release drops the body and returns its share. Guard timers leave the heap at the answer. Related: batches of core's and the nodes' actors, deferred arrivals, queues and the heap's array keep no reference; a chunked body acquires its whole buffer (it could hold twice its share); the handler's frame does not hold the body. Unused code for buffered responses with a share is gone, and handle is split.

--- a/cmd/wheatsaddle/frontmetrics.go
+++ b/cmd/wheatsaddle/frontmetrics.go
@@ -1,13 +1,14 @@
 package main
 
 import (
+	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/httpfront"
 	"wheatsaddle/internal/metrics"
 	"wheatsaddle/internal/transport"
 )
 
-// registerFrontMetrics registers the metrics of the HTTP front: the clients' connections by state, and the requests that
-// stopped arriving.
+// registerFrontMetrics registers the metrics of the HTTP front: the clients' connections by state, the requests that
+// stopped arriving, and the memory of long request bodies.
 func registerFrontMetrics(m *metrics.Registry, front *httpfront.Server) {
 	for state, count := range map[string]func(transport.ConnCounts) int{
 		"fresh":     func(c transport.ConnCounts) int { return c.Fresh },
@@ -21,4 +22,11 @@
 	m.Gauge(func() float64 { return front.ConnCounts().LongestRead.Seconds() }, "client_longest_read_seconds")
 	m.Gauge(func() float64 { return float64(front.ConnCounts().Interrupted) }, "client_requests_interrupted")
 	m.Gauge(func() float64 { return float64(front.TimedOutRequests()) }, "client_requests_timed_out")
+	gauges(m, front.Core.TableSizes, map[string]func(core.TableSizes) int{
+		"core_requests":        func(t core.TableSizes) int { return t.Requests },
+		"core_module_requests": func(t core.TableSizes) int { return t.Module },
+		"core_guard_timers":    func(t core.TableSizes) int { return t.Guards },
+	})
+	m.Gauge(func() float64 { return float64(front.BodyMemory.InUse()) }, "request_body_memory_bytes")
+	m.Gauge(func() float64 { return float64(front.BodyMemory.Size()) }, "request_body_memory_limit_bytes")
 }
--- a/cmd/wheatsaddle/startup.go
+++ b/cmd/wheatsaddle/startup.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/semaphore"
 
 	"wheatsaddle/internal/admin"
 	"wheatsaddle/internal/config"
@@ -185,7 +184,7 @@
 		return err
 	}
 	s.front = httpfront.NewServer(s.core, s.conf.Settings, s.clientConns, s.log)
-	s.front.BodyMemory = semaphore.NewWeighted(bodyMemory(s.conf))
+	s.front.BodyMemory = httpfront.NewMemoryBudget(bodyMemory(s.conf))
 	registerFrontMetrics(s.site.registry, s.front)
 	if s.gather, err = startGather(s.site, s.conf, s.core, s.front, s.fleet); err != nil {
 		return err
--- a/internal/connqueue/queue.go
+++ b/internal/connqueue/queue.go
@@ -120,8 +120,10 @@
 	if q.neededConnects(now, inUse) <= len(q.pendingConnects) {
 		return item, false
 	}
-	item = q.waiters[len(q.waiters)-1].item
-	q.waiters = q.waiters[:len(q.waiters)-1]
+	last := len(q.waiters) - 1
+	item = q.waiters[last].item
+	q.waiters[last] = waiter[T]{} // the array must not refer to it
+	q.waiters = q.waiters[:last]
 	return item, true
 }
 
@@ -141,6 +143,7 @@
 		return item, false
 	}
 	item = q.waiters[0].item
+	q.waiters[0] = waiter[T]{} // the array must not refer to it
 	q.waiters = q.waiters[1:]
 	return item, true
 }
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"container/heap"
 	"time"
 
 	"wheatsaddle/policy"
@@ -19,7 +18,7 @@
 	case policy.Cancel:
 		c.cancelAttempt(a)
 	case policy.SetTimer:
-		heap.Push(&c.timers, pendingTimer{atMs: now + a.Wait, tag: a.Tag})
+		c.setTimer(&pendingTimer{atMs: now + a.Wait, tag: a.Tag})
 	case policy.CheckHealth:
 		c.checkHealth(a.Node)
 	case policy.Subscribe, policy.RequestList:
--- a/internal/core/actor.go
+++ b/internal/core/actor.go
@@ -50,6 +50,7 @@
 		}
 		c.collectBatch()
 		c.iterate(c.moduleTime(time.Now()))
+		clear(c.batch) // the array must not refer to requests that have ended
 	}
 }
 
@@ -116,6 +117,7 @@
 	for _, state := range c.deferred {
 		c.admitAvoiding(state, now)
 	}
+	clear(c.deferred)
 	c.deferred = c.deferred[:0]
 }
 
@@ -151,7 +153,7 @@
 		c.answer(state, Answer{Kind: Failed, Cause: CauseInternal})
 		delete(c.requests, id)
 	}
-	c.timers = c.timers[:0]
+	c.dropTimers()
 	for id, n := range c.nodes { // the cutoff timers of draining nodes were just dropped, so their clients are closed now
 		c.clients[id].Drain(c.exclusions.View(now, n.Node).State != policy.NodeUp)
 	}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -180,6 +180,7 @@
 	} else if payload, ok := result.Payload.(Releaser); ok {
 		payload.Release() // the request is answered already
 	}
+	state.releaseEnded()
 	if c.requests[state.request.ID] != state {
 		return // the request was failed by a restart of the decision module
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -153,7 +153,7 @@
 // TableSizes holds the number of requests in the core's table, of requests in the decision module, and of guard timers.
 type TableSizes struct{ Requests, Module, Guards int }
 
-// TableSizes returns the current sizes. All are 0 once every request has ended and its guard timer has fired.
+// TableSizes returns the current sizes. All are 0 once every request has ended.
 func (c *Core) TableSizes() TableSizes {
 	sizes, _ := query(c, func() TableSizes {
 		sizes := TableSizes{Requests: len(c.requests), Module: c.scheduler.RequestCount()}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -131,7 +131,7 @@
 		request := &Request{Request: policy.Request{ID: "lost"}, Answer: func(answer Answer) { answers <- answer }}
 		state := &requestState{request: request}
 		core.requests["lost"] = state
-		core.timers.Push(pendingTimer{atMs: 0, guarded: state})
+		core.setGuard(state)
 	}))
 	if answer := expectAnswer(t, answers, Failed); answer.Cause != CauseDeadlineExceeded {
 		t.Errorf("cause %q", answer.Cause)
@@ -192,10 +192,7 @@
 	core.updateList(policy.CachedListLoaded, newNode("n", 0, policy.NodeUp))
 	_, answers := core.submit("a", "read")
 	<-core.node("n").sent
-	core.post(call(func() {
-		core.scheduler = nil
-		core.events = append(core.events, policy.Event{Kind: policy.TimerFired, Tag: "tick"})
-	}))
+	core.panicModule()
 	expectAnswer(t, answers, Failed)
 	_, answers = core.submit("b", "read")
 	(<-core.node("n").sent).Done(Result{Status: policy.OK})
--- a/internal/core/cutoff_test.go
+++ b/internal/core/cutoff_test.go
@@ -122,11 +122,7 @@
 			core.updateList(policy.ListChanged, n)
 		},
 		"the decision module panics": func(core *fixture) {
-			core.post(call(func() {
-				core.scheduler = nil
-				core.events = append(core.events, policy.Event{Kind: policy.TimerFired, Tag: "tick"})
-			}))
-			core.OpenRequests() // the module panics in the iteration that handles this call
+			core.panicModule()
 			core.updateList(policy.ListReceived, newNode("n", 0, policy.NodeDraining))
 		},
 	} {
--- a/internal/core/fixture_test.go
+++ b/internal/core/fixture_test.go
@@ -114,6 +114,15 @@
 	return Node{Node: policy.Node{ID: name, Shard: shard, State: state, Weight: 1}, Addresses: addrs("127.0.0.1:1")}
 }
 
+// panicModule makes the decision module panic, and returns once it is replaced.
+func (f *fixture) panicModule() {
+	f.post(call(func() {
+		f.scheduler = nil
+		f.events = append(f.events, policy.Event{Kind: policy.TimerFired, Tag: "tick"})
+	}))
+	f.OpenRequests() // the module panics in the iteration that handles this call
+}
+
 // submit submits a request and returns the channel of its answers.
 func (f *fixture) submit(id, class string) (*Request, chan Answer) {
 	request, answers := f.newRequest(id, class, time.Minute)
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"container/heap"
 	"slices"
 
 	"wheatsaddle/policy"
@@ -86,7 +85,7 @@
 	if drainBegins && c.listCurrent && use > 0 && !excluded {
 		end := now + use + drainCutoffShare*(c.options.Settings.DrainGrace-use)
 		c.cutoffs[node.ID].set(c.wallTime(end))
-		heap.Push(&c.timers, pendingTimer{atMs: end, drainNode: node.ID})
+		c.setTimer(&pendingTimer{atMs: end, drainNode: node.ID})
 		return
 	}
 	stillDraining := listed && previous.State == policy.NodeDraining && view.State != policy.NodeUp
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"container/heap"
 	"time"
 
 	"wheatsaddle/policy"
@@ -41,10 +40,13 @@
 
 // Request is a client's request as a front submits it.
 type Request struct {
-	policy.Request                   // core sets Deadline
-	ReceivedAt     time.Time         // when the last byte arrived
-	Timeout        time.Duration     // how long the client waits after ReceivedAt
-	Payload        any               // passed from the front to its node clients; core does not interpret it
+	policy.Request               // core sets Deadline
+	ReceivedAt     time.Time     // when the last byte arrived
+	Timeout        time.Duration // how long the client waits after ReceivedAt
+	// Payload is passed from the front to its node clients. Core does not interpret it, but calls Release if it implements
+	// Releaser, once no attempt can use it any more and before the answer. Core then drops its reference. If the actor ends
+	// first, Release is not called for a request with an outstanding attempt.
+	Payload        any
 	Answer         func(Answer)      // called exactly once unless the request is cancelled before; must not block
 	AttemptedNodes *AttemptedNodes   // core adds the nodes that the attempts are dispatched to; may be nil
 	Settings       *Settings         // version that the request was decoded with; nil means the current one at its arrival
@@ -59,7 +61,17 @@
 	return r != nil && r.ClientDisconnected != nil && r.ClientDisconnected()
 }
 
-// Releaser is a payload with resources that must be released if the payload is not used for an answer.
+// releasePayload releases the payload, which nothing may use any more. A second call does nothing.
+func (r *Request) releasePayload() {
+	payload, ok := r.Payload.(Releaser)
+	r.Payload = nil
+	if ok {
+		payload.Release()
+	}
+}
+
+// Releaser is a payload with resources. That of a response must be released if it is not used for an answer, that of a
+// request when the request and its attempts have ended.
 type Releaser interface{ Release() }
 
 // requestState is a request in the core's table, until it is answered and none of its attempts is outstanding.
@@ -68,7 +80,8 @@
 	attempts    []*Attempt
 	outstanding int // attempts without a result
 	answered    bool
-	dedupCutoff cutoff // applies to all attempts; set once one of them is a retry that the nodes deduplicate only until then
+	guard       *pendingTimer // nil once the request is answered
+	dedupCutoff cutoff        // applies to all attempts; set once one of them is a retry that the nodes deduplicate only until then
 }
 
 // Submit passes a request to the actor without blocking. The request is rejected at once if the mailbox is full or the
@@ -91,6 +104,7 @@
 // they lack resources. Any goroutine may call it.
 func (c *Core) Reject(r *Request, wait time.Duration) {
 	c.counters.ended(r.Class, Rejected)
+	r.releasePayload()
 	r.Answer(Answer{Kind: Rejected, RetryAfter: wait})
 }
 
@@ -107,6 +121,7 @@
 	}
 	if cause := c.failureCause(r); cause != "" {
 		c.counters.ended(r.Class, Failed)
+		r.releasePayload()
 		r.Answer(Answer{Kind: Failed, Cause: cause})
 		return
 	}
@@ -121,7 +136,7 @@
 	r.Deadline = c.moduleTime(r.ReceivedAt.Add(timeout))
 	state := &requestState{request: r}
 	c.requests[r.ID] = state
-	heap.Push(&c.timers, pendingTimer{atMs: r.Deadline + float64(guardDelay.Milliseconds()), guarded: state})
+	c.setGuard(state)
 	if len(r.AvoidNodes) > 0 {
 		c.deferred = append(c.deferred, state)
 		return
@@ -148,8 +163,7 @@
 	if state.answered {
 		return
 	}
-	state.markAnswered()
-	c.counters.inProgress.Add(-1)
+	c.end(state)
 	c.dropFromModule(state)
 }
 
@@ -173,8 +187,7 @@
 	if state.answered {
 		return
 	}
-	state.markAnswered()
-	c.counters.inProgress.Add(-1)
+	c.end(state)
 	c.counters.ended(state.request.Class, a.Kind)
 	state.request.Answer(a)
 	c.logLate(state, a, time.Now())
@@ -189,8 +202,24 @@
 	}
 }
 
+// end marks a request as answered and releases what only an open request needs. The caller then passes on the answer.
+func (c *Core) end(state *requestState) {
+	state.markAnswered()
+	c.counters.inProgress.Add(-1)
+	c.removeGuard(state)
+	state.releaseEnded()
+}
+
+// releaseEnded releases the payload once the request is answered and none of its attempts is outstanding.
+func (s *requestState) releaseEnded() {
+	if s.answered && s.outstanding == 0 {
+		s.request.releasePayload()
+	}
+}
+
 // forgetEnded removes a request from the table once it is answered and none of its attempts is outstanding.
 func (c *Core) forgetEnded(state *requestState) {
+	state.releaseEnded()
 	if state.answered && state.outstanding == 0 && c.requests[state.request.ID] == state {
 		delete(c.requests, state.request.ID)
 	}
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -18,10 +18,11 @@
 	tag       string        // of a timer of the decision module
 	guarded   *requestState // set for a guard timer
 	drainNode string        // set for a cutoff timer
+	index     int           // in the heap; negative once the timer has left it
 }
 
 // timerHeap implements heap.Interface. The earliest timer comes first.
-type timerHeap []pendingTimer
+type timerHeap []*pendingTimer
 
 // Len implements heap.Interface.
 func (h timerHeap) Len() int { return len(h) }
@@ -30,23 +31,56 @@
 func (h timerHeap) Less(i, j int) bool { return h[i].atMs < h[j].atMs }
 
 // Swap implements heap.Interface.
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
 
 // Push implements heap.Interface.
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(pendingTimer)) }
+func (h *timerHeap) Push(x any) {
+	t := x.(*pendingTimer)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
 
 // Pop implements heap.Interface.
 func (h *timerHeap) Pop() any {
 	old := *h
 	last := old[len(old)-1]
+	old[len(old)-1] = nil // the array must not refer to a timer that has left the heap
 	*h = old[:len(old)-1]
+	last.index = -1
 	return last
 }
 
+// setTimer adds a timer.
+func (c *Core) setTimer(t *pendingTimer) { heap.Push(&c.timers, t) }
+
+// setGuard sets the guard timer of a request.
+func (c *Core) setGuard(state *requestState) {
+	state.guard = &pendingTimer{atMs: state.request.Deadline + float64(guardDelay.Milliseconds()), guarded: state}
+	c.setTimer(state.guard)
+}
+
+// removeGuard removes the guard timer of a request that is answered, so that the timer does not keep the request in memory
+// until its deadline.
+func (c *Core) removeGuard(state *requestState) {
+	if state.guard != nil && state.guard.index >= 0 {
+		heap.Remove(&c.timers, state.guard.index)
+	}
+	state.guard = nil
+}
+
+// dropTimers removes all timers.
+func (c *Core) dropTimers() {
+	clear(c.timers)
+	c.timers = c.timers[:0]
+}
+
 // fireTimers fires the timers that are due, the earliest first.
 func (c *Core) fireTimers(now float64) {
 	for len(c.timers) > 0 && c.timers[0].atMs <= now {
-		t := heap.Pop(&c.timers).(pendingTimer)
+		t := heap.Pop(&c.timers).(*pendingTimer)
 		c.timerLag.Record(c.sinceOrigin(now), c.sinceOrigin(now)-c.sinceOrigin(t.atMs))
 		switch {
 		case t.drainNode != "":
--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -8,14 +8,12 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/semaphore"
 
 	"wheatsaddle/internal/datarate"
 )
 
 const (
-	minClientRate = 32 << 10  // bytes per second of a request or response body, half the rate of the slowest supported client
-	minMemoryStep = 256 << 10 // minimum amount of memory acquired at a time for a chunked body
+	minClientRate = 32 << 10 // bytes per second of a request or response body, half the rate of the slowest supported client
 	bodyReadSize  = 32 << 10
 	// firstPieceTimeout is the read timeout of the first 8 KiB of a body, which fasthttp reads before it calls the handler. It
 	// does not depend on the length that the client declares, because no more than that is read within it.
@@ -30,53 +28,30 @@
 	errBodyStalled  = errors.New("body: the client stood still")
 )
 
-// requestBody is the body of a request with its share of the body memory; release returns that share.
+// requestBody is the body of a request with its share of the body memory.
 type requestBody struct {
-	body    []byte
-	release func()
+	body   []byte
+	memory *bodyMemory // nil: the body needs none
 }
 
-// bodyMemory is the share of the body memory that one body has acquired.
-type bodyMemory struct {
-	budget   *semaphore.Weighted // nil: no limit
-	size     int                 // Content-Length; negative: chunked
-	acquired int64
-}
-
-// grow acquires the additional memory for a body of size bytes. A body of up to maxBufferedBody needs none.
-func (m *bodyMemory) grow(size int64) error {
-	if size <= maxBufferedBody || size <= m.acquired || m.budget == nil {
-		return nil
-	}
-	more := max(size-m.acquired, minMemoryStep)
-	if m.size > 0 {
-		more = size - m.acquired // all of it at once
-	}
-	if !m.budget.TryAcquire(more) {
-		return errNoBodyMemory
-	}
-	m.acquired += more
-	return nil
-}
-
-// release returns all acquired memory. Further calls do nothing.
-func (m *bodyMemory) release() {
-	if m.budget != nil && m.acquired > 0 {
-		m.budget.Release(m.acquired)
-		m.acquired = 0
+// release returns the share of the body memory. The body must not be used any more.
+func (b *requestBody) release() {
+	b.body = nil
+	if b.memory != nil {
+		b.memory.release()
 	}
 }
 
 // readBody reads the body of a request, within bodyLimits. A body longer than maxBufferedBody acquires memory from budget as
 // it grows, and fails with errNoBodyMemory if none is free. After an error release need not be called.
-func readBody(ctx *fasthttp.RequestCtx, budget *semaphore.Weighted) (requestBody, error) {
+func readBody(ctx *fasthttp.RequestCtx, budget *MemoryBudget) (requestBody, error) {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
-		return requestBody{body: append([]byte(nil), ctx.Request.Body()...), release: func() {}}, nil
+		return requestBody{body: append([]byte(nil), ctx.Request.Body()...)}, nil
 	}
 	size := ctx.Request.Header.ContentLength()
 	memory := &bodyMemory{budget: budget, size: size}
-	result := requestBody{release: memory.release}
+	result := requestBody{memory: memory}
 	switch {
 	case size > maxRequestBody:
 		return result, &MalformedError{fasthttp.StatusRequestEntityTooLarge, "body: over 32 MiB"}
@@ -120,15 +95,21 @@
 	}
 }
 
-// extendBody enlarges the buffer of a body for another read.
+// extendBody enlarges the buffer of a body for another read. It acquires the memory of the whole buffer, by half of its size
+// more if that is free, so that a long body is not copied often.
 func extendBody(body []byte, memory *bodyMemory) ([]byte, error) {
-	if err := memory.grow(int64(len(body)) + bodyReadSize); err != nil {
-		return nil, err
-	}
-	if len(body)+bodyReadSize > maxRequestBody+1 {
+	needed := len(body) + bodyReadSize
+	if needed > maxRequestBody+bodyReadSize {
 		return nil, &MalformedError{fasthttp.StatusRequestEntityTooLarge, "body: over 32 MiB"}
 	}
-	grown := make([]byte, len(body), max(2*cap(body), len(body)+bodyReadSize))
+	size := min(max(needed, cap(body)+cap(body)/2), maxRequestBody+bodyReadSize)
+	if memory.grow(int64(size)) != nil {
+		size = needed
+		if err := memory.grow(int64(size)); err != nil {
+			return nil, err
+		}
+	}
+	grown := make([]byte, len(body), size)
 	copy(grown, body)
 	return grown, nil
 }
--- a/internal/httpfront/body_test.go
+++ b/internal/httpfront/body_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/semaphore"
 
 	"wheatsaddle/internal/core"
 	"wheatsaddle/policy"
@@ -84,7 +83,7 @@
 func TestLongBodiesShareBodyMemory(t *testing.T) {
 	const size, writes = 2 << 20, 12
 	f := newFront(t, respondWith(okResponse))
-	f.srv.BodyMemory = semaphore.NewWeighted(6 << 20) // for three bodies at a time
+	f.srv.BodyMemory = NewMemoryBudget(6 << 20) // for three bodies at a time
 	f.dialer.ConnIdle = time.Minute
 	nodes := newEchoNode(t)
 	f.srv.Core.UpdateList(nodeListAt(nodes))
@@ -149,7 +148,7 @@
 	if counts[200] == 0 {
 		t.Fatalf("no request was served, responses by status: %v", counts)
 	}
-	if !f.srv.BodyMemory.TryAcquire(6 << 20) {
+	if !f.srv.BodyMemory.tryAcquire(6 << 20) {
 		t.Fatal("body memory is not all released after every write was answered")
 	}
 	t.Logf("responses by status: %v", counts)
@@ -159,7 +158,7 @@
 // readTimeout. A body that stalls is answered with status 408 and the connection is closed.
 func TestSlowAndStalledBodies(t *testing.T) {
 	f := newFront(t, respondWith(okResponse))
-	f.srv.BodyMemory = semaphore.NewWeighted(1 << 20)
+	f.srv.BodyMemory = NewMemoryBudget(1 << 20)
 	body := bytes.Repeat([]byte("x"), 200<<10)
 	head, framed := putRequest(1, body, false, false)
 	nc, err := net.Dial("tcp", f.address)
--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -32,8 +32,18 @@
 // nodeRequest is the message for the storage nodes. It is decoded once, and encoded for each attempt with that
 // attempt's remaining time.
 type nodeRequest struct {
-	head []byte // request line and the headers that stay the same
-	body []byte
+	head   []byte // request line and the headers that stay the same
+	body   []byte
+	memory *bodyMemory // share of the body memory that body has acquired; nil: none
+}
+
+// Release implements core.Releaser. Core calls it when no attempt can use the request any more.
+func (c *nodeRequest) Release() {
+	c.body = nil
+	if c.memory != nil {
+		c.memory.release()
+		c.memory = nil
+	}
 }
 
 // MalformedError describes an invalid request.
@@ -78,11 +88,13 @@
 
 // decode decodes a client's request whose body fasthttp has already read. The result shares no memory with m.
 func decode(m *fasthttp.Request, b *bounds) (*core.Request, error) {
-	return decodeWith(m, bytes.Clone(m.Body()), b)
+	return decodeWith(m, requestBody{body: bytes.Clone(m.Body())}, b)
 }
 
-// decodeWith decodes a client's request with the given body, which the result refers to.
-func decodeWith(m *fasthttp.Request, body []byte, b *bounds) (*core.Request, error) {
+// decodeWith decodes a client's request with the given body, which belongs to the result's payload. After an error the
+// caller releases it.
+func decodeWith(m *fasthttp.Request, received requestBody, b *bounds) (*core.Request, error) {
+	body := received.body
 	h := &m.Header
 	r := &core.Request{Settings: b.settings}
 	if p := h.Protocol(); string(p) != "HTTP/1.1" && string(p) != "HTTP/1.0" {
@@ -138,7 +150,9 @@
 	if len(idempotencyKey) > 0 && !isToken(idempotencyKey, 1024) || len(idempotencyKey) == 0 && b.idempotentByKey[r.Class] {
 		return nil, malformed("Idempotency-Key: missing or malformed")
 	}
-	r.Payload = newNodeRequest(h, id, idempotencyKey, body)
+	payload := newNodeRequest(h, id, idempotencyKey, body)
+	payload.memory = received.memory
+	r.Payload = payload
 	return r, nil
 }
 
@@ -207,40 +221,22 @@
 	return append(dst, "\r\n\r\n"...)
 }
 
-// nodeResponse is the response of a storage node. A long body keeps its share of the body memory until it is written
-// to the client or released.
+// nodeResponse is the response of a storage node. A long body stays at the node until it is relayed to the client.
 type nodeResponse struct {
-	body    []byte
-	release func()
-	relay   *relay // relays a long body; nil: body is complete
+	body  []byte
+	relay *relay // relays a long body; nil: body is complete
 	// limited reports that a part of a gathered read stopped at the requested number of rows.
 	limited bool
 }
 
 // Release implements core.Releaser. A response has one owner at a time.
 func (r *nodeResponse) Release() {
-	if r.release != nil {
-		r.release()
-		r.release = nil
-	}
 	if r.relay != nil {
 		relay := r.relay
 		go func() { _ = relay.Close() }() // Close waits for the node's actor, and the caller must not block
 	}
 }
 
-// responseStream is the body of a response for the server, which closes it after writing it.
-type responseStream struct {
-	bytes.Reader
-	response *nodeResponse
-}
-
-// Close implements io.Closer.
-func (s *responseStream) Close() error {
-	s.response.Release()
-	return nil
-}
-
 // decodeResponse decodes a response into the result of its attempt. Only a served result refers to rep.
 func decodeResponse(m *fasthttp.Response, rep *nodeResponse) core.Result {
 	h := &m.Header
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -98,6 +98,7 @@
 					selectorTimer = n.addressPool.applyChanges()
 				}
 			}
+			clear(batch) // an idle node must not keep its last attempts in memory
 		case <-timer.C:
 			n.serveWaiting()
 			n.closeExpiredIdle()
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -11,7 +11,6 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/semaphore"
 
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/scattergather"
@@ -38,7 +37,7 @@
 	ln         atomic.Pointer[transport.Listener]
 	lastBounds atomic.Pointer[bounds] // bounds of the last seen settings of the core
 	// BodyMemory is the memory budget shared by all request bodies over 64 KiB; nil means no limit.
-	BodyMemory          *semaphore.Weighted
+	BodyMemory          *MemoryBudget
 	reserveIdle         atomic.Bool // reject the requests that would use the last idle connections
 	closeAfterResponses atomic.Bool // close each connection with its next response
 	rejectIncoming      atomic.Bool // reject requests that are still arriving; each response closes its connection, even if unread bytes wait
@@ -249,6 +248,7 @@
 	}
 }
 
+// handle answers one request, whose body is still to be read.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	countParsed(ctx)
 	defer s.closeIfStopping(ctx)
@@ -256,46 +256,18 @@
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		return
 	}
-	body, err := readBody(ctx, s.BodyMemory)
-	if err != nil {
-		s.rejectUnread(ctx, err)
-		return
-	}
-	defer body.release()
 	bounds := s.bounds()
-	r, err := decodeWith(&ctx.Request, body.body, bounds)
-	if err != nil {
-		code := fasthttp.StatusBadRequest
-		var m *MalformedError
-		if errors.As(err, &m) {
-			code = m.Status
-		}
-		ctx.Error(err.Error(), code)
-		closeDiscardingInput(ctx) // the bytes that follow may belong to the malformed request
+	r := s.readRequest(ctx, bounds)
+	if r == nil {
 		return
 	}
 	r.ReceivedAt = time.Now()
-	answers := make(chan core.Answer, 1)
-	var disconnected atomic.Bool
-	releaseAnswer := func() { // releases an answer that arrives while the client disconnects
-		select {
-		case a := <-answers:
-			if rep, ok := a.Payload.(*nodeResponse); ok {
-				rep.Release()
-			}
-		default:
-		}
-	}
-	r.Answer = func(a core.Answer) {
-		answers <- a
-		if disconnected.Load() {
-			releaseAnswer()
-		}
-	}
+	pending := newPendingAnswer()
+	r.Answer = pending.deliver
 	overCapacity := s.ln.Load().OverCapacity()
 	if overCapacity || s.reserveIdle.Load() && s.ln.Load().FewIdle() {
 		s.Core.Reject(r, rejectRetryAfter)
-		writeResponse(ctx, <-answers)
+		writeResponse(ctx, <-pending.answers)
 		if overCapacity {
 			closeAfterResponse(ctx) // the connection is above the cap
 		}
@@ -305,18 +277,45 @@
 		s.gather(ctx, r, svc, bounds)
 		return
 	}
+	s.submit(ctx, r, pending)
+}
+
+// readRequest reads and decodes a request. If that fails, it answers the request and returns nil. Its result alone refers to
+// the body, so that the body's memory is free once core has released the payload.
+func (s *Server) readRequest(ctx *fasthttp.RequestCtx, bounds *bounds) *core.Request {
+	body, err := readBody(ctx, s.BodyMemory)
+	if err != nil {
+		s.rejectUnread(ctx, err)
+		return nil
+	}
+	r, err := decodeWith(&ctx.Request, body, bounds)
+	if err != nil {
+		body.release()
+		code := fasthttp.StatusBadRequest
+		var m *MalformedError
+		if errors.As(err, &m) {
+			code = m.Status
+		}
+		ctx.Error(err.Error(), code)
+		closeDiscardingInput(ctx) // the bytes that follow may belong to the malformed request
+		return nil
+	}
+	return r
+}
+
+// submit passes a request to core and writes its answer, unless the client disconnects first.
+func (s *Server) submit(ctx *fasthttp.RequestCtx, r *core.Request, pending *pendingAnswer) {
 	conn := ctx.Conn().(*transport.Conn) // Serve wraps its listener
 	peerClosed := conn.Watch()
 	r.ClientDisconnected = conn.PeerClosed
 	s.Core.Submit(r)
 	select {
-	case a := <-answers:
+	case a := <-pending.answers:
 		conn.Unwatch()
 		writeResponse(ctx, a)
 	case <-peerClosed:
 		s.Core.Cancel(r)
-		disconnected.Store(true)
-		releaseAnswer()
+		pending.abandon()
 		conn.Unwatch()
 		ctx.SetConnectionClose()
 		ctx.SetStatusCode(499) // the client has disconnected and does not see it
@@ -356,13 +355,7 @@
 			ctx.Response.SetBodyStream(rep.relay, -1) // chunked, so that a truncated response lacks its last chunk
 			return
 		}
-		if rep.release == nil {
-			ctx.Response.SetBodyRaw(rep.body)
-			return
-		}
-		out := &responseStream{response: rep}
-		out.Reset(rep.body)
-		ctx.Response.SetBodyStream(out, len(rep.body))
+		ctx.Response.SetBodyRaw(rep.body)
 	case core.Rejected:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		wait := max(a.RetryAfter, minRetryAfter)
