iSCSI: a command's share of the buffer budget is held until its data are free

The share of a command was returned when its response was queued, while its write data stayed with core's guard timer, the task and abandoned commands, its response waited in the session's write buffer for up to 10 s, and abandoned reads collected data outside the budget, up to 256 commands a target.

Change: bufferShare counts its holders, the task and the transfer; the transfer is released by core, the task's hold with the flush of its response. Abandoned reads only count their data. A session's write buffer over 64 KiB is dropped after the write.

Tests: TestBufferShareIsHeldByOutstandingAttempt, TestBufferShareReturnsWithLastHolder, TestAbandonedReadKeepsNoData; they use the new type, so they were not run on the code before.

--- /dev/null
+++ b/internal/iscsi/bufferbudget_test.go
@@ -0,0 +1,64 @@
+package iscsi
+
+import (
+	"testing"
+	"time"
+
+	"wheatsaddle/internal/core"
+)
+
+const testWait = 10 * time.Second
+
+// waitUntilBuffersAreFree waits until every share of the buffer budget has been returned.
+func (env *testEnv) waitUntilBuffersAreFree(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(testWait); env.target.buffers.reserved.Load() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes still reserved", env.target.buffers.reserved.Load())
+		}
+	}
+}
+
+// Guards against a write whose data stay in memory while their share of the budget is free: the share is held while an
+// attempt is outstanding, also after the initiator has aborted the task, and the data are dropped when it ends.
+func TestBufferShareIsHeldByOutstandingAttempt(t *testing.T) {
+	env := newTestEnv(t, longObjective, false)
+	client := env.initiator(t)
+	itt, data := env.startHeldWrite(client)
+	if got := env.target.buffers.reserved.Load(); got != int64(len(data)) {
+		t.Errorf("%d bytes are reserved during the write, want %d", got, len(data))
+	}
+	close(env.hold)
+	if e := client.awaitResponse(itt, nil); e.status != statusGood {
+		t.Errorf("write ended as %+v", e)
+	}
+	env.waitUntilBuffersAreFree(t)
+}
+
+// The last holder returns the share, and drops the data with it.
+func TestBufferShareReturnsWithLastHolder(t *testing.T) {
+	var budget bufferBudget
+	task := &scsiTask{length: 4096}
+	if !budget.reserve(task) {
+		t.Fatal("an empty budget has no room")
+	}
+	payload := &transfer{data: make([]byte, task.length), buffer: task.buffer.share()}
+	task.buffer.release() // its response was written
+	if budget.reserved.Load() != int64(task.length) {
+		t.Error("the share came back while the transfer still refers to its data")
+	}
+	var released core.Releaser = payload
+	released.Release()
+	if budget.reserved.Load() != 0 || payload.data != nil {
+		t.Errorf("%d bytes reserved and %d bytes of data after the last release", budget.reserved.Load(), len(payload.data))
+	}
+}
+
+// Guards against read data that an abandoned command collects outside the budget.
+func TestAbandonedReadKeepsNoData(t *testing.T) {
+	c := &command{transfer: &transfer{size: 1024}}
+	c.addReadData(make([]byte, 512))
+	if len(c.readData) != 0 || c.received != 512 || c.dataSN != 1 {
+		t.Errorf("an abandoned command keeps %d bytes, received %d, DataSN %d", len(c.readData), c.received, c.dataSN)
+	}
+}
--- a/internal/iscsi/command.go
+++ b/internal/iscsi/command.go
@@ -30,7 +30,7 @@
 	burstLeft         uint32        // bytes still expected in this sequence
 	r2tSN             uint32        // R2TSN of the next R2T
 	request           *core.Request // nil until submitted
-	reservedBytes     int64         // bytes reserved from the target's buffer budget
+	buffer            *bufferShare  // nil: the command transfers no blocks
 }
 
 // transfer is the payload of a request: the command for a storage target. It is the same for each attempt.
@@ -40,6 +40,14 @@
 	size  uint32
 	data  []byte
 	key   string
+	// buffer is the command's share of the buffer budget, which also covers data.
+	buffer *bufferShare
+}
+
+// Release implements core.Releaser. Core calls it when no attempt can use the transfer any more.
+func (x *transfer) Release() {
+	x.data = nil
+	x.buffer.release()
 }
 
 // handleCommand starts a task. A command that transfers blocks becomes a request once its write data is complete.
@@ -82,7 +90,7 @@
 		return nil
 	}
 	task.length, task.class, task.deadline = uint32(size), rule.Class, time.Duration(rule.Deadline*float64(time.Millisecond))
-	if len(s.tasks) > s.target.conf.QueueDepth || s.logoutExpected(time.Now()) || !s.target.reserveBuffer(task) {
+	if len(s.tasks) > s.target.conf.QueueDepth || s.logoutExpected(time.Now()) || !s.target.buffers.reserve(task) {
 		s.rejectTask(task, 0)
 		return nil
 	}
@@ -228,8 +236,9 @@
 		Request: policy.Request{ID: id, Class: task.class, Plan: u.Plan, Key: fmt.Sprintf("%016x", h.Sum64()), Volume: u.Volume,
 			Units: units, Shard: u.Shard, Schedulers: u.Schedulers},
 		ReceivedAt: task.receivedAt, Timeout: task.deadline,
-		Payload: &transfer{lun: u.StorageLUN, block: task.block, size: task.length, data: task.writeData, key: id},
+		Payload: &transfer{lun: u.StorageLUN, block: task.block, size: task.length, data: task.writeData, key: id, buffer: task.buffer.share()},
 	}
+	task.writeData = nil // belongs to the transfer
 	task.request.Answer = func(a core.Answer) {
 		s.mu.Lock()
 		s.answers = append(s.answers, coreAnswer{task, a})
@@ -250,10 +259,11 @@
 	s.removeTask(task)
 }
 
-// removeTask removes a task and releases its buffer budget, unless its tag belongs to another task.
+// removeTask removes a task, unless its tag belongs to another task. Its share of the buffer budget is released with the next
+// flush, because the response may still wait in the write buffer.
 func (s *session) removeTask(task *scsiTask) {
 	if s.tasks[task.initiatorTaskTag] == task {
 		delete(s.tasks, task.initiatorTaskTag)
-		s.target.bufferedBytes.Add(-task.reservedBytes)
+		s.unflushed = append(s.unflushed, task.buffer)
 	}
 }
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -140,7 +140,8 @@
 	itt      uint32
 	cmdSN    uint32
 	timer    *time.Timer
-	readData []byte // data received for a read
+	readData []byte // data received for a read; nil once the command is abandoned
+	received uint32 // bytes received for a read
 	dataSN   uint32
 	written  bool // the complete command PDU was written, so it may run
 }
@@ -332,6 +333,7 @@
 		return
 	}
 	c.attempt = nil
+	c.readData = nil
 	c.timer.Stop()
 	delete(p.commands, a)
 	go a.Done(r)
@@ -367,6 +369,7 @@
 	}
 	for len(p.queue) > 0 && p.current != nil && p.current.windowOpen() {
 		c := p.queue[0]
+		p.queue[0] = nil // the array must not refer to it
 		p.queue = p.queue[1:]
 		switch {
 		case c.attempt == nil:
@@ -385,7 +388,7 @@
 	for _, c := range p.queue {
 		p.reportResult(c, core.Result{Status: policy.ConnectFailed})
 	}
-	p.queue = p.queue[:0]
+	p.queue = nil
 }
 
 // dial opens the session with a target that has a single portal.
--- a/internal/iscsi/nexus.go
+++ b/internal/iscsi/nexus.go
@@ -202,6 +202,14 @@
 	return dst
 }
 
+// addReadData stores the data of a Data-In PDU, or only counts them if the command was abandoned.
+func (c *command) addReadData(data []byte) {
+	c.received, c.dataSN = c.received+uint32(len(data)), c.dataSN+1
+	if c.attempt != nil {
+		c.readData = append(c.readData, data...)
+	}
+}
+
 // removeCommand releases the tag of a command that has ended.
 func (x *nexus) removeCommand(c *command) {
 	if x.commands[c.itt] == c {
@@ -232,11 +240,11 @@
 		if c == nil {
 			return fmt.Errorf("%w: Data-In for an unknown command", errProtocol)
 		}
-		if c.transfer.block.write || q.u32(36) != c.dataSN || q.u32(40) != uint32(len(c.readData)) ||
-			uint64(len(c.readData))+uint64(len(q.data)) > uint64(c.transfer.size) {
+		if c.transfer.block.write || q.u32(36) != c.dataSN || q.u32(40) != c.received ||
+			uint64(c.received)+uint64(len(q.data)) > uint64(c.transfer.size) {
 			return fmt.Errorf("%w: Data-In out of sequence", errProtocol)
 		}
-		c.readData, c.dataSN = append(c.readData, q.data...), c.dataSN+1
+		c.addReadData(q.data)
 		if q.bhs[1]&0x01 != 0 { // S bit: the PDU carries the status
 			x.expStatSN = q.u32(24) + 1
 			return x.handleResponse(c, q)
--- a/internal/iscsi/session.go
+++ b/internal/iscsi/session.go
@@ -28,11 +28,12 @@
 	lastTransferTag             uint32
 	tasks                       map[uint32]*scsiTask // by initiator task tag
 	writeBuffer                 []byte
-	mu                          sync.Mutex    // guards answers
-	answers                     []coreAnswer  // shared: appended by the core, at most one for each task
-	wake                        chan struct{} // shared: signals that answers has entries
-	draining                    atomic.Bool   // shared: the target is shutting down
-	logoutRequestedAt           time.Time     // when the initiator was asked to log out; zero: not yet
+	unflushed                   []*bufferShare // of tasks that have ended, until their responses are written
+	mu                          sync.Mutex     // guards answers
+	answers                     []coreAnswer   // shared: appended by the core, at most one for each task
+	wake                        chan struct{}  // shared: signals that answers has entries
+	draining                    atomic.Bool    // shared: the target is shutting down
+	logoutRequestedAt           time.Time      // when the initiator was asked to log out; zero: not yet
 	lastPDUAt                   time.Time
 	pingSent                    bool
 }
@@ -64,6 +65,8 @@
 		for _, task := range s.tasks {
 			s.abortTask(task)
 		}
+		s.writeBuffer = nil
+		s.releaseFlushed()
 	}()
 	ticker := time.NewTicker(sessionCheckInterval)
 	defer ticker.Stop()
@@ -113,6 +116,7 @@
 
 // flush writes the queued PDUs.
 func (s *session) flush() error {
+	defer s.releaseFlushed()
 	if len(s.writeBuffer) == 0 {
 		return nil
 	}
@@ -120,10 +124,21 @@
 		return err
 	}
 	_, err := s.conn.Write(s.writeBuffer)
-	s.writeBuffer = s.writeBuffer[:0]
+	if s.writeBuffer = s.writeBuffer[:0]; cap(s.writeBuffer) > maxRetainedBuffer {
+		s.writeBuffer = nil
+	}
 	return err
 }
 
+// releaseFlushed releases the buffers of the tasks whose responses are no longer in the write buffer.
+func (s *session) releaseFlushed() {
+	for i, share := range s.unflushed {
+		share.release()
+		s.unflushed[i] = nil
+	}
+	s.unflushed = s.unflushed[:0]
+}
+
 // queuePDU queues a PDU with the current command window. A PDU that carries status consumes a StatSN.
 func (s *session) queuePDU(p *pdu, status bool) {
 	if p.op() != opDataIn { // this target's Data-In PDUs never carry status
--- a/internal/iscsi/target.go
+++ b/internal/iscsi/target.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	maxBufferedBytes     = 32 << 20 // write and read data reserved by all sessions in total
+	maxRetainedBuffer    = 64 << 10 // a longer write buffer is released after the write
 	writeTimeout         = 10 * time.Second
 	sessionCheckInterval = 100 * time.Millisecond // between two checks of a session's timeouts
 	pingAfterSilence     = 30 * time.Second       // without a PDU, until a NOP-In requests one
@@ -43,7 +43,7 @@
 	units             map[string]map[uint16]*unit // by target name and LUN
 	startedAt         int64                       // makes request ids differ from those of earlier processes
 	lastRequestNumber atomic.Uint64
-	bufferedBytes     atomic.Int64 // reserved by all tasks
+	buffers           bufferBudget // of all tasks
 
 	mu       sync.Mutex // guards the fields below and each session's nexus
 	listener net.Listener
@@ -128,14 +128,3 @@
 		}
 	}
 }
-
-// reserveBuffer reserves a task's bytes from the budget of all sessions and reports whether they were available. It is
-// called before the buffer is allocated, so that initiators cannot exhaust the memory.
-func (t *Target) reserveBuffer(task *scsiTask) bool {
-	if t.bufferedBytes.Add(int64(task.length)) > maxBufferedBytes {
-		t.bufferedBytes.Add(-int64(task.length))
-		return false
-	}
-	task.reservedBytes = int64(task.length)
-	return true
-}
