--- a/internal/httpfront/body_test.go
+++ b/internal/httpfront/body_test.go
@@ -18,8 +18,9 @@
 	"wheatsaddle/policy"
 )
 
-// newEchoNode starts a storage node that responds to each request with the request's body.
-func newEchoNode(t *testing.T) net.Listener {
+// startNode starts a storage node that calls serve for each connection, and closes the connection after that.
+func startNode(t *testing.T, serve func(net.Conn)) net.Listener {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -33,24 +34,32 @@
 			}
 			go func() {
 				defer nc.Close()
-				br, bw := bufio.NewReader(nc), bufio.NewWriter(nc)
-				for {
-					var q fasthttp.Request
-					if q.Read(br) != nil {
-						return
-					}
-					fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(q.Body()))
-					_, _ = bw.Write(q.Body())
-					if bw.Flush() != nil {
-						return
-					}
-				}
+				serve(nc)
 			}()
 		}
 	}()
 	return ln
 }
 
+// newEchoNode starts a storage node that responds to each request with the request's body.
+func newEchoNode(t *testing.T) net.Listener {
+	t.Helper()
+	return startNode(t, func(nc net.Conn) {
+		br, bw := bufio.NewReader(nc), bufio.NewWriter(nc)
+		for {
+			var q fasthttp.Request
+			if q.Read(br) != nil {
+				return
+			}
+			fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(q.Body()))
+			_, _ = bw.Write(q.Body())
+			if bw.Flush() != nil {
+				return
+			}
+		}
+	})
+}
+
 // nodeListAt returns an endpoint list that moves the server's only node to another address.
 func nodeListAt(ln net.Listener) core.ListUpdate {
 	return core.ListUpdate{Kind: policy.ListReceived, Nodes: []core.Node{{Node: policy.Node{ID: "n", Weight: 1}, Addresses: addressesOf(ln)}}}
--- a/internal/httpfront/bodymemory_test.go
+++ b/internal/httpfront/bodymemory_test.go
@@ -101,21 +101,7 @@
 // newUnreadNode starts a storage node that accepts connections and reads nothing until release is closed.
 func newUnreadNode(t *testing.T, release <-chan bool) net.Listener {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() { <-release; nc.Close() }()
-		}
-	}()
-	return ln
+	return startNode(t, func(net.Conn) { <-release })
 }
 
 // The budget covers the whole buffer of a chunked body, not only the bytes that have arrived.
--- a/internal/transport/listener_test.go
+++ b/internal/transport/listener_test.go
@@ -19,7 +19,14 @@
 	}
 	l := limit(ln, capacity) // without periodic eviction
 	t.Cleanup(func() { _ = l.Close() })
-	client, err := net.Dial("tcp", ln.Addr().String())
+	conn, client := acceptOne(t, l)
+	return l, conn, client
+}
+
+// acceptOne connects to the listener and returns the accepted connection and the client's end of it.
+func acceptOne(t *testing.T, l *Listener) (*Conn, net.Conn) {
+	t.Helper()
+	client, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -28,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return l, in.(*Conn), client
+	return in.(*Conn), client
 }
 
 // Unwatch ends a watch without and with input, which stays readable, and a watch ends when the peer closes.
@@ -89,16 +96,8 @@
 	_, _ = io.WriteString(client, "GET")
 	conns := []*Conn{active}
 	for range 4 {
-		nc, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = nc.Close() })
-		in, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		conns = append(conns, in.(*Conn))
+		conn, _ := acceptOne(t, l)
+		conns = append(conns, conn)
 	}
 	requesting, other, idleConn, silent := conns[1], conns[2], conns[3], conns[4]
 	requesting.markActive()
--- a/internal/transport/stalledrequest_test.go
+++ b/internal/transport/stalledrequest_test.go
@@ -12,16 +12,7 @@
 // requestPair accepts one more connection, on which the client has sent the beginning of a request.
 func requestPair(t *testing.T, l *Listener) (*Conn, net.Conn) {
 	t.Helper()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = client.Close() })
-	in, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	conn := in.(*Conn)
+	conn, client := acceptOne(t, l)
 	_, _ = io.WriteString(client, "PUT")
 	if r := <-readOnce(conn); r.text != "PUT" {
 		t.Fatalf("the server read %+v", r)
