--- a/internal/httpfront/slowclient_test.go
+++ b/internal/httpfront/slowclient_test.go
@@ -219,3 +219,23 @@
 		t.Errorf("answered with status %d, error %v after %v, want 200 or 503 within %v", r.StatusCode(), err, took, soundLimit)
 	}
 }
+
+// Guards against a client that requests a long response and reads nothing: it has to be cut off, and the node's connection
+// with it, within the timeout of a piece.
+func TestClientThatReadsNothingIsCutOff(t *testing.T) {
+	const size = 64 << 20 // more than fits in the socket buffers
+	f := newFront(t, func(nc net.Conn) bool {
+		_, _ = io.WriteString(nc, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size))
+		_, err := nc.Write(make([]byte, size))
+		return err == nil
+	})
+	c := dialFront(t, f.address)
+	_, _ = io.WriteString(c.Conn, validRequest)
+	started := time.Now()
+	waitFor(t, func() bool { return f.requests.Load() == 1 })
+	<-f.ended // the write to the scheduler has failed
+	if took := time.Since(started); took < responseLimits.StallTimeout || took > responseLimits.StallTimeout+2*time.Second {
+		t.Errorf("cut off after %v, want %v", took, responseLimits.StallTimeout)
+	}
+	waitFor(t, func() bool { return f.srv.ConnCounts().Handling == 0 })
+}
--- a/internal/iscsi/bufferbudget_test.go
+++ b/internal/iscsi/bufferbudget_test.go
@@ -1,9 +1,11 @@
 package iscsi
 
 import (
+	"net"
 	"testing"
 	"time"
 
+	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
 )
 
@@ -62,3 +64,44 @@
 		t.Errorf("an abandoned command keeps %d bytes, received %d, DataSN %d", len(c.readData), c.received, c.dataSN)
 	}
 }
+
+// budgetConn is a connection that records the reserved bytes of the budget at each write.
+type budgetConn struct {
+	net.Conn
+	budget   *bufferBudget
+	reserved []int64
+}
+
+// Write implements net.Conn.
+func (c *budgetConn) Write(b []byte) (int, error) {
+	c.reserved = append(c.reserved, c.budget.reserved.Load())
+	return len(b), nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *budgetConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against responses that wait in a session's write buffer outside the budget, and against a buffer that stays at its
+// largest size.
+func TestBufferShareIsHeldUntilResponseIsWritten(t *testing.T) {
+	const size = 2 * maxRetainedBuffer
+	target := &Target{conf: &config.ISCSI{QueueDepth: 8}}
+	conn := &budgetConn{budget: &target.buffers}
+	s := newSession(target, conn)
+	s.sendFraming = framing{maxDataSegment: ownMaxSegment}
+	task := &scsiTask{initiatorTaskTag: 1, length: size, expectedLength: size}
+	if !target.buffers.reserve(task) {
+		t.Fatal("an empty budget has no room")
+	}
+	s.tasks[task.initiatorTaskTag] = task
+	s.sendResponse(task, statusGood, nil, make([]byte, size), size, 0)
+	if err := s.flush(); err != nil {
+		t.Fatal(err)
+	}
+	if len(conn.reserved) != 1 || conn.reserved[0] != size {
+		t.Errorf("%v bytes reserved during the write, want %d", conn.reserved, size)
+	}
+	if left := target.buffers.reserved.Load(); left != 0 || s.writeBuffer != nil {
+		t.Errorf("%d bytes reserved and a buffer of %d bytes after the write", left, cap(s.writeBuffer))
+	}
+}
