--- a/internal/iscsi/bufferbudget_test.go
+++ b/internal/iscsi/bufferbudget_test.go
@@ -22,7 +22,7 @@
 }
 
 // Guards against a write whose data stay in memory while their share of the budget is free: the share is held while an
-// attempt is outstanding, also after the initiator has aborted the task, and the data are dropped when it ends.
+// attempt is outstanding, and returned once the write has ended.
 func TestBufferShareIsHeldByOutstandingAttempt(t *testing.T) {
 	env := newTestEnv(t, longObjective, false)
 	client := env.initiator(t)
