A connection to a storage node rests for 50 ms after each response

Cause: responses carry no request id, and a connection was free for the next request as soon as a response was read. Change: package connreuse (no I/O) decides how long a connection rests: 50 ms, and 200 ms for a minute after its node has sent unrequested bytes. A resting connection stays in the idle set, so that it can be evicted at the descriptor limit; attempts wait for it as for a busy one, or connect. At the end of the rest its input is checked. The address selector has a phase for it. A response followed by more bytes on a connection with an earlier request may be a late one: the attempt may have run, and its class decides. Unrequested bytes close the connection, are logged (node-unrequested-bytes) with node and count, and have a metric.

--- a/cmd/wheatsaddle/frontmetrics.go
+++ b/cmd/wheatsaddle/frontmetrics.go
@@ -8,8 +8,8 @@
 )
 
 // registerFrontMetrics registers the metrics of the HTTP front: the clients' connections by state, the requests that
-// stopped arriving, and the memory of long request bodies.
-func registerFrontMetrics(m *metrics.Registry, front *httpfront.Server) {
+// stopped arriving, the memory of long request bodies, and the connections on which storage nodes sent unrequested bytes.
+func registerFrontMetrics(m *metrics.Registry, front *httpfront.Server, dialer *httpfront.Dialer) {
 	for state, count := range map[string]func(transport.ConnCounts) int{
 		"fresh":     func(c transport.ConnCounts) int { return c.Fresh },
 		"reading":   func(c transport.ConnCounts) int { return c.Reading },
@@ -27,6 +27,7 @@
 		"core_module_requests": func(t core.TableSizes) int { return t.Module },
 		"core_guard_timers":    func(t core.TableSizes) int { return t.Guards },
 	})
+	m.Gauge(func() float64 { return float64(dialer.UnrequestedBytes()) }, "node_connections_unrequested_bytes")
 	m.Gauge(func() float64 { return float64(front.BodyMemory.InUse()) }, "request_body_memory_bytes")
 	m.Gauge(func() float64 { return float64(front.BodyMemory.Size()) }, "request_body_memory_limit_bytes")
 }
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -44,6 +44,7 @@
 	starter    *starter // nil: the section start of the site's file is missing or off
 	fleet      *fleet   // nil: the site's file has no section peers
 	core       *core.Core
+	dialer     *httpfront.Dialer // of the HTTP front's connections to storage nodes
 	exclusions *exclusionSyncer
 
 	ctx          context.Context // cancelled when the service ends
--- a/cmd/wheatsaddle/startup.go
+++ b/cmd/wheatsaddle/startup.go
@@ -11,6 +11,7 @@
 	"wheatsaddle/internal/admin"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/connqueue"
+	"wheatsaddle/internal/connreuse"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/discovery"
 	"wheatsaddle/internal/discovery/watchtimer"
@@ -92,19 +93,20 @@
 }
 
 func (s *service) coreOptions(excluded exclusion.State) core.Options {
-	dialer := &httpfront.Dialer{
+	s.dialer = &httpfront.Dialer{
 		ConnectTimeout: milliseconds(s.conf.ConnectTimeout),
 		ConnIdle:       milliseconds(s.conf.ConnIdle),
 		MaxConns:       int64(s.nodeConns),
 		FreeConnWait:   connqueue.MaxFreeConnWait(s.conf.HandshakePrice, minLatencyObjective(s.conf.Settings)),
 		Idempotent:     idempotentClasses(s.conf.Settings),
+		Reuse:          connreuse.Defaults(),
 		Addresses:      s.site.addressConfig,
 		Log:            s.log,
 	}
 	return core.Options{
 		Settings:       s.starter.reduceSlowStart(s.conf.Settings),
 		Seed:           s.conf.Seed,
-		NewNodeClient:  dialer.Connect,
+		NewNodeClient:  s.dialer.Connect,
 		Log:            s.log,
 		Excluded:       excluded,
 		OnAttemptEnded: s.fleet.observer(),
@@ -185,7 +187,7 @@
 	}
 	s.front = httpfront.NewServer(s.core, s.conf.Settings, s.clientConns, s.log)
 	s.front.BodyMemory = httpfront.NewMemoryBudget(bodyMemory(s.conf))
-	registerFrontMetrics(s.site.registry, s.front)
+	registerFrontMetrics(s.site.registry, s.front, s.dialer)
 	if s.gather, err = startGather(s.site, s.conf, s.core, s.front, s.fleet); err != nil {
 		return err
 	}
--- a/internal/address/check.go
+++ b/internal/address/check.go
@@ -8,8 +8,8 @@
 
 // connTotals counts connections by phase.
 type connTotals struct {
-	conns, connecting, unproven, busy int
-	requests                          map[Req]bool // on busy connections
+	conns, connecting, unproven, inUse int
+	requests                           map[Req]bool // on busy connections
 }
 
 // Check returns an error if an invariant does not hold. Tests call it after any Step.
@@ -56,12 +56,15 @@
 			return errors.New("connecting for a race that is over")
 		}
 	case busy:
-		totals.busy++
+		totals.inUse++
 		if c.req == 0 || totals.requests[c.req] {
 			return fmt.Errorf("request %d is on two connections, or a busy connection has no request", c.req)
 		}
 		totals.requests[c.req] = true
-	case idle:
+	case idle, resting:
+		if c.phase == resting {
+			totals.inUse++ // ConnRested follows
+		}
 		if c.entry.removed || s.closing {
 			return errors.New("idle although its node or address was removed")
 		}
@@ -82,7 +85,7 @@
 		return fmt.Errorf("%d requests wait", n)
 	case n > 0 && (s.draining || s.closing):
 		return fmt.Errorf("%d requests wait for a node that drains or was removed", n)
-	case n > 0 && totals.connecting == 0 && totals.busy == 0 && s.Next() == never:
+	case n > 0 && totals.connecting == 0 && totals.inUse == 0 && s.Next() == never:
 		return fmt.Errorf("%d requests wait, but there is no connect, no request in flight and no timer", n)
 	}
 	return nil
--- a/internal/address/conns.go
+++ b/internal/address/conns.go
@@ -14,6 +14,7 @@
 	connecting
 	idle
 	busy
+	resting // after a response, until ConnRested
 )
 
 // conn is a slot for one connection.
--- a/internal/address/events.go
+++ b/internal/address/events.go
@@ -17,7 +17,7 @@
 	RequestCancelled                  // Req, Conn (0: it waits): its owner has cancelled it
 	Connected                         // Conn
 	ConnectFailed                     // Conn, Reason
-	ResponseReceived                  // Conn, Verdict, KeepAlive: the response is complete
+	ResponseReceived                  // Conn, Verdict, KeepAlive, Resting: the response is complete
 	ConnBroken                        // Conn, Reason: it was closed or reset while it carried a request
 	IdleConnClosed                    // Conn: the peer or the driver closed it while it was idle
 	TimerFired                        // the timer of Next has expired
@@ -26,6 +26,7 @@
 	DemandContinued                   // earlier requests are still in progress, so trials that are due may start
 	ProgressSeen                      // Conn: data was received on a connection while its request is in progress
 	AddressesChanged                  // Addrs: the node's addresses from now on
+	ConnRested                        // Conn: the rest after its last response has ended
 )
 
 // Reason is why a connection failed or the state of an address changed.
@@ -80,6 +81,7 @@
 	Idempotent bool // the request may be repeated
 	NamesShard bool // the request names a shard, so that another node rejects it
 	KeepAlive  bool // the connection may carry another request; if false, the driver has closed it
+	Resting    bool // ConnRested follows, and before it the connection must not carry another request
 	Draining   bool
 	Addrs      []Addr
 }
--- a/internal/address/handlers.go
+++ b/internal/address/handlers.go
@@ -107,10 +107,26 @@
 	switch {
 	case !e.KeepAlive:
 		s.releaseConn(c)
-	case addressEntry.removed || s.closing || addressEntry.unusable() && s.rank(addressEntry) > s.bestRank():
-		s.closeConn(c)
+	case e.Resting && !addressEntry.removed && !s.closing:
+		c.phase, c.since = resting, s.now
 	default:
-		s.makeIdle(c)
+		s.keepConn(c)
+	}
+}
+
+// keepConn makes a connection without a request idle, or closes it if its address must not be used.
+func (s *Selector) keepConn(c *conn) {
+	if c.entry.removed || s.closing || c.entry.unusable() && s.rank(c.entry) > s.bestRank() {
+		s.closeConn(c)
+		return
+	}
+	s.makeIdle(c)
+}
+
+// handleConnRested handles the end of the rest after a response.
+func (s *Selector) handleConnRested(id Conn) {
+	if c := s.connByID(id); c != nil && c.phase == resting {
+		s.keepConn(c)
 	}
 }
 
@@ -140,9 +156,9 @@
 	}
 }
 
-// handleIdleConnClosed removes an idle connection that was closed.
+// handleIdleConnClosed removes an idle or resting connection that was closed.
 func (s *Selector) handleIdleConnClosed(id Conn) {
-	if c := s.connByID(id); c != nil && c.phase == idle {
+	if c := s.connByID(id); c != nil && (c.phase == idle || c.phase == resting) {
 		s.removeIdle(c)
 		s.releaseConn(c)
 	}
@@ -164,7 +180,7 @@
 	s.closing = true
 	s.stopConnecting()
 	for i := range s.conns {
-		if c := &s.conns[i]; c.phase == idle {
+		if c := &s.conns[i]; c.phase == idle || c.phase == resting {
 			s.closeConn(c)
 		}
 	}
--- a/internal/address/harness_test.go
+++ b/internal/address/harness_test.go
@@ -15,6 +15,7 @@
 	actions        []Action // of the last step
 	connecting     []Conn   // in the order of their connects
 	busy           []Conn
+	resting        []Conn
 	addrOf         map[Conn]Addr
 	requestOn      map[Conn]Req
 	writes         map[Req]int
@@ -113,8 +114,8 @@
 		if h.draining || h.removed {
 			h.recordViolation("request written while the node drains or after it was removed")
 		}
-		if h.requestOn[a.Conn] != 0 || slices.Contains(h.connecting, a.Conn) {
-			h.recordViolation("request written on a connection that is in use or connecting")
+		if h.requestOn[a.Conn] != 0 || slices.Contains(h.connecting, a.Conn) || slices.Contains(h.resting, a.Conn) {
+			h.recordViolation("request written on a connection that is in use, connecting or resting")
 		}
 		if h.writes[a.Req]++; h.writes[a.Req] > 1 || !h.openRequests[a.Req] {
 			h.recordViolation("request %d written %d times, or after its end", a.Req, h.writes[a.Req])
@@ -135,7 +136,7 @@
 }
 
 func (h *harness) removeConn(c Conn) {
-	h.connecting, h.busy = deleteConn(h.connecting, c), deleteConn(h.busy, c)
+	h.connecting, h.busy, h.resting = deleteConn(h.connecting, c), deleteConn(h.busy, c), deleteConn(h.resting, c)
 	delete(h.requestOn, c)
 }
 
@@ -162,6 +163,20 @@
 	h.step(Event{Kind: ResponseReceived, Conn: c, Verdict: verdict, KeepAlive: true})
 }
 
+// respondAndRest serves the request on a connection, which then rests.
+func (h *harness) respondAndRest(c Conn) {
+	delete(h.openRequests, h.requestOn[c])
+	h.removeConn(c)
+	h.resting = append(h.resting, c)
+	h.step(Event{Kind: ResponseReceived, Conn: c, Verdict: VerdictServed, KeepAlive: true, Resting: true})
+}
+
+// endRest ends the rest of a connection with the given event.
+func (h *harness) endRest(c Conn, kind EventKind) {
+	h.removeConn(c)
+	h.step(Event{Kind: kind, Conn: c})
+}
+
 // breakConn breaks a connection. With ReasonUnwritten, its request is queued again and may be written once more.
 func (h *harness) breakConn(c Conn, reason Reason) {
 	if q := h.requestOn[c]; reason == ReasonUnwritten {
--- a/internal/address/invariants_test.go
+++ b/internal/address/invariants_test.go
@@ -20,7 +20,10 @@
 		events = append(events, "last connected", "last refused")
 	}
 	if len(h.busy) > 0 {
-		events = append(events, "served", "rejected", "reset", "unwritten", "cancelled")
+		events = append(events, "served", "served, then rests", "rejected", "reset", "unwritten", "cancelled")
+	}
+	if len(h.resting) > 0 {
+		events = append(events, "rest ends", "closed while it rests")
 	}
 	if !h.draining {
 		events = append(events, "drain begins")
@@ -58,6 +61,12 @@
 		h.failConnect(h.connecting[0], ReasonNoResource)
 	case "served":
 		h.respond(h.busy[0], VerdictServed)
+	case "served, then rests":
+		h.respondAndRest(h.busy[0])
+	case "rest ends":
+		h.endRest(h.resting[0], ConnRested)
+	case "closed while it rests":
+		h.endRest(h.resting[0], IdleConnClosed)
 	case "rejected":
 		h.respond(h.busy[0], VerdictRejected)
 	case "reset":
--- a/internal/address/selector.go
+++ b/internal/address/selector.go
@@ -17,7 +17,7 @@
 //  6. The primary returns to a preferred address at most once in MinReturnDelay, and only after MinReturnConns connections
 //     whose first response was timely.
 //  7. A preferred address that has recovered eventually becomes the primary again, provided that requests keep arriving.
-//  8. While a request waits, a connect is in progress, a connection is in use, or a timer is set.
+//  8. While a request waits, a connect is in progress, a connection is in use or rests, or a timer is set.
 //
 // The order and the stagger of connects follow RFC 8305 (Happy Eyeballs v2) sections 4 and 5, the smoothed connect time
 // follows RFC 6298 section 2, and trials correspond to the half-open state of a circuit breaker. The package sends no health
@@ -136,6 +136,8 @@
 		if s.draining {
 			s.stopConnecting()
 		}
+	case ConnRested:
+		s.handleConnRested(e.Conn)
 	case NodeRemoved:
 		s.handleNodeRemoved()
 	case DemandContinued:
--- a/internal/httpfront/addressconn.go
+++ b/internal/httpfront/addressconn.go
@@ -6,6 +6,7 @@
 
 	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
 )
 
@@ -49,6 +50,7 @@
 			return
 		}
 		if j.attempt != nil && t.isUnusable() {
+			t.unrequested = transport.HasInput(t.socket)
 			t.node.mailbox.PutUnbounded(nodeMessage{addressMessage: &addressMessage{unsent: t}})
 			return
 		}
--- a/internal/httpfront/addresspool.go
+++ b/internal/httpfront/addresspool.go
@@ -177,6 +177,7 @@
 		p.endUnsent(request, unsentResult(request.ctx))
 		return
 	}
+	p.node.recordUnrequested(&t.unrequested)
 	t.cancelRun()
 	p.removeConn(t)
 	p.selector.Step(address.Event{Kind: address.ConnBroken, Conn: t.id, Reason: address.ReasonUnwritten})
@@ -199,9 +200,13 @@
 	if p.conns[t.id] != t {
 		return // the selector has closed the connection
 	}
+	p.node.recordUnrequested(&t.unrequested)
 	if e := m.event; e.Kind != address.ResponseReceived || !e.KeepAlive {
 		t.cancelRun()
 		p.removeConn(t)
+	} else {
+		p.node.startRest(&t.conn)
+		m.event.Resting = t.resting(time.Now())
 	}
 	m.event.Conn, m.event.Req = t.id, request.req
 	p.selector.Step(m.event)
@@ -258,6 +263,39 @@
 	}
 }
 
+// nextRestEnd returns when the next rest of a connection ends.
+func (p *addressPool) nextRestEnd() (at time.Time, ok bool) {
+	for _, t := range p.conns {
+		if t.awaitsRestEnd() && (!ok || t.restUntil.Before(at)) {
+			at, ok = t.restUntil, true
+		}
+	}
+	return at, ok
+}
+
+// awaitsRestEnd reports whether the selector has not been notified of the end of the connection's rest.
+func (t *addressConn) awaitsRestEnd() bool {
+	return t.request == nil && !t.restUntil.IsZero() && !t.restChecked
+}
+
+// endRests notifies the selector of the connections whose rest has ended, and closes those on which something has arrived.
+func (p *addressPool) endRests(now time.Time) {
+	for _, t := range p.conns {
+		if !t.awaitsRestEnd() || t.resting(now) {
+			continue
+		}
+		t.restChecked = true
+		event := address.Event{Kind: address.ConnRested, Conn: t.id}
+		if !transport.IsReusable(t.socket) {
+			t.unrequested = transport.HasInput(t.socket)
+			p.node.recordUnrequested(&t.unrequested)
+			p.closeConn(t)
+			event.Kind = address.IdleConnClosed
+		}
+		p.selector.Step(event)
+	}
+}
+
 // applyChanges reports a drain, the removal of the node and new settings to the selector, and returns the channel of its timer.
 // It is called after each message.
 func (p *addressPool) applyChanges() <-chan time.Time {
@@ -325,6 +363,8 @@
 		panic("address selector wrote a request or connection that has ended")
 	}
 	if !t.lastUsed.IsZero() && !transport.IsReusable(t.socket) { // the node has closed it or written to it
+		t.unrequested = transport.HasInput(t.socket)
+		p.node.recordUnrequested(&t.unrequested)
 		p.closeConn(t)
 		p.selector.Step(address.Event{Kind: address.ConnBroken, Conn: t.id, Reason: address.ReasonUnwritten})
 		return
--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -41,6 +41,9 @@
 	dialStarted time.Duration // start of its dial
 	slowDial    bool          // its dial took long
 	used        bool          // a request was written on it
+	unrequested bool          // bytes arrived on it that no request asked for, until that is recorded
+	restUntil   time.Time     // no request before this time; zero: it has not rested
+	restChecked bool          // its input was checked at the end of its rest
 	capacity    capacityHint  // what it showed about the node's capacity, until that is recorded
 	idleElement *list.Element // its element of the dialer's idle set, guarded by that set's lock
 	ctx         context.Context
@@ -93,6 +96,7 @@
 		return reuse
 	}
 	if c.isUnusable() {
+		c.unrequested = transport.HasInput(c.socket)
 		c.node.mailbox.PutUnbounded(nodeMessage{returned: c, broken: true, resend: j.attempt})
 		return false
 	}
@@ -190,6 +194,8 @@
 	if err := c.ensureConnected(ctx); err != nil {
 		return core.Result{Status: policy.ConnectFailed}, false
 	}
+	first := !c.used
+	c.used = true
 	unwatch := context.AfterFunc(ctx, func() { c.socket.Close() })
 	c.buffer = append(append(append(c.buffer[:0], "GET /stats HTTP/1.1\r\nHost: "...), c.host...), "\r\n\r\n"...)
 	if _, err := c.socket.Write(c.buffer); err != nil {
@@ -197,7 +203,7 @@
 		return core.Result{Status: policy.ConnectFailed}, false
 	}
 	defer c.response.Reset()
-	rep, reusable, err := c.readResponse()
+	rep, reusable, err := c.readResponse(first)
 	if connOpen := unwatch(); err != nil || !connOpen {
 		return core.Result{Status: policy.ConnectionReset}, false
 	}
--- a/internal/httpfront/exchange.go
+++ b/internal/httpfront/exchange.go
@@ -30,7 +30,7 @@
 	if cap(c.buffer) > maxRetainedBuffer {
 		c.buffer = nil
 	}
-	rep, reusable, err := c.readResponse()
+	rep, reusable, err := c.readResponse(first)
 	connOpen := unwatch() // false: the context ended first and the connection is closed
 	if err != nil {
 		c.response.Reset()
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -7,6 +7,7 @@
 
 	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/connqueue"
+	"wheatsaddle/internal/connreuse"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/interleave/sync"
 	"wheatsaddle/internal/interleave/sync/atomic"
@@ -33,20 +34,22 @@
 // node is the actor of one storage node. It owns the connections to the node and the attempts that wait for a connection.
 // Only the actor accesses the fields other than mailbox and draining.
 type node struct {
-	dialer      *Dialer
-	name        string
-	address     address.Addr // the only address; zero if addressPool is set
-	host        string
-	addressPool *addressPool // set once the node has had more than one address
-	mailbox     *mailbox.Queue[nodeMessage]
-	draining    atomic.Bool
-	idle        []*conn // in the order in which they became idle
-	busy        map[*core.Attempt]*conn
-	waiting     *connqueue.Queue[*core.Attempt] // attempts that wait for a connection
-	idleLimiter connqueue.IdleLimiter           // bounds idle connections while the node lacks capacity for connections
-	started     time.Time                       // origin of the times passed to waiting and idleLimiter
-	connCount   int
-	closing     bool
+	dialer              *Dialer
+	name                string
+	address             address.Addr // the only address; zero if addressPool is set
+	host                string
+	addressPool         *addressPool // set once the node has had more than one address
+	mailbox             *mailbox.Queue[nodeMessage]
+	draining            atomic.Bool
+	idle                []*conn // in the order in which they became idle
+	busy                map[*core.Attempt]*conn
+	waiting             *connqueue.Queue[*core.Attempt] // attempts that wait for a connection
+	idleLimiter         connqueue.IdleLimiter           // bounds idle connections while the node lacks capacity for connections
+	reuse               connreuse.History               // when a connection may carry its next request
+	started             time.Time                       // origin of the times passed to waiting and idleLimiter
+	connCount           int
+	unrequestedLoggedAt time.Duration // when unrequested bytes were last logged; 0: never
+	closing             bool
 }
 
 // Send implements core.NodeClient.
@@ -100,6 +103,7 @@
 			}
 			clear(batch) // an idle node must not keep its last attempts in memory
 		case <-timer.C:
+			n.endRests()
 			n.serveWaiting()
 			n.closeExpiredIdle()
 		case <-selectorTimer:
@@ -125,6 +129,9 @@
 			at, ok = next, true
 		}
 	}
+	if next, rests := n.nextRestEnd(); rests && (!ok || next.Before(at)) {
+		at, ok = next, true
+	}
 	if wait, waits := n.waiting.Next(time.Since(n.started), n.secondDialDelay()); waits {
 		if next := n.started.Add(wait); !ok || next.Before(at) {
 			at, ok = next, true
@@ -195,6 +202,7 @@
 func (n *node) resend(c *conn, a *core.Attempt) {
 	delete(n.busy, a)
 	cancelled := errors.Is(c.ctx.Err(), context.Canceled)
+	n.recordUnrequested(&c.unrequested)
 	c.stop()
 	n.uncountConn()
 	switch {
@@ -220,15 +228,16 @@
 	if n.waiting.Len() == 0 {
 		return
 	}
+	n.assignRested()
 	now := time.Since(n.started)
 	for a, ok := n.waiting.PopExpired(now); ok; a, ok = n.waiting.PopExpired(now) {
 		sync.Go(func() { a.Done(core.Result{Status: policy.ConnectFailed}) })
 	}
-	for range n.waiting.ConnectsDue(now, len(n.busy), n.secondDialDelay()) {
+	for range n.waiting.ConnectsDue(now, n.inUse(), n.secondDialDelay()) {
 		if n.openConn(now) {
 			continue
 		}
-		if a, ok := n.waiting.DropLast(now, len(n.busy)); ok {
+		if a, ok := n.waiting.DropLast(now, n.inUse()); ok {
 			sync.Go(func() { a.Done(core.Result{Status: policy.ConnectFailed}) })
 		}
 	}
--- a/internal/httpfront/node_interleave_test.go
+++ b/internal/httpfront/node_interleave_test.go
@@ -160,7 +160,7 @@
 		return program
 	})
 	mutant.AssertDetected(t,
-		mutant.Mutant{File: "nodeconns.go", Old: "			if n.dialer.idle.remove(c) {\n				return c\n			}\n			continue", New: "			n.dialer.idle.remove(c)\n			return c",
+		mutant.Mutant{File: "nodeconns.go", Old: "			if n.dialer.idle.remove(c) {\n				return c\n			}", New: "			n.dialer.idle.remove(c)\n			return c",
 			Want: "a connection in use was closed for another"},
 		mutant.Mutant{File: "idle.go", Old: "	c := s.list.Remove(first).(*conn)\n	c.idleElement = nil", New: "	c := s.list.Remove(first).(*conn)",
 			Want: "close of closed channel"},
--- a/internal/httpfront/nodeconns.go
+++ b/internal/httpfront/nodeconns.go
@@ -44,9 +44,9 @@
 	n.closeSurplusIdle()
 }
 
-// closeSurplusIdle closes idle connections above the bound.
+// closeSurplusIdle closes idle connections above the bound. Those for which attempts wait are no surplus.
 func (n *node) closeSurplusIdle() {
-	for maxIdle, _ := n.idleBounds(); len(n.idle) > maxIdle; {
+	for maxIdle, _ := n.idleBounds(); len(n.idle)-n.waiting.Len() > maxIdle; {
 		n.closeIdle(n.idle[0])
 	}
 }
@@ -90,10 +90,12 @@
 		c.stop()
 	}
 	n.recordCapacity(c)
+	n.recordUnrequested(&c.unrequested)
 	if broken {
 		n.uncountConn()
 		return
 	}
+	n.startRest(c)
 	n.makeAvailable(c)
 }
 
@@ -103,6 +105,7 @@
 	if c.stop != nil {
 		c.stop()
 	}
+	n.recordUnrequested(&c.unrequested)
 	if !broken {
 		sync.Close(c.jobs)
 	}
@@ -118,9 +121,10 @@
 	}
 }
 
-// makeAvailable assigns a free connection to the first waiting attempt; if none waits the connection becomes idle.
+// makeAvailable assigns a free connection to the first waiting attempt. If none waits, or the connection has to rest, it
+// becomes idle.
 func (n *node) makeAvailable(c *conn) {
-	for {
+	for !c.resting(time.Now()) {
 		a, ok := n.waiting.Pop()
 		switch {
 		case ok && a.Abandoned():
@@ -154,7 +158,7 @@
 	case failed:
 		n.uncountConn()
 		n.recordCapacity(c)
-		if a, ok := n.waiting.ConnectFailed(now, c.dialID, len(n.busy)); ok {
+		if a, ok := n.waiting.ConnectFailed(now, c.dialID, n.inUse()); ok {
 			sync.Go(func() { a.Done(core.Result{Status: policy.ConnectFailed}) })
 		}
 	default:
@@ -175,18 +179,21 @@
 	return max(connqueue.MinLateConnectTime, connqueue.LateConnectFactor*n.dialer.dialEstimate.value(), n.dialer.FreeConnWait)
 }
 
-// takeIdle takes the most recently used idle connection that is still open, or returns nil if there is none.
+// takeIdle takes the most recently used idle connection that is still open and need not rest, or returns nil if there is none.
 func (n *node) takeIdle() *conn {
-	for len(n.idle) > 0 {
-		c := n.idle[len(n.idle)-1]
-		if transport.IsReusable(c.socket) { // the node has neither closed it nor written to it
-			n.idle = n.idle[:len(n.idle)-1]
+	now := time.Now()
+	for i := len(n.idle) - 1; i >= 0; i-- {
+		c := n.idle[i]
+		switch {
+		case c.resting(now):
+		case !transport.IsReusable(c.socket): // the node has closed it or written to it
+			n.closeUnusable(c)
+		default:
+			n.idle = slices.Delete(n.idle, i, i+1)
 			if n.dialer.idle.remove(c) {
 				return c
 			}
-			continue
 		}
-		n.closeIdle(c)
 	}
 	return nil
 }
--- a/internal/httpfront/preconnect.go
+++ b/internal/httpfront/preconnect.go
@@ -17,7 +17,7 @@
 // connection of another node. Attempts may wait for the dial; afterwards the connection is idle like any other.
 func (n *node) preconnect(f func(policy.Status)) {
 	for k := len(n.idle); k > 0 && !transport.IsReusable(n.idle[k-1].socket); k = len(n.idle) {
-		n.closeIdle(n.idle[k-1])
+		n.closeUnusable(n.idle[k-1])
 	}
 	if n.draining.Load() || n.closing || n.connCount > len(n.busy) {
 		sync.Go(func() { f(policy.Abandoned) })
--- a/internal/httpfront/response.go
+++ b/internal/httpfront/response.go
@@ -24,6 +24,9 @@
 // errMalformedResponse reports a response that violates the protocol, or whose end cannot be distinguished from a truncation.
 var errMalformedResponse = errors.New("read response: malformed message")
 
+// errAmbiguousResponse reports a response that is followed by more bytes on a connection that has carried an earlier request.
+var errAmbiguousResponse = errors.New("read response: more bytes follow it")
+
 // uniqueResponseFields are the header fields that a response may contain at most once.
 var uniqueResponseFields = fieldSet()
 
@@ -63,9 +66,9 @@
 	return s.socket.SetReadDeadline(time.Time{})
 }
 
-// readResponse reads one response; reusable reports whether the connection may carry another request. After an error the
+// readResponse reads one response; first says that no other one was read on the connection, and reusable reports whether the connection may carry another request. After an error the
 // response may be truncated or mixed with bytes of another one: the attempt may have run, and nothing of the response is served.
-func (c *conn) readResponse() (rep *nodeResponse, reusable bool, err error) {
+func (c *conn) readResponse(first bool) (rep *nodeResponse, reusable bool, err error) {
 	if _, err = c.reader.Peek(1); err != nil {
 		return nil, false, err
 	}
@@ -105,7 +108,12 @@
 			rep.Release()
 			return nil, false, err
 		}
-		return rep, !c.response.ConnectionClose() && c.reader.Buffered() == 0, nil
+		c.unrequested = c.reader.Buffered() > 0
+		if c.unrequested && !first { // this may be a second response to an earlier request, and the bytes after it the true one
+			rep.Release()
+			return nil, false, errAmbiguousResponse
+		}
+		return rep, !c.response.ConnectionClose() && !c.unrequested, nil
 	}
 	return nil, false, errMalformedResponse
 }
@@ -173,7 +181,8 @@
 		}
 		c.response.Reset()
 		if complete {
-			complete = c.timedReader.clearDeadline() == nil && c.reader.Buffered() == 0
+			c.unrequested = c.reader.Buffered() > 0
+			complete = c.timedReader.clearDeadline() == nil && !c.unrequested
 		}
 		if !complete {
 			c.socket.Close() // the rest of the body is not read, so the connection cannot be used again
--- a/internal/testkit/cluster/versions_stored_test.go
+++ b/internal/testkit/cluster/versions_stored_test.go
@@ -250,6 +250,7 @@
 	"wheatsaddle_core_guard_timers",
 	"wheatsaddle_core_module_requests",
 	"wheatsaddle_core_requests",
+	"wheatsaddle_node_connections_unrequested_bytes",
 	"wheatsaddle_request_body_memory_bytes",
 	"wheatsaddle_request_body_memory_limit_bytes",
 }
--- a/internal/transport/inspect.go
+++ b/internal/transport/inspect.go
@@ -38,6 +38,17 @@
 	return err == nil && reusable
 }
 
+// HasInput reports whether bytes wait on an idle connection. It does not block.
+func HasInput(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	readable := false
+	err = raw.Control(func(fd uintptr) { readable = inspect(fd) == socketReadable })
+	return err == nil && readable
+}
+
 // pendingInput peeks at the connection's input, including what was read ahead.
 func (c *Conn) pendingInput() (s socketState) {
 	if c.readAhead.size.Load() > 0 {
