An attempt waits up to 25 ms for a resting connection instead of a connect

Cause: while all connections of a node rest, each attempt opened another one; connects cost the node work. Change: the queue of waiting attempts knows how many connections will be free within 25 ms; as many attempts wait for them.

--- a/internal/connqueue/queue.go
+++ b/internal/connqueue/queue.go
@@ -5,8 +5,8 @@
 // late one.
 //
 // Invariants:
-//   - No attempt waits longer than FreeConnWait without a connect started for it. If FreeConnWait is zero, a connect is
-//     started at once.
+//   - No attempt waits longer than FreeConnWait without a connect started for it, unless it waits for a connection that will
+//     be free soon (SetFreeSoon). If FreeConnWait is zero, a connect is started at once for the others.
 //   - For each connection that is in use or connecting, at most one attempt waits without a connect of its own, since a
 //     second one would have to wait for two requests.
 //   - Attempts leave the queue in order of arrival, each exactly once, unless they are removed by DropLast or Remove.
@@ -48,6 +48,7 @@
 	waiters         []waiter[T] // in the order of their arrival
 	pendingConnects []pendingConnect
 	lastID          int
+	freeSoon        int // connections that will be free soon without a connect
 }
 
 type waiter[T comparable] struct {
@@ -75,9 +76,13 @@
 	for dueWaiters < len(q.waiters) && q.waiters[dueWaiters].connectDueAt <= now {
 		dueWaiters++
 	}
-	return max(dueWaiters, (len(q.waiters)-inUse+1)/2)
+	return max(dueWaiters-q.freeSoon, (len(q.waiters)-inUse+1)/2)
 }
 
+// SetFreeSoon sets how many of the connections in use will be free soon at a known time, so that as many attempts wait for
+// them although a connect is due.
+func (q *Queue[T]) SetFreeSoon(n int) { q.freeSoon = n }
+
 // ConnectsDue returns how many connects are to start now, if inUse connections are in use and a connect is late after the
 // duration lateAfter. The caller calls ConnectStarted or DropLast for each of them.
 func (q *Queue[T]) ConnectsDue(now time.Duration, inUse int, lateAfter time.Duration) int {
--- a/internal/connqueue/queue_test.go
+++ b/internal/connqueue/queue_test.go
@@ -235,3 +235,25 @@
 		t.Fatal("the attempt is still waiting after its only connect failed")
 	}
 }
+
+// Attempts wait for the connections that will be free soon, and only the others get a connect.
+func TestAttemptsWaitForConnectionsThatAreFreeSoon(t *testing.T) {
+	q := New[int](Settings{ConnectTimeout: time.Second})
+	for i := range 3 {
+		q.Enqueue(0, i)
+	}
+	q.SetFreeSoon(2)
+	if n := q.ConnectsDue(0, 2, time.Hour); n != 1 {
+		t.Errorf("%d connects are due for three attempts and two connections, want 1", n)
+	}
+	if _, dropped := q.DropLast(0, 2); !dropped {
+		t.Error("the attempt without a connection was not dropped when no connect is possible")
+	}
+	if _, dropped := q.DropLast(0, 2); dropped {
+		t.Error("an attempt that waits for a connection was dropped")
+	}
+	q.SetFreeSoon(0)
+	if n := q.ConnectsDue(0, 2, time.Hour); n != 2 {
+		t.Errorf("%d connects are due for two attempts and no connection, want 2", n)
+	}
+}
--- a/internal/httpfront/connrest.go
+++ b/internal/httpfront/connrest.go
@@ -10,6 +10,9 @@
 // unrequestedLogInterval is the minimum interval between logged messages about the unrequested bytes of one node.
 const unrequestedLogInterval = time.Second
 
+// maxRestWait is how long an attempt waits for the end of a rest where a connect would be due.
+const maxRestWait = 25 * time.Millisecond
+
 // resting reports whether the connection must not carry a request yet.
 func (c *conn) resting(now time.Time) bool { return now.Before(c.restUntil) }
 
@@ -64,15 +67,20 @@
 	}
 }
 
-// inUse returns how many connections carry an attempt or rest after one. Both will be free without a new connect.
+// inUse returns how many connections carry an attempt or rest after one. Both will be free without a new connect. It notifies
+// the queue of those whose rest ends within maxRestWait.
 func (n *node) inUse() int {
-	now, count := time.Now(), len(n.busy)
+	now, resting, freeSoon := time.Now(), 0, 0
 	for _, c := range n.idle {
 		if c.resting(now) {
-			count++
+			resting++
+		}
+		if c.resting(now) && !c.resting(now.Add(maxRestWait)) {
+			freeSoon++
 		}
 	}
-	return count
+	n.waiting.SetFreeSoon(freeSoon)
+	return len(n.busy) + resting
 }
 
 // closeUnusable closes an idle connection that the node has closed or on which it sent unrequested bytes.
