Settings of a SIGHUP reach the cores of both fronts, or neither

Cause: reconfigure went to the HTTP front's core only; the iSCSI front's reload read the storage targets under the settings of the start, and its target kept those too. Change: new settings are checked against the mapping file and by both cores' modules before either core gets them; a torn file leaves the mapping as it was last accepted. The target has one immutable mapping with the settings it belongs to: a command keeps the version it was decoded with, and core rejects it if that means something else now. Such a command has not run and gets BUSY. Not tested: a SIGHUP of the whole process under traffic on both fronts.

--- a/cmd/wheatsaddle/iscsi.go
+++ b/cmd/wheatsaddle/iscsi.go
@@ -18,6 +18,9 @@
 // object of the platform may ever be placed on one of them. A nil iscsiFront means that the front is off.
 type iscsiFront struct {
 	file    string
+	text    []byte        // the file as it was last accepted
+	conf    *config.ISCSI // as of the start
+	seed    int64
 	dialer  *iscsi.Dialer
 	core    *core.Core
 	target  *iscsi.Target
@@ -26,7 +29,11 @@
 
 // startISCSI reads the mapping file and serves the iSCSI front.
 func startISCSI(file string, conf *config.Config, siteFile *site, log logrus.FieldLogger) (*iscsiFront, error) {
-	mapping, err := config.LoadISCSI(file, conf.Settings)
+	text, err := config.ReadISCSI(file)
+	if err != nil {
+		return nil, err
+	}
+	mapping, err := config.ParseISCSI(text, conf.Settings)
 	if err != nil {
 		return nil, err
 	}
@@ -51,9 +58,12 @@
 	}
 	f := &iscsiFront{
 		file:    file,
+		text:    text,
+		conf:    mapping,
+		seed:    conf.Seed,
 		dialer:  dialer,
 		core:    co,
-		target:  iscsi.NewTarget(mapping, co, set, log),
+		target:  iscsi.NewTarget(mapping, co, log),
 		sockets: mapping.Sessions + 2*len(mapping.Storage),
 	}
 	go func() {
@@ -65,18 +75,81 @@
 	return f, nil
 }
 
-// reload reads the storage targets again. A target that is no longer listed gets no new requests.
-func (f *iscsiFront) reload(conf *config.Config, log logrus.FieldLogger) {
+// iscsiChange is a checked change of the settings, with the mapping file that belongs to them.
+type iscsiChange struct {
+	settings policy.Settings
+	conf     *config.ISCSI
+	text     []byte
+}
+
+// check prepares a change of the settings, and applies nothing. If the mapping file is broken, the change has the mapping as
+// it was last accepted. The error names what does not fit the settings.
+func (f *iscsiFront) check(settings policy.Settings) (*iscsiChange, error) {
+	if f == nil {
+		return nil, nil
+	}
+	change, err := f.read(settings)
+	if err != nil {
+		conf, previousErr := config.ParseISCSI(f.text, settings)
+		if previousErr != nil {
+			return nil, err
+		}
+		change = &iscsiChange{settings: iscsi.AdaptSettings(settings, f.conf), conf: conf, text: f.text}
+	}
+	if _, err := policy.New(change.settings, f.seed); err != nil {
+		return nil, err
+	}
+	return change, nil
+}
+
+// read reads the mapping file and checks it against the settings.
+func (f *iscsiFront) read(settings policy.Settings) (*iscsiChange, error) {
+	text, err := config.ReadISCSI(f.file)
+	if err != nil {
+		return nil, err
+	}
+	conf, err := config.ParseISCSI(text, settings)
+	if err != nil {
+		return nil, err
+	}
+	return &iscsiChange{settings: iscsi.AdaptSettings(settings, f.conf), conf: conf, text: text}, nil
+}
+
+// apply applies a checked change to the core, and then to the commands that arrive from now on. It waits for the core's actor.
+func (f *iscsiFront) apply(change *iscsiChange) error {
+	if f == nil {
+		return nil
+	}
+	if err := f.core.Reconfigure(change.settings); err != nil {
+		return err
+	}
+	f.adopt(change)
+	return nil
+}
+
+// adopt applies the mapping file of a change whose settings the core already has.
+func (f *iscsiFront) adopt(change *iscsiChange) {
+	f.text = change.text
+	f.target.Reconfigure(change.conf)
+}
+
+// reload reads the mapping file again: the rules, and the storage targets. A target that is no longer listed gets no new
+// requests. The settings are those of the core.
+func (f *iscsiFront) reload(settings policy.Settings, log logrus.FieldLogger) {
 	if f == nil {
 		return
 	}
-	mapping, err := config.LoadISCSI(f.file, conf.Settings)
+	change, err := f.read(settings)
 	if err != nil {
 		log.WithFields(operr.Fields(err)).Warn("reload of the iSCSI file failed, the previous storage targets remain in effect")
 		return
 	}
-	f.dialer.Update(mapping)
-	f.core.UpdateList(core.ListUpdate{Kind: policy.ListReceived, Nodes: iscsi.Nodes(mapping)})
+	if change.conf.DeduplicatesWrites != f.conf.DeduplicatesWrites {
+		log.WithFields(operr.Fields(&config.RestartError{Keys: "drops_repeats"})).WithField("keys", "drops_repeats").Warn("changed keys need a restart")
+	}
+	f.adopt(change)
+	f.dialer.Update(change.conf)
+	f.core.UpdateList(core.ListUpdate{Kind: policy.ListReceived, Nodes: iscsi.Nodes(change.conf)})
 }
 
 // shutdown ends the sessions. It returns when ctx ends at the latest.
--- a/cmd/wheatsaddle/reload.go
+++ b/cmd/wheatsaddle/reload.go
@@ -106,3 +106,18 @@
 	}
 	return keys
 }
+
+// reconfigureCores returns a function that applies settings to the cores of both fronts. They are checked against both before
+// any of them is applied, so that either both cores have a version or neither.
+func reconfigureCores(reconfigureHTTP func(policy.Settings) error, front *iscsiFront) func(policy.Settings) error {
+	return func(settings policy.Settings) error {
+		change, err := front.check(settings)
+		if err != nil {
+			return err
+		}
+		if err := reconfigureHTTP(settings); err != nil {
+			return err
+		}
+		return front.apply(change)
+	}
+}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -133,7 +133,7 @@
 	configuration := &reloader{
 		env:                 os.Getenv,
 		setDiscoveryAddress: s.watcher.SetAddress,
-		reconfigure:         s.starter.reconfigure(s.core),
+		reconfigure:         reconfigureCores(s.starter.reconfigure(s.core), s.iscsi),
 		log:                 s.log,
 	}
 	for current := s.conf; ; {
@@ -144,7 +144,7 @@
 			current = next
 			s.site.reload()
 			s.gather.reload(s.site.current, current)
-			s.iscsi.reload(s.conf, s.log)
+			s.iscsi.reload(current.Settings, s.log)
 		case <-s.ctx.Done():
 			return
 		}
--- a/internal/config/iscsi.go
+++ b/internal/config/iscsi.go
@@ -65,12 +65,21 @@
 	State        policy.NodeState
 }
 
-// LoadISCSI reads the file of the iSCSI front and checks it against the settings.
-func LoadISCSI(path string, set policy.Settings) (*ISCSI, error) {
+// ReadISCSI reads the text of the iSCSI front's file.
+func ReadISCSI(path string) ([]byte, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, &FileError{"iscsi", err}
 	}
+	return text, nil
+}
+
+// LoadISCSI reads the file of the iSCSI front and checks it against the settings.
+func LoadISCSI(path string, set policy.Settings) (*ISCSI, error) {
+	text, err := ReadISCSI(path)
+	if err != nil {
+		return nil, err
+	}
 	return ParseISCSI(text, set)
 }
 
--- a/internal/iscsi/command.go
+++ b/internal/iscsi/command.go
@@ -16,6 +16,7 @@
 	initiatorTaskTag  uint32
 	lun               uint16
 	unit              *unit
+	settings          *core.Settings // with which the command was decoded
 	block             block
 	receivedAt        time.Time
 	deadline          time.Duration
@@ -66,7 +67,7 @@
 	cdb := p.bhs[32:48]
 	lun, ok := p.lun()
 	task.lun = lun
-	if task.unit = s.units[lun]; !ok || task.unit == nil {
+	if task.unit, task.settings = s.target.unit(s.targetName, lun); !ok || task.unit == nil {
 		if cdb[0] != scsiReportLUNs && cdb[0] != scsiInquiry {
 			s.finishTask(task, statusCheckCondition, &senseNoLUN, nil, 0)
 			return nil
@@ -109,7 +110,7 @@
 		s.finishTask(task, statusCheckCondition, failure, nil, 0)
 		return
 	}
-	if s.units[task.lun] == nil && cdb[0] == scsiInquiry && len(data) > 0 {
+	if !s.hasUnit(task.lun) && cdb[0] == scsiInquiry && len(data) > 0 {
 		data[0] = 0x7f // no unit at this LUN
 	}
 	data = data[:min(len(data), int(alloc))]
@@ -149,6 +150,12 @@
 	}
 }
 
+// hasUnit reports whether the session's target has a unit with the LUN.
+func (s *session) hasUnit(lun uint16) bool {
+	u, _ := s.target.unit(s.targetName, lun)
+	return u != nil
+}
+
 // configuredLUNs returns the LUNs of the session's target, in the order of the configuration.
 func (s *session) configuredLUNs() []uint16 {
 	var out []uint16
@@ -229,12 +236,13 @@
 	h := fnv.New64a()
 	fmt.Fprintf(h, "%s/%d", u.Volume, task.block.lba)
 	units := math.Max(1, math.Ceil(float64(task.length)/u.UnitBytes))
-	if s.target.settings.MaxUnits > 0 {
-		units = math.Min(units, s.target.settings.MaxUnits)
+	if task.settings.MaxUnits > 0 {
+		units = math.Min(units, task.settings.MaxUnits)
 	}
 	task.request = &core.Request{
 		Request: policy.Request{ID: id, Class: task.class, Plan: u.Plan, Key: fmt.Sprintf("%016x", h.Sum64()), Volume: u.Volume,
 			Units: units, Shard: u.Shard, Schedulers: u.Schedulers},
+		Settings:   task.settings,
 		ReceivedAt: task.receivedAt, Timeout: task.deadline,
 		Payload: &transfer{lun: u.StorageLUN, block: task.block, size: task.length, data: task.writeData, key: id, buffer: task.buffer.share()},
 	}
--- a/internal/iscsi/fakes_test.go
+++ b/internal/iscsi/fakes_test.go
@@ -519,7 +519,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	env := &testEnv{fakeTarget: target, core: scheduler, dialer: dialer, target: NewTarget(conf, scheduler, set, log), address: ln.Addr().String()}
+	env := &testEnv{fakeTarget: target, core: scheduler, dialer: dialer, target: NewTarget(conf, scheduler, log), address: ln.Addr().String()}
 	go func() { _ = env.target.Serve(ln) }()
 	return env
 }
--- a/internal/iscsi/login.go
+++ b/internal/iscsi/login.go
@@ -100,7 +100,7 @@
 			return loginError{status}
 		}
 		if complete {
-			if s.units == nil && !s.discovery {
+			if s.targetName == "" && !s.discovery {
 				return loginError{loginMissingParameter}
 			}
 			s.receiveFraming = framing{s.params.headerDigest, s.params.dataDigest, ownMaxSegment}
@@ -119,7 +119,7 @@
 		return loginBadRequest, nil
 	}
 	var out []pair
-	if s.units == nil && !s.discovery { // the first text names the initiator and the target
+	if s.targetName == "" && !s.discovery { // the first text names the initiator and the target
 		name, ok := findValue(pairs, "InitiatorName")
 		if !ok || name == "" {
 			return loginMissingParameter, nil
@@ -132,7 +132,7 @@
 			if !ok {
 				return loginMissingParameter, nil
 			}
-			if s.units = s.target.units[name]; s.units == nil {
+			if !s.target.hasUnits(name) {
 				return loginNotFound, nil
 			}
 			s.targetName = name
--- a/internal/iscsi/response.go
+++ b/internal/iscsi/response.go
@@ -41,6 +41,10 @@
 		case core.Rejected:
 			s.rejectTask(task, a.RetryAfter)
 		case core.Failed:
+			if a.Cause == core.CauseSettingsChanged { // it has not run, and is decoded anew when the initiator repeats it
+				s.rejectTask(task, 0)
+				continue
+			}
 			s.finishTask(task, statusCheckCondition, failureSense(a.Cause, task.block.write), nil, 0)
 		}
 	}
--- a/internal/iscsi/session.go
+++ b/internal/iscsi/session.go
@@ -17,7 +17,6 @@
 	reader                      *pduReader
 	receiveFraming, sendFraming framing
 	params                      params
-	units                       map[uint16]*unit
 	targetName                  string
 	initiatorName               string
 	discovery                   bool
--- a/internal/iscsi/target.go
+++ b/internal/iscsi/target.go
@@ -15,7 +15,6 @@
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/transport"
-	"wheatsaddle/policy"
 )
 
 const (
@@ -33,15 +32,48 @@
 // unit is one logical unit as configured.
 type unit struct{ config.Unit }
 
+// mapping is one version of the mapping of commands to requests, with the settings that it belongs to. It is immutable.
+type mapping struct {
+	settings *core.Settings
+	units    map[string]map[uint16]*unit // by target name and LUN
+}
+
+// newMapping returns the mapping of a configuration.
+func newMapping(conf *config.ISCSI, settings *core.Settings) *mapping {
+	m := &mapping{settings: settings, units: map[string]map[uint16]*unit{}}
+	for _, x := range conf.Targets {
+		m.units[x.Name] = map[uint16]*unit{}
+		for _, u := range x.Units {
+			m.units[x.Name][u.LUN] = &unit{u}
+		}
+	}
+	return m
+}
+
+// adopt replaces the units' rules and numbers of schedulers by those of a newer configuration. Everything else about a unit,
+// as its size, stays until the next start.
+func (m *mapping) adopt(next *mapping) {
+	for name, units := range next.units {
+		for lun, u := range units {
+			old := m.units[name][lun]
+			if old == nil {
+				continue
+			}
+			adopted := *old
+			adopted.Rules, adopted.Schedulers = u.Rules, u.Schedulers
+			m.units[name][lun] = &adopted
+		}
+	}
+}
+
 // Target serves iSCSI initiators. It turns their commands into requests for the core and the core's answers into
 // SCSI responses; all scheduling decisions are the core's.
 type Target struct {
 	conf              *config.ISCSI
 	core              *core.Core
-	settings          policy.Settings
 	log               logrus.FieldLogger
-	units             map[string]map[uint16]*unit // by target name and LUN
-	startedAt         int64                       // makes request ids differ from those of earlier processes
+	mapping           atomic.Pointer[mapping]
+	startedAt         int64 // makes request ids differ from those of earlier processes
 	lastRequestNumber atomic.Uint64
 	buffers           bufferBudget // of all tasks
 
@@ -53,18 +85,31 @@
 }
 
 // NewTarget returns a target that serves the configured units and submits to the core.
-func NewTarget(conf *config.ISCSI, c *core.Core, set policy.Settings, log logrus.FieldLogger) *Target {
-	t := &Target{conf: conf, core: c, settings: set, log: log, units: map[string]map[uint16]*unit{},
-		startedAt: time.Now().UnixNano(), sessions: map[*session]bool{}}
-	for _, x := range conf.Targets {
-		t.units[x.Name] = map[uint16]*unit{}
-		for _, u := range x.Units {
-			t.units[x.Name][u.LUN] = &unit{u}
-		}
-	}
+func NewTarget(conf *config.ISCSI, c *core.Core, log logrus.FieldLogger) *Target {
+	t := &Target{conf: conf, core: c, log: log, startedAt: time.Now().UnixNano(), sessions: map[*session]bool{}}
+	t.mapping.Store(newMapping(conf, c.Settings()))
 	return t
 }
 
+// Reconfigure applies the rules of a configuration that was read again, after the core has received the settings that it
+// belongs to. A command that was decoded before keeps the old version; if that means something else under the core's settings,
+// the core rejects it. Units that are new need a restart. One goroutine at a time may call it.
+func (t *Target) Reconfigure(conf *config.ISCSI) {
+	next := newMapping(t.conf, t.core.Settings())
+	next.adopt(t.mapping.Load())
+	next.adopt(newMapping(conf, next.settings))
+	t.mapping.Store(next)
+}
+
+// unit returns a logical unit and the settings of its mapping. The unit is nil if there is none.
+func (t *Target) unit(name string, lun uint16) (*unit, *core.Settings) {
+	m := t.mapping.Load()
+	return m.units[name][lun], m.settings
+}
+
+// hasUnits reports whether a target is configured.
+func (t *Target) hasUnits(name string) bool { return t.mapping.Load().units[name] != nil }
+
 // Serve accepts sessions until Shutdown.
 func (t *Target) Serve(ln net.Listener) error {
 	ln = transport.Limit(ln, t.conf.Sessions)
--- a/internal/iscsi/taskmgmt.go
+++ b/internal/iscsi/taskmgmt.go
@@ -21,7 +21,7 @@
 // handleTaskManagement executes a task management function. Tasks that it aborts get no response of their own.
 func (s *session) handleTaskManagement(p *pdu) error {
 	lun, ok := p.lun()
-	ok = ok && s.units[lun] != nil
+	ok = ok && s.hasUnit(lun)
 	code, function := byte(tmComplete), p.bhs[1]&0x7f
 	abortMatching := func(match func(*scsiTask) bool) {
 		for _, task := range s.tasks {
