--- a/cmd/wheatsaddle/iscsi.go
+++ b/cmd/wheatsaddle/iscsi.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 
 	"github.com/sirupsen/logrus"
@@ -152,9 +151,25 @@
 	f.core.UpdateList(core.ListUpdate{Kind: policy.ListReceived, Nodes: iscsi.Nodes(change.conf)})
 }
 
-// shutdown ends the sessions. It returns when ctx ends at the latest.
-func (f *iscsiFront) shutdown(ctx context.Context) {
+// stopAccepting closes the listener and asks the initiators to log out.
+func (f *iscsiFront) stopAccepting() {
 	if f != nil {
-		f.target.Shutdown(ctx)
+		f.target.StopAccepting()
+	}
+}
+
+// openSessions returns the number of sessions.
+func (f *iscsiFront) openSessions() int {
+	if f == nil {
+		return 0
+	}
+	return f.target.OpenSessions()
+}
+
+// finish answers the open commands and rejects new ones.
+func (f *iscsiFront) finish() {
+	if f != nil {
+		f.target.Finish()
+		f.core.Finish()
 	}
 }
--- a/cmd/wheatsaddle/iscsi_test.go
+++ b/cmd/wheatsaddle/iscsi_test.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
@@ -15,6 +17,40 @@
 	"wheatsaddle/policy"
 )
 
+// Guards against a shutdown that ends the requests of the HTTP front only: a session that stays open keeps the process until
+// shortly before SIGKILL, and its core answers what is open by then.
+func TestShutdownFinishesBothCores(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	f := newFrontPairAt(t, freeAddress(t))
+	session, err := net.Dial("tcp", f.iscsi.conf.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer session.Close()
+	for f.iscsi.openSessions() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	answers := make(chan core.Answer, 1)
+	request := &core.Request{Request: policy.Request{ID: "1", Class: "write", Plan: "basic", Units: 1, Shard: 1}, ReceivedAt: time.Now(), Timeout: time.Hour,
+		Answer: func(a core.Answer) { answers <- a }}
+	f.iscsi.core.Submit(request)
+	now := time.Now()
+	s := &shutdown{signalSentAt: now, killAt: now.Add(time.Second), core: f.http, iscsi: f.iscsi, log: log,
+		front: httpfront.NewServer(f.http, f.settings, 10, log)}
+	s.run()
+	select {
+	case a := <-answers:
+		if a.Kind == core.Served {
+			t.Errorf("answer %+v without a storage target", a)
+		}
+	default:
+		t.Error("the request of the iSCSI front has no answer at the end of the shutdown")
+	}
+	if took := time.Since(now); took > time.Second {
+		t.Errorf("the shutdown took %v, want less than the time to SIGKILL", took)
+	}
+}
+
 // frontPair is the cores of both fronts, on one configuration.
 type frontPair struct {
 	http     *core.Core
@@ -31,12 +67,18 @@
 }
 
 func newFrontPair(t *testing.T) *frontPair {
+	t.Helper()
+	return newFrontPairAt(t, "127.0.0.1:0")
+}
+
+// newFrontPairAt returns a pair whose iSCSI front listens on the address.
+func newFrontPairAt(t *testing.T, listen string) *frontPair {
 	t.Helper()
 	conf := starterConfig()
 	conf.Settings.Classes = append(conf.Settings.Classes, policy.Class{Name: "write", LatencyObjective: 30000, Deadline: 60000, PriorityWeight: 1, Effect: policy.Idempotent})
 	log, _ := logtest.NewNullLogger()
 	f := &frontPair{file: filepath.Join(t.TempDir(), "iscsi.json"), settings: conf.Settings}
-	f.write(t, iscsiText("127.0.0.1:0", "write", "active"))
+	f.write(t, iscsiText(listen, "write", "active"))
 	siteFile := &site{current: &config.Site{}, log: log, addressConfig: &httpfront.AddressConfig{}}
 	var err error
 	if f.iscsi, err = startISCSI(f.file, conf, siteFile, log); err != nil {
--- a/cmd/wheatsaddle/shutdown.go
+++ b/cmd/wheatsaddle/shutdown.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -56,17 +55,10 @@
 	s.log.WithField("grace_ms", s.killAt.Sub(s.signalSentAt).Milliseconds()).Info("stopping")
 	go s.fleet.stop() // concurrently, because it may take longer than the rest of the shutdown
 	s.acceptLonger()
-	ctx, cancel := context.WithDeadline(context.Background(), s.killAt.Add(-exitMargin))
-	defer cancel()
-	iscsiDone := make(chan struct{})
-	go func() {
-		defer close(iscsiDone)
-		s.iscsi.shutdown(ctx)
-	}()
+	s.iscsi.stopAccepting()
 	s.serve()
 	s.drain()
 	s.finish()
-	<-iscsiDone
 	s.log.Info("stopped")
 }
 
@@ -89,26 +81,28 @@
 	s.pollUntil(closeMargin, s.front.StopAccepting)
 }
 
-// drain closes each connection after its next response, and connections without a request at once.
+// drain closes each connection after its next response, and connections without a request at once. Sessions of the iSCSI
+// front end in the same way.
 func (s *shutdown) drain() {
 	s.front.CloseAfterResponses()
 	s.pollUntil(answerMargin, s.closeIdle)
 }
 
-// finish answers the open requests, rejects new ones, and waits until the responses are written.
+// finish answers the open requests of both fronts, rejects new ones, and waits until the responses are written.
 func (s *shutdown) finish() {
 	if s.closeIdle() == 0 {
 		return
 	}
 	s.core.Finish()
+	s.iscsi.finish()
 	s.pollUntil(exitMargin, func() int {
 		s.front.RejectIncoming()
 		return s.closeIdle()
 	})
 }
 
-// closeIdle closes the connections without a request, and returns how many remain open.
-func (s *shutdown) closeIdle() int { return s.front.CloseIdle(0) }
+// closeIdle closes the connections without a request, and returns how many connections and iSCSI sessions remain open.
+func (s *shutdown) closeIdle() int { return s.front.CloseIdle(0) + s.iscsi.openSessions() }
 
 // pollUntil polls until no connection is open or the time to SIGKILL is at most margin. It polls at least once.
 func (s *shutdown) pollUntil(margin time.Duration, openConnections func() int) {
--- a/internal/iscsi/command.go
+++ b/internal/iscsi/command.go
@@ -91,7 +91,7 @@
 		return nil
 	}
 	task.length, task.class, task.deadline = uint32(size), rule.Class, time.Duration(rule.Deadline*float64(time.Millisecond))
-	if len(s.tasks) > s.target.conf.QueueDepth || s.logoutExpected(time.Now()) || !s.target.buffers.reserve(task) {
+	if len(s.tasks) > s.target.conf.QueueDepth || s.logoutExpected(time.Now()) || s.finishing.Load() || !s.target.buffers.reserve(task) {
 		s.rejectTask(task, 0)
 		return nil
 	}
@@ -251,10 +251,7 @@
 		s.mu.Lock()
 		s.answers = append(s.answers, coreAnswer{task, a})
 		s.mu.Unlock()
-		select {
-		case s.wake <- struct{}{}:
-		default:
-		}
+		s.signal()
 	}
 	s.target.core.Submit(task.request)
 }
--- a/internal/iscsi/iscsi_test.go
+++ b/internal/iscsi/iscsi_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"math/rand"
@@ -566,18 +565,12 @@
 	}
 }
 
-// Shutdown requests a logout, answers the accepted commands, and only then closes the sessions.
-func TestShutdown(t *testing.T) {
+// StopAccepting requests a logout. The accepted commands get their responses, and only then the sessions are closed.
+func TestStopAccepting(t *testing.T) {
 	env := newTestEnv(t, longObjective, false)
 	client := env.initiator(t)
 	itt, _ := env.startHeldWrite(client)
-	done := make(chan struct{})
-	go func() {
-		ctx, stop := context.WithTimeout(context.Background(), time.Minute)
-		defer stop()
-		env.target.Shutdown(ctx)
-		close(done)
-	}()
+	env.target.StopAccepting()
 	if q := client.read(); q.op() != opAsync || q.bhs[36] != 1 {
 		t.Errorf("received %v, want an asynchronous message that requests a logout", q)
 	}
@@ -585,9 +578,13 @@
 	if e := client.awaitResponse(itt, nil); e.status != statusGood {
 		t.Errorf("write ended as %+v", e)
 	}
-	<-done
 	if _, err := client.receiveFraming.read(client.reader); !errors.Is(err, io.EOF) {
-		t.Errorf("reading a PDU after Shutdown returned error %v, want EOF", err)
+		t.Errorf("reading a PDU after the last response returned error %v, want EOF", err)
+	}
+	for deadline := time.Now().Add(time.Minute); env.target.OpenSessions() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d sessions are open", env.target.OpenSessions())
+		}
 	}
 }
 
--- a/internal/iscsi/session.go
+++ b/internal/iscsi/session.go
@@ -32,6 +32,7 @@
 	answers                     []coreAnswer   // shared: appended by the core, at most one for each task
 	wake                        chan struct{}  // shared: signals that answers has entries
 	draining                    atomic.Bool    // shared: the target is shutting down
+	finishing                   atomic.Bool    // shared: no command may be started any more
 	logoutRequestedAt           time.Time      // when the initiator was asked to log out; zero: not yet
 	lastPDUAt                   time.Time
 	pingSent                    bool
@@ -86,6 +87,7 @@
 		}
 		if err == nil {
 			s.sendResponses()
+			s.rejectUnsubmitted()
 		}
 		if ferr := s.flush(); err == nil {
 			err = ferr
@@ -96,6 +98,26 @@
 	}
 }
 
+// signal wakes the session's goroutine. It does not block.
+func (s *session) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// rejectUnsubmitted rejects the tasks that wait for write data, if no command may be started any more.
+func (s *session) rejectUnsubmitted() {
+	if !s.finishing.Load() {
+		return
+	}
+	for _, task := range s.tasks {
+		if task.request == nil {
+			s.rejectTask(task, 0)
+		}
+	}
+}
+
 // readPDUs reads PDUs until done. A read error ends the session, because error recovery level 0 has no means to
 // resynchronize the stream.
 func (s *session) readPDUs(pdus chan<- *pdu, failed chan<- error, done <-chan struct{}) {
--- a/internal/iscsi/target.go
+++ b/internal/iscsi/target.go
@@ -1,7 +1,6 @@
 package iscsi
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"runtime/debug"
@@ -110,7 +109,7 @@
 // hasUnits reports whether a target is configured.
 func (t *Target) hasUnits(name string) bool { return t.mapping.Load().units[name] != nil }
 
-// Serve accepts sessions until Shutdown.
+// Serve accepts sessions until StopAccepting.
 func (t *Target) Serve(ln net.Listener) error {
 	ln = transport.Limit(ln, t.conf.Sessions)
 	t.mu.Lock()
@@ -147,10 +146,11 @@
 	}
 }
 
-// Shutdown stops accepting, asks the initiators to log out, and waits until every accepted command has its
-// response and every session has ended, or until the context ends.
-func (t *Target) Shutdown(ctx context.Context) {
+// StopAccepting closes the listener and asks the initiators to log out. Sessions end once their commands have responses. It
+// does not block.
+func (t *Target) StopAccepting() {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.stopping = true
 	if t.listener != nil {
 		t.listener.Close()
@@ -158,18 +158,22 @@
 	for s := range t.sessions {
 		s.draining.Store(true)
 	}
-	t.mu.Unlock()
-	for {
-		t.mu.Lock()
-		left := len(t.sessions)
-		t.mu.Unlock()
-		if left == 0 {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(sessionCheckInterval / 2):
-		}
+}
+
+// Finish rejects the commands whose write data are still arriving, and those that arrive from now on: none of them has run. The
+// caller ends the others through the core. It does not block.
+func (t *Target) Finish() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for s := range t.sessions {
+		s.finishing.Store(true)
+		s.signal()
 	}
 }
+
+// OpenSessions returns the number of sessions. Any goroutine may call it.
+func (t *Target) OpenSessions() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.sessions)
+}
