--- a/internal/httpfront/response.go
+++ b/internal/httpfront/response.go
@@ -21,7 +21,7 @@
 	responseHeadTimeout  = 500 * time.Millisecond // for all heads of a response together, including interim ones
 )
 
-// errMalformedResponse reports a response that violates the protocol, or whose end cannot be distinguished from a truncation.
+// errMalformedResponse reports a response that violates the protocol.
 var errMalformedResponse = errors.New("read response: malformed message")
 
 // errAmbiguousResponse reports a response that is followed by more bytes on a connection that has carried an earlier request.
@@ -93,8 +93,6 @@
 		case code < 200:
 			continue // an interim response; the final one follows
 		case code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified:
-		case !f.length && !f.chunked:
-			return nil, false, errMalformedResponse // such a response ends with its connection, as a truncated one does
 		default:
 			c.timedReader.headDeadline = time.Time{}
 			if rep, err = c.readBody(f); err != nil {
@@ -140,21 +138,21 @@
 }
 
 // readBody reads a body. A body of up to maxBufferedBody is read completely; for a longer one it returns a relay, which reads
-// the rest as fast as the client does.
+// the rest as fast as the client does. A body with neither length nor chunks ends with the connection (RFC 9112, section 6.3);
+// a reset or a timeout is an error.
 func (c *conn) readBody(f framing) (*nodeResponse, error) {
 	rep := &nodeResponse{}
-	if size := c.response.Header.ContentLength(); !f.chunked && size <= maxBufferedBody {
+	if size := c.response.Header.ContentLength(); f.length && size <= maxBufferedBody {
 		if err := c.response.ReadBody(c.reader, maxBufferedBody); err != nil {
 			return nil, err
 		}
 		rep.body = bytes.Clone(c.response.Body())
 		return rep, nil
 	}
-	c.response.StreamBody = true
-	if err := c.response.ReadBody(c.reader, 0); err != nil {
+	stream, err := c.bodyStream(f)
+	if err != nil {
 		return nil, err
 	}
-	stream := c.response.BodyStream()
 	first := make([]byte, maxBufferedBody+1)
 	n, err := readUpTo(stream, first)
 	switch {
@@ -172,6 +170,18 @@
 	return rep, nil
 }
 
+// bodyStream returns the decoded body of a response.
+func (c *conn) bodyStream(f framing) (io.Reader, error) {
+	if !f.length && !f.chunked {
+		return c.reader, nil
+	}
+	c.response.StreamBody = true
+	if err := c.response.ReadBody(c.reader, 0); err != nil {
+		return nil, err
+	}
+	return c.response.BodyStream(), nil
+}
+
 // relayBody returns the relay of a long response. It owns the connection until it is closed.
 func (c *conn) relayBody(first []byte, remaining io.Reader) *relay {
 	c.timedReader.readTimeout = relayReadTimeout
