--- a/internal/iscsi/fakes_test.go
+++ b/internal/iscsi/fakes_test.go
@@ -50,6 +50,7 @@
 	logouts       chan struct{}
 	pongs         chan struct{}
 	lastSession   *fakeTargetSession
+	lastTag       uint32     // of the last command
 	lastLogin     []pair // text of the last login request
 	logins        int
 	loginStatus   uint16 // status of login responses
@@ -228,6 +229,7 @@
 	}
 	s.mu.Lock()
 	status, rawSense, hold := s.status, s.sense, s.hold
+	s.lastTag = p.tag()
 	if key := p.idempotencyKey(); status == statusGood && !(s.deduplicates && key != "" && s.keys[key]) {
 		s.executed++
 		s.keys[key] = true
