--- a/internal/iscsi/fakes_test.go
+++ b/internal/iscsi/fakes_test.go
@@ -50,7 +50,7 @@
 	logouts       chan struct{}
 	pongs         chan struct{}
 	lastSession   *fakeTargetSession
-	lastTag       uint32     // of the last command
+	lastTag       uint32 // of the last command
 	lastLogin     []pair // text of the last login request
 	logins        int
 	loginStatus   uint16 // status of login responses
