--- /dev/null
+++ b/internal/testkit/experiment/soak/deployment.go
@@ -0,0 +1,189 @@
+// Package soak plays real processes of the daemon against clients and storage nodes that stretch its limits: slow or
+// unfinished messages, crowds, clients that leave, floods of unsound requests, restarts. Each picture is a function that
+// counts what clients and nodes saw and names the rules that were broken. Run combines them by a seed.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"wheatsaddle/internal/testkit/cluster"
+	"wheatsaddle/internal/testkit/fake/discovery"
+	"wheatsaddle/internal/testkit/fake/pacednode"
+)
+
+const (
+	readyTimeout = 15 * time.Second
+	exitTimeout  = 20 * time.Second
+	planName     = "plan"
+)
+
+// Names of the request classes, by their effect.
+const (
+	ClassRead  = "read"  // idempotent
+	ClassWrite = "write" // non-idempotent
+	ClassKeyed = "keyed" // idempotent by key
+)
+
+// Options configure a deployment.
+type Options struct {
+	Daemon       string // path of the built daemon
+	Dir          string // folder for files, which the caller removes
+	Nodes        int    // storage nodes, one a shard; 0: 2
+	MemoryMB     int    // limit of the daemon; 0: 128
+	Objective    time.Duration
+	Deadline     time.Duration // of all classes; clients may name a shorter one
+	Metrics      bool          // the daemon serves its metrics
+	Env          []string      // added to the daemon's environment
+	Command      []string      // starts the daemon, whose path and arguments follow; nil: it is started directly
+}
+
+// Deployment is one daemon with its storage nodes and discovery.
+type Deployment struct {
+	Proc      *cluster.Proc
+	Nodes     []*pacednode.Node
+	Admin     string // address of the admin endpoint
+	Metrics   string // address of the metrics
+	options   Options
+	discovery *discovery.Service
+	settings  map[string]any
+	config    cluster.Config
+}
+
+// Start starts a deployment and waits until its daemon is ready.
+func Start(ctx context.Context, options Options) (d *Deployment, err error) {
+	d = &Deployment{options: options}
+	defer func() {
+		if err != nil {
+			d.Close()
+		}
+	}()
+	if options.Nodes == 0 {
+		d.options.Nodes = 2
+	}
+	if options.MemoryMB == 0 {
+		d.options.MemoryMB = 128
+	}
+	if err := d.startNodes(); err != nil {
+		return d, err
+	}
+	if err := d.configure(); err != nil {
+		return d, err
+	}
+	if err := d.Proc.Start(); err != nil {
+		return d, err
+	}
+	return d, d.WaitReady(ctx)
+}
+
+// startNodes starts the storage nodes, and a discovery service that lists them.
+func (d *Deployment) startNodes() (err error) {
+	if d.discovery, err = discovery.New(discovery.Options{Mode: discovery.Push}); err != nil {
+		return err
+	}
+	for shard := range d.options.Nodes {
+		n, err := pacednode.Start()
+		if err != nil {
+			return err
+		}
+		d.Nodes = append(d.Nodes, n)
+		entry := cluster.Entry{Name: fmt.Sprint("st-", shard), Address: n.Address(), Group: shard, Status: discovery.Active, Weight: 1}
+		d.discovery.Put(entry)
+		d.config.Endpoints = append(d.config.Endpoints, entry)
+	}
+	return nil
+}
+
+// configure writes the daemon's files.
+func (d *Deployment) configure() error {
+	listen, err := cluster.FreeAddress()
+	if err != nil {
+		return err
+	}
+	if d.Admin, err = cluster.FreeAddress(); err != nil {
+		return err
+	}
+	if d.Metrics, err = cluster.FreeAddress(); err != nil {
+		return err
+	}
+	command := append(append([]string{}, d.options.Command...), d.options.Daemon)
+	if d.options.Metrics {
+		site := filepath.Join(d.options.Dir, "site.json")
+		if err := os.WriteFile(site, fmt.Appendf(nil, `{"metrics": {"listen": %q}}`, d.Metrics), 0o600); err != nil {
+			return err
+		}
+		command = append(command, "--site", site)
+	}
+	d.settings = d.defaultSettings()
+	d.config.Name, d.config.Listen, d.config.AdminAddress = "n0", listen, d.Admin
+	d.config.Discovery, d.config.Seed, d.config.MemoryMB = d.discovery.Addr(), 1, d.options.MemoryMB
+	d.config.Settings = d.settings
+	file := filepath.Join(d.options.Dir, "config.json")
+	if err := d.config.Write(file); err != nil {
+		return err
+	}
+	d.Proc = cluster.NewProc(command[0], file, filepath.Join(d.options.Dir, "daemon.log"), "n0", listen, command[1:]...)
+	return nil
+}
+
+// defaultSettings returns settings with one class of each effect, and a plan without limits.
+func (d *Deployment) defaultSettings() map[string]any {
+	class := func(name, repeat string) map[string]any {
+		return map[string]any{"name": name, "goal-time": d.options.Objective.Milliseconds(), "deadline": d.options.Deadline.Milliseconds(),
+			"worth": 1, "late-worth": 0.5, "repeat": repeat, "key-scope": "all", "memory-span": 2500}
+	}
+	return map[string]any{"me": 0, "fleet-size": 1,
+		"ceilings": map[string]any{"max-attempts": 4, "second-copies": true, "may-cancel": true, "retry-after": true, "max-retry-after": 2000},
+		"rules": map[string]any{"stop-sending-within": 250, "ask-within": 2000, "overload-for": 3000, "cold-from": 0.24, "cold": 17000,
+			"tip-multiple": 3},
+		"extra":     map[string]any{"usual-units": 1, "largest": 6, "slots-total": d.options.Nodes},
+		"profiles":  []map[string]any{class(ClassRead, "safe"), class(ClassWrite, "unsafe"), class(ClassKeyed, "keyed")},
+		"contracts": []map[string]any{{"name": planName, "usual-rate": 1e4, "reservation": 1e4, "shares": 1, "price": 1}},
+	}
+}
+
+// WaitReady waits until the daemon is ready.
+func (d *Deployment) WaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		err := d.Proc.Ready()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return fmt.Errorf("daemon is not ready: %w; its log: %.600s", err, d.Proc.Log())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Terminate sends SIGTERM and waits for the exit, which must have code 0.
+func (d *Deployment) Terminate() error {
+	if err := d.Proc.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), exitTimeout)
+	defer cancel()
+	return d.Proc.Wait(ctx)
+}
+
+// Close ends the daemon and everything that the deployment started.
+func (d *Deployment) Close() {
+	if d.Proc != nil {
+		d.Proc.KillAndWait()
+	}
+	if d.discovery != nil {
+		d.discovery.Close()
+	}
+	for _, n := range d.Nodes {
+		n.Close()
+	}
+}
+
+// logContains reports whether the daemon has logged a text.
+func (d *Deployment) logContains(text string) bool { return strings.Contains(d.Proc.Log(), text) }
--- /dev/null
+++ b/internal/testkit/fake/pacednode/script.go
@@ -0,0 +1,87 @@
+// Package pacednode is a fake storage node that reads requests and writes responses at a pace which each request sets in its
+// query. It speaks HTTP/1.1 over TCP, answers every complete request with 200, and records each attempt that it received:
+// when it began, when its last byte came, and how much of the response the scheduler accepted.
+//
+// It has no queue, no limits and no shards of its own; fake/node has those.
+package pacednode
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Framing is how a response states its end.
+type Framing string
+
+// The framings.
+const (
+	Length  Framing = "length"
+	Chunked Framing = "chunked"
+	Close   Framing = "close" // neither a length nor chunks: the end of the connection ends the response
+)
+
+// Pattern is how a response body is written over Script.Duration.
+type Pattern string
+
+// The patterns.
+const (
+	Steady   Pattern = "steady"    // in small pieces at equal intervals
+	Lumps    Pattern = "lumps"     // in a few large pieces at equal intervals
+	LateBody Pattern = "late-body" // the head at once, the whole body after Duration
+	Stops    Pattern = "stops"     // the head and half of the body at once, and nothing more
+)
+
+const (
+	steadyInterval = 20 * time.Millisecond
+	lumpCount      = 5
+)
+
+// Script tells a node how to handle one request. The zero value is a small response at once.
+type Script struct {
+	ReadRate int           // bytes of the request body per second; 0: as fast as it arrives
+	Work     time.Duration // from the last byte of the request to the first byte of the response
+	Size     int           // bytes of the response body
+	Framing  Framing       // "": Length
+	Pattern  Pattern       // "": the whole response at once
+	Duration time.Duration // from the first byte of the response to its last
+}
+
+// Query returns the script as the query of a request's path, beside the shard that other fakes read.
+func (s Script) Query(shard int) string {
+	return fmt.Sprintf("shard=%d&readrate=%d&work=%s&size=%d&framing=%s&pattern=%s&duration=%s",
+		shard, s.ReadRate, s.Work, s.Size, s.Framing, s.Pattern, s.Duration)
+}
+
+// parseScript returns the script of a query. Keys that are absent or malformed have their zero value.
+func parseScript(query url.Values) Script {
+	s := Script{Framing: Framing(query.Get("framing")), Pattern: Pattern(query.Get("pattern"))}
+	s.ReadRate, _ = strconv.Atoi(query.Get("readrate"))
+	s.Size, _ = strconv.Atoi(query.Get("size"))
+	s.Work, _ = time.ParseDuration(query.Get("work"))
+	s.Duration, _ = time.ParseDuration(query.Get("duration"))
+	if s.Framing == "" {
+		s.Framing = Length
+	}
+	return s
+}
+
+// pieces returns the sizes of the pieces that a body is written in, and the pause before each but the first.
+func (s Script) pieces() (sizes []int, pause time.Duration) {
+	count := 1
+	switch {
+	case s.Size == 0 || s.Duration <= 0:
+	case s.Pattern == Steady:
+		count = max(2, int(s.Duration/steadyInterval))
+	case s.Pattern == Lumps:
+		count = lumpCount
+	}
+	for i := range count {
+		sizes = append(sizes, s.Size*(i+1)/count-s.Size*i/count)
+	}
+	if count > 1 {
+		pause = s.Duration / time.Duration(count-1)
+	}
+	return sizes, pause
+}
