Ends of requests and closes of connections are counted and logged with their reasons

The decision module gives a reason with each rejection and failure, core logs the request with all its attempts, the connections to nodes and of clients record why they end.

The test of both versions' metric names leaves out the counters of events, which have a series only for reasons that occurred, and requires in their place that the rejected request was counted.

--- a/cmd/wheatsaddle/iscsi.go
+++ b/cmd/wheatsaddle/iscsi.go
@@ -7,6 +7,7 @@
 
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/iscsi"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/transport"
@@ -27,7 +28,7 @@
 }
 
 // startISCSI reads the mapping file and serves the iSCSI front.
-func startISCSI(file string, conf *config.Config, siteFile *site, log logrus.FieldLogger) (*iscsiFront, error) {
+func startISCSI(file string, conf *config.Config, siteFile *site, events *eventlog.Log, log logrus.FieldLogger) (*iscsiFront, error) {
 	text, err := config.ReadISCSI(file)
 	if err != nil {
 		return nil, err
@@ -40,7 +41,7 @@
 	siteFile.iscsi = dialer
 	siteFile.apply()
 	set := iscsi.AdaptSettings(conf.Settings, mapping)
-	co, err := core.New(core.Options{Settings: set, Seed: conf.Seed, NewNodeClient: dialer.NewNodeClient, Log: log})
+	co, err := core.New(core.Options{Settings: set, Seed: conf.Seed, NewNodeClient: dialer.NewNodeClient, Log: log, Events: events})
 	if err != nil {
 		return nil, config.Rejected(err)
 	}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -14,6 +14,7 @@
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/discovery"
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/httpfront"
 	"wheatsaddle/internal/transport"
 )
@@ -36,6 +37,7 @@
 	conf       *config.Config // as of the start; reloadOnHangup has the current one
 	cachedList discovery.List // the configuration's endpoint list, until discovery answers
 	site       *site
+	events     *eventlog.Log
 	iscsi      *iscsiFront // nil: no iSCSI front
 
 	clientConns int // maximum number of clients' connections
--- a/cmd/wheatsaddle/startup.go
+++ b/cmd/wheatsaddle/startup.go
@@ -15,6 +15,7 @@
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/discovery"
 	"wheatsaddle/internal/discovery/watchtimer"
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/exclusion"
 	"wheatsaddle/internal/httpfront"
 	"wheatsaddle/internal/operr"
@@ -46,6 +47,9 @@
 		return err
 	}
 	s.onClose(func() { s.site.registry.Close() })
+	s.events = eventlog.New(s.log, func(kind eventlog.Kind, reason eventlog.Reason) eventlog.Counter {
+		return s.site.registry.Counter(string(kind), "reason", string(reason))
+	})
 	applyLimits(s.conf)
 	return nil
 }
@@ -55,7 +59,7 @@
 	all := descriptorLimit(s.conf.Sockets)
 	unreserved := max(all-reservedDescriptors, 2)
 	if file := s.flags.String("iscsi"); file != "" {
-		if s.iscsi, err = startISCSI(file, s.conf, s.site, s.log); err != nil {
+		if s.iscsi, err = startISCSI(file, s.conf, s.site, s.events, s.log); err != nil {
 			return err
 		}
 		s.onClose(s.iscsi.core.Stop)
@@ -102,12 +106,14 @@
 		Reuse:          connreuse.Defaults(),
 		Addresses:      s.site.addressConfig,
 		Log:            s.log,
+		Events:         s.events,
 	}
 	return core.Options{
 		Settings:       s.starter.reduceSlowStart(s.conf.Settings),
 		Seed:           s.conf.Seed,
 		NewNodeClient:  s.dialer.Connect,
 		Log:            s.log,
+		Events:         s.events,
 		Excluded:       excluded,
 		OnAttemptEnded: s.fleet.observer(),
 		StartLimiter:   s.starter.limiter(),
@@ -187,6 +193,7 @@
 	}
 	s.front = httpfront.NewServer(s.core, s.conf.Settings, s.clientConns, s.log)
 	s.front.BodyMemory = httpfront.NewMemoryBudget(bodyMemory(s.conf))
+	s.front.Events = s.events
 	registerFrontMetrics(s.site.registry, s.front, s.dialer)
 	if s.gather, err = startGather(s.site, s.conf, s.core, s.front, s.fleet); err != nil {
 		return err
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -41,7 +41,7 @@
 	if limiter := c.startLimiter(); limiter != nil {
 		wait = limiter.RetryAfter(c.nodeOfShard(state.request.Shard), wait)
 	}
-	c.answer(state, Answer{Kind: Rejected, RetryAfter: wait})
+	c.answer(state, Answer{Kind: Rejected, RetryAfter: wait, Reason: Reason(a.Reason)})
 	c.forgetEnded(state)
 }
 
@@ -56,7 +56,7 @@
 	if now >= state.request.Deadline {
 		cause = CauseDeadlineExceeded
 	}
-	c.answer(state, Answer{Kind: Failed, Cause: cause})
+	c.answer(state, Answer{Kind: Failed, Cause: cause, Reason: Reason(a.Reason)})
 	c.forgetEnded(state)
 }
 
--- a/internal/core/actor.go
+++ b/internal/core/actor.go
@@ -44,7 +44,7 @@
 		case <-wake.C:
 		case <-c.stop:
 			for _, state := range c.requests {
-				c.answer(state, Answer{Kind: Failed, Cause: CauseInternal})
+				c.answer(state, Answer{Kind: Failed, Cause: CauseInternal, Reason: ReasonInternal})
 			}
 			return
 		}
@@ -150,7 +150,7 @@
 func (c *Core) restart(now float64, p any) {
 	c.options.Log.WithFields(operr.Fields(&PanicError{fmt.Sprint(p)})).WithField("stack", string(debug.Stack())).Error("decision module panicked, replaced by a new one")
 	for id, state := range c.requests {
-		c.answer(state, Answer{Kind: Failed, Cause: CauseInternal})
+		c.answer(state, Answer{Kind: Failed, Cause: CauseInternal, Reason: ReasonInternal})
 		delete(c.requests, id)
 	}
 	c.dropTimers()
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -30,6 +30,7 @@
 	// has ended.
 	endedAtMs float64
 	status    policy.Status
+	reason    Reason
 	phase     atomic.Int32
 }
 
@@ -52,6 +53,7 @@
 	PlanUsage, PeerUsage float64
 	Load                 *policy.Load
 	Payload              any
+	Reason               Reason // why the attempt ended without an answer, for logs; may be empty
 	// InvalidRequest reports that the node rejected the request itself as invalid. The request is not retried, because
 	// another attempt would be rejected too, and the rejection does not count against the node's health.
 	InvalidRequest bool
@@ -166,7 +168,7 @@
 		c.cancelRequest(state) // otherwise the decision module would retry the request
 	}
 	state.outstanding--
-	attempt.endedAtMs, attempt.status = now, result.Status
+	attempt.endedAtMs, attempt.status, attempt.reason = now, result.Status, result.Reason
 	if c.options.OnAttemptEnded != nil {
 		c.options.OnAttemptEnded(attempt.Node, int64(attempt.nodeStartTime), state.request.Class, state.request.Units, now-attempt.sentAtMs, result.Status)
 	}
@@ -176,7 +178,7 @@
 	if result.Status == policy.OK && !state.answered {
 		c.answer(state, Answer{Kind: Served, Payload: result.Payload})
 	} else if result.InvalidRequest {
-		c.answer(state, Answer{Kind: Failed, Cause: CauseInvalidRequest})
+		c.answer(state, Answer{Kind: Failed, Cause: CauseInvalidRequest, Reason: ReasonInvalidRequest})
 	} else if payload, ok := result.Payload.(Releaser); ok {
 		payload.Release() // the request is answered already
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -20,6 +20,7 @@
 
 	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/deadline"
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/exclusion"
 	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/policy"
@@ -32,6 +33,7 @@
 	NewNodeClient   func(name string, addresses []address.Addr) NodeClient // called once for each node that is added to the endpoint list
 	OnListRequested func()                                                 // called when the decision module requests the endpoint list; must not block
 	Log             logrus.FieldLogger
+	Events          *eventlog.Log // of the ends of requests; may be nil
 	// OnAttemptEnded is called at the end of each attempt. startTime is the start time of the node at the dispatch. The
 	// function must not block.
 	OnAttemptEnded func(node string, startTime int64, class string, units, latencyMs float64, status policy.Status)
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -12,9 +12,9 @@
 	c.post(call(func() {
 		c.rejectsArrivals = true
 		for _, state := range c.requests {
-			a := Answer{Kind: Failed, Cause: CauseNotServed}
+			a := Answer{Kind: Failed, Cause: CauseNotServed, Reason: ReasonStopping}
 			if len(state.attempts) == 0 {
-				a = Answer{Kind: Rejected, RetryAfter: rejectionRetryAfter}
+				a = Answer{Kind: Rejected, RetryAfter: rejectionRetryAfter, Reason: ReasonStopping}
 			}
 			c.abort(state, a)
 		}
@@ -35,7 +35,7 @@
 		select {
 		case m := <-c.mailbox:
 			if m, ok := m.(requestArrived); ok {
-				c.Reject(m.request, rejectionRetryAfter)
+				c.Reject(m.request, rejectionRetryAfter, ReasonStopping)
 			}
 		default:
 			return
--- a/internal/core/lateanswer.go
+++ b/internal/core/lateanswer.go
@@ -34,27 +34,36 @@
 		c.suppressedLateLogs++
 		return
 	}
-	receivedAt := c.moduleTime(state.request.ReceivedAt)
-	var attempts []string
-	for _, attempt := range state.attempts {
-		attempts = append(attempts, attempt.describe(receivedAt))
-	}
 	c.options.Log.WithFields(operr.Fields(&LateAnswerError{delay})).WithFields(logrus.Fields{
 		"id":           state.request.ID,
 		"class":        state.request.Class,
 		"kind":         answerKindNames[a.Kind],
 		"late_ms":      delay.Milliseconds(),
-		"attempts":     strings.Join(attempts, ", "),
+		"attempts":     c.describeAttempts(state),
 		"suppressed":   c.suppressedLateLogs,
 		"timer_lag_ms": c.timerLag.Worst().Milliseconds(),
 	}).Warn("request answered after its client's deadline")
 	c.lastLateLog, c.suppressedLateLogs = now, 0
 }
 
+// describeAttempts returns a description of a request's attempts for a log line.
+func (c *Core) describeAttempts(state *requestState) string {
+	receivedAt := c.moduleTime(state.request.ReceivedAt)
+	var attempts []string
+	for _, attempt := range state.attempts {
+		attempts = append(attempts, attempt.describe(receivedAt))
+	}
+	return strings.Join(attempts, ", ")
+}
+
 // describe returns a description of the attempt for a log line. Times are relative to the receipt of the request.
 func (a *Attempt) describe(receivedAtMs float64) string {
-	if a.endedAtMs > 0 {
-		return fmt.Sprintf("%s at %.0f ms: %s at %.0f ms", a.Node, a.sentAtMs-receivedAtMs, statusNames[a.status], a.endedAtMs-receivedAtMs)
+	if a.endedAtMs <= 0 {
+		return fmt.Sprintf("%s at %.0f ms: outstanding", a.Node, a.sentAtMs-receivedAtMs)
+	}
+	text := fmt.Sprintf("%s at %.0f ms: %s at %.0f ms", a.Node, a.sentAtMs-receivedAtMs, statusNames[a.status], a.endedAtMs-receivedAtMs)
+	if a.reason != "" {
+		text += " (" + string(a.reason) + ")"
 	}
-	return fmt.Sprintf("%s at %.0f ms: outstanding", a.Node, a.sentAtMs-receivedAtMs)
+	return text
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/policy"
 )
 
@@ -36,6 +39,7 @@
 	Payload    any           // if Served: the payload of the attempt's result
 	RetryAfter time.Duration // if Rejected
 	Cause      Cause         // if Failed
+	Reason     Reason        // for logs and metrics
 }
 
 // Request is a client's request as a front submits it.
@@ -90,7 +94,7 @@
 	select {
 	case c.mailbox <- requestArrived{r}:
 	default:
-		c.Reject(r, rejectionRetryAfter)
+		c.Reject(r, rejectionRetryAfter, ReasonMailboxFull)
 		return
 	}
 	select {
@@ -102,10 +106,12 @@
 
 // Reject rejects a request without the decision module, and counts it like the module's rejections. Fronts call it when
 // they lack resources. Any goroutine may call it.
-func (c *Core) Reject(r *Request, wait time.Duration) {
+func (c *Core) Reject(r *Request, wait time.Duration, reason Reason) {
 	c.counters.ended(r.Class, Rejected)
 	r.releasePayload()
-	r.Answer(Answer{Kind: Rejected, RetryAfter: wait})
+	a := Answer{Kind: Rejected, RetryAfter: wait, Reason: reason}
+	r.Answer(a)
+	c.options.Events.Record(eventlog.RequestEnded, reason, func() logrus.Fields { return requestFields(r, a) })
 }
 
 // Cancel ends a request whose client has disconnected. Its Answer may still be called until the actor has handled the
@@ -116,18 +122,20 @@
 // failed at once.
 func (c *Core) admit(r *Request, now float64) {
 	if c.rejectsArrivals {
-		c.Reject(r, rejectionRetryAfter)
+		c.Reject(r, rejectionRetryAfter, ReasonStopping)
 		return
 	}
 	if cause := c.failureCause(r); cause != "" {
 		c.counters.ended(r.Class, Failed)
 		r.releasePayload()
-		r.Answer(Answer{Kind: Failed, Cause: cause})
+		a := Answer{Kind: Failed, Cause: cause, Reason: reasonOfCause[cause]}
+		r.Answer(a)
+		c.options.Events.Record(eventlog.RequestEnded, a.Reason, func() logrus.Fields { return requestFields(r, a) })
 		return
 	}
 	if limiter := c.startLimiter(); limiter != nil {
 		if retryAfter, rejected := limiter.Admit(c.nodeOfShard(r.Shard)); rejected {
-			c.Reject(r, retryAfter)
+			c.Reject(r, retryAfter, ReasonStarting)
 			return
 		}
 	}
@@ -164,6 +172,7 @@
 		return
 	}
 	c.end(state)
+	c.recordDisconnect(state)
 	c.dropFromModule(state)
 }
 
@@ -190,6 +199,7 @@
 	c.end(state)
 	c.counters.ended(state.request.Class, a.Kind)
 	state.request.Answer(a)
+	c.recordEnd(state, a)
 	c.logLate(state, a, time.Now())
 }
 
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -105,5 +105,5 @@
 // failOverdue fails a request that the decision module has not answered by its deadline, so that the client still gets an
 // answer.
 func (c *Core) failOverdue(state *requestState) {
-	c.abort(state, Answer{Kind: Failed, Cause: CauseDeadlineExceeded})
+	c.abort(state, Answer{Kind: Failed, Cause: CauseDeadlineExceeded, Reason: ReasonDeadline})
 }
--- a/internal/httpfront/addresspool.go
+++ b/internal/httpfront/addresspool.go
@@ -241,7 +241,7 @@
 // removeConn removes a connection from the counts; its goroutine has ended or is about to end.
 func (p *addressPool) removeConn(t *addressConn) {
 	delete(p.conns, t.id)
-	p.node.uncountConn()
+	p.node.uncountConn(&t.conn)
 }
 
 // logMissingFamily logs, once for each address family, that it is not available on this machine.
@@ -353,6 +353,9 @@
 	if t.request != nil {
 		t.request.stop()
 	}
+	if t.closeReason.get() == "" {
+		t.closeReason.set(reasonSelector)
+	}
 	p.removeConn(t)
 }
 
@@ -364,6 +367,7 @@
 	}
 	if !t.lastUsed.IsZero() && !transport.IsReusable(t.socket) { // the node has closed it or written to it
 		t.unrequested = transport.HasInput(t.socket)
+		t.closeReason.set(unusableReason(&t.conn))
 		p.node.recordUnrequested(&t.unrequested)
 		p.closeConn(t)
 		p.selector.Step(address.Event{Kind: address.ConnBroken, Conn: t.id, Reason: address.ReasonUnwritten})
--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -40,6 +40,7 @@
 	dialID      int           // id of its dial in node.waiting
 	dialStarted time.Duration // start of its dial
 	slowDial    bool          // its dial took long
+	closeReason closeReason   // why it is or will be closed
 	used        bool          // a request was written on it
 	unrequested bool          // bytes arrived on it that no request asked for, until that is recorded
 	restUntil   time.Time     // no request before this time; zero: it has not rested
@@ -97,6 +98,7 @@
 	}
 	if c.isUnusable() {
 		c.unrequested = transport.HasInput(c.socket)
+		c.closeReason.set(unusableReason(c))
 		c.node.mailbox.PutUnbounded(nodeMessage{returned: c, broken: true, resend: j.attempt})
 		return false
 	}
@@ -129,6 +131,7 @@
 	case err == nil && !transport.IsReusable(c.socket): // the node closed it before a request was written, so nothing has run
 		c.socket.Close()
 		c.capacity, err = capacityNone, errMalformedResponse
+		c.closeReason.set(reasonNodeClosed)
 	case err == nil:
 	case reason == address.ReasonRefused && ctx.Err() == nil:
 		c.capacity = capacityNone
@@ -146,10 +149,12 @@
 		dial = transport.Dial
 	}
 	nc, reason, err := dial(ctx, c.address, d.ConnectTimeout)
-	if err == nil {
-		c.setSocket(nc)
+	if err != nil {
+		c.closeReason.set(dialReason(reason))
+		return reason, err
 	}
-	return reason, err
+	c.setSocket(nc)
+	return reason, nil
 }
 
 // setSocket sets the socket of the connection and creates its readers.
@@ -175,7 +180,9 @@
 		return core.Result{Status: policy.Abandoned}, c.socket != nil
 	}
 	if err := c.ensureConnected(j.ctx); err != nil {
-		return unsentResult(j.ctx), false
+		r := unsentResult(j.ctx)
+		r.Reason = c.closeReason.get()
+		return r, false
 	}
 	if !a.Claim() { // its request has been answered, or its deadline has passed
 		return core.Result{Status: policy.Abandoned}, j.ctx.Err() == nil
--- a/internal/httpfront/connrest.go
+++ b/internal/httpfront/connrest.go
@@ -86,8 +86,9 @@
 // closeUnusable closes an idle connection that the node has closed or on which it sent unrequested bytes.
 func (n *node) closeUnusable(c *conn) {
 	c.unrequested = c.unrequested || transport.HasInput(c.socket)
+	reason := unusableReason(c)
 	n.recordUnrequested(&c.unrequested)
-	n.closeIdle(c)
+	n.closeIdle(c, reason)
 }
 
 // recordUnrequested counts the unrequested bytes that were seen on a connection, and resets the mark.
--- a/internal/httpfront/dialer.go
+++ b/internal/httpfront/dialer.go
@@ -10,6 +10,7 @@
 	"wheatsaddle/internal/connqueue"
 	"wheatsaddle/internal/connreuse"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/mailbox"
 	"wheatsaddle/internal/transport"
@@ -27,6 +28,7 @@
 	Reuse          connreuse.Settings // when a connection may carry its next request; zero: at once
 	Addresses      *AddressConfig     // for nodes with several addresses; nil: the defaults
 	Log            logrus.FieldLogger // nil: no log
+	Events         *eventlog.Log      // of the closes of connections; may be nil
 	open           atomic.Int64       // connections that are open or being opened
 	idle           idleSet
 	unrequested    atomic.Int64                                                                                 // connections on which unrequested bytes arrived
--- a/internal/httpfront/exchange.go
+++ b/internal/httpfront/exchange.go
@@ -24,7 +24,10 @@
 	c.used = true
 	if err := c.writeAttempt(j.attempt); err != nil {
 		unwatch()
-		return c.writeErrorResult(j, first, err), false, true
+		r = c.writeErrorResult(j, first, err)
+		c.closeReason.set(readErrorReason(j.ctx, err))
+		r.Reason = c.closeReason.get()
+		return r, false, true
 	}
 	j.attempt.MarkWritten()
 	if cap(c.buffer) > maxRetainedBuffer {
@@ -34,7 +37,10 @@
 	connOpen := unwatch() // false: the context ended first and the connection is closed
 	if err != nil {
 		c.response.Reset()
-		return c.readErrorResult(j, first), false, false
+		r = c.readErrorResult(j, first)
+		c.closeReason.set(readErrorReason(j.ctx, err))
+		r.Reason = c.closeReason.get()
+		return r, false, false
 	}
 	if c.identity != "" {
 		c.answeredBy = string(c.response.Header.Peek(c.identity))
@@ -46,6 +52,15 @@
 	case first:
 		c.capacity = capacityFree
 	}
+	if !reusable {
+		c.closeReason.set(reasonLastResponse)
+	}
+	if c.unrequested {
+		c.closeReason.set(reasonUnrequested)
+	}
+	if !connOpen {
+		c.closeReason.set(readErrorReason(j.ctx, nil))
+	}
 	if rep.relay != nil && r.Payload == nil {
 		return r, false, false // not served: its relay was released, and the rest of the body is not read
 	}
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -171,7 +171,7 @@
 		n.probe(m.probe)
 	case m.close:
 		n.closing = true
-		n.closeAllIdle()
+		n.closeAllIdle(reasonNodeRemoved)
 	}
 }
 
@@ -204,7 +204,7 @@
 	cancelled := errors.Is(c.ctx.Err(), context.Canceled)
 	n.recordUnrequested(&c.unrequested)
 	c.stop()
-	n.uncountConn()
+	n.uncountConn(c)
 	switch {
 	case cancelled:
 		sync.Go(func() { a.Done(core.Result{Status: policy.Cancelled}) })
@@ -249,13 +249,13 @@
 	if n.addressPool == nil && len(list) == 1 {
 		if n.address != list[0] {
 			n.address, n.host = list[0], hostHeader(list[0], n.name)
-			n.closeAllIdle() // busy connections finish their attempt and are not reused
+			n.closeAllIdle(reasonAddressChanged) // busy connections finish their attempt and are not reused
 		}
 		return
 	}
 	if n.addressPool == nil {
 		n.address = address.Addr{}
-		n.closeAllIdle()
+		n.closeAllIdle(reasonAddressChanged)
 		n.addressPool = newAddressPool(n)
 	}
 	n.addressPool.selector.Step(address.Event{Kind: address.AddressesChanged, Addrs: list})
--- a/internal/httpfront/nodeconns.go
+++ b/internal/httpfront/nodeconns.go
@@ -7,6 +7,7 @@
 
 	"wheatsaddle/internal/connqueue"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/interleave/sync"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
@@ -47,7 +48,7 @@
 // closeSurplusIdle closes idle connections above the bound. Those for which attempts wait are no surplus.
 func (n *node) closeSurplusIdle() {
 	for maxIdle, _ := n.idleBounds(); len(n.idle)-n.waiting.Len() > maxIdle; {
-		n.closeIdle(n.idle[0])
+		n.closeIdle(n.idle[0], reasonIdleSurplus)
 	}
 }
 
@@ -55,23 +56,32 @@
 func (n *node) closeExpiredIdle() {
 	cutoff := time.Now().Add(-n.idleLimit())
 	for len(n.idle) > 0 && n.idle[0].idleAt.Before(cutoff) {
-		n.closeIdle(n.idle[0])
+		n.closeIdle(n.idle[0], reasonIdleExpired)
 	}
 	if n.addressPool != nil {
 		n.addressPool.closeExpiredIdle(cutoff)
 	}
 }
 
-// uncountConn removes one connection from the counts.
-func (n *node) uncountConn() {
+// uncountConn removes a connection from the counts and records its close.
+func (n *node) uncountConn(c *conn) {
+	n.recordClose(c, attemptID(c.attempt))
 	n.connCount--
 	n.dialer.open.Add(-1)
 }
 
+// attemptID returns the request id of an attempt, "" for none.
+func attemptID(a *core.Attempt) string {
+	if a == nil || a.Request == nil {
+		return ""
+	}
+	return a.Request.ID
+}
+
 // closeAllIdle closes all idle connections.
-func (n *node) closeAllIdle() {
+func (n *node) closeAllIdle(reason eventlog.Reason) {
 	for len(n.idle) > 0 {
-		n.closeIdle(n.idle[0])
+		n.closeIdle(n.idle[0], reason)
 	}
 }
 
@@ -80,21 +90,24 @@
 	n.idle = slices.DeleteFunc(n.idle, func(o *conn) bool { return o == c })
 	sync.Close(c.jobs)
 	n.connCount--
+	c.closeReason.set(reasonEvicted)
+	n.recordClose(c, "")
 }
 
 // connReturned takes back a connection after its job.
 func (n *node) connReturned(c *conn, broken bool) {
 	delete(n.busy, c.attempt)
-	c.attempt = nil
 	if c.stop != nil {
 		c.stop()
 	}
 	n.recordCapacity(c)
 	n.recordUnrequested(&c.unrequested)
 	if broken {
-		n.uncountConn()
+		n.uncountConn(c)
+		c.attempt = nil
 		return
 	}
+	c.attempt = nil
 	n.startRest(c)
 	n.makeAvailable(c)
 }
@@ -107,17 +120,20 @@
 	}
 	n.recordUnrequested(&c.unrequested)
 	if !broken {
+		c.closeReason.set(reasonAddressChanged)
 		sync.Close(c.jobs)
 	}
-	n.uncountConn()
+	n.uncountConn(c)
+	c.attempt = nil
 }
 
 // closeIdle closes an idle connection.
-func (n *node) closeIdle(c *conn) {
+func (n *node) closeIdle(c *conn, reason eventlog.Reason) {
 	n.idle = slices.DeleteFunc(n.idle, func(o *conn) bool { return o == c })
 	if n.dialer.idle.remove(c) { // otherwise it was evicted, and the message about that is in the mailbox
+		c.closeReason.set(reason)
 		sync.Close(c.jobs)
-		n.uncountConn()
+		n.uncountConn(c)
 	}
 }
 
@@ -140,7 +156,7 @@
 	n.idle = append(n.idle, c)
 	n.dialer.idle.put(c)
 	if n.closing {
-		n.closeIdle(c)
+		n.closeIdle(c, reasonNodeRemoved)
 	}
 	n.closeSurplusIdle()
 }
@@ -151,12 +167,15 @@
 	switch {
 	case c.address != n.address: // the address was replaced in the meantime: another connection is opened
 		n.waiting.ConnectSucceeded(now, c.dialID)
-		n.uncountConn()
+		if !failed {
+			c.closeReason.set(reasonAddressChanged)
+		}
+		n.uncountConn(c)
 		if !failed {
 			sync.Close(c.jobs)
 		}
 	case failed:
-		n.uncountConn()
+		n.uncountConn(c)
 		n.recordCapacity(c)
 		if a, ok := n.waiting.ConnectFailed(now, c.dialID, n.inUse()); ok {
 			sync.Go(func() { a.Done(core.Result{Status: policy.ConnectFailed}) })
@@ -167,7 +186,8 @@
 		c.slowDial = duration > n.dialer.ConnectTimeout/2
 		if n.waiting.Len() == 0 && len(n.idle) > 0 {
 			sync.Close(c.jobs) // it was dialled because another dial was slow, and one idle connection is enough
-			n.uncountConn()
+			c.closeReason.set(reasonSpareDial)
+			n.uncountConn(c)
 			return
 		}
 		n.makeAvailable(c)
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -16,18 +16,19 @@
 // node's connection as the client reads it. The relay owns the connection until Close; then wait returns whether
 // the connection may be reused.
 type relay struct {
-	buffered  []byte
-	remaining io.Reader                // the node's body, decoded
-	pace      responsePace             // write deadlines of the client's connection
-	finish    func(complete bool) bool // ends the read of the body and reports whether the connection may carry another request
-	closeOnce sync.Once
-	mu        sync.Mutex
-	closeConn func() // closes the node's connection; nil once the relay is closed
-	done      chan bool
-	returned  chan struct{} // closed once the connection is returned to the node's actor
-	handedOff bool          // handed to the core; the goroutine of the connection waits for Close
-	bytesRead int64
-	complete  bool
+	buffered    []byte
+	remaining   io.Reader                // the node's body, decoded
+	pace        responsePace             // write deadlines of the client's connection
+	onTruncated func()                   // called when the node's body ends early; may be nil
+	finish      func(complete bool) bool // ends the read of the body and reports whether the connection may carry another request
+	closeOnce   sync.Once
+	mu          sync.Mutex
+	closeConn   func() // closes the node's connection; nil once the relay is closed
+	done        chan bool
+	returned    chan struct{} // closed once the connection is returned to the node's actor
+	handedOff   bool          // handed to the core; the goroutine of the connection waits for Close
+	bytesRead   int64
+	complete    bool
 }
 
 // newRelay returns a relay that calls finish once when it is closed.
@@ -58,6 +59,9 @@
 		return n, io.EOF
 	}
 	if err != nil {
+		if r.onTruncated != nil {
+			r.onTruncated()
+		}
 		// Not io.EOF, as the server would end the client's response as if it were complete.
 		return n, errors.Join(errBodyTruncated, err)
 	}
--- a/internal/httpfront/response.go
+++ b/internal/httpfront/response.go
@@ -195,6 +195,7 @@
 			complete = c.timedReader.clearDeadline() == nil && !c.unrequested
 		}
 		if !complete {
+			c.closeReason.set(reasonRelayUnfinished)
 			c.socket.Close() // the rest of the body is not read, so the connection cannot be used again
 		}
 		return complete
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/scattergather"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
@@ -45,8 +46,22 @@
 	scatterGather atomic.Pointer[scattergather.Service] // nil: gathered reads are off
 
 	timedOutRequests atomic.Int64
+	// Events records the closes of clients' connections; nil: they are not recorded. It is set before Serve.
+	Events *eventlog.Log
 }
 
+// The reasons for the close of a client's connection that the server gives.
+const (
+	reasonMalformedRequest   eventlog.Reason = "malformed-request"
+	reasonRequestTimeout     eventlog.Reason = "request-timeout"
+	reasonRequestInterrupted eventlog.Reason = "request-interrupted" // for another client, or because the program stops
+	reasonNoMemory           eventlog.Reason = "no-memory"
+	reasonOverCapacity       eventlog.Reason = "over-capacity"
+	reasonClientGone         eventlog.Reason = "client-disconnected"
+	reasonServerStopping     eventlog.Reason = "stopping"
+	reasonResponseTruncated  eventlog.Reason = "response-truncated"
+)
+
 // NewServer returns a server for at most conns client connections. The given settings determine the write timeout of responses
 // that are sent before a request head was read; everything else follows the current settings of the core.
 func NewServer(c *core.Core, settings policy.Settings, conns int, log logrus.FieldLogger) *Server {
@@ -111,11 +126,20 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		s.timedOutRequests.Add(1)
 		code = fasthttp.StatusRequestTimeout
+		setCloseReason(ctx, reasonRequestTimeout)
 	}
+	setCloseReason(ctx, reasonMalformedRequest)
 	ctx.Error(fasthttp.StatusMessage(code), code)
 	closeDiscardingInput(ctx)
 }
 
+// setCloseReason sets why the connection will be closed. The first reason counts.
+func setCloseReason(ctx *fasthttp.RequestCtx, reason eventlog.Reason) {
+	if c, ok := ctx.Conn().(*transport.Conn); ok {
+		c.SetCloseReason(reason)
+	}
+}
+
 // closeDiscardingInput closes the connection after the response and discards the rest of the request, which may still arrive.
 func closeDiscardingInput(ctx *fasthttp.RequestCtx) {
 	if c, ok := ctx.Conn().(*transport.Conn); ok {
@@ -133,6 +157,7 @@
 
 // rejectIncomplete rejects a request of which no more is read.
 func (s *Server) rejectIncomplete(ctx *fasthttp.RequestCtx) {
+	setCloseReason(ctx, reasonRequestInterrupted)
 	writeResponse(ctx, core.Answer{Kind: core.Rejected, RetryAfter: rejectRetryAfter})
 	closeDiscardingInput(ctx)
 }
@@ -140,6 +165,7 @@
 // Serve accepts and serves connections until Shutdown.
 func (s *Server) Serve(ln net.Listener, conns int) error {
 	l := transport.LimitWithOverflow(ln, conns, overflowConns)
+	l.RecordCloses(s.Events)
 	s.ln.Store(l)
 	return s.http.Serve(l)
 }
@@ -207,6 +233,7 @@
 // closeAfterResponse closes the connection with the response, unless a further request was already read together with this one.
 func closeAfterResponse(ctx *fasthttp.RequestCtx) {
 	if c, ok := ctx.Conn().(*transport.Conn); !ok || !c.HasUnparsed() {
+		setCloseReason(ctx, reasonServerStopping)
 		ctx.SetConnectionClose()
 	}
 }
@@ -266,9 +293,14 @@
 	r.Answer = pending.deliver
 	overCapacity := s.ln.Load().OverCapacity()
 	if overCapacity || s.reserveIdle.Load() && s.ln.Load().FewIdle() {
-		s.Core.Reject(r, rejectRetryAfter)
+		reason := core.ReasonFewIdle
+		if overCapacity {
+			reason = core.ReasonConnectionCap
+		}
+		s.Core.Reject(r, rejectRetryAfter, reason)
 		writeResponse(ctx, <-pending.answers)
 		if overCapacity {
+			setCloseReason(ctx, reasonOverCapacity)
 			closeAfterResponse(ctx) // the connection is above the cap
 		}
 		return
@@ -296,6 +328,7 @@
 		if errors.As(err, &m) {
 			code = m.Status
 		}
+		setCloseReason(ctx, reasonMalformedRequest)
 		ctx.Error(err.Error(), code)
 		closeDiscardingInput(ctx) // the bytes that follow may belong to the malformed request
 		return nil
@@ -317,6 +350,7 @@
 		s.Core.Cancel(r)
 		pending.abandon()
 		conn.Unwatch()
+		conn.SetCloseReason(reasonClientGone)
 		ctx.SetConnectionClose()
 		ctx.SetStatusCode(499) // the client has disconnected and does not see it
 	}
@@ -328,18 +362,22 @@
 	var m *MalformedError
 	switch {
 	case errors.Is(err, errNoBodyMemory):
+		setCloseReason(ctx, reasonNoMemory)
 		class, _, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
 		answers := make(chan core.Answer, 1)
-		s.Core.Reject(&core.Request{Request: policy.Request{Class: class}, Answer: func(a core.Answer) { answers <- a }}, rejectRetryAfter)
+		s.Core.Reject(&core.Request{Request: policy.Request{Class: class}, Answer: func(a core.Answer) { answers <- a }}, rejectRetryAfter, core.ReasonMemory)
 		writeResponse(ctx, <-answers)
 	case errors.As(err, &m):
+		setCloseReason(ctx, reasonMalformedRequest)
 		ctx.Error(m.Problem, m.Status)
 	case errors.Is(err, errBodyStalled) && s.rejectsIncomplete(ctx):
 		s.rejectIncomplete(ctx)
 	case errors.Is(err, errBodyStalled):
 		s.timedOutRequests.Add(1)
+		setCloseReason(ctx, reasonRequestTimeout)
 		ctx.Error(err.Error(), fasthttp.StatusRequestTimeout)
 	default:
+		setCloseReason(ctx, reasonMalformedRequest)
 		ctx.Error("body: "+err.Error(), fasthttp.StatusBadRequest)
 	}
 }
@@ -351,6 +389,7 @@
 		rep := a.Payload.(*nodeResponse)
 		if rep.relay != nil {
 			rep.relay.pace = newResponsePace(ctx.Conn())
+			rep.relay.onTruncated = func() { setCloseReason(ctx, reasonResponseTruncated) }
 			ctx.Response.ImmediateHeaderFlush = true
 			ctx.Response.SetBodyStream(rep.relay, -1) // chunked, so that a truncated response lacks its last chunk
 			return
--- a/internal/testkit/cluster/versions_stored_test.go
+++ b/internal/testkit/cluster/versions_stored_test.go
@@ -255,6 +255,22 @@
 	"wheatsaddle_request_body_memory_limit_bytes",
 }
 
+// eventCounters are the prefixes of the counters of events, which have a series for each reason that has occurred.
+var eventCounters = []string{"wheatsaddle_request_ended{reason=", "wheatsaddle_node_connection_closed{reason=", "wheatsaddle_client_connection_closed{reason="}
+
+// withoutEventCounters separates the names of the counters of events from the others.
+func withoutEventCounters(names []string) (others, events []string) {
+	for _, name := range names {
+		isEvent := slices.ContainsFunc(eventCounters, func(prefix string) bool { return strings.HasPrefix(name, prefix) })
+		if isEvent {
+			events = append(events, name)
+		} else {
+			others = append(others, name)
+		}
+	}
+	return others, events
+}
+
 // Both versions serve on the same settings, site and iSCSI files with every section: they open the same listeners, answer
 // alike and have the same metrics, but for addedMetrics.
 func TestRecordedFilesServeInBothVersions(t *testing.T) {
@@ -268,6 +284,10 @@
 	f := newRecordedFiles(ctx, t, dir)
 	wantResponses, wantNames := f.serve(previous)
 	responses, names := f.serve(daemonPath)
+	names, events := withoutEventCounters(names)
+	if !slices.ContainsFunc(events, func(name string) bool { return strings.HasPrefix(name, "wheatsaddle_request_ended{") }) {
+		t.Errorf("no counter of the rejected request in %q", events)
+	}
 	if !strings.Contains(responses[0], "503, Retry-After present: true") || !slices.Equal(responses, wantResponses) {
 		t.Errorf("responses %q, previous version %q", responses, wantResponses)
 	}
--- a/internal/testkit/experiment/soak/request.go
+++ b/internal/testkit/experiment/soak/request.go
@@ -92,6 +92,7 @@
 		o.Err = err
 		return o
 	}
+	defer func() { _ = response.Body.Close() }()
 	o.Code = response.StatusCode
 	o.Body, o.Err = readAnswer(response.Body, readRate)
 	o.Complete = o.Err == nil
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"net"
+	stdatomic "sync/atomic"
 	"syscall"
 	"time"
 
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/interleave/sync"
 	"wheatsaddle/internal/interleave/sync/atomic"
 )
@@ -32,6 +34,9 @@
 
 	requestRead requestRead
 
+	acceptedAt  time.Time
+	closeReason stdatomic.Pointer[eventlog.Reason]
+
 	firstReadMu sync.Mutex // held while a request's first bytes are read, and while markClosing checks for input and changes the phase
 
 	// The fields below belong to the server's goroutine.
@@ -61,6 +66,7 @@
 		return c.read, nil
 	}
 	n, err := c.awaitRequest(p)
+	c.recordReadEnd(err)
 	c.read = n
 	return n, err
 }
@@ -122,6 +128,7 @@
 	if !c.markClosing() {
 		return false
 	}
+	c.SetCloseReason(reasonEvicted)
 	_ = c.Close() // without a request the error does not matter
 	return true
 }
--- a/internal/transport/drain.go
+++ b/internal/transport/drain.go
@@ -53,6 +53,7 @@
 		switch {
 		case err == nil:
 			if c := l.track(nc); !sync.SendOr(l.drained, c, l.done) {
+				c.SetCloseReason(reasonListenerEnded)
 				_ = c.Close() // the listener is closed, so no Accept will return the connection
 				return
 			}
--- a/internal/transport/firstread.go
+++ b/internal/transport/firstread.go
@@ -83,6 +83,7 @@
 
 // markExpired makes the connection closing because no request began in time, and returns the error for the server.
 func (c *Conn) markExpired() error {
+	c.SetCloseReason(reasonExpired)
 	_ = c.phase.CompareAndSwap(fresh, closing) || c.phase.CompareAndSwap(idle, closing)
 	return net.ErrClosed
 }
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/interleave/sync"
 	"wheatsaddle/internal/interleave/sync/atomic"
 )
@@ -50,6 +51,8 @@
 	drainLimit   time.Duration // upper bound on the time that StopAccepting spends on the queue
 	noDescriptor atomic.Bool   // the last accept failed for lack of a descriptor or of memory
 
+	events *eventlog.Log // of the closes of connections; nil: they are not recorded
+
 	answersInterrupted  bool         // the server answers a request whose read times out
 	interruptedRequests atomic.Int64 // requests interrupted to admit other connections
 }
@@ -135,8 +138,9 @@
 
 // track wraps an accepted connection and counts it as open.
 func (l *Listener) track(nc net.Conn) *Conn {
-	c := &Conn{Conn: nc, listener: l}
-	c.phaseStart.Store(time.Now().UnixNano())
+	now := time.Now()
+	c := &Conn{Conn: nc, listener: l, acceptedAt: now}
+	c.phaseStart.Store(now.UnixNano())
 	l.add(c)
 	return c
 }
@@ -149,18 +153,26 @@
 	l.open = append(l.open, c)
 }
 
-// drop counts a connection as closed. A second call does nothing.
+// drop counts a connection as closed, and records its close. A second call does nothing.
 func (l *Listener) drop(c *Conn) {
+	if l.remove(c) {
+		l.recordClose(c)
+	}
+}
+
+// remove removes a connection from the open ones. It reports whether it was among them.
+func (l *Listener) remove(c *Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	sync.Writes(&l.open)
 	if c.index >= len(l.open) || l.open[c.index] != c {
-		return
+		return false
 	}
 	last := l.open[len(l.open)-1]
 	l.open[c.index], last.index = last, c.index
 	l.open[len(l.open)-1] = nil
 	l.open = l.open[:len(l.open)-1]
+	return true
 }
 
 func (l *Listener) atCapacity() bool {
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -148,5 +148,5 @@
 		s.enqueue(r)
 		return
 	}
-	s.rejectOrFail(r, 0)
+	s.rejectOrFail(r, 0, ReasonAttemptFailed)
 }
--- a/policy/types.go
+++ b/policy/types.go
@@ -169,8 +169,8 @@
 // The kinds of actions, with the fields that they set.
 const (
 	Send        ActionKind = iota // ID, Node, Deadline, StartBy
-	Reject                        // ID, Wait (Retry-After)
-	Fail                          // ID
+	Reject                        // ID, Wait (Retry-After), Reason
+	Fail                          // ID, Reason
 	Cancel                        // ID, Attempt
 	SetTimer                      // Wait, Tag
 	Subscribe                     // requests the changes of the endpoint list
@@ -192,4 +192,19 @@
 	Tag      string
 	Text     string
 	Data     []byte
+	Reason   Reason
 }
+
+// Reason is why a request was rejected or failed, for logs and metrics.
+type Reason string
+
+// The reasons.
+const (
+	ReasonInvalid       Reason = "invalid"        // unknown class or plan, or no valid size
+	ReasonNoTime        Reason = "no-time"        // its objective or deadline is too near
+	ReasonQueueTooLong  Reason = "queue-too-long" // its wait and the expected latency would pass its objective
+	ReasonOverloaded    Reason = "overloaded"     // it is late, and each node of the shard is overloaded
+	ReasonNodeTooSlow   Reason = "node-too-slow"  // the expected latency exceeds the limit of its band
+	ReasonRateLimit     Reason = "rate-limit"     // its volume's limit has no tokens in time
+	ReasonAttemptFailed Reason = "attempt-failed" // an attempt ended without an answer, and another is not allowed
+)
