--- a/internal/httpfront/delivery.go
+++ b/internal/httpfront/delivery.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/forwarding"
-	"wheatsaddle/internal/interleave/sync"
 	"wheatsaddle/policy"
 )
 
