--- a/internal/testkit/cluster/proc.go
+++ b/internal/testkit/cluster/proc.go
@@ -308,3 +308,13 @@
 	}
 	return err
 }
+
+// PID returns the process id of the last start, 0 before the first.
+func (p *Proc) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
