--- a/cmd/wheatsaddle/frontmetrics.go
+++ b/cmd/wheatsaddle/frontmetrics.go
@@ -3,6 +3,7 @@
 import (
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/httpfront"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/metrics"
 	"wheatsaddle/internal/transport"
 )
@@ -28,6 +29,15 @@
 		"core_guard_timers":    func(t core.TableSizes) int { return t.Guards },
 	})
 	m.Gauge(func() float64 { return float64(dialer.UnrequestedBytes()) }, "node_connections_unrequested_bytes")
-	m.Gauge(func() float64 { return float64(front.BodyMemory.InUse()) }, "request_body_memory_bytes")
-	m.Gauge(func() float64 { return float64(front.BodyMemory.Size()) }, "request_body_memory_limit_bytes")
+	m.Gauge(func() float64 { return float64(front.Memory.InUse(memory.RequestBody)) }, "request_body_memory_bytes")
+	m.Gauge(func() float64 { return float64(front.Memory.Limit(memory.RequestBody)) }, "request_body_memory_limit_bytes")
+}
+
+// registerMemoryMetrics registers what the account has granted and denied, by kind.
+func registerMemoryMetrics(m *metrics.Registry, account *memory.Account) {
+	for kind := range memory.KindCount {
+		m.Gauge(func() float64 { return float64(account.InUse(kind)) }, "memory_bytes", "kind", kind.String())
+		m.Gauge(func() float64 { return float64(account.Denied(kind)) }, "memory_denied", "kind", kind.String())
+	}
+	m.Gauge(func() float64 { return float64(account.Size()) }, "memory_account_bytes")
 }
--- a/cmd/wheatsaddle/gather.go
+++ b/cmd/wheatsaddle/gather.go
@@ -74,6 +74,8 @@
 		TokenKey:     set.TokenKey,
 		Payload:      httpfront.PartPayload,
 		Body:         httpfront.PartBody,
+		Memory:       g.front.Memory,
+		ReadBytes:    set.ReadBytes,
 	}
 	if siteSettings.Estimate != nil && g.views != nil {
 		service.ExpectedDurations = newPartDurationEstimator(siteSettings.Estimate, conf, g.views).expectedMillis
--- a/cmd/wheatsaddle/iscsi.go
+++ b/cmd/wheatsaddle/iscsi.go
@@ -9,6 +9,7 @@
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/iscsi"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
@@ -27,8 +28,19 @@
 	sockets int // maximum number of descriptors in use
 }
 
+// iscsiOptions are what the iSCSI front takes from the rest of the daemon.
+type iscsiOptions struct {
+	file   string // of the mapping
+	conf   *config.Config
+	site   *site
+	events *eventlog.Log
+	memory *memory.Account
+	log    logrus.FieldLogger
+}
+
 // startISCSI reads the mapping file and serves the iSCSI front.
-func startISCSI(file string, conf *config.Config, siteFile *site, events *eventlog.Log, log logrus.FieldLogger) (*iscsiFront, error) {
+func startISCSI(options iscsiOptions) (*iscsiFront, error) {
+	file, conf, siteFile, log := options.file, options.conf, options.site, options.log
 	text, err := config.ReadISCSI(file)
 	if err != nil {
 		return nil, err
@@ -38,10 +50,11 @@
 		return nil, err
 	}
 	dialer := iscsi.NewDialer(mapping, mapping.Initiator+conf.Name, milliseconds(conf.ConnectTimeout), log)
+	dialer.Memory = options.memory
 	siteFile.iscsi = dialer
 	siteFile.apply()
 	set := iscsi.AdaptSettings(conf.Settings, mapping)
-	co, err := core.New(core.Options{Settings: set, Seed: conf.Seed, NewNodeClient: dialer.NewNodeClient, Log: log, Events: events})
+	co, err := core.New(core.Options{Settings: set, Seed: conf.Seed, NewNodeClient: dialer.NewNodeClient, Log: log, Events: options.events})
 	if err != nil {
 		return nil, config.Rejected(err)
 	}
@@ -66,6 +79,7 @@
 		target:  iscsi.NewTarget(mapping, co, log),
 		sockets: mapping.Sessions + 2*len(mapping.Storage),
 	}
+	f.target.LimitMemory(options.memory)
 	go func() {
 		if err := f.target.Serve(ln); err != nil {
 			log.WithFields(operr.Fields(&transport.ListenerEndedError{Front: "iscsi", Address: mapping.Listen, Err: err})).Error("iSCSI front failed")
--- a/cmd/wheatsaddle/iscsi_test.go
+++ b/cmd/wheatsaddle/iscsi_test.go
@@ -81,7 +81,7 @@
 	f.write(t, iscsiText(listen, "write", "active"))
 	siteFile := &site{current: &config.Site{}, log: log, addressConfig: &httpfront.AddressConfig{}}
 	var err error
-	if f.iscsi, err = startISCSI(f.file, conf, siteFile, nil, log); err != nil {
+	if f.iscsi, err = startISCSI(iscsiOptions{file: f.file, conf: conf, site: siteFile, log: log}); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(f.iscsi.core.Stop)
--- a/cmd/wheatsaddle/limits.go
+++ b/cmd/wheatsaddle/limits.go
@@ -2,17 +2,17 @@
 
 import (
 	"math"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"syscall"
 	"time"
 
 	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/policy"
 )
 
-const mebibyte = 1 << 20 // bytes
-
 const (
 	reservedDescriptors = 32 // for the listeners, discovery and the runtime
 
@@ -23,19 +23,29 @@
 	// Clients' connections with open requests use at most 1/openRequestDivisor of all descriptors.
 	openRequestDivisor = 3
 
-	bodyMemoryDivisor = 4   // bodies over 64 KiB use at most 1/bodyMemoryDivisor of the memory
-	memoryLimitShare  = 0.6 // the garbage collector's soft limit, as a share of the platform's memory limit
+	// assumedMappedFiles is the size of the program and the C library, in bytes, where the mappings cannot be read.
+	assumedMappedFiles = 21_000_000
 )
 
-// applyLimits sets the runtime's number of threads and its soft memory limit.
-func applyLimits(conf *config.Config) {
+// applyLimits sets the runtime's number of threads and its soft memory limit, and returns the budget that the latter belongs to.
+func applyLimits(conf *config.Config) memory.Budget {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Cores))))
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(conf.MemoryMB) * mebibyte))
+	budget := memory.NewBudget(conf.MemoryMB, mappedFiles())
+	debug.SetMemoryLimit(budget.CollectorLimit)
+	return budget
 }
 
-// bodyMemory returns the maximum number of bytes that bodies over 64 KiB may use in total.
-func bodyMemory(conf *config.Config) int64 {
-	return int64(conf.MemoryMB) * mebibyte / bodyMemoryDivisor
+// mappedFiles returns the size of the files that the process has mapped.
+func mappedFiles() int64 {
+	maps, err := os.Open("/proc/self/maps")
+	if err != nil {
+		return assumedMappedFiles
+	}
+	defer func() { _ = maps.Close() }()
+	if size := memory.MappedFiles(maps); size > 0 {
+		return size
+	}
+	return assumedMappedFiles
 }
 
 // descriptorLimit returns the lower of the configured number of descriptors and the process's own limit.
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -16,6 +16,7 @@
 	"wheatsaddle/internal/discovery"
 	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/httpfront"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/transport"
 )
 
@@ -38,7 +39,8 @@
 	cachedList discovery.List // the configuration's endpoint list, until discovery answers
 	site       *site
 	events     *eventlog.Log
-	iscsi      *iscsiFront // nil: no iSCSI front
+	memory     *memory.Account // of all that peers make the process hold
+	iscsi      *iscsiFront     // nil: no iSCSI front
 
 	clientConns int // maximum number of clients' connections
 	nodeConns   int // maximum number of connections to storage nodes
@@ -136,6 +138,7 @@
 		env:                 os.Getenv,
 		setDiscoveryAddress: s.watcher.SetAddress,
 		reconfigure:         reconfigureCores(s.starter.reconfigure(s.core), s.iscsi),
+		memory:              s.memory,
 		log:                 s.log,
 	}
 	for current := s.conf; ; {
--- a/cmd/wheatsaddle/startup.go
+++ b/cmd/wheatsaddle/startup.go
@@ -18,6 +18,7 @@
 	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/exclusion"
 	"wheatsaddle/internal/httpfront"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
@@ -50,7 +51,8 @@
 	s.events = eventlog.New(s.log, func(kind eventlog.Kind, reason eventlog.Reason) eventlog.Counter {
 		return s.site.registry.Counter(string(kind), "reason", string(reason))
 	})
-	applyLimits(s.conf)
+	s.memory = memory.NewAccount(applyLimits(s.conf).Account)
+	registerMemoryMetrics(s.site.registry, s.memory)
 	return nil
 }
 
@@ -59,7 +61,7 @@
 	all := descriptorLimit(s.conf.Sockets)
 	unreserved := max(all-reservedDescriptors, 2)
 	if file := s.flags.String("iscsi"); file != "" {
-		if s.iscsi, err = startISCSI(file, s.conf, s.site, s.events, s.log); err != nil {
+		if s.iscsi, err = startISCSI(iscsiOptions{file: file, conf: s.conf, site: s.site, events: s.events, memory: s.memory, log: s.log}); err != nil {
 			return err
 		}
 		s.onClose(s.iscsi.core.Stop)
@@ -101,6 +103,7 @@
 		ConnectTimeout: milliseconds(s.conf.ConnectTimeout),
 		ConnIdle:       milliseconds(s.conf.ConnIdle),
 		MaxConns:       int64(s.nodeConns),
+		Memory:         s.memory,
 		FreeConnWait:   connqueue.MaxFreeConnWait(s.conf.HandshakePrice, minLatencyObjective(s.conf.Settings)),
 		Idempotent:     idempotentClasses(s.conf.Settings),
 		Reuse:          connreuse.Defaults(),
@@ -192,7 +195,7 @@
 		return err
 	}
 	s.front = httpfront.NewServer(s.core, s.conf.Settings, s.clientConns, s.log)
-	s.front.BodyMemory = httpfront.NewMemoryBudget(bodyMemory(s.conf))
+	s.front.Memory = s.memory
 	s.front.Events = s.events
 	registerFrontMetrics(s.site.registry, s.front, s.dialer)
 	if s.gather, err = startGather(s.site, s.conf, s.core, s.front, s.fleet); err != nil {
--- a/internal/config/gather.go
+++ b/internal/config/gather.go
@@ -92,7 +92,7 @@
 		if problem := g.Tree.memoryProblem(r, g.MaxParts); problem != "" {
 			return &KeyError{File: "site", Key: keyPrefix + "classes." + name + ".memory.bytes", Problem: problem}
 		}
-		if maxBytes := memoryMB << 20 / gatherMemoryDivisor; g.MaxConcurrentReads*(g.Tree.maxMerges()*r.Memory.Bytes+g.MaxParts*bytesPerPart) > maxBytes {
+		if maxBytes := memoryMB << 20 / gatherMemoryDivisor; int64(g.MaxConcurrentReads)*g.ReadBytes(name, g.MaxParts) > int64(maxBytes) {
 			return &KeyError{File: "site", Key: "gather.reads_at_once", Problem: fmt.Sprintf(
 				"%d reads of %d merges (tree.fan_out and one) of %d bytes (%sclasses.%s.memory.bytes) and %d parts of %d bytes exceed the %d bytes reserved for them, a quarter of limits.memory_mb",
 				g.MaxConcurrentReads, g.Tree.maxMerges(), r.Memory.Bytes, keyPrefix, name, g.MaxParts, bytesPerPart, maxBytes)}
@@ -103,3 +103,8 @@
 	}
 	return nil
 }
+
+// ReadBytes returns the memory of a gathered read of a class with a number of parts, in bytes. The class has rules.
+func (g *SiteGather) ReadBytes(class string, parts int) int64 {
+	return int64(g.Tree.maxMerges())*int64(g.Rules[class].Memory.Bytes) + int64(parts)*bytesPerPart
+}
--- a/internal/httpfront/body_test.go
+++ b/internal/httpfront/body_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/policy"
 )
 
@@ -91,8 +92,7 @@
 // its body back unchanged, or is rejected at once with Retry-After.
 func TestLongBodiesShareBodyMemory(t *testing.T) {
 	const size, writes = 2 << 20, 12
-	f := newFront(t, respondWith(okResponse))
-	f.srv.BodyMemory = NewMemoryBudget(6 << 20) // for three bodies at a time
+	f := newFrontWithMemory(t, memory.NewAccount(9<<20), respondWith(okResponse)) // for three or four bodies at a time
 	f.dialer.ConnIdle = time.Minute
 	nodes := newEchoNode(t)
 	f.srv.Core.UpdateList(nodeListAt(nodes))
@@ -157,17 +157,14 @@
 	if counts[200] == 0 {
 		t.Fatalf("no request was served, responses by status: %v", counts)
 	}
-	if !f.srv.BodyMemory.tryAcquire(6 << 20) {
-		t.Fatal("body memory is not all released after every write was answered")
-	}
+	waitFor(t, func() bool { return f.srv.Memory.InUse(memory.RequestBody) == 0 }) // after every write was answered
 	t.Logf("responses by status: %v", counts)
 }
 
 // A body that arrives slowly but steadily, at 64 kB per second in pieces, is read to its end, even if that takes longer than
 // readTimeout. A body that stalls is answered with status 408 and the connection is closed.
 func TestSlowAndStalledBodies(t *testing.T) {
-	f := newFront(t, respondWith(okResponse))
-	f.srv.BodyMemory = NewMemoryBudget(1 << 20)
+	f := newFrontWithMemory(t, memory.NewAccount(1<<20), respondWith(okResponse))
 	body := bytes.Repeat([]byte("x"), 200<<10)
 	head, framed := putRequest(1, body, false, false)
 	nc, err := net.Dial("tcp", f.address)
@@ -214,7 +211,7 @@
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			n := -1
 			if h, err := readBody(ctx, nil); err == nil {
-				n = len(h.body)
+				n = h.size
 			}
 			got <- n
 		},
--- a/internal/httpfront/bodymemory_test.go
+++ b/internal/httpfront/bodymemory_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/policy"
 )
 
@@ -50,8 +51,7 @@
 		"reset":           {func(net.Conn) bool { return false }, fasthttp.StatusBadGateway, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFront(t, x.do)
-			f.srv.BodyMemory = NewMemoryBudget(budget)
+			f := newFrontWithMemory(t, memory.NewAccount(budget), x.do)
 			before := liveHeap()
 			for i := range requests {
 				c := dialFront(t, f.address)
@@ -59,7 +59,7 @@
 				c.expectResponse(t, fmt.Sprintf("request %d", i), x.code, false)
 				c.Conn.Close()
 			}
-			f.expectBodyMemoryFree(t)
+			f.expectMemoryFree(t)
 			f.last.Store(nil) // the fake node's copy
 			if grown := liveHeap() - before; grown > budget {
 				t.Errorf("%d KiB more are in use after %d bodies of %d KiB, want at most the budget of %d KiB", grown>>10, requests, testBodySize>>10, budget>>10)
@@ -68,18 +68,29 @@
 	}
 }
 
-// expectBodyMemoryFree waits until the whole budget is free.
-func (f *frontHarness) expectBodyMemoryFree(t *testing.T) {
+// newFrontWithMemory starts a server whose connections, requests and bodies share an account, as do its connections to nodes.
+func newFrontWithMemory(t *testing.T, account *memory.Account, do script) *frontHarness {
 	t.Helper()
-	waitFor(t, func() bool { return f.srv.BodyMemory.InUse() == 0 })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := dialer()
+	d.Memory = account
+	return newFrontOn(t, ln, d, do, func(s *Server) { s.Memory = account })
+}
+
+// expectMemoryFree waits until the account is free but for connections to nodes.
+func (f *frontHarness) expectMemoryFree(t *testing.T) {
+	t.Helper()
+	waitFor(t, func() bool { return f.srv.Memory.Used() == f.srv.Memory.InUse(memory.NodeConnection) })
 }
 
 // Guards against a share of the budget that comes back while the body is still in use: a client disconnects while its body is
 // being written to a node that does not read it.
 func TestBodyShareIsHeldWhileBodyIsWritten(t *testing.T) {
 	release := make(chan bool)
-	f := newFront(t, respondWith(okResponse))
-	f.srv.BodyMemory = NewMemoryBudget(32 << 20)
+	f := newFrontWithMemory(t, memory.NewAccount(32<<20), respondWith(okResponse))
 	node := newUnreadNode(t, release)
 	f.srv.Core.UpdateList(nodeListAt(node))
 	c := dialFront(t, f.address)
@@ -87,11 +98,11 @@
 	_, _ = io.WriteString(c.Conn, head)
 	_, _ = c.Conn.Write(framed)
 	waitFor(t, func() bool { return f.srv.Core.TableSizes().Requests == 1 })
-	if got := f.srv.BodyMemory.InUse(); got != 16<<20 {
+	if got := f.srv.Memory.InUse(memory.RequestBody); got != 16<<20 {
 		t.Errorf("%d bytes in use while the body is written, want %d", got, 16<<20)
 	}
 	c.Conn.Close() // the attempt is cancelled, and the share comes back with its end
-	f.expectBodyMemoryFree(t)
+	f.expectMemoryFree(t)
 	if left := f.srv.Core.TableSizes(); left.Requests != 0 {
 		t.Errorf("the share came back while an attempt was outstanding: %+v", left)
 	}
@@ -104,23 +115,28 @@
 	return startNode(t, func(net.Conn) { <-release })
 }
 
-// The budget covers the whole buffer of a chunked body, not only the bytes that have arrived.
-func TestChunkedBodyAcquiresItsBuffer(t *testing.T) {
-	budget := NewMemoryBudget(maxRequestBody)
-	memory := &bodyMemory{budget: budget, size: -1}
-	var body []byte
-	for len(body) < 4<<20 {
-		grown, err := extendBody(body, memory)
-		if err != nil {
-			t.Fatal(err)
+// The account has all of a body's segments, not only the bytes that have arrived, and nothing of what is only declared.
+func TestBodyAcquiresItsSegments(t *testing.T) {
+	for _, declared := range []int{-1, 8 << 20} {
+		account := memory.NewAccount(maxRequestBody)
+		body := newRequestBody(account, declared)
+		for body.size < 4<<20 {
+			space, err := body.space()
+			if err != nil {
+				t.Fatal(err)
+			}
+			body.received(len(space))
+			allocated := 0
+			for _, segment := range body.segments {
+				allocated += cap(segment)
+			}
+			if account.InUse(memory.RequestBody) != int64(allocated) || allocated > body.size {
+				t.Fatalf("segments of %d bytes for %d bytes have acquired %d", allocated, body.size, account.InUse(memory.RequestBody))
+			}
 		}
-		if size := int64(cap(grown)); size > maxBufferedBody && budget.InUse() < size {
-			t.Fatalf("a buffer of %d bytes has acquired %d", size, budget.InUse())
+		if body.release(); account.Used() != 0 {
+			t.Errorf("%d bytes in use after the release", account.Used())
 		}
-		body = grown[:cap(grown)]
-	}
-	if memory.release(); budget.InUse() != 0 {
-		t.Errorf("%d bytes in use after the release", budget.InUse())
 	}
 }
 
@@ -155,14 +171,3 @@
 		return true
 	})
 }
-
-// The budget counts what is acquired and refuses what is not free.
-func TestMemoryBudget(t *testing.T) {
-	b := NewMemoryBudget(100)
-	if !b.tryAcquire(60) || b.tryAcquire(41) || b.InUse() != 60 || b.Size() != 100 {
-		t.Errorf("%d of %d bytes in use, want 60 of 100", b.InUse(), b.Size())
-	}
-	if b.release(60); !b.tryAcquire(100) {
-		t.Error("released bytes are not free")
-	}
-}
--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/policy"
 )
 
@@ -32,17 +33,23 @@
 // nodeRequest is the message for the storage nodes. It is decoded once, and encoded for each attempt with that
 // attempt's remaining time.
 type nodeRequest struct {
-	head   []byte // request line and the headers that stay the same
-	body   []byte
-	memory *bodyMemory // share of the body memory that body has acquired; nil: none
+	head []byte       // request line and the headers that stay the same
+	body *requestBody // nil once it is released
+}
+
+// bodySize returns the length of the body.
+func (c *nodeRequest) bodySize() int {
+	if c.body == nil {
+		return 0
+	}
+	return c.body.size
 }
 
 // Release implements core.Releaser. Core calls it when no attempt can use the request any more.
 func (c *nodeRequest) Release() {
-	c.body = nil
-	if c.memory != nil {
-		c.memory.release()
-		c.memory = nil
+	if c.body != nil {
+		c.body.release()
+		c.body = nil
 	}
 }
 
@@ -88,13 +95,16 @@
 
 // decode decodes a client's request whose body fasthttp has already read. The result shares no memory with m.
 func decode(m *fasthttp.Request, b *bounds) (*core.Request, error) {
-	return decodeWith(m, requestBody{body: bytes.Clone(m.Body())}, b)
+	body, err := bufferedBody(nil, m.Body())
+	if err != nil {
+		return nil, err
+	}
+	return decodeWith(m, body, b)
 }
 
 // decodeWith decodes a client's request with the given body, which belongs to the result's payload. After an error the
 // caller releases it.
-func decodeWith(m *fasthttp.Request, received requestBody, b *bounds) (*core.Request, error) {
-	body := received.body
+func decodeWith(m *fasthttp.Request, body *requestBody, b *bounds) (*core.Request, error) {
 	h := &m.Header
 	r := &core.Request{Settings: b.settings}
 	if p := h.Protocol(); string(p) != "HTTP/1.1" && string(p) != "HTTP/1.0" {
@@ -131,10 +141,10 @@
 	if err != nil || timeoutMS == 0 || time.Duration(timeoutMS)*time.Millisecond > maxTimeout {
 		return nil, malformed("X-Deadline-Ms: missing or not a number of milliseconds")
 	}
-	if len(body) > maxRequestBody {
+	if body.size > maxRequestBody {
 		return nil, &MalformedError{fasthttp.StatusRequestEntityTooLarge, "body: over 32 MiB"}
 	}
-	if h.IsGet() && (len(body) > 0 || framing.chunked) {
+	if h.IsGet() && (body.size > 0 || framing.chunked) {
 		return nil, malformed("body: a read has none")
 	}
 	r.ID, r.Class, r.Plan, r.Key = string(id), string(class), string(tier), string(key)
@@ -150,14 +160,12 @@
 	if len(idempotencyKey) > 0 && !isToken(idempotencyKey, 1024) || len(idempotencyKey) == 0 && b.idempotentByKey[r.Class] {
 		return nil, malformed("Idempotency-Key: missing or malformed")
 	}
-	payload := newNodeRequest(h, id, idempotencyKey, body)
-	payload.memory = received.memory
-	r.Payload = payload
+	r.Payload = newNodeRequest(h, id, idempotencyKey, body)
 	return r, nil
 }
 
 // newNodeRequest encodes the part of the message that is the same for all attempts of a request.
-func newNodeRequest(h *fasthttp.RequestHeader, id, idempotencyKey, body []byte) *nodeRequest {
+func newNodeRequest(h *fasthttp.RequestHeader, id, idempotencyKey []byte, body *requestBody) *nodeRequest {
 	c := &nodeRequest{body: body}
 	c.head = append(append(append(c.head, h.Method()...), ' '), h.RequestURI()...)
 	c.head = append(append(c.head, " HTTP/1.1\r\nX-Request-Id: "...), id...)
@@ -165,7 +173,7 @@
 		c.head = append(append(c.head, "\r\nIdempotency-Key: "...), idempotencyKey...)
 	}
 	if h.IsPut() {
-		c.head = strconv.AppendInt(append(c.head, "\r\nContent-Length: "...), int64(len(c.body)), 10)
+		c.head = strconv.AppendInt(append(c.head, "\r\nContent-Length: "...), int64(c.bodySize()), 10)
 	}
 	return c
 }
@@ -224,14 +232,16 @@
 // nodeResponse is the response of a storage node. A long one is passed on while it arrives.
 type nodeResponse struct {
 	body   []byte
-	relay  *relay // of a response that is passed on while it arrives; nil: body is complete
-	unread bool   // the body is too long for a response that is not passed on; it was not read to its end
+	relay  *relay       // of a response that is passed on while it arrives; nil: body is complete
+	memory memory.Share // of body
+	unread bool         // the body is too long for a response that is not passed on; it was not read to its end
 	// limited reports that a part of a gathered read stopped at the requested number of rows.
 	limited bool
 }
 
 // Release implements core.Releaser. A response has one owner at a time.
 func (r *nodeResponse) Release() {
+	r.memory.Release()
 	if r.relay != nil {
 		_ = r.relay.Close()
 	}
--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -203,6 +203,9 @@
 	}
 	defer c.response.Reset()
 	rep, reusable, err := c.readResponse(first, nil)
+	if rep != nil {
+		defer rep.Release()
+	}
 	if connOpen := unwatch(); err != nil || !connOpen {
 		return core.Result{Status: policy.ConnectionReset}, false
 	}
--- a/internal/httpfront/connrace_test.go
+++ b/internal/httpfront/connrace_test.go
@@ -429,7 +429,7 @@
 	const size = 32 << 20
 	a, got := attempt(t, time.Now().Add(8*time.Second))
 	c := a.Request.Payload.(*nodeRequest)
-	c.body = make([]byte, size)
+	c.body = &requestBody{segments: [][]byte{make([]byte, size)}, size: size}
 	return a, got, size
 }
 
--- a/internal/httpfront/delivery.go
+++ b/internal/httpfront/delivery.go
@@ -21,6 +21,7 @@
 // arriving. In that case the response has a relay, and the goroutine of the connection goes on to fill it.
 type delivery struct {
 	attempt *core.Attempt
+	node    *node
 	started time.Time   // origin of the times passed to response
 	detach  func() bool // detaches the attempt's context from the connection; false: it ended before, and the connection is closed
 
@@ -34,8 +35,8 @@
 }
 
 // newDelivery returns the delivery of a job whose message was written.
-func newDelivery(j job, detach func() bool) *delivery {
-	return &delivery{attempt: j.attempt, started: time.Now(), detach: detach}
+func newDelivery(n *node, j job, detach func() bool) *delivery {
+	return &delivery{attempt: j.attempt, node: n, started: time.Now(), detach: detach}
 }
 
 // begin is called when the head of a response has arrived that may be long. result is that of the attempt if the response is
@@ -83,18 +84,25 @@
 	}
 }
 
-// passOn passes the response on, unless the attempt has ended or its context has closed the connection.
-func (d *delivery) passOn() {
+// passOn passes the response on, unless the attempt has ended or its context has closed the connection. It reports whether the
+// response is passed on.
+func (d *delivery) passOn() bool {
 	d.mu.Lock()
-	if d.passedOn || d.ended || d.result.Status != policy.OK || !d.detach() {
+	if d.passedOn {
 		d.mu.Unlock()
-		return
+		return true
+	}
+	if d.ended || d.result.Status != policy.OK || !d.detach() {
+		d.mu.Unlock()
+		return false
 	}
 	d.passedOn = true
+	d.node.passingOn.Add(1)
 	result := d.result
 	d.mu.Unlock()
 	d.stopTimers()
 	d.attempt.Done(result)
+	return true
 }
 
 // end is called when the response is complete or has failed. It reports whether it was passed on before; if not, it no longer
@@ -103,6 +111,9 @@
 	d.stopTimers()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.passedOn && !d.ended {
+		d.node.passingOn.Add(-1)
+	}
 	d.ended = true
 	return d.passedOn
 }
--- a/internal/httpfront/delivery_test.go
+++ b/internal/httpfront/delivery_test.go
@@ -129,7 +129,7 @@
 // that is held once the body is in the buffer.
 func TestRelayIsBoundedAndFreesItsSource(t *testing.T) {
 	closed := false
-	r := newRelay(func() { closed = true })
+	r := newRelay(func() { closed = true }, nil)
 	filled := 0
 	done := make(chan struct{})
 	go func() {
--- a/internal/httpfront/dialer.go
+++ b/internal/httpfront/dialer.go
@@ -13,6 +13,7 @@
 	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/mailbox"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
 )
@@ -21,6 +22,7 @@
 type Dialer struct {
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration
+	Memory         *memory.Account    // of the connections and the responses on them; nil: no limit
 	MaxConns       int64              // limit of open connections over all nodes
 	FreeConnWait   time.Duration      // how long an attempt waits for a busy connection before another is opened
 	dialEstimate   dialEstimate       // estimated duration of a dial
--- a/internal/httpfront/exchange.go
+++ b/internal/httpfront/exchange.go
@@ -7,11 +7,12 @@
 	"time"
 
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/policy"
 )
 
 const (
-	maxRetainedBuffer = 8 << 10  // a larger write buffer is released after the write
+	maxRetainedBuffer = 2 << 10  // bytes; a larger write buffer is released after the write
 	writePieceSize    = 64 << 10 // piece of a write with a deadline; the clock is read before each piece
 )
 
@@ -33,16 +34,16 @@
 		return exchangeEnd{result: c.writeErrorResult(j, first, err), unsent: true}
 	}
 	j.attempt.MarkWritten()
-	if cap(c.buffer) > maxRetainedBuffer {
-		c.buffer = nil
-	}
-	d := newDelivery(j, detach)
+	d := newDelivery(c.node, j, detach)
 	rep, reusable, err := c.readResponse(first, d)
 	if d.end() {
 		return c.passedOnEnd(reusable, err)
 	}
 	connOpen := detach() // false: the context ended first and the connection is closed
 	if err != nil {
+		if rep != nil {
+			rep.Release()
+		}
 		c.response.Reset()
 		return exchangeEnd{result: c.readErrorResult(j, first, err)}
 	}
@@ -95,12 +96,23 @@
 func (c *conn) writeAttempt(a *core.Attempt) error {
 	message := a.Request.Payload.(*nodeRequest)
 	c.buffer = message.encodeHead(c.buffer[:0], c.host, time.Until(a.Deadline))
-	rest := message.body
-	if len(rest) <= maxBufferedBody { // copying a longer body would use up part of the remaining time stated in the head
-		c.buffer = append(c.buffer, rest...)
+	var rest [][]byte
+	if message.bodySize() > 0 {
+		rest = message.body.segments
+	}
+	copied := c.node.dialer.Memory.NewShare(memory.NodeConnection)
+	if message.bodySize() <= maxBufferedBody && copied.Grow(int64(message.bodySize())) { // copying a longer body would use up part of the remaining time stated in the head
+		defer copied.Release()
+		for _, segment := range rest {
+			c.buffer = append(c.buffer, segment...)
+		}
 		rest = nil
 	}
-	return c.write(rest, a.StartBy)
+	err := c.write(rest, a.StartBy)
+	if cap(c.buffer) > maxRetainedBuffer {
+		c.buffer = nil
+	}
+	return err
 }
 
 // writeErrorResult returns the result of an attempt whose last byte was not written: it has not run.
@@ -136,21 +148,23 @@
 // write writes the buffer and then rest; after an error the last byte was not written. A node deduplicates a retry only
 // within a time window, and the arrival of the last byte counts. The deadline (zero: none) therefore applies to the last
 // byte too: if the node reads slowly, bytes that remain at the deadline are never written.
-func (c *conn) write(rest []byte, deadline time.Time) error {
+func (c *conn) write(rest [][]byte, deadline time.Time) error {
 	if deadline.IsZero() {
 		_, err := c.socket.Write(c.buffer)
-		if err == nil && len(rest) > 0 {
-			_, err = c.socket.Write(rest)
+		for i := 0; i < len(rest) && err == nil; i++ {
+			_, err = c.socket.Write(rest[i])
 		}
 		return err
 	}
 	if err := c.socket.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
-	for _, part := range [][]byte{c.buffer, rest} {
-		if err := c.writeBefore(deadline, part); err != nil {
-			return err
-		}
+	err := c.writeBefore(deadline, c.buffer)
+	for i := 0; i < len(rest) && err == nil; i++ {
+		err = c.writeBefore(deadline, rest[i])
+	}
+	if err != nil {
+		return err
 	}
 	_ = c.socket.SetWriteDeadline(time.Time{}) // an error shows up at the next use of the connection
 	return nil
--- a/internal/httpfront/gathered.go
+++ b/internal/httpfront/gathered.go
@@ -61,6 +61,7 @@
 func PartBody(payload any) scattergather.Body {
 	rep := payload.(*nodeResponse)
 	if rep.relay == nil {
+		rep.memory.Release() // from now on the body counts for the gathered read
 		return scattergather.Body{Data: rep.body, Limited: rep.limited}
 	}
 	return scattergather.Body{Rest: rep.relay, Abort: rep.relay.Abort, Limited: rep.limited}
--- a/internal/httpfront/idle.go
+++ b/internal/httpfront/idle.go
@@ -4,8 +4,12 @@
 	"container/list"
 
 	"wheatsaddle/internal/interleave/sync"
+	"wheatsaddle/internal/memory"
 )
 
+// nodeConnBytes is the memory of a connection to a node: its goroutine, its buffers, and the first part of a response.
+const nodeConnBytes = 18 << 10
+
 // idleSet orders the idle connections of all nodes by the time they became idle. At the connection limit the longest idle
 // connection is evicted for a new one to another node. A scheduler with hundreds of nodes may have fewer descriptors than
 // nodes, and without eviction some nodes would get no connection.
@@ -59,10 +63,14 @@
 // reserveUnusedConn counts one more open connection; it returns false at the limit. A failing caller must not be counted even
 // for a moment, as that could make a concurrent caller fail although there is capacity.
 func (d *Dialer) reserveUnusedConn() bool {
+	if !d.Memory.TryAcquire(memory.NodeConnection, nodeConnBytes) {
+		return false
+	}
 	for n := d.open.Load(); n < d.MaxConns; n = d.open.Load() {
 		if d.open.CompareAndSwap(n, n+1) {
 			return true
 		}
 	}
+	d.Memory.Release(memory.NodeConnection, nodeConnBytes)
 	return false
 }
--- a/internal/httpfront/node.go
+++ b/internal/httpfront/node.go
@@ -32,7 +32,7 @@
 }
 
 // node is the actor of one storage node. It owns the connections to the node and the attempts that wait for a connection.
-// Only the actor accesses the fields other than mailbox and draining.
+// Only the actor accesses the fields other than mailbox, draining and passingOn.
 type node struct {
 	dialer              *Dialer
 	name                string
@@ -41,7 +41,8 @@
 	addressPool         *addressPool // set once the node has had more than one address
 	mailbox             *mailbox.Queue[nodeMessage]
 	draining            atomic.Bool
-	idle                []*conn // in the order in which they became idle
+	passingOn           atomic.Int64 // connections whose response is passed on while it arrives
+	idle                []*conn      // in the order in which they became idle
 	busy                map[*core.Attempt]*conn
 	waiting             *connqueue.Queue[*core.Attempt] // attempts that wait for a connection
 	idleLimiter         connqueue.IdleLimiter           // bounds idle connections while the node lacks capacity for connections
--- a/internal/httpfront/nodeconns.go
+++ b/internal/httpfront/nodeconns.go
@@ -9,12 +9,15 @@
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/interleave/sync"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
 )
 
 const (
-	maxNodeConns        = 64  // connections to one node; above any concurrency window of the core
+	// maxNodeConns is the number of connections to one node, above any concurrency window of the core. Those on which a response
+	// is passed on are not counted: clients that read slowly hold these, and others must not wait for them.
+	maxNodeConns        = 64
 	idleTimeoutFraction = 0.6 // of the node's own idle timeout, so that the node does not close first
 	idleCheckInterval   = time.Second
 )
@@ -68,6 +71,7 @@
 	n.recordClose(c, attemptID(c.attempt))
 	n.connCount--
 	n.dialer.open.Add(-1)
+	n.dialer.Memory.Release(memory.NodeConnection, nodeConnBytes)
 }
 
 // attemptID returns the request id of an attempt, "" for none.
@@ -231,7 +235,7 @@
 // newConn returns a connection that is counted and not yet dialled, or nil if the connection limits allow none. reserve
 // counts it in the dialer's total.
 func (n *node) newConn(reserve func() bool) *conn {
-	if n.connCount >= maxNodeConns || !reserve() {
+	if n.connCount-int(n.passingOn.Load()) >= maxNodeConns || !reserve() {
 		return nil
 	}
 	n.connCount++
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -5,10 +5,12 @@
 	"io"
 	"sync"
 	"time"
+
+	"wheatsaddle/internal/memory"
 )
 
 const (
-	minRelayBuffer = 4 << 10                 // bytes; the buffer grows with the body
+	minRelayBuffer = 4 << 10                 // bytes, which a relay always has; the buffer grows with the body
 	maxRelayBuffer = maxBufferedBody + 4<<10 // bytes; above maxBufferedBody, so that a body is seen to exceed that
 )
 
@@ -31,11 +33,13 @@
 	start  int   // of the bytes in buffer that are not read yet
 	err    error // io.EOF: the body is complete; any other: it is truncated; nil: more may come
 	closed bool  // nothing more is read
+	memory memory.Share
 }
 
-// newRelay returns a relay with an empty buffer. closeConn makes a pending read of the node's body fail.
-func newRelay(closeConn func()) *relay {
-	r := &relay{closeConn: closeConn}
+// newRelay returns a relay with an empty buffer. closeConn makes a pending read of the node's body fail. The buffer grows within
+// the account.
+func newRelay(closeConn func(), account *memory.Account) *relay {
+	r := &relay{closeConn: closeConn, memory: account.NewShare(memory.Response)}
 	r.change = sync.NewCond(&r.mu)
 	return r
 }
@@ -45,12 +49,24 @@
 func (r *relay) space() []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for !r.closed && len(r.buffer)-r.start >= maxRelayBuffer {
+	for !r.closed && !r.makeSpace() {
 		r.change.Wait()
 	}
 	if r.closed {
 		return nil
 	}
+	return r.buffer[len(r.buffer):cap(r.buffer)]
+}
+
+// isFull reports whether the buffer has no space and cannot grow, so that space would wait.
+func (r *relay) isFull() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.closed && !r.makeSpace()
+}
+
+// makeSpace reports whether the buffer has space, if need be by moving its bytes or by growing it. The caller holds the mutex.
+func (r *relay) makeSpace() bool {
 	switch {
 	case r.start == len(r.buffer):
 		r.buffer, r.start = r.buffer[:0], 0
@@ -58,12 +74,17 @@
 		r.buffer = r.buffer[:copy(r.buffer, r.buffer[r.start:])]
 		r.start = 0
 	}
-	if len(r.buffer) == cap(r.buffer) {
-		grown := make([]byte, len(r.buffer), min(max(minRelayBuffer, 2*cap(r.buffer)), maxRelayBuffer))
-		copy(grown, r.buffer)
-		r.buffer = grown
+	if len(r.buffer) < cap(r.buffer) {
+		return true
 	}
-	return r.buffer[len(r.buffer):cap(r.buffer)]
+	size := min(max(minRelayBuffer, 2*cap(r.buffer)), maxRelayBuffer)
+	if size == cap(r.buffer) || !r.memory.Grow(int64(size-minRelayBuffer)) {
+		return false
+	}
+	grown := make([]byte, len(r.buffer), size)
+	copy(grown, r.buffer)
+	r.buffer = grown
+	return true
 }
 
 // received adds size bytes that were read into the space, and the end of the body, if err is not nil.
@@ -81,11 +102,13 @@
 	r.change.Broadcast()
 }
 
-// takeBody returns the buffered body of a response that is not passed on early.
-func (r *relay) takeBody() []byte {
+// takeBody returns the buffered body of a response that is not passed on early, with its memory.
+func (r *relay) takeBody() ([]byte, memory.Share) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.buffer[r.start:]
+	share := r.memory
+	r.memory = memory.Share{}
+	return r.buffer[r.start:], share
 }
 
 // Read implements io.Reader.
@@ -123,6 +146,7 @@
 	r.mu.Lock()
 	unfinished := r.err == nil && !r.closed
 	r.closed, r.buffer, r.start = true, nil, 0
+	r.memory.Release()
 	r.change.Broadcast()
 	r.mu.Unlock()
 	if unfinished {
--- a/internal/httpfront/response.go
+++ b/internal/httpfront/response.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/internal/forwarding"
+	"wheatsaddle/internal/memory"
 )
 
 const (
@@ -78,7 +79,7 @@
 // readResponse reads one response to its end; first says that no other one was read on the connection, and reusable reports
 // whether the connection may carry another request. d passes a long response on before its end; it is nil for a response that
 // is read as a whole. After an error the response may be truncated or mixed with bytes of another one: the attempt may have run,
-// and nothing of the response is served, unless it was passed on before.
+// and nothing of the response is served, unless it was passed on before; the caller releases rep, if it is not nil.
 func (c *conn) readResponse(first bool, d *delivery) (rep *nodeResponse, reusable bool, err error) {
 	if _, err = c.reader.Peek(1); err != nil {
 		return nil, false, err
@@ -106,7 +107,7 @@
 		case code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified:
 		default:
 			if rep, err = c.readBody(f, d); err != nil {
-				return nil, false, err
+				return rep, false, err
 			}
 		}
 		reusable, err = c.finishResponse(first, rep)
@@ -158,10 +159,12 @@
 		if d != nil && c.node.neverRepeated(d.attempt) {
 			c.timedReader.silence = longBodySilence // to give up would not serve the request either
 		}
-		if err := c.response.ReadBody(c.reader, maxBufferedBody); err != nil {
-			return nil, err
+		rep := &nodeResponse{memory: c.node.dialer.Memory.NewShare(memory.Response)}
+		if rep.memory.Grow(int64(size)) {
+			rep.body = make([]byte, size)
+			_, err := io.ReadFull(c.reader, rep.body)
+			return rep, err
 		}
-		return &nodeResponse{body: bytes.Clone(c.response.Body())}, nil
 	}
 	c.timedReader.silence = longBodySilence
 	stream, err := c.bodyStream(f)
@@ -169,10 +172,10 @@
 		return nil, err
 	}
 	if d == nil || c.response.StatusCode() != fasthttp.StatusOK {
-		return c.readBounded(stream)
+		return c.readUnused(stream)
 	}
-	length := int64(forwarding.UnknownLength)
-	if f.length {
+	length := int64(forwarding.UnknownLength) // also that of a short body for which there is no memory
+	if f.length && size > maxBufferedBody {
 		length = int64(size)
 	}
 	return c.readLongBody(stream, length, d)
@@ -191,23 +194,27 @@
 	return c.response.BodyStream(), nil
 }
 
-// readBounded reads a body that is not passed on. It fails if the body exceeds maxBufferedBody.
-func (c *conn) readBounded(stream io.Reader) (*nodeResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(stream, maxBufferedBody+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxBufferedBody {
-		return &nodeResponse{unread: true}, nil
+// readUnused reads and drops a body that is not served. Of one that exceeds maxBufferedBody the rest stays unread.
+func (c *conn) readUnused(stream io.Reader) (*nodeResponse, error) {
+	var dropped [1 << 10]byte
+	for size := 0; size <= maxBufferedBody; {
+		n, err := stream.Read(dropped[:])
+		size += n
+		if errors.Is(err, io.EOF) {
+			return &nodeResponse{}, c.response.CloseBodyStream()
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
-	return &nodeResponse{body: body}, c.response.CloseBodyStream()
+	return &nodeResponse{unread: true}, nil
 }
 
 // readLongBody reads a body into a relay, and passes the relay on when the delivery decides so. It returns when the body has
 // ended. If the response was not passed on by then, the result has the whole body.
 func (c *conn) readLongBody(stream io.Reader, length int64, d *delivery) (*nodeResponse, error) {
 	socket := c.socket
-	r := newRelay(func() { socket.Close() })
+	r := newRelay(func() { socket.Close() }, c.node.dialer.Memory)
 	rep := &nodeResponse{relay: r}
 	c.recordIdentity()
 	d.begin(length, decodeResponse(&c.response, rep))
@@ -217,6 +224,9 @@
 	c.timedReader.onBytes = d.heard
 	defer func() { c.timedReader.onBytes = nil }()
 	for {
+		if r.isFull() && !d.passOn() {
+			return rep, errNoMemory
+		}
 		space := r.space()
 		if space == nil {
 			return rep, errRelayClosed
@@ -235,7 +245,8 @@
 		d.received(n)
 	}
 	if !d.end() {
-		rep.body, rep.relay = r.takeBody(), nil
+		rep.body, rep.memory = r.takeBody()
+		rep.relay = nil
 	}
 	return rep, nil
 }
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -14,6 +14,7 @@
 
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/eventlog"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/scattergather"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
@@ -29,6 +30,16 @@
 	rejectRetryAfter  = 50 * time.Millisecond // the time of one or two typical requests
 	minRetryAfter     = 10 * time.Millisecond // a rejection always has a positive Retry-After
 	closeIdleInterval = 5 * time.Millisecond
+
+	// writeBufferSize holds a piece of a body that is passed on while it arrives, which the server reads with 4 KiB, and its
+	// framing, so that each is one write.
+	writeBufferSize = 4<<10 + 64
+
+	// The memory of a head that is longer than a usual one.
+	usualHeadSize = 1 << 10 // bytes
+	usualFields   = 20
+	headCopies    = 3
+	fieldBytes    = 96 // of a parsed field
 )
 
 // Server accepts client connections and answers their requests.
@@ -37,8 +48,8 @@
 	http       *fasthttp.Server
 	ln         atomic.Pointer[transport.Listener]
 	lastBounds atomic.Pointer[bounds] // bounds of the last seen settings of the core
-	// BodyMemory is the memory budget shared by all request bodies over 64 KiB; nil means no limit.
-	BodyMemory          *MemoryBudget
+	// Memory is the account of the clients' connections, their requests and bodies; nil means no limit. It is set before Serve.
+	Memory              *memory.Account
 	reserveIdle         atomic.Bool // reject the requests that would use the last idle connections
 	closeAfterResponses atomic.Bool // close each connection with its next response
 	rejectIncoming      atomic.Bool // reject requests that are still arriving; each response closes its connection, even if unread bytes wait
@@ -69,8 +80,9 @@
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.reject, Concurrency: 2 * (conns + overflowConns), MaxRequestBodySize: maxRequestBody, StreamRequestBody: true,
 		HeaderReceived: s.requestTimeouts,
-		ReadBufferSize: maxHeadSize, WriteBufferSize: 4096, ReadTimeout: readTimeout, WriteTimeout: responseTimeout(maxDeadline(settings)), IdleTimeout: idleTimeout,
+		ReadBufferSize: maxHeadSize, WriteBufferSize: writeBufferSize, ReadTimeout: readTimeout, WriteTimeout: responseTimeout(maxDeadline(settings)), IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, CloseOnShutdown: true,
+		ReduceMemoryUsage:     true, // a connection without a request has no buffers
 		SecureErrorLogMessage: true, DisablePreParseMultipartForm: true, Logger: debugLogger{log}, ConnState: s.trackState,
 	}
 	return s
@@ -118,7 +130,7 @@
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		code = fasthttp.StatusRequestEntityTooLarge
-	case errors.As(err, &bufferErr):
+	case errors.As(err, &bufferErr) || errors.Is(err, transport.ErrTooManyFields):
 		code = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.As(err, &netErr) && netErr.Timeout() && s.rejectsIncomplete(ctx):
 		s.rejectIncomplete(ctx)
@@ -152,7 +164,7 @@
 // needed for another client.
 func (s *Server) rejectsIncomplete(ctx *fasthttp.RequestCtx) bool {
 	conn, ok := ctx.Conn().(*transport.Conn)
-	return s.rejectIncoming.Load() || ok && conn.Interrupted()
+	return s.rejectIncoming.Load() || ok && (conn.Interrupted() || conn.LacksMemory())
 }
 
 // rejectIncomplete rejects a request of which no more is read.
@@ -166,6 +178,9 @@
 func (s *Server) Serve(ln net.Listener, conns int) error {
 	l := transport.LimitWithOverflow(ln, conns, overflowConns)
 	l.RecordCloses(s.Events)
+	if s.Memory != nil {
+		l.LimitMemory(s.Memory, transport.HTTPConnMemory)
+	}
 	s.ln.Store(l)
 	return s.http.Serve(l)
 }
@@ -283,6 +298,10 @@
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		return
 	}
+	if c, ok := ctx.Conn().(*transport.Conn); ok && (c.LacksMemory() || !c.GrowRequest(longHeadBytes(&ctx.Request.Header))) {
+		s.rejectForMemory(ctx)
+		return
+	}
 	bounds := s.bounds()
 	r := s.readRequest(ctx, bounds)
 	if r == nil {
@@ -312,10 +331,16 @@
 	s.submit(ctx, r, pending)
 }
 
+// longHeadBytes returns the memory of a head beyond that of a usual one: its raw and its decoded copies, and its parsed fields.
+func longHeadBytes(h *fasthttp.RequestHeader) int64 {
+	size := len(h.RequestURI()) + len(h.RawHeaders())
+	return int64(headCopies*max(0, size-usualHeadSize) + fieldBytes*max(0, h.Len()-usualFields))
+}
+
 // readRequest reads and decodes a request. If that fails, it answers the request and returns nil. Its result alone refers to
 // the body, so that the body's memory is free once core has released the payload.
 func (s *Server) readRequest(ctx *fasthttp.RequestCtx, bounds *bounds) *core.Request {
-	body, err := readBody(ctx, s.BodyMemory)
+	body, err := readBody(ctx, s.Memory)
 	if err != nil {
 		s.rejectUnread(ctx, err)
 		return nil
@@ -356,17 +381,28 @@
 	}
 }
 
+// rejectForMemory rejects a request for which there is no memory. If its body was not read, the connection is closed.
+func (s *Server) rejectForMemory(ctx *fasthttp.RequestCtx) {
+	if size := ctx.Request.Header.ContentLength(); ctx.RequestBodyStream() != nil && (size < 0 || size > firstPieceSize) {
+		setCloseReason(ctx, reasonNoMemory)
+		closeDiscardingInput(ctx)
+	}
+	class, _, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
+	id := string(ctx.Request.Header.Peek("X-Request-Id"))
+	answers := make(chan core.Answer, 1)
+	s.Core.Reject(&core.Request{Request: policy.Request{ID: id, Class: class}, Answer: func(a core.Answer) { answers <- a }}, rejectRetryAfter, core.ReasonMemory)
+	writeResponse(ctx, <-answers)
+}
+
 // rejectUnread answers a request whose body could not be read. The rest of the body is not read, so the connection is closed.
 func (s *Server) rejectUnread(ctx *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, errNoMemory) {
+		s.rejectForMemory(ctx)
+		return
+	}
 	closeDiscardingInput(ctx)
 	var m *MalformedError
 	switch {
-	case errors.Is(err, errNoBodyMemory):
-		setCloseReason(ctx, reasonNoMemory)
-		class, _, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
-		answers := make(chan core.Answer, 1)
-		s.Core.Reject(&core.Request{Request: policy.Request{Class: class}, Answer: func(a core.Answer) { answers <- a }}, rejectRetryAfter, core.ReasonMemory)
-		writeResponse(ctx, <-answers)
 	case errors.As(err, &m):
 		setCloseReason(ctx, reasonMalformedRequest)
 		ctx.Error(m.Problem, m.Status)
@@ -395,6 +431,9 @@
 			return
 		}
 		ctx.Response.SetBodyRaw(rep.body)
+		if c, ok := ctx.Conn().(*transport.Conn); ok {
+			c.AfterResponse(rep.Release)
+		}
 	case core.Rejected:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		wait := max(a.RetryAfter, minRetryAfter)
--- a/internal/iscsi/bufferbudget.go
+++ b/internal/iscsi/bufferbudget.go
@@ -1,12 +1,25 @@
 package iscsi
 
-import "sync/atomic"
+import (
+	"sync/atomic"
 
-// maxBufferedBytes is the maximum number of bytes of write and read data that all sessions may reserve in total.
-const maxBufferedBytes = 32 << 20
+	"wheatsaddle/internal/memory"
+)
+
+const (
+	// maxBufferedBytes is the maximum number of bytes of write and read data that all sessions may reserve in total.
+	maxBufferedBytes = 32 << 20
+	// dataCopies is how often the data of a command may be in memory: received from two attempts, and encoded for the initiator.
+	dataCopies = 3
+	// sessionBytes is the memory of a session without the data of its commands: a PDU, the buffers and the goroutines.
+	sessionBytes = 112 << 10
+)
 
 // bufferBudget limits the memory for the data of all commands. Any goroutine may use it.
-type bufferBudget struct{ reserved atomic.Int64 }
+type bufferBudget struct {
+	reserved atomic.Int64
+	account  *memory.Account // nil: only maxBufferedBytes limits it
+}
 
 // reserve reserves the bytes that a task transfers, if they are available. It is called before a buffer is allocated, so that
 // initiators cannot exhaust the memory.
@@ -16,6 +29,10 @@
 		b.reserved.Add(-size)
 		return false
 	}
+	if !b.account.TryAcquire(memory.BlockData, dataCopies*size) {
+		b.reserved.Add(-size)
+		return false
+	}
 	task.buffer = &bufferShare{budget: b, size: size}
 	task.buffer.holders.Store(1)
 	return true
@@ -39,5 +56,6 @@
 func (s *bufferShare) release() {
 	if s != nil && s.holders.Add(-1) == 0 {
 		s.budget.reserved.Add(-s.size)
+		s.budget.account.Release(memory.BlockData, dataCopies*s.size)
 	}
 }
--- a/internal/iscsi/bufferbudget_test.go
+++ b/internal/iscsi/bufferbudget_test.go
@@ -8,6 +8,7 @@
 
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/memory"
 )
 
 const testWait = 10 * time.Second
@@ -107,3 +108,26 @@
 		t.Errorf("%d bytes reserved and a buffer of %d bytes after the write", left, cap(s.writeBuffer))
 	}
 }
+
+// Guards against commands whose data exceed the account that all peers share, though their own limit has room.
+func TestBufferBudgetSharesTheAccount(t *testing.T) {
+	account := memory.NewAccount(4 << 20)
+	budget := &bufferBudget{account: account}
+	var tasks []*scsiTask
+	for {
+		task := &scsiTask{length: 256 << 10}
+		if !budget.reserve(task) {
+			break
+		}
+		tasks = append(tasks, task)
+	}
+	if used := account.InUse(memory.BlockData); used == 0 || used > account.Limit(memory.BlockData) || used != dataCopies*budget.reserved.Load() {
+		t.Errorf("%d tasks have %d bytes of the account, limit %d", len(tasks), used, account.Limit(memory.BlockData))
+	}
+	for _, task := range tasks {
+		task.buffer.release()
+	}
+	if account.Used() != 0 || budget.reserved.Load() != 0 {
+		t.Errorf("%d and %d bytes are left after the release", account.Used(), budget.reserved.Load())
+	}
+}
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -18,6 +18,7 @@
 	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
@@ -36,7 +37,8 @@
 
 // Dialer creates the initiators, one actor for each storage target.
 type Dialer struct {
-	Name               string // iSCSI name of this initiator
+	Name               string          // iSCSI name of this initiator
+	Memory             *memory.Account // of the sessions with storage targets; nil: no limit
 	ConnectTimeout     time.Duration
 	DeduplicatesWrites bool
 	Log                logrus.FieldLogger
--- a/internal/iscsi/nexus.go
+++ b/internal/iscsi/nexus.go
@@ -7,6 +7,7 @@
 
 	"wheatsaddle/internal/address"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/policy"
 )
@@ -31,6 +32,7 @@
 
 // newNexus returns a nexus on a connection that has logged in and starts to read from it.
 func newNexus(p *storagePeer, l *loggedInConn) *nexus {
+	p.dialer.Memory.Acquire(memory.BlockSession, sessionBytes) // bounded by the portals of the mapping
 	x := &nexus{peer: p, conn: l, commands: map[uint32]*command{}, cmdSN: 1, maxCmdSN: l.maxCmdSN, lastPDUAt: time.Now()}
 	go func() {
 		in := framing{maxDataSegment: ownMaxSegment}
@@ -82,6 +84,7 @@
 	}
 	x.conn.netConn.Close()
 	x.conn = nil
+	x.peer.dialer.Memory.Release(memory.BlockSession, sessionBytes)
 	if x.peer.current == x {
 		x.peer.current = nil
 		x.peer.redialAt = time.Now().Add(redialDelay)
--- a/internal/iscsi/target.go
+++ b/internal/iscsi/target.go
@@ -12,12 +12,13 @@
 
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/transport"
 )
 
 const (
-	maxRetainedBuffer    = 64 << 10               // a longer write buffer is released after the write
+	maxRetainedBuffer    = 8 << 10                // a longer write buffer is released after the write
 	sessionCheckInterval = 100 * time.Millisecond // between two checks of a session's timeouts
 	pingAfterSilence     = 30 * time.Second       // without a PDU, until a NOP-In requests one
 	deadAfterSilence     = 60 * time.Second       // without a PDU, until the session is closed
@@ -108,9 +109,16 @@
 // hasUnits reports whether a target is configured.
 func (t *Target) hasUnits(name string) bool { return t.mapping.Load().units[name] != nil }
 
+// LimitMemory makes the sessions and the data of their commands share an account. It is called before Serve.
+func (t *Target) LimitMemory(account *memory.Account) { t.buffers.account = account }
+
 // Serve accepts sessions until StopAccepting.
 func (t *Target) Serve(ln net.Listener) error {
-	ln = transport.Limit(ln, t.conf.Sessions)
+	limited := transport.Limit(ln, t.conf.Sessions)
+	if account := t.buffers.account; account != nil {
+		limited.LimitMemory(account, transport.ConnMemory{Kind: memory.BlockSession, Open: sessionBytes})
+	}
+	ln = limited
 	t.mu.Lock()
 	t.listener = ln
 	t.mu.Unlock()
--- a/internal/scattergather/service.go
+++ b/internal/scattergather/service.go
@@ -11,6 +11,7 @@
 	"wheatsaddle/gather"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/deadline"
+	"wheatsaddle/internal/memory"
 )
 
 const (
@@ -37,7 +38,9 @@
 	PartUnits         float64                                    // units of a part; 0: those of the client's request
 	// MaxPartBytes is the limit of a part's body, MaxParts the limit of parts of one read.
 	MaxPartBytes, MaxParts int
-	ReadLimiter            *Limiter // limits concurrent reads
+	ReadLimiter            *Limiter                            // limits concurrent reads
+	Memory                 *memory.Account                     // of the reads in progress; nil: no limit
+	ReadBytes              func(class string, parts int) int64 // memory of a read, in bytes; nil with a nil Memory
 	TokenKey               []byte
 	Payload                func(client, part *core.Request, rows int) any // what the nodes' front sends for a part; rows is its row limit, 0: none
 	Body                   func(any) Body                                 // body of a node's response payload
@@ -104,6 +107,11 @@
 	if len(shards) > s.MaxParts {
 		return Final{Kind: Invalid, Err: &InvalidShards{strconv.Itoa(len(shards)) + " shards", "are more than " + strconv.Itoa(s.MaxParts)}}
 	}
+	held := s.Memory.NewShare(memory.GatheredRead)
+	if s.Memory != nil && !held.Grow(s.ReadBytes(r.Class, len(shards))) {
+		return Final{Kind: Rejected, RetryAfter: busyRetryAfter}
+	}
+	defer held.Release()
 	parts := s.parts(r.Class, shards)
 	local := s.localSender(r, r.ID)
 	sender := Sender(local)
--- a/internal/scattergather/service_test.go
+++ b/internal/scattergather/service_test.go
@@ -13,6 +13,7 @@
 
 	"wheatsaddle/gather"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
 )
 
@@ -145,6 +146,13 @@
 	assertInvalid("more than MaxParts shards", "scatter-shards-bad", read(Query{Shards: make([]int, 9)}, "read"))
 	assertInvalid("invalid token", "gather-token-bad", read(Query{All: true, Token: "x"}, "read"))
 
+	// A read for which the account has no memory is rejected, and holds none.
+	s.Memory, s.ReadBytes = memory.NewAccount(1000), func(_ string, parts int) int64 { return int64(parts) * 600 }
+	if f := read(Query{All: true}, "read"); f.Kind != Rejected || f.RetryAfter <= 0 || s.Memory.Used() != 0 || s.Memory.Denied(memory.GatheredRead) != 1 {
+		t.Errorf("read without memory: final answer %+v, %d bytes in use", f, s.Memory.Used())
+	}
+	s.Memory = nil
+
 	// While one read is in progress, the next is rejected at once and sends no attempt.
 	ctx, disconnect := context.WithCancel(t.Context())
 	done := make(chan Final)
--- a/internal/testkit/experiment/soak/deployment.go
+++ b/internal/testkit/experiment/soak/deployment.go
@@ -114,7 +114,7 @@
 	command := append(append([]string{}, d.options.Command...), d.options.Daemon)
 	if d.options.Metrics {
 		site := filepath.Join(d.options.Dir, "site.json")
-		if err := os.WriteFile(site, fmt.Appendf(nil, `{"metrics": {"listen": %q}}`, d.Metrics), 0o600); err != nil {
+		if err := os.WriteFile(site, fmt.Appendf(nil, `{"metrics": {"address": %q}}`, d.Metrics), 0o600); err != nil {
 			return err
 		}
 		command = append(command, "--site", site)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -34,6 +34,12 @@
 
 	requestRead requestRead
 
+	afterResponse stdatomic.Pointer[func()]
+
+	memory     connMemory
+	head       headScanner
+	headTooBig bool // the current head has too many lines, and no more of it is read
+
 	acceptedAt  time.Time
 	closeReason stdatomic.Pointer[eventlog.Reason]
 
@@ -55,25 +61,47 @@
 		c.SetIdle(true)
 	}
 	if c.phase.Load() == active {
+		if c.headTooBig {
+			return 0, ErrTooManyFields
+		}
 		c.requestRead.begin(time.Now())
 		n, err := c.readActive(p)
 		c.requestRead.end()
-		c.read += max(n, 0)
+		n = c.withinMessage(p[:max(n, 0)])
+		c.read += n
 		return n, err
 	}
 	c.read, c.parsed = 0, 0 // the server's buffer is empty when it waits for a request
-	if c.read = c.readBuffered(p); c.read > 0 {
-		return c.read, nil
+	n, err := c.readBuffered(p), error(nil)
+	if n == 0 {
+		n, err = c.awaitRequest(p)
+		c.recordReadEnd(err)
+	}
+	if n > 0 {
+		c.acquireRequest()
 	}
-	n, err := c.awaitRequest(p)
-	c.recordReadEnd(err)
-	c.read = n
-	return n, err
+	c.read = c.withinMessage(p[:n])
+	return c.read, err
+}
+
+// withinMessage returns how many of the bytes just read belong to the current head or body. The others are read again later.
+func (c *Conn) withinMessage(b []byte) int {
+	if !c.listener.scansHeads {
+		return len(b)
+	}
+	n, tooMany := c.head.scan(b)
+	c.headTooBig = tooMany
+	c.readAhead.putBack(b[n:])
+	return n
 }
 
 // ResponseDone records that the current request was answered. The connection becomes idle at the next Read, not at once: the
 // server may have read a further request with this one, and then handles it without a Read.
-func (c *Conn) ResponseDone() { c.responseDone = true }
+func (c *Conn) ResponseDone() {
+	c.responseDone = true
+	c.head.responseDone()
+	c.runAfterResponse()
+}
 
 // CountParsed records that size bytes of what was read belong to a request which the server handles. A size that is too small
 // is safe: HasUnparsed is then true where it need not be.
@@ -103,6 +131,7 @@
 		c.markActive()
 		return
 	}
+	c.releaseRequest()
 	c.phaseStart.Store(time.Now().UnixNano())
 	c.phase.CompareAndSwap(active, idle)
 }
@@ -153,7 +182,9 @@
 // Close implements net.Conn. After a response it ends the sending side and waits for the peer's close in the background, if
 // the listener has a linger time.
 func (c *Conn) Close() error {
+	c.runAfterResponse()
 	if c.listener.linger > 0 && c.phase.CompareAndSwap(active, lingering) && c.closeWrite() {
+		c.releaseRequest()
 		sync.Go(c.linger)
 		return nil
 	}
@@ -163,5 +194,6 @@
 // closeSocket closes the socket at once.
 func (c *Conn) closeSocket() error {
 	c.listener.drop(c)
+	c.releaseMemory()
 	return c.Conn.Close()
 }
--- a/internal/transport/evict.go
+++ b/internal/transport/evict.go
@@ -58,7 +58,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	sync.Reads(&l.open)
-	full = len(l.open) >= l.capacity || l.noDescriptor.Load()
+	full = len(l.open) >= l.capacity || l.noDescriptor.Load() || l.isUnderMemoryPressure()
 	for _, c := range l.open {
 		age := now.Sub(time.Unix(0, c.phaseStart.Load()))
 		if rank := rankOf(c.phase.Load(), age); rank != rankNone {
--- a/internal/transport/expire_test.go
+++ b/internal/transport/expire_test.go
@@ -19,7 +19,7 @@
 	for _, phase := range []int32{fresh, idle} {
 		_, conn, client := pair(t, 10)
 		conn.phase.Store(phase)
-		conn.SetReadDeadline(pastDeadline)
+		_ = conn.SetReadDeadline(pastDeadline)
 		if n, err := conn.Read(make([]byte, 64)); n != 0 || !errors.Is(err, net.ErrClosed) {
 			t.Errorf("phase %d: the server read %d bytes, error %v, want net.ErrClosed", phase, n, err)
 		}
@@ -39,7 +39,7 @@
 		for conn.pendingInput() != socketReadable {
 			runtime.Gosched()
 		}
-		conn.SetReadDeadline(pastDeadline) // a read times out before it checks for input
+		_ = conn.SetReadDeadline(pastDeadline) // a read times out before it checks for input
 		if r := <-readOnce(conn); r.err != nil || r.text != "request" || conn.phase.Load() != active {
 			t.Errorf("phase %d: the server read %+v, and the connection is then in phase %d", phase, r, conn.phase.Load())
 		}
@@ -55,7 +55,7 @@
 	for _, phase := range []int32{fresh, idle} {
 		_, conn, client := pair(t, 10)
 		conn.phase.Store(phase)
-		conn.SetReadDeadline(pastDeadline)
+		_ = conn.SetReadDeadline(pastDeadline)
 		hookCalled := false
 		conn.onNothingRead = func() {
 			hookCalled = true
@@ -70,7 +70,7 @@
 		if conn.pendingInput() != socketReadable {
 			t.Error("the request that arrived after the last read was read")
 		}
-		conn.SetReadDeadline(time.Time{})
+		_ = conn.SetReadDeadline(time.Time{})
 		if r := <-readOnce(conn); r.text != "" || !errors.Is(r.err, net.ErrClosed) {
 			t.Errorf("phase %d: a later read returned %+v", phase, r)
 		}
@@ -87,11 +87,11 @@
 	defer func() { _ = client.Close() }()
 	conn := limit(nil, 10).track(server)
 	defer func() { _ = conn.Close() }()
-	conn.SetReadDeadline(pastDeadline)
+	_ = conn.SetReadDeadline(pastDeadline)
 	if r := <-readOnce(conn); !errors.Is(r.err, net.ErrClosed) {
 		t.Errorf("the server read %+v, want net.ErrClosed", r)
 	}
-	conn.SetReadDeadline(time.Time{})
+	_ = conn.SetReadDeadline(time.Time{})
 	go func() { _, _ = io.WriteString(client, "request") }()
 	if r := <-readOnce(conn); !errors.Is(r.err, net.ErrClosed) {
 		t.Errorf("a later read returned %+v", r)
--- a/internal/transport/linger.go
+++ b/internal/transport/linger.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	realsync "sync"
 	"syscall"
 	"time"
 
@@ -14,6 +15,9 @@
 	discardBufferSize = 16 << 10
 )
 
+// discardBuffers are shared by the connections, as none waits while it uses one.
+var discardBuffers = realsync.Pool{New: func() any { return new([discardBufferSize]byte) }}
+
 // discardLimits bound the waits for more bytes of a request that was answered early.
 var discardLimits = datarate.Limits{StallTimeout: 2500 * time.Millisecond, MinBytesPerSecond: 32 << 10}
 
@@ -66,9 +70,10 @@
 
 // discard reads and drops the available input. It returns false once remaining is used up.
 func discard(fd uintptr, remaining *int) bool {
-	var b [discardBufferSize]byte
+	buffer := discardBuffers.Get().(*[discardBufferSize]byte)
+	defer discardBuffers.Put(buffer)
 	for *remaining > 0 {
-		n, err := readAvailable(fd, b[:])
+		n, err := readAvailable(fd, buffer[:])
 		if err != nil || n == 0 {
 			return true
 		}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -20,6 +20,7 @@
 	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/interleave/sync"
 	"wheatsaddle/internal/interleave/sync/atomic"
+	"wheatsaddle/internal/memory"
 )
 
 const (
@@ -53,6 +54,11 @@
 
 	events *eventlog.Log // of the closes of connections; nil: they are not recorded
 
+	held       ConnMemory
+	account    *memory.Account // of the connections and their requests; nil: no limit
+	shedPlaces chan struct{}   // one element for each request that is read in order to reject it
+	scansHeads bool            // heads are scanned before the server gets them
+
 	answersInterrupted  bool         // the server answers a request whose read times out
 	interruptedRequests atomic.Int64 // requests interrupted to admit other connections
 }
@@ -64,7 +70,7 @@
 // the read of a request that has stopped arriving may time out early (Conn.Interrupted).
 func LimitWithOverflow(ln net.Listener, capacity, overflow int) *Listener {
 	l := limit(ln, capacity)
-	l.overflow, l.linger, l.answersInterrupted = overflow, lingerTimeout, true
+	l.overflow, l.linger, l.answersInterrupted, l.scansHeads = overflow, lingerTimeout, true, true
 	go l.evictPeriodically()
 	return l
 }
@@ -141,6 +147,7 @@
 	now := time.Now()
 	c := &Conn{Conn: nc, listener: l, acceptedAt: now}
 	c.phaseStart.Store(now.UnixNano())
+	c.acquireOpen()
 	l.add(c)
 	return c
 }
@@ -176,6 +183,9 @@
 }
 
 func (l *Listener) atCapacity() bool {
+	if l.lacksConnMemory() {
+		return true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	sync.Reads(&l.open)
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -125,6 +125,17 @@
 	return false
 }
 
+// putBack puts bytes that were taken or read before the buffered ones.
+func (a *readAheadBuffer) putBack(b []byte) {
+	if len(b) == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bytes = slices.Concat(b, a.bytes)
+	a.size.Store(int32(len(a.bytes)))
+}
+
 // take moves buffered bytes to p and returns their number.
 func (a *readAheadBuffer) take(p []byte) int {
 	if a.size.Load() == 0 {
--- a/internal/transport/watch_test.go
+++ b/internal/transport/watch_test.go
@@ -193,7 +193,7 @@
 func TestWatchOutlastsReadDeadline(t *testing.T) {
 	_, conn, observed, client := observedPair(t, "tcp")
 	close(observed.start)
-	conn.SetReadDeadline(time.Unix(1, 0)) // in the past
+	_ = conn.SetReadDeadline(time.Unix(1, 0)) // in the past
 	peerClosed, ended := conn.Watch(), conn.watchDone
 	if closed := <-firstCheck(observed.checks, ended); closed {
 		t.Fatal("the watch ended before the client closed")
