Long responses share the processor, and hold less memory once they are passed on

Cause: beside 480 slow readers sound requests were rejected: first because 480 responses of 3 MiB were copied into the kernel's buffers at full speed (node-too-slow: the heads of other responses waited for the processor), then, with a bound on that, because their relays held up to 68 KiB each and attempts got no memory for a connection (memory, node_connection denied).

The test's case of 480 slow readers requires the share of sound requests again that the failing test had.

--- a/internal/httpfront/delivery.go
+++ b/internal/httpfront/delivery.go
@@ -98,6 +98,7 @@
 	}
 	d.passedOn = true
 	d.node.passingOn.Add(1)
+	d.result.Payload.(*nodeResponse).relay.markPassedOn()
 	result := d.result
 	d.mu.Unlock()
 	d.stopTimers()
--- a/internal/httpfront/idle.go
+++ b/internal/httpfront/idle.go
@@ -8,7 +8,7 @@
 )
 
 // nodeConnBytes is the memory of a connection to a node: its goroutine, its buffers, and the first part of a response.
-const nodeConnBytes = 18 << 10
+const nodeConnBytes = 16 << 10
 
 // idleSet orders the idle connections of all nodes by the time they became idle. At the connection limit the longest idle
 // connection is evicted for a new one to another node. A scheduler with hundreds of nodes may have fewer descriptors than
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -14,6 +14,9 @@
 	maxRelayBuffer = maxBufferedBody + 4<<10 // bytes; above maxBufferedBody, so that a body is seen to exceed that
 )
 
+// passedOnBuffer is the size of the buffer of a response that is passed on, in bytes.
+const passedOnBuffer = 8 << 10
+
 var (
 	errBodyTruncated = errors.New("relay response: body from the node is truncated")
 	errRelayClosed   = errors.New("relay response: the client's side is closed")
@@ -24,16 +27,19 @@
 // the node's connection is free, whatever the client still has to read.
 type relay struct {
 	pace        responsePace // write deadlines of the client's connection
+	pacer       *bulkPacer   // of all long responses; nil: none
+	unpaced     int          // bytes read since the last pass of the pacer
 	onTruncated func()       // called when the node's body ends early; may be nil
 	closeConn   func()       // closes the node's connection
 
-	mu     sync.Mutex // guards the fields below
-	change *sync.Cond // they have changed
-	buffer []byte
-	start  int   // of the bytes in buffer that are not read yet
-	err    error // io.EOF: the body is complete; any other: it is truncated; nil: more may come
-	closed bool  // nothing more is read
-	memory memory.Share
+	mu       sync.Mutex // guards the fields below
+	change   *sync.Cond // they have changed
+	buffer   []byte
+	start    int   // of the bytes in buffer that are not read yet
+	err      error // io.EOF: the body is complete; any other: it is truncated; nil: more may come
+	closed   bool  // nothing more is read
+	passedOn bool
+	memory   memory.Share
 }
 
 // newRelay returns a relay with an empty buffer. closeConn makes a pending read of the node's body fail. The buffer grows within
@@ -67,6 +73,9 @@
 
 // makeSpace reports whether the buffer has space, if need be by moving its bytes or by growing it. The caller holds the mutex.
 func (r *relay) makeSpace() bool {
+	if r.passedOn && cap(r.buffer) > passedOnBuffer {
+		return r.shrink()
+	}
 	switch {
 	case r.start == len(r.buffer):
 		r.buffer, r.start = r.buffer[:0], 0
@@ -77,8 +86,8 @@
 	if len(r.buffer) < cap(r.buffer) {
 		return true
 	}
-	size := min(max(minRelayBuffer, 2*cap(r.buffer)), maxRelayBuffer)
-	if size == cap(r.buffer) || !r.memory.Grow(int64(size-minRelayBuffer)) {
+	size := max(minRelayBuffer, min(2*cap(r.buffer), r.maxBuffer()))
+	if size <= cap(r.buffer) || !r.memory.Grow(int64(size-minRelayBuffer)) {
 		return false
 	}
 	grown := make([]byte, len(r.buffer), size)
@@ -87,6 +96,32 @@
 	return true
 }
 
+// shrink replaces a buffer that has become too large, once its bytes fit into a smaller one. The caller holds the mutex.
+func (r *relay) shrink() bool {
+	unread := r.buffer[r.start:]
+	if len(unread) >= passedOnBuffer {
+		return false
+	}
+	r.buffer, r.start = append(make([]byte, 0, passedOnBuffer), unread...), 0
+	r.memory.Shrink(passedOnBuffer - minRelayBuffer)
+	return true
+}
+
+// maxBuffer returns the size to which the buffer may grow.
+func (r *relay) maxBuffer() int {
+	if r.passedOn {
+		return passedOnBuffer
+	}
+	return maxRelayBuffer
+}
+
+// markPassedOn is called when the response is passed on. From then on a small buffer is enough.
+func (r *relay) markPassedOn() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.passedOn = true
+}
+
 // received adds size bytes that were read into the space, and the end of the body, if err is not nil.
 func (r *relay) received(size int, err error) {
 	r.mu.Lock()
@@ -115,6 +150,10 @@
 func (r *relay) Read(p []byte) (int, error) {
 	r.pace.pieceRequested()
 	n, err := r.readPiece(p)
+	if r.unpaced += n; r.unpaced >= pacedBytes {
+		r.unpaced = 0
+		r.pacer.pass()
+	}
 	r.pace.passPiece(n, time.Time{})
 	if err != nil && !errors.Is(err, io.EOF) && r.onTruncated != nil {
 		r.onTruncated()
@@ -141,10 +180,19 @@
 	return n, nil
 }
 
+// share makes the relay share the processor with the other long responses of a pacer.
+func (r *relay) share(pacer *bulkPacer) {
+	r.pacer = pacer
+	pacer.begin()
+}
+
 // Close implements io.Closer. A body that is still arriving is given up, and the node's connection closed.
 func (r *relay) Close() error {
 	r.mu.Lock()
 	unfinished := r.err == nil && !r.closed
+	if !r.closed {
+		r.pacer.end()
+	}
 	r.closed, r.buffer, r.start = true, nil, 0
 	r.memory.Release()
 	r.change.Broadcast()
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -57,6 +57,7 @@
 	scatterGather atomic.Pointer[scattergather.Service] // nil: gathered reads are off
 
 	timedOutRequests atomic.Int64
+	pacer            *bulkPacer // of the long responses
 	// Events records the closes of clients' connections; nil: they are not recorded. It is set before Serve.
 	Events *eventlog.Log
 }
@@ -76,7 +77,7 @@
 // NewServer returns a server for at most conns client connections. The given settings determine the write timeout of responses
 // that are sent before a request head was read; everything else follows the current settings of the core.
 func NewServer(c *core.Core, settings policy.Settings, conns int, log logrus.FieldLogger) *Server {
-	s := &Server{Core: c}
+	s := &Server{Core: c, pacer: newBulkPacer()}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.reject, Concurrency: 2 * (conns + overflowConns), MaxRequestBodySize: maxRequestBody, StreamRequestBody: true,
 		HeaderReceived: s.requestTimeouts,
@@ -370,6 +371,9 @@
 	select {
 	case a := <-pending.answers:
 		conn.Unwatch()
+		if response, ok := a.Payload.(*nodeResponse); ok && response.relay != nil {
+			response.relay.share(s.pacer)
+		}
 		writeResponse(ctx, a)
 	case <-peerClosed:
 		s.Core.Cancel(r)
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -40,7 +40,7 @@
 
 // ceilings are the shares of the account up to which TryAcquire succeeds, by kind.
 var ceilings = [KindCount]float64{
-	ClientConnection: 1, Request: 1, RequestBody: 0.75, Response: 0.85, NodeConnection: 0.95,
+	ClientConnection: 1, Request: 0.95, RequestBody: 0.75, Response: 0.75, NodeConnection: 1,
 	GatheredRead: 1, BlockSession: 0.95, BlockData: 0.75, RequestID: 1, Table: 0.9,
 }
 
@@ -166,6 +166,14 @@
 	return true
 }
 
+// Shrink returns what the share has beyond size bytes.
+func (s *Share) Shrink(size int64) {
+	if size < s.held {
+		s.account.Release(s.kind, s.held-size)
+		s.held = size
+	}
+}
+
 // Held returns the acquired bytes.
 func (s *Share) Held() int64 { return s.held }
 
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -64,7 +64,7 @@
 		if b.Account < minAccount || b.CollectorLimit < minCollectorLimit || b.Account > b.CollectorLimit {
 			t.Errorf("limit %d MB: %+v", limitMB, b)
 		}
-		if limitMB >= 64 && (b.CollectorLimit+mapped+systemBytes > int64(limitMB)*bytesPerMB || b.Account+runtimeBytes > b.CollectorLimit*85/100) {
+		if limitMB >= 64 && (b.CollectorLimit+mapped+systemBytes > int64(limitMB)*bytesPerMB || b.Account+runtimeBytes > b.CollectorLimit*9/10) {
 			t.Errorf("limit %d MB: %+v leaves no room", limitMB, b)
 		}
 	}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -17,7 +17,7 @@
 	runtimeBytes = 6_000_000
 	// accountShare is the part of the remaining memory that peers may fill. The rest is the collector's: garbage until the next
 	// collection, and unused parts of pages.
-	accountShare = 0.75
+	accountShare = 0.85
 	// minAccount and minCollectorLimit keep a process running whose limit is too low for any of this, in bytes.
 	minAccount        = 2_000_000
 	minCollectorLimit = 12_000_000
--- a/internal/testkit/experiment/soak/crowd_test.go
+++ b/internal/testkit/experiment/soak/crowd_test.go
@@ -18,29 +18,25 @@
 // Guards against a process that passes its memory limit because of what clients make it hold: bodies that arrive slowly or stop,
 // heads of many fields, answers that are read slowly. Sound clients are served meanwhile.
 func TestCrowdStaysWithinMemoryLimit(t *testing.T) {
-	for name, x := range map[string]struct {
-		crowd     Crowd
-		minServed float64 // share of the sound requests
-	}{
-		"slow writers":         {Crowd{SlowWriters: crowdConns}, minServedSound},
-		"clients that stop":    {Crowd{Stoppers: crowdConns}, minServedSound},
-		"heads of many fields": {Crowd{ManyFields: crowdConns}, minServedSound},
-		"slow readers":         {Crowd{SlowReaders: crowdConns / 2}, minServedSound},
-		"all kinds":            {Crowd{SlowWriters: crowdConns / 4, Stoppers: crowdConns / 4, ManyFields: crowdConns / 4, SlowReaders: crowdConns / 4}, minServedSound},
-		// These hold all memory that the limit leaves, for as long as they read. Sound requests are rejected.
-		"slow readers on all connections": {Crowd{SlowReaders: crowdConns}, 0},
+	for name, crowd := range map[string]Crowd{
+		"slow writers":                    {SlowWriters: crowdConns},
+		"clients that stop":               {Stoppers: crowdConns},
+		"heads of many fields":            {ManyFields: crowdConns},
+		"slow readers":                    {SlowReaders: crowdConns / 2},
+		"all kinds":                       {SlowWriters: crowdConns / 4, Stoppers: crowdConns / 4, ManyFields: crowdConns / 4, SlowReaders: crowdConns / 4},
+		"slow readers on all connections": {SlowReaders: crowdConns},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := start(t, Options{Objective: 250 * time.Millisecond, Deadline: time.Second, MemoryMB: leastMemoryMB})
 			time.Sleep(crowdDaemonIdle)
-			x.crowd.Duration, x.crowd.SoundInterval = crowdDuration, soundInterval
-			result := x.crowd.Play(d)
+			crowd.Duration, crowd.SoundInterval = crowdDuration, soundInterval
+			result := crowd.Play(d)
 			t.Log(result)
 			if result.Peak.Resident >= leastMemoryMB*bytesPerMB {
 				t.Errorf("%d bytes resident, limit %d MB", result.Peak.Resident, leastMemoryMB)
 			}
 			sound := result.Served + result.Rejected + result.Unanswered
-			if result.Unanswered > 0 || float64(result.Served) < x.minServed*float64(sound) {
+			if result.Unanswered > 0 || float64(result.Served) < minServedSound*float64(sound) {
 				t.Errorf("of %d sound requests %d were served and %d not answered in time", sound, result.Served, result.Unanswered)
 			}
 		})
--- a/internal/transport/requestmemory.go
+++ b/internal/transport/requestmemory.go
@@ -17,7 +17,7 @@
 // HTTPConnMemory is what clients of the HTTP front hold. A connection without a request has its goroutine and the structures of the
 // server. A request has, from its first byte to its answer, without its body and without a long head: the buffers of the server,
 // the goroutines' grown stacks, and the records of core and the decision module.
-var HTTPConnMemory = ConnMemory{Kind: memory.ClientConnection, Open: 7 << 10, Request: 32 << 10}
+var HTTPConnMemory = ConnMemory{Kind: memory.ClientConnection, Open: 7 << 10, Request: 28 << 10}
 
 const (
 	// shedReadTimeout is the time for the rest of a request that is read only to be rejected.
