--- a/internal/testkit/cluster/proc.go
+++ b/internal/testkit/cluster/proc.go
@@ -318,3 +318,9 @@
 	}
 	return p.cmd.Process.Pid
 }
+
+// PassSocket makes the process inherit a clients' listening socket, as at a process handover. It reports readiness at its admin
+// endpoint. It is called before Start.
+func (p *Proc) PassSocket(socket *os.File, adminAddress string) {
+	p.passedSocket, p.adminAddress = socket, adminAddress
+}
--- a/internal/testkit/experiment/soak/deployment.go
+++ b/internal/testkit/experiment/soak/deployment.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -38,8 +39,10 @@
 	Objective time.Duration
 	Deadline  time.Duration // of all classes; clients may name a shorter one
 	Metrics   bool          // the daemon serves its metrics
-	Env       []string      // added to the daemon's environment
-	Command   []string      // starts the daemon, whose path and arguments follow; nil: it is started directly
+	// PassedSocket makes the deployment hold the clients' socket and pass it, for Replace.
+	PassedSocket bool
+	Env          []string // added to the daemon's environment
+	Command      []string // starts the daemon, whose path and arguments follow; nil: it is started directly
 }
 
 // Deployment is one daemon with its storage nodes and discovery.
@@ -49,6 +52,9 @@
 	Admin     string // address of the admin endpoint
 	Metrics   string // address of the metrics, if Options.Metrics is set
 	options   Options
+	socket    *os.File // of the clients; nil: each daemon binds its own
+	replaced  int      // number of processes that Replace has started
+	command   []string
 	discovery *discovery.Service
 	settings  map[string]any
 	config    cluster.Config
@@ -127,10 +133,53 @@
 	if err := d.config.Write(file); err != nil {
 		return err
 	}
+	d.command = command
 	d.Proc = cluster.NewProc(command[0], file, filepath.Join(d.options.Dir, "daemon.log"), "n0", listen, command[1:]...)
+	if d.options.PassedSocket {
+		if d.socket, err = listenSocket(listen); err != nil {
+			return err
+		}
+		d.Proc.PassSocket(d.socket, d.Admin)
+	}
 	return nil
 }
 
+// listenSocket listens at an address and returns the socket.
+func listenSocket(address string) (*os.File, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = listener.Close() }() // the file is a copy
+	return listener.(*net.TCPListener).File()
+}
+
+// Replace starts another process beside the daemon, waits until it is ready, and sends the daemon SIGTERM. From then on Proc is the
+// new process. It returns the old one, which goes on to serve its connections.
+func (d *Deployment) Replace(ctx context.Context) (old *cluster.Proc, err error) {
+	d.replaced++
+	admin, err := cluster.FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	config := d.config
+	config.AdminAddress = admin
+	file := filepath.Join(d.options.Dir, fmt.Sprintf("config-%d.json", d.replaced))
+	if err := config.Write(file); err != nil {
+		return nil, err
+	}
+	next := cluster.NewProc(d.command[0], file, filepath.Join(d.options.Dir, fmt.Sprintf("daemon-%d.log", d.replaced)), "n0", d.Proc.Listen, d.command[1:]...)
+	next.PassSocket(d.socket, admin)
+	old, d.Proc, d.Admin = d.Proc, next, admin
+	if err := next.Start(); err != nil {
+		return old, err
+	}
+	if err := d.WaitReady(ctx); err != nil {
+		return old, err
+	}
+	return old, old.Signal(syscall.SIGTERM)
+}
+
 // defaultSettings returns settings with one class of each effect, and a plan without limits.
 func (d *Deployment) defaultSettings() map[string]any {
 	class := func(name, repeat string) map[string]any {
@@ -177,6 +226,9 @@
 	if d.Proc != nil {
 		d.Proc.KillAndWait()
 	}
+	if d.socket != nil {
+		_ = d.socket.Close()
+	}
 	if d.discovery != nil {
 		d.discovery.Close()
 	}
