--- a/cmd/wheatsaddle/iscsi.go
+++ b/cmd/wheatsaddle/iscsi.go
@@ -11,6 +11,7 @@
 	"wheatsaddle/internal/iscsi"
 	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/requestid"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
 )
@@ -35,6 +36,7 @@
 	site   *site
 	events *eventlog.Log
 	memory *memory.Account
+	ids    *requestid.Registry
 	log    logrus.FieldLogger
 }
 
@@ -54,7 +56,7 @@
 	siteFile.iscsi = dialer
 	siteFile.apply()
 	set := iscsi.AdaptSettings(conf.Settings, mapping)
-	co, err := core.New(core.Options{Settings: set, Seed: conf.Seed, NewNodeClient: dialer.NewNodeClient, Log: log, Events: options.events})
+	co, err := core.New(core.Options{Settings: set, Seed: conf.Seed, NewNodeClient: dialer.NewNodeClient, Log: log, Events: options.events, IDs: options.ids})
 	if err != nil {
 		return nil, config.Rejected(err)
 	}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -17,6 +17,7 @@
 	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/httpfront"
 	"wheatsaddle/internal/memory"
+	"wheatsaddle/internal/requestid"
 	"wheatsaddle/internal/transport"
 )
 
@@ -39,6 +40,7 @@
 	cachedList discovery.List // the configuration's endpoint list, until discovery answers
 	site       *site
 	events     *eventlog.Log
+	ids        *requestid.Registry
 	memory     *memory.Account // of all that peers make the process hold
 	iscsi      *iscsiFront     // nil: no iSCSI front
 
--- a/cmd/wheatsaddle/startup.go
+++ b/cmd/wheatsaddle/startup.go
@@ -20,6 +20,7 @@
 	"wheatsaddle/internal/httpfront"
 	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/requestid"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
 )
@@ -53,6 +54,9 @@
 	})
 	s.memory = memory.NewAccount(applyLimits(s.conf).Account)
 	registerMemoryMetrics(s.site.registry, s.memory)
+	s.ids = requestid.NewRegistry(s.memory)
+	s.onClose(s.ids.Close)
+	registerIDMetrics(s.site.registry, s.ids)
 	return nil
 }
 
@@ -61,7 +65,7 @@
 	all := descriptorLimit(s.conf.Sockets)
 	unreserved := max(all-reservedDescriptors, 2)
 	if file := s.flags.String("iscsi"); file != "" {
-		if s.iscsi, err = startISCSI(iscsiOptions{file: file, conf: s.conf, site: s.site, events: s.events, memory: s.memory, log: s.log}); err != nil {
+		if s.iscsi, err = startISCSI(iscsiOptions{file: file, conf: s.conf, site: s.site, events: s.events, memory: s.memory, ids: s.ids, log: s.log}); err != nil {
 			return err
 		}
 		s.onClose(s.iscsi.core.Stop)
@@ -117,6 +121,7 @@
 		NewNodeClient:  s.dialer.Connect,
 		Log:            s.log,
 		Events:         s.events,
+		IDs:            s.ids,
 		Excluded:       excluded,
 		OnAttemptEnded: s.fleet.observer(),
 		StartLimiter:   s.starter.limiter(),
@@ -191,6 +196,9 @@
 		return err
 	}
 	s.socket = newPassedSocket(s.conf, ln, s.log)
+	if s.socket != nil {
+		s.shareIDs(ln.Addr().String())
+	}
 	if ln, err = s.site.listen("http", ln, s.socket.acceptGate()); err != nil {
 		return err
 	}
--- a/internal/core/actor.go
+++ b/internal/core/actor.go
@@ -152,6 +152,7 @@
 	for id, state := range c.requests {
 		c.answer(state, Answer{Kind: Failed, Cause: CauseInternal, Reason: ReasonInternal})
 		delete(c.requests, id)
+		c.releaseID(state)
 	}
 	c.dropTimers()
 	for id, n := range c.nodes { // the cutoff timers of draining nodes were just dropped, so their clients are closed now
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -129,6 +129,7 @@
 	if state.request.AttemptedNodes != nil {
 		state.request.AttemptedNodes.nodes = append(state.request.AttemptedNodes.nodes, a.Node)
 	}
+	c.publishID(state)
 	client, ok := c.clients[a.Node]
 	if ok {
 		attempt.client = client
@@ -213,6 +214,7 @@
 		c.cancelRequest(state) // otherwise the decision module would retry the request
 	}
 	state.outstanding--
+	state.mayHaveRun = state.mayHaveRun || mayHaveRun(result.Status)
 	attempt.endedAtMs, attempt.status, attempt.reason = now, result.Status, result.Reason
 	latency := now - attempt.sentAtMs
 	if attempt.respondingMs > 0 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,6 +23,7 @@
 	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/exclusion"
 	"wheatsaddle/internal/interleave/sync/atomic"
+	"wheatsaddle/internal/requestid"
 	"wheatsaddle/policy"
 )
 
@@ -39,7 +40,8 @@
 	OnAttemptEnded func(node string, startTime int64, class string, units, latencyMs float64, status policy.Status)
 	// Excluded holds the exclusions that the scheduler's previous process stored.
 	Excluded     exclusion.State
-	StartLimiter StartLimiter // limits the load while the process starts; nil means no limit
+	IDs          *requestid.Registry // owned ids, shared with the other front; nil: only ids of open requests are known
+	StartLimiter StartLimiter        // limits the load while the process starts; nil means no limit
 }
 
 // Core is the actor that runs the decision module. Its fields are accessed only in the actor unless their comment states
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -84,6 +84,9 @@
 	attempts    []*Attempt
 	outstanding int // attempts without a result
 	answered    bool
+	rejected    bool          // the answer is a rejection
+	published   bool          // other processes see that this one owns the id
+	mayHaveRun  bool          // an attempt has run or may have
 	guard       *pendingTimer // nil once the request is answered
 	dedupCutoff cutoff        // applies to all attempts; set once one of them is a retry that the nodes deduplicate only until then
 }
@@ -135,6 +138,7 @@
 	}
 	if limiter := c.startLimiter(); limiter != nil {
 		if retryAfter, rejected := limiter.Admit(c.nodeOfShard(r.Shard)); rejected {
+			c.options.IDs.End(r.ID, 0)
 			c.Reject(r, retryAfter, ReasonStarting)
 			return
 		}
@@ -152,7 +156,8 @@
 	c.events = append(c.events, policy.Event{Kind: policy.RequestArrived, Request: r.Request})
 }
 
-// failureCause returns the reason why a request cannot be accepted under the current settings, or "" if it can.
+// failureCause returns the reason why a request cannot be accepted under the current settings, or "" if it can. In that case the
+// request owns its id.
 func (c *Core) failureCause(r *Request) Cause {
 	settings := c.settings.Load()
 	switch {
@@ -160,7 +165,7 @@
 		return CauseUnknownClass
 	case r.Settings != nil && r.Settings != settings && !settings.equivalentFor(r.Settings, &r.Request):
 		return CauseSettingsChanged
-	case c.requests[r.ID] != nil:
+	case c.requests[r.ID] != nil || !c.options.IDs.Claim(r.ID):
 		return CauseDuplicateID // the table holds at most one request for an id
 	}
 	return ""
@@ -196,6 +201,7 @@
 	if state.answered {
 		return
 	}
+	state.rejected = a.Kind == Rejected
 	c.end(state)
 	c.counters.ended(state.request.Class, a.Kind)
 	state.request.Answer(a)
@@ -232,5 +238,6 @@
 	state.releaseEnded()
 	if state.answered && state.outstanding == 0 && c.requests[state.request.ID] == state {
 		delete(c.requests, state.request.ID)
+		c.releaseID(state)
 	}
 }
--- a/internal/core/requestlog.go
+++ b/internal/core/requestlog.go
@@ -16,12 +16,13 @@
 	ReasonMailboxFull    Reason = "mailbox-full"
 	ReasonStopping       Reason = "stopping"
 	ReasonStarting       Reason = "starting"
-	ReasonConnectionCap  Reason = "connection-cap"  // more connections have a request than the cap allows
-	ReasonFewIdle        Reason = "few-idle"        // the process stops, and few connections are idle
-	ReasonMemory         Reason = "memory"          // no memory is free for the request
-	ReasonDeadline       Reason = "deadline"        // ended by the guard timer
-	ReasonInternal       Reason = "internal-error"  // the decision module panicked, or the actor ended
-	ReasonInvalidRequest Reason = "invalid-request" // the node rejected the request as invalid
+	ReasonConnectionCap  Reason = "connection-cap"   // more connections have a request than the cap allows
+	ReasonFewIdle        Reason = "few-idle"         // the process stops, and few connections are idle
+	ReasonMemory         Reason = "memory"           // no memory is free for the request
+	ReasonDeadline       Reason = "deadline"         // ended by the guard timer
+	ReasonInternal       Reason = "internal-error"   // the decision module panicked, or the actor ended
+	ReasonInvalidRequest Reason = "invalid-request"  // the node rejected the request as invalid
+	ReasonUnpublished    Reason = "id-not-published" // another process may not see that this one owns the id
 	ReasonDisconnected   Reason = "client-disconnected"
 	ReasonRetried        Reason = "served-after-retry"
 )
--- a/internal/iscsi/command.go
+++ b/internal/iscsi/command.go
@@ -253,6 +253,9 @@
 		s.mu.Unlock()
 		s.signal()
 	}
+	if conn, ok := s.conn.(interface{ PeerClosed() bool }); ok {
+		task.request.ClientDisconnected = conn.PeerClosed // no attempt begins once the initiator has closed
+	}
 	s.target.core.Submit(task.request)
 }
 
--- a/internal/requestid/journal.go
+++ b/internal/requestid/journal.go
@@ -11,9 +11,8 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -23,12 +22,20 @@
 	fileSpan = 30 * time.Second
 	// maxFileBytes bounds a file, as files count as memory where $TMPDIR does.
 	maxFileBytes = 2 << 20
+	// maxRepeatableBytes is the part of a file up to which ids of requests that may be repeated are written.
+	maxRepeatableBytes = maxFileBytes / 2
 	// maxPending is the number of records that wait for a folder whose writes fail.
 	maxPending = 4096
 	readSize   = 64 * recordSize // bytes
 )
 
-var errJournalFull = errors.New("request id journal: file is full")
+// publishTries is how often a record is written that other processes cannot read, because it was mixed with one of theirs.
+const publishTries = 2
+
+var (
+	errJournalFull = errors.New("request id journal: file is full")
+	errUnreadable  = errors.New("request id journal: a record was written and cannot be read")
+)
 
 // Journal shares owned ids with the other processes of the scheduler, by records in files of a folder that all of them use. A process
 // writes that it owns an id before it lets an attempt run, and then reads what the others have written: of two processes that do so at
@@ -41,6 +48,7 @@
 	files   map[int64]*journalFile // by number: the time divided by fileSpan
 	others  map[Key]time.Duration  // ids that other processes own, until when
 	pending []record               // not written yet
+	lastOwn Key                    // of the last record of this process that was read
 	swept   int64                  // number of the file at the last removal of old ones
 }
 
@@ -53,7 +61,11 @@
 // OpenJournal opens the journal of a name, such as the address of the clients' socket, in a folder, and reads what other processes
 // have written there.
 func OpenJournal(folder, name string) (*Journal, error) {
-	return openJournal(folder, name, monotonicNow)
+	clock, err := machineClock()
+	if err != nil {
+		return nil, err
+	}
+	return openJournal(folder, name, clock)
 }
 
 func openJournal(folder, name string, clock func() time.Duration) (*Journal, error) {
@@ -77,11 +89,22 @@
 	return j, nil
 }
 
-// monotonicNow returns the time of the machine's monotonic clock.
-func monotonicNow() time.Duration {
-	var t unix.Timespec
-	_ = unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) // cannot fail: every Linux has this clock
-	return time.Duration(t.Nano())
+// uptimeFile tells how long the machine runs, in seconds.
+const uptimeFile = "/proc/uptime"
+
+// machineClock returns a clock that shows the time since the machine's start. It is read once; from then on the monotonic clock counts.
+func machineClock() (func() time.Duration, error) {
+	b, err := os.ReadFile(uptimeFile)
+	if err != nil {
+		return nil, fmt.Errorf("request id journal: %w", err)
+	}
+	text, _, _ := strings.Cut(string(b), " ")
+	uptime, err := time.ParseDuration(text + "s")
+	if err != nil {
+		return nil, fmt.Errorf("request id journal: %s: %w", uptimeFile, err)
+	}
+	origin := time.Now()
+	return func() time.Duration { return uptime + time.Since(origin) }, nil
 }
 
 func fileNumber(at time.Duration) int64 { return int64(at / fileSpan) }
@@ -92,18 +115,38 @@
 }
 
 // Publish writes that this process owns an id for a window, and reads what others have written. owned reports that another process
-// owns the id. An error means that the others may not see the record; it is written again with the next one.
-func (j *Journal) Publish(key Key, window time.Duration) (owned bool, err error) {
+// owns the id. An error means that the others may not see the record; it is written again with the next one. Where the file is full
+// up to maxFileBytes, or up to maxRepeatableBytes for a request that may be repeated, the error is the only effect.
+func (j *Journal) Publish(key Key, window time.Duration, mayRepeat bool) (owned bool, err error) {
 	now := j.clock()
-	err = j.write(now, record{kind: recordOwned, key: key, until: now + min(window, MaxWindow), process: j.process})
-	readErr := j.readNew(now)
+	limit := int64(maxFileBytes)
+	if mayRepeat {
+		limit = maxRepeatableBytes
+	}
+	for range publishTries {
+		err = j.publishOnce(now, limit, record{kind: recordOwned, key: key, until: now + min(window, MaxWindow), process: j.process})
+		if !errors.Is(err, errUnreadable) {
+			break
+		}
+	}
 	until, known := j.others[key]
-	return known && until > now, errors.Join(err, readErr)
+	return known && until > now, err
+}
+
+// publishOnce writes a record and reads what others have written, and the record itself: a write that came in parts may be mixed with
+// one of another process.
+func (j *Journal) publishOnce(now time.Duration, limit int64, r record) error {
+	writeErr := j.write(now, limit, r)
+	err := errors.Join(writeErr, j.readNew(now))
+	if err == nil && j.lastOwn != r.key {
+		err = errUnreadable
+	}
+	return err
 }
 
 // Free writes that an id is not owned any more, because its request has never run.
 func (j *Journal) Free(key Key) error {
-	return j.write(j.clock(), record{kind: recordFree, key: key, process: j.process})
+	return j.write(j.clock(), maxFileBytes, record{kind: recordFree, key: key, process: j.process})
 }
 
 // OthersActive reports whether another process has written a record that still holds.
@@ -127,14 +170,20 @@
 	return errors.Join(errs...)
 }
 
-// write appends a record, after those that could not be written before.
-func (j *Journal) write(now time.Duration, r record) error {
+// write appends a record, after those that could not be written before, to a file with less than limit bytes.
+func (j *Journal) write(now time.Duration, limit int64, r record) error {
 	j.removeOld(now)
+	f, err := j.open(fileNumber(now), true)
+	if err == nil {
+		err = f.checkSize(limit)
+	}
+	if errors.Is(err, errJournalFull) {
+		return err
+	}
 	j.pending = append(j.pending, r)
 	if len(j.pending) > maxPending {
 		j.pending = j.pending[len(j.pending)-maxPending:]
 	}
-	f, err := j.open(fileNumber(now), true)
 	if err != nil {
 		return err
 	}
@@ -148,15 +197,17 @@
 	return nil
 }
 
-// append appends a record in one write.
-func (f *journalFile) append(r record) error {
+// checkSize returns errJournalFull if the file has limit bytes or more.
+func (f *journalFile) checkSize(limit int64) error {
 	info, err := f.file.Stat()
-	if err != nil {
-		return err
-	}
-	if info.Size() >= maxFileBytes {
-		return errJournalFull
+	if err == nil && info.Size() >= limit {
+		err = errJournalFull
 	}
+	return err
+}
+
+// append appends a record in one write.
+func (f *journalFile) append(r record) error {
 	n, err := f.file.Write(r.encode())
 	if err == nil && n < recordSize {
 		err = io.ErrShortWrite
@@ -198,6 +249,7 @@
 func (j *Journal) learn(r record) {
 	switch {
 	case r.process == j.process:
+		j.lastOwn = r.key
 	case r.kind == recordOwned:
 		j.others[r.key] = r.until
 	case r.kind == recordFree:
@@ -210,7 +262,7 @@
 	if f := j.files[number]; f != nil {
 		return f, nil
 	}
-	flags := os.O_RDWR | os.O_APPEND | unix.O_NOFOLLOW
+	flags := os.O_RDWR | os.O_APPEND | syscall.O_NOFOLLOW
 	if create {
 		flags |= os.O_CREATE
 	}
--- a/internal/requestid/ledger.go
+++ b/internal/requestid/ledger.go
@@ -20,6 +20,9 @@
 	"wheatsaddle/internal/memory"
 )
 
+// accountDivisor bounds kept ids to 1/accountDivisor of the account, so that they take no room of requests.
+const accountDivisor = 8
+
 // entryBytes is the memory of an id: its entry in the map and in the heap.
 const entryBytes = 160
 
@@ -67,7 +70,8 @@
 
 // acquire acquires the memory of an entry, and evicts a kept one if there is none.
 func (l *Ledger) acquire() {
-	if l.account.TryAcquire(memory.RequestID, entryBytes) {
+	isWithinShare := l.account == nil || l.account.InUse(memory.RequestID)+entryBytes <= l.account.Size()/accountDivisor
+	if isWithinShare && l.account.TryAcquire(memory.RequestID, entryBytes) {
 		return
 	}
 	if len(l.kept) > 0 {
--- a/internal/requestid/registry.go
+++ b/internal/requestid/registry.go
@@ -51,8 +51,9 @@
 	Unpublished                    // another process may not see that this one owns the id, and is there
 )
 
-// Publish shows the other processes that this one owns an id for a window, before the first attempt of its request.
-func (r *Registry) Publish(id string, window time.Duration) Publication {
+// Publish shows the other processes that this one owns an id for a window, before the first attempt of its request. Requests that may
+// not be repeated have more room.
+func (r *Registry) Publish(id string, window time.Duration, mayRepeat bool) Publication {
 	if r == nil {
 		return Published
 	}
@@ -61,7 +62,7 @@
 	if r.journal == nil {
 		return Published
 	}
-	owned, err := r.journal.Publish(KeyOf(id), window)
+	owned, err := r.journal.Publish(KeyOf(id), window, mayRepeat)
 	r.recordError(err)
 	switch {
 	case owned:
--- a/internal/testkit/cluster/versions_stored_test.go
+++ b/internal/testkit/cluster/versions_stored_test.go
@@ -274,6 +274,9 @@
 	"wheatsaddle_node_connections_unrequested_bytes",
 	"wheatsaddle_request_body_memory_bytes",
 	"wheatsaddle_request_body_memory_limit_bytes",
+	"wheatsaddle_request_ids_evicted",
+	"wheatsaddle_request_ids_owned",
+	"wheatsaddle_request_ids_unpublished",
 }
 
 // eventCounters are the prefixes of the counters of events, which have a series for each reason that has occurred.
--- a/internal/testkit/errorpage/main.go
+++ b/internal/testkit/errorpage/main.go
@@ -29,6 +29,7 @@
 	_ "wheatsaddle/internal/metrics"
 	_ "wheatsaddle/internal/nodestats"
 	_ "wheatsaddle/internal/replay"
+	_ "wheatsaddle/internal/requestid"
 	_ "wheatsaddle/internal/scattergather"
 	_ "wheatsaddle/internal/testkit/cluster"
 	_ "wheatsaddle/internal/testkit/fake/discovery"
--- a/internal/testkit/experiment/soak/deployment.go
+++ b/internal/testkit/experiment/soak/deployment.go
@@ -177,7 +177,8 @@
 	if err := d.WaitReady(ctx); err != nil {
 		return old, err
 	}
-	return old, old.Signal(syscall.SIGTERM)
+	err = old.Signal(syscall.SIGTERM)
+	return old, err
 }
 
 // defaultSettings returns settings with one class of each effect, and a plan without limits.
