--- a/internal/testkit/experiment/soak/crowd.go
+++ b/internal/testkit/experiment/soak/crowd.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -19,6 +20,7 @@
 	SlowWriters, Stoppers, ManyFields, SlowReaders int // clients of each kind
 	Duration                                       time.Duration
 	SoundInterval                                  time.Duration // between two sound requests
+	SoundWork                                      time.Duration // of a sound request at its node; 0: 2 ms
 	Kills                                          int           // how often the daemon is killed and started again meanwhile
 }
 
@@ -27,6 +29,7 @@
 	readerAnswer  = 3 << 20                // bytes of a slow reader's answer
 	crowdPause    = 100 * time.Millisecond // of a client between two connections
 	soundDeadline = time.Second
+	soundWork     = 2 * time.Millisecond
 )
 
 // The sizes of the crowd's requests, in bytes. Clients of a kind take them in turn.
@@ -60,7 +63,7 @@
 		play := []func(*Deployment, net.Conn, crowdClient){writeSlowly, stopHalfWay, sendManyFields, readSlowly}[kind]
 		for range count {
 			clients.Go(func() {
-				d.repeat(stop, func(nc net.Conn) {
+				d.repeatAfter(stop, crowdPause, func(nc net.Conn) {
 					number := next.Add(1)
 					play(d, nc, crowdClient{number: int(number), id: fmt.Sprint("crowd-", number), stop: stop})
 				})
@@ -89,8 +92,8 @@
 	return Request{ID: c.id, Class: class, Key: c.id, Shard: c.number % len(d.Nodes), Deadline: soundDeadline, Body: body}
 }
 
-// repeat calls play with a new connection, again and again until stop is closed.
-func (d *Deployment) repeat(stop <-chan struct{}, play func(net.Conn)) {
+// repeatAfter calls play with a new connection, again and again after a pause, until stop is closed.
+func (d *Deployment) repeatAfter(stop <-chan struct{}, wait time.Duration, play func(net.Conn)) {
 	for {
 		if nc, err := net.DialTimeout("tcp", d.Proc.Listen, time.Second); err == nil {
 			end := make(chan struct{})
@@ -107,7 +110,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(crowdPause):
+		case <-time.After(wait):
 		}
 	}
 }
@@ -183,7 +186,7 @@
 	end := time.Now().Add(c.Duration)
 	for i := 0; time.Now().Before(end); i++ {
 		r := Request{ID: fmt.Sprint("sound-", time.Now().UnixNano()), Class: ClassRead, Shard: i % len(d.Nodes), Deadline: soundDeadline,
-			Script: pacednode.Script{Size: 200, Work: 2 * time.Millisecond}}
+			Script: pacednode.Script{Size: 200, Work: cmp.Or(c.SoundWork, soundWork)}}
 		all.Go(func() {
 			sent := time.Now()
 			o := d.Send(r)
