--- a/cmd/wheatsaddle/iscsi.go
+++ b/cmd/wheatsaddle/iscsi.go
@@ -56,7 +56,8 @@
 	siteFile.iscsi = dialer
 	siteFile.apply()
 	set := iscsi.AdaptSettings(conf.Settings, mapping)
-	co, err := core.New(core.Options{Settings: set, Seed: conf.Seed, NewNodeClient: dialer.NewNodeClient, Log: log, Events: options.events, IDs: options.ids})
+	co, err := core.New(core.Options{Settings: set, Seed: conf.Seed, NewNodeClient: dialer.NewNodeClient, Log: log,
+		Events: options.events, IDs: options.ids, Memory: options.memory})
 	if err != nil {
 		return nil, config.Rejected(err)
 	}
--- a/cmd/wheatsaddle/startup.go
+++ b/cmd/wheatsaddle/startup.go
@@ -122,6 +122,7 @@
 		Log:            s.log,
 		Events:         s.events,
 		IDs:            s.ids,
+		Memory:         s.memory,
 		Excluded:       excluded,
 		OnAttemptEnded: s.fleet.observer(),
 		StartLimiter:   s.starter.limiter(),
--- a/internal/core/actor.go
+++ b/internal/core/actor.go
@@ -130,6 +130,7 @@
 	for i := range c.actions {
 		c.execute(&c.actions[i], now)
 	}
+	c.accountTables()
 	return true
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,6 +23,7 @@
 	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/exclusion"
 	"wheatsaddle/internal/interleave/sync/atomic"
+	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/requestid"
 	"wheatsaddle/policy"
 )
@@ -41,6 +42,7 @@
 	// Excluded holds the exclusions that the scheduler's previous process stored.
 	Excluded     exclusion.State
 	IDs          *requestid.Registry // owned ids, shared with the other front; nil: only ids of open requests are known
+	Memory       *memory.Account     // of the decision module's tables; nil: they are not accounted
 	StartLimiter StartLimiter        // limits the load while the process starts; nil means no limit
 }
 
@@ -62,6 +64,8 @@
 	batch     []message       // messages of the current iteration
 	timers    timerHeap
 
+	tableBytes int64 // acquired from the account
+
 	requests        map[string]*requestState // by request id; not answered, or with outstanding attempts
 	deferred        []*requestState          // requests with nodes to avoid that arrived in this iteration
 	rejectsArrivals bool                     // set by Finish
--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -190,7 +190,7 @@
 		var err error
 		switch name {
 		case "volume":
-			if r.Volume = v; !isHex16([]byte(v)) {
+			if r.Volume = strings.Clone(v); !isHex16([]byte(v)) {
 				err = errors.New("not 16 hex digits")
 			}
 		case "units":
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -22,7 +22,7 @@
 	}
 	c, plan := s.classByName[req.Class], s.planByName[req.Plan]
 	hasTime, hasSize := req.Deadline > s.now+deadlineMarginMs, req.Units > 0 && !math.IsInf(req.Units, 0)
-	if c == nil || plan == nil || !hasTime || !hasSize {
+	if c == nil || plan == nil || !hasTime || !hasSize || s.isShardTableFull(req.Shard) {
 		reason := ReasonInvalid
 		if !hasTime {
 			reason = ReasonNoTime
@@ -67,7 +67,7 @@
 // right after a stall of this scheduler.
 // Trade-off: where clients do not mark retries, another client's request may be taken for a retry.
 func (s *Scheduler) firstAttemptTime(req *Request, timeout float64) float64 {
-	u, isKnown := s.unserved[requestKey{req.Class, req.Volume, req.Key}]
+	u, isKnown := s.unserved.get(requestKey{req.Class, req.Volume, req.Key})
 	isRecent := isKnown && s.now-u.startedAt < s.classByName[req.Class].Deadline
 	if isRecent && (req.ClientRetry || req.Deadline <= u.deadline+1) {
 		return u.startedAt
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -11,7 +11,12 @@
 	retryTimes   []float64
 }
 
-func (b *retryBudget) recordRequest(now float64) { b.requestTimes = append(b.requestTimes, now) }
+// recordRequest counts an arriving request. At most maxCountedRequests of the window count.
+func (b *retryBudget) recordRequest(now float64) {
+	if len(b.requestTimes) < maxCountedRequests {
+		b.requestTimes = append(b.requestTimes, now)
+	}
+}
 
 func (b *retryBudget) recordRetry(now float64) { b.retryTimes = append(b.retryTimes, now) }
 
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -14,7 +14,8 @@
 //   - Attempts never exceed MaxAttempts or the retry budget.
 //   - The requests in flight at one node stay within its concurrency window.
 //   - Of the requests that share an ordered key, at most one is attempted at a time.
-//   - Idle volumes, idle keys and records of unserved requests are evicted, so memory stays bounded.
+//   - Idle volumes, idle keys and records of unserved requests are evicted, and tables whose keys clients choose
+//     have a bound, so memory stays bounded.
 //
 // Class weights, slopes, surplus and donations follow "An Observation-based Approach Towards
 // Self-managing Web Servers", section 4.2; see the design page. Node health, retries, slow start,
--- a/policy/quota.go
+++ b/policy/quota.go
@@ -22,6 +22,7 @@
 	limit      tokenBucket // of the rate limit
 	refilledAt float64
 	usageLevel float64 // units used beyond the reserved rate, decaying over usageWindowMs
+	evicted    bool    // to be removed from the table
 }
 
 // volumeKey identifies a volume on a plan. If requests name one volume with two plans, each pair has a
@@ -31,11 +32,16 @@
 // volume returns the state of a volume on a plan, and creates it at the volume's first request. A
 // scheduler cannot know how much of the rate limit was used before its restart. So the bucket of the
 // rate limit counts as empty at the time of the scheduler's first request of any volume, and as filled
-// since then: nobody else uses this scheduler's share, and this volume has not used it.
+// since then: nobody else uses this scheduler's share, and this volume has not used it. Volumes for which
+// the table has no room share one state for each plan.
 func (s *Scheduler) volume(id string, plan *Plan, schedulers int) *volume {
 	schedulers = max(schedulers, 1)
 	key := volumeKey{id, plan.Name}
 	v := s.volumes[key]
+	if v == nil && !s.hasRoomForVolume() {
+		key.volume = sharedVolume
+		v = s.volumes[key]
+	}
 	if v == nil {
 		v = &volume{plan: plan, refilledAt: s.now}
 		if !s.handedOver {
@@ -82,12 +88,7 @@
 		r.band, r.chargedBand = bandReserved, bandReserved
 		return
 	}
-	sum, count := 0.0, 1e-9 // the count is never 0, because it is a divisor below
-	for _, other := range s.volumeOrder {
-		if other.usageLevel > 0 && s.now-other.refilledAt < usageWindowMs {
-			sum, count = sum+other.usageLevel/other.fairWeight(), count+1
-		}
-	}
+	sum, count := s.meanUsage()
 	r.band, r.usageRank = bandBurst, v.usageLevel/v.fairWeight()
 	if r.usageRank <= maxFairUsageRatio*sum/count || v.usageLevel < r.units {
 		v.usageLevel += r.units
--- a/policy/request.go
+++ b/policy/request.go
@@ -1,9 +1,6 @@
 package policy
 
-import (
-	"math"
-	"slices"
-)
+import "slices"
 
 // request is an admitted request that waits in a queue or has attempts in flight.
 type request struct {
@@ -76,15 +73,14 @@
 // recordUnserved records a request that ended unserved, so that a retry by its client is recognized.
 func (s *Scheduler) recordUnserved(r *request) {
 	if r.clientKey.key != "" {
-		s.unserved[r.clientKey] = unservedRequest{r.startedAt, math.Max(r.deadline, s.unserved[r.clientKey].deadline)}
+		s.unserved.record(r.clientKey, r.startedAt, r.deadline)
 	}
 }
 
 // orderedKeyQueue holds the requests that share an ordered key, in order of admission.
 type orderedKeyQueue struct {
-	lastRequestAt float64
-	requests      []*request // only the first one may be sent
-	backoffUntil  float64
+	requests     []*request // only the first one may be sent
+	backoffUntil float64
 }
 
 // addToOrderedKey appends a request to the queue of its ordered key, if it has one.
@@ -97,7 +93,7 @@
 		key = &orderedKeyQueue{}
 		s.orderedKeys[r.key] = key
 	}
-	key.requests, key.lastRequestAt = append(key.requests, r), s.now
+	key.requests = append(key.requests, r)
 }
 
 // removeFromOrderedKey removes a request from the queue of its ordered key.
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -37,7 +37,7 @@
 	requests       map[string]*request
 	firstRequestAt float64 // infinite before the first request
 	lastSequence   int
-	unserved       map[requestKey]unservedRequest
+	unserved       unservedTable
 	orderedKeys    map[string]*orderedKeyQueue
 	retries        retryBudget
 
@@ -59,6 +59,9 @@
 	limitCarryover map[string]timedUnits // by plan: tokens that the limit of a volume without state had at the last change of plans
 	volumes        map[volumeKey]*volume
 	volumeOrder    []*volume // in order of their first requests
+	usage          usageSummary
+
+	nextVolumeEvictionAt float64
 
 	nodeByID          map[string]*node
 	listedNodes       []*node // sorted by id
@@ -74,7 +77,7 @@
 	}
 	s := &Scheduler{
 		settings: settings, rng: rand.New(rand.NewSource(seed)), now: math.NaN(), firstRequestAt: math.Inf(1),
-		requests: map[string]*request{}, unserved: map[requestKey]unservedRequest{},
+		requests: map[string]*request{}, unserved: newUnservedTable(), usage: usageSummary{at: math.Inf(-1)},
 		orderedKeys: map[string]*orderedKeyQueue{}, queueByShard: map[int]*shardQueue{},
 		classByName: map[string]*class{}, planByName: map[string]*Plan{}, volumes: map[volumeKey]*volume{},
 		nodeByID: map[string]*node{}, poolLatency: latencyEstimator{learnedAt: math.Inf(-1)},
@@ -182,21 +185,14 @@
 // evictIdle removes state that was not used for a duration, so that memory stays bounded.
 func (s *Scheduler) evictIdle(idleMs float64) {
 	s.removeRetiredClasses()
-	isIdle := func(v *volume) bool { return s.now-v.refilledAt > idleMs && v.isLimitFull(s.now) }
-	s.volumeOrder = slices.DeleteFunc(s.volumeOrder, isIdle)
-	for key, v := range s.volumes {
-		if isIdle(v) {
-			delete(s.volumes, key)
-		}
-	}
-	for key, u := range s.unserved {
-		if c := s.classByName[key.class]; c == nil || s.now > u.deadline && s.now-u.startedAt > c.Deadline {
-			delete(s.unserved, key)
-		}
-	}
+	s.removeVolumes(func(v *volume) bool { return s.now-v.refilledAt > idleMs && v.isLimitFull(s.now) })
+	s.unserved.remove(func(key requestKey, u unservedRequest) bool {
+		c := s.classByName[key.class]
+		return c == nil || s.now > u.deadline && s.now-u.startedAt > c.Deadline
+	})
 	s.retries.expireRequests(s.now, s.settings.RetryBudgetWindow)
 	for name, key := range s.orderedKeys {
-		if len(key.requests) == 0 && s.now-key.lastRequestAt > idleMs && s.now > key.backoffUntil {
+		if len(key.requests) == 0 && s.now > key.backoffUntil {
 			delete(s.orderedKeys, name)
 		}
 	}
--- a/policy/scheduler_test.go
+++ b/policy/scheduler_test.go
@@ -30,9 +30,9 @@
 			requestArrived(id, "safe", 0, h.now+2000))
 		h.at(h.now+20, attemptEnded(id, 0, OK, true))
 	}
-	if len(h.s.nodeByID) > 2 || len(h.s.listedNodes) > 2 || len(h.s.retries.requestTimes) > 20 || len(h.s.unserved) > 20 {
+	if len(h.s.nodeByID) > 2 || len(h.s.listedNodes) > 2 || len(h.s.retries.requestTimes) > 20 || h.s.unserved.len() > 20 {
 		t.Errorf("%d nodes, %d listed, %d request times, %d unserved requests", len(h.s.nodeByID), len(h.s.listedNodes), len(h.s.retries.requestTimes),
-			len(h.s.unserved))
+			h.s.unserved.len())
 	}
 }
 
