--- /dev/null
+++ b/internal/httpfront/contextcloser.go
@@ -0,0 +1,62 @@
+package httpfront
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+)
+
+// contextCloser closes a connection when the context of the attempt on it ends, unless it is detached before. At the deadline a long
+// response that is still arriving is passed on, if it may be, and the connection stays open.
+type contextCloser struct {
+	ctx    context.Context
+	socket net.Conn
+	stop   func() bool // stops the watch; constant
+
+	mu       sync.Mutex // guards the fields below
+	delivery *delivery  // nil: the message is not written yet
+	detached bool
+	closed   bool
+}
+
+// newContextCloser begins to watch a context.
+func newContextCloser(ctx context.Context, socket net.Conn) *contextCloser {
+	c := &contextCloser{ctx: ctx, socket: socket}
+	c.stop = context.AfterFunc(ctx, c.contextEnded)
+	return c
+}
+
+// setDelivery sets the delivery of the attempt's response.
+func (c *contextCloser) setDelivery(d *delivery) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delivery = d
+}
+
+// detach keeps the connection open when the context ends. It returns false if the connection is closed.
+func (c *contextCloser) detach() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.detached && !c.closed {
+		c.detached = true
+		c.stop()
+	}
+	return c.detached
+}
+
+// contextEnded passes the response on or closes the connection.
+func (c *contextCloser) contextEnded() {
+	c.mu.Lock()
+	delivery := c.delivery
+	c.mu.Unlock()
+	if delivery != nil && errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
+		delivery.deadlineNear()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.detached {
+		c.closed = true
+		_ = c.socket.Close()
+	}
+}
--- a/internal/httpfront/delivery.go
+++ b/internal/httpfront/delivery.go
@@ -1,7 +1,6 @@
 package httpfront
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -22,10 +21,10 @@
 type delivery struct {
 	attempt *core.Attempt
 	node    *node
-	started time.Time   // origin of the times passed to response
-	detach  func() bool // detaches the attempt's context from the connection; false: it ended before, and the connection is closed
+	started time.Time // origin of the times passed to response
+	closer  *contextCloser
 
-	mu       sync.Mutex // guards the fields below
+	mu       sync.Mutex // guards the fields below; it is acquired before the closer's
 	response forwarding.Response
 	result   core.Result
 	passedOn bool
@@ -35,8 +34,8 @@
 }
 
 // newDelivery returns the delivery of a job whose message was written.
-func newDelivery(n *node, j job, detach func() bool) *delivery {
-	return &delivery{attempt: j.attempt, node: n, started: time.Now(), detach: detach}
+func newDelivery(n *node, j job, closer *contextCloser) *delivery {
+	return &delivery{attempt: j.attempt, node: n, started: time.Now(), closer: closer}
 }
 
 // begin is called when the head of a response has arrived that may be long. result is that of the attempt if the response is
@@ -50,17 +49,22 @@
 		return // it is never passed on
 	}
 	d.attempt.ResponseArriving()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.passedOn {
+		return
+	}
 	d.deadlineTimer = time.AfterFunc(time.Until(d.attempt.Deadline)-passOnMargin, d.deadlineNear)
 	d.pauseTimer = time.AfterFunc(pauseReported, d.attempt.ResponsePaused)
 }
 
 // heard is called when bytes have arrived after the head.
 func (d *delivery) heard() {
-	if d.pauseTimer != nil {
-		d.pauseTimer.Reset(pauseReported)
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.pauseTimer != nil && !d.passedOn {
+		d.pauseTimer.Reset(pauseReported)
+	}
 	d.response.Heard(time.Since(d.started))
 }
 
@@ -74,7 +78,7 @@
 	}
 }
 
-// deadlineNear is called shortly before the attempt's deadline.
+// deadlineNear is called shortly before the attempt's deadline, and at the deadline, as the timer may be late.
 func (d *delivery) deadlineNear() {
 	d.mu.Lock()
 	passOn := d.response.AtDeadline(time.Since(d.started))
@@ -92,7 +96,7 @@
 		d.mu.Unlock()
 		return true
 	}
-	if d.ended || d.result.Status != policy.OK || !d.detach() {
+	if d.ended || d.result.Status != policy.OK || !d.closer.detach() {
 		d.mu.Unlock()
 		return false
 	}
@@ -100,8 +104,8 @@
 	d.node.passingOn.Add(1)
 	d.result.Payload.(*nodeResponse).relay.markPassedOn()
 	result := d.result
-	d.mu.Unlock()
 	d.stopTimers()
+	d.mu.Unlock()
 	d.attempt.Done(result)
 	return true
 }
@@ -109,9 +113,9 @@
 // end is called when the response is complete or has failed. It reports whether it was passed on before; if not, it no longer
 // will be.
 func (d *delivery) end() (passedOn bool) {
-	d.stopTimers()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.stopTimers()
 	if d.passedOn && !d.ended {
 		d.node.passingOn.Add(-1)
 	}
@@ -119,26 +123,10 @@
 	return d.passedOn
 }
 
+// stopTimers stops the timers. The caller holds the mutex.
 func (d *delivery) stopTimers() {
 	if d.deadlineTimer != nil {
 		d.deadlineTimer.Stop()
 		d.pauseTimer.Stop()
 	}
 }
-
-// detachOnce returns a function that stops an AfterFunc of a context and remembers the result.
-func detachOnce(stop func() bool) func() bool {
-	var once sync.Once
-	detached := false
-	return func() bool {
-		once.Do(func() { detached = stop() })
-		return detached
-	}
-}
-
-// closeWithContext closes the connection when a job's context ends, until the returned function is called. That function
-// returns false if the context has ended before.
-func (c *conn) closeWithContext(ctx context.Context) func() bool {
-	socket := c.socket
-	return detachOnce(context.AfterFunc(ctx, func() { socket.Close() }))
-}
--- a/internal/httpfront/exchange.go
+++ b/internal/httpfront/exchange.go
@@ -26,20 +26,21 @@
 
 // exchange writes an attempt to the open connection and reads the response to its end.
 func (c *conn) exchange(j job) exchangeEnd {
-	detach := c.closeWithContext(j.ctx)
+	closer := newContextCloser(j.ctx, c.socket)
 	first := !c.used
 	c.used = true
 	if err := c.writeAttempt(j.attempt); err != nil {
-		detach()
+		closer.detach()
 		return exchangeEnd{result: c.writeErrorResult(j, first, err), unsent: true}
 	}
 	j.attempt.MarkWritten()
-	d := newDelivery(c.node, j, detach)
+	d := newDelivery(c.node, j, closer)
+	closer.setDelivery(d)
 	rep, reusable, err := c.readResponse(first, d)
 	if d.end() {
 		return c.passedOnEnd(reusable, err)
 	}
-	connOpen := detach() // false: the context ended first and the connection is closed
+	connOpen := closer.detach() // false: the context ended first and the connection is closed
 	if err != nil {
 		if rep != nil {
 			rep.Release()
--- a/internal/testkit/experiment/soak/slowanswers_test.go
+++ b/internal/testkit/experiment/soak/slowanswers_test.go
@@ -17,11 +17,13 @@
 func start(t *testing.T, options Options) *Deployment {
 	t.Helper()
 	options.Dir = t.TempDir()
-	daemon, err := cluster.Build(t.Context(), options.Dir)
-	if err != nil {
-		t.Fatal(err)
+	if options.Daemon == "" {
+		daemon, err := cluster.Build(t.Context(), options.Dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		options.Daemon = daemon
 	}
-	options.Daemon = daemon
 	d, err := Start(t.Context(), options)
 	if err != nil {
 		t.Fatal(err)
