No error of accept(2) that passes ends a listener, and EINTR loses no connection

What callers would see: after one accept that fails with EPROTO, EPERM, ENETUNREACH or another error of a connection that broke in the queue, the clients' front ends and with it the process; the admin endpoint and the metrics end at any such error and at EMFILE.

Cause: the list of transient errors had five of them, and the endpoints for operators had none. In the drain of the accept queue an EINTR of epoll_wait counted as an empty queue, and one of a peek at a resting connection as "open and empty".

Change: the list of accept(2), RetryAccept for the endpoints of operators, and a repeated call after EINTR.

--- a/cmd/wheatsaddle/site.go
+++ b/cmd/wheatsaddle/site.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return fmt.Errorf("site: metrics: %w", err)
 	}
-	s.registry = metrics.Serve(ln, s.log)
+	s.registry = metrics.Serve(transport.RetryAccept(ln), s.log)
 	s.registry.Gauge(func() float64 { return 1 }, "info", "version", version)
 	s.log.WithField("address", ln.Addr().String()).Info("metrics endpoint listening")
 	return nil
--- a/cmd/wheatsaddle/startup.go
+++ b/cmd/wheatsaddle/startup.go
@@ -176,7 +176,7 @@
 		if err != nil {
 			return fmt.Errorf("listen for the admin endpoint (key operator): %w", err)
 		}
-		go s.serveAdmin(endpoint, ln)
+		go s.serveAdmin(endpoint, transport.RetryAccept(ln))
 		s.log.WithField("address", s.conf.AdminListen).Info("admin endpoint listening")
 	}
 	s.onClose(func() { _ = endpoint.Close() }) // the process is exiting, so an error has no consequence
--- a/internal/transport/inspect.go
+++ b/internal/transport/inspect.go
@@ -18,8 +18,11 @@
 func inspect(fd uintptr) socketState {
 	var b [1]byte
 	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	for errors.Is(err, syscall.EINTR) {
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}
 	switch {
-	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR):
+	case errors.Is(err, syscall.EAGAIN):
 		return socketEmpty
 	case err != nil || n == 0:
 		return socketClosed
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -30,8 +30,13 @@
 	maxFewIdle, fewIdleDivisor = 3, 3
 )
 
-// transientErrors are the accept errors after which a later accept may succeed.
-var transientErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM}
+// transientErrors are the accept errors after which a later accept may succeed: the kernel lacks something for now, a connection was
+// broken before it was accepted, whose error accept(2) returns, or a firewall forbids it.
+var transientErrors = []error{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSR,
+	syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR, syscall.EAGAIN, syscall.EPROTO, syscall.EPERM, syscall.ETIMEDOUT,
+	syscall.ENETDOWN, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH,
+}
 
 // Listener limits the open connections. At the capacity it evicts a connection without a request
 // to admit a new one, so that clients that send nothing, or stop within a request, cannot lock others out.
--- a/internal/transport/socketqueue.go
+++ b/internal/transport/socketqueue.go
@@ -84,6 +84,9 @@
 		return false
 	}
 	var events [1]syscall.EpollEvent
-	n, _ := syscall.EpollWait(poll, events[:], 0)
+	n, err := syscall.EpollWait(poll, events[:], 0)
+	for errors.Is(err, syscall.EINTR) {
+		n, err = syscall.EpollWait(poll, events[:], 0)
+	}
 	return n > 0
 }
