Steps of the wall clock change no idle time of connections and prolong no slow start

In a process that starts after the step, nodes that are in slow start remain in it for the hour.

Cause: the start of a connection's fresh or idle phase was kept as Unix time. The start times in the endpoint list are of the wall clock; one in the future counted as an age of zero for as long as it was ahead.

Change: phases are measured from a time of the listener, by the monotonic clock. A node whose start is over 2 s ahead has started when it is listed.

Not mended: a process that starts after a step forward takes nodes in slow start for warm.

--- a/internal/testkit/cluster/proc.go
+++ b/internal/testkit/cluster/proc.go
@@ -319,6 +319,9 @@
 	return p.cmd.Process.Pid
 }
 
+// AddEnv adds variables to the environment of the next starts.
+func (p *Proc) AddEnv(variables ...string) { p.env = append(p.env, variables...) }
+
 // PassSocket makes the process inherit a clients' listening socket, as at a process handover. It reports readiness at its admin
 // endpoint. It is called before Start.
 func (p *Proc) PassSocket(socket *os.File, adminAddress string) {
--- a/internal/testkit/experiment/soak/deployment.go
+++ b/internal/testkit/experiment/soak/deployment.go
@@ -135,6 +135,7 @@
 	}
 	d.command = command
 	d.Proc = cluster.NewProc(command[0], file, filepath.Join(d.options.Dir, "daemon.log"), "n0", listen, command[1:]...)
+	d.Proc.AddEnv(d.options.Env...)
 	if d.options.PassedSocket {
 		if d.socket, err = listenSocket(listen); err != nil {
 			return err
@@ -170,6 +171,7 @@
 	}
 	next := cluster.NewProc(d.command[0], file, filepath.Join(d.options.Dir, fmt.Sprintf("daemon-%d.log", d.replaced)), "n0", d.Proc.Listen, d.command[1:]...)
 	next.PassSocket(d.socket, admin)
+	next.AddEnv(d.options.Env...)
 	old, d.Proc, d.Admin = d.Proc, next, admin
 	if err := next.Start(); err != nil {
 		return old, err
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -28,7 +28,7 @@
 	listener   *Listener
 	index      int // in Listener.open; guarded by Listener.mu
 	phase      atomic.Int32
-	phaseStart atomic.Int64 // start of a fresh or idle phase
+	phaseStart atomic.Int64 // start of a fresh or idle phase, as the nanoseconds since listener.origin
 	watchDone  chan struct{}
 	readAhead  readAheadBuffer
 
@@ -132,10 +132,19 @@
 		return
 	}
 	c.releaseRequest()
-	c.phaseStart.Store(time.Now().UnixNano())
+	c.startPhase(time.Now())
 	c.phase.CompareAndSwap(active, idle)
 }
 
+// startPhase records the start of a fresh or idle phase. Differences of two times are of the monotonic clock, so that a step of the wall
+// clock changes no age.
+func (c *Conn) startPhase(now time.Time) { c.phaseStart.Store(int64(now.Sub(c.listener.origin))) }
+
+// phaseAge returns how long the connection has been in a fresh or idle phase.
+func (c *Conn) phaseAge(now time.Time) time.Duration {
+	return now.Sub(c.listener.origin) - time.Duration(c.phaseStart.Load())
+}
+
 // HasPendingInput reports whether there is input that Read would return without waiting.
 func (c *Conn) HasPendingInput() bool { return c.pendingInput() == socketReadable }
 
--- a/internal/transport/drain_test.go
+++ b/internal/transport/drain_test.go
@@ -197,7 +197,7 @@
 // If an accept fails for lack of a file descriptor, a connection without a request is evicted.
 func TestNoDescriptorEvictsIdle(t *testing.T) {
 	l, conn, _ := pair(t, 10)
-	conn.phaseStart.Store(0)
+	conn.startPhase(time.Now().Add(-time.Hour))
 	permanent := errors.New("not transient")
 	l.Listener = &failingListener{Listener: l.Listener, errs: []error{&net.OpError{Op: "accept", Err: syscall.EMFILE}, permanent}}
 	if _, err := l.Accept(); !errors.Is(err, permanent) {
--- a/internal/transport/evict.go
+++ b/internal/transport/evict.go
@@ -60,7 +60,7 @@
 	sync.Reads(&l.open)
 	full = len(l.open) >= l.capacity || l.noDescriptor.Load() || l.isUnderMemoryPressure()
 	for _, c := range l.open {
-		age := now.Sub(time.Unix(0, c.phaseStart.Load()))
+		age := c.phaseAge(now)
 		if rank := rankOf(c.phase.Load(), age); rank != rankNone {
 			evictable = append(evictable, candidate{c, rank, age})
 		}
@@ -127,7 +127,7 @@
 	l.mu.Lock()
 	sync.Reads(&l.open)
 	for _, c := range l.open {
-		if p := c.phase.Load(); (p == fresh || p == idle) && now.Sub(time.Unix(0, c.phaseStart.Load())) >= minIdle {
+		if p := c.phase.Load(); (p == fresh || p == idle) && c.phaseAge(now) >= minIdle {
 			closable = append(closable, c)
 		}
 	}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -51,6 +51,7 @@
 	done      chan struct{}
 	closeOnce sync.Once
 	stopped   atomic.Bool // StopAccepting or Close was called
+	origin    time.Time   // of the ages of phases; constant
 	drained   chan *Conn  // connections that drainQueue accepted, for Accept to return
 
 	linger       time.Duration // how long Close waits for the peer's close after a response; 0: it does not wait
@@ -89,7 +90,8 @@
 
 // limit returns a Listener without starting its goroutine.
 func limit(ln net.Listener, capacity int) *Listener {
-	return &Listener{Listener: ln, capacity: capacity, done: make(chan struct{}), drained: make(chan *Conn), drainLimit: drainTimeout}
+	return &Listener{Listener: ln, capacity: capacity, done: make(chan struct{}), drained: make(chan *Conn), drainLimit: drainTimeout,
+		origin: time.Now()}
 }
 
 // Close implements net.Listener.
@@ -151,7 +153,7 @@
 func (l *Listener) track(nc net.Conn) *Conn {
 	now := time.Now()
 	c := &Conn{Conn: nc, listener: l, acceptedAt: now}
-	c.phaseStart.Store(now.UnixNano())
+	c.startPhase(now)
 	c.acquireOpen()
 	l.add(c)
 	return c
--- a/internal/transport/listener_interleave_test.go
+++ b/internal/transport/listener_interleave_test.go
@@ -62,7 +62,7 @@
 	for _, c := range conns { // only now, because Accept evicts idle connections
 		c.markActive()
 		c.SetIdle(true)
-		c.phaseStart.Store(time.Now().Add(-time.Hour).UnixNano())
+		c.startPhase(time.Now().Add(-time.Hour))
 	}
 	return l, conns
 }
@@ -208,7 +208,7 @@
 		socketConn := &fakeSocketConn{serverFD: pair[0], clientFD: pair[1]}
 		l := limit(&fakeListener{}, 1)
 		c := l.track(socketConn)
-		c.phaseStart.Store(time.Now().Add(-time.Hour).UnixNano())
+		c.startPhase(time.Now().Add(-time.Hour))
 		served := false
 		return il.Program{
 			Threads: []il.Thread{
--- a/internal/transport/listener_test.go
+++ b/internal/transport/listener_test.go
@@ -112,11 +112,11 @@
 	if l.evictForCapacity(now.Add(-time.Hour)); evicted(silent) || evicted(idleConn) {
 		t.Error("a connection was evicted before it had been silent or idle for evictableAfter")
 	}
-	idleConn.phaseStart.Store(now.Add(time.Hour).UnixNano()) // as if it had just become idle
+	idleConn.startPhase(now.Add(time.Hour)) // as if it had just become idle
 	if l.evictForCapacity(now.Add(time.Second)); !evicted(silent) || evicted(idleConn) {
 		t.Error("at the capacity the silent connection was not evicted, or the idle one was evicted before it")
 	}
-	idleConn.phaseStart.Store(now.UnixNano())
+	idleConn.startPhase(now)
 	if l.evictForCapacity(now.Add(time.Second)); !evicted(idleConn) {
 		t.Error("the idle connection was not evicted although most connections have had a request")
 	}
--- a/policy/endpointlist.go
+++ b/policy/endpointlist.go
@@ -7,10 +7,11 @@
 )
 
 const (
-	minPollBackoffMs  = 300.0  // initial value of the backoff after a failed call to the list
-	maxPollBackoffMs  = 4000.0 // the backoff doubles up to this value
-	drainingUseShare  = 0.5    // a draining node is used during this share of its grace period
-	drainingReserveMs = 500.0  // end of the grace period in which it is never used, as margin for stalls and list delays
+	minPollBackoffMs     = 300.0  // initial value of the backoff after a failed call to the list
+	maxPollBackoffMs     = 4000.0 // the backoff doubles up to this value
+	drainingUseShare     = 0.5    // a draining node is used during this share of its grace period
+	drainingReserveMs    = 500.0  // end of the grace period in which it is never used, as margin for stalls and list delays
+	maxClockDifferenceMs = 2000.0 // of the wall clocks of two machines, unless one was stepped
 )
 
 // listPoller holds the state of the subscription to the endpoint list and of its retries.
@@ -74,10 +75,10 @@
 		n = newNode(entry, s.now)
 		s.addNode(n)
 		if entry.StartTime > 0 {
-			s.beginSlowStart(n, entry.StartTime)
+			s.beginSlowStart(n, s.pastTime(entry.StartTime))
 		}
 	case entry.StartTime > n.StartTime:
-		s.beginSlowStart(n, math.Max(entry.StartTime, n.slowStart.startedAt))
+		s.beginSlowStart(n, math.Max(s.pastTime(entry.StartTime), n.slowStart.startedAt))
 		n.silent, n.nextSendAt, n.backoff, n.failureRate = false, 0, 0, 0
 	}
 	if isCurrent && n.State == NodeUp && entry.State == NodeDraining {
@@ -86,6 +87,15 @@
 	n.Node = entry
 }
 
+// pastTime returns a time of the list, or now if that is further ahead than clocks of two machines differ: one of them was stepped, and
+// the node has started by now.
+func (s *Scheduler) pastTime(at float64) float64 {
+	if at > s.now+maxClockDifferenceMs {
+		return s.now
+	}
+	return at
+}
+
 // addNode inserts a node into the list, which is sorted by id.
 func (s *Scheduler) addNode(n *node) {
 	s.nodeByID[n.ID] = n
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -97,3 +97,19 @@
 		t.Errorf("%d requests sent to %d nodes, %d to a single node", sentToAll, nodes, sentToOne)
 	}
 }
+
+// Guards against a slow start that lasts for an hour because this machine's wall clock was stepped back before the process started:
+// a node has started by the time at which it is listed.
+func TestSlowStartEndsThoughTheNodesClockIsAhead(t *testing.T) {
+	settings := testSettings()
+	settings.SlowStartDuration, settings.SlowStartShare, settings.SlowStartUnits = 17_000, 0.25, 10
+	h := newHarness(t, settings)
+	const hourMs = 3_600_000
+	h.step(Event{Kind: ListChanged, Nodes: []Node{{ID: "new", Shard: 0, StartTime: h.now + hourMs}, {ID: "b", Shard: 1, StartTime: h.now + hourMs}}})
+	h.now += settings.SlowStartDuration + 1
+	for _, id := range []string{"new", "b"} {
+		if n := h.s.nodeByID[id]; h.s.capacityShare(n, h.now) < 1 {
+			t.Errorf("node %s still has a share of %v after its slow start", id, h.s.capacityShare(n, h.now))
+		}
+	}
+}
