--- a/internal/exclusion/store/store.go
+++ b/internal/exclusion/store/store.go
@@ -61,6 +61,7 @@
 		return empty, nil
 	}
 	if err != nil {
+		s.lastSeen = nil // it was not read, so it counts as changed
 		return empty, &FileError{s.Path, err}
 	}
 	state, problem := s.parse(data)
