The connection of an attempt whose context has ended is not used again

What could be seen: an attempt that is cancelled in the moment in which its response is complete left its connection open and in use, because detach looked at the watch of the context only, which runs in a goroutine of its own.

Change: detach fails once the context has ended; only a response that is passed on at its deadline is detached then.

--- a/internal/httpfront/contextcloser.go
+++ b/internal/httpfront/contextcloser.go
@@ -34,11 +34,20 @@
 	c.delivery = d
 }
 
-// detach keeps the connection open when the context ends. It returns false if the connection is closed.
-func (c *contextCloser) detach() bool {
+// detach keeps the connection open when the context ends. It returns false if the context has ended before.
+func (c *contextCloser) detach() bool { return c.detachUnless(c.ctx.Err() != nil) }
+
+// detachForPassOn is detach for a response that is passed on, also at the deadline.
+func (c *contextCloser) detachForPassOn() bool {
+	return c.detachUnless(errors.Is(c.ctx.Err(), context.Canceled))
+}
+
+// detachUnless detaches the connection, unless it is too late for that or the connection is closed. It reports whether the connection is
+// detached.
+func (c *contextCloser) detachUnless(tooLate bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.detached && !c.closed {
+	if !c.detached && !c.closed && !tooLate {
 		c.detached = true
 		c.stop()
 	}
--- a/internal/httpfront/contextcloser_test.go
+++ b/internal/httpfront/contextcloser_test.go
@@ -73,3 +73,20 @@
 		})
 	}
 }
+
+// Guards against a connection that is used again though its attempt was cancelled: the end of a context may be known before the watch
+// of it has run.
+func TestConnectionOfACancelledAttemptIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d, peer, _ := arrivingDelivery(ctx, t, 10)
+		cancel() // the watch runs once this goroutine waits
+		if d.closer.detach() {
+			t.Error("the connection is kept after its context has ended")
+		}
+		synctest.Wait()
+		if isOpen(peer) {
+			t.Error("the connection is open after its context has ended")
+		}
+	})
+}
--- a/internal/httpfront/delivery.go
+++ b/internal/httpfront/delivery.go
@@ -96,7 +96,7 @@
 		d.mu.Unlock()
 		return true
 	}
-	if d.ended || d.result.Status != policy.OK || !d.closer.detach() {
+	if d.ended || d.result.Status != policy.OK || !d.closer.detachForPassOn() {
 		d.mu.Unlock()
 		return false
 	}
