Two cluster tests make requests overlap, without which a node may get none

Cause: a request goes to the first of a shard's nodes with the fewest units in flight. Requests that never overlap all go to the first node, also in its slow start, as the last answer in time allows another request (mayFollowAnswer). The tests waited for the second node's use.

--- a/internal/testkit/cluster/fleet_test.go
+++ b/internal/testkit/cluster/fleet_test.go
@@ -113,6 +113,12 @@
 	w.stopTraffic = w.Run(w.ctx, Load{Clients: 3, Pause: 30 * time.Millisecond, Request: mixedRequest})
 }
 
+// startOverlappingTraffic starts load of which several requests at a time concern one shard, so that each of its nodes gets some: a
+// request goes to the first of the nodes with the fewest units in flight.
+func (w *fixture) startOverlappingTraffic() (stop func()) {
+	return w.Run(w.ctx, Load{Clients: 6, Pause: 5 * time.Millisecond, Request: mixedRequest})
+}
+
 func (w *fixture) must(err error) {
 	w.t.Helper()
 	if err != nil {
--- a/internal/testkit/cluster/misreporting_peers_test.go
+++ b/internal/testkit/cluster/misreporting_peers_test.go
@@ -150,6 +150,7 @@
 			"extra": map[string]any{"young-limit": 10}}}, run: func(w *gossipFixture) {
 			w.must(w.ReplaceNode(0))
 			w.waitReportsReceived()
+			defer w.startOverlappingTraffic()()
 			servedBefore := w.requestsAt(1)
 			w.waitUntil("the other node of its shard has served far more than the slow start allows", func() bool { return w.requestsAt(1) > servedBefore+400 })
 			if len(w.History().SlowStarts) != 1 {
--- a/internal/testkit/cluster/versions_stored_test.go
+++ b/internal/testkit/cluster/versions_stored_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"wheatsaddle/internal/coldstart/snapshot"
 	"wheatsaddle/internal/testkit/fake/link"
 )
 
@@ -51,6 +52,11 @@
 			s.launchDaemons(0)
 			s.startTraffic()
 			s.waitServed(3 * minServed)
+			stopOverlapping := s.startOverlappingTraffic()
+			s.waitUntil("each node has served", func() bool {
+				return !slices.ContainsFunc([]int{0, 1, 2, 3}, func(j int) bool { return s.Node(j).Counts().Executions == 0 })
+			})
+			stopOverlapping()
 			s.waitUntil("the snapshot was written", func() bool {
 				_, err := os.Stat(filepath.Join(s.Dir(0), "learned"))
 				return err == nil
@@ -62,11 +68,17 @@
 			s.mu.Unlock()
 			s.must(s.Terminate(0))
 			s.must(s.Proc(0).Wait(s.ctx))
+			s.logSnapshot(0)
 			s.restartNodes(0, 2)
 			var before [4]int
 			for j := range before {
 				before[j] = s.connsOpened(0, j)
 			}
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Logf("connections before the start: %v, at the end: %d, %d, %d, %d", before, s.connsOpened(0, 0), s.connsOpened(0, 1), s.connsOpened(0, 2), s.connsOpened(0, 3))
+				}
+			})
 			s.Proc(0).daemon = reader
 			s.launchDaemons(0)
 			s.waitUntil("it has opened connections in advance", func() bool {
@@ -85,6 +97,21 @@
 	}
 }
 
+// logSnapshot logs which nodes are in a daemon's stored snapshot, with their start times.
+func (s *startupFixture) logSnapshot(i int) {
+	s.t.Helper()
+	text, err := os.ReadFile(filepath.Join(s.Dir(i), "learned"))
+	s.must(err)
+	stored, err := snapshot.Parse("stored", text)
+	s.must(err)
+	s.Fleet.mu.Lock()
+	defer s.Fleet.mu.Unlock()
+	for _, n := range stored.Nodes {
+		s.t.Logf("in the snapshot: %s, start time %.0f, window %v, latency %v ms", n.ID, n.StartTime, n.Window, n.Latency)
+	}
+	s.t.Logf("start times in the list: %v", s.startTimes)
+}
+
 // A process gets its snapshot from a process of the other version under load, while its link to the other one of that
 // version is cut.
 func TestSnapshotOverCutLinkBetweenVersions(t *testing.T) {
