loadtest soak: seeded scenarios of real processes with the pictures, faults and restarts

What clients and nodes saw is judged: final answers in time, none lost, no cut-off, no write twice, nothing begun for clients that left, memory, exit, readiness, and without faults the share of sound requests served.

--- a/cmd/loadtest/main.go
+++ b/cmd/loadtest/main.go
@@ -69,7 +69,7 @@
 			}
 			return cli.ShowAppHelp(c)
 		},
-		Commands: []*cli.Command{addressesCommand(), loadCommand(), costCommand(), coldstartCommand(), gatherCommand(),
+		Commands: []*cli.Command{addressesCommand(), loadCommand(), costCommand(), coldstartCommand(), gatherCommand(), soakCommand(),
 			{Name: "shape-schema", Usage: "print the JSON Schema of shapes of traffic", Action: func(c *cli.Context) error {
 				_, err := c.App.Writer.Write(workload.Schema)
 				return err
--- a/internal/testkit/experiment/soak/clock_test.go
+++ b/internal/testkit/experiment/soak/clock_test.go
@@ -33,7 +33,7 @@
 				Env: []string{steppedclock.Environment([]steppedclock.Step{{After: stepAfter, Offset: offset}})}})
 			time.Sleep(time.Until(started.Add(stepAfter - silentBefore)))
 			for range silentConns {
-				nc, err := net.Dial("tcp", d.Proc.Listen)
+				nc, err := net.Dial("tcp", d.Listen)
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/testkit/experiment/soak/crowd.go
+++ b/internal/testkit/experiment/soak/crowd.go
@@ -57,7 +57,19 @@
 func (c Crowd) Play(d *Deployment) (result CrowdResult) {
 	stop := make(chan struct{})
 	memory := d.watchMemory()
-	var clients sync.WaitGroup
+	var clients, kills sync.WaitGroup
+	c.startClients(d, stop, &clients)
+	kills.Go(func() { result.KilledAt = d.killAndRestart(c) })
+	d.soundClients(c, &result)
+	kills.Wait()
+	close(stop)
+	clients.Wait()
+	result.Peak = memory.end()
+	return result
+}
+
+// startClients starts the crowd's clients, each of which connects again and again until stop is closed.
+func (c Crowd) startClients(d *Deployment, stop <-chan struct{}, clients *sync.WaitGroup) {
 	var next atomic.Int64
 	for kind, count := range map[int]int{0: c.SlowWriters, 1: c.Stoppers, 2: c.ManyFields, 3: c.SlowReaders} {
 		play := []func(*Deployment, net.Conn, crowdClient){writeSlowly, stopHalfWay, sendManyFields, readSlowly}[kind]
@@ -70,14 +82,6 @@
 			})
 		}
 	}
-	var kills sync.WaitGroup
-	kills.Go(func() { result.KilledAt = d.killAndRestart(c) })
-	d.soundClients(c, &result)
-	kills.Wait()
-	close(stop)
-	clients.Wait()
-	result.Peak = memory.end()
-	return result
 }
 
 // crowdClient is one client of the crowd on one connection.
@@ -95,7 +99,7 @@
 // repeatAfter calls play with a new connection, again and again after a pause, until stop is closed.
 func (d *Deployment) repeatAfter(stop <-chan struct{}, wait time.Duration, play func(net.Conn)) {
 	for {
-		if nc, err := net.DialTimeout("tcp", d.Proc.Listen, time.Second); err == nil {
+		if nc, err := net.DialTimeout("tcp", d.Listen, time.Second); err == nil {
 			end := make(chan struct{})
 			go func() {
 				select {
--- a/internal/testkit/experiment/soak/crowd_test.go
+++ b/internal/testkit/experiment/soak/crowd_test.go
@@ -6,8 +6,6 @@
 )
 
 const (
-	leastMemoryMB   = 64 // the least that the pages name
-	bytesPerMB      = 1_000_000
 	minServedSound  = 0.9 // share of the sound requests
 	crowdDuration   = 5 * time.Second
 	soundInterval   = 25 * time.Millisecond
--- a/internal/testkit/experiment/soak/deployment.go
+++ b/internal/testkit/experiment/soak/deployment.go
@@ -9,11 +9,13 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
 	"wheatsaddle/internal/testkit/cluster"
 	"wheatsaddle/internal/testkit/fake/discovery"
+	"wheatsaddle/internal/testkit/fake/link"
 	"wheatsaddle/internal/testkit/fake/pacednode"
 )
 
@@ -41,6 +43,8 @@
 	Metrics   bool          // the daemon serves its metrics
 	// PassedSocket makes the deployment hold the clients' socket and pass it, for Replace.
 	PassedSocket bool
+	Links        bool     // each node is reached through a fault proxy
+	Seed         uint64   // of the fault proxies
 	Env          []string // added to the daemon's environment
 	Command      []string // starts the daemon, whose path and arguments follow; nil: it is started directly
 }
@@ -49,11 +53,14 @@
 type Deployment struct {
 	Proc      *cluster.Proc
 	Nodes     []*pacednode.Node
-	Admin     string // address of the admin endpoint
-	Metrics   string // address of the metrics, if Options.Metrics is set
+	Links     []*link.Link // to the nodes, in their order; nil: they are reached directly
+	Listen    string       // where clients connect
+	Admin     string       // address of the admin endpoint
+	Metrics   string       // address of the metrics, if Options.Metrics is set
 	options   Options
-	socket    *os.File // of the clients; nil: each daemon binds its own
-	replaced  int      // number of processes that Replace has started
+	mu        sync.Mutex // guards Proc and Admin, once Replace may run beside others
+	socket    *os.File   // of the clients; nil: each daemon binds its own
+	replaced  int        // number of processes that Replace has started
 	command   []string
 	discovery *discovery.Service
 	settings  map[string]any
@@ -98,19 +105,44 @@
 			return err
 		}
 		d.Nodes = append(d.Nodes, n)
-		entry := cluster.Entry{Name: fmt.Sprint("st-", shard), Address: n.Address(), Group: shard, Status: discovery.Active, Weight: 1}
+		address, err := d.linkTo(n.Address(), shard)
+		if err != nil {
+			return err
+		}
+		entry := cluster.Entry{Name: fmt.Sprint("st-", shard), Address: address, Group: shard, Status: discovery.Active, Weight: 1}
 		d.discovery.Put(entry)
 		d.config.Endpoints = append(d.config.Endpoints, entry)
 	}
 	return nil
 }
 
+// linkTo returns the address at which the daemon reaches a node.
+func (d *Deployment) linkTo(address string, shard int) (string, error) {
+	if !d.options.Links {
+		return address, nil
+	}
+	l, err := link.New(link.Options{Seed: d.options.Seed + uint64(shard), Network: "tcp", To: address})
+	if err != nil {
+		return "", err
+	}
+	d.Links = append(d.Links, l)
+	return l.Addr(), nil
+}
+
+// process returns the daemon's process that serves new connections. Any goroutine may call it.
+func (d *Deployment) process() *cluster.Proc {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Proc
+}
+
 // configure writes the daemon's files.
 func (d *Deployment) configure() error {
 	listen, err := cluster.FreeAddress()
 	if err != nil {
 		return err
 	}
+	d.Listen = listen
 	if d.Admin, err = cluster.FreeAddress(); err != nil {
 		return err
 	}
@@ -158,6 +190,16 @@
 // Replace starts another process beside the daemon, waits until it is ready, and sends the daemon SIGTERM. From then on Proc is the
 // new process. It returns the old one, which goes on to serve its connections.
 func (d *Deployment) Replace(ctx context.Context) (old *cluster.Proc, err error) {
+	if old, err = d.startNext(ctx); err != nil {
+		return old, err
+	}
+	err = old.Signal(syscall.SIGTERM)
+	return old, err
+}
+
+// startNext starts another process beside the daemon and waits until it is ready. From then on Proc is the new process. It returns the
+// old one.
+func (d *Deployment) startNext(ctx context.Context) (old *cluster.Proc, err error) {
 	d.replaced++
 	admin, err := cluster.FreeAddress()
 	if err != nil {
@@ -169,17 +211,16 @@
 	if err := config.Write(file); err != nil {
 		return nil, err
 	}
-	next := cluster.NewProc(d.command[0], file, filepath.Join(d.options.Dir, fmt.Sprintf("daemon-%d.log", d.replaced)), "n0", d.Proc.Listen, d.command[1:]...)
+	next := cluster.NewProc(d.command[0], file, filepath.Join(d.options.Dir, fmt.Sprintf("daemon-%d.log", d.replaced)), "n0", d.Listen, d.command[1:]...)
 	next.PassSocket(d.socket, admin)
 	next.AddEnv(d.options.Env...)
+	d.mu.Lock()
 	old, d.Proc, d.Admin = d.Proc, next, admin
+	d.mu.Unlock()
 	if err := next.Start(); err != nil {
 		return old, err
 	}
-	if err := d.WaitReady(ctx); err != nil {
-		return old, err
-	}
-	err = old.Signal(syscall.SIGTERM)
+	err = d.WaitReady(ctx)
 	return old, err
 }
 
@@ -235,6 +276,9 @@
 	if d.discovery != nil {
 		d.discovery.Close()
 	}
+	for _, l := range d.Links {
+		l.Close()
+	}
 	for _, n := range d.Nodes {
 		n.Close()
 	}
--- a/internal/testkit/experiment/soak/flood.go
+++ b/internal/testkit/experiment/soak/flood.go
@@ -84,6 +84,12 @@
 	floodSoundWork     = 50 * time.Millisecond // more than floodHurried, so the daemon rejects hurried requests at once
 )
 
+// repeat floods the daemon until stop is closed, and connects again when its connection ends.
+func (f Flood) repeat(d *Deployment, stop <-chan struct{}) {
+	var requests, answers atomic.Int64
+	d.repeatAfter(stop, floodReconnect, func(nc net.Conn) { f.flood(d, nc, &requests, &answers) })
+}
+
 // flood writes requests until the connection ends, and counts them and the answers.
 func (f Flood) flood(d *Deployment, nc net.Conn, requests, answers *atomic.Int64) {
 	go countAnswers(nc, answers)
--- a/internal/testkit/experiment/soak/leavers.go
+++ b/internal/testkit/experiment/soak/leavers.go
@@ -23,16 +23,20 @@
 
 // Leavers is picture (d): clients that close their connection while their requests are open, and ids that come again.
 type Leavers struct {
-	Repeats   int // ids that come again after their client has left
-	Pipelines int // clients that send many requests at once and leave
-	Pipelined int // requests of each of those
+	Repeats   int      // ids that come again after their client has left
+	Pipelines int      // clients that send many requests at once and leave
+	Pipelined int      // requests of each of those
+	Classes   []string // of the ids that come again; nil: all
 }
 
 // Play sends the requests, and returns the rules that were broken. At the nodes each takes work.
 func (l Leavers) Play(d *Deployment, name string, work time.Duration) []Breach {
 	var broken breaches
 	var all sync.WaitGroup
-	classes := []string{ClassRead, ClassWrite, ClassKeyed}
+	classes := l.Classes
+	if classes == nil {
+		classes = []string{ClassRead, ClassWrite, ClassKeyed}
+	}
 	for i := range l.Repeats {
 		r := leaverRequest(fmt.Sprintf("%s-again-%d", name, i), classes[i%len(classes)], i%len(d.Nodes), work)
 		all.Go(func() {
@@ -60,7 +64,7 @@
 
 // sendAndLeave sends a request and closes its connection shortly after.
 func (d *Deployment) sendAndLeave(r Request) {
-	nc, err := net.DialTimeout("tcp", d.Proc.Listen, time.Second)
+	nc, err := net.DialTimeout("tcp", d.Listen, time.Second)
 	if err != nil {
 		return
 	}
@@ -71,7 +75,7 @@
 
 // pipelineAndLeave sends requests at once, closes the connection with most of them unread, and checks that no attempt begins late.
 func (d *Deployment) pipelineAndLeave(name string, count int, work time.Duration, broken *breaches) {
-	nc, err := net.DialTimeout("tcp", d.Proc.Listen, time.Second)
+	nc, err := net.DialTimeout("tcp", d.Listen, time.Second)
 	if err != nil {
 		return
 	}
--- a/internal/testkit/experiment/soak/leavers_test.go
+++ b/internal/testkit/experiment/soak/leavers_test.go
@@ -24,7 +24,7 @@
 	var kept []net.Conn // connections to the old process
 	const repeats = 20
 	for range repeats {
-		nc, err := net.Dial("tcp", d.Proc.Listen)
+		nc, err := net.Dial("tcp", d.Listen)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/testkit/experiment/soak/memory.go
+++ b/internal/testkit/experiment/soak/memory.go
@@ -52,7 +52,7 @@
 	p := &memoryPeak{stop: make(chan struct{})}
 	p.done.Go(func() {
 		for {
-			p.record(readMemory(d.Proc.PID()))
+			p.record(readMemory(d.process().PID()))
 			select {
 			case <-p.stop:
 				return
--- a/internal/testkit/experiment/soak/request.go
+++ b/internal/testkit/experiment/soak/request.go
@@ -50,6 +50,7 @@
 	Code        int // 0: no answer
 	Body        int // bytes of the answer's body
 	Complete    bool
+	Closes      bool      // the daemon closes the connection after the answer
 	SentAt      time.Time // when the last byte was written; zero: it was not
 	FirstByteAt time.Time // of the answer; zero: there was none
 	EndedAt     time.Time
@@ -64,7 +65,7 @@
 
 // Send sends a request on a new connection and waits for its end.
 func (d *Deployment) Send(r Request) Outcome {
-	nc, err := net.DialTimeout("tcp", d.Proc.Listen, time.Second)
+	nc, err := net.DialTimeout("tcp", d.Listen, time.Second)
 	if err != nil {
 		return Outcome{Err: err, EndedAt: time.Now()}
 	}
@@ -93,7 +94,7 @@
 		return o
 	}
 	defer func() { _ = response.Body.Close() }()
-	o.Code = response.StatusCode
+	o.Code, o.Closes = response.StatusCode, response.Close
 	o.Body, o.Err = readAnswer(response.Body, readRate)
 	o.Complete = o.Err == nil
 	return o
--- a/internal/testkit/experiment/soak/slowanswers.go
+++ b/internal/testkit/experiment/soak/slowanswers.go
@@ -91,3 +91,11 @@
 		}
 	}
 }
+
+// slowScript returns the i-th of the ways in which a node writes a long answer slowly.
+func slowScript(i int) pacednode.Script {
+	framings := []pacednode.Framing{pacednode.Length, pacednode.Chunked, pacednode.Close}
+	patterns := []pacednode.Pattern{pacednode.Steady, pacednode.Lumps, pacednode.LateBody}
+	return pacednode.Script{Work: 10 * time.Millisecond, Size: 150_000 + i%5*30_000, Framing: framings[i%len(framings)],
+		Pattern: patterns[i/len(framings)%len(patterns)], Duration: time.Duration(600+i%4*300) * time.Millisecond}
+}
