--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -295,6 +295,9 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	countParsed(ctx)
 	defer s.closeIfStopping(ctx)
+	if c, ok := ctx.Conn().(*transport.Conn); ok {
+		c.AwaitTurn()
+	}
 	if string(ctx.Path()) == readyPath && ctx.IsGet() {
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		return
--- /dev/null
+++ b/internal/testkit/experiment/soak/run_test.go
@@ -0,0 +1,40 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wheatsaddle/internal/testkit/cluster"
+)
+
+// playScenario plays a scenario with a daemon that is built for the test, and fails the test if a rule was broken.
+func playScenario(t *testing.T, s Scenario) {
+	t.Helper()
+	dir := t.TempDir()
+	daemon, err := cluster.Build(t.Context(), dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := RunOptions{Daemon: daemon, Dir: dir, Log: logrus.New()}.play(t.Context(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", result.Ends)
+	report(t, result.Broken)
+}
+
+// Guards against clients that send as fast as they are answered and take the processor from others: answers come seconds late, and
+// the process is killed with open requests after SIGTERM.
+func TestFloodBesideACrowdCostsOthersLittle(t *testing.T) {
+	for name, conns := range map[string]int{"one connection": 1, "many connections": 24} {
+		t.Run(name, func(t *testing.T) {
+			s := Scenario{Seed: 1, Length: 7 * time.Second, MemoryMB: leastMemoryMB, Deadline: 2400 * time.Millisecond, Objective: time.Second, Nodes: 3,
+				Clients: 20, Crowd: Crowd{SlowWriters: 100, Stoppers: 100, ManyFields: 100, SlowReaders: 100}, Flood: UnknownPlans, FloodConns: conns,
+				Restarts: []Restart{{At: 2500 * time.Millisecond, Kind: Terminate}}}
+			s.Pictures[Crowds], s.Pictures[Floods] = true, true
+			playScenario(t, s)
+		})
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -46,9 +46,10 @@
 	firstReadMu sync.Mutex // held while a request's first bytes are read, and while markClosing checks for input and changes the phase
 
 	// The fields below belong to the server's goroutine.
-	responseDone bool // the next Read makes the connection idle
-	read, parsed int  // bytes since the connection was last idle
-	discardInput bool // input after the last response belongs to the request it answered
+	responseDone bool        // the next Read makes the connection idle
+	read, parsed int         // bytes since the connection was last idle
+	discardInput bool        // input after the last response belongs to the request it answered
+	pace         tokenBucket // of requests
 
 	onFirstRead, onNothingRead func() // test hooks: a request's first bytes were read; the last check found no input
 }
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -64,6 +64,7 @@
 	account    *memory.Account // of the connections and their requests; nil: no limit
 	shedPlaces chan struct{}   // one element for each request that is read in order to reject it
 	scansHeads bool            // heads are scanned before the server gets them
+	pace       sharedPace
 
 	answersInterrupted  bool         // the server answers a request whose read times out
 	interruptedRequests atomic.Int64 // requests interrupted to admit other connections
