--- a/internal/testkit/experiment/soak/run.go
+++ b/internal/testkit/experiment/soak/run.go
@@ -98,6 +98,9 @@
 		if err != nil {
 			return result, fmt.Errorf("seed %d: %w", seed, err)
 		}
+		if len(one.Broken) > 0 {
+			options.Log.WithField("seed", seed).Warnf("%d times a rule was broken, first: %s", len(one.Broken), one.Broken[0])
+		}
 		result.Seeds = append(result.Seeds, one)
 	}
 	return result, nil
@@ -137,6 +140,7 @@
 	interruptions []interruption
 	oldDone       sync.WaitGroup // their ends
 	mu            sync.Mutex     // guards interruptions
+	burstEndedAt  time.Time      // when the leavers had ended; zero: there were none
 }
 
 func newPlay(d *Deployment, s Scenario) *play {
@@ -166,7 +170,7 @@
 	if limit := int64(p.scenario.MemoryMB) * bytesPerMB; peak.Resident >= limit {
 		p.broken.add(ruleMemory, "%d bytes of %d", peak.Resident, limit)
 	}
-	j := judge{scenario: p.scenario, nodes: p.deployment.Nodes, interruptions: p.interruptions, broken: &p.broken}
+	j := judge{scenario: p.scenario, nodes: p.deployment.Nodes, interruptions: p.interruptions, burstEndedAt: p.burstEndedAt, broken: &p.broken}
 	j.judgeAll(sent)
 	return SeedResult{Seed: p.scenario.Seed, Scenario: p.scenario.String(), Ends: j.ends, Sound: j.sound, Served: j.served,
 		PeakMB: float64(peak.Resident) / bytesPerMB, Broken: p.broken.all}
@@ -196,7 +200,7 @@
 
 // playLeavers plays picture (d) before the first restart. Where nodes' connections may break, an idempotent request may run again.
 func (p *play) playLeavers() {
-	leavers := Leavers{Repeats: 20, Pipelines: 10, Pipelined: 30}
+	leavers := Leavers{Repeats: 20, Pipelines: 10, Pipelined: 30, Loaded: true}
 	if p.scenario.cutsConnections() {
 		leavers.Classes = []string{ClassWrite}
 		leavers.Pipelines = 0
@@ -204,6 +208,7 @@
 	for _, b := range leavers.Play(p.deployment, fmt.Sprint("leaver-", p.scenario.Seed), leaverWorkInSoak) {
 		p.broken.add(b.Rule, "%s", b.Detail)
 	}
+	p.burstEndedAt = time.Now()
 }
 
 const (
