--- a/internal/testkit/experiment/soak/deployment.go
+++ b/internal/testkit/experiment/soak/deployment.go
@@ -41,6 +41,7 @@
 	Objective time.Duration
 	Deadline  time.Duration // of all classes; clients may name a shorter one
 	Metrics   bool          // the daemon serves its metrics
+	Ceilings  Ceilings      // what the settings allow the daemon
 	// PassedSocket makes the deployment hold the clients' socket and pass it, for Replace.
 	PassedSocket bool
 	Links        bool     // each node is reached through a fault proxy
@@ -49,6 +50,27 @@
 	Command      []string // starts the daemon, whose path and arguments follow; nil: it is started directly
 }
 
+// Ceilings are what the settings allow a scheduler. The zero value allows hedges, cancels and four attempts.
+type Ceilings struct {
+	NoHedges, NoCancels bool
+	MaxAttempts         int // 0: 4
+}
+
+// String names what is not allowed.
+func (c Ceilings) String() string {
+	return fmt.Sprintf("hedges %v, cancels %v, %d attempts", !c.NoHedges, !c.NoCancels, c.maxAttempts())
+}
+
+func (c Ceilings) maxAttempts() int {
+	if c.MaxAttempts == 0 {
+		return defaultMaxAttempts
+	}
+	return c.MaxAttempts
+}
+
+// defaultMaxAttempts is the number of attempts that the settings allow by default.
+const defaultMaxAttempts = 4
+
 // Deployment is one daemon with its storage nodes and discovery.
 type Deployment struct {
 	Proc      *cluster.Proc
@@ -231,7 +253,8 @@
 			"worth": 1, "late-worth": 0.5, "repeat": repeat, "key-scope": "all", "memory-span": 2500}
 	}
 	return map[string]any{"me": 0, "fleet-size": 1,
-		"ceilings": map[string]any{"max-attempts": 4, "second-copies": true, "may-cancel": true, "retry-after": true, "max-retry-after": 2000},
+		"ceilings": map[string]any{"max-attempts": d.options.Ceilings.maxAttempts(), "second-copies": !d.options.Ceilings.NoHedges,
+			"may-cancel": !d.options.Ceilings.NoCancels, "retry-after": true, "max-retry-after": 2000},
 		"rules": map[string]any{"stop-sending-within": 250, "ask-within": 2000, "overload-for": 3000, "cold-from": 0.24, "cold": 17000,
 			"tip-multiple": 3},
 		"extra":     map[string]any{"usual-units": 1, "largest": 6, "slots-total": d.options.Nodes},
--- a/internal/testkit/fake/pacednode/node.go
+++ b/internal/testkit/fake/pacednode/node.go
@@ -33,6 +33,7 @@
 	attempts map[string][]*Attempt
 	conns    map[net.Conn]bool
 	closed   bool
+	stop     chan struct{} // closed when the node ends
 	wg       sync.WaitGroup
 }
 
@@ -42,7 +43,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("paced node: %w", err)
 	}
-	n := &Node{listener: listener, attempts: map[string][]*Attempt{}, conns: map[net.Conn]bool{}}
+	n := &Node{listener: listener, attempts: map[string][]*Attempt{}, conns: map[net.Conn]bool{}, stop: make(chan struct{})}
 	n.wg.Go(n.accept)
 	return n, nil
 }
@@ -54,6 +55,9 @@
 func (n *Node) Close() {
 	_ = n.listener.Close()
 	n.mu.Lock()
+	if !n.closed {
+		close(n.stop)
+	}
 	n.closed = true
 	for nc := range n.conns {
 		_ = nc.Close()
@@ -133,11 +137,14 @@
 	script := parseScript(request.URL.Query())
 	attempt := n.begin(request)
 	defer n.update(attempt, func(a *Attempt) { a.EndedAt = time.Now() })
-	if !readBody(request, script.ReadRate) {
+	if script.Early {
+		return n.answerEarly(nc, request, script, attempt)
+	}
+	if !n.readBody(request, script) {
 		return false
 	}
 	n.update(attempt, func(a *Attempt) { a.ReceivedAt = time.Now() })
-	time.Sleep(script.Work)
+	n.pause(script.Work)
 	if !n.respond(nc, script, attempt) {
 		return false
 	}
@@ -145,6 +152,23 @@
 	return script.Framing != Close
 }
 
+// answerEarly answers a request of which a part was read, and reads the rest only then, if the script says how.
+func (n *Node) answerEarly(nc net.Conn, request *http.Request, script Script, attempt *Attempt) bool {
+	if _, err := io.CopyN(io.Discard, request.Body, readPiece); err != nil {
+		return false
+	}
+	n.pause(script.Work)
+	if !n.respond(nc, script, attempt) {
+		return false
+	}
+	n.update(attempt, func(a *Attempt) { a.Complete = true })
+	if !n.readBody(request, script) {
+		return false
+	}
+	n.update(attempt, func(a *Attempt) { a.ReceivedAt = time.Now() })
+	return script.Framing != Close
+}
+
 func (n *Node) begin(request *http.Request) *Attempt {
 	a := &Attempt{ID: request.Header.Get("X-Request-Id"), BeganAt: time.Now()}
 	if _, err := fmt.Sscanf(request.URL.Path, "/%s", &a.Class); err == nil {
@@ -167,9 +191,9 @@
 	change(a)
 }
 
-// readBody reads the body of a request at a rate in bytes per second, 0 for no limit. It reports whether the body is complete.
-func readBody(request *http.Request, rate int) bool {
-	began, received := time.Now(), 0
+// readBody reads the body of a request at the script's pace. It reports whether the body is complete.
+func (n *Node) readBody(request *http.Request, script Script) bool {
+	began, received, rested := time.Now(), 0, 0
 	piece := make([]byte, readPiece)
 	for {
 		count, err := request.Body.Read(piece)
@@ -177,12 +201,26 @@
 		if err != nil {
 			return err == io.EOF //nolint:errorlint // a truncated body is another error
 		}
-		if rate > 0 {
-			time.Sleep(time.Until(began.Add(time.Duration(received) * time.Second / time.Duration(rate))))
+		if rested < len(script.ReadRests) && int64(received)*int64(len(script.ReadRests)+1) >= request.ContentLength*int64(rested+1) {
+			n.pause(script.ReadRests[rested])
+			rested++
+		}
+		if script.ReadRate > 0 {
+			n.pause(time.Until(began.Add(time.Duration(received) * time.Second / time.Duration(script.ReadRate))))
 		}
 	}
 }
 
+// pause waits for a duration or the end of the node.
+func (n *Node) pause(wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-n.stop:
+	}
+}
+
 // respond writes a response as the script tells. It reports whether all of it was written.
 func (n *Node) respond(nc net.Conn, script Script, attempt *Attempt) bool {
 	head := "HTTP/1.1 200 OK\r\n"
@@ -201,15 +239,22 @@
 			return false
 		}
 		head = ""
-		time.Sleep(script.Duration)
+		n.pause(script.Duration)
+	case Rhythm:
+		if head = n.beginRhythm(nc, head, script); head == brokenHead {
+			return false
+		}
 	case Stops:
 		_ = n.writePiece(nc, head, make([]byte, script.Size/2), Length, attempt)
 		n.awaitClose(nc)
 		return false
 	}
 	for i, size := range sizes {
-		if i > 0 {
-			time.Sleep(pause)
+		switch {
+		case i > 0 && script.Pattern == Rhythm:
+			n.pause(script.Rests[i-1])
+		case i > 0:
+			n.pause(pause)
 		}
 		if !n.writePiece(nc, head, Body(size), script.Framing, attempt) {
 			return false
@@ -223,6 +268,30 @@
 	return true
 }
 
+// brokenHead stands for a head that could not be written.
+const brokenHead = "broken"
+
+// beginRhythm writes the head, or its first half, with the rests of the script. It returns what of it goes with the first piece of the
+// body.
+func (n *Node) beginRhythm(nc net.Conn, head string, script Script) (rest string) {
+	if script.HeadRest > 0 {
+		half := len(head) / 2
+		if _, err := io.WriteString(nc, head[:half]); err != nil {
+			return brokenHead
+		}
+		n.pause(script.HeadRest)
+		head = head[half:]
+	}
+	if script.BodyRest > 0 {
+		if _, err := io.WriteString(nc, head); err != nil {
+			return brokenHead
+		}
+		n.pause(script.BodyRest)
+		head = ""
+	}
+	return head
+}
+
 // writePiece writes a piece of a body, with the head if it is the first one.
 func (n *Node) writePiece(nc net.Conn, head string, piece []byte, framing Framing, attempt *Attempt) bool {
 	message := append([]byte(nil), head...)
--- a/internal/testkit/fake/pacednode/script.go
+++ b/internal/testkit/fake/pacednode/script.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -31,6 +32,7 @@
 	Lumps    Pattern = "lumps"     // in a few large pieces at equal intervals
 	LateBody Pattern = "late-body" // the head at once, the whole body after Duration
 	Stops    Pattern = "stops"     // the head and half of the body at once, and nothing more
+	Rhythm   Pattern = "rhythm"    // with the rests that Script.HeadRest, BodyRest and Rests give
 )
 
 const (
@@ -46,12 +48,81 @@
 	Framing  Framing       // "": Length
 	Pattern  Pattern       // "": the whole response at once
 	Duration time.Duration // from the first byte of the response to its last
+	// ReadRests are rests in the read of the request body, which they cut into equal pieces. The first comes after the first piece.
+	ReadRests []time.Duration
+	HeadRest  time.Duration   // in the middle of the response's head
+	BodyRest  time.Duration   // between the head and the first byte of the body; 0: both come at once
+	Rests     []time.Duration // between equal lumps of the body
+	// Early answers after the first piece of the request body; the rest of it is read after the answer.
+	Early bool
+}
+
+// ResponseTime returns the time from the last byte of the request to the last byte of the response.
+func (s Script) ResponseTime() time.Duration {
+	if s.Pattern != Rhythm {
+		return s.Work + s.Duration
+	}
+	return s.FirstByteTime() + sum(s.Rests)
+}
+
+// FirstByteTime returns the time from the last byte of the request to the first byte of the response's body.
+func (s Script) FirstByteTime() time.Duration {
+	if s.Pattern != Rhythm {
+		return s.Work
+	}
+	return s.Work + s.HeadRest + s.BodyRest
+}
+
+// ReadTime returns how long the node takes to read a request body of a size.
+func (s Script) ReadTime(size int) time.Duration {
+	if s.ReadRate > 0 {
+		return time.Duration(size) * time.Second / time.Duration(s.ReadRate)
+	}
+	return sum(s.ReadRests)
+}
+
+func sum(rests []time.Duration) (total time.Duration) {
+	for _, rest := range rests {
+		total += rest
+	}
+	return total
 }
 
 // Query returns the script as the query of a request's path, beside the shard that other fakes read.
 func (s Script) Query(shard int) string {
-	return fmt.Sprintf("shard=%d&readrate=%d&work=%s&size=%d&framing=%s&pattern=%s&duration=%s",
+	query := fmt.Sprintf("shard=%d&readrate=%d&work=%s&size=%d&framing=%s&pattern=%s&duration=%s",
 		shard, s.ReadRate, s.Work, s.Size, s.Framing, s.Pattern, s.Duration)
+	if len(s.ReadRests) > 0 {
+		query += "&readrests=" + formatRests(s.ReadRests)
+	}
+	if s.Pattern == Rhythm {
+		query += fmt.Sprintf("&headrest=%s&bodyrest=%s&rests=%s", s.HeadRest, s.BodyRest, formatRests(s.Rests))
+	}
+	if s.Early {
+		query += "&early=1"
+	}
+	return query
+}
+
+// formatRests returns rests as a list that parseRests reads.
+func formatRests(rests []time.Duration) string {
+	var texts []string
+	for _, rest := range rests {
+		texts = append(texts, rest.String())
+	}
+	return strings.Join(texts, ",")
+}
+
+// parseRests reads a list of rests. Malformed ones are 0.
+func parseRests(list string) (rests []time.Duration) {
+	if list == "" {
+		return nil
+	}
+	for _, text := range strings.Split(list, ",") {
+		rest, _ := time.ParseDuration(text)
+		rests = append(rests, rest)
+	}
+	return rests
 }
 
 // parseScript returns the script of a query. Keys that are absent or malformed have their zero value.
@@ -61,17 +132,25 @@
 	s.Size, _ = strconv.Atoi(query.Get("size"))
 	s.Work, _ = time.ParseDuration(query.Get("work"))
 	s.Duration, _ = time.ParseDuration(query.Get("duration"))
+	s.HeadRest, _ = time.ParseDuration(query.Get("headrest"))
+	s.BodyRest, _ = time.ParseDuration(query.Get("bodyrest"))
+	s.Rests, s.ReadRests = parseRests(query.Get("rests")), parseRests(query.Get("readrests"))
+	s.Early = query.Get("early") != ""
 	if s.Framing == "" {
 		s.Framing = Length
 	}
 	return s
 }
 
-// pieces returns the sizes of the pieces that a body is written in, and the pause before each but the first.
+// pieces returns the sizes of the pieces that a body is written in, and the pause before each but the first. The pauses of a rhythm
+// are its Rests.
 func (s Script) pieces() (sizes []int, pause time.Duration) {
 	count := 1
+	if s.Pattern == Rhythm {
+		count = len(s.Rests) + 1
+	}
 	switch {
-	case s.Size == 0 || s.Duration <= 0:
+	case s.Size == 0 || s.Duration <= 0 || s.Pattern == Rhythm:
 	case s.Pattern == Steady:
 		count = max(2, int(s.Duration/steadyInterval))
 	case s.Pattern == Lumps:
@@ -80,7 +159,7 @@
 	for i := range count {
 		sizes = append(sizes, s.Size*(i+1)/count-s.Size*i/count)
 	}
-	if count > 1 {
+	if count > 1 && s.Pattern != Rhythm {
 		pause = s.Duration / time.Duration(count-1)
 	}
 	return sizes, pause
