--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -67,6 +67,10 @@
 		return
 	}
 	attempt := state.attempts[a.Attempt]
+	if a.OnlyIfSilent && attempt.transferring.Load() {
+		c.attemptTransferring(attempt) // the notice may still be on its way
+		return
+	}
 	if attempt.client != nil {
 		attempt.client.Cancel(attempt)
 	}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wheatsaddle/internal/interleave/sync/atomic"
+	"wheatsaddle/internal/progress"
 	"wheatsaddle/policy"
 )
 
@@ -30,10 +31,16 @@
 	// endedAtMs and status are written to the log. endedAtMs is in the decision module's time, and 0 until the attempt
 	// has ended.
 	endedAtMs    float64
-	respondingMs float64 // time from the dispatch until a long response began to arrive; 0: none has
+	respondingMs float64 // time from the dispatch until core learned of an arriving response; 0: it has not
+	slowTransfer bool    // the node took the request slowly, so the attempt's time is not the node's latency
 	status       policy.Status
 	reason       Reason
 	phase        atomic.Int32
+	// transferPhase is the progress.Phase of a claimed attempt, for logs.
+	transferPhase atomic.Int32
+	transferring  atomic.Bool // its node is taking the request, or giving the response
+	// mayBePassedOn is set once a long response has begun, which is passed on at the deadline at the latest.
+	mayBePassedOn atomic.Bool
 }
 
 // The phases of an attempt. An attempt leaves phaseWaiting at most once: either a node client claims it for writing, or it
@@ -90,19 +97,40 @@
 	}
 }
 
-// ResponseArriving reports that a long response has begun to arrive. Until the attempt is done it is then not cancelled for its
-// age. Like Done it may block.
+// SetTransferring records whether the node is taking the request or giving the response, though core is not told yet. Meanwhile the
+// attempt is not cancelled for its age.
+func (a *Attempt) SetTransferring(transferring bool) { a.transferring.Store(transferring) }
+
+// RecordPhase records the phase of the transfer, for logs, and whether the node takes or gives bytes in it.
+func (a *Attempt) RecordPhase(phase progress.Phase, transferring bool) {
+	a.transferPhase.Store(int32(phase))
+	a.transferring.Store(transferring)
+}
+
+// SetMayBePassedOn records that a long response has begun, which is passed on at the deadline at the latest.
+func (a *Attempt) SetMayBePassedOn() { a.mayBePassedOn.Store(true) }
+
+// RequestTransferring reports that the node takes the request slowly. Until the attempt is done it is then not cancelled for its age.
+// Like Done it may block.
+func (a *Attempt) RequestTransferring() {
+	if a.post != nil {
+		a.post(attemptTransferring{a})
+	}
+}
+
+// ResponseArriving reports that a response has begun to arrive that is long or comes slowly. Until the attempt is done it is then not
+// cancelled for its age. Like Done it may block.
 func (a *Attempt) ResponseArriving() {
 	if a.post != nil {
 		a.post(responseArriving{a})
 	}
 }
 
-// ResponsePaused reports that such a response has paused for long, so that another attempt may be made beside this one. Like
-// Done it may block.
-func (a *Attempt) ResponsePaused() {
+// TransferPaused reports that such a transfer has paused for long, so that another attempt may be made beside this one. Like Done it
+// may block.
+func (a *Attempt) TransferPaused() {
 	if a.post != nil {
-		a.post(responsePaused{a})
+		a.post(transferPaused{a})
 	}
 }
 
@@ -181,9 +209,27 @@
 	c.forgetEnded(state)
 }
 
-// responseArriving handles the begin of a long response.
+// isOpen reports whether the decision module knows an attempt and not its end.
+func (c *Core) isOpen(attempt *Attempt) bool {
+	return attempt.endedAtMs <= 0 && c.requests[attempt.state.request.ID] == attempt.state
+}
+
+// attemptTransferring handles the notice that a node takes a request slowly.
+func (c *Core) attemptTransferring(attempt *Attempt) {
+	if !c.isOpen(attempt) {
+		return
+	}
+	attempt.slowTransfer = true
+	c.events = append(c.events, policy.Event{
+		Kind:    policy.AttemptTransferring,
+		ID:      attempt.state.request.ID,
+		Attempt: attempt.Number,
+	})
+}
+
+// responseArriving handles the begin of a response that is long or comes slowly.
 func (c *Core) responseArriving(attempt *Attempt, now float64) {
-	if attempt.endedAtMs > 0 || c.requests[attempt.state.request.ID] != attempt.state {
+	if !c.isOpen(attempt) {
 		return
 	}
 	attempt.respondingMs = now - attempt.sentAtMs
@@ -195,13 +241,13 @@
 	})
 }
 
-// responsePaused handles the pause of a long response.
-func (c *Core) responsePaused(attempt *Attempt) {
-	if attempt.endedAtMs > 0 || c.requests[attempt.state.request.ID] != attempt.state {
+// transferPaused handles the pause of a transfer.
+func (c *Core) transferPaused(attempt *Attempt) {
+	if !c.isOpen(attempt) {
 		return
 	}
 	c.events = append(c.events, policy.Event{
-		Kind:    policy.ResponsePaused,
+		Kind:    policy.TransferPaused,
 		ID:      attempt.state.request.ID,
 		Attempt: attempt.Number,
 	})
@@ -220,7 +266,7 @@
 	if attempt.respondingMs > 0 {
 		latency = attempt.respondingMs
 	}
-	if c.options.OnAttemptEnded != nil {
+	if c.options.OnAttemptEnded != nil && !attempt.slowTransfer {
 		c.options.OnAttemptEnded(attempt.Node, int64(attempt.nodeStartTime), state.request.Class, state.request.Units, latency, result.Status)
 	}
 	if limiter := c.startLimiter(); limiter != nil {
--- a/internal/core/lateanswer.go
+++ b/internal/core/lateanswer.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/progress"
 	"wheatsaddle/policy"
 )
 
@@ -59,11 +60,11 @@
 // describe returns a description of the attempt for a log line. Times are relative to the receipt of the request.
 func (a *Attempt) describe(receivedAtMs float64) string {
 	if a.endedAtMs <= 0 {
-		return fmt.Sprintf("%s at %.0f ms: outstanding", a.Node, a.sentAtMs-receivedAtMs)
+		return fmt.Sprintf("%s at %.0f ms: outstanding (%s)", a.Node, a.sentAtMs-receivedAtMs, progress.Phase(a.transferPhase.Load()))
 	}
 	text := fmt.Sprintf("%s at %.0f ms: %s at %.0f ms", a.Node, a.sentAtMs-receivedAtMs, statusNames[a.status], a.endedAtMs-receivedAtMs)
 	if a.reason != "" {
-		text += " (" + string(a.reason) + ")"
+		text += fmt.Sprintf(" (%s, %s)", a.reason, progress.Phase(a.transferPhase.Load()))
 	}
 	return text
 }
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -38,10 +38,15 @@
 
 func (m responseArriving) handle(c *Core, now float64) { c.responseArriving(m.attempt, now) }
 
-// responsePaused reports that a long response has paused for long.
-type responsePaused struct{ attempt *Attempt }
+// attemptTransferring reports that a node takes a request slowly.
+type attemptTransferring struct{ attempt *Attempt }
 
-func (m responsePaused) handle(c *Core, _ float64) { c.responsePaused(m.attempt) }
+func (m attemptTransferring) handle(c *Core, _ float64) { c.attemptTransferring(m.attempt) }
+
+// transferPaused reports that a slow transfer has paused for long.
+type transferPaused struct{ attempt *Attempt }
+
+func (m transferPaused) handle(c *Core, _ float64) { c.transferPaused(m.attempt) }
 
 // healthCheckResult carries the result of a node's health check.
 type healthCheckResult struct {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -80,15 +80,16 @@
 
 // requestState is a request in the core's table, until it is answered and none of its attempts is outstanding.
 type requestState struct {
-	request     *Request
-	attempts    []*Attempt
-	outstanding int // attempts without a result
-	answered    bool
-	rejected    bool          // the answer is a rejection
-	published   bool          // other processes see that this one owns the id
-	mayHaveRun  bool          // an attempt has run or may have
-	guard       *pendingTimer // nil once the request is answered
-	dedupCutoff cutoff        // applies to all attempts; set once one of them is a retry that the nodes deduplicate only until then
+	request       *Request
+	attempts      []*Attempt
+	outstanding   int // attempts without a result
+	answered      bool
+	rejected      bool          // the answer is a rejection
+	published     bool          // other processes see that this one owns the id
+	mayHaveRun    bool          // an attempt has run or may have
+	guardExtended bool          // the guard waits for a long response to be passed on
+	guard         *pendingTimer // nil once the request is answered
+	dedupCutoff   cutoff        // applies to all attempts; set once one of them is a retry that the nodes deduplicate only until then
 }
 
 // Submit passes a request to the actor without blocking. The request is rejected at once if the mailbox is full or the
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"wheatsaddle/policy"
@@ -11,6 +12,10 @@
 // module has not answered it by then.
 const guardDelay = 5 * time.Millisecond
 
+// passOnGrace is how much later it fires where a long response has begun, which is passed on at the deadline: a process that was held up
+// may fire all timers at once.
+const passOnGrace = 150 * time.Millisecond
+
 // pendingTimer is a timer of the decision module, the guard timer of a request, or the timer for the cutoff of a draining
 // node.
 type pendingTimer struct {
@@ -105,5 +110,16 @@
 // failOverdue fails a request that the decision module has not answered by its deadline, so that the client still gets an
 // answer.
 func (c *Core) failOverdue(state *requestState) {
+	if !state.guardExtended && state.mayBePassedOn() {
+		state.guardExtended = true
+		state.guard = &pendingTimer{atMs: state.guard.atMs + float64(passOnGrace.Milliseconds()), guarded: state}
+		c.setTimer(state.guard)
+		return
+	}
 	c.abort(state, Answer{Kind: Failed, Cause: CauseDeadlineExceeded, Reason: ReasonDeadline})
 }
+
+// mayBePassedOn reports whether an attempt is outstanding whose long response has begun.
+func (s *requestState) mayBePassedOn() bool {
+	return slices.ContainsFunc(s.attempts, func(a *Attempt) bool { return a.endedAtMs <= 0 && a.mayBePassedOn.Load() })
+}
--- a/internal/httpfront/connlog.go
+++ b/internal/httpfront/connlog.go
@@ -23,6 +23,7 @@
 	reasonNodeClosed      eventlog.Reason = "closed-by-node"
 	reasonNodeReset       eventlog.Reason = "reset-by-node"
 	reasonStalled         eventlog.Reason = "response-stalled"
+	reasonRequestStalled  eventlog.Reason = "request-stalled" // the node has stopped reading
 	reasonMalformed       eventlog.Reason = "malformed-response"
 	reasonAmbiguous       eventlog.Reason = "ambiguous-response"
 	reasonUnrequested     eventlog.Reason = "unrequested-bytes"
@@ -62,6 +63,8 @@
 		return reasonCancelled
 	case ctx.Err() != nil:
 		return reasonDeadline
+	case errors.Is(err, errRequestStalled):
+		return reasonRequestStalled
 	case errors.Is(err, errAmbiguousResponse):
 		return reasonAmbiguous
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/httpfront/dialer.go
+++ b/internal/httpfront/dialer.go
@@ -52,15 +52,6 @@
 // call it.
 func (d *Dialer) UnrequestedBytes() int64 { return d.unrequested.Load() }
 
-// neverRepeated reports whether an attempt's request may run at most once, so that no other attempt can replace this one.
-func (n *node) neverRepeated(a *core.Attempt) bool {
-	if a.Request.Settings == nil {
-		return false
-	}
-	k, ok := a.Request.Settings.Class(a.Request.Class)
-	return ok && k.Effect == policy.NonIdempotent
-}
-
 // idempotent reports whether a request is idempotent according to the settings with which it was decoded.
 func (d *Dialer) idempotent(r *core.Request) bool {
 	if r.Settings == nil {
--- a/internal/httpfront/exchange.go
+++ b/internal/httpfront/exchange.go
@@ -4,18 +4,11 @@
 	"context"
 	"errors"
 	"os"
-	"time"
 
 	"wheatsaddle/internal/core"
-	"wheatsaddle/internal/memory"
 	"wheatsaddle/policy"
 )
 
-const (
-	maxRetainedBuffer = 2 << 10  // bytes; a larger write buffer is released after the write
-	writePieceSize    = 64 << 10 // piece of a write with a deadline; the clock is read before each piece
-)
-
 // exchangeEnd is how the exchange of one message and its response ended.
 type exchangeEnd struct {
 	result   core.Result // of the attempt; not set if passedOn is set
@@ -29,14 +22,16 @@
 	closer := newContextCloser(j.ctx, c.socket)
 	first := !c.used
 	c.used = true
-	if err := c.writeAttempt(j.attempt); err != nil {
+	w := c.newRequestWrite(j, closer)
+	d := w.delivery
+	if err := w.run(); err != nil && !errors.Is(err, errRespondedEarly) {
+		d.end()
 		closer.detach()
 		return exchangeEnd{result: c.writeErrorResult(j, first, err), unsent: true}
 	}
-	j.attempt.MarkWritten()
-	d := newDelivery(c.node, j, closer)
 	closer.setDelivery(d)
 	rep, reusable, err := c.readResponse(first, d)
+	reusable = w.finish() && reusable
 	if d.end() {
 		return c.passedOnEnd(reusable, err)
 	}
@@ -46,6 +41,9 @@
 			rep.Release()
 		}
 		c.response.Reset()
+		if !w.written() { // without its last byte the attempt has not run
+			return exchangeEnd{result: c.writeErrorResult(j, first, err), unsent: true}
+		}
 		return exchangeEnd{result: c.readErrorResult(j, first, err)}
 	}
 	c.recordIdentity()
@@ -93,34 +91,13 @@
 	}
 }
 
-// writeAttempt encodes and writes an attempt's message.
-func (c *conn) writeAttempt(a *core.Attempt) error {
-	message := a.Request.Payload.(*nodeRequest)
-	c.buffer = message.encodeHead(c.buffer[:0], c.host, time.Until(a.Deadline))
-	var rest [][]byte
-	if message.bodySize() > 0 {
-		rest = message.body.segments
-	}
-	copied := c.node.dialer.Memory.NewShare(memory.NodeConnection)
-	if message.bodySize() <= maxBufferedBody && copied.Grow(int64(message.bodySize())) { // copying a longer body would use up part of the remaining time stated in the head
-		defer copied.Release()
-		for _, segment := range rest {
-			c.buffer = append(c.buffer, segment...)
-		}
-		rest = nil
-	}
-	err := c.write(rest, a.StartBy)
-	if cap(c.buffer) > maxRetainedBuffer {
-		c.buffer = nil
-	}
-	return err
-}
-
 // writeErrorResult returns the result of an attempt whose last byte was not written: it has not run.
 func (c *conn) writeErrorResult(j job, first bool, err error) core.Result {
 	c.closeReason.set(readErrorReason(j.ctx, err))
-	if j.ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded) {
-		return core.Result{Status: policy.Abandoned} // its deduplication window has ended; this is no fault of the node
+	windowEnded := j.ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded) // that of its deduplication
+	timeEnded := errors.Is(j.ctx.Err(), context.DeadlineExceeded)
+	if windowEnded || timeEnded || errors.Is(err, errRequestStalled) { // a node that reads slowly is no failing node
+		return core.Result{Status: policy.Abandoned, Reason: c.closeReason.get()}
 	}
 	if first && j.ctx.Err() == nil {
 		c.capacity = capacityUncertain
@@ -145,43 +122,3 @@
 	}
 	return core.Result{Status: policy.ConnectionReset, Reason: reason}
 }
-
-// write writes the buffer and then rest; after an error the last byte was not written. A node deduplicates a retry only
-// within a time window, and the arrival of the last byte counts. The deadline (zero: none) therefore applies to the last
-// byte too: if the node reads slowly, bytes that remain at the deadline are never written.
-func (c *conn) write(rest [][]byte, deadline time.Time) error {
-	if deadline.IsZero() {
-		_, err := c.socket.Write(c.buffer)
-		for i := 0; i < len(rest) && err == nil; i++ {
-			_, err = c.socket.Write(rest[i])
-		}
-		return err
-	}
-	if err := c.socket.SetWriteDeadline(deadline); err != nil {
-		return err
-	}
-	err := c.writeBefore(deadline, c.buffer)
-	for i := 0; i < len(rest) && err == nil; i++ {
-		err = c.writeBefore(deadline, rest[i])
-	}
-	if err != nil {
-		return err
-	}
-	_ = c.socket.SetWriteDeadline(time.Time{}) // an error shows up at the next use of the connection
-	return nil
-}
-
-// writeBefore writes part in pieces and reads the clock before each, as the timer of the write deadline may fire late.
-func (c *conn) writeBefore(deadline time.Time, part []byte) error {
-	for len(part) > 0 {
-		if !time.Now().Before(deadline) {
-			return os.ErrDeadlineExceeded
-		}
-		n, err := c.socket.Write(part[:min(len(part), writePieceSize)])
-		if err != nil {
-			return err
-		}
-		part = part[n:]
-	}
-	return nil
-}
--- a/internal/httpfront/response.go
+++ b/internal/httpfront/response.go
@@ -11,18 +11,13 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wheatsaddle/internal/forwarding"
 	"wheatsaddle/internal/memory"
+	"wheatsaddle/internal/progress"
 )
 
 const (
 	maxInterimResponses = 16 // 1xx responses before the final one
-	// responseSilence is the longest silence in a response that has begun and is short. Nodes write such a response at once,
-	// and a faulty node may stop halfway while its connection stays open.
-	responseSilence = 500 * time.Millisecond
-	// longBodySilence is the longest silence in a body that may be long, as nodes write these in pieces with pauses.
-	longBodySilence  = 3 * time.Second
-	finalReadTimeout = 5 * time.Millisecond
+	finalReadTimeout    = 5 * time.Millisecond
 )
 
 // errMalformedResponse reports a response that violates the protocol.
@@ -34,46 +29,73 @@
 // uniqueResponseFields are the header fields that a response may contain at most once.
 var uniqueResponseFields = fieldSet()
 
-// timedReader reads from a connection. While inResponse is set, a silence ends a read. There is no limit on the total time of a
-// response: the deadline of its attempt is one.
+// timedReader reads from a connection. A read of an attempt's response waits as the progress of the attempt allows. There is no limit
+// on the total time of a response: the deadline of its attempt is one.
 type timedReader struct {
-	socket     net.Conn
-	inResponse bool
-	silence    time.Duration // longest wait of a read; 0: responseSilence
-	onBytes    func()        // called when bytes have arrived; nil: not called
+	socket      net.Conn
+	inResponse  bool      // a byte of the response has come
+	delivery    *delivery // of the attempt; nil: there is none, as for a probe
+	hasDeadline bool      // the socket has a read deadline
 }
 
 // Read implements io.Reader.
 func (s *timedReader) Read(p []byte) (int, error) {
 	n, err := s.read(p)
-	if n > 0 && s.onBytes != nil {
-		s.onBytes()
+	if n > 0 && s.delivery != nil {
+		s.delivery.heard()
 	}
 	return n, err
 }
 
-// read reads with the deadline that the silence allows.
+// read reads, and ends when the node has rested for too long.
 func (s *timedReader) read(p []byte) (int, error) {
-	if !s.inResponse {
+	for {
+		if err := s.setDeadline(s.wait()); err != nil {
+			return 0, err
+		}
+		n, err := s.socket.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if s.delivery != nil && s.delivery.mayRest() {
+			continue
+		}
+		// The process may have been suspended past the deadline: data that arrived in the meantime still counts.
+		if err := s.setDeadline(finalReadTimeout); err != nil {
+			return 0, err
+		}
 		return s.socket.Read(p)
 	}
-	if err := s.socket.SetReadDeadline(time.Now().Add(cmp.Or(s.silence, responseSilence))); err != nil {
-		return 0, err
+}
+
+// wait returns how long a read may wait, or progress.Unlimited.
+func (s *timedReader) wait() time.Duration {
+	switch {
+	case s.delivery != nil:
+		return s.delivery.wait()
+	case s.inResponse:
+		return progress.MaxSilence
 	}
-	n, err := s.socket.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		// The process may have been suspended past the deadline: data that arrived in the meantime still counts.
-		if err = s.socket.SetReadDeadline(time.Now().Add(finalReadTimeout)); err == nil {
-			n, err = s.socket.Read(p)
+	return progress.Unlimited
+}
+
+// setDeadline sets the deadline of the next read.
+func (s *timedReader) setDeadline(wait time.Duration) error {
+	if wait == progress.Unlimited {
+		if !s.hasDeadline {
+			return nil
 		}
+		s.hasDeadline = false
+		return s.socket.SetReadDeadline(time.Time{})
 	}
-	return n, err
+	s.hasDeadline = true
+	return s.socket.SetReadDeadline(time.Now().Add(wait))
 }
 
 // clearDeadline removes the read deadline at the end of a response.
 func (s *timedReader) clearDeadline() error {
-	s.inResponse, s.silence = false, 0
-	return s.socket.SetReadDeadline(time.Time{})
+	s.inResponse, s.delivery = false, nil
+	return s.setDeadline(progress.Unlimited)
 }
 
 // readResponse reads one response to its end; first says that no other one was read on the connection, and reusable reports
@@ -81,6 +103,7 @@
 // is read as a whole. After an error the response may be truncated or mixed with bytes of another one: the attempt may have run,
 // and nothing of the response is served, unless it was passed on before; the caller releases rep, if it is not nil.
 func (c *conn) readResponse(first bool, d *delivery) (rep *nodeResponse, reusable bool, err error) {
+	c.timedReader.delivery = d
 	if _, err = c.reader.Peek(1); err != nil {
 		return nil, false, err
 	}
@@ -156,8 +179,8 @@
 func (c *conn) readBody(f framing, d *delivery) (*nodeResponse, error) {
 	size := c.response.Header.ContentLength()
 	if f.length && size <= maxBufferedBody {
-		if d != nil && c.node.neverRepeated(d.attempt) {
-			c.timedReader.silence = longBodySilence // to give up would not serve the request either
+		if d != nil {
+			d.headEnded()
 		}
 		rep := &nodeResponse{memory: c.node.dialer.Memory.NewShare(memory.Response)}
 		if rep.memory.Grow(int64(size)) {
@@ -166,18 +189,20 @@
 			return rep, err
 		}
 	}
-	c.timedReader.silence = longBodySilence
 	stream, err := c.bodyStream(f)
 	if err != nil {
 		return nil, err
 	}
-	if d == nil || c.response.StatusCode() != fasthttp.StatusOK {
-		return c.readUnused(stream)
-	}
-	length := int64(forwarding.UnknownLength) // also that of a short body for which there is no memory
+	length := int64(progress.UnknownLength) // also that of a short body for which there is no memory
 	if f.length && size > maxBufferedBody {
 		length = int64(size)
 	}
+	if d != nil && c.response.StatusCode() != fasthttp.StatusOK {
+		d.headEnded()
+	}
+	if d == nil || c.response.StatusCode() != fasthttp.StatusOK {
+		return c.readUnused(stream)
+	}
 	return c.readLongBody(stream, length, d)
 }
 
@@ -218,11 +243,6 @@
 	rep := &nodeResponse{relay: r}
 	c.recordIdentity()
 	d.begin(length, decodeResponse(&c.response, rep))
-	if c.reader.Buffered() > 0 {
-		d.heard()
-	}
-	c.timedReader.onBytes = d.heard
-	defer func() { c.timedReader.onBytes = nil }()
 	for {
 		if r.isFull() && !d.passOn() {
 			return rep, errNoMemory
--- a/internal/transport/inspect.go
+++ b/internal/transport/inspect.go
@@ -52,6 +52,28 @@
 	return err == nil && readable
 }
 
+// Option SO_MEMINFO of a socket, since Linux 4.12 (linux/sock_diag.h): counters of 32 bits each.
+const (
+	socketMemoryInfo  = 55
+	writeMemoryAlloc  = 2 // index: bytes that the peer's socket has not taken yet, of a Unix socket
+	writeMemoryQueued = 5 // index: bytes that are queued until the peer's machine has acknowledged them, of a TCP socket
+)
+
+// HasUndelivered reports whether the peer's machine has not taken all bytes that were written. It does not block.
+func HasUndelivered(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	undelivered := false
+	err = raw.Control(func(fd uintptr) {
+		// The only getter of package syscall for eight integers is named after another option.
+		counters, err := syscall.GetsockoptICMPv6Filter(int(fd), syscall.SOL_SOCKET, socketMemoryInfo)
+		undelivered = err == nil && counters.Data[writeMemoryAlloc]+counters.Data[writeMemoryQueued] > 0
+	})
+	return err == nil && undelivered
+}
+
 // pendingInput peeks at the connection's input, including what was read ahead.
 func (c *Conn) pendingInput() (s socketState) {
 	if c.readAhead.size.Load() > 0 {
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -88,7 +88,7 @@
 		if !a.open {
 			continue
 		}
-		if age := s.now - a.sentAt; !a.arriving && !r.attemptWrittenOff && age > s.expectedLatency(a.node) {
+		if age := s.now - a.sentAt; !a.transferring && !r.attemptWrittenOff && age > s.expectedLatency(a.node) {
 			s.recordLatency(a.node, age, r.units)
 		}
 		if s.settings.MayCancel && !r.streaming {
--- a/policy/health.go
+++ b/policy/health.go
@@ -13,7 +13,11 @@
 	n := a.node
 	switch ev.Status {
 	case OK:
-		s.learnFromAnswer(r, a, ev.Latency)
+		latency := ev.Latency
+		if a.slowRequest {
+			latency = 0
+		}
+		s.learnFromAnswer(r, a, latency)
 		n.recordOutcome(0)
 	case Errored:
 		n.lastReceivedAt, n.silent = s.now, false
@@ -32,7 +36,7 @@
 		if !a.writtenOff {
 			s.recordLatency(n, ev.Latency, r.units)
 		}
-		if !a.writtenOff || a.arriving {
+		if !a.writtenOff || a.transferring {
 			n.recordOutcome(1)
 		}
 	case Cancelled, Abandoned: // these say nothing about the node
--- a/policy/latency.go
+++ b/policy/latency.go
@@ -43,3 +43,25 @@
 func (s *Scheduler) expectedLatency(n *node) float64 {
 	return math.Max(n.latency.decayed(s.poolLatency.decayed(0, s.now), s.now), minLatencyMs)
 }
+
+// latencySnapshot is what was known of a node's latency before a sample.
+type latencySnapshot struct {
+	node, pool latencyEstimator
+	window     concurrencyWindow
+	takenAt    float64
+}
+
+// snapshotLatency returns what is known of a node's latency.
+func (s *Scheduler) snapshotLatency(n *node) latencySnapshot {
+	return latencySnapshot{node: n.latency, pool: s.poolLatency, window: n.window, takenAt: s.now}
+}
+
+// restoreLatency takes back the sample that followed a snapshot, as far as none has come since.
+func (s *Scheduler) restoreLatency(n *node, before *latencySnapshot) {
+	if n.latency.learnedAt == before.takenAt {
+		n.latency, n.window = before.node, before.window
+	}
+	if s.poolLatency.learnedAt == before.takenAt {
+		s.poolLatency = before.pool
+	}
+}
--- a/policy/request.go
+++ b/policy/request.go
@@ -32,12 +32,13 @@
 
 	attempts           []attempt
 	openAttempts       int
-	mayHaveRunOn       *node   // node of the last attempt that ended, or is hedged, and may have run; nil: there is none
-	mayHaveRunSince    float64 // when the first attempt that may have run was sent
-	attemptCancelled   bool    // the last attempt was cancelled at the objective
-	attemptWrittenOff  bool    // the last attempt was written off
-	nodeAnswersAtSend  float64 // answers received from the node before the last send
-	nodeInFlightAtSend float64 // requests in flight at the node before the last send
+	mayHaveRunOn       *node           // node of the last attempt that ended, or is hedged, and may have run; nil: there is none
+	mayHaveRunSince    float64         // when the first attempt that may have run was sent
+	attemptCancelled   bool            // the last attempt was cancelled at the objective
+	beforeCancel       latencySnapshot // of its node, if it was cancelled
+	attemptWrittenOff  bool            // the last attempt was written off
+	nodeAnswersAtSend  float64         // answers received from the node before the last send
+	nodeInFlightAtSend float64         // requests in flight at the node before the last send
 }
 
 // attempt is one send of a request to a node.
@@ -46,7 +47,10 @@
 	sentAt     float64
 	open       bool
 	writtenOff bool // it no longer counts as in flight, though its outcome is unknown
-	arriving   bool // its response has begun to arrive
+	// transferring is set once the node is known to make progress, though the attempt lasts: it takes the request, or gives the
+	// response. Then the attempt is neither cancelled nor written off for its age.
+	transferring bool
+	slowRequest  bool // the node took the request slowly, so the attempt's time is not the node's latency
 }
 
 // requestKey identifies a client's request across the client's own retries.
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -136,10 +136,12 @@
 		if r := s.requests[ev.ID]; r != nil {
 			r.streaming = true
 		}
+	case AttemptTransferring:
+		s.attemptTransferring(ev)
 	case ResponseArriving:
 		s.responseArriving(ev)
-	case ResponsePaused:
-		s.responsePaused(ev)
+	case TransferPaused:
+		s.transferPaused(ev)
 	case ClientDisconnected:
 		if r := s.requests[ev.ID]; r != nil && !r.done {
 			s.clientDisconnected(r)
--- a/policy/stall.go
+++ b/policy/stall.go
@@ -75,9 +75,9 @@
 		if !isStuck || r.done || r.streaming {
 			continue
 		}
-		r.attemptCancelled = true
+		r.attemptCancelled, r.beforeCancel = true, s.snapshotLatency(n)
 		s.recordLatency(n, age, r.units)
-		s.emit(Action{Kind: Cancel, ID: r.id, Attempt: len(r.attempts) - 1})
+		s.emit(Action{Kind: Cancel, ID: r.id, Attempt: len(r.attempts) - 1, OnlyIfSilent: true})
 	}
 }
 
@@ -123,7 +123,7 @@
 		}
 	}
 	if r.class.Effect == Idempotent && s.settings.MayCancel {
-		s.emit(Action{Kind: Cancel, ID: r.id, Attempt: len(r.attempts) - 1})
+		s.emit(Action{Kind: Cancel, ID: r.id, Attempt: len(r.attempts) - 1, OnlyIfSilent: true})
 	}
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -103,19 +103,20 @@
 
 // The kinds of events, with the fields that they set.
 const (
-	RequestArrived     EventKind = iota // Request
-	AttemptEnded                        // ID, Attempt, Node, Status, Latency, Finished, PlanUsage, PeerUsage, Load
-	ResponseStarted                     // ID, Attempt: a streamed response has started
-	ClientDisconnected                  // ID
-	ListReceived                        // Nodes: the complete list
-	CachedListLoaded                    // Nodes: the complete list as last persisted, possibly outdated or empty; passed once after New, starts the ticks
-	ListChanged                         // Nodes: the changed entries
-	ListFailed                          // a call for the list failed, or the subscription ended
-	TimerFired                          // Tag
-	GossipReceived                      // From, Data: a peer's message
-	HealthCheckEnded                    // Node, Status, Latency, Load
-	ResponseArriving                    // ID, Attempt, Latency: a long response has begun to arrive; nothing of it has been passed on
-	ResponsePaused                      // ID, Attempt: a response that is arriving has paused for long
+	RequestArrived      EventKind = iota // Request
+	AttemptEnded                         // ID, Attempt, Node, Status, Latency, Finished, PlanUsage, PeerUsage, Load
+	ResponseStarted                      // ID, Attempt: a streamed response has started
+	ClientDisconnected                   // ID
+	ListReceived                         // Nodes: the complete list
+	CachedListLoaded                     // Nodes: the complete list as last persisted, possibly outdated or empty; passed once after New, starts the ticks
+	ListChanged                          // Nodes: the changed entries
+	ListFailed                           // a call for the list failed, or the subscription ended
+	TimerFired                           // Tag
+	GossipReceived                       // From, Data: a peer's message
+	HealthCheckEnded                     // Node, Status, Latency, Load
+	AttemptTransferring                  // ID, Attempt: the node takes the request slowly, but makes progress
+	ResponseArriving                     // ID, Attempt, Latency: a response has begun to arrive that is long or slow; nothing of it has been passed on
+	TransferPaused                       // ID, Attempt: a transfer that was reported by one of the two has paused for long
 )
 
 // Status is how an attempt ended.
@@ -173,7 +174,7 @@
 	Send        ActionKind = iota // ID, Node, Deadline, StartBy
 	Reject                        // ID, Wait (Retry-After), Reason
 	Fail                          // ID, Reason
-	Cancel                        // ID, Attempt
+	Cancel                        // ID, Attempt, OnlyIfSilent
 	SetTimer                      // Wait, Tag
 	Subscribe                     // requests the changes of the endpoint list
 	RequestList                   // requests the complete list once
@@ -195,6 +196,9 @@
 	Text     string
 	Data     []byte
 	Reason   Reason
+	// OnlyIfSilent makes a Cancel void for an attempt whose node is taking the request or giving the response. In that case an
+	// AttemptTransferring follows.
+	OnlyIfSilent bool
 }
 
 // Reason is why a request was rejected or failed, for logs and metrics.
