Flags of an attempt's transfer are plain atomics, not steps of the interleaving checker

Cause: they added steps between the check for a draining node and the write, where none can be forced apart. Change: sync/atomic. Result: TestInterleaveWaitingQueue failed with the commit before and passes, with all others of httpfront and core.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -2,9 +2,10 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"wheatsaddle/internal/interleave/sync/atomic"
+	steps "wheatsaddle/internal/interleave/sync/atomic"
 	"wheatsaddle/internal/progress"
 	"wheatsaddle/policy"
 )
@@ -35,7 +36,7 @@
 	slowTransfer bool    // the node took the request slowly, so the attempt's time is not the node's latency
 	status       policy.Status
 	reason       Reason
-	phase        atomic.Int32
+	phase        steps.Int32
 	// transferPhase is the progress.Phase of a claimed attempt, for logs.
 	transferPhase atomic.Int32
 	transferring  atomic.Bool // its node is taking the request, or giving the response
