--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -117,6 +117,7 @@
 	send, cancel, expired *core.Attempt // expired: the attempt's deadline has passed
 	dialed                *loggedInConn
 	pdu                   *pdu
+	arriving              *pdu // header of a PDU whose rest has not come within progress.NoticeAfter
 	from                  *nexus
 	err                   error // read error of the session from; if from is nil, error of the dial
 	addresses             []address.Addr
@@ -144,7 +145,8 @@
 	readData []byte // data received for a read; nil once the command is abandoned
 	received uint32 // bytes received for a read
 	dataSN   uint32
-	written  bool // the complete command PDU was written, so it may run
+	written  bool        // the complete command PDU was written, so it may run
+	notice   *time.Timer // tells core that the target takes the data slowly; nil: it has not requested a part of them
 }
 
 // storagePeer is the actor of one storage target. It has one current session, and after a change of
@@ -275,6 +277,8 @@
 			}
 			x.releaseIfIdle()
 		}
+	case m.arriving != nil:
+		m.from.noticeArriving(m.arriving)
 	case m.err != nil:
 		if m.from == nil { // the dial failed
 			p.dialing = false
@@ -336,6 +340,9 @@
 	c.attempt = nil
 	c.readData = nil
 	c.timer.Stop()
+	if c.notice != nil {
+		c.notice.Stop()
+	}
 	delete(p.commands, a)
 	go a.Done(r)
 }
--- a/internal/iscsi/iscsi_test.go
+++ b/internal/iscsi/iscsi_test.go
@@ -232,6 +232,31 @@
 	}
 }
 
+// Guards against aborting a read at its latency objective while a PDU of its data comes in pieces.
+func TestReadDataInPiecesAreAwaited(t *testing.T) {
+	env := newTestEnv(t, 1000, false)
+	env.pduPause = 1400 * time.Millisecond
+	const blocks = 4 // one Data-In PDU
+	if e := env.initiator(t).readBlocks(0, blocks); e.status != statusGood || len(e.data) != blocks*512 {
+		t.Errorf("the read ended with status %d and %d bytes", e.status, len(e.data))
+	}
+	if received, _ := env.counts(); received != 1 {
+		t.Errorf("%d commands received, want 1", received)
+	}
+}
+
+// Guards against aborting a write at its latency objective while the storage target takes its data slowly.
+func TestSlowlyTakenWriteIsAwaited(t *testing.T) {
+	env := newTestEnv(t, 1000, false)
+	env.dataPause = 450 * time.Millisecond // four R2T, 1.35 s
+	if e := env.initiator(t).write(0, pattern(128*512)); e.status != statusGood {
+		t.Errorf("the write ended with status %d, sense %d", e.status, e.senseKey)
+	}
+	if received, _ := env.counts(); received != 1 {
+		t.Errorf("%d commands received, want 1", received)
+	}
+}
+
 // A command to which the storage target does not respond ends at its deadline, and the initiator sends ABORT TASK for it.
 func TestCommandEndsAtDeadline(t *testing.T) {
 	env := newTestEnv(t, 1000, false)
--- a/internal/iscsi/nexus.go
+++ b/internal/iscsi/nexus.go
@@ -1,6 +1,7 @@
 package iscsi
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"time"
@@ -9,6 +10,7 @@
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
+	"wheatsaddle/internal/progress"
 	"wheatsaddle/policy"
 )
 
@@ -37,7 +39,7 @@
 	go func() {
 		in := framing{maxDataSegment: ownMaxSegment}
 		for {
-			q, err := in.read(l.reader)
+			q, err := x.readPDU(in, l.reader)
 			if err != nil {
 				p.enqueue(message{err: err, from: x})
 				return
@@ -48,6 +50,52 @@
 	return x
 }
 
+// readPDU reads one PDU. If its rest does not come soon after its header, the actor is notified.
+func (x *nexus) readPDU(in framing, reader *bufio.Reader) (*pdu, error) {
+	header, err := reader.Peek(bhsLen)
+	if err != nil {
+		return nil, err
+	}
+	begun := &pdu{}
+	copy(begun.bhs[:], header)
+	notice := time.AfterFunc(progress.NoticeAfter, func() { x.peer.enqueue(message{arriving: begun, from: x}) })
+	defer notice.Stop()
+	return in.read(reader)
+}
+
+// noticeArriving tells core that the data of a command arrive slowly.
+func (x *nexus) noticeArriving(header *pdu) {
+	c := x.commands[header.tag()]
+	if c != nil && c.attempt != nil && (header.op() == opDataIn || header.op() == opSCSIResponse) {
+		c.attempt.SetTransferring(true)
+		go c.attempt.ResponseArriving() // may wait for the core's mailbox
+	}
+}
+
+// watchTaking tells core that the target takes the data of a command slowly, unless it has requested all of them soon.
+func (c *command) watchTaking(requested uint32) {
+	attempt := c.attempt
+	if requested >= c.transfer.size {
+		if c.notice != nil {
+			c.notice.Stop()
+		}
+		return
+	}
+	attempt.SetTransferring(true)
+	if c.notice == nil {
+		c.notice = time.AfterFunc(progress.NoticeAfter, attempt.RequestTransferring)
+	}
+}
+
+// writeFor writes b for a command. If the target takes it slowly, core is told.
+func (x *nexus) writeFor(c *command, b []byte) (n int, ok bool) {
+	if attempt := c.attempt; attempt != nil {
+		notice := time.AfterFunc(progress.NoticeAfter, attempt.RequestTransferring)
+		defer notice.Stop()
+	}
+	return x.write(b)
+}
+
 // windowOpen reports whether the command window allows one more command.
 func (x *nexus) windowOpen() bool { return x.conn != nil && int32(x.maxCmdSN-x.cmdSN) >= 0 }
 
@@ -172,7 +220,7 @@
 	}
 	b := framing{}.append(nil, q)
 	commandLength := len(b)
-	n, ok := x.write(append(b, dataOut...))
+	n, ok := x.writeFor(c, append(b, dataOut...))
 	if c.written = n >= commandLength; !c.written {
 		x.peer.reportResult(c, core.Result{Status: policy.ConnectFailed})
 	} else {
@@ -263,7 +311,8 @@
 		if c.attempt == nil {
 			return nil // abandoned: no more data is sent for it
 		}
-		if _, ok := x.write(x.appendDataOut(nil, c, q.u32(20), at, n)); !ok {
+		c.watchTaking(at + n)
+		if _, ok := x.writeFor(c, x.appendDataOut(nil, c, q.u32(20), at, n)); !ok {
 			return errors.New("write of Data-Out failed or timed out")
 		}
 	case opTaskMgmtResp:
--- a/internal/iscsi/pacedwrite.go
+++ b/internal/iscsi/pacedwrite.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wheatsaddle/internal/datarate"
+	"wheatsaddle/internal/progress"
 )
 
 // pacedPieceSize is the number of bytes whose write has one deadline.
@@ -12,7 +13,7 @@
 
 var (
 	// peerWriteLimits bound the waits for a storage target that reads.
-	peerWriteLimits = datarate.Limits{StallTimeout: time.Second, MinBytesPerSecond: 32 << 10}
+	peerWriteLimits = datarate.Limits{StallTimeout: progress.MaxSilence, MinBytesPerSecond: 32 << 10}
 	// initiatorWriteLimits bound the waits for an initiator that reads.
 	initiatorWriteLimits = datarate.Limits{StallTimeout: 10 * time.Second, MinBytesPerSecond: 32 << 10}
 )
