--- a/internal/testkit/experiment/soak/crowd.go
+++ b/internal/testkit/experiment/soak/crowd.go
@@ -93,7 +93,7 @@
 
 // request returns the client's request.
 func (c crowdClient) request(d *Deployment, class string, body int) Request {
-	return Request{ID: c.id, Class: class, Key: c.id, Shard: c.number % len(d.Nodes), Deadline: soundDeadline, Body: body}
+	return Request{ID: c.id, Class: class, Key: c.id, Shard: c.number % d.Shards(), Deadline: soundDeadline, Body: body}
 }
 
 // repeatAfter calls play with a new connection, again and again after a pause, until stop is closed.
@@ -189,7 +189,7 @@
 	var all sync.WaitGroup
 	end := time.Now().Add(c.Duration)
 	for i := 0; time.Now().Before(end); i++ {
-		r := Request{ID: fmt.Sprint("sound-", time.Now().UnixNano()), Class: ClassRead, Shard: i % len(d.Nodes), Deadline: soundDeadline,
+		r := Request{ID: fmt.Sprint("sound-", time.Now().UnixNano()), Class: ClassRead, Shard: i % d.Shards(), Deadline: soundDeadline,
 			Script: pacednode.Script{Size: 200, Work: cmp.Or(c.SoundWork, soundWork)}}
 		all.Go(func() {
 			sent := time.Now()
--- a/internal/testkit/experiment/soak/deployment.go
+++ b/internal/testkit/experiment/soak/deployment.go
@@ -36,7 +36,8 @@
 type Options struct {
 	Daemon    string // path of the built daemon
 	Dir       string // folder for files, which the caller removes
-	Nodes     int    // storage nodes, one a shard; 0: 2
+	Nodes     int    // shards; 0: 2
+	Replicas  int    // storage nodes of each shard; 0: 1
 	MemoryMB  int    // limit of the daemon; 0: 128
 	Objective time.Duration
 	Deadline  time.Duration // of all classes; clients may name a shorter one
@@ -121,17 +122,17 @@
 	if d.discovery, err = discovery.New(discovery.Options{Mode: discovery.Push}); err != nil {
 		return err
 	}
-	for shard := range d.options.Nodes {
+	for i := range d.options.Nodes * max(1, d.options.Replicas) {
 		n, err := pacednode.Start()
 		if err != nil {
 			return err
 		}
 		d.Nodes = append(d.Nodes, n)
-		address, err := d.linkTo(n.Address(), shard)
+		address, err := d.linkTo(n.Address(), i)
 		if err != nil {
 			return err
 		}
-		entry := cluster.Entry{Name: fmt.Sprint("st-", shard), Address: address, Group: shard, Status: discovery.Active, Weight: 1}
+		entry := cluster.Entry{Name: fmt.Sprint("st-", i), Address: address, Group: i % d.options.Nodes, Status: discovery.Active, Weight: 1}
 		d.discovery.Put(entry)
 		d.config.Endpoints = append(d.config.Endpoints, entry)
 	}
@@ -139,11 +140,11 @@
 }
 
 // linkTo returns the address at which the daemon reaches a node.
-func (d *Deployment) linkTo(address string, shard int) (string, error) {
+func (d *Deployment) linkTo(address string, node int) (string, error) {
 	if !d.options.Links {
 		return address, nil
 	}
-	l, err := link.New(link.Options{Seed: d.options.Seed + uint64(shard), Network: "tcp", To: address})
+	l, err := link.New(link.Options{Seed: d.options.Seed + uint64(node), Network: "tcp", To: address})
 	if err != nil {
 		return "", err
 	}
@@ -151,6 +152,9 @@
 	return l.Addr(), nil
 }
 
+// Shards returns the number of shards.
+func (d *Deployment) Shards() int { return d.options.Nodes }
+
 // process returns the daemon's process that serves new connections. Any goroutine may call it.
 func (d *Deployment) process() *cluster.Proc {
 	d.mu.Lock()
--- a/internal/testkit/experiment/soak/flood.go
+++ b/internal/testkit/experiment/soak/flood.go
@@ -99,7 +99,7 @@
 		count := int64(0)
 		for batch.Len() < floodBatch {
 			number := requests.Load() + count
-			batch.WriteString(f.Kind.request(int(number), len(d.Nodes)))
+			batch.WriteString(f.Kind.request(int(number), d.Shards()))
 			count++
 			if f.Kind == UnsoundHeads {
 				break
--- a/internal/testkit/experiment/soak/judge.go
+++ b/internal/testkit/experiment/soak/judge.go
@@ -15,6 +15,7 @@
 	ruleExit    = "after SIGTERM the process exits with code 0 before the earliest SIGKILL"
 	ruleRuns    = "the process does not end by itself"
 	ruleReady   = "a started process is ready in time"
+	ruleRhythm  = "a sound answer is served whatever the rhythm of its node"
 	ruleServed  = "without faults sound requests are served"
 	finalSlack  = 500 * time.Millisecond // after a request's time, for its final answer
 	aroundAKill = 100 * time.Millisecond // a client may notice a kill so much later
@@ -55,6 +56,8 @@
 	ends          Ends
 	sound, served int           // sound requests outside of interruptions
 	unserved      []sentRequest // the others of them
+	// transfers are sound requests and answers that rest, outside of interruptions, and transfersServed those that were served.
+	transfers, transfersServed int
 }
 
 // judgeAll judges the requests of the traffic.
@@ -63,8 +66,7 @@
 		j.judge(r)
 	}
 	j.checkUnsafeWrites()
-	calm := !j.scenario.cutsConnections() && len(j.scenario.SystemCalls) == 0 && !j.scenario.Pictures[Crowds] && !j.scenario.Pictures[Floods]
-	if calm && j.sound >= fewSound && float64(j.served) < minSound*float64(j.sound) {
+	if j.scenario.isCalm() && j.sound >= fewSound && float64(j.served) < minSound*float64(j.sound) {
 		var examples []string
 		for _, r := range j.unserved[:min(len(j.unserved), maxExamples)] {
 			examples = append(examples, fmt.Sprintf("%s: code %d after %v", j.describe(r), r.Code, r.EndedAt.Sub(r.SentAt).Round(time.Millisecond)))
@@ -74,6 +76,7 @@
 }
 
 func (j *judge) judge(r sentRequest) {
+	j.judgeTransfer(r)
 	switch {
 	case !r.closedAt.IsZero():
 		j.ends.Left++
@@ -105,6 +108,35 @@
 	}
 }
 
+// judgeTransfer checks that a transfer which is sound is served, if its node has got it: nobody but the daemon can have ended it.
+func (j *judge) judgeTransfer(r sentRequest) {
+	if !r.transfer || !r.closedAt.IsZero() || r.SentAt.IsZero() || !j.scenario.isCalm() || j.interrupted(r, false) || !j.isSoundTransfer(&r.Request) {
+		return
+	}
+	if !j.wasReceived(r.ID) {
+		return // rejected before its first attempt
+	}
+	j.transfers++
+	if r.Served() && r.Outcome.Body == r.Script.Size {
+		j.transfersServed++
+		return
+	}
+	j.broken.add(ruleRhythm, "%s; %s: code %d, %d bytes after %v, %v", r.Request.describe(), j.describe(r), r.Code, r.Outcome.Body, r.EndedAt.Sub(r.SentAt), r.Err)
+}
+
+// isSoundTransfer reports whether a transfer comes in time, and its node shows in time that it makes progress: where cancels are allowed,
+// a request of which the node's machine holds all is cancelled at the objective if its node is silent.
+func (j *judge) isSoundTransfer(r *Request) bool {
+	if !r.isSound() {
+		return false
+	}
+	unseen := r.Script.Work
+	if r.Body <= relayedSize {
+		unseen += r.Script.ReadTime(r.Body)
+	}
+	return j.scenario.Ceilings.NoCancels || unseen <= j.scenario.Objective-soundMargin
+}
+
 // checkTime checks that the answer came in time. A long answer counts by its first byte, as its node may write it slowly.
 func (j *judge) checkTime(r sentRequest) {
 	waitedForAProcess := j.scenario.PassedSocket && !r.reused && j.interrupted(r, true)
@@ -112,7 +144,7 @@
 		return
 	}
 	end := r.EndedAt
-	if r.Script.Size > relayedSize {
+	if r.isLong() || r.isOfUnknownLength(r.Outcome) {
 		end = r.FirstByteAt
 	}
 	if took := end.Sub(r.SentAt); took > r.Deadline+finalSlack {
@@ -135,7 +167,7 @@
 
 // judgeCutOff judges an answer that ended incomplete.
 func (j *judge) judgeCutOff(r sentRequest) {
-	mayBeLong := r.Script.Size > relayedSize
+	mayBeLong := r.isLong() || r.Script.Framing != "" && r.Script.Framing != pacednode.Length
 	switch {
 	case j.interrupted(r, true):
 		j.ends.Killed++
--- a/internal/testkit/experiment/soak/leavers.go
+++ b/internal/testkit/experiment/soak/leavers.go
@@ -49,7 +49,7 @@
 		classes = []string{ClassRead, ClassWrite, ClassKeyed}
 	}
 	for i := range l.Repeats {
-		r := leaverRequest(fmt.Sprintf("%s-again-%d", name, i), classes[i%len(classes)], i%len(d.Nodes), work)
+		r := leaverRequest(fmt.Sprintf("%s-again-%d", name, i), classes[i%len(classes)], i%d.Shards(), work)
 		all.Go(func() {
 			uses[i] = append(uses[i], idUse{sentAt: time.Now()})
 			d.sendAndLeave(r)
@@ -68,17 +68,25 @@
 		return broken.all
 	}
 	for i := range l.Repeats {
-		r := leaverRequest(fmt.Sprintf("%s-again-%d", name, i), classes[i%len(classes)], i%len(d.Nodes), work)
+		r := leaverRequest(fmt.Sprintf("%s-again-%d", name, i), classes[i%len(classes)], i%d.Shards(), work)
 		d.checkIDOwner(r, uses[i], &broken)
 	}
 	return broken.all
 }
 
+// attempts returns the attempts of a request at all nodes.
+func (d *Deployment) attempts(id string) (all []pacednode.Attempt) {
+	for _, n := range d.Nodes {
+		all = append(all, n.Attempts(id)...)
+	}
+	return all
+}
+
 // checkIDOwner checks the uses of an id: only an idempotent one may run in a use after another use in which it ran, and only if that
 // one was rejected; in one use only an idempotent one may run more than once.
 func (d *Deployment) checkIDOwner(r Request, uses []idUse, broken *breaches) {
 	runs := make([]int, len(uses))
-	for _, a := range d.Nodes[r.Shard].Attempts(r.ID) {
+	for _, a := range d.attempts(r.ID) {
 		if a.ReceivedAt.IsZero() {
 			continue
 		}
@@ -131,7 +139,7 @@
 	writer := bufio.NewWriter(nc)
 	var ids []string
 	for i := range count {
-		r := leaverRequest(fmt.Sprintf("%s-%d", name, i), ClassRead, i%len(d.Nodes), work)
+		r := leaverRequest(fmt.Sprintf("%s-%d", name, i), ClassRead, i%d.Shards(), work)
 		ids = append(ids, r.ID)
 		_, _ = writer.WriteString(r.head())
 	}
--- a/internal/testkit/experiment/soak/leavers_test.go
+++ b/internal/testkit/experiment/soak/leavers_test.go
@@ -33,7 +33,7 @@
 	}
 	classes := []string{ClassRead, ClassWrite, ClassKeyed}
 	request := func(order string, i int) Request {
-		return leaverRequest(fmt.Sprintf("upgrade-%s-%d", order, i), classes[i%len(classes)], i%len(d.Nodes), leaverWork)
+		return leaverRequest(fmt.Sprintf("upgrade-%s-%d", order, i), classes[i%len(classes)], i%d.Shards(), leaverWork)
 	}
 	for i := range repeats {
 		d.sendAndLeave(request("old-new", i))
--- a/internal/testkit/experiment/soak/run.go
+++ b/internal/testkit/experiment/soak/run.go
@@ -38,13 +38,14 @@
 
 // SeedResult is what one scenario showed.
 type SeedResult struct {
-	Seed     uint64
-	Scenario string
-	Ends     Ends
-	Sound    int // requests outside of restarts that were sound, and how many of them were served
-	Served   int
-	PeakMB   float64 // resident
-	Broken   []Breach
+	Seed                       uint64
+	Scenario                   string
+	Ends                       Ends
+	Sound                      int // requests outside of restarts that were sound, and how many of them were served
+	Served                     int
+	Transfers, TransfersServed int     // the same for requests and answers that rest
+	PeakMB                     float64 // resident
+	Broken                     []Breach
 }
 
 // Result is what all scenarios showed.
@@ -66,7 +67,8 @@
 // Print prints the scenarios, their counts and the broken rules.
 func (r *Result) Print(w io.Writer) error {
 	for _, s := range r.Seeds {
-		fmt.Fprintf(w, "%s\n  %+v; sound %d of %d; peak %.1f MB; %d broken\n", s.Scenario, s.Ends, s.Served, s.Sound, s.PeakMB, len(s.Broken))
+		fmt.Fprintf(w, "%s\n  %+v; sound %d of %d, transfers %d of %d; peak %.1f MB; %d broken\n", s.Scenario, s.Ends, s.Served, s.Sound, s.TransfersServed,
+			s.Transfers, s.PeakMB, len(s.Broken))
 		for _, b := range s.Broken[:min(len(s.Broken), maxPrintedBreaches)] {
 			fmt.Fprintf(w, "  BROKEN %s\n", b)
 		}
@@ -116,7 +118,7 @@
 	if err != nil {
 		return SeedResult{}, err
 	}
-	options := Options{Daemon: o.Daemon, Dir: dir, Nodes: s.Nodes, MemoryMB: s.MemoryMB, Objective: s.Objective, Deadline: s.Deadline,
+	options := Options{Daemon: o.Daemon, Dir: dir, Nodes: s.Nodes, Replicas: s.Replicas, Ceilings: s.Ceilings, MemoryMB: s.MemoryMB, Objective: s.Objective, Deadline: s.Deadline,
 		PassedSocket: s.PassedSocket, Links: s.hasLinkFaults(), Seed: s.Seed, Command: command}
 	if len(s.ClockSteps) > 0 {
 		options.Daemon, options.Env = o.Stepped, []string{steppedclock.Environment(s.ClockSteps)}
@@ -172,7 +174,7 @@
 	}
 	j := judge{scenario: p.scenario, nodes: p.deployment.Nodes, interruptions: p.interruptions, burstEndedAt: p.burstEndedAt, broken: &p.broken}
 	j.judgeAll(sent)
-	return SeedResult{Seed: p.scenario.Seed, Scenario: p.scenario.String(), Ends: j.ends, Sound: j.sound, Served: j.served,
+	return SeedResult{Seed: p.scenario.Seed, Scenario: p.scenario.String(), Ends: j.ends, Sound: j.sound, Served: j.served, Transfers: j.transfers, TransfersServed: j.transfersServed,
 		PeakMB: float64(peak.Resident) / bytesPerMB, Broken: p.broken.all}
 }
 
--- a/internal/testkit/experiment/soak/scenario.go
+++ b/internal/testkit/experiment/soak/scenario.go
@@ -65,8 +65,10 @@
 	MemoryMB     int
 	Deadline     time.Duration // of the classes
 	Objective    time.Duration
-	Nodes        int
-	Clients      int // that keep their connections
+	Nodes        int      // shards
+	Replicas     int      // storage nodes of each shard
+	Ceilings     Ceilings // what the settings allow the daemon
+	Clients      int      // that keep their connections
 	PassedSocket bool
 	Pictures     [pictureCount]bool
 	Crowd        Crowd
@@ -89,18 +91,20 @@
 func NewScenario(seed uint64, length time.Duration) Scenario {
 	rng := rand.New(rand.NewPCG(seed, 0x736f616b))
 	deadlines := []time.Duration{450 * time.Millisecond, time.Second, 2400 * time.Millisecond, 4 * time.Second}
-	s := Scenario{Seed: seed, Length: length, MemoryMB: leastMemoryMB, Deadline: deadlines[rng.IntN(len(deadlines))], Nodes: 2 + rng.IntN(2),
-		Clients: 8 + rng.IntN(17), PassedSocket: rng.IntN(3) == 0}
-	s.Objective = s.Deadline * 2 / 5
-	s.drawPictures(rng)
+	s := Scenario{Seed: seed, Length: length, MemoryMB: leastMemoryMB, Deadline: deadlines[rng.IntN(len(deadlines))], Nodes: 1 + rng.IntN(3),
+		Replicas: 1 + rng.IntN(2), Clients: 8 + rng.IntN(17), PassedSocket: rng.IntN(3) == 0}
+	s.Objective = s.Deadline * time.Duration(1+rng.IntN(6)) / 10 // site file: objectives of a tenth to some six tenths of the deadlines
+	s.drawCeilings(rng)
+	calm := rng.IntN(2) == 0 // then each sound answer has to be served
+	s.drawPictures(rng, calm)
 	s.drawRestarts(rng)
-	if rng.IntN(2) == 0 {
+	if !calm && rng.IntN(2) == 0 {
 		s.drawLinkFaults(rng)
 	}
 	if rng.IntN(3) == 0 {
 		s.drawClockSteps(rng)
 	}
-	if rng.IntN(2) == 0 {
+	if !calm && rng.IntN(2) == 0 {
 		for range 1 + rng.IntN(3) {
 			s.SystemCalls = append(s.SystemCalls, systemCallFaults[rng.IntN(len(systemCallFaults))])
 		}
@@ -108,7 +112,20 @@
 	return s
 }
 
-func (s *Scenario) drawPictures(rng *rand.Rand) {
+// drawCeilings draws what the settings allow (protocol page: the settings state it): in half of the seeds not hedges, cancels and retries.
+func (s *Scenario) drawCeilings(rng *rand.Rand) {
+	if rng.IntN(2) == 0 {
+		s.Ceilings.MaxAttempts = 2 + rng.IntN(3)
+		return
+	}
+	s.Ceilings = Ceilings{NoHedges: true, NoCancels: rng.IntN(2) == 0, MaxAttempts: 1}
+}
+
+func (s *Scenario) drawPictures(rng *rand.Rand, calm bool) {
+	if calm {
+		s.Pictures[[]Picture{SlowNodes, LeavingOnes}[rng.IntN(2)]] = true
+		return
+	}
 	s.Pictures[rng.IntN(int(pictureCount))] = true
 	s.Pictures[rng.IntN(int(pictureCount))] = true
 	s.Flood, s.FloodConns = FloodKind(rng.IntN(int(MixedFlood)+1)), 1
@@ -149,7 +166,7 @@
 	}
 	directions := []link.Direction{link.Forward, link.Backward, link.Both}
 	for at := 500 * time.Millisecond; at < s.Length; at += time.Duration(500+rng.IntN(1500)) * time.Millisecond {
-		s.LinkFaults = append(s.LinkFaults, LinkFault{At: at, Duration: time.Duration(200+rng.IntN(800)) * time.Millisecond, Node: rng.IntN(s.Nodes),
+		s.LinkFaults = append(s.LinkFaults, LinkFault{At: at, Duration: time.Duration(200+rng.IntN(800)) * time.Millisecond, Node: rng.IntN(s.Nodes * s.Replicas),
 			Direction: directions[rng.IntN(len(directions))], Fault: faults[rng.IntN(len(faults))]})
 	}
 }
@@ -188,7 +205,12 @@
 	for _, f := range s.SystemCalls {
 		parts = append(parts, f.String())
 	}
-	return fmt.Sprintf("seed %d, deadline %v: %s", s.Seed, s.Deadline, strings.Join(parts, ", "))
+	return fmt.Sprintf("seed %d, deadline %v, objective %v, %d shards of %d, %v: %s", s.Seed, s.Deadline, s.Objective, s.Nodes, s.Replicas, s.Ceilings, strings.Join(parts, ", "))
+}
+
+// isCalm reports whether nothing but the traffic and the restarts strains the daemon.
+func (s Scenario) isCalm() bool {
+	return !s.cutsConnections() && len(s.SystemCalls) == 0 && !s.Pictures[Crowds] && !s.Pictures[Floods]
 }
 
 // hasLinkFaults reports whether nodes are reached through fault proxies.
--- a/internal/testkit/experiment/soak/slowanswers.go
+++ b/internal/testkit/experiment/soak/slowanswers.go
@@ -51,7 +51,7 @@
 	var beside, all sync.WaitGroup
 	beside.Go(func() { d.smallReads(name+"-small", stop, &broken) })
 	for i := range s.Count {
-		r := Request{ID: fmt.Sprintf("%s-%d", name, i), Class: ClassRead, Shard: i % len(d.Nodes), Deadline: s.Deadline, Script: s.Script(i)}
+		r := Request{ID: fmt.Sprintf("%s-%d", name, i), Class: ClassRead, Shard: i % d.Shards(), Deadline: s.Deadline, Script: s.Script(i)}
 		all.Go(func() { checkLongAnswer(r, d.Send(r), &broken) })
 		time.Sleep(s.Interval)
 	}
@@ -83,7 +83,7 @@
 			return
 		case <-time.After(smallReadInterval):
 		}
-		r := Request{ID: fmt.Sprintf("%s-%d", name, i), Class: ClassRead, Shard: i % len(d.Nodes), Deadline: deadline,
+		r := Request{ID: fmt.Sprintf("%s-%d", name, i), Class: ClassRead, Shard: i % d.Shards(), Deadline: deadline,
 			Script: pacednode.Script{Size: 100, Work: 2 * time.Millisecond}}
 		o := d.Send(r)
 		if !o.Served() || o.EndedAt.Sub(o.SentAt) > deadline {
--- a/internal/testkit/experiment/soak/traffic.go
+++ b/internal/testkit/experiment/soak/traffic.go
@@ -16,6 +16,7 @@
 type sentRequest struct {
 	Request
 	Outcome
+	transfer bool      // its node rests while it reads the request or writes the answer
 	sound    bool      // small, with far more time than its work takes
 	reused   bool      // the connection had carried another request before
 	closedAt time.Time // when the client left without the answer; zero: it did not
@@ -120,16 +121,13 @@
 	r.Script = pacednode.Script{Size: 10 + rng.IntN(20_000), Work: min(time.Duration(1+rng.IntN(30))*time.Millisecond, r.Deadline/soundShare)}
 	sound := true
 	switch kind := rng.IntN(20); {
+	case kind < 8:
 	case kind < 10:
-	case kind < 13:
 		r.Class, r.Body = ClassWrite, 1+rng.IntN(30_000)
-	case kind < 16:
+	case kind < 12:
 		r.Class, r.Body, r.Key = ClassKeyed, 1+rng.IntN(30_000), "key-"+id
 	case kind < 18:
-		sound = false
-		r.Script.Framing = []pacednode.Framing{pacednode.Length, pacednode.Chunked, pacednode.Close}[rng.IntN(3)]
-		r.Script.Pattern = []pacednode.Pattern{pacednode.Steady, pacednode.Lumps, pacednode.LateBody}[rng.IntN(3)]
-		r.Script.Size, r.Script.Duration = 100_000+rng.IntN(150_000), time.Duration(200+rng.IntN(1000))*time.Millisecond
+		return sentRequest{Request: drawTransfer(id, t.scenario, rng), transfer: true}
 	case kind < 19:
 		sound = false
 		r.Class, r.Body, r.Script.ReadRate = ClassWrite, 100_000+rng.IntN(300_000), slowRate
--- a/internal/testkit/experiment/soak/transfers.go
+++ b/internal/testkit/experiment/soak/transfers.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"wheatsaddle/internal/testkit/fake/pacednode"
 )
 
 // soundMargin is how long before the end of its time an answer has to be there, so that it counts as one that came in time.
@@ -76,7 +78,7 @@
 
 // isOfUnknownLength reports whether an answer was passed on of which it could not be known that it is short.
 func (r *Request) isOfUnknownLength(o Outcome) bool {
-	return o.Code == 200 && r.Script.Framing != "" && r.Script.Framing != "length"
+	return o.Code == 200 && r.Script.Framing != "" && r.Script.Framing != pacednode.Length
 }
 
 // describe returns what identifies a request in a breach.
