--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -29,12 +29,14 @@
 const (
 	RequestEnded           Kind = "request_ended"            // rejected, failed, or served after a retry
 	NodeConnectionClosed   Kind = "node_connection_closed"   // by this process or by the node
+	SlowTransfer           Kind = "slow_transfer"            // a node takes a request, or gives an answer, with rests; the reason is the phase
 	ClientConnectionClosed Kind = "client_connection_closed" // by this process or by the client
 )
 
 var messages = map[Kind]string{
 	RequestEnded:           "request ended",
 	NodeConnectionClosed:   "connection to a storage node closed",
+	SlowTransfer:           "storage node transfers slowly",
 	ClientConnectionClosed: "client connection closed",
 }
 
--- a/internal/httpfront/delivery.go
+++ b/internal/httpfront/delivery.go
@@ -4,7 +4,10 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/progress"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
@@ -137,19 +140,28 @@
 	d.mu.Lock()
 	now := d.elapsed()
 	notice := d.progress.Notice(now, undelivered)
-	arriving := d.progress.Phase() >= progress.Head
+	phase := d.progress.Phase()
 	allowed := d.progress.Allowance(now) > 0
 	if notice {
 		d.watchPauses()
 	}
 	d.mu.Unlock()
-	switch {
-	case notice && arriving:
+	if notice {
+		d.reportTransfer(phase)
+	}
+	return allowed
+}
+
+// reportTransfer tells core, and the log, that the node transfers slowly in a phase.
+func (d *delivery) reportTransfer(phase progress.Phase) {
+	if phase >= progress.Head {
 		d.attempt.ResponseArriving()
-	case notice:
+	} else {
 		d.attempt.RequestTransferring()
 	}
-	return allowed
+	d.node.dialer.Events.Record(eventlog.SlowTransfer, eventlog.Reason(phase.String()), func() logrus.Fields {
+		return logrus.Fields{"id": attemptID(d.attempt), "node": d.node.name}
+	})
 }
 
 // received is called with the size of each piece of the body.
