--- a/internal/httpfront/contextcloser_test.go
+++ b/internal/httpfront/contextcloser_test.go
@@ -22,9 +22,9 @@
 	a := core.NewAttempt(&core.Request{}, time.Now().Add(time.Hour), func(r core.Result) { results <- r })
 	closer := newContextCloser(ctx, socket)
 	d = newDelivery(&node{dialer: &Dialer{}}, job{attempt: a}, closer, nil, 0)
-	closer.setDelivery(d)
 	d.progress.HeadEnded(0, length)
 	d.result = core.Result{Status: policy.OK, Payload: &nodeResponse{relay: newRelay(func() {}, nil)}}
+	closer.setDelivery(d)
 	return d, peer, results
 }
 
