--- a/internal/httpfront/response.go
+++ b/internal/httpfront/response.go
@@ -194,7 +194,8 @@
 		return nil, err
 	}
 	length := int64(progress.UnknownLength) // also that of a short body for which there is no memory
-	if f.length && size > maxBufferedBody {
+	short := f.length && size <= maxBufferedBody
+	if f.length && !short {
 		length = int64(size)
 	}
 	if d != nil && c.response.StatusCode() != fasthttp.StatusOK {
@@ -203,6 +204,10 @@
 	if d == nil || c.response.StatusCode() != fasthttp.StatusOK {
 		return c.readUnused(stream)
 	}
+	if short {
+		stop := d.endAtDeadline(c.socket)
+		defer stop()
+	}
 	return c.readLongBody(stream, length, d)
 }
 
