--- a/internal/httpfront/delivery.go
+++ b/internal/httpfront/delivery.go
@@ -1,7 +1,6 @@
 package httpfront
 
 import (
-	"io"
 	"sync"
 	"time"
 
@@ -32,7 +31,6 @@
 	result   core.Result
 	passedOn bool
 	ended    bool // no longer passed on early
-	short    bool // the response states a short length, though there is no memory to buffer it
 
 	deadlineTimer *time.Timer // nil: the response is not known to be long
 	pauseTimer    *time.Timer // nil: core does not know of a transfer
@@ -64,8 +62,6 @@
 	servable := result.Status == policy.OK // otherwise it is never passed on
 	if servable {
 		d.progress.SetNoticed()
-	}
-	if servable && !d.short {
 		d.attempt.SetMayBePassedOn()
 	}
 	d.mu.Unlock()
@@ -82,23 +78,6 @@
 	d.watchPauses()
 }
 
-// endAtDeadline is called before begin for a response of a stated short length that is passed on for lack of memory. The time of such an
-// answer is that of its last byte: at the deadline it ends, incomplete if it was passed on, and is not passed on then. stop has to be
-// called once the response is read.
-func (d *delivery) endAtDeadline(socket io.Closer) (stop func()) {
-	d.mu.Lock()
-	d.short = true
-	d.mu.Unlock()
-	timer := time.AfterFunc(time.Until(d.attempt.Deadline), func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if d.passedOn { // otherwise the end of the attempt's context closes the connection
-			_ = socket.Close()
-		}
-	})
-	return func() { timer.Stop() }
-}
-
 // watchPauses makes core learn of pauses. The caller holds the mutex.
 func (d *delivery) watchPauses() {
 	if d.pauseTimer == nil && !d.ended {
@@ -198,7 +177,7 @@
 // deadlineNear is called shortly before the attempt's deadline, and at the deadline, as the timer may be late.
 func (d *delivery) deadlineNear() {
 	d.mu.Lock()
-	passOn := d.progress.PassOnAtDeadline() && !d.short
+	passOn := d.progress.PassOnAtDeadline()
 	d.mu.Unlock()
 	if passOn {
 		d.passOn()
--- a/internal/httpfront/response.go
+++ b/internal/httpfront/response.go
@@ -178,11 +178,18 @@
 // readBody reads a body. One whose length is at most maxBufferedBody is read as a whole.
 func (c *conn) readBody(f framing, d *delivery) (*nodeResponse, error) {
 	size := c.response.Header.ContentLength()
-	if f.length && size <= maxBufferedBody {
-		if d != nil {
-			d.headEnded()
-		}
+	short := f.length && size <= maxBufferedBody
+	servable := d != nil && c.response.StatusCode() == fasthttp.StatusOK
+	if d != nil && (short || !servable) {
+		d.headEnded()
+	}
+	if short {
 		rep := &nodeResponse{memory: c.node.dialer.Memory.NewShare(memory.Response)}
+		if servable && !rep.memory.Grow(int64(size)) {
+			if err := c.awaitShortBody(size, &rep.memory, d); err != nil {
+				return nil, err
+			}
+		}
 		if rep.memory.Grow(int64(size)) {
 			rep.body = make([]byte, size)
 			_, err := io.ReadFull(c.reader, rep.body)
@@ -193,20 +200,12 @@
 	if err != nil {
 		return nil, err
 	}
-	length := int64(progress.UnknownLength) // also that of a short body for which there is no memory
-	short := f.length && size <= maxBufferedBody
-	if f.length && !short {
-		length = int64(size)
-	}
-	if d != nil && c.response.StatusCode() != fasthttp.StatusOK {
-		d.headEnded()
-	}
-	if d == nil || c.response.StatusCode() != fasthttp.StatusOK {
+	if !servable {
 		return c.readUnused(stream)
 	}
-	if short {
-		stop := d.endAtDeadline(c.socket)
-		defer stop()
+	length := int64(progress.UnknownLength) // also that of a short body for which there is no memory, all of which has arrived
+	if f.length && !short {
+		length = int64(size)
 	}
 	return c.readLongBody(stream, length, d)
 }
--- a/internal/transport/socketqueue.go
+++ b/internal/transport/socketqueue.go
@@ -74,19 +74,4 @@
 }
 
 // acceptable reports whether a listening socket has a queued connection. It returns false if epoll fails.
-func acceptable(fd uintptr) bool {
-	poll, err := syscall.EpollCreate1(syscall.EPOLL_CLOEXEC)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = syscall.Close(poll) }()
-	if syscall.EpollCtl(poll, syscall.EPOLL_CTL_ADD, int(fd), &syscall.EpollEvent{Events: syscall.EPOLLIN}) != nil {
-		return false
-	}
-	var events [1]syscall.EpollEvent
-	n, err := syscall.EpollWait(poll, events[:], 0)
-	for errors.Is(err, syscall.EINTR) {
-		n, err = syscall.EpollWait(poll, events[:], 0)
-	}
-	return n > 0
-}
+func acceptable(fd uintptr) bool { return polledEvents(fd, syscall.EPOLLIN) != 0 }
--- a/internal/transport/undelivered_test.go
+++ b/internal/transport/undelivered_test.go
@@ -11,31 +11,13 @@
 func TestUndeliveredBytesAreSeen(t *testing.T) {
 	for network, address := range map[string]string{"tcp": "127.0.0.1:0", "unix": t.TempDir() + "/s"} {
 		t.Run(network, func(t *testing.T) {
-			listener, err := net.Listen(network, address)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer listener.Close()
-			client, err := net.Dial(network, listener.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer client.Close()
-			stream, err := DisableSplice(client)
-			if err != nil {
-				t.Fatal(err)
-			}
-			peer, err := listener.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer peer.Close()
+			stream, peer := connectedPair(t, network, address)
 			if HasUndelivered(stream) {
 				t.Error("undelivered before the first byte")
 			}
-			_ = client.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+			_ = stream.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
 			for piece := make([]byte, 64<<10); ; {
-				if _, err := client.Write(piece); err != nil {
+				if _, err := stream.Write(piece); err != nil {
 					break
 				}
 			}
@@ -57,3 +39,65 @@
 		})
 	}
 }
+
+// Guards against a wait for bytes that have come already, or that can never come: input is counted without being consumed, and its end is
+// seen though bytes are left to read.
+func TestQueuedInputIsCounted(t *testing.T) {
+	for network, address := range map[string]string{"tcp": "127.0.0.1:0", "unix": t.TempDir() + "/s"} {
+		t.Run(network, func(t *testing.T) {
+			stream, peer := connectedPair(t, network, address)
+			if size, ended := QueuedInput(stream), InputEnded(stream); size != 0 || ended {
+				t.Errorf("%d bytes, ended %v, before the first byte", size, ended)
+			}
+			sent := 0
+			for _, size := range []int{1, 999, 40_000} {
+				_, _ = peer.Write(make([]byte, size))
+				sent += size
+				awaitInput(t, stream, sent, false)
+			}
+			_ = peer.Close()
+			awaitInput(t, stream, sent, true)
+			_ = stream.Close()
+			if !InputEnded(stream) {
+				t.Error("not ended after the close")
+			}
+		})
+	}
+}
+
+// connectedPair returns both ends of a connection.
+func connectedPair(t *testing.T, network, address string) (stream Stream, peer net.Conn) {
+	t.Helper()
+	listener, err := net.Listen(network, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err := net.Dial(network, listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	if stream, err = DisableSplice(client); err != nil {
+		t.Fatal(err)
+	}
+	if peer, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peer.Close() })
+	return stream, peer
+}
+
+// awaitInput waits until QueuedInput and InputEnded return what is wanted.
+func awaitInput(t *testing.T, stream Stream, wantSize int, wantEnded bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		size, ended := QueuedInput(stream), InputEnded(stream)
+		if size == wantSize && ended == wantEnded {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes, ended %v, want %d and %v", size, ended, wantSize, wantEnded)
+		}
+	}
+}
