--- a/internal/transport/inspect.go
+++ b/internal/transport/inspect.go
@@ -52,11 +52,13 @@
 	return err == nil && readable
 }
 
-// Option SO_MEMINFO of a socket, since Linux 4.12 (linux/sock_diag.h): counters of 32 bits each.
+// Socket options that package syscall does not name on all architectures, and the counters of the second one, of 32 bits each
+// (linux/sock_diag.h).
 const (
-	socketMemoryInfo  = 55
-	writeMemoryAlloc  = 2 // index: bytes that the peer's socket has not taken yet, of a Unix socket
-	writeMemoryQueued = 5 // index: bytes that are queued until the peer's machine has acknowledged them, of a TCP socket
+	socketDomain      = 39 // SO_DOMAIN: the address family
+	socketMemoryInfo  = 55 // SO_MEMINFO
+	writeMemoryAlloc  = 2  // index: bytes that the peer's socket has not taken yet, of a Unix socket; of a TCP socket also acknowledgements
+	writeMemoryQueued = 5  // index: bytes that are queued until the peer's machine has acknowledged them, of a TCP socket
 )
 
 // HasUndelivered reports whether the peer's machine has not taken all bytes that were written. It does not block.
@@ -66,14 +68,24 @@
 		return false
 	}
 	undelivered := false
-	err = raw.Control(func(fd uintptr) {
-		// The only getter of package syscall for eight integers is named after another option.
-		counters, err := syscall.GetsockoptICMPv6Filter(int(fd), syscall.SOL_SOCKET, socketMemoryInfo)
-		undelivered = err == nil && counters.Data[writeMemoryAlloc]+counters.Data[writeMemoryQueued] > 0
-	})
+	err = raw.Control(func(fd uintptr) { undelivered = undeliveredBytes(int(fd)) > 0 })
 	return err == nil && undelivered
 }
 
+// undeliveredBytes returns how much memory the bytes use that the peer's machine has not taken; 0 after an error.
+func undeliveredBytes(fd int) uint32 {
+	counter := writeMemoryQueued
+	if domain, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, socketDomain); err == nil && domain == syscall.AF_UNIX {
+		counter = writeMemoryAlloc
+	}
+	// The only getter of package syscall for eight integers is named after another option.
+	counters, err := syscall.GetsockoptICMPv6Filter(fd, syscall.SOL_SOCKET, socketMemoryInfo)
+	if err != nil {
+		return 0
+	}
+	return counters.Data[counter]
+}
+
 // pendingInput peeks at the connection's input, including what was read ahead.
 func (c *Conn) pendingInput() (s socketState) {
 	if c.readAhead.size.Load() > 0 {
--- a/internal/transport/undelivered_test.go
+++ b/internal/transport/undelivered_test.go
@@ -101,3 +101,31 @@
 		}
 	}
 }
+
+// Guards against acknowledgements on their way to the peer that count as undelivered bytes: connections were closed after a response in
+// place of being used again.
+func TestAcknowledgementsAreNotUndelivered(t *testing.T) {
+	const pieces, pieceSize = 20_000, 500
+	stream, peer := connectedPair(t, "tcp", "127.0.0.1:0")
+	go func() {
+		for range pieces {
+			if _, err := peer.Write(make([]byte, pieceSize)); err != nil {
+				return
+			}
+		}
+	}()
+	wrong, piece := 0, make([]byte, pieceSize)
+	for received := 0; received < pieces*pieceSize; {
+		n, err := stream.Read(piece)
+		if err != nil {
+			t.Fatal(err)
+		}
+		received += n
+		if HasUndelivered(stream) {
+			wrong++
+		}
+	}
+	if wrong > 0 {
+		t.Errorf("undelivered after %d reads though nothing was written", wrong)
+	}
+}
