A low objective's soak is recorded, and a served slow request is no late answer

Attempts that are silent until their deadline teach the node's latency, and for an objective of 45 ms the decision module rejects what that would make late.

--- a/internal/testkit/experiment/soak/run_test.go
+++ b/internal/testkit/experiment/soak/run_test.go
@@ -62,3 +62,7 @@
 		})
 	}
 }
+
+// Guards against sound requests that are rejected because of the latency learned of silent nodes, where the objective is a tenth of the
+// deadline.
+func TestSoakWithLowObjective(t *testing.T) { playScenario(t, NewScenario(26, shortSoak)) }
--- a/policy/transfer_test.go
+++ b/policy/transfer_test.go
@@ -122,3 +122,19 @@
 		t.Errorf("after a reset: %v", actions)
 	}
 }
+
+// Guards against a node that counts as one that answers late, since it took long to read a request that it then served.
+func TestServedSlowlyReadRequestIsNoLateAnswer(t *testing.T) {
+	h := newHarness(t, testSettings())
+	n := h.s.nodeByID["a"]
+	before := h.s.expectedLatency(n)
+	h.step(requestArrived("r", "safe", 0, h.now+2000))
+	h.at(h.now+10, Event{Kind: AttemptTransferring, ID: "r"})
+	h.at(h.now+1900, Event{Kind: AttemptEnded, ID: "r", Status: OK, Latency: 1910, Finished: true})
+	if latency := h.s.expectedLatency(n); latency > max(before, minLatencyMs) {
+		t.Errorf("the node's expected latency is %v ms, %v ms before", latency, before)
+	}
+	if !n.slowStart.answeredInTime {
+		t.Error("the node counts as one that answers late")
+	}
+}
