--- a/review/rig-2/httpnode.go
+++ b/review/rig-2/httpnode.go
@@ -23,6 +23,9 @@
 type node struct {
 	record *record
 	work   time.Duration // of one request
+	// A body is read in pieces of readPiece bytes, each readEvery; 0: at once.
+	readPiece int64
+	readEvery time.Duration
 	// respond writes the answer to a request; nil: a short one that names the request.
 	respond func(c net.Conn, id string) error
 
@@ -60,7 +63,7 @@
 			return
 		}
 		size, _ := strconv.Atoi(header.Get("Content-Length"))
-		if _, err := io.CopyN(io.Discard, r, int64(size)); err != nil {
+		if err := n.readBody(r, int64(size)); err != nil {
 			return
 		}
 		a := arrived{id: header.Get("X-Request-Id"), at: time.Now()}
@@ -80,6 +83,19 @@
 	}
 }
 
+// readBody reads a body and drops it.
+func (n *node) readBody(r io.Reader, size int64) error {
+	for n.readPiece > 0 && size > n.readPiece {
+		if _, err := io.CopyN(io.Discard, r, n.readPiece); err != nil {
+			return err
+		}
+		size -= n.readPiece
+		time.Sleep(n.readEvery)
+	}
+	_, err := io.CopyN(io.Discard, r, size)
+	return err
+}
+
 // ran returns the requests that the node has run.
 func (n *node) ran() []arrived {
 	n.mu.Lock()
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -24,6 +24,7 @@
 	"flush":    playFlush,
 	"pipeline": playPipeline,
 	"restart":  playRestart,
+	"limits":   playLimits,
 }
 
 func main() {
--- a/review/rig-2/process.go
+++ b/review/rig-2/process.go
@@ -41,13 +41,17 @@
 	name, listen, discovery, operator string
 	known                             []entry
 	settings                          map[string]any
+	memoryMB                          int // 0: 192
 }
 
 // write writes the configuration file into the rig's folder.
 func (r *rig) write(c config) (string, error) {
+	if c.memoryMB == 0 {
+		c.memoryMB = 192
+	}
 	return r.writeJSON(c.name+".json", map[string]any{
 		"name": c.name, "listen": c.listen, "discovery": c.discovery, "operator": c.operator, "seed": "1",
-		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"limits":   map[string]any{"cores": 1, "memory_mb": c.memoryMB, "sockets": 1024},
 		"known":    map[string]any{"index": 1, "snapshot": true, "endpoints": append([]entry{}, c.known...)},
 		"settings": c.settings})
 }
