--- a/review/rig-2/limitscase.go
+++ b/review/rig-2/limitscase.go
@@ -18,7 +18,7 @@
 // playLimits has a scheduler with 96 MB read its configuration again by SIGHUP while clients write bodies of 32 MB. With the disruption
 // the file is broken: it lacks the key limits. Over its memory limit the scheduler is killed, which is a crash.
 func playLimits(r *rig) (broken bool, err error) {
-	const memoryMB, clients, bodySize = 96, 40, 32 << 20
+	const memoryMB, clients = 96, 40
 	n := &node{readPiece: 64 << 10, readEvery: 30 * time.Millisecond, work: 35 * time.Millisecond}
 	e, err := r.startNode(n)
 	if err != nil {
@@ -35,24 +35,8 @@
 	if err != nil {
 		return false, err
 	}
-	stop := make(chan struct{})
-	var next, answered atomic.Int64
-	for range clients {
-		go func() {
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(100 * time.Millisecond):
-				}
-				if put(listen, next.Add(1), bodySize) == nil {
-					answered.Add(1)
-				}
-			}
-		}()
-	}
-	defer close(stop)
-	r.record.printf("clients: %d write bodies of %d MiB, again and again", clients, bodySize>>20)
+	load := r.startBodies(listen, clients)
+	defer load.end()
 	peak, reloaded := 0, false
 	for end := time.Now().Add(25 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		kb, err := residentKB(p.cmd.Process.Pid)
@@ -61,7 +45,7 @@
 		}
 		peak = max(peak, kb)
 		if kb > memoryMB<<10 {
-			r.record.printf("platform: the scheduler holds %d kB, over its limit of %d kB, and is killed (%d bodies answered)", kb, memoryMB<<10, answered.Load())
+			r.record.printf("platform: the scheduler holds %d kB, over its limit of %d kB, and is killed (%d bodies answered)", kb, memoryMB<<10, load.answered.Load())
 			_ = p.cmd.Process.Signal(syscall.SIGKILL)
 			return true, nil
 		}
@@ -73,10 +57,40 @@
 			}
 		}
 	}
-	r.record.printf("the scheduler has held at most %d kB of %d kB (%d bodies answered)", peak, memoryMB<<10, answered.Load())
+	r.record.printf("the scheduler has held at most %d kB of %d kB (%d bodies answered)", peak, memoryMB<<10, load.answered.Load())
 	return false, nil
 }
 
+// bodies are clients that write long bodies.
+type bodies struct {
+	next, answered atomic.Int64
+	stop           chan struct{}
+}
+
+// startBodies starts clients that write bodies of the longest size, 32 MB, again and again.
+func (r *rig) startBodies(address string, clients int) *bodies {
+	const size = 32 << 20
+	b := &bodies{stop: make(chan struct{})}
+	for range clients {
+		go func() {
+			for {
+				select {
+				case <-b.stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+				if put(address, b.next.Add(1), size) == nil {
+					b.answered.Add(1)
+				}
+			}
+		}()
+	}
+	r.record.printf("clients: %d write bodies of %d MiB, again and again", clients, size>>20)
+	return b
+}
+
+func (b *bodies) end() { close(b.stop) }
+
 // reload replaces the configuration file and sends SIGHUP. A broken file lacks the key limits.
 func (r *rig) reload(p *process, broken bool) error {
 	path := filepath.Join(r.dir, p.name+".json")
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -25,6 +25,7 @@
 	"pipeline": playPipeline,
 	"restart":  playRestart,
 	"limits":   playLimits,
+	"replace":  playReplace,
 }
 
 func main() {
--- a/review/rig-2/process.go
+++ b/review/rig-2/process.go
@@ -41,15 +41,20 @@
 	name, listen, discovery, operator string
 	known                             []entry
 	settings                          map[string]any
-	memoryMB                          int // 0: 192
+	memoryMB                          int      // 0: 192
+	file                              string   // name of the configuration and log files; "": that of the scheduler
+	passed                            *os.File // the clients' listening socket; nil: the process binds its own
 }
 
 // write writes the configuration file into the rig's folder.
 func (r *rig) write(c config) (string, error) {
+	if c.file == "" {
+		c.file = c.name
+	}
 	if c.memoryMB == 0 {
 		c.memoryMB = 192
 	}
-	return r.writeJSON(c.name+".json", map[string]any{
+	return r.writeJSON(c.file+".json", map[string]any{
 		"name": c.name, "listen": c.listen, "discovery": c.discovery, "operator": c.operator, "seed": "1",
 		"limits":   map[string]any{"cores": 1, "memory_mb": c.memoryMB, "sockets": 1024},
 		"known":    map[string]any{"index": 1, "snapshot": true, "endpoints": append([]entry{}, c.known...)},
@@ -74,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{name: c.name, ended: make(chan struct{}), logFile: filepath.Join(r.dir, c.name+".log")}
+	p := &process{name: c.name, ended: make(chan struct{}), logFile: strings.TrimSuffix(path, ".json") + ".log"}
 	out, err := os.Create(p.logFile)
 	if err != nil {
 		return nil, err
@@ -83,6 +88,11 @@
 	p.cmd = exec.Command("/bin/sh", append([]string{"-c", `exec bin/wheatsaddle "$@"`, "run"}, args...)...)
 	p.cmd.Dir = root
 	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "TMPDIR="+r.dir)
+	ask, call := c.listen, "/health/ready"
+	if c.passed != nil { // another process may still accept from the socket
+		p.cmd.ExtraFiles, p.cmd.Env = []*os.File{c.passed}, append(p.cmd.Env, "ROUTER_PASSED_SOCKET=3")
+		ask, call = c.operator, "/api/ready"
+	}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
@@ -93,7 +103,7 @@
 		close(p.ended)
 	}()
 	r.procs = append(r.procs, p)
-	if err := waitFor(10*time.Second, func() error { return ready(c.listen) }); err != nil {
+	if err := waitFor(10*time.Second, func() error { return ready(ask, call) }); err != nil {
 		return nil, fmt.Errorf("%s is not ready: %w: %s", c.name, err, p.log())
 	}
 	r.record.printf("scheduler %s is ready", c.name)
@@ -106,15 +116,15 @@
 	return filepath.Dir(filepath.Dir(self)), err
 }
 
-// ready asks a scheduler whether it is ready.
-func ready(address string) error {
+// ready asks a scheduler by a call at an address whether it is ready.
+func ready(address, call string) error {
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(time.Second))
-	if _, err := io.WriteString(c, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(c, "GET "+call+" HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
 		return err
 	}
 	line, err := bufio.NewReader(c).ReadString('\n')
