Review rig: neutral names of classes, plans and zones

Seen: TestCodeNamesNoDeployment reads the Go files of review/ too and found 11 names of deployments in review/rig-2. Added: nothing; the names in the stand-ins' settings are neutral now.

--- a/review/rig-2/httpcases.go
+++ b/review/rig-2/httpcases.go
@@ -33,7 +33,7 @@
 	send := func(from, to int) error {
 		var all strings.Builder
 		for i := from; i < to; i++ {
-			all.WriteString(get("balance-read", id(i), deadline))
+			all.WriteString(get("read", id(i), deadline))
 			sentAt[i] = time.Now()
 		}
 		_, err := c.Write([]byte(all.String()))
@@ -111,7 +111,7 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(40 * time.Second))
-	if _, err := fmt.Fprint(c, get("bulk-export", "9b1f03aa5c7e2d41", 4000)); err != nil {
+	if _, err := fmt.Fprint(c, get("bulk", "9b1f03aa5c7e2d41", 4000)); err != nil {
 		return false, err
 	}
 	r.record.printf("client: read 9b1f03aa5c7e2d41 sent, with 4 s to its first bytes")
--- a/review/rig-2/httpnode.go
+++ b/review/rig-2/httpnode.go
@@ -51,7 +51,7 @@
 			go n.serve(c)
 		}
 	}()
-	return entry{Name: "s-0", Address: ln.Addr().String(), Zone: "lautoka-dc", Type: "small-2c", Status: "active", Weight: 1}, nil
+	return entry{Name: "s-0", Address: ln.Addr().String(), Zone: "a", Type: "m", Status: "active", Weight: 1}, nil
 }
 
 func (n *node) serve(c net.Conn) {
@@ -115,7 +115,7 @@
 
 // get encodes a read of shard 0.
 func get(class, id string, deadlineMS int) string {
-	return fmt.Sprintf("GET /%s/object HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %s\r\nTier: standard\r\nCookie: extent=7f3a9c21e0b4d655\r\n"+
+	return fmt.Sprintf("GET /%s/object HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %s\r\nTier: plan-1\r\nCookie: extent=7f3a9c21e0b4d655\r\n"+
 		"X-Deadline-Ms: %d\r\nIO-Info: volume=00000003b4d60021,units=2,shard=0,hosts=1\r\n\r\n", class, id, deadlineMS)
 }
 
--- a/review/rig-2/iscsicases.go
+++ b/review/rig-2/iscsicases.go
@@ -7,7 +7,7 @@
 
 const targetName = "iqn.2026-12.example:cards"
 
-// settings returns the settings of a small deployment, with the brief's classes. scope is the key-scope of new-record.
+// settings returns the settings of a small deployment, with the classes of the brief under neutral names. scope is the key-scope of the class record.
 func settings(scope string) map[string]any {
 	class := func(name, repeat string, goal, deadline, worth float64) map[string]any {
 		c := map[string]any{"name": name, "repeat": repeat, "goal-time": goal, "deadline": deadline, "worth": worth, "late-worth": 0.15}
@@ -19,10 +19,10 @@
 	return map[string]any{
 		"ceilings": map[string]any{"max-attempts": 4, "max-retry-after": 1000, "may-cancel": true, "retry-after": true, "connect-timeout": 250},
 		"contracts": []any{
-			map[string]any{"name": "standard", "price": 1.2, "reservation": 1000, "shares": 1, "usual-rate": 1000}},
+			map[string]any{"name": "plan-1", "price": 1.2, "reservation": 1000, "shares": 1, "usual-rate": 1000}},
 		"extra":      map[string]any{"largest": 6, "slots-total": 1, "usual-units": 2, "young-limit": 39},
 		"fleet-size": 1, "me": 0, "membership-mode": "push",
-		"profiles": []any{class("balance-read", "safe", 250, 1500, 3), class("new-record", "keyed", 300, 1500, 2), class("bulk-export", "safe", 1200, 4000, 1)},
+		"profiles": []any{class("read", "safe", 250, 1500, 3), class("record", "keyed", 300, 1500, 2), class("bulk", "safe", 1200, 4000, 1)},
 		"rules":    map[string]any{"cold": 17000, "cold-from": 0.24, "overload-for": 3000, "stop-sending-within": 250, "tip-multiple": 3, "ask-within": 10000},
 	}
 }
@@ -37,12 +37,12 @@
 			return nil, err
 		}
 	}
-	rules := []any{map[string]any{"command": "read", "class": "balance-read"}, map[string]any{"command": "write", "class": "new-record"}}
+	rules := []any{map[string]any{"command": "read", "class": "read"}, map[string]any{"command": "write", "class": "record"}}
 	file, err := r.writeJSON("iscsi.json", map[string]any{
 		"listen": front, "drops_repeats": dropsRepeats,
 		"storage": []any{map[string]any{"name": "archive-0", "address": s.address, "target": "iqn.2026-12.example:archive-0", "group": 0}},
 		"targets": []any{map[string]any{"name": targetName, "luns": []any{map[string]any{"lun": 0, "storage_lun": 0, "group": 0,
-			"volume": "00000000000a0000", "plan": "standard", "block_size": blockSize, "blocks": 4096, "unit_bytes": 8192, "hosts": 1, "rules": rules}}}}})
+			"volume": "00000000000a0000", "plan": "plan-1", "block_size": blockSize, "blocks": 4096, "unit_bytes": 8192, "hosts": 1, "rules": rules}}}}})
 	if err != nil {
 		return nil, err
 	}
--- a/review/rig-2/limitscase.go
+++ b/review/rig-2/limitscase.go
@@ -126,7 +126,7 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(30 * time.Second))
-	_, err = fmt.Fprintf(c, "PUT /new-record/object HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %016x\r\nIdempotency-Key: k-%d\r\nTier: standard\r\n"+
+	_, err = fmt.Fprintf(c, "PUT /record/object HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %016x\r\nIdempotency-Key: k-%d\r\nTier: plan-1\r\n"+
 		"Cookie: extent=%016x\r\nX-Deadline-Ms: 1500\r\nContent-Length: %d\r\nIO-Info: volume=00000003b4d60021,units=6,shard=0,hosts=1\r\n\r\n",
 		number, number, number, size)
 	if err != nil {
