--- a/review/rig-2/iscsicases.go
+++ b/review/rig-2/iscsicases.go
@@ -7,6 +7,9 @@
 
 const targetName = "iqn.2026-12.example:cards"
 
+// storageTargets is the number of storage targets, so that one that dies is 20% of them.
+const storageTargets = 5
+
 // settings returns the settings of a small deployment, with the classes of the brief under neutral names. scope is the key-scope of the class record.
 func settings(scope string) map[string]any {
 	class := func(name, repeat string, goal, deadline, worth float64) map[string]any {
@@ -20,14 +23,14 @@
 		"ceilings": map[string]any{"max-attempts": 4, "max-retry-after": 1000, "may-cancel": true, "retry-after": true, "connect-timeout": 250},
 		"contracts": []any{
 			map[string]any{"name": "plan-1", "price": 1.2, "reservation": 1000, "shares": 1, "usual-rate": 1000}},
-		"extra":      map[string]any{"largest": 6, "slots-total": 1, "usual-units": 2, "young-limit": 39},
+		"extra":      map[string]any{"largest": 6, "slots-total": storageTargets, "usual-units": 2, "young-limit": 39},
 		"fleet-size": 1, "me": 0, "membership-mode": "push",
 		"profiles": []any{class("read", "safe", 250, 1500, 3), class("record", "keyed", 300, 1500, 2), class("bulk", "safe", 1200, 4000, 1)},
 		"rules":    map[string]any{"cold": 17000, "cold-from": 0.24, "overload-for": 3000, "stop-sending-within": 250, "tip-multiple": 3, "ask-within": 10000},
 	}
 }
 
-// startFront starts a scheduler with the iSCSI front before one storage target, and logs an initiator in.
+// startFront starts a scheduler with the iSCSI front before the storage target s and four others, and logs an initiator in.
 func (r *rig) startFront(scope string, dropsRepeats bool, s *storage) (*initiator, error) {
 	listen, err1 := freeAddress()
 	front, err2 := freeAddress()
@@ -38,11 +41,26 @@
 		}
 	}
 	rules := []any{map[string]any{"command": "read", "class": "read"}, map[string]any{"command": "write", "class": "record"}}
-	file, err := r.writeJSON("iscsi.json", map[string]any{
-		"listen": front, "drops_repeats": dropsRepeats,
-		"storage": []any{map[string]any{"name": "archive-0", "address": s.address, "target": "iqn.2026-12.example:archive-0", "group": 0}},
-		"targets": []any{map[string]any{"name": targetName, "luns": []any{map[string]any{"lun": 0, "storage_lun": 0, "group": 0,
-			"volume": "00000000000a0000", "plan": "plan-1", "block_size": blockSize, "blocks": 4096, "unit_bytes": 8192, "hosts": 1, "rules": rules}}}}})
+	var targets, luns []any
+	for group := range storageTargets {
+		target := s
+		if group > 0 {
+			address, err := freeAddress()
+			if err != nil {
+				return nil, err
+			}
+			target = newStorage(address, r.record)
+			if err := target.start(); err != nil {
+				return nil, err
+			}
+		}
+		name := fmt.Sprintf("archive-%d", group)
+		targets = append(targets, map[string]any{"name": name, "address": target.address, "target": "iqn.2026-12.example:" + name, "group": group})
+		luns = append(luns, map[string]any{"lun": group, "storage_lun": 0, "group": group, "volume": fmt.Sprintf("%016x", 0xa0000+group),
+			"plan": "plan-1", "block_size": blockSize, "blocks": 4096, "unit_bytes": 8192, "hosts": 1, "rules": rules})
+	}
+	file, err := r.writeJSON("iscsi.json", map[string]any{"listen": front, "drops_repeats": dropsRepeats, "storage": targets,
+		"targets": []any{map[string]any{"name": targetName, "luns": luns}}})
 	if err != nil {
 		return nil, err
 	}
