A file that lacks a key of the file in effect is rejected at SIGHUP

Cause: a missing key means its default at the start, and a broken file at SIGHUP. Only the object "settings" was compared with an earlier file, the one of the start, and entries of lists only with what every entry had.

Change: the complete text is compared with the file in effect: each key, at every depth; types; nulls; entries of lists by name. The same for the site's file, the iSCSI file, the gather rules and the token key, all of which could lose keys. A site's file whose section gather does not fit the configuration is no longer taken in part. A key that occurs twice is rejected, also at the start.

Not mended here: a process over a limit that a sound file lowers (docs/design/memory.md).

--- a/cmd/wheatsaddle/iscsi.go
+++ b/cmd/wheatsaddle/iscsi.go
@@ -119,12 +119,15 @@
 	return change, nil
 }
 
-// read reads the mapping file and checks it against the settings.
+// read reads the mapping file and checks it against the settings and the file in effect.
 func (f *iscsiFront) read(settings policy.Settings) (*iscsiChange, error) {
 	text, err := config.ReadISCSI(f.file)
 	if err != nil {
 		return nil, err
 	}
+	if err := config.CheckRemovedISCSIKeys(f.text, text); err != nil {
+		return nil, err
+	}
 	conf, err := config.ParseISCSI(text, settings)
 	if err != nil {
 		return nil, err
--- a/cmd/wheatsaddle/reload.go
+++ b/cmd/wheatsaddle/reload.go
@@ -39,6 +39,7 @@
 		r.log.WithFields(operr.Fields(&config.RestartError{Keys: changed})).WithField("keys", changed).Warn("changed keys need a restart")
 	}
 	next.Discovery, next.Cores, next.MemoryMB = loaded.Discovery, loaded.Cores, loaded.MemoryMB
+	next.ReplaceText(loaded)
 	if !r.setDiscoveryAddress(ctx, next.Discovery) { // the service is ending
 		return &next, true
 	}
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -149,7 +149,7 @@
 			next, accepted := configuration.reload(s.ctx, current)
 			s.core.Counters().CountReload(accepted)
 			current = next
-			s.site.reload()
+			s.site.reload(current)
 			s.gather.reload(s.site.current, current)
 			s.iscsi.reload(current.Settings, s.log)
 		case <-s.ctx.Done():
--- a/cmd/wheatsaddle/site.go
+++ b/cmd/wheatsaddle/site.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"reflect"
@@ -83,16 +84,21 @@
 	return changed
 }
 
-// reload reads the file again and checks it completely before applying any of it. An invalid file changes nothing.
-func (s *site) reload() {
+// reload reads the file again and checks it completely, also against the configuration, before applying any of it. An invalid
+// file changes nothing.
+func (s *site) reload(conf *config.Config) {
 	if s.file == "" {
 		return
 	}
-	next, err := config.LoadSite(s.file)
+	next, err := config.ReloadSite(s.file, s.current)
 	if err != nil {
 		s.log.WithFields(operr.Fields(err)).Error("reload of the site's file failed, the previous one remains in effect")
 		return
 	}
+	if err := cmp.Or(checkGather(next, conf), config.CheckRemovedRules(s.current, next, conf.Settings)); err != nil {
+		s.log.WithFields(operr.Fields(err)).Error("reload of section gather failed, the previous site's file remains in effect")
+		return
+	}
 	changed := keepUntilRestart(&next.Listen, s.current.Listen, "listen", nil)
 	changed = keepUntilRestart(&next.Metrics, s.current.Metrics, "metrics", changed)
 	changed = keepUntilRestart(&next.Peers, s.current.Peers, "peers", changed)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,7 +4,8 @@
 // Invariants:
 //   - The first error in a file is reported, with the file, the key and the expected value.
 //   - A file with an error changes nothing: the caller gets no settings from it.
-//   - A missing key gets its default; a value of the wrong type is an error.
+//   - A missing key gets its default at the start; a value of the wrong type is an error, and so is a key that occurs twice.
+//   - A file that is read again must have every key of the file in effect (completeness.go).
 //
 // The package does not check whether settings are consistent with each other; policy.New does.
 package config
@@ -80,10 +81,13 @@
 
 var errNoDiscovery = errors.New("not set")
 
+// ReplaceText makes the text of a file that was read again the one in effect, with which CheckRemovedKeys compares the next.
+func (c *Config) ReplaceText(later *Config) { c.raw = later.raw }
+
 // Parse reads a configuration.
 func Parse(text []byte, env func(string) string) (*Config, error) {
-	if !gjson.ValidBytes(text) {
-		return nil, &JSONError{File: "configuration"}
+	if err := validate(configurationFile, "", text); err != nil {
+		return nil, err
 	}
 	r := &reader{root: gjson.ParseBytes(text)}
 	fileOrEnv := func(key, name string) string {
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -104,14 +104,15 @@
 	return "Set " + e.Variable + " to the path of the configuration, or pass the file to check-config as its argument."
 }
 
-// MissingKeyError reports a key that the previous configuration had and the new one lacks.
+// MissingKeyError reports a key that the file in effect has and the file that was read again lacks.
 type MissingKeyError struct {
+	File    string // configuration, site, iscsi, or the key of the site's file that names the gather rules
 	Key     string
 	Problem string
 }
 
 // Error implements error.
-func (e *MissingKeyError) Error() string { return "configuration: " + e.Key + ": " + e.Problem }
+func (e *MissingKeyError) Error() string { return e.File + ": " + e.Key + ": " + e.Problem }
 
 // Code implements operr.Coded.
 func (e *MissingKeyError) Code() string { return "config-lost-key" }
@@ -178,6 +179,6 @@
 	none := fmt.Errorf("open site.json: no such file or directory")
 	operr.Register(&KeyError{File: "configuration", Key: "limits.sockets", Value: `"x"`, Expected: "a number of at least 64"},
 		&JSONError{File: "configuration"}, &FileError{Source: "site", Err: none}, &UnsetError{"ROUTER_CONFIG"},
-		&MissingKeyError{"settings.rules", "missing; the previous configuration had it"}, &RestartError{"listen"}, &SchemaError{"nodes"},
+		&MissingKeyError{configurationFile, "settings.rules", "missing; the file in effect had it"}, &RestartError{"listen"}, &SchemaError{"nodes"},
 		&RejectedError{fmt.Errorf("settings: MaxAttempts is -1")})
 }
--- a/internal/config/gather.go
+++ b/internal/config/gather.go
@@ -26,6 +26,8 @@
 	TokenKey           []byte
 	Tree               *SiteTree // nil: parts are not delegated to peers
 	fromFile           bool      // the rules are in a file of their own
+	rulesText          []byte    // text of the rules
+	tokenKeyFile       string    // file of TokenKey; "": none
 }
 
 const (
@@ -53,6 +55,10 @@
 		}
 		key, g.fromFile = "gather.rules_file", true
 	}
+	if err := validate(siteFile, key, text); err != nil {
+		return nil, err
+	}
+	g.rulesText = text
 	if g.Rules, err = gather.ParseClasses(text); err != nil {
 		var rulesError *gather.RulesBad
 		if !errors.As(err, &rulesError) {
@@ -60,21 +66,48 @@
 		}
 		return nil, &KeyError{File: "site", Key: key + "." + rulesError.Key, Problem: rulesError.Why, Err: rulesError}
 	}
-	if file := r.text("gather.token_key_file", ""); file != "" {
-		hexText, err := os.ReadFile(file)
-		if err == nil {
-			g.TokenKey, err = hex.DecodeString(strings.TrimSpace(string(hexText)))
-		}
-		if err == nil && len(g.TokenKey) < 16 {
-			err = fmt.Errorf("key has %d bytes, want at least 16", len(g.TokenKey))
-		}
-		if err != nil {
-			return nil, &KeyError{File: "site", Key: "gather.token_key_file", Err: err}
-		}
+	g.tokenKeyFile = r.text("gather.token_key_file", "")
+	if g.tokenKeyFile == "" {
+		return g, nil
+	}
+	if g.TokenKey, err = readTokenKey(g.tokenKeyFile); err != nil {
+		return nil, &KeyError{File: siteFile, Key: "gather.token_key_file", Err: err}
 	}
 	return g, nil
 }
 
+const minTokenKeyBytes = 16
+
+// readTokenKey reads a key in hexadecimal digits.
+func readTokenKey(file string) ([]byte, error) {
+	hexText, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	key, err := hex.DecodeString(strings.TrimSpace(string(hexText)))
+	if err == nil && len(key) < minTokenKeyBytes {
+		err = fmt.Errorf("key has %d bytes, want at least %d", len(key), minTokenKeyBytes)
+	}
+	return key, err
+}
+
+// checkTokenKey returns an error if the key's file is the one in effect and now has fewer bytes, as a truncated file has.
+func (g *SiteGather) checkTokenKey(inEffect *SiteGather) error {
+	if g.tokenKeyFile != inEffect.tokenKeyFile || len(g.TokenKey) >= len(inEffect.TokenKey) {
+		return nil
+	}
+	return &MissingKeyError{File: siteFile, Key: "gather.token_key_file",
+		Problem: fmt.Sprintf("the key has %d bytes; the one in effect has %d", len(g.TokenKey), len(inEffect.TokenKey))}
+}
+
+// rulesSource returns the file and the key of the rules, for error texts.
+func (g *SiteGather) rulesSource() string {
+	if g.fromFile {
+		return "site: gather.rules_file"
+	}
+	return "site: gather.rules"
+}
+
 // Check checks the section against the configuration's classes, largest request and memory.
 func (g *SiteGather) Check(set policy.Settings, memoryMB int) error {
 	classes := map[string]bool{}
--- a/internal/config/iscsi.go
+++ b/internal/config/iscsi.go
@@ -101,8 +101,8 @@
 
 // ParseISCSI reads the text of the iSCSI front's file and checks it against the settings.
 func ParseISCSI(text []byte, set policy.Settings) (*ISCSI, error) {
-	if !gjson.ValidBytes(text) {
-		return nil, &JSONError{File: "iscsi"}
+	if err := validate(iscsiFile, iscsiFile, text); err != nil {
+		return nil, err
 	}
 	r := &reader{root: gjson.ParseBytes(text), prefix: "iscsi."}
 	c := &ISCSI{Listen: r.text("listen", "127.0.0.1:3260"), QueueDepth: int(r.integer("queue_depth", 32, 1, 1024)),
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -35,6 +35,7 @@
 	Metrics   *Listener             // of the metrics endpoint; nil: metrics are not served
 	Peers     *SitePeers
 	Start     *SiteStart
+	raw       []byte // text of the file
 }
 
 // SiteStart is the section start, the settings of a process that starts together with a large fleet.
@@ -104,23 +105,49 @@
 	return nil
 }
 
+// ReadSite reads the text of the site's file.
+func ReadSite(path string) ([]byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &FileError{siteFile, err}
+	}
+	return text, nil
+}
+
 // LoadSite reads the site's file. The error names the key and the expected value.
 func LoadSite(path string) (*Site, error) {
-	text, err := os.ReadFile(path)
+	text, err := ReadSite(path)
 	if err != nil {
-		return nil, &FileError{"site", err}
+		return nil, err
 	}
 	return ParseSite(text)
 }
 
+// ReloadSite reads the site's file again, and checks that it has every key of the file in effect. The gather rules are not
+// compared. The error names the first invalid key and the first missing one.
+func ReloadSite(path string, inEffect *Site) (*Site, error) {
+	text, err := ReadSite(path)
+	if err != nil {
+		return nil, err
+	}
+	next, err := ParseSite(text)
+	if err := errors.Join(err, CheckRemovedSiteKeys(inEffect, text)); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
 // ParseSite reads the text of a site's file, and checks it against the schema and the rules that a schema cannot express.
 func ParseSite(text []byte) (*Site, error) {
-	err := CheckSchema("site", SiteSchema, text)
+	err := CheckSchema(siteFile, SiteSchema, text)
 	if err != nil {
 		return nil, err
 	}
-	r := &reader{root: gjson.ParseBytes(text), file: "site"}
-	s := &Site{Listen: map[string][]Listener{}}
+	if err := validate(siteFile, "", text); err != nil {
+		return nil, err
+	}
+	r := &reader{root: gjson.ParseBytes(text), file: siteFile}
+	s := &Site{Listen: map[string][]Listener{}, raw: text}
 	if r.root.Get("addresses").Exists() {
 		if s.Addresses, err = siteAddresses(r); err != nil {
 			return nil, err
