A test of long writes allows a write that continues after its deadline

Traced: a write waits progress.SlowAfter, 50 ms, for the node, and what remains is written by another call (requestWrite.writePart); with the machine busy the fake node needed longer for 8 MiB. The third piece is the rest of the second.

The recorder now takes a write that continues one which has reached its deadline as the same piece, and checks that it is exactly the rest of it.

--- a/internal/httpfront/connrace_test.go
+++ b/internal/httpfront/connrace_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -571,19 +573,34 @@
 	}
 }
 
-// writeRecorder records the lengths of the writes on a connection.
+// writeRecorder records the lengths of the writes on a connection. A write that continues one which has reached its deadline is not
+// recorded again: the node took longer than progress.SlowAfter for it. It must be the rest of that write, no more and no less.
 type writeRecorder struct {
 	transport.Stream
-	mu      *sync.Mutex
-	lengths *[]int
+	t         *testing.T
+	mu        *sync.Mutex
+	lengths   *[]int
+	remaining *int // bytes of a write that has reached its deadline
 }
 
 // Write implements net.Conn.
 func (s writeRecorder) Write(p []byte) (int, error) {
 	s.mu.Lock()
-	*s.lengths = append(*s.lengths, len(p))
+	switch {
+	case *s.remaining == 0:
+		*s.lengths = append(*s.lengths, len(p))
+	case *s.remaining != len(p):
+		s.t.Errorf("a write of %d bytes continues one of which %d remain", len(p), *s.remaining)
+	}
 	s.mu.Unlock()
-	return s.Stream.Write(p)
+	n, err := s.Stream.Write(p)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*s.remaining = 0
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		*s.remaining = len(p) - n
+	}
+	return n, err
 }
 
 // The head of a long write is sent before its body is copied, so that the stated remaining time and the check for a drain
@@ -594,9 +611,10 @@
 		d := dialer()
 		var mu sync.Mutex
 		var lengths []int
+		remaining := 0
 		d.dial = func(ctx context.Context, a address.Addr, wait time.Duration) (transport.Stream, address.Reason, error) {
 			s, why, err := transport.Dial(ctx, a, wait)
-			return writeRecorder{s, &mu, &lengths}, why, err
+			return writeRecorder{s, t, &mu, &lengths, &remaining}, why, err
 		}
 		p := d.Connect("n", addressesOf(n.ln))
 		body := strings.Repeat("x", size)
