--- a/cmd/wheatsaddle/main_test.go
+++ b/cmd/wheatsaddle/main_test.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wheatsaddle/internal/config"
+	"wheatsaddle/internal/testkit/cluster"
 	"wheatsaddle/policy"
 )
 
@@ -38,12 +39,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := cluster.FreeAddress() // no other test and no connection gets the same port
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return address
 }
 
 // writeConfig writes a configuration with one cached node and returns its path and the address for clients.
--- a/internal/config/completeness_test.go
+++ b/internal/config/completeness_test.go
@@ -78,17 +78,18 @@
 	for class := range site.Gather.Rules { // the rules of a class must stay as long as the settings have it
 		settings.Classes = append(settings.Classes, policy.Class{Name: class})
 	}
-	checkSite := func(text []byte) error {
-		file := filepath.Join(t.TempDir(), "site.json")
-		if err := os.WriteFile(file, text, 0o600); err != nil {
+	laterRules := filepath.Join(t.TempDir(), "rules.json")
+	checkSite := func(siteFile string, text []byte) error {
+		if err := os.WriteFile(siteFile, text, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		later, err := ReloadSite(file, site)
+		later, err := ReloadSite(siteFile, site)
 		if err != nil {
 			return err
 		}
 		return CheckRemovedRules(site, later, settings)
 	}
+	siteFile, rulesSiteFile := filepath.Join(t.TempDir(), "site.json"), filepath.Join(t.TempDir(), "site.json")
 	return []reloadCase{
 		{"configuration", readRecordedFile(t, "config.json"), func(_ *testing.T, later []byte) error {
 			conf, err := Parse(later, noEnv)
@@ -97,7 +98,7 @@
 			}
 			return CheckRemovedKeys(inEffect, conf)
 		}},
-		{"site", siteText, func(_ *testing.T, later []byte) error { return checkSite(later) }},
+		{"site", siteText, func(_ *testing.T, later []byte) error { return checkSite(siteFile, later) }},
 		{"iscsi", iscsiText, func(_ *testing.T, later []byte) error {
 			if err := CheckRemovedISCSIKeys(iscsiText, later); err != nil {
 				return err
@@ -106,11 +107,10 @@
 			return err
 		}},
 		{"gather rules", rulesText, func(t *testing.T, later []byte) error {
-			file := filepath.Join(t.TempDir(), "rules.json")
-			if err := os.WriteFile(file, later, 0o600); err != nil {
+			if err := os.WriteFile(laterRules, later, 0o600); err != nil {
 				t.Fatal(err)
 			}
-			return checkSite(bytes.Replace(siteText, []byte(rulesFile), []byte(file), 1))
+			return checkSite(rulesSiteFile, bytes.Replace(siteText, []byte(rulesFile), []byte(laterRules), 1))
 		}},
 	}
 }
@@ -162,6 +162,7 @@
 func TestReloadRejectsEachMissingKey(t *testing.T) {
 	for _, x := range reloadCases(t) {
 		t.Run(x.file, func(t *testing.T) {
+			t.Parallel()
 			if err := x.check(t, x.text); err != nil {
 				t.Fatalf("the file in effect is rejected: %v", err)
 			}
@@ -204,6 +205,7 @@
 func TestReloadRejectsBrokenTexts(t *testing.T) {
 	for _, x := range reloadCases(t) {
 		t.Run(x.file, func(t *testing.T) {
+			t.Parallel()
 			whole := bytes.TrimSpace(x.text)
 			for cut := range whole {
 				if err := x.check(t, whole[:cut]); err == nil {
