Processes that replace each other share the limits on memory and sockets

Cause: each process sized its account, collector and connections by the whole of the scheduler's limits. Excluded: growth of the old process after SIGTERM (157 before, 154 after); the start of the new one (4.7 when idle). The new process's account was the whole 138 MB.

Change: each process records a claim in a ledger in $TMPDIR, whose slots are locked for a process's lifetime. internal/limitshare decides the claims: whole when alone; a reserve for one that waits; half, or what it holds, for one that drains; the rest for the one that serves. A claim is raised before more is used and lowered after less is. Idle connections beyond a share are closed. A lower memory_mb at SIGHUP returns garbage at once. requestid's machine clock moved to a package of its own. Where a single process runs, nothing changes.

Why it works: the sum of the claims stays within the limit, but for the 7 MB of a process that has just started, which fit into what a process leaves for its files; the kernel drops the claim of a process however it ends.

--- a/cmd/wheatsaddle/handover.go
+++ b/cmd/wheatsaddle/handover.go
@@ -11,6 +11,7 @@
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/handover"
 	"wheatsaddle/internal/httpfront"
+	"wheatsaddle/internal/limitshare"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/transport"
 )
@@ -33,6 +34,7 @@
 	machine         *handover.Machine
 	core            *core.Core
 	front           *httpfront.Server
+	limits          *processLimits // follows the phases of the handover
 	log             logrus.FieldLogger
 	startedAt       time.Time
 	openConnections int                // connections at the last sweep
@@ -75,6 +77,7 @@
 // handOver hands the socket over to the next process. It returns when no connection is open or the deadline has passed.
 func (s *passedSocket) handOver(deadline time.Time) {
 	if s != nil {
+		s.limits.setPhase(limitshare.Draining)
 		s.termination <- deadline.Sub(s.startedAt)
 		<-s.done
 	}
@@ -126,6 +129,7 @@
 		return event(handover.LockAcquired, 0)
 	case handover.Accept:
 		s.log.WithField("lock", s.lock.Path).Info("accepting connections on the passed socket")
+		s.limits.setPhase(limitshare.Serving)
 		s.gate.Open()
 	case handover.WarnLongWait:
 		s.log.WithFields(operr.Fields(&handover.LongWaitError{Path: s.lock.Path, Since: s.now().Round(time.Second)})).Warn("still waiting for the lock of the passed socket")
--- a/cmd/wheatsaddle/iscsi.go
+++ b/cmd/wheatsaddle/iscsi.go
@@ -179,6 +179,14 @@
 	}
 }
 
+// maxSockets returns the maximum number of the front's connections.
+func (f *iscsiFront) maxSockets() int {
+	if f == nil {
+		return 0
+	}
+	return f.sockets
+}
+
 // openSessions returns the number of sessions.
 func (f *iscsiFront) openSessions() int {
 	if f == nil {
--- a/cmd/wheatsaddle/limits.go
+++ b/cmd/wheatsaddle/limits.go
@@ -1,14 +1,13 @@
 package main
 
 import (
+	"fmt"
 	"math"
 	"os"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
-	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/memory"
 	"wheatsaddle/policy"
 )
@@ -27,13 +26,9 @@
 	assumedMappedFiles = 21_000_000
 )
 
-// applyLimits sets the runtime's number of threads and its soft memory limit, and returns the budget that the latter belongs to.
-func applyLimits(conf *config.Config) memory.Budget {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Cores))))
-	budget := memory.NewBudget(conf.MemoryMB, mappedFiles())
-	debug.SetMemoryLimit(budget.CollectorLimit)
-	return budget
-}
+// setThreads sets the number of threads that run Go code. Processes that replace each other do not divide it: the platform gives the
+// scheduler more processor time for the time of a replacement.
+func setThreads(cores float64) { runtime.GOMAXPROCS(max(1, int(math.Ceil(cores)))) }
 
 // mappedFiles returns the size of the files that the process has mapped.
 func mappedFiles() int64 {
@@ -88,3 +83,16 @@
 	}
 	return idempotent
 }
+
+// residentAnonymousBytes returns the resident memory of the process without the pages of files; 0 if it cannot be read.
+func residentAnonymousBytes() int64 {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	var size, resident, shared int64
+	if _, err := fmt.Sscan(string(text), &size, &resident, &shared); err != nil {
+		return 0
+	}
+	return (resident - shared) * int64(os.Getpagesize())
+}
--- a/cmd/wheatsaddle/reload.go
+++ b/cmd/wheatsaddle/reload.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"wheatsaddle/internal/config"
-	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/policy"
 )
@@ -18,7 +17,7 @@
 	env                 func(string) string
 	setDiscoveryAddress func(ctx context.Context, discovery string) bool // redirects the watch; false: ctx has ended
 	reconfigure         func(policy.Settings) error                      // applies all settings or none
-	memory              *memory.Account                                  // resized to a changed limit; may be nil
+	limits              *processLimits                                   // resized to changed limits; may be nil
 	log                 logrus.FieldLogger
 }
 
@@ -43,7 +42,7 @@
 	if !r.setDiscoveryAddress(ctx, next.Discovery) { // the service is ending
 		return &next, true
 	}
-	r.memory.Resize(applyLimits(&next).Account)
+	r.limits.configure(&next)
 	r.log.WithFields(logrus.Fields{"discovery": next.Discovery, "cores": next.Cores, "memory_mb": next.MemoryMB}).Info("configuration reloaded")
 	return &next, true
 }
--- a/cmd/wheatsaddle/serve.go
+++ b/cmd/wheatsaddle/serve.go
@@ -42,6 +42,7 @@
 	events     *eventlog.Log
 	ids        *requestid.Registry
 	memory     *memory.Account // of all that peers make the process hold
+	limits     *processLimits  // divides the limits between the processes that replace each other
 	iscsi      *iscsiFront     // nil: no iSCSI front
 
 	clientConns int // maximum number of clients' connections
@@ -140,7 +141,7 @@
 		env:                 os.Getenv,
 		setDiscoveryAddress: s.watcher.SetAddress,
 		reconfigure:         reconfigureCores(s.starter.reconfigure(s.core), s.iscsi),
-		memory:              s.memory,
+		limits:              s.limits,
 		log:                 s.log,
 	}
 	for current := s.conf; ; {
--- a/cmd/wheatsaddle/startup.go
+++ b/cmd/wheatsaddle/startup.go
@@ -18,7 +18,6 @@
 	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/exclusion"
 	"wheatsaddle/internal/httpfront"
-	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/requestid"
 	"wheatsaddle/internal/transport"
@@ -52,7 +51,10 @@
 	s.events = eventlog.New(s.log, func(kind eventlog.Kind, reason eventlog.Reason) eventlog.Counter {
 		return s.site.registry.Counter(string(kind), "reason", string(reason))
 	})
-	s.memory = memory.NewAccount(applyLimits(s.conf).Account)
+	s.limits = newProcessLimits(s.conf, s.log)
+	s.memory = s.limits.account
+	s.onClose(s.limits.stop)
+	s.limits.registerMetrics(s.site.registry)
 	registerMemoryMetrics(s.site.registry, s.memory)
 	s.ids = requestid.NewRegistry(s.memory)
 	s.onClose(s.ids.Close)
@@ -73,6 +75,7 @@
 	}
 	s.clientConns = clientConns(unreserved, all)
 	s.nodeConns = max(1, unreserved-s.clientConns)
+	s.limits.setWholeConns(s.clientConns, s.nodeConns, s.iscsi.maxSockets())
 	return nil
 }
 
@@ -198,6 +201,7 @@
 	}
 	s.socket = newPassedSocket(s.conf, ln, s.log)
 	if s.socket != nil {
+		s.socket.limits = s.limits
 		s.shareIDs(ln.Addr().String())
 	}
 	if ln, err = s.site.listen("http", ln, s.socket.acceptGate()); err != nil {
@@ -211,6 +215,7 @@
 		return err
 	}
 	go func() { s.frontEnded <- s.front.Serve(ln, s.clientConns) }()
+	s.limits.watch(s.front, s.dialer)
 	s.socket.run(s.core, s.front)
 	s.serving.Store(true)
 	s.log.WithFields(logrus.Fields{
--- a/internal/httpfront/dialer.go
+++ b/internal/httpfront/dialer.go
@@ -32,6 +32,7 @@
 	Log            logrus.FieldLogger // nil: no log
 	Events         *eventlog.Log      // of the closes of connections; may be nil
 	open           atomic.Int64       // connections that are open or being opened
+	limit          connLimit          // a lower limit than MaxConns, while another process needs sockets
 	idle           idleSet
 	unrequested    atomic.Int64                                                                                 // connections on which unrequested bytes arrived
 	dial           func(context.Context, address.Addr, time.Duration) (transport.Stream, address.Reason, error) // nil: transport.Dial
--- a/internal/httpfront/idle.go
+++ b/internal/httpfront/idle.go
@@ -66,7 +66,7 @@
 	if !d.Memory.TryAcquire(memory.NodeConnection, nodeConnBytes) {
 		return false
 	}
-	for n := d.open.Load(); n < d.MaxConns; n = d.open.Load() {
+	for n := d.open.Load(); n < d.maxConns(); n = d.open.Load() {
 		if d.open.CompareAndSwap(n, n+1) {
 			return true
 		}
--- a/internal/httpfront/idle_test.go
+++ b/internal/httpfront/idle_test.go
@@ -86,3 +86,31 @@
 		p.Close()
 	}
 }
+
+// Guards against a process that keeps the sockets that another process of its scheduler needs: a lower limit closes idle connections
+// at once, and a higher one does not exceed the process's own.
+func TestLowerConnLimitClosesIdleConnections(t *testing.T) {
+	n := newFakeNode(t, respondWith(okResponse))
+	d := dialer()
+	d.MaxConns = 6
+	var clients []core.NodeClient
+	for i := range 6 {
+		clients = append(clients, d.Connect(fmt.Sprint("n", i), addressesOf(n.ln)))
+		if r := sendOne(t, clients[i]); r.Status != policy.OK {
+			t.Fatalf("node %d: attempt ended as %v", i, r.Status)
+		}
+	}
+	waitFor(t, func() bool { d.SetMaxConns(2); return d.OpenConns() == 2 })
+	for i, p := range clients {
+		if r := sendOne(t, p); r.Status != policy.OK || d.OpenConns() > 2 {
+			t.Errorf("node %d: attempt ended as %v, %d connections are open", i, r.Status, d.OpenConns())
+		}
+	}
+	if d.SetMaxConns(100); d.maxConns() != d.MaxConns {
+		t.Errorf("limit %d, want %d", d.maxConns(), d.MaxConns)
+	}
+	for _, p := range clients {
+		p.Close()
+	}
+	waitFor(t, func() bool { return d.OpenConns() == 0 })
+}
--- a/internal/httpfront/node_interleave_test.go
+++ b/internal/httpfront/node_interleave_test.go
@@ -191,7 +191,7 @@
 			},
 		}
 	})
-	loop := "	for n := d.open.Load(); n < d.MaxConns; n = d.open.Load() {\n		if d.open.CompareAndSwap(n, n+1) {\n			return true\n		}\n	}\n"
+	loop := "	for n := d.open.Load(); n < d.maxConns(); n = d.open.Load() {\n		if d.open.CompareAndSwap(n, n+1) {\n			return true\n		}\n	}\n"
 	mutant.AssertDetected(t, mutant.Mutant{File: "idle.go", Old: loop, // New: an earlier implementation, which could refuse both callers
 		New:  "	if d.open.Add(1) <= d.MaxConns {\n		return true\n	}\n	d.open.Add(-1)\n",
 		Want: "0 of two callers reserved the only connection"})
--- a/internal/httpfront/preconnect.go
+++ b/internal/httpfront/preconnect.go
@@ -61,7 +61,7 @@
 // preconnect makes the selector open a connection for a request that is dropped once the connection is open and idle. The
 // caller has checked that no connection is idle or being dialled.
 func (p *addressPool) preconnect(f func(policy.Status)) {
-	if len(p.requests) > 0 || p.node.dialer.open.Load() >= p.node.dialer.MaxConns { // the selector already opens connections for these requests, or the connection limit is reached
+	if len(p.requests) > 0 || p.node.dialer.open.Load() >= p.node.dialer.maxConns() { // the selector already opens connections for these requests, or the connection limit is reached
 		go f(policy.Abandoned)
 		return
 	}
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -68,6 +68,12 @@
 			t.Errorf("limit %d MB: %+v leaves no room", limitMB, b)
 		}
 	}
+	for _, bytes := range []int64{MinShare, 20_000_000, 150_000_000} {
+		b := NewSharedBudget(bytes)
+		if b.CollectorLimit >= bytes || BytesFor(b.Account) > bytes+1 {
+			t.Errorf("%d bytes beside another process: %+v", bytes, b)
+		}
+	}
 	maps := "00400000-00500000 r-xp 00000000 08:01 1 /bin/x\n00500000-00600000 rw-p 00100000 08:01 1 /bin/x\n" +
 		"7f0000000000-7f0000010000 r--p 00000000 08:01 2 /lib/libc.so\n7f0000020000-7f0000030000 rw-p 00000000 00:00 0 \n7ffc0000-7ffd0000 r-xp 00000000 00:00 0 [vdso]\n"
 	if got := MappedFiles(strings.NewReader(maps)); got != 1<<20+1<<16 {
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -23,19 +23,57 @@
 	minCollectorLimit = 12_000_000
 )
 
+// parts are the parts of a process's memory that do not depend on the limit, and lower bounds of the others, in bytes.
+type parts struct{ system, runtime, minCollector, minAccount int64 }
+
+var (
+	wholeParts = parts{system: systemBytes, runtime: runtimeBytes, minCollector: minCollectorLimit, minAccount: minAccount}
+	// sharedParts are those of a process that has a part of the limit, beside another. They have less reserve.
+	sharedParts = parts{system: 2_000_000, runtime: 3_000_000, minCollector: 5_000_000, minAccount: 1_700_000}
+)
+
+// MinShare is the anonymous memory of a process with few clients, in bytes.
+const MinShare = 7_000_000
+
 // Budget divides the platform's limit.
 type Budget struct {
 	CollectorLimit int64 // soft limit of the Go runtime, bytes
 	Account        int64 // size of the account, bytes
 }
 
+// AnonymousBytes returns what remains of a limit of limitMB megabytes for anonymous memory, if files of mappedFiles bytes may
+// become resident.
+func AnonymousBytes(limitMB int, mappedFiles int64) int64 {
+	return int64(limitMB)*bytesPerMB - mappedFiles
+}
+
 // NewBudget divides a limit of limitMB megabytes, of which files of mappedFiles bytes may become resident.
 func NewBudget(limitMB int, mappedFiles int64) Budget {
-	collector := max(int64(limitMB)*bytesPerMB-mappedFiles-systemBytes, minCollectorLimit)
-	account := max(int64(accountShare*float64(collector-runtimeBytes)), minAccount)
+	return NewBudgetOf(AnonymousBytes(limitMB, mappedFiles))
+}
+
+// NewBudgetOf divides the anonymous memory of a process that has the whole limit.
+func NewBudgetOf(anonymousBytes int64) Budget {
+	return wholeParts.divide(anonymousBytes)
+}
+
+// NewSharedBudget divides the anonymous memory that a process has beside another process of its scheduler.
+func NewSharedBudget(anonymousBytes int64) Budget {
+	return sharedParts.divide(anonymousBytes)
+}
+
+// divide divides anonymous memory.
+func (p parts) divide(anonymousBytes int64) Budget {
+	collector := max(anonymousBytes-p.system, p.minCollector)
+	account := max(int64(accountShare*float64(collector-p.runtime)), p.minAccount)
 	return Budget{CollectorLimit: collector, Account: account}
 }
 
+// BytesFor returns the anonymous memory of a process whose account has a size, the reverse of NewSharedBudget.
+func BytesFor(account int64) int64 {
+	return int64(float64(account)/accountShare) + sharedParts.runtime + sharedParts.system
+}
+
 // MappedFiles returns the total size of the mappings of files that the process does not write to, in the form of
 // /proc/self/maps. Their pages become resident as they are used.
 func MappedFiles(maps io.Reader) (total int64) {
--- a/internal/requestid/journal.go
+++ b/internal/requestid/journal.go
@@ -13,6 +13,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"wheatsaddle/internal/machineclock"
 )
 
 const (
@@ -61,7 +63,7 @@
 // OpenJournal opens the journal of a name, such as the address of the clients' socket, in a folder, and reads what other processes
 // have written there.
 func OpenJournal(folder, name string) (*Journal, error) {
-	clock, err := machineClock()
+	clock, err := machineclock.New()
 	if err != nil {
 		return nil, err
 	}
@@ -89,24 +91,6 @@
 	return j, nil
 }
 
-// uptimeFile tells how long the machine runs, in seconds.
-const uptimeFile = "/proc/uptime"
-
-// machineClock returns a clock that shows the time since the machine's start. It is read once; from then on the monotonic clock counts.
-func machineClock() (func() time.Duration, error) {
-	b, err := os.ReadFile(uptimeFile)
-	if err != nil {
-		return nil, fmt.Errorf("request id journal: %w", err)
-	}
-	text, _, _ := strings.Cut(string(b), " ")
-	uptime, err := time.ParseDuration(text + "s")
-	if err != nil {
-		return nil, fmt.Errorf("request id journal: %s: %w", uptimeFile, err)
-	}
-	origin := time.Now()
-	return func() time.Duration { return uptime + time.Since(origin) }, nil
-}
-
 func fileNumber(at time.Duration) int64 { return int64(at / fileSpan) }
 
 // oldest returns the number of the oldest file whose records may still hold.
--- a/internal/testkit/cluster/proc.go
+++ b/internal/testkit/cluster/proc.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -41,16 +42,19 @@
 	AdminAddress            string // of the admin endpoint; "": none
 	Seed                    uint64
 	MemoryMB                int
+	Sockets                 int     // 0: 1024
 	Endpoints               []Entry // the endpoint list until the discovery service has sent one
 	ListVersion             int64   // version of Endpoints; 0: 1
 	Settings                map[string]any
 }
 
+const defaultSockets = 1024
+
 // Write writes the configuration file in the format that the daemon reads.
 func (c Config) Write(file string) error {
 	text, err := json.Marshal(map[string]any{
 		"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "operator": c.AdminAddress, "seed": fmt.Sprintf("%x", c.Seed),
-		"limits":   map[string]any{"cores": 1, "memory_mb": c.MemoryMB, "sockets": 1024},
+		"limits":   map[string]any{"cores": 1, "memory_mb": c.MemoryMB, "sockets": cmp.Or(c.Sockets, defaultSockets)},
 		"known":    map[string]any{"index": max(c.ListVersion, 1), "snapshot": true, "endpoints": append([]Entry{}, c.Endpoints...)},
 		"settings": c.Settings})
 	if err != nil {
--- a/internal/testkit/errorpage/main.go
+++ b/internal/testkit/errorpage/main.go
@@ -26,6 +26,7 @@
 	_ "wheatsaddle/internal/handover"
 	_ "wheatsaddle/internal/httpfront"
 	_ "wheatsaddle/internal/iscsi"
+	_ "wheatsaddle/internal/limitshare/ledger"
 	_ "wheatsaddle/internal/metrics"
 	_ "wheatsaddle/internal/nodestats"
 	_ "wheatsaddle/internal/replay"
--- a/internal/transport/evict.go
+++ b/internal/transport/evict.go
@@ -52,13 +52,21 @@
 	return rankNone
 }
 
-// candidates returns the connections that may be evicted, the number of connections that have had a request, and whether the
-// capacity is used up.
-func (l *Listener) candidates(now time.Time) (evictable []candidate, requested int, full bool) {
+// evictionNeed is how many connections a listener should evict.
+type evictionNeed struct {
+	surplus int // idle connections beyond idleEvictShare of the capacity
+	any     int // connections of any rank: one at the capacity, more after the capacity was lowered
+}
+
+// candidates returns the connections that may be evicted, and how many should be.
+func (l *Listener) candidates(now time.Time) (evictable []candidate, need evictionNeed) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	sync.Reads(&l.open)
-	full = len(l.open) >= l.capacity || l.noDescriptor.Load() || l.isUnderMemoryPressure()
+	if len(l.open) >= l.capacity || l.noDescriptor.Load() || l.isUnderMemoryPressure() {
+		need.any = max(1, len(l.open)-l.capacity-l.overflow)
+	}
+	requested := 0
 	for _, c := range l.open {
 		age := c.phaseAge(now)
 		if rank := rankOf(c.phase.Load(), age); rank != rankNone {
@@ -68,28 +76,28 @@
 			requested++
 		}
 	}
-	return evictable, requested, full
+	need.surplus = requested - int(idleEvictShare*float64(l.capacity))
+	return evictable, need
 }
 
 // evictForCapacity closes the longest idle connections while more than idleEvictShare of the capacity have had a request. At
 // the capacity, or without a free descriptor, it closes one more: a silent one if possible, else an idle one, else any
 // evictable one. If there is none, it interrupts the request that has waited longest for its next byte.
 func (l *Listener) evictForCapacity(now time.Time) {
-	evictable, requested, full := l.candidates(now)
-	surplus := requested - int(idleEvictShare*float64(l.capacity))
-	if surplus <= 0 && !full {
+	evictable, need := l.candidates(now)
+	if need.surplus <= 0 && need.any <= 0 {
 		return
 	}
 	slices.SortFunc(evictable, func(a, b candidate) int { return cmp.Or(b.rank-a.rank, cmp.Compare(b.age, a.age)) })
 	for _, m := range evictable {
-		if overShare := m.rank == rankIdle && surplus > 0; (overShare || full) && m.conn.evict() {
-			full = false
+		if overShare := m.rank == rankIdle && need.surplus > 0; (overShare || need.any > 0) && m.conn.evict() {
+			need.any--
 			if m.rank == rankIdle {
-				surplus--
+				need.surplus--
 			}
 		}
 	}
-	if full {
+	if need.any > 0 {
 		l.interruptLongestStalled(now)
 	}
 }
--- a/internal/transport/inherited.go
+++ b/internal/transport/inherited.go
@@ -16,10 +16,7 @@
 // descriptor's number, or any other text for DefaultInheritedDescriptor. The descriptor must be a TCP socket. The listener uses
 // a copy of it, and ListenInherited closes the descriptor itself. An error is an InheritedSocketError.
 func ListenInherited(name string) (net.Listener, error) {
-	fd := DefaultInheritedDescriptor
-	if n, err := strconv.Atoi(strings.TrimPrefix(strings.TrimSpace(name), "fd:")); err == nil {
-		fd = n
-	}
+	fd := inheritedDescriptor(name)
 	if fd < 0 {
 		return nil, &InheritedSocketError{Name: name, Problem: "not a valid descriptor"}
 	}
@@ -50,6 +47,31 @@
 	return noSpliceListener{&inheritedListener{tcp}}, nil
 }
 
+// inheritedDescriptor returns the descriptor that the environment variable names.
+func inheritedDescriptor(name string) int {
+	if n, err := strconv.Atoi(strings.TrimPrefix(strings.TrimSpace(name), "fd:")); err == nil {
+		return n
+	}
+	return DefaultInheritedDescriptor
+}
+
+// InheritedAddr returns the address of a socket that the process inherited, before ListenInherited takes it. An error is an
+// InheritedSocketError.
+func InheritedAddr(name string) (net.Addr, error) {
+	fd := inheritedDescriptor(name)
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		return nil, &InheritedSocketError{name, fmt.Sprintf("descriptor %d", fd), err}
+	}
+	switch a := bound.(type) {
+	case *syscall.SockaddrInet4:
+		return &net.TCPAddr{IP: a.Addr[:], Port: a.Port}, nil
+	case *syscall.SockaddrInet6:
+		return &net.TCPAddr{IP: a.Addr[:], Port: a.Port}, nil
+	}
+	return nil, &InheritedSocketError{Name: name, Problem: fmt.Sprintf("descriptor %d is not a TCP socket", fd)}
+}
+
 // inheritedListener is a listener whose socket other processes hold too. They share its O_NONBLOCK flag, and another process
 // may have cleared it (os.File.Fd does). Accept sets it again, because a blocking accept would not end with Close.
 type inheritedListener struct{ *net.TCPListener }
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -44,9 +44,9 @@
 // such as a lack of descriptors, because servers stop at the first error of Accept.
 type Listener struct {
 	net.Listener
-	capacity  int
 	overflow  int // number of connections accepted beyond the capacity, whose requests are rejected
 	mu        sync.Mutex
+	capacity  int     // guarded by mu
 	open      []*Conn // unordered; Conn.index is a connection's position
 	done      chan struct{}
 	closeOnce sync.Once
@@ -200,6 +200,13 @@
 	return len(l.open) >= l.capacity+l.overflow
 }
 
+// SetCapacity changes the capacity. Connections beyond a lower one, and its overflow, are evicted as they become idle.
+func (l *Listener) SetCapacity(capacity int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.capacity = capacity
+}
+
 // OpenCount returns the number of open connections.
 func (l *Listener) OpenCount() int {
 	l.mu.Lock()
--- a/internal/transport/listener_test.go
+++ b/internal/transport/listener_test.go
@@ -199,3 +199,23 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a process that keeps the sockets that another process of its scheduler needs: after the capacity was lowered, idle
+// connections beyond it are closed together, and those with a request stay.
+func TestLowerCapacityEvictsIdleConnections(t *testing.T) {
+	l, busy, _ := pair(t, 20)
+	busy.SetIdle(false)
+	for range 9 {
+		acceptOne(t, l)
+	}
+	l.SetCapacity(4)
+	l.evictForCapacity(time.Now().Add(time.Second))
+	if open := l.OpenCount(); open != 4 {
+		t.Errorf("%d connections are open at a capacity of 4", open)
+	}
+	l.SetCapacity(0)
+	l.evictForCapacity(time.Now().Add(time.Second))
+	if open := l.OpenCount(); open != 1 {
+		t.Errorf("%d connections are open, want the one with a request", open)
+	}
+}
