A class that appears at SIGHUP may leave out keys that apply only to some classes

What callers would see: a sound file in which a class appears is turned down, since every class so far, or every one of the same repeat, had "by-arrival" or "aim-stretch".

Cause: a new entry had to have each key that all entries had, and since each one that all classes of the same repeat had. Now the two optional keys are left out of the first rule, and the second holds for key-scope and memory-span alone. A class that stays keeps all its keys, as before.

--- a/internal/config/completeness.go
+++ b/internal/config/completeness.go
@@ -75,8 +75,8 @@
 //   - A key of the file in effect must be there, at every depth, unless it is removable.
 //   - A value must have the type that it had. A null counts as missing, unless the file in effect has a null there.
 //   - Entries may be added to lists and removed from them. An entry that the list had, by its identity, must have all its keys. A
-//     new entry must have the keys that every entry had and, if one of its keys decides which others apply, those that every
-//     entry with the same value had.
+//     new entry must have the keys that every entry had, but for optionalKeys, and a new deduplicated class those of deduplicationKeys
+//     that every such class had.
 type completeness struct {
 	file      string
 	removable func(path []string) bool // keys that may be left out; nil: none
@@ -93,7 +93,11 @@
 	deduplicatedVariant = "keyed"
 )
 
-var deduplicationKeys = []string{"key-scope", "memory-span"}
+var (
+	deduplicationKeys = []string{"key-scope", "memory-span"}
+	// optionalKeys are keys of classes that the platform sets only where they apply.
+	optionalKeys = []string{"aim-stretch", "by-arrival"}
+)
 
 // fail returns an error for the key at a path.
 func (c *completeness) fail(path []string, problem string) error {
@@ -253,7 +257,7 @@
 	if !entry.IsObject() {
 		return c.compareKind(path, inEffect, entry)
 	}
-	for _, k := range append(commonKeys(inEffect), commonKeys(sameVariant(inEffect, entry))...) {
+	for _, k := range requiredKeys(inEffect, entry) {
 		value := member(entry, k)
 		at := child(path, k)
 		if !value.Exists() {
@@ -289,6 +293,18 @@
 	return c.fail(path, fmt.Sprintf("not %s", kindOf(others[0])))
 }
 
+// requiredKeys returns the keys that a new entry of a list must have.
+func requiredKeys(inEffect []gjson.Result, entry gjson.Result) []string {
+	required := slices.DeleteFunc(commonKeys(inEffect), func(key string) bool { return slices.Contains(optionalKeys, key) })
+	if member(entry, variantKey).String() != deduplicatedVariant {
+		return required
+	}
+	ofDeduplicated := slices.DeleteFunc(commonKeys(sameVariant(inEffect, entry)), func(key string) bool {
+		return !slices.Contains(deduplicationKeys, key)
+	})
+	return append(required, ofDeduplicated...)
+}
+
 // members returns the members of a name in the objects of a list.
 func members(list []gjson.Result, key string) (values []gjson.Result) {
 	for _, entry := range list {
@@ -299,12 +315,9 @@
 	return values
 }
 
-// sameVariant returns the entries of a list that have the entry's value at variantKey; none if the entry has no such key.
+// sameVariant returns the entries of a list that have the entry's value at variantKey.
 func sameVariant(list []gjson.Result, entry gjson.Result) (same []gjson.Result) {
 	variant := member(entry, variantKey)
-	if !variant.Exists() {
-		return nil
-	}
 	for _, other := range list {
 		if other.IsObject() && member(other, variantKey).String() == variant.String() {
 			same = append(same, other)
--- a/internal/config/completeness_test.go
+++ b/internal/config/completeness_test.go
@@ -244,6 +244,8 @@
 	const (
 		read   = `{"name":"read","deadline":1500,"repeat":"safe","worth":3}`
 		record = `{"name":"record","deadline":1500,"repeat":"keyed","key-scope":"cell","memory-span":2500,"worth":2}`
+		// inTurn is the only class of its kind, with keys that apply to it alone.
+		inTurn = `{"name":"turn","deadline":1500,"repeat":"keyed","key-scope":"cell","memory-span":2500,"worth":2,"by-arrival":true,"aim-stretch":2}`
 		basic  = `{"name":"basic","cap":27,"burst":38,"shares":1}`
 		free   = `{"name":"free","shares":2}`
 	)
@@ -271,4 +273,11 @@
 			t.Errorf("%s: error %v, want missing key %q", x.name, err, x.missing)
 		}
 	}
+	onlyInTurn := file(inTurn, basic)
+	if err := checkComplete(configurationFile, onlyInTurn, file(inTurn+","+record+","+strings.ReplaceAll(read, "}", `,"key-scope":"all","memory-span":1}`), basic), nil); err != nil {
+		t.Errorf("classes without optional keys appear beside one that has them: %v", err)
+	}
+	if err := checkComplete(configurationFile, onlyInTurn, file(strings.Replace(inTurn, `,"by-arrival":true`, "", 1), basic), nil); err == nil {
+		t.Error("a class that stays lost an optional key")
+	}
 }
