--- a/cmd/wheatsaddle/processlimits.go
+++ b/cmd/wheatsaddle/processlimits.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	limitsInterval       = 10 * time.Millisecond  // between looks at the other processes' claims
+	sharingInterval      = 10 * time.Millisecond  // between looks at the other processes' claims
+	aloneInterval        = 25 * time.Millisecond  // between looks for another process
 	releaseInterval      = 50 * time.Millisecond  // at least, between collections that return memory to the system
 	releaseDutyDivisor   = 20                     // they take at most 1/releaseDutyDivisor of the time
 	filesInterval        = 500 * time.Millisecond // between sums of the files in $TMPDIR
@@ -164,20 +165,24 @@
 func (l *processLimits) stop() { l.stopOnce.Do(func() { close(l.done) }) }
 
 func (l *processLimits) loop() {
-	tick := time.NewTicker(limitsInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		ticks := tick.C
-		if l.path == "" && !l.lowering { // nothing changes by itself
-			ticks = nil
-		}
 		select {
 		case <-l.done:
 			return
 		case <-l.changed:
-		case <-ticks:
+		case <-timer.C:
 		}
 		l.step()
+		switch {
+		case l.shared || l.lowering:
+			timer.Reset(sharingInterval)
+		case l.path != "":
+			timer.Reset(aloneInterval)
+		default: // nothing changes by itself
+			timer.Stop()
+		}
 	}
 }
 
@@ -205,11 +210,11 @@
 		l.applyWithoutLedger(s)
 		return true
 	}
-	var decided limitshare.Amount
+	var decided, raised limitshare.Amount
 	updated, err := l.ledger.Update(s.limit, s.loadedAt, func(table ledger.Table) limitshare.Claim {
 		decided = l.decide(s, table)
-		l.own = atLeast(decided, l.own) // lowered below, once less is held
-		return limitshare.Claim{Amount: l.own, Phase: s.phase}
+		raised = atLeast(decided, l.own) // lowered below, once less is held
+		return limitshare.Claim{Amount: raised, Phase: s.phase}
 	})
 	if err != nil {
 		l.reportFailure(err)
@@ -219,7 +224,7 @@
 	if !updated {
 		return false
 	}
-	l.failed, l.updatedAt = false, time.Now()
+	l.own, l.failed, l.updatedAt = raised, false, time.Now()
 	l.apply(s, decided)
 	l.lower(s, decided)
 	return true
--- a/internal/limitshare/ledger/ledger.go
+++ b/internal/limitshare/ledger/ledger.go
@@ -58,6 +58,9 @@
 	_               uint64
 }
 
+// unusedRecord is a slot without a claim.
+var unusedRecord [recordSize]byte
+
 // Table is what the processes have recorded.
 type Table struct {
 	Limit    limitshare.Amount // that was loaded last
@@ -231,14 +234,15 @@
 		table.Limit, table.LoadedAt = limitshare.Amount{Memory: h.Memory, Sockets: h.Sockets}, time.Duration(h.LoadedAt)
 	}
 	for i := range slotCount {
-		var s slot
 		at := l.slotOffset(i)
-		if err := decode(text[at:at+recordSize], &s); err != nil {
-			return Table{}, err
-		}
-		if i == l.slot || s == (slot{}) {
+		record := text[at : at+recordSize]
+		if i == l.slot || bytes.Equal(record, unusedRecord[:]) {
 			continue
 		}
+		var s slot
+		if err := decode(record, &s); err != nil {
+			return Table{}, err
+		}
 		running, err := l.isLockedByOther(at)
 		if err != nil {
 			return Table{}, err
