A write that may have run is never answered with BUSY over iSCSI

Cause: policy lets a request of the key-scope `all` be rejected although it may have run, because the platform's clients repeat under the same Idempotency-Key. An initiator has no key; the front makes a new one for each command. Evidence: the attempt ended as `reset` and the request as `kind=rejected`; the keys of both executions differ; with the key-scopes `cell` and `zone` the answer is HARDWARE ERROR.

Change: Settings.ClientsKeepKeys says whether a front's clients repeat under the same key. The configuration and the simulator's settings set it, AdaptSettings of the iSCSI front clears it. A front that forgets it gets failures and no second execution.

The checker of policy's random events knows the rule and plays 16 more series without kept keys.

--- a/internal/config/deployments_test.go
+++ b/internal/config/deployments_test.go
@@ -167,6 +167,7 @@
 			SlowStartShare: s.platform.Rules.SlowStartShare, SlowStartDuration: s.platform.Rules.SlowStartDuration,
 			OverloadMultiple: s.platform.Rules.OverloadMultiple, OverloadWindow: s.platform.Rules.OverloadWindow,
 			RetryBudgetShare: s.platform.Rules.RetryBudgetShare, RetryBudgetMin: s.platform.Rules.RetryBudgetMin, RetryBudgetWindow: s.platform.Rules.RetryBudgetWindow,
+			ClientsKeepKeys: true,
 		}, s.platform
 		for _, c := range platform.Profiles {
 			want.Classes = append(want.Classes, expectedClass(t, c))
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -29,6 +29,7 @@
 		OverloadMultiple: r.number("rules.tip-multiple", 0, 0), OverloadWindow: r.number("rules.overload-for", 0, 0),
 		OrderedKeyBackoff: r.number("rules.order-pause", 0, 0), RetryBudgetShare: r.number("rules.further-ratio", 0, 0),
 		RetryBudgetMin: r.number("rules.extra-floor", 0, 0), RetryBudgetWindow: r.number("rules.counted-over", 0, 0),
+		ClientsKeepKeys: true, // a client repeats a request with the same Idempotency-Key
 	}
 	r.each("profiles", func(r *reader) { s.Classes = append(s.Classes, r.class()) })
 	r.each("contracts", func(r *reader) { s.Plans = append(s.Plans, r.plan()) })
--- a/internal/iscsi/fakes_test.go
+++ b/internal/iscsi/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math"
 	"net"
 	"strings"
 	"sync"
@@ -55,9 +56,29 @@
 	lastTag       uint32 // of the last command
 	lastLogin     []pair // text of the last login request
 	logins        int
-	loginStatus   uint16 // status of login responses
+	loginStatus   uint16                     // status of login responses
+	react         func(command int) reaction // nil: status and sense apply; the first command has the number 1
 }
 
+// reaction is what the fake target does with one command whose data it has received.
+type reaction struct {
+	delay    time.Duration // before all that follows
+	executes bool
+	ending   ending
+	status   byte // if it responds
+	sense    []byte
+}
+
+// ending is how the fake target ends a command.
+type ending int
+
+const (
+	responds ending = iota
+	cuts            // it closes the connection
+	falls           // it closes the connection and completes no login from then on
+	hangs           // it does nothing more for the command
+)
+
 // fakeTargetSession is one session with the fake target.
 type fakeTargetSession struct {
 	*fakeTarget
@@ -205,6 +226,7 @@
 func (s *fakeTargetSession) serveCommand(p *pdu, br *bufio.Reader, frames framing) bool {
 	s.mu.Lock()
 	s.received++
+	number, react := s.received, s.react
 	s.mu.Unlock()
 	if s.shouldCut(cutCommand) {
 		return false
@@ -238,21 +260,15 @@
 			}
 		}
 	}
+	if react != nil {
+		go s.play(react(number), p, b, data)
+		return true
+	}
 	s.mu.Lock()
 	status, rawSense, hold := s.status, s.sense, s.hold
 	s.lastTag = p.tag()
-	if key := p.idempotencyKey(); status == statusGood && !(s.deduplicates && key != "" && s.keys[key]) {
-		s.executed++
-		s.keys[key] = true
-		for i := uint32(0); b.write && i < b.blocks; i++ {
-			s.disk[b.lba+uint64(i)] = data[i*512 : i*512+512]
-		}
-	}
-	if !b.write && status == statusGood {
-		for i := uint64(0); i < uint64(b.blocks); i++ {
-			block := s.disk[b.lba+i]
-			data = append(data, append(block, make([]byte, 512-len(block))...)...)
-		}
+	if status == statusGood {
+		data = s.execute(p, b, data)
 	}
 	s.mu.Unlock()
 	if s.shouldCut(cutExecuted) {
@@ -271,6 +287,45 @@
 	return true
 }
 
+// execute executes a command, unless it is a repeat that is dropped, and returns the data of a read. The caller holds the mutex.
+func (s *fakeTargetSession) execute(p *pdu, b block, data []byte) []byte {
+	if key := p.idempotencyKey(); !(s.deduplicates && key != "" && s.keys[key]) {
+		s.executed++
+		s.keys[key] = true
+		for i := uint32(0); b.write && i < b.blocks; i++ {
+			s.disk[b.lba+uint64(i)] = data[i*512 : i*512+512]
+		}
+	}
+	if b.write {
+		return data
+	}
+	for i := uint64(0); i < uint64(b.blocks); i++ {
+		block := s.disk[b.lba+i]
+		data = append(data, append(block, make([]byte, 512-len(block))...)...)
+	}
+	return data
+}
+
+// play does with a command what a reaction says.
+func (s *fakeTargetSession) play(r reaction, p *pdu, b block, data []byte) {
+	time.Sleep(r.delay)
+	s.mu.Lock()
+	if r.executes {
+		data = s.execute(p, b, data)
+	}
+	if r.ending == falls {
+		s.cutStage, s.cutsLeft = cutLogin, math.MaxInt
+	}
+	s.mu.Unlock()
+	switch r.ending {
+	case responds:
+		s.respond(p.tag(), b.write || r.status != statusGood, data, r.status, r.sense)
+	case cuts, falls:
+		s.conn.Close()
+	case hangs:
+	}
+}
+
 func (s *fakeTargetSession) respond(tag uint32, write bool, data []byte, status byte, rawSense []byte) {
 	if !write {
 		for at, sn := 0, uint32(0); at < len(data); sn++ {
@@ -494,6 +549,12 @@
 // newTestEnvWithPortals returns an environment with one storage target, whose portals are the given fake targets, the most
 // preferred first.
 func newTestEnvWithPortals(t *testing.T, objective float64, deduplicates bool, portals ...*fakeTarget) *testEnv {
+	t.Helper()
+	return newTestEnvWithSettings(t, testSettings(objective), deduplicates, portals...)
+}
+
+// newTestEnvWithSettings returns the same with the given settings of the platform.
+func newTestEnvWithSettings(t *testing.T, set policy.Settings, deduplicates bool, portals ...*fakeTarget) *testEnv {
 	t.Helper()
 	target := portals[0]
 	var addresses []string
@@ -501,7 +562,6 @@
 		portal.deduplicates = deduplicates
 		addresses = append(addresses, fmt.Sprintf("%q", portal.ln.Addr()))
 	}
-	set := testSettings(objective)
 	conf, err := config.ParseISCSI([]byte(fmt.Sprintf(`{"listen":"127.0.0.1:0","drops_repeats":%v,"queue_depth":8,
 		"storage":[{"name":"st","addresses":[%s],"target":"iqn.st","group":0}],
 		"targets":[{"name":%q,"luns":[{"lun":0,"group":0,"volume":"00000000000a0000","plan":"basic","blocks":4096,
--- /dev/null
+++ b/internal/iscsi/indoubt_test.go
@@ -0,0 +1,85 @@
+package iscsi
+
+import (
+	"testing"
+	"time"
+
+	"wheatsaddle/policy"
+)
+
+// keyedSettings returns settings in which writes are idempotent by key with the given scope, and wait for two seconds at most.
+func keyedSettings(scope policy.DedupScope) policy.Settings {
+	const objective = 1000 // ms
+	set := testSettings(objective)
+	set.ClientsKeepKeys = true // as the platform's clients do
+	set.Classes[1].DedupScope, set.Classes[1].DedupWindow = scope, 2500
+	return set
+}
+
+// inSequence returns the reaction to each command: the last one applies to all that follow.
+func inSequence(reactions ...reaction) func(int) reaction {
+	return func(command int) reaction { return reactions[min(command, len(reactions))-1] }
+}
+
+// Guards against BUSY for a write that may have run: the initiator repeats it under a new key, so that it runs a second time.
+func TestWriteThatMayHaveRunIsNotAnsweredWithBusy(t *testing.T) {
+	notReady := reaction{status: statusCheckCondition, sense: sense{senseNotReady, 0x0401}.encodeFixed()}
+	busy := reaction{status: statusBusy}
+	for name, x := range map[string]struct {
+		reactions []reaction
+		executed  int
+	}{
+		"reset, then no login":     {[]reaction{{executes: true, ending: falls}}, 1},
+		"reset, then busy":         {[]reaction{{executes: true, ending: cuts}, busy}, 1},
+		"reset, then not ready":    {[]reaction{{executes: true, ending: cuts}, notReady}, 1},
+		"reset without execution":  {[]reaction{{ending: falls}}, 0},
+		"sense, then busy":         {[]reaction{{executes: true, status: statusCheckCondition, sense: senseReadLost.encodeFixed()}, busy}, 1},
+		"busy, then reset":         {[]reaction{busy, {executes: true, ending: falls}}, 1},
+		"not ready, reset, busy":   {[]reaction{notReady, {executes: true, ending: cuts}, busy}, 1},
+		"silence":                  {[]reaction{{executes: true, ending: hangs}}, 1},
+		"silence, runs afterwards": {[]reaction{{delay: 2500 * time.Millisecond, executes: true, ending: hangs}}, 0},
+		"each attempt is reset":    {[]reaction{{executes: true, ending: cuts}}, 1},
+	} {
+		for scope, word := range map[policy.DedupScope]string{policy.DedupAll: "all", policy.DedupZone: "zone", policy.DedupShard: "cell"} {
+			t.Run(name+", "+word, func(t *testing.T) {
+				t.Parallel()
+				target := newFakeTarget(t)
+				target.react = inSequence(x.reactions...)
+				env := newTestEnvWithSettings(t, keyedSettings(scope), true, target)
+				e := env.initiator(t).write(0, pattern(1024))
+				_, executed := env.counts()
+				if e.status != statusCheckCondition || e.senseKey != senseHardware || executed != x.executed {
+					t.Errorf("ended with status 0x%x, sense key %x after %d executions, want HARDWARE ERROR after %d", e.status, e.senseKey, executed, x.executed)
+				}
+			})
+		}
+	}
+}
+
+// A write that certainly did not run is rejected, so that its initiator can repeat it.
+func TestWriteThatNeverRanIsAnsweredWithBusy(t *testing.T) {
+	for name, reactions := range map[string][]reaction{
+		"busy":           {{status: statusBusy}},
+		"task set full":  {{status: statusTaskSetFull}},
+		"not ready":      {{status: statusCheckCondition, sense: sense{senseNotReady, 0x0401}.encodeFixed()}},
+		"unit attention": {{status: statusCheckCondition, sense: sense{senseUnitAttention, 0x2900}.encodeFixed()}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			target := newFakeTarget(t)
+			target.react = inSequence(reactions...)
+			env := newTestEnvWithSettings(t, keyedSettings(policy.DedupAll), true, target)
+			if e := env.initiator(t).write(0, pattern(1024)); e.status != statusBusy {
+				t.Errorf("ended with status 0x%x, sense key %x, want BUSY", e.status, e.senseKey)
+			}
+		})
+	}
+	t.Run("no login", func(t *testing.T) {
+		target := newFakeTarget(t)
+		target.cutStage, target.cutsLeft = cutLogin, 1000
+		env := newTestEnvWithSettings(t, keyedSettings(policy.DedupAll), true, target)
+		if e := env.initiator(t).write(0, pattern(1024)); e.status != statusBusy {
+			t.Errorf("ended with status 0x%x, sense key %x, want BUSY", e.status, e.senseKey)
+		}
+	})
+}
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -90,7 +90,8 @@
 
 // AdaptSettings returns the policy settings for this front. If the storage targets do not deduplicate
 // writes, classes that are idempotent by key become non-idempotent, because a write that may have run
-// must not be sent again.
+// must not be sent again. An initiator has no key: the front gives each command one of its own, so a
+// command that an initiator repeats is a new request to the storage targets.
 func AdaptSettings(set policy.Settings, conf *config.ISCSI) policy.Settings {
 	classes := append([]policy.Class(nil), set.Classes...)
 	for i := range classes {
@@ -98,7 +99,7 @@
 			classes[i].Effect = policy.NonIdempotent
 		}
 	}
-	set.Classes, set.MayCheckHealth = classes, false
+	set.Classes, set.MayCheckHealth, set.ClientsKeepKeys = classes, false, false
 	return set
 }
 
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -97,6 +97,8 @@
 		OverloadMultiple: wire.Rules.TipMultiple, OverloadWindow: wire.Rules.Overload,
 		OrderedKeyBackoff: wire.Rules.OrderPause, RetryBudgetShare: wire.Rules.Further,
 		RetryBudgetMin: wire.Rules.ExtraFloor, RetryBudgetWindow: wire.Rules.CountedOver,
+
+		ClientsKeepKeys: true,
 	}
 	for _, p := range wire.Profiles {
 		effect, scope, err := decodeEffect(p.Repeat, p.KeyScope)
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -163,13 +163,12 @@
 	return ReasonRateLimit, s.cannotGetTokens(r)
 }
 
-// rejectOrFail ends a request. It is rejected if it never ran or may run again on any node, and failed
-// otherwise.
+// rejectOrFail ends a request. It is rejected if its client may repeat it, and failed otherwise.
 func (s *Scheduler) rejectOrFail(r *request, wait float64, reason Reason) {
 	s.sampleDelay(r, math.Max(wait, rejectedDelayObjectives*r.class.LatencyObjective-(s.now-r.startedAt)))
 	s.refund(r)
 	s.recordUnserved(r)
-	if r.mayRetryAnywhere() {
+	if s.clientMayRepeat(r) {
 		s.emit(Action{Kind: Reject, ID: r.id, Wait: s.retryAfter(wait), Reason: reason})
 	} else {
 		s.emit(Action{Kind: Fail, ID: r.id, Reason: reason})
@@ -184,7 +183,11 @@
 	return math.Min(math.Max(wait, sweepIntervalMs), s.settings.MaxRetryAfter)
 }
 
-func (r *request) mayRetryAnywhere() bool {
-	return r.mayHaveRunOn == nil || r.class.Effect == Idempotent ||
-		r.class.Effect == IdempotentByKey && r.class.DedupScope == DedupAll
+// clientMayRepeat reports whether a repeat by the client has no second effect: the request never ran, may run any number of times, or
+// every node recognizes the repeat by its key.
+func (s *Scheduler) clientMayRepeat(r *request) bool {
+	if r.mayHaveRunOn == nil || r.class.Effect == Idempotent {
+		return true
+	}
+	return r.class.Effect == IdempotentByKey && r.class.DedupScope == DedupAll && s.settings.ClientsKeepKeys
 }
--- a/policy/randomevents_test.go
+++ b/policy/randomevents_test.go
@@ -20,7 +20,7 @@
 		settings.OrderedKeyBackoff = 80
 		settings.PollsEndpointList, settings.ReportsPeerUsage = true, true
 	}
-	settings.MayHedge = i%3 > 0
+	settings.MayHedge, settings.ClientsKeepKeys = i%3 > 0, true
 	settings.MayGossip = i%4 == 2
 	settings.UsageMeterPeriod = float64(i%3) * 500
 	return settings
@@ -211,9 +211,11 @@
 }
 
 func TestRulesHoldUnderRandomEvents(t *testing.T) {
-	for i := range 16 {
+	for i := range 32 {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
-			first, second := playRandomEvents(t, randomEventSettings(i), int64(i+1), func(*Scheduler) {}), playRandomEvents(t, randomEventSettings(i), int64(i+1), func(s *Scheduler) {
+			settings := randomEventSettings(i)
+			settings.ClientsKeepKeys = i < 16
+			first, second := playRandomEvents(t, settings, int64(i+1), func(*Scheduler) {}), playRandomEvents(t, settings, int64(i+1), func(s *Scheduler) {
 				for _, q := range s.shardQueues { // visiting the other queues must not change anything
 					s.markBusy(q)
 				}
--- a/policy/rulechecker_test.go
+++ b/policy/rulechecker_test.go
@@ -67,8 +67,7 @@
 		case Reject:
 			r := c.requests[a.ID]
 			c.recordAnswer(a.ID)
-			mayRetryAnywhere := r.class == nil || r.class.Effect == Idempotent || r.class.Effect == IdempotentByKey && r.class.DedupScope == DedupAll
-			if !mayRetryAnywhere && len(r.mayHaveRun) > 0 {
+			if !c.clientMayRepeat(r) {
 				c.fail("rejected %s, which may have run", a.ID)
 			}
 			if a.Wait < 0 || a.Wait > c.settings.MaxRetryAfter {
@@ -91,6 +90,17 @@
 	}
 }
 
+// clientMayRepeat reports whether the client of a rejected request may send it again.
+func (c *ruleChecker) clientMayRepeat(r *trackedRequest) bool {
+	switch {
+	case r.class == nil || r.class.Effect == Idempotent || len(r.mayHaveRun) == 0:
+		return true
+	case r.class.Effect == IdempotentByKey && r.class.DedupScope == DedupAll:
+		return c.settings.ClientsKeepKeys
+	}
+	return false
+}
+
 // checkSend checks a Send against the rules and records it.
 func (c *ruleChecker) checkSend(a Action, nodes map[string]Node) {
 	r, n := c.requests[a.ID], nodes[a.Node]
--- a/policy/types.go
+++ b/policy/types.go
@@ -30,6 +30,9 @@
 	RetryBudgetShare     float64 // retries allowed per admitted request
 	RetryBudgetMin       float64 // retries allowed in every window regardless of the number of requests
 	RetryBudgetWindow    float64 // time window of the retry budget; 0: retries have no budget
+	// ClientsKeepKeys tells that a client repeats a rejected request under the same idempotency key, by which nodes discard it. Without
+	// it the repeat of a request that may have run would run again.
+	ClientsKeepKeys bool
 }
 
 // Effect tells whether a request of a class may run more than once.
