"Not performed" is not passed on while another attempt may have run

Seen by callers: a write ran, its connection was cut, a later attempt was answered with RESERVATION CONFLICT, ILLEGAL REQUEST or DATA PROTECT, and the initiator got that status: a write that had run was reported as not performed, in each key-scope.

Cause: the front turns these statuses into a served result, and core answers with the first served result, whatever became of the other attempts.

Change: Result.NotPerformed (which takes in InvalidRequest, a node's 4xx over HTTP) is passed on only if no other attempt may have run. While one is outstanding it is awaited; otherwise the request fails as one in doubt. Attempts that are not claimed are abandoned first. The log line of a request's end says may_have_run.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -64,9 +64,9 @@
 	Load                 *policy.Load
 	Payload              any
 	Reason               Reason // why the attempt ended without an answer, for logs; may be empty
-	// InvalidRequest reports that the node rejected the request itself as invalid. The request is not retried, because
-	// another attempt would be rejected too, and the rejection does not count against the node's health.
-	InvalidRequest bool
+	// NotPerformed reports that the node says that it did not perform the request, and would not at another attempt either. The
+	// request is not retried, and what the node says does not count against its health. A Payload is then the answer that says so.
+	NotPerformed bool
 }
 
 // Claim claims the attempt for writing. A node client calls it right before it writes the first byte. It returns false if
@@ -261,7 +261,7 @@
 		c.cancelRequest(state) // otherwise the decision module would retry the request
 	}
 	state.outstanding--
-	state.mayHaveRun = state.mayHaveRun || mayHaveRun(result.Status)
+	state.mayHaveRun = state.mayHaveRun || mayHaveRun(result.Status) && !result.NotPerformed
 	attempt.endedAtMs, attempt.status, attempt.reason = now, result.Status, result.Reason
 	latency := now - attempt.sentAtMs
 	if attempt.respondingMs > 0 {
@@ -273,13 +273,7 @@
 	if limiter := c.startLimiter(); limiter != nil {
 		limiter.AttemptEnded(attempt.Node, result.Status)
 	}
-	if result.Status == policy.OK && !state.answered {
-		c.answer(state, Answer{Kind: Served, Payload: result.Payload})
-	} else if result.InvalidRequest {
-		c.answer(state, Answer{Kind: Failed, Cause: CauseInvalidRequest, Reason: ReasonInvalidRequest})
-	} else if payload, ok := result.Payload.(Releaser); ok {
-		payload.Release() // the request is answered already
-	}
+	c.answerFromResult(state, &result)
 	state.releaseEnded()
 	if c.requests[state.request.ID] != state {
 		return // the request was failed by a restart of the decision module
@@ -298,3 +292,34 @@
 	})
 	c.forgetEnded(state)
 }
+
+// answerFromResult answers a request with the result of one of its attempts, if the result decides the request. The first attempt that
+// is served does. That a node did not perform the request says nothing about the other attempts: while one of them may have run, the
+// result is not passed on.
+func (c *Core) answerFromResult(state *requestState, result *Result) {
+	switch {
+	case state.answered:
+		result.releasePayload()
+	case result.NotPerformed && state.mayStillRun():
+		result.releasePayload()
+		result.Status = policy.Abandoned // the outstanding attempt may serve the request
+	case result.NotPerformed && state.mayHaveRun:
+		result.releasePayload()
+		result.Status = policy.Abandoned
+		c.answer(state, Answer{Kind: Failed, Cause: CauseNotServed, Reason: ReasonNotPerformed})
+	case result.Status == policy.OK:
+		c.answer(state, Answer{Kind: Served, Payload: result.Payload})
+	case result.NotPerformed:
+		c.answer(state, Answer{Kind: Failed, Cause: CauseInvalidRequest, Reason: ReasonInvalidRequest})
+	default:
+		result.releasePayload()
+	}
+}
+
+// releasePayload releases the payload of a result that is not used for an answer.
+func (r *Result) releasePayload() {
+	if payload, ok := r.Payload.(Releaser); ok {
+		payload.Release()
+	}
+	r.Payload = nil
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -17,7 +17,7 @@
 	core.updateList(policy.CachedListLoaded, newNode("n", 0, policy.NodeUp))
 	for _, class := range []string{"read", "record"} {
 		_, answers := core.submit(class, class)
-		(<-core.node("n").sent).Done(Result{Status: policy.Abandoned, InvalidRequest: true})
+		(<-core.node("n").sent).Done(Result{Status: policy.Abandoned, NotPerformed: true})
 		if answer := expectAnswer(t, answers, Failed); answer.Cause != CauseInvalidRequest {
 			t.Errorf("%s: answer %+v, want CauseInvalidRequest", class, answer)
 		}
--- a/internal/core/counters_test.go
+++ b/internal/core/counters_test.go
@@ -31,7 +31,7 @@
 	_, invalid := core.submit("b", "record") // rejected by the node as invalid, counted as failed with one attempt
 	attempt = <-node.sent
 	attempt.MarkWritten()
-	attempt.Done(Result{Status: policy.Abandoned, InvalidRequest: true})
+	attempt.Done(Result{Status: policy.Abandoned, NotPerformed: true})
 	expectAnswer(t, invalid, Failed)
 
 	request, cancelled := core.submit("g", "read") // cancelled by the client, so not counted as answered
--- a/internal/core/payload_test.go
+++ b/internal/core/payload_test.go
@@ -52,7 +52,7 @@
 	}{
 		"served": {nil, end(policy.OK)},
 		"failed": {nil, func(_ *fixture, _ *Request, a *Attempt) {
-			a.Done(Result{Status: policy.Abandoned, InvalidRequest: true})
+			a.Done(Result{Status: policy.Abandoned, NotPerformed: true})
 		}},
 		"client disconnected":    {func(f *fixture, r *Request, _ *Attempt) { f.Cancel(r) }, end(policy.Cancelled)},
 		"overdue":                {func(*fixture, *Request, *Attempt) { time.Sleep(2 * time.Minute) }, end(policy.TimedOut)},
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -40,6 +40,7 @@
 	RetryAfter time.Duration // if Rejected
 	Cause      Cause         // if Failed
 	Reason     Reason        // for logs and metrics
+	MayHaveRun bool          // an attempt has run or may have, or may yet; set by core
 }
 
 // Request is a client's request as a front submits it.
@@ -203,6 +204,7 @@
 		return
 	}
 	state.rejected = a.Kind == Rejected
+	a.MayHaveRun = state.mayStillRun() || state.mayHaveRun
 	c.end(state)
 	c.counters.ended(state.request.Class, a.Kind)
 	state.request.Answer(a)
@@ -214,9 +216,18 @@
 // wait for a connection after another one was served or the deadline has passed, and must not be written.
 func (s *requestState) markAnswered() {
 	s.answered = true
+	s.mayStillRun()
+}
+
+// mayStillRun abandons the attempts that are not claimed yet, and reports whether one is outstanding that is claimed: its node may have
+// run it, or may yet.
+func (s *requestState) mayStillRun() bool {
+	claimed := false
 	for _, attempt := range s.attempts {
-		attempt.phase.CompareAndSwap(phaseWaiting, phaseAbandoned)
+		abandoned := attempt.phase.CompareAndSwap(phaseWaiting, phaseAbandoned) || attempt.phase.Load() == phaseAbandoned
+		claimed = claimed || !abandoned && attempt.endedAtMs <= 0
 	}
+	return claimed
 }
 
 // end marks a request as answered and releases what only an open request needs. The caller then passes on the answer.
--- a/internal/core/requestlog.go
+++ b/internal/core/requestlog.go
@@ -22,6 +22,7 @@
 	ReasonDeadline       Reason = "deadline"         // ended by the guard timer
 	ReasonInternal       Reason = "internal-error"   // the decision module panicked, or the actor ended
 	ReasonInvalidRequest Reason = "invalid-request"  // the node rejected the request as invalid
+	ReasonNotPerformed   Reason = "not-performed"    // a node says that it did not perform the request, and another attempt may have run
 	ReasonUnpublished    Reason = "id-not-published" // another process may not see that this one owns the id
 	ReasonDisconnected   Reason = "client-disconnected"
 	ReasonRetried        Reason = "served-after-retry"
@@ -53,6 +54,7 @@
 	}
 	c.options.Events.Record(eventlog.RequestEnded, a.Reason, func() logrus.Fields {
 		fields := requestFields(state.request, a)
+		fields["may_have_run"] = a.MayHaveRun
 		fields["attempts"] = c.describeAttempts(state)
 		return fields
 	})
--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -263,7 +263,7 @@
 	case isCapacityRejection(m):
 		r.Status = policy.NodeFull
 	case code >= 400 && code < 500 && code != fasthttp.StatusRequestTimeout && code != fasthttp.StatusTooManyRequests:
-		r.Status, r.InvalidRequest = policy.Abandoned, true
+		r.Status, r.NotPerformed = policy.Abandoned, true
 	}
 	rep.Release()
 	return r
--- a/internal/httpfront/codec_recorded_test.go
+++ b/internal/httpfront/codec_recorded_test.go
@@ -141,5 +141,5 @@
 	if r.Load != nil {
 		load = fmt.Sprintf("%v %v %v", r.Load.Inflight, r.Load.Queue, r.Load.Util)
 	}
-	return fmt.Sprintf("%s invalid %t peers %v plan %v load %s limited %t reply %t", word, r.InvalidRequest, r.PeerUsage, r.PlanUsage, load, rep.limited, r.Payload != nil)
+	return fmt.Sprintf("%s invalid %t peers %v plan %v load %s limited %t reply %t", word, r.NotPerformed, r.PeerUsage, r.PlanUsage, load, rep.limited, r.Payload != nil)
 }
--- a/internal/iscsi/indoubt_test.go
+++ b/internal/iscsi/indoubt_test.go
@@ -83,3 +83,35 @@
 		}
 	})
 }
+
+// Guards against passing on that a write was not performed, which a storage target says of a later attempt, after an attempt that may
+// have run.
+func TestNotPerformedIsNotPassedOnAfterAPossibleRun(t *testing.T) {
+	conflict := reaction{status: statusConflict}
+	illegal := reaction{status: statusCheckCondition, sense: senseOutOfRange.encodeFixed()}
+	protected := reaction{status: statusCheckCondition, sense: senseProtected.encodeFixed()}
+	ran := reaction{executes: true, ending: cuts}
+	for name, x := range map[string]struct {
+		reactions        []reaction
+		status, senseKey byte
+	}{
+		"reset, then conflict":        {[]reaction{ran, conflict}, statusCheckCondition, senseHardware},
+		"reset, then illegal request": {[]reaction{ran, illegal}, statusCheckCondition, senseHardware},
+		"reset, then data protect":    {[]reaction{ran, protected}, statusCheckCondition, senseHardware},
+		"reset, busy, then conflict":  {[]reaction{ran, {status: statusBusy}, conflict}, statusCheckCondition, senseHardware},
+		"conflict at once":            {[]reaction{conflict}, statusConflict, 0},
+		"busy, then illegal request":  {[]reaction{{status: statusBusy}, illegal}, statusCheckCondition, senseIllegalRequest},
+	} {
+		for scope, word := range map[policy.DedupScope]string{policy.DedupAll: "all", policy.DedupShard: "cell"} {
+			t.Run(name+", "+word, func(t *testing.T) {
+				t.Parallel()
+				target := newFakeTarget(t)
+				target.react = inSequence(x.reactions...)
+				env := newTestEnvWithSettings(t, keyedSettings(scope), true, target)
+				if e := env.initiator(t).write(0, pattern(1024)); e.status != x.status || e.senseKey != x.senseKey {
+					t.Errorf("ended with status 0x%x, sense key %x, want 0x%x, %x", e.status, e.senseKey, x.status, x.senseKey)
+				}
+			})
+		}
+	}
+}
--- a/internal/iscsi/nexus.go
+++ b/internal/iscsi/nexus.go
@@ -369,6 +369,10 @@
 	}
 	r := core.Result{Status: policy.Errored}
 	passOn := func() { r.Status, r.Payload = policy.OK, &result{status: status, sense: rawSense, data: c.readData} }
+	passOnNotPerformed := func() { // another attempt would end likewise
+		passOn()
+		r.NotPerformed = true
+	}
 	switch {
 	case q.op() == opSCSIResponse && q.bhs[2] != 0: // iSCSI response "target failure": the command has no status
 	case status == statusGood:
@@ -382,11 +386,11 @@
 	case status == statusBusy || status == statusTaskSetFull:
 		r.Status = policy.NodeFull
 	case status == statusConflict:
-		passOn()
+		passOnNotPerformed()
 	case status == statusCheckCondition:
 		switch senseKey(rawSense) {
 		case senseIllegalRequest, senseDataProtect:
-			passOn() // another attempt would fail likewise, so the client gets this response
+			passOnNotPerformed()
 		case senseNotReady, senseUnitAttention:
 			r.Status = policy.NodeFull // the sense was reported instead of running the command (SPC-4)
 		}
