iSCSI: a repeatable command that may have run gets ABORTED COMMAND, not BUSY

Seen by callers: a read, or a write of a class that is safe to repeat, whose attempt may have run was answered with BUSY when the next ones failed. A repeat does no harm there, but BUSY says that the command was not accepted, which is not known.

Change: core says of each answer whether an attempt may have run; the front answers such a rejection with CHECK CONDITION, ABORTED COMMAND, after which initiators repeat as well. BUSY and TASK SET FULL now always mean that no attempt may have run.

--- a/internal/iscsi/indoubt_test.go
+++ b/internal/iscsi/indoubt_test.go
@@ -33,7 +33,7 @@
 		"reset, then busy":         {[]reaction{{executes: true, ending: cuts}, busy}, 1},
 		"reset, then not ready":    {[]reaction{{executes: true, ending: cuts}, notReady}, 1},
 		"reset without execution":  {[]reaction{{ending: falls}}, 0},
-		"sense, then busy":         {[]reaction{{executes: true, status: statusCheckCondition, sense: senseReadLost.encodeFixed()}, busy}, 1},
+		"sense, then busy":         {[]reaction{{executes: true, status: statusCheckCondition, sense: senseMayRepeat.encodeFixed()}, busy}, 1},
 		"busy, then reset":         {[]reaction{busy, {executes: true, ending: falls}}, 1},
 		"not ready, reset, busy":   {[]reaction{notReady, {executes: true, ending: cuts}, busy}, 1},
 		"silence":                  {[]reaction{{executes: true, ending: hangs}}, 1},
@@ -115,3 +115,45 @@
 		}
 	}
 }
+
+// Guards against BUSY for a command that may have run and may be repeated, which says that it was not accepted: it gets ABORTED COMMAND,
+// after which initiators repeat it as well.
+func TestRepeatableCommandThatMayHaveRunIsNotAnsweredWithBusy(t *testing.T) {
+	ran, busy := reaction{executes: true, ending: cuts}, reaction{status: statusBusy}
+	for name, x := range map[string]struct {
+		reactions        []reaction
+		status, senseKey byte
+	}{
+		"reset, then busy":         {[]reaction{ran, busy}, statusCheckCondition, senseAborted},
+		"reset, then no login":     {[]reaction{{executes: true, ending: falls}}, statusCheckCondition, senseAborted},
+		"reset, then conflict":     {[]reaction{ran, {status: statusConflict}}, statusCheckCondition, senseHardware},
+		"silence":                  {[]reaction{{executes: true, ending: hangs}}, statusCheckCondition, senseAborted},
+		"busy":                     {[]reaction{busy}, statusBusy, 0},
+		"busy, then reset, silent": {[]reaction{busy, ran, {ending: hangs}}, statusCheckCondition, senseAborted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			set := testSettings(1000)
+			set.Classes[1].Effect = policy.Idempotent
+			target := newFakeTarget(t)
+			target.react = inSequence(x.reactions...)
+			env := newTestEnvWithSettings(t, set, false, target)
+			if e := env.initiator(t).write(0, pattern(1024)); e.status != x.status || e.senseKey != x.senseKey {
+				t.Errorf("a write ended with status 0x%x, sense key %x, want 0x%x, %x", e.status, e.senseKey, x.status, x.senseKey)
+			}
+		})
+		t.Run(name+", read", func(t *testing.T) {
+			t.Parallel()
+			target := newFakeTarget(t)
+			target.react = inSequence(x.reactions...)
+			env := newTestEnvWithSettings(t, testSettings(1000), false, target)
+			want := x.senseKey
+			if want == senseHardware {
+				want = senseAborted
+			}
+			if e := env.initiator(t).readBlocks(0, 2); e.status != x.status || e.senseKey != want {
+				t.Errorf("a read ended with status 0x%x, sense key %x, want 0x%x, %x", e.status, e.senseKey, x.status, want)
+			}
+		})
+	}
+}
--- a/internal/iscsi/iscsi_test.go
+++ b/internal/iscsi/iscsi_test.go
@@ -200,7 +200,7 @@
 		{statusTaskSetFull, nil, false, statusBusy, 0, 1, 4, true},
 		{statusConflict, nil, true, statusConflict, 0, 1, 1, false},
 		{statusCheckCondition, senseOutOfRange.encodeFixed(), true, statusCheckCondition, senseIllegalRequest, 1, 1, false},
-		{statusCheckCondition, senseReadLost.encodeFixed(), true, statusCheckCondition, senseHardware, 1, 1, false},
+		{statusCheckCondition, senseMayRepeat.encodeFixed(), true, statusCheckCondition, senseHardware, 1, 1, false},
 		{statusCheckCondition, sense{senseUnitAttention, 0x2900}.encodeFixed(), true, statusBusy, 0, 1, 4, true},
 	} {
 		env := newTestEnv(t, 5000, false)
--- a/internal/iscsi/response.go
+++ b/internal/iscsi/response.go
@@ -39,6 +39,10 @@
 			}
 			s.sendResponse(task, r.status, r.sense, r.data, transferred, 0)
 		case core.Rejected:
+			if a.MayHaveRun { // and may be repeated
+				s.finishTask(task, statusCheckCondition, &senseMayRepeat, nil, 0)
+				continue
+			}
 			s.rejectTask(task, a.RetryAfter)
 		case core.Failed:
 			if a.Cause == core.CauseSettingsChanged { // it has not run, and is decoded anew when the initiator repeats it
@@ -51,7 +55,7 @@
 }
 
 // failureSense returns the sense of a failed request. A read gets ABORTED COMMAND, after which initiators retry. A
-// write that may have run gets HARDWARE ERROR, after which they do not.
+// write that may have run gets HARDWARE ERROR, after which they do not. Neither says whether the command was performed.
 func failureSense(cause core.Cause, write bool) *sense {
 	switch {
 	case cause == core.CauseUnknownClass:
@@ -61,10 +65,10 @@
 	case cause == core.CauseDeadlineExceeded:
 		return &senseTimeout
 	}
-	return &senseReadLost
+	return &senseMayRepeat
 }
 
-// rejectTask responds that the command was not run: with TASK SET FULL while this initiator has other tasks, else with
+// rejectTask responds that the command was not run, nor will be: with TASK SET FULL while this initiator has other tasks, else with
 // BUSY (SAM-5, 5.3.1). The status qualifier carries the time after which to retry.
 func (s *session) rejectTask(task *scsiTask, wait time.Duration) {
 	status := byte(statusBusy)
--- a/internal/iscsi/scsi.go
+++ b/internal/iscsi/scsi.go
@@ -58,7 +58,7 @@
 	senseProtected    = sense{senseDataProtect, 0x2700}
 	senseDataLength   = sense{senseAborted, 0x4b00} // data phase error
 	senseTimeout      = sense{senseAborted, 0x2e02} // command timeout during processing
-	senseReadLost     = sense{senseAborted, 0x0800} // logical unit communication failure
+	senseMayRepeat    = sense{senseAborted, 0x0800} // logical unit communication failure
 	senseWriteInDoubt = sense{senseHardware, 0x0800}
 )
 
