iSCSI: aborts, resets, logouts and logins wait for the writes they cover

Seen by callers: "function complete" for ABORT TASK at once, while the storage target had the write; it ran 0.9 s later. So with every other function, with a logout, and with the login of an initiator that had lost its session.

Cause: handleTaskManagement cancelled the tasks' requests in core, which ends their attempts without an outcome, and answered in the same step. Evidence: the response came at once in 6 of 6 functions while the storage target held the write; no further attempt began.

Resets cover the writes of all sessions. An abort is not passed on to be trusted: a cancel stops nothing at a storage target. An attempt that was cancelled before it was written never ran. A late response to an aborted command no longer breaks the connection.

TestAbortTask, TestSessionReinstatement and TestLogout wanted the confirmation at once, over a write that was held at the storage target: the fault itself. Their replacements want that nothing is confirmed before the outcome, the outcome, then the confirmation; that an aborted read gets no response and is aborted at the storage target; and that a former session's end leaves nothing open in core.

--- a/cmd/wheatsaddle/iscsi.go
+++ b/cmd/wheatsaddle/iscsi.go
@@ -83,6 +83,7 @@
 		sockets: mapping.Sessions + 2*len(mapping.Storage),
 	}
 	f.target.LimitMemory(options.memory)
+	f.target.Events = options.events
 	go func() {
 		if err := f.target.Serve(ln); err != nil {
 			log.WithFields(operr.Fields(&transport.ListenerEndedError{Front: "iscsi", Address: mapping.Listen, Err: err})).Error("iSCSI front failed")
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -60,7 +60,8 @@
 	c.forgetEnded(state)
 }
 
-// cancelAttempt cancels an attempt through its node client. An attempt without a node client has already ended.
+// cancelAttempt cancels an attempt through its node client. An attempt without a node client has already ended. One of an aborted request
+// that is claimed is not cancelled, because its outcome is awaited.
 func (c *Core) cancelAttempt(a *policy.Action) {
 	state := c.requests[a.ID]
 	if state == nil || a.Attempt < 0 || a.Attempt >= len(state.attempts) {
@@ -71,6 +72,9 @@
 		c.attemptTransferring(attempt) // the notice may still be on its way
 		return
 	}
+	if state.aborted && attempt.phase.Load() == phaseClaimed {
+		return
+	}
 	if attempt.client != nil {
 		attempt.client.Cancel(attempt)
 	}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -274,6 +274,9 @@
 		limiter.AttemptEnded(attempt.Node, result.Status)
 	}
 	c.answerFromResult(state, &result)
+	if state.aborted {
+		c.answerAborted(state)
+	}
 	state.releaseEnded()
 	if c.requests[state.request.ID] != state {
 		return // the request was failed by a restart of the decision module
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -51,8 +51,11 @@
 	// Payload is passed from the front to its node clients. Core does not interpret it, but calls Release if it implements
 	// Releaser, once no attempt can use it any more and before the answer. Core then drops its reference. If the actor ends
 	// first, Release is not called for a request with an outstanding attempt.
-	Payload        any
-	Answer         func(Answer)      // called exactly once unless the request is cancelled before; must not block
+	Payload any
+	Answer  func(Answer) // called exactly once unless the request is cancelled before; must not block
+	// Ended is called exactly once, when no further attempt of the request will begin: after Answer, or when the request is cancelled.
+	// Attempts that were claimed before may go on. It must not block, and may be nil.
+	Ended          func()
 	AttemptedNodes *AttemptedNodes   // core adds the nodes that the attempts are dispatched to; may be nil
 	Settings       *Settings         // version that the request was decoded with; nil means the current one at its arrival
 	AvoidNodes     []*AttemptedNodes // nodes of earlier requests for the same data, newest first; other nodes are preferred
@@ -66,6 +69,13 @@
 	return r != nil && r.ClientDisconnected != nil && r.ClientDisconnected()
 }
 
+// ended calls Ended.
+func (r *Request) ended() {
+	if r.Ended != nil {
+		r.Ended()
+	}
+}
+
 // releasePayload releases the payload, which nothing may use any more. A second call does nothing.
 func (r *Request) releasePayload() {
 	payload, ok := r.Payload.(Releaser)
@@ -86,6 +96,7 @@
 	outstanding   int // attempts without a result
 	answered      bool
 	rejected      bool          // the answer is a rejection
+	aborted       bool          // no further attempt is made; the outstanding ones are awaited
 	published     bool          // other processes see that this one owns the id
 	mayHaveRun    bool          // an attempt has run or may have
 	guardExtended bool          // the guard waits for a long response to be passed on
@@ -116,6 +127,7 @@
 	r.releasePayload()
 	a := Answer{Kind: Rejected, RetryAfter: wait, Reason: reason}
 	r.Answer(a)
+	r.ended()
 	c.options.Events.Record(eventlog.RequestEnded, reason, func() logrus.Fields { return requestFields(r, a) })
 }
 
@@ -135,6 +147,7 @@
 		r.releasePayload()
 		a := Answer{Kind: Failed, Cause: cause, Reason: reasonOfCause[cause]}
 		r.Answer(a)
+		r.ended()
 		c.options.Events.Record(eventlog.RequestEnded, a.Reason, func() logrus.Fields { return requestFields(r, a) })
 		return
 	}
@@ -179,6 +192,7 @@
 		return
 	}
 	c.end(state)
+	state.request.ended()
 	c.recordDisconnect(state)
 	c.dropFromModule(state)
 }
@@ -208,6 +222,7 @@
 	c.end(state)
 	c.counters.ended(state.request.Class, a.Kind)
 	state.request.Answer(a)
+	state.request.ended()
 	c.recordEnd(state, a)
 	c.logLate(state, a, time.Now())
 }
--- a/internal/core/requestlog.go
+++ b/internal/core/requestlog.go
@@ -24,6 +24,7 @@
 	ReasonInvalidRequest Reason = "invalid-request"  // the node rejected the request as invalid
 	ReasonNotPerformed   Reason = "not-performed"    // a node says that it did not perform the request, and another attempt may have run
 	ReasonUnpublished    Reason = "id-not-published" // another process may not see that this one owns the id
+	ReasonAborted        Reason = "aborted"          // by its client, which still waits for the outcome
 	ReasonDisconnected   Reason = "client-disconnected"
 	ReasonRetried        Reason = "served-after-retry"
 )
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -31,6 +31,7 @@
 	NodeConnectionClosed   Kind = "node_connection_closed"   // by this process or by the node
 	SlowTransfer           Kind = "slow_transfer"            // a node takes a request, or gives an answer, with rests; the reason is the phase
 	ClientConnectionClosed Kind = "client_connection_closed" // by this process or by the client
+	TaskManagement         Kind = "task_management"          // an initiator's abort, reset or logout was answered
 )
 
 var messages = map[Kind]string{
@@ -38,6 +39,7 @@
 	NodeConnectionClosed:   "connection to a storage node closed",
 	SlowTransfer:           "storage node transfers slowly",
 	ClientConnectionClosed: "client connection closed",
+	TaskManagement:         "task management function answered",
 }
 
 // Reason is why it happened. Reasons are constants of the packages that record them.
--- a/internal/iscsi/command.go
+++ b/internal/iscsi/command.go
@@ -8,6 +8,7 @@
 
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/taskset"
 	"wheatsaddle/policy"
 )
 
@@ -32,6 +33,8 @@
 	r2tSN             uint32        // R2TSN of the next R2T
 	request           *core.Request // nil until submitted
 	buffer            *bufferShare  // nil: the command transfers no blocks
+	abortedBy         *function     // which has not been answered; nil: the task is not aborted
+	neverRan          bool          // of an aborted task: core has answered that no attempt may have run
 }
 
 // transfer is the payload of a request: the command for a storage target. It is the same for each attempt.
@@ -43,6 +46,7 @@
 	key   string
 	// buffer is the command's share of the buffer budget, which also covers data.
 	buffer *bufferShare
+	effect *writeEffect // nil: a read
 }
 
 // Release implements core.Releaser. Core calls it when no attempt can use the transfer any more.
@@ -200,8 +204,8 @@
 // handleDataOut adds write data to its task and submits the task once it is complete.
 func (s *session) handleDataOut(p *pdu) error {
 	task := s.tasks[p.tag()]
-	if task == nil || task.request != nil || !task.block.write {
-		return nil // the command was already answered
+	if task == nil || task.request != nil || !task.block.write || task.abortedBy != nil {
+		return nil // the command was already answered or aborted
 	}
 	n := uint32(len(p.data))
 	if p.u32(20) != task.targetTransferTag || p.u32(36) != task.dataSN || p.u32(40) != task.received || n > task.burstLeft {
@@ -225,7 +229,7 @@
 
 // dataTimedOut reports whether the write data of a task that is not submitted yet have stopped arriving, or are too late.
 func (task *scsiTask) dataTimedOut(now time.Time) bool {
-	return task.request == nil && (now.Sub(task.receivedAt) > task.deadline || now.Sub(task.lastDataAt) > pduLimits.StallTimeout)
+	return task.request == nil && task.abortedBy == nil && (now.Sub(task.receivedAt) > task.deadline || now.Sub(task.lastDataAt) > pduLimits.StallTimeout)
 }
 
 // submit submits the task's request to the core. Its deadline counts from the arrival of the command.
@@ -239,12 +243,18 @@
 	if task.settings.MaxUnits > 0 {
 		units = math.Min(units, task.settings.MaxUnits)
 	}
+	payload := &transfer{lun: u.StorageLUN, block: task.block, size: task.length, data: task.writeData, key: id, buffer: task.buffer.share()}
+	if task.block.write {
+		payload.effect = s.target.effects.begin(taskset.Command{Session: s.id, Initiator: s.initiatorName, Nexus: s.nexus, Target: s.targetName,
+			LUN: task.lun, Tag: task.initiatorTaskTag})
+	}
 	task.request = &core.Request{
 		Request: policy.Request{ID: id, Class: task.class, Plan: u.Plan, Key: fmt.Sprintf("%016x", h.Sum64()), Volume: u.Volume,
 			Units: units, Shard: u.Shard, Schedulers: u.Schedulers},
 		Settings:   task.settings,
 		ReceivedAt: task.receivedAt, Timeout: task.deadline,
-		Payload: &transfer{lun: u.StorageLUN, block: task.block, size: task.length, data: task.writeData, key: id, buffer: task.buffer.share()},
+		Payload: payload,
+		Ended:   payload.effect.ended,
 	}
 	task.writeData = nil // belongs to the transfer
 	task.request.Answer = func(a core.Answer) {
@@ -259,14 +269,6 @@
 	s.target.core.Submit(task.request)
 }
 
-// abortTask cancels a task's request and removes the task without a response.
-func (s *session) abortTask(task *scsiTask) {
-	if task.request != nil {
-		s.target.core.Cancel(task.request)
-	}
-	s.removeTask(task)
-}
-
 // removeTask removes a task, unless its tag belongs to another task. Its share of the buffer budget is released with the next
 // flush, because the response may still wait in the write buffer.
 func (s *session) removeTask(task *scsiTask) {
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -380,12 +380,8 @@
 		c := p.queue[0]
 		p.queue[0] = nil // the array must not refer to it
 		p.queue = p.queue[1:]
-		switch {
-		case c.attempt == nil:
-		case c.attempt.Claim():
-			p.current.startCommand(c)
-		default: // the request was answered while the command was queued
-			p.reportResult(c, core.Result{Status: policy.Abandoned})
+		if c.attempt != nil {
+			p.startOrDrop(c)
 		}
 	}
 	if p.current != nil {
@@ -393,6 +389,17 @@
 	}
 }
 
+// startOrDrop writes a queued command, unless its request was answered meanwhile.
+func (p *storagePeer) startOrDrop(c *command) {
+	c.transfer.effect.attemptBegan() // before the claim, so that no effect is missed
+	if c.attempt.Claim() {
+		p.current.startCommand(c)
+		return
+	}
+	c.transfer.effect.attemptFinished()
+	p.reportResult(c, core.Result{Status: policy.Abandoned})
+}
+
 func (p *storagePeer) failQueue() {
 	for _, c := range p.queue {
 		p.reportResult(c, core.Result{Status: policy.ConnectFailed})
@@ -479,12 +486,15 @@
 }
 
 // abandon ends an attempt with the given status. A command that was written may still run: its tag
-// stays in use, ABORT TASK is sent, and its response is ignored.
+// stays in use, ABORT TASK is sent, and its response is ignored. One that was not written never ran.
 func (p *storagePeer) abandon(a *core.Attempt, status policy.Status) {
 	c := p.commands[a]
 	if c == nil {
 		return
 	}
+	if !c.written {
+		status = policy.Abandoned
+	}
 	p.reportResult(c, core.Result{Status: status})
 	if x := c.nexus; c.written && x != nil && x.conn != nil {
 		x.abortCommand(c)
--- a/internal/iscsi/login.go
+++ b/internal/iscsi/login.go
@@ -7,6 +7,8 @@
 	"net"
 	"strconv"
 	"time"
+
+	"wheatsaddle/internal/taskset"
 )
 
 // Login stages and statuses (RFC 7143, 11.12 and 11.13).
@@ -72,25 +74,15 @@
 			}
 		}
 		complete := status == 0 && r.bhs[1]&flagFinal != 0 && nsg == stageFull
+		if complete && !s.discovery && !s.awaitFormerSessions(p.bhs[8:14]) {
+			complete, status = false, loginBusy
+		}
 		if status != 0 {
 			be.PutUint16(r.bhs[36:], status)
 			r.bhs[1], r.data = csg<<2, nil
 		}
 		if complete {
-			s.target.mu.Lock()
-			if s.target.lastTSIH++; s.target.lastTSIH == 0 {
-				s.target.lastTSIH = 1
-			}
-			be.PutUint16(r.bhs[14:], s.target.lastTSIH)
-			s.nexus = fmt.Sprintf("%s %x %s", s.initiatorName, p.bhs[8:14], s.targetName)
-			for other := range s.target.sessions {
-				// Session reinstatement (6.3.5): the same initiator port has logged in again, so the
-				// old session ends and its tasks are aborted.
-				if other != s && !s.discovery && other.nexus == s.nexus {
-					other.conn.Close()
-				}
-			}
-			s.target.mu.Unlock()
+			be.PutUint16(r.bhs[14:], s.target.nextTSIH())
 		}
 		s.queuePDU(r, true)
 		if err := s.flush(); err != nil {
@@ -112,6 +104,41 @@
 	return fmt.Errorf("%w: too many login requests", errProtocol)
 }
 
+// awaitFormerSessions ends the session that the login reinstates (6.3.5), and waits until the writes of the initiator's sessions that have
+// ended can run no more: a login tells an initiator that what it had open has no further effect. It returns false if one may still run.
+func (s *session) awaitFormerSessions(isid []byte) bool {
+	t := s.target
+	nexus := fmt.Sprintf("%s %x %s", s.initiatorName, isid, s.targetName)
+	t.mu.Lock()
+	s.nexus = nexus
+	for other := range t.sessions {
+		if other != s && other.nexus == nexus {
+			other.conn.Close()
+		}
+	}
+	t.mu.Unlock()
+	outcome := make(chan taskset.Outcome, 1)
+	t.effects.await(taskset.FormerSessions(s.initiatorName, s.targetName, nexus), func(o taskset.Outcome) { outcome <- o })
+	for {
+		select {
+		case o := <-outcome:
+			return o == taskset.NoEffect
+		case <-time.After(sessionCheckInterval):
+			t.effects.expire()
+		}
+	}
+}
+
+// nextTSIH returns the handle of a new session.
+func (t *Target) nextTSIH() uint16 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lastTSIH++; t.lastTSIH == 0 {
+		t.lastTSIH = 1
+	}
+	return t.lastTSIH
+}
+
 // negotiate returns the status and the response text for the complete text of a login request.
 func (s *session) negotiate(text []byte, csg byte) (uint16, []byte) {
 	pairs, err := decodeText(text)
--- a/internal/iscsi/nexus.go
+++ b/internal/iscsi/nexus.go
@@ -22,6 +22,7 @@
 	conn                      *loggedInConn // nil: the session has ended
 	commands                  map[uint32]*command
 	abandoned                 int
+	aborted                   abortedCommands
 	cmdSN, expStatSN, lastITT uint32
 	maxCmdSN                  uint32
 	lastPDUAt                 time.Time
@@ -140,9 +141,11 @@
 	delete(x.peer.retiring, x)
 	for tag, c := range x.commands {
 		delete(x.commands, tag)
+		c.transfer.effect.attemptLost()
 		x.peer.reportResult(c, core.Result{Status: policy.ConnectionReset})
 	}
 	x.abandoned = 0
+	x.aborted.connectionEnded()
 	if x.connID != 0 {
 		x.peer.portals.recordSessionEnd(x)
 	}
@@ -222,6 +225,7 @@
 	commandLength := len(b)
 	n, ok := x.writeFor(c, append(b, dataOut...))
 	if c.written = n >= commandLength; !c.written {
+		c.transfer.effect.attemptFinished()
 		x.peer.reportResult(c, core.Result{Status: policy.ConnectFailed})
 	} else {
 		x.commands[c.itt] = c
@@ -278,6 +282,9 @@
 		x.expStatSN = q.u32(24) + 1
 	}
 	c := x.commands[q.tag()]
+	if c == nil && x.aborted.ignores(q) {
+		return nil
+	}
 	switch q.op() {
 	case opSCSIResponse:
 		if c == nil {
@@ -318,6 +325,8 @@
 	case opTaskMgmtResp:
 		if aborted := x.commands[q.tag()&^(1<<31)]; aborted != nil && aborted.attempt == nil {
 			x.removeCommand(aborted)
+			aborted.transfer.effect.attemptAborted()
+			x.aborted.add(aborted)
 		}
 	case opNopIn:
 		if ttt := q.u32(20); ttt != noTag {
@@ -342,6 +351,7 @@
 		if r := x.commands[be.Uint32(q.data[16:])]; r != nil {
 			x.peer.reportResult(r, core.Result{Status: policy.Errored})
 			x.removeCommand(r)
+			r.transfer.effect.attemptFinished()
 		}
 	case opLogoutResp:
 		return errLoggedOut
@@ -355,6 +365,7 @@
 // is passed to the client.
 func (x *nexus) handleResponse(c *command, q *pdu) error {
 	x.removeCommand(c)
+	defer c.transfer.effect.attemptFinished()
 	if c.attempt == nil {
 		return nil
 	}
--- a/internal/iscsi/response.go
+++ b/internal/iscsi/response.go
@@ -27,7 +27,7 @@
 	s.mu.Unlock()
 	for _, a := range answers {
 		task := a.task
-		if s.tasks[task.initiatorTaskTag] != task {
+		if s.tasks[task.initiatorTaskTag] != task || task.holdsAnswer(a.Answer) {
 			continue
 		}
 		switch a.Kind {
--- a/internal/iscsi/session.go
+++ b/internal/iscsi/session.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"wheatsaddle/internal/taskset"
 )
 
 // session serves one initiator over one connection, at error recovery level 0. Only the goroutine of run uses its
@@ -25,15 +27,18 @@
 	maxCmdSN                    uint32
 	nexus                       string // initiator, ISID and target; guarded by the target's mu
 	lastTransferTag             uint32
-	tasks                       map[uint32]*scsiTask // by initiator task tag
+	id                          uint64
+	tasks                       map[uint32]*scsiTask             // by initiator task tag
+	functions                   map[taskset.FunctionID]*function // that are not answered
 	writeBuffer                 []byte
-	unflushed                   []*bufferShare // of tasks that have ended, until their responses are written
-	mu                          sync.Mutex     // guards answers
-	answers                     []coreAnswer   // shared: appended by the core, at most one for each task
-	wake                        chan struct{}  // shared: signals that answers has entries
-	draining                    atomic.Bool    // shared: the target is shutting down
-	finishing                   atomic.Bool    // shared: no command may be started any more
-	logoutRequestedAt           time.Time      // when the initiator was asked to log out; zero: not yet
+	unflushed                   []*bufferShare     // of tasks that have ended, until their responses are written
+	mu                          sync.Mutex         // guards answers and decisions
+	answers                     []coreAnswer       // shared: appended by the core, at most one for each task
+	decisions                   []functionDecision // shared: about functions
+	wake                        chan struct{}      // shared: signals that answers or decisions has entries
+	draining                    atomic.Bool        // shared: the target is shutting down
+	finishing                   atomic.Bool        // shared: no command may be started any more
+	logoutRequestedAt           time.Time          // when the initiator was asked to log out; zero: not yet
 	lastPDUAt                   time.Time
 	pingSent                    bool
 }
@@ -46,11 +51,11 @@
 // newSession returns a session that has yet to log in.
 func newSession(t *Target, nc net.Conn) *session {
 	return &session{target: t, conn: nc, reader: newPDUReader(nc), params: defaultParams(), receiveFraming: framing{maxDataSegment: 8192},
-		tasks: map[uint32]*scsiTask{}, wake: make(chan struct{}, 1), lastPDUAt: time.Now()}
+		id: t.lastSession.Add(1), tasks: map[uint32]*scsiTask{}, functions: map[taskset.FunctionID]*function{}, wake: make(chan struct{}, 1), lastPDUAt: time.Now()}
 }
 
 // run performs the login and serves the session until logout, an error, or the end of its connection. Tasks still open
-// then are aborted without a response, because the initiator can no longer receive one.
+// then are stopped without a response, because the initiator can no longer receive one.
 func (s *session) run() error {
 	defer s.conn.Close()
 	if err := s.login(); err != nil {
@@ -61,13 +66,7 @@
 	pdus := make(chan *pdu, 4)
 	failed := make(chan error, 1)
 	go s.readPDUs(pdus, failed, done)
-	defer func() {
-		for _, task := range s.tasks {
-			s.abortTask(task)
-		}
-		s.writeBuffer = nil
-		s.releaseFlushed()
-	}()
+	defer s.end()
 	ticker := time.NewTicker(sessionCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -88,6 +87,7 @@
 		if err == nil {
 			s.sendResponses()
 			s.rejectUnsubmitted()
+			err = s.answerFunctions()
 		}
 		if ferr := s.flush(); err == nil {
 			err = ferr
@@ -98,6 +98,21 @@
 	}
 }
 
+// end stops the tasks of a session that has ended, and releases what it holds. An initiator that logs in again is answered once the writes
+// of its old session can have no further effect.
+func (s *session) end() {
+	for _, task := range s.tasks {
+		s.stopTask(task)
+		s.removeTask(task)
+	}
+	s.target.effects.sessionEnded(s.id)
+	for id := range s.functions {
+		s.target.effects.forget(id)
+	}
+	s.writeBuffer = nil
+	s.releaseFlushed()
+}
+
 // signal wakes the session's goroutine. It does not block.
 func (s *session) signal() {
 	select {
@@ -112,7 +127,7 @@
 		return
 	}
 	for _, task := range s.tasks {
-		if task.request == nil {
+		if task.request == nil && task.abortedBy == nil {
 			s.rejectTask(task, 0)
 		}
 	}
@@ -192,6 +207,7 @@
 
 // checkTimeouts handles the timeouts of a task's write data, of the logout at shutdown, and of an initiator that sends nothing.
 func (s *session) checkTimeouts(now time.Time) error {
+	s.target.effects.expire()
 	for _, task := range s.tasks {
 		if task.dataTimedOut(now) {
 			s.finishTask(task, statusCheckCondition, &senseTimeout, nil, 0)
@@ -204,7 +220,7 @@
 			a.bhs[1], a.bhs[36] = flagFinal, 1 // the target requests logout
 			be.PutUint16(a.bhs[42:], 2)        // within this many seconds
 			s.queuePDU(a, true)
-		} else if len(s.tasks) == 0 && s.logoutExpected(now) {
+		} else if len(s.tasks) == 0 && len(s.functions) == 0 && s.logoutExpected(now) {
 			return errLoggedOut
 		}
 	}
@@ -269,23 +285,17 @@
 	case opSCSICommand:
 		return s.handleCommand(p)
 	case opTaskMgmtReq:
-		return s.handleTaskManagement(p)
+		s.handleTaskManagement(p)
 	case opTextReq:
 		return s.handleText(p)
 	case opLogoutReq:
-		r := newPDU(opLogoutResp, p.tag())
-		r.bhs[1] = flagFinal
-		reason := p.bhs[1] & 0x7f
-		if reason == 2 { // logout for recovery, which error recovery level 0 does not support
-			r.bhs[2] = 2
+		if reason := p.bhs[1] & 0x7f; reason == 2 { // logout for recovery, which error recovery level 0 does not support
+			r := newPDU(opLogoutResp, p.tag())
+			r.bhs[1], r.bhs[2] = flagFinal, logoutNoRecovery
 			s.queuePDU(r, true)
 			return nil
 		}
-		for _, task := range s.tasks {
-			s.abortTask(task)
-		}
-		s.queuePDU(r, true)
-		return errLoggedOut
+		s.logOut(p)
 	case opLoginReq, opSNACK:
 		return s.sendReject(p, rejectProtocol)
 	default:
--- a/internal/iscsi/target.go
+++ b/internal/iscsi/target.go
@@ -12,6 +12,7 @@
 
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/transport"
@@ -75,6 +76,10 @@
 	startedAt         int64 // makes request ids differ from those of earlier processes
 	lastRequestNumber atomic.Uint64
 	buffers           bufferBudget // of all tasks
+	effects           *effectTracker
+	lastSession       atomic.Uint64
+	// Events records aborts, resets and logouts; nil: they are not recorded. It is set before Serve.
+	Events *eventlog.Log
 
 	mu       sync.Mutex // guards the fields below and each session's nexus
 	listener net.Listener
@@ -85,7 +90,7 @@
 
 // NewTarget returns a target that serves the configured units and submits to the core.
 func NewTarget(conf *config.ISCSI, c *core.Core, log logrus.FieldLogger) *Target {
-	t := &Target{conf: conf, core: c, log: log, startedAt: time.Now().UnixNano(), sessions: map[*session]bool{}}
+	t := &Target{conf: conf, core: c, log: log, startedAt: time.Now().UnixNano(), sessions: map[*session]bool{}, effects: newEffectTracker()}
 	t.mapping.Store(newMapping(conf, c.Settings()))
 	return t
 }
@@ -168,8 +173,13 @@
 }
 
 // Finish rejects the commands whose write data are still arriving, and those that arrive from now on: none of them has run. The
-// caller ends the others through the core. It does not block.
+// caller ends the others through the core. Functions that wait for a write are answered with a failure. It does not block.
 func (t *Target) Finish() {
+	t.finishSessions()
+	t.effects.expireAll()
+}
+
+func (t *Target) finishSessions() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for s := range t.sessions {
