A request that may have run is rejected only if its repeat comes in time

Evidence: rejected 10 ms and 1 s after the window's end; the repeat is sent without a bound for its start.

Change: policy/repeats.go. A rejection is given while the repeat, after Retry-After and 0.4 s, comes within the window of the first attempt that may have run; Retry-After is shortened for that, also that of a starting process; otherwise the request fails. A repeat under the same idempotency key inherits that window: no attempt after it, and no rejection either. The stricter of the class's definitions counts.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -31,7 +31,7 @@
 }
 
 // rejectRequest answers a request that the decision module rejects. While the process starts, the StartLimiter sets
-// Retry-After.
+// Retry-After, but not beyond the time until which the client may repeat the request.
 func (c *Core) rejectRequest(a *policy.Action) {
 	state := c.requests[a.ID]
 	if state == nil {
@@ -41,6 +41,9 @@
 	if limiter := c.startLimiter(); limiter != nil {
 		wait = limiter.RetryAfter(c.nodeOfShard(state.request.Shard), wait)
 	}
+	if a.RepeatBy > 0 { // later the repeat would run a second time
+		wait = min(wait, time.Until(c.wallTime(a.RepeatBy)))
+	}
 	c.answer(state, Answer{Kind: Rejected, RetryAfter: wait, Reason: Reason(a.Reason)})
 	c.forgetEnded(state)
 }
--- a/internal/httpfront/codec.go
+++ b/internal/httpfront/codec.go
@@ -160,6 +160,7 @@
 	if len(idempotencyKey) > 0 && !isToken(idempotencyKey, 1024) || len(idempotencyKey) == 0 && b.idempotentByKey[r.Class] {
 		return nil, malformed("Idempotency-Key: missing or malformed")
 	}
+	r.IdempotencyKey = string(idempotencyKey)
 	r.Payload = newNodeRequest(h, id, idempotencyKey, body)
 	return r, nil
 }
--- a/internal/scattergather/core_sender.go
+++ b/internal/scattergather/core_sender.go
@@ -56,6 +56,9 @@
 	if r.Key != "" { // core recognises a repeated request by its key, so each part needs its own
 		r.Key += "/" + a.Part.ID
 	}
+	if r.IdempotencyKey != "" { // as in the payload, where parts are not deduplicated against each other
+		r.IdempotencyKey += "/" + a.Part.ID
+	}
 	r.Payload, r.AttemptedNodes = c.Payload(r, a), &core.AttemptedNodes{}
 	r.Answer = func(x core.Answer) {
 		switch x.Kind {
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -11,7 +11,8 @@
 )
 
 // admit queues an arriving request. It rejects a request of an unknown class or plan, without enough
-// time before its deadline, or without a valid size.
+// time before its deadline, or without a valid size. It fails one that an attempt would run a second time, because
+// the client repeats a request that may have run and nodes discard the repeat no more.
 func (s *Scheduler) admit(req *Request) {
 	if s.requests[req.ID] != nil {
 		return
@@ -31,6 +32,11 @@
 		return
 	}
 	r := s.newRequest(req, c)
+	s.inheritPossibleRun(r)
+	if !s.effectAllowsAttempt(r) {
+		s.emit(Action{Kind: Fail, ID: req.ID, Reason: ReasonMayHaveRun})
+		return
+	}
 	r.volume = s.volume(req.Volume, plan, req.Schedulers)
 	s.chargeQuota(r)
 	if r.isClientRetry {
@@ -51,8 +57,10 @@
 	s.lastSequence++
 	c.longestTimeout = math.Min(math.Max(c.longestTimeout, req.Deadline-s.now), c.Deadline)
 	startedAt := s.firstAttemptTime(req, c.longestTimeout)
+	idempotencyKey, hasIdempotencyKey := req.idempotencyKey()
 	return &request{
 		id: req.ID, class: c, key: req.Key, clientKey: requestKey{req.Class, req.Volume, req.Key}, units: req.Units,
+		idempotencyKey: idempotencyKey, hasIdempotencyKey: hasIdempotencyKey,
 		isNewObject: req.Shard < 0, sequence: s.lastSequence, maxAttempts: s.settings.MaxAttempts,
 		startedAt: startedAt, isClientRetry: startedAt < s.now && !s.stall.resumed,
 		objectiveAt: math.Min(startedAt+c.LatencyObjective, req.Deadline-deadlineMarginMs),
@@ -96,6 +104,7 @@
 		}
 	}
 	s.recordUnserved(r)
+	s.rememberPossibleRun(r)
 	s.finish(r)
 }
 
@@ -168,26 +177,28 @@
 	s.sampleDelay(r, math.Max(wait, rejectedDelayObjectives*r.class.LatencyObjective-(s.now-r.startedAt)))
 	s.refund(r)
 	s.recordUnserved(r)
-	if s.clientMayRepeat(r) {
-		s.emit(Action{Kind: Reject, ID: r.id, Wait: s.retryAfter(wait), Reason: reason})
+	isRemembered := s.rememberPossibleRun(r)
+	if by := s.repeatBy(r); by > s.now && isRemembered {
+		s.reject(r, wait, by, reason)
 	} else {
 		s.emit(Action{Kind: Fail, ID: r.id, Reason: reason})
 	}
 	s.finish(r)
 }
 
+// reject rejects a request whose client may repeat it until a time.
+func (s *Scheduler) reject(r *request, wait, repeatBy float64, reason Reason) {
+	a := Action{Kind: Reject, ID: r.id, Wait: s.retryAfter(wait), Reason: reason}
+	if !math.IsInf(repeatBy, 1) {
+		a.RepeatBy = repeatBy
+		a.Wait = math.Min(a.Wait, repeatBy-s.now)
+	}
+	s.emit(a)
+}
+
 func (s *Scheduler) retryAfter(wait float64) float64 {
 	if !s.settings.SendsRetryAfter {
 		return 0
 	}
 	return math.Min(math.Max(wait, sweepIntervalMs), s.settings.MaxRetryAfter)
 }
-
-// clientMayRepeat reports whether a repeat by the client has no second effect: the request never ran, may run any number of times, or
-// every node recognizes the repeat by its key.
-func (s *Scheduler) clientMayRepeat(r *request) bool {
-	if r.mayHaveRunOn == nil || r.class.Effect == Idempotent {
-		return true
-	}
-	return r.class.Effect == IdempotentByKey && r.class.DedupScope == DedupAll && s.settings.ClientsKeepKeys
-}
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -51,7 +51,10 @@
 			return false
 		}
 	}
-	return len(r.attempts) == 0 || s.mayRetry(r)
+	if len(r.attempts) == 0 {
+		return s.effectAllowsAttempt(r)
+	}
+	return s.mayRetry(r)
 }
 
 // mayRetry reports whether the number of attempts, the effect of the class and the retry budget allow
@@ -64,13 +67,8 @@
 	if len(r.attempts) >= min(r.maxAttempts, s.settings.MaxAttempts) {
 		return false
 	}
-	if r.mayHaveRunOn != nil {
-		if r.class.Effect == NonIdempotent {
-			return false
-		}
-		if r.class.Effect == IdempotentByKey && s.now >= r.mayHaveRunSince+r.class.DedupWindow {
-			return false
-		}
+	if !s.effectAllowsAttempt(r) {
+		return false
 	}
 	return s.settings.RetryBudgetWindow <= 0 || s.retries.allows(s.now, &s.settings)
 }
@@ -126,10 +124,10 @@
 	if !slices.Contains([]Status{Errored, TimedOut, ConnectionReset, Cancelled}, status) {
 		return
 	}
-	r.mayHaveRunOn = a.node
-	if r.mayHaveRunSince == 0 {
+	if r.mayHaveRunOn == nil {
 		r.mayHaveRunSince = a.sentAt
 	}
+	r.mayHaveRunOn = a.node
 	if key := s.orderedKeys[r.key]; key != nil && r.class.Ordered && status != Errored {
 		key.backoffUntil = math.Max(key.backoffUntil, s.now+s.settings.OrderedKeyBackoff)
 	}
@@ -140,6 +138,7 @@
 	if status != OK {
 		s.refund(r)
 		s.recordUnserved(r)
+		s.rememberPossibleRun(r)
 	}
 	r.isClientRetry = r.isClientRetry && status != OK // a served retry is a delay sample, measured from the client's first attempt
 	s.sampleDelay(r, 0)
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -10,7 +10,10 @@
 //   - Every admitted request ends exactly once: with an attempt that finished it, with Reject, with
 //     Fail, or with the disconnection of its client.
 //   - A non-idempotent request is not sent again once one of its attempts may have run. A request
-//     that is idempotent by key is then sent again only within the deduplication scope and window.
+//     that is idempotent by key is then sent again only within the deduplication scope and window. The
+//     same holds for the client's own repeats under its idempotency key.
+//   - A request that may have run is rejected only if its client's repeat is no second run: if it is
+//     idempotent, or if every node discards the repeat at the time at which it is expected.
 //   - Attempts never exceed MaxAttempts or the retry budget.
 //   - The requests in flight at one node stay within its concurrency window.
 //   - Of the requests that share an ordered key, at most one is attempted at a time.
--- /dev/null
+++ b/policy/repeats.go
@@ -0,0 +1,107 @@
+package policy
+
+import (
+	"maps"
+	"math"
+)
+
+const (
+	// repeatMarginMs is how long a client's repeat may take beyond its Retry-After: the pause that clients without one keep (160 ms), the
+	// way, and a scheduler that is held up.
+	repeatMarginMs = 400.0
+	// maxPossibleRuns is the maximum number of possible runs that are remembered. At the maximum no further request is rejected that
+	// may have run: it fails.
+	maxPossibleRuns = 8192
+)
+
+// possibleRun tells that an attempt under an idempotency key may have run, though its client got no response to it. The client may repeat
+// its request under the same key, and nodes discard the repeat only within the deduplication window of that attempt.
+type possibleRun struct {
+	node      *node
+	since     float64 // when the first attempt that may have run was sent
+	keepUntil float64
+}
+
+// possibleRuns holds the possible runs by the keys of the clients.
+type possibleRuns map[requestKey]possibleRun
+
+// removeExpired removes the runs after which a client repeats its request no more.
+func (p possibleRuns) removeExpired(now float64) {
+	maps.DeleteFunc(p, func(_ requestKey, run possibleRun) bool { return now > run.keepUntil })
+}
+
+// idempotencyKey returns the key under which a client repeats a request, and false if it chose none.
+func (req *Request) idempotencyKey() (requestKey, bool) {
+	return requestKey{req.Class, req.Volume, req.IdempotencyKey}, req.IdempotencyKey != ""
+}
+
+// inheritPossibleRun makes a request the repeat of an earlier one of its client that may have run.
+func (s *Scheduler) inheritPossibleRun(r *request) {
+	if run, known := s.possibleRuns[r.idempotencyKey]; known {
+		r.mayHaveRunOn, r.mayHaveRunSince = run.node, run.since
+	}
+}
+
+// rememberPossibleRun remembers that a request which ends without a response may have run. It returns false if there is no room for that.
+func (s *Scheduler) rememberPossibleRun(r *request) bool {
+	since, n := r.firstPossibleRun()
+	if n == nil || !r.hasIdempotencyKey || r.class.Effect != IdempotentByKey || !s.settings.ClientsKeepKeys {
+		return true
+	}
+	if _, known := s.possibleRuns[r.idempotencyKey]; !known && len(s.possibleRuns) >= maxPossibleRuns {
+		return false
+	}
+	s.possibleRuns[r.idempotencyKey] = possibleRun{n, since, s.now + r.class.Deadline + r.class.DedupWindow}
+	return true
+}
+
+// firstPossibleRun returns when the first attempt was sent that may have run or may yet, and the node of one. The node is nil if there is
+// none.
+func (r *request) firstPossibleRun() (since float64, n *node) {
+	since, n = r.mayHaveRunSince, r.mayHaveRunOn
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.open && (n == nil || a.sentAt < since) {
+			since, n = a.sentAt, a.node
+		}
+	}
+	return since, n
+}
+
+// effectAllowsAttempt reports whether another attempt of a request is no second run.
+func (s *Scheduler) effectAllowsAttempt(r *request) bool {
+	if r.mayHaveRunOn == nil {
+		return true
+	}
+	switch r.class.Effect {
+	case NonIdempotent:
+		return false
+	case IdempotentByKey:
+		return s.now < r.mayHaveRunSince+r.class.DedupWindow
+	}
+	return true
+}
+
+// repeatBy returns the latest time at which the client's repeat of a request may arrive without a second run: infinite if at any time,
+// negative infinity if never. A repeat is decided by the settings in force when it arrives, so a class that has changed since the request
+// was admitted counts by its stricter definition.
+func (s *Scheduler) repeatBy(r *request) float64 {
+	if r.mayHaveRunOn == nil {
+		return math.Inf(1)
+	}
+	by := s.classRepeatBy(&r.class.Class, r.mayHaveRunSince)
+	if current := s.classByName[r.class.Name]; current != nil {
+		by = math.Min(by, s.classRepeatBy(&current.Class, r.mayHaveRunSince))
+	}
+	return by
+}
+
+// classRepeatBy returns the same for a class and the time of the first attempt that may have run.
+func (s *Scheduler) classRepeatBy(c *Class, since float64) float64 {
+	switch {
+	case c.Effect == Idempotent:
+		return math.Inf(1)
+	case c.Effect == IdempotentByKey && c.DedupScope == DedupAll && s.settings.ClientsKeepKeys:
+		return since + c.DedupWindow - repeatMarginMs
+	}
+	return math.Inf(-1)
+}
--- a/policy/request.go
+++ b/policy/request.go
@@ -4,15 +4,18 @@
 
 // request is an admitted request that waits in a queue or has attempts in flight.
 type request struct {
-	id          string
-	class       *class
-	volume      *volume
-	key         string
-	clientKey   requestKey
-	units       float64
-	isNewObject bool // may be placed on any shard
-	sequence    int  // order of admission
-	maxAttempts int  // by the settings that were in force at admission
+	id        string
+	class     *class
+	volume    *volume
+	key       string
+	clientKey requestKey
+	// idempotencyKey is the key under which the client repeats the request, if it has chosen one.
+	idempotencyKey    requestKey
+	hasIdempotencyKey bool
+	units             float64
+	isNewObject       bool // may be placed on any shard
+	sequence          int  // order of admission
+	maxAttempts       int  // by the settings that were in force at admission
 
 	startedAt     float64 // time of the client's first attempt, as far as known
 	isClientRetry bool
@@ -32,7 +35,7 @@
 
 	attempts           []attempt
 	openAttempts       int
-	mayHaveRunOn       *node           // node of the last attempt that ended, or is hedged, and may have run; nil: there is none
+	mayHaveRunOn       *node           // node of the last attempt that ended, or is hedged, and may have run, of this request or of an earlier one under its idempotency key; nil: there is none
 	mayHaveRunSince    float64         // when the first attempt that may have run was sent
 	attemptCancelled   bool            // the last attempt was cancelled at the objective
 	beforeCancel       latencySnapshot // of its node, if it was cancelled
--- a/policy/rulechecker_test.go
+++ b/policy/rulechecker_test.go
@@ -67,7 +67,7 @@
 		case Reject:
 			r := c.requests[a.ID]
 			c.recordAnswer(a.ID)
-			if !c.clientMayRepeat(r) {
+			if !c.clientMayRepeat(r, a.Wait) {
 				c.fail("rejected %s, which may have run", a.ID)
 			}
 			if a.Wait < 0 || a.Wait > c.settings.MaxRetryAfter {
@@ -90,15 +90,21 @@
 	}
 }
 
-// clientMayRepeat reports whether the client of a rejected request may send it again.
-func (c *ruleChecker) clientMayRepeat(r *trackedRequest) bool {
-	switch {
-	case r.class == nil || r.class.Effect == Idempotent || len(r.mayHaveRun) == 0:
+// clientMayRepeat reports whether the client of a rejected request may send it again after a wait. Its repeat may come later by the way
+// and a scheduler that is held up.
+func (c *ruleChecker) clientMayRepeat(r *trackedRequest, wait float64) bool {
+	const delayMs = 200
+	if r.class == nil || r.class.Effect == Idempotent {
 		return true
-	case r.class.Effect == IdempotentByKey && r.class.DedupScope == DedupAll:
-		return c.settings.ClientsKeepKeys
 	}
-	return false
+	for _, f := range r.mayHaveRun {
+		isDiscarded := r.class.Effect == IdempotentByKey && r.class.DedupScope == DedupAll && c.settings.ClientsKeepKeys &&
+			c.now+wait+delayMs <= f.sentAt+r.class.DedupWindow
+		if !isDiscarded {
+			return false
+		}
+	}
+	return true
 }
 
 // checkSend checks a Send against the rules and records it.
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -38,6 +38,7 @@
 	firstRequestAt float64 // infinite before the first request
 	lastSequence   int
 	unserved       unservedTable
+	possibleRuns   possibleRuns
 	orderedKeys    map[string]*orderedKeyQueue
 	retries        retryBudget
 
@@ -77,7 +78,7 @@
 	}
 	s := &Scheduler{
 		settings: settings, rng: rand.New(rand.NewSource(seed)), now: math.NaN(), firstRequestAt: math.Inf(1),
-		requests: map[string]*request{}, unserved: newUnservedTable(), usage: usageSummary{at: math.Inf(-1)},
+		requests: map[string]*request{}, unserved: newUnservedTable(), possibleRuns: possibleRuns{}, usage: usageSummary{at: math.Inf(-1)},
 		orderedKeys: map[string]*orderedKeyQueue{}, queueByShard: map[int]*shardQueue{},
 		classByName: map[string]*class{}, planByName: map[string]*Plan{}, volumes: map[volumeKey]*volume{},
 		nodeByID: map[string]*node{}, poolLatency: latencyEstimator{learnedAt: math.Inf(-1)},
@@ -192,6 +193,7 @@
 		c := s.classByName[key.class]
 		return c == nil || s.now > u.deadline && s.now-u.startedAt > c.Deadline
 	})
+	s.possibleRuns.removeExpired(s.now)
 	s.retries.expireRequests(s.now, s.settings.RetryBudgetWindow)
 	for name, key := range s.orderedKeys {
 		if len(key.requests) == 0 && s.now > key.backoffUntil {
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -26,7 +26,9 @@
 const sharedVolume = ""
 
 // TableEntries returns the number of volumes and records that the instance keeps. It is bounded.
-func (s *Scheduler) TableEntries() int { return len(s.volumes) + s.unserved.len() }
+func (s *Scheduler) TableEntries() int {
+	return len(s.volumes) + s.unserved.len() + len(s.possibleRuns)
+}
 
 // hasRoomForVolume reports whether the table takes another volume, and evicts volumes if it is full.
 func (s *Scheduler) hasRoomForVolume() bool {
--- a/policy/types.go
+++ b/policy/types.go
@@ -140,6 +140,7 @@
 // Request is an arriving request.
 type Request struct {
 	ID, Class, Plan, Key, Volume string
+	IdempotencyKey               string  // by which nodes discard the client's own repeats; "": unknown, or the front chooses it
 	Deadline                     float64 // time at which the client disconnects
 	Units                        float64
 	Shard                        int  // negative: a new object, which may be placed on any shard
@@ -175,7 +176,7 @@
 // The kinds of actions, with the fields that they set.
 const (
 	Send        ActionKind = iota // ID, Node, Deadline, StartBy
-	Reject                        // ID, Wait (Retry-After), Reason
+	Reject                        // ID, Wait (Retry-After), RepeatBy, Reason
 	Fail                          // ID, Reason
 	Cancel                        // ID, Attempt, OnlyIfSilent
 	SetTimer                      // Wait, Tag
@@ -195,6 +196,7 @@
 	StartBy  float64 // latest time at which the attempt may begin; 0: only Deadline limits it
 	Attempt  int
 	Wait     float64 // ms
+	RepeatBy float64 // latest time at which the client's repeat may arrive; 0: it may come at any time
 	Tag      string
 	Text     string
 	Data     []byte
@@ -216,4 +218,5 @@
 	ReasonNodeTooSlow   Reason = "node-too-slow"  // the expected latency exceeds the limit of its band
 	ReasonRateLimit     Reason = "rate-limit"     // its volume's limit has no tokens in time
 	ReasonAttemptFailed Reason = "attempt-failed" // an attempt ended without an answer, and another is not allowed
+	ReasonMayHaveRun    Reason = "may-have-run"   // the client repeats a request that may have run, and nodes discard the repeat no more
 )
