An id that may have run is not rejected before its admission

Seen by callers (by reading, then by a test): an id is at a storage node, its client leaves and sends it once more, and this delivery is turned away for lack of memory, connections or time: 503. A repeat under a new id runs the request a second time.

Cause: only admission asked who owns the id; Core.Reject, which is for what cannot be admitted, did not. Evidence: 503 without memory and 409 with it, for the same id at the same time.

Change: Core.MayReject, asked by Core.Reject and for a request that is cut off while it arrives; a request that may run any number of times is rejected as before. At a handover an id whose owner cannot be read fails in place of being rejected.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -121,14 +121,22 @@
 }
 
 // Reject rejects a request without the decision module, and counts it like the module's rejections. Fronts call it when
-// they lack resources. Any goroutine may call it.
+// they lack resources. A request whose id is that of an earlier one, which may have run, fails. Any goroutine may call it.
 func (c *Core) Reject(r *Request, wait time.Duration, reason Reason) {
-	c.counters.ended(r.Class, Rejected)
-	r.releasePayload()
 	a := Answer{Kind: Rejected, RetryAfter: wait, Reason: reason}
+	if !c.MayReject(r) {
+		a = Answer{Kind: Failed, Cause: CauseDuplicateID, Reason: reasonOfCause[CauseDuplicateID]}
+	}
+	c.refuse(r, a)
+}
+
+// refuse answers a request that is not admitted. Any goroutine may call it.
+func (c *Core) refuse(r *Request, a Answer) {
+	c.counters.ended(r.Class, a.Kind)
+	r.releasePayload()
 	r.Answer(a)
 	r.ended()
-	c.options.Events.Record(eventlog.RequestEnded, reason, func() logrus.Fields { return requestFields(r, a) })
+	c.options.Events.Record(eventlog.RequestEnded, a.Reason, func() logrus.Fields { return requestFields(r, a) })
 }
 
 // Cancel ends a request whose client has disconnected. Its Answer may still be called until the actor has handled the
@@ -143,12 +151,7 @@
 		return
 	}
 	if cause := c.failureCause(r); cause != "" {
-		c.counters.ended(r.Class, Failed)
-		r.releasePayload()
-		a := Answer{Kind: Failed, Cause: cause, Reason: reasonOfCause[cause]}
-		r.Answer(a)
-		r.ended()
-		c.options.Events.Record(eventlog.RequestEnded, a.Reason, func() logrus.Fields { return requestFields(r, a) })
+		c.refuse(r, Answer{Kind: Failed, Cause: cause, Reason: reasonOfCause[cause]})
 		return
 	}
 	if limiter := c.startLimiter(); limiter != nil {
--- a/internal/core/requestid.go
+++ b/internal/core/requestid.go
@@ -18,6 +18,10 @@
 // mayHaveRun reports whether an attempt with the result has run or may have.
 func mayHaveRun(status policy.Status) bool { return slices.Contains(mayHaveRunStatuses, status) }
 
+// MayReject reports whether it is true that a request which is not admitted never ran: its id is not that of an earlier request that may
+// have run, or it may run any number of times. Any goroutine may call it.
+func (c *Core) MayReject(r *Request) bool { return c.isIdempotent(r) || !c.options.IDs.Owned(r.ID) }
+
 // isIdempotent reports whether a request may run any number of times.
 func (c *Core) isIdempotent(r *Request) bool {
 	settings := r.Settings
@@ -58,6 +62,11 @@
 			c.answer(state, Answer{Kind: Rejected, RetryAfter: rejectionRetryAfter, Reason: ReasonUnpublished})
 			return
 		}
+	case requestid.Unread:
+		if !c.isIdempotent(state.request) { // it may have run at the other process, so it is not rejected
+			c.answer(state, Answer{Kind: Failed, Cause: CauseNotServed, Reason: ReasonUnpublished})
+			return
+		}
 	case requestid.Published:
 	}
 	state.published = true
--- a/internal/core/requestid_test.go
+++ b/internal/core/requestid_test.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,19 +143,39 @@
 	}
 }
 
-// While ids cannot be shared and another process is there, only requests that may be repeated run.
-func TestUnsharedIDRunsOnlyIfItMayBeRepeated(t *testing.T) {
+// newIDsBesideAnother returns ids that are shared with a process which owns the id "other". prepare is called with their folder
+// and journal.
+func newIDsBesideAnother(t *testing.T, prepare func(folder string, journal *requestid.Journal)) *requestid.Registry {
+	t.Helper()
 	folder := t.TempDir()
 	other := openJournalIn(t, folder)
 	if _, err := other.Publish(requestid.KeyOf("other"), time.Minute, false); err != nil {
 		t.Fatal(err)
 	}
 	journal := openJournalIn(t, folder)
-	if err := journal.Close(); err != nil {
-		t.Fatal(err)
-	}
+	prepare(folder, journal)
 	ids := newIDs()
 	ids.SetJournal(journal)
+	return ids
+}
+
+// fillFiles makes the journal's files so long that nothing more is written to them. They can still be read.
+func fillFiles(t *testing.T, folder string) {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(folder, "*"))
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("files %v, %v", paths, err)
+	}
+	for _, path := range paths {
+		if err := os.Truncate(path, 2<<20); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// While ids cannot be shared and another process is there, only requests that may be repeated run.
+func TestUnsharedIDRunsOnlyIfItMayBeRepeated(t *testing.T) {
+	ids := newIDsBesideAnother(t, func(folder string, _ *requestid.Journal) { fillFiles(t, folder) })
 	core := startCoreSharingIDs(t, ids)
 	_, answers := core.submit("once", "record")
 	if a := expectAnswer(t, answers, Rejected); a.Reason != ReasonUnpublished || a.RetryAfter <= 0 {
@@ -168,3 +190,50 @@
 		t.Error("want the first error once")
 	}
 }
+
+// Guards against the rejection of an id that may have run at the other process, whose records cannot be read.
+func TestIDThatMayHaveRunElsewhereFails(t *testing.T) {
+	core := startCoreSharingIDs(t, newIDsBesideAnother(t, func(_ string, journal *requestid.Journal) {
+		if err := journal.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}))
+	_, answers := core.submit("once", "record")
+	if a := expectAnswer(t, answers, Failed); a.Reason != ReasonUnpublished {
+		t.Errorf("answer %+v", a)
+	}
+	core.submit("repeatable", "read")
+	<-core.node("n").sent
+}
+
+// Guards against the rejection of an id before its admission while an earlier request under it may have run: its client would send the
+// request again under a new id.
+func TestOwnedIDIsNotRejectedBeforeAdmission(t *testing.T) {
+	reject := map[string]func(*fixture, *Request){
+		"by a front": func(core *fixture, r *Request) { core.Reject(r, time.Second, ReasonMemory) },
+		"at the end": func(core *fixture, r *Request) { core.Finish(); core.Submit(r) },
+	}
+	for name, reject := range reject {
+		t.Run(name, func(t *testing.T) {
+			core := startCoreSharingIDs(t, newIDs())
+			for _, class := range []string{"read", "record"} {
+				first, _ := core.submit(class, class)
+				(<-core.node("n").sent).Claim()
+				core.Cancel(first) // its client has left, and sends the request once more
+				core.OpenRequests()
+			}
+			for _, class := range []string{"read", "record"} {
+				again, answers := core.newRequest(class, class, time.Minute)
+				want := Failed
+				if class == "read" {
+					want = Rejected // it may run any number of times
+				}
+				reject(core, again)
+				expectAnswer(t, answers, want)
+				other, answers := core.newRequest("other "+class, class, time.Minute)
+				reject(core, other)
+				expectAnswer(t, answers, Rejected)
+			}
+		})
+	}
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -171,10 +171,20 @@
 // rejectIncomplete rejects a request of which no more is read.
 func (s *Server) rejectIncomplete(ctx *fasthttp.RequestCtx) {
 	setCloseReason(ctx, reasonRequestInterrupted)
-	writeResponse(ctx, core.Answer{Kind: core.Rejected, RetryAfter: rejectRetryAfter})
+	a := core.Answer{Kind: core.Rejected, RetryAfter: rejectRetryAfter}
+	if s.Core != nil && !s.Core.MayReject(headOnly(ctx)) {
+		a = core.Answer{Kind: core.Failed, Cause: core.CauseDuplicateID}
+	}
+	writeResponse(ctx, a)
 	closeDiscardingInput(ctx)
 }
 
+// headOnly returns a request with what its head says of its id and class, as far as it was read.
+func headOnly(ctx *fasthttp.RequestCtx) *core.Request {
+	class, _, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
+	return &core.Request{Request: policy.Request{ID: string(ctx.Request.Header.Peek("X-Request-Id")), Class: class}}
+}
+
 // Serve accepts and serves connections until Shutdown.
 func (s *Server) Serve(ln net.Listener, conns int) error {
 	l := transport.LimitWithOverflow(ln, conns, overflowConns)
@@ -394,10 +404,10 @@
 		setCloseReason(ctx, reasonNoMemory)
 		closeDiscardingInput(ctx)
 	}
-	class, _, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
-	id := string(ctx.Request.Header.Peek("X-Request-Id"))
 	answers := make(chan core.Answer, 1)
-	s.Core.Reject(&core.Request{Request: policy.Request{ID: id, Class: class}, Answer: func(a core.Answer) { answers <- a }}, rejectRetryAfter, core.ReasonMemory)
+	r := headOnly(ctx)
+	r.Answer = func(a core.Answer) { answers <- a }
+	s.Core.Reject(r, rejectRetryAfter, core.ReasonMemory)
 	writeResponse(ctx, <-answers)
 }
 
--- a/internal/requestid/journal.go
+++ b/internal/requestid/journal.go
@@ -37,6 +37,8 @@
 var (
 	errJournalFull = errors.New("request id journal: file is full")
 	errUnreadable  = errors.New("request id journal: a record was written and cannot be read")
+	// errOthersUnread reports that another process may own an id, because its records could not be read.
+	errOthersUnread = errors.New("request id journal: read records of other processes")
 )
 
 // Journal shares owned ids with the other processes of the scheduler, by records in files of a folder that all of them use. A process
@@ -113,15 +115,24 @@
 			break
 		}
 	}
+	return j.OwnedByOther(key), err
+}
+
+// OwnedByOther reports whether another process owns an id, by the records that were read so far.
+func (j *Journal) OwnedByOther(key Key) bool {
 	until, known := j.others[key]
-	return known && until > now, err
+	return known && until > j.clock()
 }
 
 // publishOnce writes a record and reads what others have written, and the record itself: a write that came in parts may be mixed with
 // one of another process.
 func (j *Journal) publishOnce(now time.Duration, limit int64, r record) error {
 	writeErr := j.write(now, limit, r)
-	err := errors.Join(writeErr, j.readNew(now))
+	readErr := j.readNew(now)
+	if readErr != nil {
+		readErr = fmt.Errorf("%w: %w", errOthersUnread, readErr)
+	}
+	err := errors.Join(writeErr, readErr)
 	if err == nil && j.lastOwn != r.key {
 		err = errUnreadable
 	}
--- a/internal/requestid/ledger.go
+++ b/internal/requestid/ledger.go
@@ -68,6 +68,12 @@
 	return true
 }
 
+// Owns reports whether an id is owned.
+func (l *Ledger) Owns(now time.Duration, key Key) bool {
+	l.expire(now)
+	return l.entries[key] != nil
+}
+
 // acquire acquires the memory of an entry, and evicts a kept one if there is none.
 func (l *Ledger) acquire() {
 	isWithinShare := l.account == nil || l.account.InUse(memory.RequestID)+entryBytes <= l.account.Size()/accountDivisor
--- a/internal/requestid/ledger_test.go
+++ b/internal/requestid/ledger_test.go
@@ -30,6 +30,9 @@
 			switch rapid.IntRange(0, 3).Draw(t, "call") {
 			case 0:
 				free := !owned || !o.open && o.until <= now
+				if owns := l.Owns(now, KeyOf(id)); owns == free {
+					t.Fatalf("%s at %v: owned is %v, owner %+v", id, now, owns, o)
+				}
 				if granted := l.Claim(now, KeyOf(id)); granted != free {
 					t.Fatalf("claim of %s at %v: granted is %v, owner %+v", id, now, granted, o)
 				} else if granted {
--- a/internal/requestid/registry.go
+++ b/internal/requestid/registry.go
@@ -1,6 +1,7 @@
 package requestid
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -41,6 +42,17 @@
 	return r.ledger.Claim(time.Since(r.origin), KeyOf(id))
 }
 
+// Owned reports whether an id is owned, by a request of this process or, as far as this process has read, of another one.
+func (r *Registry) Owned(id string) bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := KeyOf(id)
+	return r.ledger.Owns(time.Since(r.origin), key) || r.journal != nil && r.journal.OwnedByOther(key)
+}
+
 // Publication is the result of Publish.
 type Publication int
 
@@ -49,6 +61,7 @@
 	Published   Publication = iota // no other process owns the id, and others see that this one does
 	OwnedByPeer                    // another process owns the id
 	Unpublished                    // another process may not see that this one owns the id, and is there
+	Unread                         // another process is there and may own the id
 )
 
 // Publish shows the other processes that this one owns an id for a window, before the first attempt of its request. Requests that may
@@ -67,10 +80,12 @@
 	switch {
 	case owned:
 		return OwnedByPeer
-	case err != nil && r.journal.OthersActive():
-		return Unpublished
+	case err == nil || !r.journal.OthersActive():
+		return Published
+	case errors.Is(err, errOthersUnread):
+		return Unread
 	}
-	return Published
+	return Unpublished
 }
 
 // recordError counts a failed publication. The caller holds the mutex.
