A gathered read that may have run in part is not rejected

Seen by callers (by reading, then by a test): one part of a gathered read of an unsafe class is rejected while another one is at its node or was served, and the client gets 503: trying again is harmless.

Cause: the final answer looked at the missing parts alone. Evidence: Rejected in 3 of 3 forms of the other part.

Change: such a read is rejected only if its class is idempotent or no part may have run (S11), otherwise it ends with 502; a part that is cancelled in flight after an earlier rejection is not reported as rejected.

--- a/internal/scattergather/gather.go
+++ b/internal/scattergather/gather.go
@@ -17,6 +17,8 @@
 //	S10 An attempt names those attempts of its part that failed, were rejected or are in flight, so that their nodes can be avoided.
 //	    Attempts that reached a row limit are not among them.
 //	S9  The final answer is given at the client's deadline at the latest.
+//	S11 A read is rejected only if the class is idempotent or no part may have been executed. The same holds for what the answer says of
+//	    a part.
 package scattergather
 
 import (
@@ -74,7 +76,7 @@
 const (
 	Served             FinalKind = iota // Result says whether it is complete, and which parts are missing
 	EndedEarly                          // it ended early with Result.Err
-	Rejected                            // no row was sent, and all missing parts were rejected
+	Rejected                            // no row was sent, all missing parts were rejected, and a repeat is no second run
 	DeadlineExceeded                    // the client's deadline passed first
 	ClientDisconnected                  // the client disconnected
 	Invalid                             // it could not start because of Err
@@ -130,6 +132,7 @@
 	faultHideLoss
 	faultChangeFinal
 	faultNoAvoidedNodes
+	faultRejectAfterRun
 )
 
 // Gather is one gathered read. It must not be used by several goroutines at once.
@@ -412,7 +415,7 @@
 			return
 		}
 		why := p.lastErr
-		if why == nil || p.limited {
+		if why == nil || p.limited || errors.As(why, new(*Rejection)) && !g.mayRejectPart(p) {
 			why = &PartDeadlineExceeded{p.ID}
 		}
 		g.dropPart(p, why)
@@ -447,6 +450,16 @@
 	}
 }
 
+// mayRejectPart reports whether a part may be reported as rejected: a repeat of it is no second run.
+func (g *Gather) mayRejectPart(p *partState) bool {
+	return g.rules.Idempotent || !p.mayHaveRun || g.fault == faultRejectAfterRun
+}
+
+// mayReject reports whether the read may be rejected.
+func (g *Gather) mayReject() bool {
+	return !slices.ContainsFunc(g.parts, func(p *partState) bool { return !g.mayRejectPart(p) })
+}
+
 // mayAttempt reports whether another attempt of the part is allowed.
 func (g *Gather) mayAttempt(p *partState) bool {
 	switch {
@@ -531,7 +544,7 @@
 	f := Final{Kind: kind, Result: g.merge.Result()}
 	if kind == Served && f.Result.Err != nil {
 		f.Kind = EndedEarly
-		allRejected := f.Result.Rows == 0 && errors.As(f.Result.Err, new(*gather.Incomplete))
+		allRejected := f.Result.Rows == 0 && errors.As(f.Result.Err, new(*gather.Incomplete)) && g.mayReject()
 		for _, s := range f.Result.Parts {
 			var rejection *Rejection
 			if allRejected = allRejected && errors.As(s.Why, &rejection); allRejected {
