A repeat of what may have run is rejected at the process's end by the same rule

Seen by callers (by reading, then by a test): a client repeats, under its key, a request that may have run; the process ends and answers 503; the next process, which knows nothing of the key, runs the next repeat after `memory-span`.

Cause: core rejects at its end what has no attempt of its own, without asking what the request repeats. So does the want of a record for the other process of a handover. Evidence: the test, with a window of 450 ms.

Change: Scheduler.MayReject and MayRejectArrival; core asks them in these places.

Measured, arm64: TestRepeatIsNotRejectedAtTheEndOutsideItsWindow fails with the short window before, passes after.

--- a/internal/core/repeat_test.go
+++ b/internal/core/repeat_test.go
@@ -36,3 +36,39 @@
 		}
 	}
 }
+
+// Guards against a rejection, at the end of the process, of the repeat of a request that may have run: the next process would run it again.
+func TestRepeatIsNotRejectedAtTheEndOutsideItsWindow(t *testing.T) {
+	for name, x := range map[string]struct {
+		window float64
+		want   AnswerKind
+	}{"long window": {60e3, Rejected}, "short window": {450, Failed}} {
+		t.Run(name, func(t *testing.T) {
+			settings := testSettings()
+			settings.MaxAttempts, settings.ClientsKeepKeys = 1, true
+			settings.Classes[1].DedupScope, settings.Classes[1].DedupWindow = policy.DedupAll, x.window
+			core := startCore(t, settings)
+			core.updateList(policy.CachedListLoaded, newNode("n", 0, policy.NodeUp))
+			submit := func(id, key string) chan Answer {
+				r, answers := core.newRequest(id, "record", time.Minute)
+				r.IdempotencyKey = key
+				core.Submit(r)
+				return answers
+			}
+			first := submit("first", "k")
+			attempt := <-core.node("n").sent
+			attempt.Claim()
+			attempt.Done(Result{Status: policy.ConnectionReset})
+			<-first
+			core.updateList(policy.ListChanged, newNode("n", 0, policy.NodeDraining)) // so that the next ones wait
+			waiting, other := submit("waiting", "k"), submit("other", "j")
+			core.OpenRequests()
+			core.Finish()
+			late, otherLate := submit("late", "k"), submit("other late", "i")
+			expectAnswer(t, waiting, x.want)
+			expectAnswer(t, late, x.want)
+			expectAnswer(t, other, Rejected)
+			expectAnswer(t, otherLate, Rejected)
+		})
+	}
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -147,7 +147,7 @@
 // failed at once.
 func (c *Core) admit(r *Request, now float64) {
 	if c.rejectsArrivals {
-		c.Reject(r, rejectionRetryAfter, ReasonStopping)
+		c.rejectStopping(r, now)
 		return
 	}
 	if cause := c.failureCause(r); cause != "" {
--- a/internal/core/requestid.go
+++ b/internal/core/requestid.go
@@ -59,7 +59,7 @@
 		return
 	case requestid.Unpublished:
 		if !c.isIdempotent(state.request) {
-			c.answer(state, Answer{Kind: Rejected, RetryAfter: rejectionRetryAfter, Reason: ReasonUnpublished})
+			c.answerUnpublished(state)
 			return
 		}
 	case requestid.Unread:
@@ -72,6 +72,16 @@
 	state.published = true
 }
 
+// answerUnpublished answers a request that must not run, because another process may not see that this one owns its id. It has not run,
+// but may repeat one that has.
+func (c *Core) answerUnpublished(state *requestState) {
+	a := Answer{Kind: Rejected, RetryAfter: rejectionRetryAfter, Reason: ReasonUnpublished}
+	if !c.scheduler.MayRejectArrival(&state.request.Request, c.moduleTime(time.Now()), retryAfterMs) {
+		a = Answer{Kind: Failed, Cause: CauseNotServed, Reason: ReasonUnpublished}
+	}
+	c.answer(state, a)
+}
+
 // releaseID ends the claim of a request's id when the request has left the table. An id that may have run stays owned for a while. One
 // whose request was rejected, and may run any number of times, is free: its client was told to send it again.
 func (c *Core) releaseID(state *requestState) {
--- a/policy/repeats.go
+++ b/policy/repeats.go
@@ -95,6 +95,31 @@
 	return by
 }
 
+// MayReject reports whether a request that the scheduler holds may be rejected by its caller with a Retry-After, in ms: its client's repeat
+// is no second run. A request that the scheduler does not hold may be.
+func (s *Scheduler) MayReject(id string, now, wait float64) bool {
+	r := s.requests[id]
+	if r == nil {
+		return true
+	}
+	_, n := r.firstPossibleRun()
+	if n == nil {
+		return true
+	}
+	return r.openAttempts == 0 && now+wait < s.repeatBy(r)
+}
+
+// MayRejectArrival reports the same for a request that was not passed to the scheduler.
+func (s *Scheduler) MayRejectArrival(req *Request, now, wait float64) bool {
+	key, _ := req.idempotencyKey()
+	run, known := s.possibleRuns[key]
+	if !known {
+		return true
+	}
+	c := s.classByName[req.Class]
+	return c != nil && now+wait < s.classRepeatBy(&c.Class, run.since)
+}
+
 // classRepeatBy returns the same for a class and the time of the first attempt that may have run.
 func (s *Scheduler) classRepeatBy(c *Class, since float64) float64 {
 	switch {
