--- a/internal/iscsi/promises_test.go
+++ b/internal/iscsi/promises_test.go
@@ -35,6 +35,11 @@
 	return w.status == statusCheckCondition && (w.senseKey == senseIllegalRequest || w.senseKey == senseDataProtect)
 }
 
+// immediateData is the login response of a storage target that takes the data of a short write with its command, so that the commands of
+// several initiators and their data do not mix.
+var immediateData = []pair{{"InitialR2T", "Yes"}, {"ImmediateData", "Yes"}, {"MaxBurstLength", "16384"}, {"FirstBurstLength", "8192"},
+	{"MaxRecvDataSegmentLength", "4096"}}
+
 // lateRuns is the time after which the storage target runs no command any more that it has received.
 const lateRuns = 1200 * time.Millisecond
 
@@ -72,8 +77,7 @@
 	r.class, r.losses = *class, r.random(3) > 0
 	target := newFakeTarget(t)
 	target.react = r.react
-	target.loginResponse = []pair{{"InitialR2T", "Yes"}, {"ImmediateData", "Yes"}, {"MaxBurstLength", "16384"},
-		{"FirstBurstLength", "8192"}, {"MaxRecvDataSegmentLength", "4096"}} // so that commands and their data do not mix
+	target.loginResponse = immediateData
 	r.env = newTestEnvWithSettings(t, set, r.random(3) > 0, target)
 	r.env.target.effects.limit = lateRuns
 	return r
