A repeat that overtakes its client's disconnect is bound as well

Seen by a test: a client leaves and repeats under the same key, and the repeat arrives before core knows that the client has left. It had a window of its own, and was rejected, to be repeated, after the first attempt's window.

Change: a possible run that is recorded is inherited by the open requests under its key.

Measured, arm64: TestRepeatThatOvertakesADisconnectIsBound fails before, passes after.

--- a/internal/iscsi/deadtarget_test.go
+++ b/internal/iscsi/deadtarget_test.go
@@ -32,7 +32,7 @@
 		f.targets[i] = newFakeTarget(t)
 		f.targets[i].deduplicates = true
 		f.targets[i].loginResponse, f.targets[i].react = immediateData, serveIn20ms
-		storage = append(storage, fmt.Sprintf(`{"name":"st%d","addresses":["%s"],"target":"iqn.st","group":%d}`, i, f.targets[i].ln.Addr(), i))
+		storage = append(storage, fmt.Sprintf(`{"name":"st%d","addresses":[%q],"target":"iqn.st","group":%d}`, i, f.targets[i].ln.Addr(), i))
 		units = append(units, fmt.Sprintf(`{"lun":%d,"group":%d,"volume":"00000000000a000%d","plan":"basic","blocks":4096,
 			"rules":[{"command":"read","class":"balance-read"},{"command":"write","class":"new-record"}]}`, i, i, i))
 	}
--- a/policy/repeats.go
+++ b/policy/repeats.go
@@ -37,11 +37,22 @@
 
 // inheritPossibleRun makes a request the repeat of an earlier one of its client that may have run.
 func (s *Scheduler) inheritPossibleRun(r *request) {
-	if run, known := s.possibleRuns[r.idempotencyKey]; known {
+	run, known := s.possibleRuns[r.idempotencyKey]
+	if known && (r.mayHaveRunOn == nil || run.since < r.mayHaveRunSince) {
 		r.mayHaveRunOn, r.mayHaveRunSince = run.node, run.since
 	}
 }
 
+// inheritToRepeats makes the open requests under a key inherit its possible run: a repeat may arrive before it is known that the client of
+// the earlier request has left.
+func (s *Scheduler) inheritToRepeats(key requestKey) {
+	for _, r := range s.requests {
+		if r.idempotencyKey == key && !r.done {
+			s.inheritPossibleRun(r)
+		}
+	}
+}
+
 // rememberPossibleRun remembers that a request which ends without a response may have run. It returns false if there is no room for that.
 func (s *Scheduler) rememberPossibleRun(r *request) bool {
 	since, n := r.firstPossibleRun()
@@ -52,6 +63,7 @@
 		return false
 	}
 	s.possibleRuns[r.idempotencyKey] = possibleRun{n, since, s.now + r.class.Deadline + r.class.DedupWindow}
+	s.inheritToRepeats(r.idempotencyKey)
 	return true
 }
 
--- a/policy/repeats_test.go
+++ b/policy/repeats_test.go
@@ -116,6 +116,19 @@
 	}
 }
 
+// A repeat may arrive before it is known that the client of the earlier request has left.
+func TestRepeatThatOvertakesADisconnectIsBound(t *testing.T) {
+	settings := keyedSettings()
+	settings.MaxAttempts = 1
+	h := newHarness(t, settings)
+	h.step(keyedRequest("x", "k", 9000))
+	h.at(1200, keyedRequest("repeat", "k", 9000))
+	h.at(1210, Event{Kind: ClientDisconnected, ID: "x"})
+	if a := endOf(t, h.at(1700, attemptEnded("repeat", 0, ConnectionReset, false)), "repeat"); a.Kind != Fail {
+		t.Errorf("0.7 s after the first attempt, with a window of 1 s: ended as %+v", a)
+	}
+}
+
 // Guards against a rejection under an effect that has become stricter: the repeat is decided by the new one.
 func TestRejectionFollowsTheStricterClass(t *testing.T) {
 	for name, x := range map[string]struct {
