policy: the open requests under a key are found by it; two more iSCSI tests

A recorded run is inherited by the open requests under its key without a walk over all requests. Tests: a function that waits at the end of the process fails and its write is answered; a write in doubt whose class became unsafe at SIGHUP gets HARDWARE ERROR (it fails with ABORTED COMMAND where the stricter class is not looked at).

--- a/internal/iscsi/finish_test.go
+++ b/internal/iscsi/finish_test.go
@@ -68,3 +68,28 @@
 		}
 	}
 }
+
+// A function that waits for a write fails at the end of the process, and the write gets its response.
+func TestFinishAnswersWaitingFunctions(t *testing.T) {
+	env := newTestEnv(t, longObjective, false)
+	client := env.initiator(t)
+	itt, _ := env.startHeldWrite(client)
+	t.Cleanup(func() { close(env.hold) })
+	client.requestFunction(tmAbortTask, itt)
+	client.expectSilence()
+	env.finish()
+	var response, function byte
+	for range 2 {
+		switch p := client.read(); p.op() {
+		case opSCSIResponse:
+			response = senseKey(p.data[2:])
+		case opTaskMgmtResp:
+			function = p.bhs[2]
+		default:
+			t.Fatalf("received %v", p)
+		}
+	}
+	if response != senseHardware || function != tmRejected {
+		t.Errorf("the write ended with sense key %x, the function with %d", response, function)
+	}
+}
--- a/internal/iscsi/reconfigure_test.go
+++ b/internal/iscsi/reconfigure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"wheatsaddle/internal/config"
 	"wheatsaddle/policy"
@@ -107,3 +108,26 @@
 		t.Errorf("units after the change: %+v, %+v", other, before)
 	}
 }
+
+// Guards against an answer that invites a repeat, to a write that may have run under a class that has become unsafe since.
+func TestWriteInDoubtOfAClassThatBecameUnsafe(t *testing.T) {
+	for name, x := range map[string]struct {
+		effect   policy.Effect
+		senseKey byte
+	}{"unsafe": {policy.NonIdempotent, senseHardware}, "safe as before": {policy.Idempotent, senseAborted}} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t, longObjective, false)
+			set := settingsWithWrites(policy.Idempotent)
+			set.MaxAttempts = 1
+			env.reconfigure(t, set, writeRule)
+			client := env.initiator(t)
+			itt := env.startDelayedWrite(client, reaction{delay: 300 * time.Millisecond, executes: true, ending: cuts})
+			changed := settingsWithWrites(x.effect)
+			changed.Classes[0].PriorityWeight = 7
+			env.reconfigure(t, changed, writeRule)
+			if e := client.awaitResponse(itt, nil); e.senseKey != x.senseKey {
+				t.Errorf("the write ended as %+v, want sense key %x", e, x.senseKey)
+			}
+		})
+	}
+}
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -44,6 +44,7 @@
 	}
 	s.requests[r.id] = r
 	s.addToOrderedKey(r)
+	s.addToKey(r)
 	if r.isNewObject {
 		r.queue = s.placeNewObject(r)
 	} else {
--- a/policy/promises_test.go
+++ b/policy/promises_test.go
@@ -297,6 +297,9 @@
 			p := newPromiseSimulation(t, seed)
 			p.run()
 			rejections += p.rejections
+			if len(p.scheduler.requests) == 0 && len(p.scheduler.openByKey) > 0 {
+				t.Errorf("%d keys are left without a request", len(p.scheduler.openByKey))
+			}
 		})
 	}
 	if rejections < 100 {
--- a/policy/repeats.go
+++ b/policy/repeats.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 )
 
 const (
@@ -46,10 +47,25 @@
 // inheritToRepeats makes the open requests under a key inherit its possible run: a repeat may arrive before it is known that the client of
 // the earlier request has left.
 func (s *Scheduler) inheritToRepeats(key requestKey) {
-	for _, r := range s.requests {
-		if r.idempotencyKey == key && !r.done {
-			s.inheritPossibleRun(r)
-		}
+	for _, r := range s.openByKey[key] {
+		s.inheritPossibleRun(r)
+	}
+}
+
+// addToKey adds an admitted request to the open ones under its idempotency key.
+func (s *Scheduler) addToKey(r *request) {
+	if r.hasIdempotencyKey {
+		s.openByKey[r.idempotencyKey] = append(s.openByKey[r.idempotencyKey], r)
+	}
+}
+
+// removeFromKey removes a request that has ended from those under its key.
+func (s *Scheduler) removeFromKey(r *request) {
+	remaining := slices.DeleteFunc(s.openByKey[r.idempotencyKey], func(other *request) bool { return other == r })
+	if len(remaining) == 0 {
+		delete(s.openByKey, r.idempotencyKey)
+	} else {
+		s.openByKey[r.idempotencyKey] = remaining
 	}
 }
 
--- a/policy/request.go
+++ b/policy/request.go
@@ -70,6 +70,7 @@
 		s.dequeue(r)
 	}
 	r.done = true
+	s.removeFromKey(r)
 	if r.openAttempts > 0 {
 		return
 	}
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -39,6 +39,7 @@
 	lastSequence   int
 	unserved       unservedTable
 	possibleRuns   possibleRuns
+	openByKey      map[requestKey][]*request // open requests whose clients chose an idempotency key
 	orderedKeys    map[string]*orderedKeyQueue
 	retries        retryBudget
 
@@ -78,7 +79,7 @@
 	}
 	s := &Scheduler{
 		settings: settings, rng: rand.New(rand.NewSource(seed)), now: math.NaN(), firstRequestAt: math.Inf(1),
-		requests: map[string]*request{}, unserved: newUnservedTable(), possibleRuns: possibleRuns{}, usage: usageSummary{at: math.Inf(-1)},
+		requests: map[string]*request{}, unserved: newUnservedTable(), possibleRuns: possibleRuns{}, openByKey: map[requestKey][]*request{}, usage: usageSummary{at: math.Inf(-1)},
 		orderedKeys: map[string]*orderedKeyQueue{}, queueByShard: map[int]*shardQueue{},
 		classByName: map[string]*class{}, planByName: map[string]*Plan{}, volumes: map[volumeKey]*volume{},
 		nodeByID: map[string]*node{}, poolLatency: latencyEstimator{learnedAt: math.Inf(-1)},
