--- a/internal/iscsi/nexus.go
+++ b/internal/iscsi/nexus.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
-	"fmt"
 	"time"
 
 	"wheatsaddle/internal/address"
@@ -14,6 +12,9 @@
 	"wheatsaddle/policy"
 )
 
+// abortTagBit tells the tag of an ABORT TASK from that of its command, and is set in the tags of all requests that are no commands.
+const abortTagBit = 1 << 31
+
 // nexus is one session with the storage target through one of its portals. It has one connection
 // and many commands. A command that was written on it is finished by its response on the same
 // nexus or by the end of the nexus.
@@ -158,7 +159,7 @@
 		x.disconnect()
 		return
 	}
-	q := newPDU(opTaskMgmtReq, c.itt|1<<31)
+	q := newPDU(opTaskMgmtReq, c.itt|abortTagBit)
 	q.bhs[0] |= flagImmediate
 	q.bhs[1] = flagFinal | tmAbortTask
 	encodeLUN(q.bhs[8:], c.transfer.lun)
@@ -254,164 +255,8 @@
 	return dst
 }
 
-// addReadData stores the data of a Data-In PDU, or only counts them if the command was abandoned.
-func (c *command) addReadData(data []byte) {
-	c.received, c.dataSN = c.received+uint32(len(data)), c.dataSN+1
-	if c.attempt != nil {
-		c.readData = append(c.readData, data...)
-	}
-}
-
-// removeCommand releases the tag of a command that has ended.
-func (x *nexus) removeCommand(c *command) {
-	if x.commands[c.itt] == c {
-		delete(x.commands, c.itt)
-		if c.attempt == nil {
-			x.abandoned--
-		}
-	}
-}
-
-// handlePDU handles a PDU of the storage target. An error ends the connection.
-func (x *nexus) handlePDU(q *pdu) error {
-	if m := q.u32(32); q.op() != opReject && int32(m-x.maxCmdSN) > 0 {
-		x.maxCmdSN = m
-	}
-	switch q.op() {
-	case opSCSIResponse, opTaskMgmtResp, opLogoutResp, opAsync, opReject, opTextResp:
-		x.expStatSN = q.u32(24) + 1
-	}
-	c := x.commands[q.tag()]
-	if c == nil && x.aborted.ignores(q) {
-		return nil
-	}
-	switch q.op() {
-	case opSCSIResponse:
-		if c == nil {
-			return fmt.Errorf("%w: response to an unknown command", errProtocol)
-		}
-		return x.handleResponse(c, q)
-	case opDataIn:
-		if c == nil {
-			return fmt.Errorf("%w: Data-In for an unknown command", errProtocol)
-		}
-		if c.transfer.block.write || q.u32(36) != c.dataSN || q.u32(40) != c.received ||
-			uint64(c.received)+uint64(len(q.data)) > uint64(c.transfer.size) {
-			return fmt.Errorf("%w: Data-In out of sequence", errProtocol)
-		}
-		c.addReadData(q.data)
-		if c.attempt != nil && c.dataSN == 1 && c.received < c.transfer.size {
-			go c.attempt.ResponseArriving() // may wait for the core's mailbox
-		}
-		if q.bhs[1]&0x01 != 0 { // S bit: the PDU carries the status
-			x.expStatSN = q.u32(24) + 1
-			return x.handleResponse(c, q)
-		}
-	case opR2T:
-		if c == nil {
-			return fmt.Errorf("%w: R2T for an unknown command", errProtocol)
-		}
-		at, n := q.u32(40), q.u32(44)
-		if !c.transfer.block.write || n == 0 || at > c.transfer.size || n > c.transfer.size-at {
-			return fmt.Errorf("%w: R2T out of bounds", errProtocol)
-		}
-		if c.attempt == nil {
-			return nil // abandoned: no more data is sent for it
-		}
-		c.watchTaking(at + n)
-		if _, ok := x.writeFor(c, x.appendDataOut(nil, c, q.u32(20), at, n)); !ok {
-			return errors.New("write of Data-Out failed or timed out")
-		}
-	case opTaskMgmtResp:
-		if aborted := x.commands[q.tag()&^(1<<31)]; aborted != nil && aborted.attempt == nil {
-			x.removeCommand(aborted)
-			aborted.transfer.effect.attemptAborted()
-			x.aborted.add(aborted)
-		}
-	case opNopIn:
-		if ttt := q.u32(20); ttt != noTag {
-			n := newPDU(opNopOut, noTag)
-			n.bhs[0] |= flagImmediate
-			n.bhs[1] = flagFinal
-			n.put32(20, ttt)
-			x.setNumbers(n)
-			if _, ok := x.write(framing{}.append(nil, n)); !ok {
-				return errors.New("write of NOP-Out failed or timed out")
-			}
-		}
-	case opAsync:
-		if e := q.bhs[36]; e >= 1 && e <= 3 { // the target requests a logout, or drops the connection or the session
-			x.peer.logoutRequested = true
-			x.peer.reportState(policy.NodeDraining, 0)
-		}
-	case opReject:
-		if len(q.data) < bhsLen {
-			return fmt.Errorf("%w: Reject without the rejected header", errProtocol)
-		}
-		if r := x.commands[be.Uint32(q.data[16:])]; r != nil {
-			x.peer.reportResult(r, core.Result{Status: policy.Errored})
-			x.removeCommand(r)
-			r.transfer.effect.attemptFinished()
-		}
-	case opLogoutResp:
-		return errLoggedOut
-	default:
-		return fmt.Errorf("%w: unexpected %v", errProtocol, q)
-	}
-	return nil
-}
-
-// handleResponse ends a command. Its status decides the result of the attempt, and whether the response
-// is passed to the client.
-func (x *nexus) handleResponse(c *command, q *pdu) error {
-	x.removeCommand(c)
-	defer c.transfer.effect.attemptFinished()
-	if c.attempt == nil {
-		return nil
-	}
-	if x.requestID != 0 {
-		x.peer.portals.recordProgress(x)
-	}
-	status, rawSense := q.bhs[3], []byte(nil)
-	if q.op() == opSCSIResponse && len(q.data) >= 2 {
-		if n := int(be.Uint16(q.data)); n <= len(q.data)-2 {
-			rawSense = q.data[2 : 2+n]
-		}
-	}
-	r := core.Result{Status: policy.Errored}
-	passOn := func() { r.Status, r.Payload = policy.OK, &result{status: status, sense: rawSense, data: c.readData} }
-	passOnNotPerformed := func() { // another attempt would end likewise
-		passOn()
-		r.NotPerformed = true
-	}
-	switch {
-	case q.op() == opSCSIResponse && q.bhs[2] != 0: // iSCSI response "target failure": the command has no status
-	case status == statusGood:
-		if !c.transfer.block.write && uint32(len(c.readData)) != c.transfer.size {
-			break // a short read is not a complete response
-		}
-		if q.bhs[1]&0x06 != 0 { // residual underflow or overflow: the transfer is incomplete
-			break
-		}
-		passOn()
-	case status == statusBusy || status == statusTaskSetFull:
-		r.Status = policy.NodeFull
-	case status == statusConflict:
-		passOnNotPerformed()
-	case status == statusCheckCondition:
-		switch senseKey(rawSense) {
-		case senseIllegalRequest, senseDataProtect:
-			passOnNotPerformed()
-		case senseNotReady, senseUnitAttention:
-			r.Status = policy.NodeFull // the sense was reported instead of running the command (SPC-4)
-		}
-	}
-	x.peer.reportResult(c, r)
-	return nil
-}
-
 func (x *nexus) sendLogout() {
-	q := newPDU(opLogoutReq, 1<<31)
+	q := newPDU(opLogoutReq, abortTagBit)
 	q.bhs[0] |= flagImmediate
 	q.bhs[1] = flagFinal // reason 0: close the session
 	x.setNumbers(q)
@@ -437,7 +282,7 @@
 		x.disconnect()
 	case silence > peerPingAfterSilence && !x.pingSent:
 		x.pingSent = true
-		n := newPDU(opNopOut, 1<<31)
+		n := newPDU(opNopOut, abortTagBit)
 		n.bhs[0] |= flagImmediate
 		n.bhs[1] = flagFinal
 		n.put32(20, noTag)
