A test of aborts waits until the storage target has the ABORT TASK

Traced by reading: the test let the storage target respond right after the function's response, and a read that is answered is not aborted.

--- a/internal/iscsi/taskmgmt_test.go
+++ b/internal/iscsi/taskmgmt_test.go
@@ -79,6 +79,22 @@
 	return itt
 }
 
+// awaitAborts waits until the fake target has received a number of ABORT TASK requests.
+func (env *testEnv) awaitAborts(t *testing.T, count int) {
+	t.Helper()
+	for end := time.Now().Add(testWait); ; time.Sleep(time.Millisecond) {
+		env.mu.Lock()
+		aborts := env.aborts
+		env.mu.Unlock()
+		if aborts == count {
+			return
+		}
+		if aborts > count || time.Now().After(end) {
+			t.Fatalf("the storage target received %d ABORT TASK requests, want %d", aborts, count)
+		}
+	}
+}
+
 var abortingFunctions = map[string]byte{"ABORT TASK": tmAbortTask, "ABORT TASK SET": tmAbortTaskSet, "CLEAR TASK SET": tmClearTaskSet,
 	"LOGICAL UNIT RESET": tmLUNReset, "TARGET WARM RESET": tmWarmReset, "TARGET COLD RESET": tmColdReset}
 
@@ -239,13 +255,9 @@
 			if code := client.awaitFunction(); code != tmComplete {
 				t.Errorf("response %d", code)
 			}
+			env.awaitAborts(t, 1) // before the storage target responds, which would make them superfluous
 			close(env.hold)
 			client.expectSilence()
-			env.mu.Lock()
-			defer env.mu.Unlock()
-			if env.aborts != 1 {
-				t.Errorf("the storage target received %d ABORT TASK requests, want 1", env.aborts)
-			}
 		})
 		t.Run(name+", not sent", func(t *testing.T) {
 			env := newTestEnv(t, longObjective, false)
