iscsi: the functions of a session that are not answered are bounded

An initiator that sent resets while a write was held added a waiting function with each. A session now has at most 64; a further one is rejected at once (task management) or fails to clean up (logout), which promises nothing about the writes. TestFunctionsAreBounded: 67 resets, 64 complete after the write, 3 rejected.

--- a/internal/iscsi/taskmgmt.go
+++ b/internal/iscsi/taskmgmt.go
@@ -34,6 +34,9 @@
 	logoutCleanupFailed = 3
 )
 
+// maxFunctions is the maximum number of functions of a session that are not answered. A further one fails at once.
+const maxFunctions = 64
+
 // function is a task management function or a logout, whose response says that the commands that it covers have no further effect. It is
 // answered once that is known, or with a failure.
 type function struct {
@@ -101,6 +104,10 @@
 
 // start aborts the tasks that match, and has the function wait for the commands of the scope.
 func (s *session) start(f *function, scope taskset.Scope, matches func(*scsiTask) bool) {
+	if len(s.functions) >= maxFunctions {
+		s.decide(f, taskset.MayStillRun)
+		return
+	}
 	for _, task := range s.tasks {
 		if matches(task) && task.abortedBy == nil {
 			task.abortedBy = f
@@ -108,15 +115,18 @@
 			s.stopTask(task)
 		}
 	}
-	f.id = s.target.effects.await(scope, func(outcome taskset.Outcome) {
-		s.mu.Lock()
-		s.decisions = append(s.decisions, functionDecision{f, outcome})
-		s.mu.Unlock()
-		s.signal()
-	})
+	f.id = s.target.effects.await(scope, func(outcome taskset.Outcome) { s.decide(f, outcome) })
 	s.functions[f.id] = f
 }
 
+// decide passes the outcome of a function to the session's goroutine. Any goroutine may call it.
+func (s *session) decide(f *function, outcome taskset.Outcome) {
+	s.mu.Lock()
+	s.decisions = append(s.decisions, functionDecision{f, outcome})
+	s.mu.Unlock()
+	s.signal()
+}
+
 // stopTask makes no further attempt of a task. The outcome of a write that is at a storage target is awaited, as a cancel does not stop it.
 func (s *session) stopTask(task *scsiTask) {
 	switch {
--- a/internal/iscsi/taskmgmt_test.go
+++ b/internal/iscsi/taskmgmt_test.go
@@ -218,6 +218,31 @@
 	}
 }
 
+// Guards against functions without a bound: an initiator sends resets while a write is held.
+func TestFunctionsAreBounded(t *testing.T) {
+	env := newTestEnv(t, longObjective, false)
+	client := env.initiator(t)
+	itt, _ := env.startHeldWrite(client)
+	const further = 3
+	for range maxFunctions + further {
+		client.requestFunction(tmLUNReset, 0)
+	}
+	for range further {
+		if code := client.awaitFunction(); code != tmRejected {
+			t.Errorf("a reset beyond the bound: response %d", code)
+		}
+	}
+	close(env.hold)
+	if e := client.awaitResponse(itt, nil); e.status != statusGood {
+		t.Errorf("the write ended as %+v", e)
+	}
+	for range maxFunctions {
+		if code := client.awaitFunction(); code != tmComplete {
+			t.Errorf("a reset within the bound: response %d", code)
+		}
+	}
+}
+
 // A reset covers the writes of all sessions, and an abort of a task set only those of its own.
 func TestResetCoversOtherSessions(t *testing.T) {
 	env := newTestEnv(t, longObjective, false)
