--- a/internal/httpfront/promises_test.go
+++ b/internal/httpfront/promises_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -23,6 +24,8 @@
 // A fleet of fake nodes with random faults, and clients that repeat a request after a rejection, as the protocol lets them: with a new id, and
 // under the same idempotency key where the class has one. No request that may not run twice runs twice.
 
+var promiseSeeds = flag.Uint64("promise-seeds", 8, "number of random series of TestNoRequestRunsTwiceAfterARejection")
+
 // executions counts how often each client's request ran, and discards repeats by key for a while.
 type executions struct {
 	window time.Duration
@@ -253,8 +256,8 @@
 
 // Guards against answers over HTTP that promise that a request did not run, or that a repeat is harmless, while it may have run.
 func TestNoRequestRunsTwiceAfterARejection(t *testing.T) {
-	const seeds, clients, requests = 8, 24, 6
-	for seed := range uint64(seeds) {
+	const clients, requests = 24, 6
+	for seed := range *promiseSeeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			f := newPromiseFleet(t, seed)
--- a/internal/iscsi/promises_test.go
+++ b/internal/iscsi/promises_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -15,6 +16,8 @@
 // Random initiators before a storage target with random faults, which counts executions. No write runs after an answer that excludes it, and
 // no answer excludes an execution that was before it.
 
+var promiseSeeds = flag.Uint64("promise-seeds", 24, "number of random series of TestNoWriteRunsAgainstAnAnswer")
+
 // promisedWrite is one write command and what its initiator was told of it.
 type promisedWrite struct {
 	label      string
@@ -280,10 +283,10 @@
 // Guards against answers to initiators that promise that a write did not run, or will not run, while one of its attempts may have run or
 // may yet.
 func TestNoWriteRunsAgainstAnAnswer(t *testing.T) {
-	const seeds, initiators = 24, 5
+	const initiators = 5
 	var excluded, promised int
 	t.Run("series", func(t *testing.T) {
-		for seed := range uint64(seeds) {
+		for seed := range *promiseSeeds {
 			t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 				t.Parallel()
 				r := newPromiseRun(t, seed)
@@ -306,7 +309,7 @@
 			})
 		}
 	})
-	if excluded < seeds || promised < seeds {
+	if series := int(*promiseSeeds); excluded < series || promised < series {
 		t.Errorf("only %d responses that exclude a run, and %d promises of no further effect", excluded, promised)
 	}
 }
--- a/policy/promises_test.go
+++ b/policy/promises_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -17,6 +18,8 @@
 	maxClaimDelayMs     = 100.0 // between a Send and the first byte
 )
 
+var promiseSeeds = flag.Int64("promise-seeds", 60, "number of random series of TestNoRequestRunsTwiceByAnAnswer")
+
 // promiseEvent is a function that is called at a time.
 type promiseEvent struct {
 	at       float64
@@ -292,7 +295,7 @@
 // Guards against answers of the decision module that promise that a request did not run, or that a repeat is harmless, while it may have run.
 func TestNoRequestRunsTwiceByAnAnswer(t *testing.T) {
 	rejections := 0
-	for seed := range int64(60) {
+	for seed := range *promiseSeeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			p := newPromiseSimulation(t, seed)
 			p.run()
