--- a/internal/iscsi/command.go
+++ b/internal/iscsi/command.go
@@ -130,7 +130,7 @@
 		return &senseOutOfRange
 	case b.write && task.unit.ReadOnly:
 		return &senseProtected
-	case size > uint64(task.unit.MaxTransfer) || rule == nil && size > 0:
+	case size > uint64(task.unit.MaxTransfer) || rule == nil && size > 0, b.protection != 0: // protection information is not offered
 		return &senseBadField
 	case b.write && uint64(task.expectedLength) < size, b.write != (p.bhs[1]&0x20 != 0) && size > 0,
 		len(p.data) > 0 && (!b.write || !s.params.immediateData || len(p.data) > int(s.params.firstBurst) || uint64(len(p.data)) > size):
--- a/internal/iscsi/deadtarget_test.go
+++ b/internal/iscsi/deadtarget_test.go
@@ -147,7 +147,7 @@
 		label := fmt.Sprintf("initiator %d, command %d", initiator, i)
 		data := make([]byte, 512)
 		copy(data, label)
-		cdb := block{write, uint64(rng.IntN(4000)), 1}.cdb()
+		cdb := block{write: write, lba: uint64(rng.IntN(4000)), blocks: 1}.cdb()
 		flags := byte(0x40)
 		if write {
 			flags = 0x20
--- a/internal/iscsi/fakes_test.go
+++ b/internal/iscsi/fakes_test.go
@@ -57,6 +57,7 @@
 	pongs         chan struct{}
 	lastSession   *fakeTargetSession
 	lastTag       uint32 // of the last command
+	lastCDB       []byte
 	lastLogin     []pair // text of the last login request
 	logins        int
 	loginStatus   uint16                     // status of login responses
@@ -229,6 +230,7 @@
 func (s *fakeTargetSession) serveCommand(p *pdu, br *bufio.Reader, frames framing) bool {
 	s.mu.Lock()
 	s.received++
+	s.lastCDB = slices.Clone(p.bhs[32:48])
 	number, react := s.received, s.react
 	s.mu.Unlock()
 	if s.shouldCut(cutCommand) {
@@ -528,13 +530,13 @@
 
 func (c *fakeInitiator) startWrite(lba uint64, data []byte) uint32 {
 	c.t.Helper()
-	cdb := block{true, lba, uint32(len(data) / 512)}.cdb()
+	cdb := block{write: true, lba: lba, blocks: uint32(len(data) / 512)}.cdb()
 	return c.startCommand(cdb[:], 0, 0x20, uint32(len(data)))
 }
 
 func (c *fakeInitiator) readBlocks(lba uint64, blocks uint32) outcome {
 	c.t.Helper()
-	cdb := block{false, lba, blocks}.cdb()
+	cdb := block{lba: lba, blocks: blocks}.cdb()
 	return c.awaitResponse(c.startCommand(cdb[:], 0, 0x40, blocks*512), nil)
 }
 
--- a/internal/iscsi/finish_test.go
+++ b/internal/iscsi/finish_test.go
@@ -22,7 +22,7 @@
 	t.Cleanup(func() { close(env.hold) })
 	data := pattern(1024)
 	reading, writing, sending := env.initiator(t), env.otherInitiator(t), env.initiatorAs(t, "\x80\x00\x00\x00\x00\x03")
-	cdb := block{false, 0, 2}.cdb()
+	cdb := block{lba: 0, blocks: 2}.cdb()
 	read := reading.startCommand(cdb[:], 0, 0x40, 1024)
 	<-env.holding
 	write := writing.startWrite(0, data) // runs, and its response is not sent
--- a/internal/iscsi/iscsi_test.go
+++ b/internal/iscsi/iscsi_test.go
@@ -59,7 +59,7 @@
 	q.put32(20, uint32(len(data)))
 	q.put32(24, client.cmdSN)
 	client.cmdSN++
-	cdb := block{true, 0, 20}.cdb()
+	cdb := block{write: true, lba: 0, blocks: 20}.cdb()
 	copy(q.bhs[32:], cdb[:])
 	q.data = data[:4096]
 	client.send(q)
@@ -289,7 +289,7 @@
 		return r.u32(32)
 	}
 	first := ping()
-	cdb := block{true, 0, 1}.cdb()
+	cdb := block{write: true, lba: 0, blocks: 1}.cdb()
 	for i := range 3 { // immediate write commands, which wait for their data
 		q := newPDU(opSCSICommand, uint32(900+i))
 		q.bhs[0] |= flagImmediate
@@ -332,17 +332,17 @@
 		cdb      [16]byte
 		senseKey byte
 	}{
-		{9, block{false, 0, 1}.cdb(), senseIllegalRequest},
-		{0, block{false, 4096, 1}.cdb(), senseIllegalRequest},
-		{0, block{false, 1 << 63, 1 << 31}.cdb(), senseIllegalRequest},
-		{0, block{false, 0, 4096}.cdb(), senseIllegalRequest}, // longer than the maximum transfer
+		{9, block{lba: 0, blocks: 1}.cdb(), senseIllegalRequest},
+		{0, block{lba: 4096, blocks: 1}.cdb(), senseIllegalRequest},
+		{0, block{lba: 1 << 63, blocks: 1 << 31}.cdb(), senseIllegalRequest},
+		{0, block{lba: 0, blocks: 4096}.cdb(), senseIllegalRequest}, // longer than the maximum transfer
 		{0, [16]byte{0xfe}, senseIllegalRequest},
 	} {
 		if e := runCommand(x.lun, 512, x.cdb[:]...); e.status != statusCheckCondition || e.senseKey != x.senseKey {
 			t.Errorf("command %x ended as %+v instead of with the sense key of its failed check", x.cdb, e)
 		}
 	}
-	cdb := block{true, 0, 1}.cdb()
+	cdb := block{write: true, lba: 0, blocks: 1}.cdb()
 	if e := client.awaitResponse(client.startCommand(cdb[:], 3, 0x20, 512), nil); e.senseKey != senseDataProtect {
 		t.Errorf("write to a read-only unit ended as %+v", e)
 	}
@@ -395,7 +395,7 @@
 		q.bhs[1] = flagFinal | 0x21
 		q.put32(20, 4096)
 		q.put32(24, 1)
-		cdb := block{true, 0, 8}.cdb()
+		cdb := block{write: true, lba: 0, blocks: 8}.cdb()
 		copy(q.bhs[32:], cdb[:])
 		edit(q)
 		return q
@@ -435,7 +435,7 @@
 	// A command whose CmdSN is outside the command window is ignored. The next one, inside the window, is served.
 	client = env.initiator(t)
 	client.cmdSN += 100
-	cdb := block{false, 0, 1}.cdb()
+	cdb := block{lba: 0, blocks: 1}.cdb()
 	client.startCommand(cdb[:], 0, 0x40, 512)
 	client.cmdSN -= 101
 	if e := client.readBlocks(0, 1); e.status != statusGood {
@@ -482,7 +482,7 @@
 func TestPlanRateLimitAppliesToCommands(t *testing.T) {
 	env := newTestEnv(t, 1000, false)
 	client := env.initiator(t)
-	cdb := block{false, 0, 1}.cdb()
+	cdb := block{lba: 0, blocks: 1}.cdb()
 	if e := client.awaitResponse(client.startCommand(cdb[:], 4, 0x40, 512), nil); e.status != statusBusy {
 		t.Errorf("command beyond the rate limit of its volume ended as %+v", e)
 	}
--- a/internal/iscsi/scsi.go
+++ b/internal/iscsi/scsi.go
@@ -81,11 +81,21 @@
 	return 0
 }
 
+// Bits in byte 1 of READ and WRITE (10, 12, 16).
+const (
+	cdbForceUnitAccess = 0x08
+	cdbDisablePageOut  = 0x10
+	cdbCacheBits       = cdbForceUnitAccess | cdbDisablePageOut
+	cdbProtectionShift = 5 // RDPROTECT or WRPROTECT
+)
+
 // block is a decoded READ or WRITE.
 type block struct {
-	write  bool
-	lba    uint64
-	blocks uint32
+	write      bool
+	lba        uint64
+	blocks     uint32
+	cacheBits  byte // FUA and DPO, as in byte 1 of the command
+	protection byte // RDPROTECT or WRPROTECT
 }
 
 // decodeBlock decodes a CDB that transfers blocks. ok is false for any other CDB.
@@ -109,12 +119,15 @@
 	case scsiWrite6, scsiWrite10, scsiWrite12, scsiWrite16:
 		b.write = true
 	}
+	if cdb[0] != scsiRead6 && cdb[0] != scsiWrite6 {
+		b.cacheBits, b.protection = cdb[1]&cdbCacheBits, cdb[1]>>cdbProtectionShift
+	}
 	return b, true
 }
 
 // cdb encodes a READ(16) or WRITE(16) command.
 func (b block) cdb() (c [16]byte) {
-	c[0] = scsiRead16
+	c[0], c[1] = scsiRead16, b.cacheBits
 	if b.write {
 		c[0] = scsiWrite16
 	}
@@ -172,8 +185,8 @@
 	return nil, 0, &senseBadOpcode
 }
 
-// deviceSpecificParameter returns the device-specific parameter of the mode parameter header: the WP bit, and DPOFUA, as FUA is
-// always in effect.
+// deviceSpecificParameter returns the device-specific parameter of the mode parameter header: the WP bit, and DPOFUA, as both bits are
+// passed on to the storage targets.
 func (u *unit) deviceSpecificParameter() byte {
 	if u.ReadOnly {
 		return 0x90
--- a/internal/iscsi/taskmgmt_test.go
+++ b/internal/iscsi/taskmgmt_test.go
@@ -273,7 +273,7 @@
 			env := newTestEnv(t, longObjective, false)
 			env.hold = make(chan struct{})
 			client := env.initiator(t)
-			cdb := block{false, 0, 1}.cdb()
+			cdb := block{lba: 0, blocks: 1}.cdb()
 			itt := client.startCommand(cdb[:], 0, 0x40, 512)
 			<-env.holding
 			client.requestFunction(function, itt)
@@ -330,7 +330,7 @@
 	env.target.effects.limit = 300 * time.Millisecond
 	client := env.initiator(t)
 	held, data := env.startHeldWrite(client)
-	cdb := block{false, 8, 1}.cdb()
+	cdb := block{lba: 8, blocks: 1}.cdb()
 	read := client.startCommand(cdb[:], 0, 0x40, 512)
 	<-env.holding
 	incomplete := client.startWrite(16, data)
--- a/internal/iscsi/usedtag_test.go
+++ b/internal/iscsi/usedtag_test.go
@@ -22,7 +22,7 @@
 		session, usedTag := env.lastSession, env.lastTag
 		env.hold = hold
 		env.mu.Unlock()
-		cdb := block{false, 1, 1}.cdb()
+		cdb := block{lba: 1, blocks: 1}.cdb()
 		itt := client.startCommand(cdb[:], 0, 0x40, 512)
 		<-env.holding
 		session.respond(usedTag, false, first, statusGood, nil)
