--- a/cmd/wheatsaddle/iscsi.go
+++ b/cmd/wheatsaddle/iscsi.go
@@ -79,7 +79,7 @@
 		seed:    conf.Seed,
 		dialer:  dialer,
 		core:    co,
-		target:  iscsi.NewTarget(mapping, co, log),
+		target:  iscsi.NewTarget(mapping, co, dialer, log),
 		sockets: mapping.Sessions + 2*len(mapping.Storage),
 	}
 	f.target.LimitMemory(options.memory)
--- a/internal/iscsi/command.go
+++ b/internal/iscsi/command.go
@@ -35,6 +35,7 @@
 	buffer            *bufferShare  // nil: the command transfers no blocks
 	abortedBy         *function     // which has not been answered; nil: the task is not aborted
 	neverRan          bool          // of an aborted task: core has answered that no attempt may have run
+	synchronizing     bool          // it is a SYNCHRONIZE CACHE, and waits for storage targets
 }
 
 // transfer is the payload of a request: the command for a storage target. It is the same for each attempt.
@@ -44,6 +45,8 @@
 	size  uint32
 	data  []byte
 	key   string
+	// initiator is the name of the initiator that sent the command.
+	initiator string
 	// buffer is the command's share of the buffer budget, which also covers data.
 	buffer *bufferShare
 	effect *writeEffect // nil: a read
@@ -78,6 +81,10 @@
 		}
 		task.unit = &unit{config.Unit{BlockSize: 512, Blocks: 1}}
 	}
+	if b, ok := decodeSync(cdb); ok {
+		s.synchronizeCache(task, b)
+		return nil
+	}
 	b, transfersBlocks := decodeBlock(cdb)
 	if !transfersBlocks {
 		s.answerLocally(task, cdb)
@@ -227,9 +234,14 @@
 	return nil
 }
 
+// awaitsData reports whether a task's write data are still arriving.
+func (task *scsiTask) awaitsData() bool {
+	return task.request == nil && task.abortedBy == nil && !task.synchronizing
+}
+
 // dataTimedOut reports whether the write data of a task that is not submitted yet have stopped arriving, or are too late.
 func (task *scsiTask) dataTimedOut(now time.Time) bool {
-	return task.request == nil && task.abortedBy == nil && (now.Sub(task.receivedAt) > task.deadline || now.Sub(task.lastDataAt) > pduLimits.StallTimeout)
+	return task.awaitsData() && (now.Sub(task.receivedAt) > task.deadline || now.Sub(task.lastDataAt) > pduLimits.StallTimeout)
 }
 
 // submit submits the task's request to the core. Its deadline counts from the arrival of the command.
@@ -243,7 +255,8 @@
 	if task.settings.MaxUnits > 0 {
 		units = math.Min(units, task.settings.MaxUnits)
 	}
-	payload := &transfer{lun: u.StorageLUN, block: task.block, size: task.length, data: task.writeData, key: id, buffer: task.buffer.share()}
+	payload := &transfer{lun: u.StorageLUN, block: task.block, size: task.length, data: task.writeData, key: id, initiator: s.initiatorName,
+		buffer: task.buffer.share()}
 	if task.block.write {
 		payload.effect = s.target.effects.begin(taskset.Command{Session: s.id, Initiator: s.initiatorName, Nexus: s.nexus, Target: s.targetName,
 			LUN: task.lun, Tag: task.initiatorTaskTag})
--- a/internal/iscsi/deadtarget_test.go
+++ b/internal/iscsi/deadtarget_test.go
@@ -56,7 +56,7 @@
 	}
 	t.Cleanup(func() { ln.Close() })
 	f.address = ln.Addr().String()
-	target := NewTarget(conf, c, log)
+	target := NewTarget(conf, c, dialer, log)
 	go func() { _ = target.Serve(ln) }()
 	return f
 }
--- a/internal/iscsi/dialer.go
+++ b/internal/iscsi/dialer.go
@@ -11,6 +11,7 @@
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/memory"
+	"wheatsaddle/internal/writecache"
 	"wheatsaddle/policy"
 )
 
@@ -21,15 +22,18 @@
 	ConnectTimeout     time.Duration
 	DeduplicatesWrites bool
 	Log                logrus.FieldLogger
-	mu                 sync.Mutex
+	mu                 sync.Mutex // guards the fields below
 	storage            map[string]config.StorageTarget
+	peers              map[string]*storagePeer // by the name of the storage target
+	caches             *writecache.Tracker
 	listUpdateHandler  atomic.Pointer[func(core.ListUpdate)]
 	addressSettings    atomic.Pointer[address.Settings]
 }
 
 // NewDialer returns a dialer for the storage targets of a configuration.
 func NewDialer(conf *config.ISCSI, name string, connect time.Duration, log logrus.FieldLogger) *Dialer {
-	d := &Dialer{Name: name, ConnectTimeout: connect, DeduplicatesWrites: conf.DeduplicatesWrites, Log: log}
+	d := &Dialer{Name: name, ConnectTimeout: connect, DeduplicatesWrites: conf.DeduplicatesWrites, Log: log,
+		peers: map[string]*storagePeer{}, caches: writecache.New()}
 	d.Update(conf)
 	return d
 }
@@ -88,6 +92,21 @@
 	p := &storagePeer{dialer: d, name: name, target: conf.Target, mailbox: make(chan message, mailboxSize), done: make(chan struct{}),
 		commands: map[*core.Attempt]*command{}, retiring: map[*nexus]bool{}}
 	p.replaceAddresses(addresses)
-	go p.run()
+	d.mu.Lock()
+	d.peers[name] = p
+	d.mu.Unlock()
+	go func() {
+		p.run()
+		d.removePeer(p)
+	}()
 	return p
 }
+
+// removePeer removes an actor that has ended, unless another one has taken its place.
+func (d *Dialer) removePeer(p *storagePeer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peers[p.name] == p {
+		delete(d.peers, p.name)
+	}
+}
--- a/internal/iscsi/errors.go
+++ b/internal/iscsi/errors.go
@@ -30,6 +30,21 @@
 	return "Check the storage target's own log and the network path to it. The program reconnects by itself; commands in flight on the connection have failed."
 }
 
+// CacheInDoubtError reports that the last session with a storage target has ended while the target may have had writes in its cache only.
+type CacheInDoubtError struct{ Target string }
+
+func (e *CacheInDoubtError) Error() string {
+	return fmt.Sprintf("storage target %s: writes that it has acknowledged and not synchronized may be lost", e.Target)
+}
+
+// Code implements operr.Coded.
+func (e *CacheInDoubtError) Code() string { return "iscsi-cache-in-doubt" }
+
+// Advice implements operr.Coded.
+func (e *CacheInDoubtError) Advice() string {
+	return "Check whether the storage target has restarted. Each initiator with such a write gets HARDWARE ERROR for its next SYNCHRONIZE CACHE, once."
+}
+
 // SessionPanicError reports a panic in one session, which is a fault of this program.
 type SessionPanicError struct{ Value string }
 
@@ -44,5 +59,5 @@
 }
 
 func init() {
-	operr.Register(&ConnectionDroppedError{"st-1", errProtocol}, &SessionPanicError{"index out of range"})
+	operr.Register(&ConnectionDroppedError{"st-1", errProtocol}, &CacheInDoubtError{"st-1"}, &SessionPanicError{"index out of range"})
 }
--- a/internal/iscsi/fakes_test.go
+++ b/internal/iscsi/fakes_test.go
@@ -48,8 +48,11 @@
 	dataPause     time.Duration // before each Data-In PDU and each R2T but the first
 	pduPause      time.Duration // in the middle of each Data-In PDU
 	disk          map[uint64][]byte
-	received      int // command PDUs received
-	executed      int // commands executed
+	cache         map[uint64][]byte // not nil: writes without FUA are on the disk only after a SYNCHRONIZE CACHE
+	flushes       int               // SYNCHRONIZE CACHE commands received
+	flushReaction reaction          // to these
+	received      int               // command PDUs received
+	executed      int               // commands executed
 	keys          map[string]bool
 	runs          map[string][]time.Time // when a write was executed, by the first bytes of its data
 	aborts        int
@@ -236,6 +239,9 @@
 	if s.shouldCut(cutCommand) {
 		return false
 	}
+	if f, ok := decodeSync(p.bhs[32:48]); ok {
+		return s.serveFlush(p, f)
+	}
 	b, _ := decodeBlock(p.bhs[32:48])
 	size := b.blocks * 512
 	data := slices.Clone(p.data) // immediate data
@@ -301,19 +307,60 @@
 			s.runs[labelOf(data)] = append(s.runs[labelOf(data)], time.Now())
 		}
 		for i := uint32(0); b.write && i < b.blocks; i++ {
-			s.disk[b.lba+uint64(i)] = data[i*512 : i*512+512]
+			s.store(b, b.lba+uint64(i), data[i*512:i*512+512])
 		}
 	}
 	if b.write {
 		return data
 	}
 	for i := uint64(0); i < uint64(b.blocks); i++ {
-		block := s.disk[b.lba+i]
+		block, cached := s.cache[b.lba+i]
+		if !cached {
+			block = s.disk[b.lba+i]
+		}
 		data = append(data, append(block, make([]byte, 512-len(block))...)...)
 	}
 	return data
 }
 
+// store writes one block of a command to the disk, or to the cache if there is one. The caller holds the mutex.
+func (s *fakeTarget) store(command block, lba uint64, data []byte) {
+	if s.cache == nil || command.forcesUnitAccess() {
+		s.disk[lba] = data
+		delete(s.cache, lba)
+		return
+	}
+	s.cache[lba] = data
+}
+
+// serveFlush serves a SYNCHRONIZE CACHE. It returns false if the connection is to be closed.
+func (s *fakeTargetSession) serveFlush(p *pdu, f block) bool {
+	s.mu.Lock()
+	s.flushes++
+	r := s.flushReaction
+	for lba, data := range s.cache {
+		if r.status == statusGood && lba >= f.lba && (f.blocks == 0 || lba < f.lba+uint64(f.blocks)) {
+			s.disk[lba] = data
+			delete(s.cache, lba)
+		}
+	}
+	s.mu.Unlock()
+	if r.ending == responds {
+		s.respond(p.tag(), true, nil, r.status, r.sense)
+	}
+	return r.ending != cuts
+}
+
+// restart closes the connection and loses the cache.
+func (s *fakeTarget) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.cache)
+	if s.lastSession != nil {
+		s.lastSession.conn.Close()
+	}
+}
+
 // labelOf returns the first bytes of a write's data.
 func labelOf(data []byte) string {
 	const labelBytes = 32
@@ -615,7 +662,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	env := &testEnv{fakeTarget: target, core: scheduler, dialer: dialer, target: NewTarget(conf, scheduler, log), address: ln.Addr().String()}
+	env := &testEnv{fakeTarget: target, core: scheduler, dialer: dialer, target: NewTarget(conf, scheduler, dialer, log), address: ln.Addr().String()}
 	go func() { _ = env.target.Serve(ln) }()
 	return env
 }
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -40,6 +40,7 @@
 	err                   error // read error of the session from; if from is nil, error of the dial
 	addresses             []address.Addr
 	portalLogin           *portalLogin
+	flush                 *flush
 	close                 bool
 }
 
@@ -83,6 +84,7 @@
 	logoutRequested  bool // the target has requested a logout or dropped the session
 	redialAt         time.Time
 	queue            []*command
+	flushes          []*flush // that wait for a session
 	commands         map[*core.Attempt]*command
 }
 
@@ -152,10 +154,12 @@
 			p.checkTimeouts(now)
 		}
 		p.sendQueued()
+		p.sendFlushes()
 		if p.portals != nil {
 			wake = p.portals.syncSelector()
 		}
 	}
+	p.failFlushes()
 	for x := range p.retiring {
 		x.logOut()
 	}
@@ -182,6 +186,8 @@
 			return
 		}
 		p.makeCurrent(newNexus(p, m.dialed))
+	case m.flush != nil:
+		p.queueFlush(m.flush)
 	case m.portalLogin != nil:
 		if p.portals != nil {
 			p.portals.handleLogin(m.portalLogin)
@@ -322,6 +328,7 @@
 		p.reportResult(c, core.Result{Status: policy.ConnectFailed})
 	}
 	p.queue = nil
+	p.failFlushes()
 }
 
 // dial opens the session with a target that has a single portal.
--- a/internal/iscsi/nexus.go
+++ b/internal/iscsi/nexus.go
@@ -15,6 +15,9 @@
 // abortTagBit tells the tag of an ABORT TASK from that of its command, and is set in the tags of all requests that are no commands.
 const abortTagBit = 1 << 31
 
+// simpleTaskAttribute is the ATTR field of a SCSI command.
+const simpleTaskAttribute = 0x01
+
 // nexus is one session with the storage target through one of its portals. It has one connection
 // and many commands. A command that was written on it is finished by its response on the same
 // nexus or by the end of the nexus.
@@ -22,6 +25,7 @@
 	peer                      *storagePeer
 	conn                      *loggedInConn // nil: the session has ended
 	commands                  map[uint32]*command
+	flushes                   map[uint32]*flush
 	abandoned                 int
 	aborted                   abortedCommands
 	cmdSN, expStatSN, lastITT uint32
@@ -37,7 +41,7 @@
 // newNexus returns a nexus on a connection that has logged in and starts to read from it.
 func newNexus(p *storagePeer, l *loggedInConn) *nexus {
 	p.dialer.Memory.Acquire(memory.BlockSession, sessionBytes) // bounded by the portals of the mapping
-	x := &nexus{peer: p, conn: l, commands: map[uint32]*command{}, cmdSN: 1, maxCmdSN: l.maxCmdSN, lastPDUAt: time.Now()}
+	x := &nexus{peer: p, conn: l, commands: map[uint32]*command{}, flushes: map[uint32]*flush{}, cmdSN: 1, maxCmdSN: l.maxCmdSN, lastPDUAt: time.Now()}
 	go func() {
 		in := framing{maxDataSegment: ownMaxSegment}
 		for {
@@ -102,7 +106,7 @@
 func (x *nexus) windowOpen() bool { return x.conn != nil && int32(x.maxCmdSN-x.cmdSN) >= 0 }
 
 // hasLiveCommands reports whether commands are in flight that were not abandoned.
-func (x *nexus) hasLiveCommands() bool { return len(x.commands) > x.abandoned }
+func (x *nexus) hasLiveCommands() bool { return len(x.commands) > x.abandoned || len(x.flushes) > 0 }
 
 // releaseIfIdle ends the portal selection's request if no command is in flight except abandoned
 // ones, and then also the session if another has replaced it.
@@ -150,6 +154,12 @@
 	if x.connID != 0 {
 		x.peer.portals.recordSessionEnd(x)
 	}
+	if !x.peer.hasSession() {
+		x.peer.dialer.recordNoSession(x.peer.name)
+	}
+	for tag := range x.flushes {
+		x.endFlush(tag, flushUnconfirmed)
+	}
 }
 
 // abortCommand sends ABORT TASK for a command that was abandoned. The session ends if the target leaves
@@ -184,16 +194,21 @@
 	q.put32(28, x.expStatSN)
 }
 
-// startCommand writes a command with its immediate and unsolicited data.
-func (x *nexus) startCommand(c *command) {
-	c.nexus = x
+// nextTag returns the tag of the next command.
+func (x *nexus) nextTag() uint32 {
 	x.lastITT++
 	if x.lastITT == noTag {
 		x.lastITT = 1
 	}
-	c.itt = x.lastITT
+	return x.lastITT
+}
+
+// startCommand writes a command with its immediate and unsolicited data.
+func (x *nexus) startCommand(c *command) {
+	c.nexus = x
+	c.itt = x.nextTag()
 	q := newPDU(opSCSICommand, c.itt)
-	q.bhs[1] = 0x01 // simple task attribute
+	q.bhs[1] = simpleTaskAttribute
 	encodeLUN(q.bhs[8:], c.transfer.lun)
 	q.put32(20, c.transfer.size)
 	x.setNumbers(q)
@@ -267,7 +282,7 @@
 	if x.conn == nil {
 		return
 	}
-	if x.peer.logoutRequested && len(x.commands) == 0 {
+	if x.peer.logoutRequested && len(x.commands) == 0 && len(x.flushes) == 0 {
 		if x.logoutSentAt.IsZero() {
 			x.logoutSentAt = now
 			x.sendLogout()
--- a/internal/iscsi/nexusreceive.go
+++ b/internal/iscsi/nexusreceive.go
@@ -61,7 +61,7 @@
 func (x *nexus) handleCommandPDU(q *pdu) error {
 	c := x.commands[q.tag()]
 	switch {
-	case c == nil && x.aborted.ignores(q):
+	case c == nil && (x.handleFlushPDU(q) || x.aborted.ignores(q)):
 		return nil
 	case c == nil:
 		return fmt.Errorf("%w: %v for an unknown command", errProtocol, q)
@@ -139,8 +139,10 @@
 	if len(q.data) < bhsLen {
 		return fmt.Errorf("%w: Reject without the rejected header", errProtocol)
 	}
-	c := x.commands[be.Uint32(q.data[16:])]
+	tag := be.Uint32(q.data[16:])
+	c := x.commands[tag]
 	if c == nil {
+		x.endFlush(tag, flushRefused)
 		return nil
 	}
 	x.peer.reportResult(c, core.Result{Status: policy.Errored})
@@ -181,6 +183,9 @@
 		if q.bhs[1]&0x06 != 0 { // residual underflow or overflow: the transfer is incomplete
 			break
 		}
+		if c.transfer.block.write {
+			x.recordWrite(c.transfer)
+		}
 		passOn()
 	case status == statusBusy || status == statusTaskSetFull:
 		r.Status = policy.NodeFull
--- a/internal/iscsi/portals.go
+++ b/internal/iscsi/portals.go
@@ -136,6 +136,16 @@
 	}
 }
 
+// hasSession reports whether a session has a connection.
+func (o *portalSelector) hasSession() bool {
+	for _, x := range o.sessions {
+		if x.conn != nil {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *portalSelector) shutDown() {
 	for _, stop := range o.connecting {
 		stop()
--- a/internal/iscsi/scsi.go
+++ b/internal/iscsi/scsi.go
@@ -60,6 +60,8 @@
 	senseTimeout      = sense{senseAborted, 0x2e02} // command timeout during processing
 	senseMayRepeat    = sense{senseAborted, 0x0800} // logical unit communication failure
 	senseWriteInDoubt = sense{senseHardware, 0x0800}
+	senseWriteLost    = sense{senseHardware, 0x0c00}       // write error
+	senseNoSavedPages = sense{senseIllegalRequest, 0x3900} // saving parameters not supported
 )
 
 // encodeFixed encodes sense data in the fixed format.
@@ -125,6 +127,9 @@
 	return b, true
 }
 
+// forcesUnitAccess reports whether a write is acknowledged only once its data are on the medium.
+func (b block) forcesUnitAccess() bool { return b.cacheBits&cdbForceUnitAccess != 0 }
+
 // cdb encodes a READ(16) or WRITE(16) command.
 func (b block) cdb() (c [16]byte) {
 	c[0], c[1] = scsiRead16, b.cacheBits
@@ -145,8 +150,8 @@
 // command's allocation length.
 func (u *unit) answerLocally(cdb []byte, luns []uint16) (data []byte, alloc uint32, failure *sense) {
 	switch cdb[0] {
-	case scsiTestUnitReady, scsiSyncCache10, scsiSyncCache16:
-		return nil, 0, nil // nothing to flush: a write is answered only after its storage target has answered
+	case scsiTestUnitReady:
+		return nil, 0, nil
 	case scsiRequestSense:
 		return sense{}.encodeFixed(), uint32(cdb[4]), nil
 	case scsiInquiry:
@@ -176,24 +181,15 @@
 		}
 		return b, be.Uint32(cdb[6:]), nil
 	case scsiModeSense6:
-		b := []byte{3, 0, u.deviceSpecificParameter(), 0}
-		return b, uint32(cdb[4]), nil
+		b, failure := u.modeSense6(cdb)
+		return b, uint32(cdb[4]), failure
 	case scsiModeSense10:
-		b := []byte{0, 6, 0, u.deviceSpecificParameter(), 0, 0, 0, 0}
-		return b, uint32(be.Uint16(cdb[7:])), nil
+		b, failure := u.modeSense10(cdb)
+		return b, uint32(be.Uint16(cdb[7:])), failure
 	}
 	return nil, 0, &senseBadOpcode
 }
 
-// deviceSpecificParameter returns the device-specific parameter of the mode parameter header: the WP bit, and DPOFUA, as both bits are
-// passed on to the storage targets.
-func (u *unit) deviceSpecificParameter() byte {
-	if u.ReadOnly {
-		return 0x90
-	}
-	return 0x10
-}
-
 func (u *unit) inquiry(cdb []byte) ([]byte, bool) {
 	if cdb[1]&1 == 0 {
 		if cdb[2] != 0 {
--- a/internal/iscsi/session.go
+++ b/internal/iscsi/session.go
@@ -32,8 +32,9 @@
 	functions                   map[taskset.FunctionID]*function // that are not answered
 	writeBuffer                 []byte
 	unflushed                   []*bufferShare     // of tasks that have ended, until their responses are written
-	mu                          sync.Mutex         // guards answers and decisions
+	mu                          sync.Mutex         // guards answers, syncAnswers and decisions
 	answers                     []coreAnswer       // shared: appended by the core, at most one for each task
+	syncAnswers                 []syncAnswer       // shared: appended by any goroutine, at most one for each task
 	decisions                   []functionDecision // shared: about functions
 	wake                        chan struct{}      // shared: signals that answers or decisions has entries
 	draining                    atomic.Bool        // shared: the target is shutting down
@@ -86,6 +87,7 @@
 		}
 		if err == nil {
 			s.sendResponses()
+			s.sendSyncResponses()
 			s.rejectUnsubmitted()
 			err = s.answerFunctions()
 		}
@@ -121,14 +123,18 @@
 	}
 }
 
-// rejectUnsubmitted rejects the tasks that wait for write data, if no command may be started any more.
+// rejectUnsubmitted rejects the tasks that wait for write data, if no command may be started any more, and ends those that wait for a
+// SYNCHRONIZE CACHE.
 func (s *session) rejectUnsubmitted() {
 	if !s.finishing.Load() {
 		return
 	}
 	for _, task := range s.tasks {
-		if task.request == nil && task.abortedBy == nil {
+		switch {
+		case task.awaitsData():
 			s.rejectTask(task, 0)
+		case task.synchronizing && task.abortedBy == nil:
+			s.finishTask(task, statusCheckCondition, &senseMayRepeat, nil, 0)
 		}
 	}
 }
--- a/internal/iscsi/target.go
+++ b/internal/iscsi/target.go
@@ -71,6 +71,7 @@
 type Target struct {
 	conf              *config.ISCSI
 	core              *core.Core
+	storage           *Dialer // whose initiators the core uses
 	log               logrus.FieldLogger
 	mapping           atomic.Pointer[mapping]
 	startedAt         int64 // makes request ids differ from those of earlier processes
@@ -88,9 +89,9 @@
 	stopping bool
 }
 
-// NewTarget returns a target that serves the configured units and submits to the core.
-func NewTarget(conf *config.ISCSI, c *core.Core, log logrus.FieldLogger) *Target {
-	t := &Target{conf: conf, core: c, log: log, startedAt: time.Now().UnixNano(), sessions: map[*session]bool{}, effects: newEffectTracker()}
+// NewTarget returns a target that serves the configured units and submits to the core, whose initiators are those of the dialer.
+func NewTarget(conf *config.ISCSI, c *core.Core, storage *Dialer, log logrus.FieldLogger) *Target {
+	t := &Target{conf: conf, core: c, storage: storage, log: log, startedAt: time.Now().UnixNano(), sessions: map[*session]bool{}, effects: newEffectTracker()}
 	t.mapping.Store(newMapping(conf, c.Settings()))
 	return t
 }
--- a/internal/iscsi/taskmgmt.go
+++ b/internal/iscsi/taskmgmt.go
@@ -130,7 +130,7 @@
 // stopTask makes no further attempt of a task. The outcome of a write that is at a storage target is awaited, as a cancel does not stop it.
 func (s *session) stopTask(task *scsiTask) {
 	switch {
-	case task.request == nil: // its data are still arriving
+	case task.request == nil: // its data are still arriving, or it is a SYNCHRONIZE CACHE, which does no harm
 	case task.block.write:
 		s.target.core.Abort(task.request)
 	default:
@@ -172,6 +172,8 @@
 	}
 	task.abortedBy = nil
 	switch {
+	case task.synchronizing:
+		s.finishTask(task, statusCheckCondition, &senseMayRepeat, nil, 0)
 	case task.request == nil || task.neverRan:
 		s.rejectTask(task, 0)
 	case !task.block.write:
