--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -321,7 +321,7 @@
 	if r == nil {
 		return
 	}
-	r.ReceivedAt = time.Now()
+	r.ReceivedAt = arrivalOf(ctx)
 	pending := newPendingAnswer()
 	r.Answer = pending.deliver
 	overCapacity := s.ln.Load().OverCapacity()
@@ -345,6 +345,14 @@
 	s.submit(ctx, r, pending)
 }
 
+// arrivalOf returns when a request that has been read arrived. Its time counts from then.
+func arrivalOf(ctx *fasthttp.RequestCtx) time.Time {
+	if c, ok := ctx.Conn().(*transport.Conn); ok {
+		return c.RequestArrivedAt()
+	}
+	return time.Now()
+}
+
 // longHeadBytes returns the memory of a head beyond that of a usual one: its raw and its decoded copies, and its parsed fields.
 func longHeadBytes(h *fasthttp.RequestHeader) int64 {
 	size := len(h.RequestURI()) + len(h.RawHeaders())
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -48,6 +48,7 @@
 	// The fields below belong to the server's goroutine.
 	responseDone bool        // the next Read makes the connection idle
 	read, parsed int         // bytes since the connection was last idle
+	delivered    int64       // bytes that Read has returned
 	discardInput bool        // input after the last response belongs to the request it answered
 	pace         tokenBucket // of requests
 
@@ -70,6 +71,7 @@
 		c.requestRead.end()
 		n = c.withinMessage(p[:max(n, 0)])
 		c.read += n
+		c.delivered += int64(n)
 		return n, err
 	}
 	c.read, c.parsed = 0, 0 // the server's buffer is empty when it waits for a request
@@ -82,6 +84,7 @@
 		c.acquireRequest()
 	}
 	c.read = c.withinMessage(p[:n])
+	c.delivered += int64(c.read)
 	return c.read, err
 }
 
@@ -133,6 +136,7 @@
 		return
 	}
 	c.releaseRequest()
+	c.readAhead.arrivals.idle(c.delivered)
 	c.startPhase(time.Now())
 	c.phase.CompareAndSwap(active, idle)
 }
--- a/internal/transport/firstread.go
+++ b/internal/transport/firstread.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"syscall"
+	"time"
 )
 
 // readBuffered copies bytes that Watch read ahead to p and returns their number. If there are any, the connection becomes
@@ -43,6 +44,7 @@
 	case n == 0 && len(p) > 0:
 		return 0, io.EOF
 	}
+	c.readAhead.arrivals.read(n, time.Now())
 	return n, nil
 }
 
@@ -94,6 +96,9 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, c.markExpired()
 	}
+	if n > 0 {
+		c.readAhead.arrivals.read(n, time.Now())
+	}
 	if n > 0 && !c.markActive() {
 		return 0, net.ErrClosed
 	}
--- a/internal/transport/inputqueue.go
+++ b/internal/transport/inputqueue.go
@@ -7,7 +7,7 @@
 )
 
 // MaxQueuedInput is the largest count that QueuedInput returns, in bytes.
-const MaxQueuedInput = 64 << 10
+const MaxQueuedInput = 256 << 10
 
 // peeked takes the bytes that QueuedInput counts. The system copies none of a TCP socket's, as of those it is asked for the count only.
 var peeked struct {
--- a/internal/transport/requestpace.go
+++ b/internal/transport/requestpace.go
@@ -62,5 +62,6 @@
 	if c.pace.tryTake(now) {
 		return
 	}
+	c.recordQueue() // what waits behind this request
 	time.Sleep(c.listener.pace.reserve(now))
 }
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -32,6 +32,9 @@
 		closed := false
 		err := raw.Read(func(fd uintptr) bool {
 			closed = c.readAhead.peerClosed(fd)
+			if !closed && inspect(fd) == socketReadable { // further requests, which wait for this one's answer
+				c.readAhead.arrivals.queued(countInput(fd), time.Now())
+			}
 			return closed
 		})
 		if err == nil && closed {
@@ -69,7 +72,11 @@
 	if n := c.readAhead.take(p); n > 0 {
 		return n, nil
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.readAhead.arrivals.read(n, time.Now())
+	}
+	return n, err
 }
 
 // readAheadBuffer holds bytes that were read from a watched connection in order to detect an end of file after them.
@@ -78,6 +85,8 @@
 	watched bool // between Watch and Unwatch, when nothing else reads
 	bytes   []byte
 	size    atomic.Int32 // len(bytes)
+
+	arrivals arrivalLog // of the connection's input, also where it is not read ahead
 }
 
 func (a *readAheadBuffer) watch(on bool) {
@@ -119,6 +128,7 @@
 		case err != nil || n == 0:
 			return true
 		}
+		a.arrivals.read(n, time.Now())
 		a.bytes = a.bytes[:len(a.bytes)+n]
 		a.size.Store(int32(len(a.bytes)))
 	}
