transport: queued bytes are counted while none is read ahead

Of a Unix socket, bytes could be read ahead between the count and its record, and count twice: later bytes would count as arrived too early. Found by reading; not seen.

--- a/internal/transport/arrival.go
+++ b/internal/transport/arrival.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -88,7 +87,7 @@
 
 // recordQueue records the bytes that wait in the socket.
 func (c *Conn) recordQueue() {
-	if sc, ok := c.Conn.(syscall.Conn); ok {
-		c.readAhead.arrivals.queued(QueuedInput(sc), time.Now())
+	if raw := c.raw(); raw != nil {
+		_ = raw.Control(c.readAhead.recordQueue) // after an error nothing is known
 	}
 }
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -32,8 +32,8 @@
 		closed := false
 		err := raw.Read(func(fd uintptr) bool {
 			closed = c.readAhead.peerClosed(fd)
-			if !closed && inspect(fd) == socketReadable { // further requests, which wait for this one's answer
-				c.readAhead.arrivals.queued(countInput(fd), time.Now())
+			if !closed {
+				c.readAhead.recordQueue(fd) // further requests, which wait for this one's answer
 			}
 			return closed
 		})
@@ -114,6 +114,15 @@
 	return a.watched && a.fill(fd)
 }
 
+// recordQueue records the bytes that wait in the socket, if any. None of them is read ahead meanwhile.
+func (a *readAheadBuffer) recordQueue(fd uintptr) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if inspect(fd) == socketReadable {
+		a.arrivals.queued(countInput(fd), time.Now())
+	}
+}
+
 // fill reads ahead up to readAheadLimit. It reports whether it reached the end of file or an error.
 func (a *readAheadBuffer) fill(fd uintptr) bool {
 	for len(a.bytes) < readAheadLimit {
