--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -31,7 +31,7 @@
 	NodeConnectionClosed   Kind = "node_connection_closed"   // by this process or by the node
 	SlowTransfer           Kind = "slow_transfer"            // a node takes a request, or gives an answer, with rests; the reason is the phase
 	ClientConnectionClosed Kind = "client_connection_closed" // by this process or by the client
-	TaskManagement         Kind = "task_management"          // an initiator's abort, reset or logout was answered
+	TaskManagement         Kind = "task_management"          // an initiator's abort, reset or logout was answered, or its login refused
 )
 
 var messages = map[Kind]string{
--- a/internal/iscsi/effects.go
+++ b/internal/iscsi/effects.go
@@ -11,6 +11,8 @@
 	// functionLimit is how long a task management function, a logout or a login waits for the outcomes of writes. Initiators wait 10 s at
 	// least.
 	functionLimit = 5 * time.Second
+	// lostPeriod is how long a write may still run at a storage target whose connection was lost, or which has confirmed its abort.
+	lostPeriod = 30 * time.Second
 	// expiryInterval is the minimum time between two checks of the functions' limits.
 	expiryInterval = 50 * time.Millisecond
 )
@@ -29,7 +31,7 @@
 }
 
 func newEffectTracker() *effectTracker {
-	return &effectTracker{origin: time.Now(), limit: functionLimit, set: taskset.New(), decided: map[taskset.FunctionID]func(taskset.Outcome){}}
+	return &effectTracker{origin: time.Now(), limit: functionLimit, set: taskset.New(lostPeriod), decided: map[taskset.FunctionID]func(taskset.Outcome){}}
 }
 
 // update calls change with the set and the time, and then passes on the decisions that follow from it.
--- a/internal/iscsi/fakes_test.go
+++ b/internal/iscsi/fakes_test.go
@@ -80,10 +80,11 @@
 type ending int
 
 const (
-	responds ending = iota
-	cuts            // it closes the connection
-	falls           // it closes the connection and completes no login from then on
-	hangs           // it does nothing more for the command
+	responds  ending = iota
+	cuts             // it closes the connection
+	falls            // it closes the connection and completes no login from then on
+	hangs            // it does nothing more for the command
+	cutsFirst        // it closes the connection before the delay, and goes on with the command
 )
 
 // fakeTargetSession is one session with the fake target.
@@ -376,6 +377,9 @@
 
 // play does with a command what a reaction says.
 func (s *fakeTargetSession) play(r reaction, p *pdu, b block, data []byte) {
+	if r.ending == cutsFirst {
+		s.conn.Close()
+	}
 	time.Sleep(r.delay)
 	s.mu.Lock()
 	if r.executes {
@@ -390,7 +394,7 @@
 		s.respond(p.tag(), b.write || r.status != statusGood, data, r.status, r.sense)
 	case cuts, falls:
 		s.conn.Close()
-	case hangs:
+	case hangs, cutsFirst:
 	}
 }
 
--- a/internal/iscsi/login.go
+++ b/internal/iscsi/login.go
@@ -8,6 +8,9 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"wheatsaddle/internal/eventlog"
 	"wheatsaddle/internal/taskset"
 )
 
@@ -107,6 +110,27 @@
 // awaitFormerSessions ends the session that the login reinstates (6.3.5), and waits until the writes of the initiator's sessions that have
 // ended can run no more: a login tells an initiator that what it had open has no further effect. It returns false if one may still run.
 func (s *session) awaitFormerSessions(isid []byte) bool {
+	s.reinstate(isid)
+	outcome := make(chan taskset.Outcome, 1)
+	s.target.effects.await(taskset.FormerSessions(s.initiatorName, s.targetName, s.nexus), func(o taskset.Outcome) { outcome <- o })
+	for {
+		select {
+		case o := <-outcome:
+			if o == taskset.NoEffect {
+				return true
+			}
+			s.target.Events.Record(eventlog.TaskManagement, "login", func() logrus.Fields {
+				return logrus.Fields{"initiator": s.initiatorName, "response": loginBusy}
+			})
+			return false
+		case <-time.After(sessionCheckInterval):
+			s.target.effects.expire()
+		}
+	}
+}
+
+// reinstate ends the session of the same initiator port with the target.
+func (s *session) reinstate(isid []byte) {
 	t := s.target
 	nexus := fmt.Sprintf("%s %x %s", s.initiatorName, isid, s.targetName)
 	t.mu.Lock()
@@ -117,16 +141,6 @@
 		}
 	}
 	t.mu.Unlock()
-	outcome := make(chan taskset.Outcome, 1)
-	t.effects.await(taskset.FormerSessions(s.initiatorName, s.targetName, nexus), func(o taskset.Outcome) { outcome <- o })
-	for {
-		select {
-		case o := <-outcome:
-			return o == taskset.NoEffect
-		case <-time.After(sessionCheckInterval):
-			t.effects.expire()
-		}
-	}
 }
 
 // nextTSIH returns the handle of a new session.
--- a/internal/iscsi/promises_test.go
+++ b/internal/iscsi/promises_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"wheatsaddle/internal/taskset"
 	"wheatsaddle/policy"
 )
 
@@ -83,6 +84,7 @@
 	target.loginResponse = immediateData
 	r.env = newTestEnvWithSettings(t, set, r.random(3) > 0, target)
 	r.env.target.effects.limit = lateRuns
+	r.env.target.effects.set = taskset.New(lateRuns)
 	return r
 }
 
@@ -104,6 +106,8 @@
 		run.status, run.sense = statusCheckCondition, senseMayRepeat.encodeFixed()
 	case draw < 54:
 		run.ending = hangs
+	case draw < 58 && r.losses:
+		run.delay, run.ending = r.milliseconds(100, 1000), cutsFirst
 	case draw < 75:
 		run.delay = r.milliseconds(100, 1000)
 	}
@@ -121,9 +125,9 @@
 		r.writes = append(r.writes, w)
 		r.mu.Unlock()
 		switch draw := r.random(10); {
-		case draw == 0 && !r.losses:
+		case draw == 0:
 			c = r.leave(t, c, w, isid)
-		case draw == 1 && !r.losses:
+		case draw == 1:
 			c = r.logOut(t, c, w, isid)
 		default:
 			r.write(t, c, w, draw)
@@ -232,6 +236,7 @@
 // logIn logs in again as soon as the target lets the initiator in.
 func (r *promiseRun) logIn(t *testing.T, w *promisedWrite, isid string) *fakeInitiator {
 	t.Helper()
+	const loginPause = 5 * time.Millisecond
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
 		c := connect(t, r.env.address)
 		c.isid = isid
@@ -245,6 +250,7 @@
 		if status != loginBusy {
 			t.Fatalf("%s: login ended with status 0x%04x", w.label, status)
 		}
+		time.Sleep(loginPause)
 	}
 	t.Fatalf("%s: no login", w.label)
 	return nil
--- a/internal/iscsi/taskmgmt_test.go
+++ b/internal/iscsi/taskmgmt_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"wheatsaddle/internal/taskset"
 	"wheatsaddle/policy"
 )
 
@@ -442,7 +443,7 @@
 	}
 }
 
-// An initiator is asked to come again if a write of its old session may still run, and is let in once that can no longer be known.
+// An initiator is asked to come again while a write of its old session may still run.
 func TestLoginOverAWriteThatMayRun(t *testing.T) {
 	env := newTestEnv(t, longObjective, false)
 	env.target.effects.limit = 200 * time.Millisecond
@@ -456,17 +457,44 @@
 	if status := connect(t, env.address).login(stageOperational<<2|stageFull, pair{"InitiatorName", "iqn.other"}, pair{"TargetName", targetName}); status != 0 {
 		t.Errorf("login of another initiator ended with status 0x%04x", status)
 	}
-	env.mu.Lock()
-	session := env.lastSession
-	env.mu.Unlock()
-	session.conn.Close()
+	close(env.hold)
 	for deadline := time.Now().Add(time.Minute); login() != 0; {
 		if time.Now().After(deadline) {
-			t.Fatal("no login after the connection to the storage target was lost")
+			t.Fatal("no login after the write has run")
 		}
 	}
 }
 
+// Guards against a login that is confirmed while a write of a former session, whose connection to the storage target was lost, may still run.
+func TestLoginAwaitsAWriteWhoseConnectionWasLost(t *testing.T) {
+	const runsAfter, lostPeriod = 700 * time.Millisecond, 1500 * time.Millisecond
+	for name, isid := range map[string]string{"same port": "", "other port": "\x80\x00\x00\x00\x00\x02"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t, longObjective, false)
+			env.target.effects.set = taskset.New(lostPeriod)
+			old := env.initiator(t)
+			itt := env.startDelayedWrite(old, reaction{delay: runsAfter, executes: true, ending: cutsFirst})
+			if e := old.awaitResponse(itt, nil); e.status != statusCheckCondition {
+				t.Errorf("the write ended as %+v", e)
+			}
+			old.conn.Close()
+			for status := loginBusy; status != 0; {
+				time.Sleep(time.Millisecond)
+				c := connect(t, env.address)
+				c.isid = isid
+				status = int(c.login(stageOperational<<2|stageFull, pair{"InitiatorName", "iqn.client"}, pair{"TargetName", targetName}))
+				if status != 0 && status != loginBusy {
+					t.Fatalf("login ended with status 0x%04x", status)
+				}
+			}
+			if _, executed := env.counts(); executed != 1 {
+				t.Errorf("%d writes had run at the login, want the one whose connection was lost", executed)
+			}
+		})
+	}
+}
+
 // A write that repeats what a lost session had open runs after it, and the old one does not run after the new one.
 func TestWriteOfAFormerSessionDoesNotOvertake(t *testing.T) {
 	set := testSettings(longObjective)
--- a/internal/taskset/scope.go
+++ b/internal/taskset/scope.go
@@ -63,3 +63,10 @@
 	}
 	return true
 }
+
+// mayCover reports whether the scope covers a command whose LUN and tag are not known, if they are those of the scope.
+func (s Scope) mayCover(c *commandState) bool {
+	matching := *c
+	matching.LUN, matching.Tag = s.command.LUN, s.command.Tag
+	return s.covers(&matching)
+}
--- a/internal/taskset/taskset.go
+++ b/internal/taskset/taskset.go
@@ -2,14 +2,14 @@
 // answered that promises that they have none: ABORT TASK and its relatives, a logout, or the login of an initiator whose earlier session
 // has ended. It has no I/O and no clock: it is told of commands, their attempts and the time, and returns decisions.
 //
-// A command may still have an effect while a further attempt of it may begin, while one of its attempts runs, and for LostPeriod after the
-// connection of an attempt was lost or its abort confirmed, because neither stops a storage target.
+// A command may still have an effect while a further attempt of it may begin, while one of its attempts runs, and for the lost period after
+// the connection of an attempt was lost or its abort confirmed, because neither stops a storage target.
 //
 // Invariants:
 //   - A function is decided exactly once, at its limit at the latest.
-//   - A function is decided as NoEffect only if no command that it covers may still have an effect. A login does not wait for attempts
-//     that are lost, and waits for those whose abort was confirmed until its limit only.
-//   - At most MaxCommands commands are kept. Each function but a login covers those beyond, until LostPeriod after their end.
+//   - A function is decided as NoEffect only if no command that it covers may still have an effect.
+//   - At most MaxCommands commands are kept. Those beyond are counted by session, of at most MaxOverflows sessions, and may each have any
+//     LUN and tag: they may have an effect until the lost period after their end.
 //
 // Sources: SAM-5, task management functions; RFC 7143, 6.3.5 (session reinstatement), 11.5, 11.6 and 11.14.
 package taskset
@@ -20,12 +20,8 @@
 	"time"
 )
 
-const (
-	// LostPeriod is how long an attempt whose connection was lost may still run.
-	LostPeriod = 30 * time.Second
-	// MaxCommands is the maximum number of commands that are kept.
-	MaxCommands = 8192
-)
+// MaxCommands is the maximum number of commands that are kept.
+const MaxCommands = 8192
 
 // Command identifies a write command by the session that sent it.
 type Command struct {
@@ -37,8 +33,14 @@
 	Tag       uint32 // initiator task tag
 }
 
-// ID identifies a command within a Set. The zero ID stands for a command that is not kept.
-type ID uint64
+// ID identifies a command within a Set.
+type ID struct {
+	number   uint64    // zero: the command is not kept
+	overflow *overflow // to which a command belongs that is not kept
+}
+
+// IsKept reports whether the command is kept.
+func (id ID) IsKept() bool { return id.number != 0 }
 
 // FunctionID identifies a function. The caller chooses it.
 type FunctionID uint64
@@ -79,25 +81,25 @@
 
 // functionState is a function that is not decided.
 type functionState struct {
+	scope   Scope
 	pending map[ID]bool // covered commands that may still have an effect
 	limit   time.Duration
-	login   bool
 }
 
 // Set keeps the commands and functions. It must not be used by several goroutines at once. Times are durations since a fixed origin and
 // never decrease.
 type Set struct {
-	lastID        ID
-	commands      map[ID]*commandState
-	functions     map[FunctionID]*functionState
-	unkept        int           // commands that are not kept and whose further attempts may begin
-	overflowUntil time.Duration // until then an attempt of a command that is not kept may run
-	decisions     []Decision
+	lostPeriod time.Duration
+	lastNumber uint64
+	commands   map[ID]*commandState
+	overflows  map[uint64]*overflow // by session
+	functions  map[FunctionID]*functionState
+	decisions  []Decision
 }
 
-// New returns an empty set.
-func New() *Set {
-	return &Set{commands: map[ID]*commandState{}, functions: map[FunctionID]*functionState{}}
+// New returns an empty set. lostPeriod is how long an attempt may still run whose connection was lost.
+func New(lostPeriod time.Duration) *Set {
+	return &Set{lostPeriod: lostPeriod, commands: map[ID]*commandState{}, overflows: map[uint64]*overflow{}, functions: map[FunctionID]*functionState{}}
 }
 
 // Begin adds a command, of which attempts may begin from now on.
@@ -106,19 +108,18 @@
 		s.dropExpired(now)
 	}
 	if len(s.commands) >= MaxCommands {
-		s.unkept++
-		return 0
+		return ID{overflow: s.beginOverflow(c)}
 	}
-	s.lastID++
-	s.commands[s.lastID] = &commandState{Command: c, open: true}
-	return s.lastID
+	s.lastNumber++
+	id := ID{number: s.lastNumber}
+	s.commands[id] = &commandState{Command: c, open: true}
+	return id
 }
 
 // End records that no further attempt of a command begins. Attempts that run go on.
 func (s *Set) End(now time.Duration, id ID) {
-	if id == 0 {
-		s.unkept--
-		s.overflowUntil = now + LostPeriod
+	if !id.IsKept() {
+		id.overflow.end(now + s.lostPeriod)
 		return
 	}
 	if c := s.commands[id]; c != nil {
@@ -153,7 +154,7 @@
 	if c := s.commands[id]; c != nil {
 		c.running--
 		c.lost++
-		c.lostUntil = now + LostPeriod
+		c.lostUntil = now + s.lostPeriod
 		c.cutOff = c.cutOff || cutOff
 	}
 	s.settle(now, id)
@@ -182,15 +183,18 @@
 			c.orphaned = true
 		}
 	}
+	if o := s.overflows[session]; o != nil {
+		o.orphaned = true
+	}
 }
 
 // Await adds a function over the commands that the scope covers now. It is decided by limit at the latest. It returns how many commands
 // are covered that may still have an effect.
 func (s *Set) Await(now time.Duration, id FunctionID, scope Scope, limit time.Duration) int {
-	f := &functionState{pending: map[ID]bool{}, limit: limit, login: scope.kind == formerSessions}
+	f := &functionState{scope: scope, pending: map[ID]bool{}, limit: limit}
 	s.functions[id] = f
 	for commandID, c := range s.commands {
-		if scope.covers(c) && f.waitsFor(now, c) {
+		if scope.covers(c) && c.mayHaveEffect(now) {
 			f.pending[commandID] = true
 		}
 	}
@@ -228,14 +232,6 @@
 	return decisions
 }
 
-// waitsFor reports whether the function waits for a command that it covers.
-func (f *functionState) waitsFor(now time.Duration, c *commandState) bool {
-	if f.login && c.cutOff {
-		return c.mayRun()
-	}
-	return c.mayHaveEffect(now)
-}
-
 // settle removes a command from the functions that need not wait for it any more, and drops it if it can have no effect any more.
 func (s *Set) settle(now time.Duration, id ID) {
 	c := s.commands[id]
@@ -254,14 +250,14 @@
 
 // decide decides a function if its commands can have no effect any more, or if that cannot be known by its limit.
 func (s *Set) decide(now time.Duration, id FunctionID, f *functionState) {
-	hopeless := !f.login && (s.unkept > 0 || now < s.overflowUntil)
+	hopeless := s.overflowMayHaveEffect(now, f.scope)
 	for commandID := range f.pending {
 		c := s.commands[commandID]
-		if c == nil || !f.waitsFor(now, c) || f.login && now >= f.limit && !c.mayRun() {
+		if c == nil || !c.mayHaveEffect(now) {
 			delete(f.pending, commandID)
 			continue
 		}
-		hopeless = hopeless || !f.login && c.cutOff && c.lostUntil > f.limit
+		hopeless = hopeless || c.cutOff && c.lostUntil > f.limit
 	}
 	switch {
 	case len(f.pending) == 0 && !hopeless:
@@ -282,6 +278,7 @@
 			dropped = append(dropped, id)
 		}
 	}
+	s.dropExpiredOverflows(now)
 	return dropped
 }
 
@@ -290,12 +287,17 @@
 
 // Check verifies the invariants that concern the state of the set.
 func (s *Set) Check() error {
-	if len(s.commands) > MaxCommands || s.unkept < 0 {
-		return fmt.Errorf("%d commands are kept, %d are not", len(s.commands), s.unkept)
+	if len(s.commands) > MaxCommands || len(s.overflows) > MaxOverflows+1 {
+		return fmt.Errorf("%d commands are kept, those of %d sessions are not", len(s.commands), len(s.overflows))
+	}
+	for session, o := range s.overflows {
+		if o.openCommands < 0 {
+			return fmt.Errorf("session %d has %d open commands that are not kept", session, o.openCommands)
+		}
 	}
 	for id, c := range s.commands {
 		if c.running < 0 || c.lost < 0 {
-			return fmt.Errorf("command %d has %d running and %d lost attempts", id, c.running, c.lost)
+			return fmt.Errorf("command %d has %d running and %d lost attempts", id.number, c.running, c.lost)
 		}
 	}
 	for id, f := range s.functions {
--- a/internal/taskset/taskset_test.go
+++ b/internal/taskset/taskset_test.go
@@ -8,7 +8,10 @@
 	"time"
 )
 
-const limit = 5 * time.Second
+const (
+	limit      = 5 * time.Second
+	lostPeriod = 30 * time.Second
+)
 
 // command returns a command of a session with the given number, whose initiator has the same number.
 func command(session int, lun uint16, tag uint32) Command {
@@ -28,7 +31,7 @@
 
 // Guards against an answer to ABORT TASK while the storage target still has the write.
 func TestFunctionWaitsForRunningAttempt(t *testing.T) {
-	s := New()
+	s := New(lostPeriod)
 	id := s.Begin(0, command(1, 0, 7))
 	s.AttemptBegan(id)
 	if covered := s.Await(0, 1, Task(1, 0, 7), limit); covered != 1 {
@@ -47,7 +50,7 @@
 
 // A function is decided at its limit, and at once if the outcome of an attempt will not be known by then.
 func TestFunctionOverUnknownOutcome(t *testing.T) {
-	s := New()
+	s := New(lostPeriod)
 	running, lost := s.Begin(0, command(1, 0, 7)), s.Begin(0, command(1, 1, 8))
 	s.AttemptBegan(running)
 	s.AttemptBegan(lost)
@@ -60,16 +63,16 @@
 	expect(t, s)
 	s.Expire(limit)
 	expect(t, s, Decision{1, MayStillRun})
-	s.Await(time.Second+LostPeriod-limit+1, 3, Task(1, 1, 8), time.Second+LostPeriod+1)
+	s.Await(time.Second+lostPeriod-limit+1, 3, Task(1, 1, 8), time.Second+lostPeriod+1)
 	expect(t, s) // by the limit the attempt can have no effect any more
-	s.Expire(time.Second + LostPeriod)
+	s.Expire(time.Second + lostPeriod)
 	expect(t, s, Decision{3, NoEffect})
 }
 
 // A late response of a storage target settles an attempt whose abort it had confirmed. Without one the function fails, at once if the
 // connection ends.
 func TestAbortedAttempt(t *testing.T) {
-	s := New()
+	s := New(lostPeriod)
 	responds, cutOff := s.Begin(0, command(1, 0, 7)), s.Begin(0, command(1, 1, 8))
 	for _, id := range []ID{responds, cutOff} {
 		s.AttemptBegan(id)
@@ -83,7 +86,7 @@
 	expect(t, s, Decision{1, NoEffect})
 	s.AbortedAttemptLost(time.Second, cutOff)
 	expect(t, s, Decision{2, MayStillRun})
-	s.Await(LostPeriod, 3, Unit("t", 1), LostPeriod+limit)
+	s.Await(lostPeriod, 3, Unit("t", 1), lostPeriod+limit)
 	expect(t, s, Decision{3, NoEffect})
 }
 
@@ -104,7 +107,7 @@
 		"a reinstated nexus":  {FormerSessions("i1", "t", "n1"), 4},
 		"another initiator's": {FormerSessions("i2", "t", "n1"), 0},
 	} {
-		s := New()
+		s := New(lostPeriod)
 		s.Begin(0, command(1, 0, 1))
 		s.Begin(0, command(1, 0, 2))
 		s.Begin(0, command(1, 1, 3))
@@ -117,9 +120,9 @@
 	}
 }
 
-// A login waits for attempts that run, not for those whose connection was lost.
-func TestLoginDoesNotWaitForLostAttempts(t *testing.T) {
-	s := New()
+// Guards against a login that is confirmed while an attempt of a former session, whose outcome will not become known, may still run.
+func TestLoginWaitsForLostAttempts(t *testing.T) {
+	s := New(lostPeriod)
 	id := s.Begin(0, command(1, 0, 7))
 	s.AttemptBegan(id)
 	s.End(0, id)
@@ -127,13 +130,18 @@
 	s.Await(0, 1, FormerSessions("i1", "t", "n9"), limit)
 	expect(t, s)
 	s.AttemptLost(time.Second, id)
-	expect(t, s, Decision{1, NoEffect})
+	expect(t, s, Decision{1, MayStillRun})
+	s.Await(time.Second, 2, FormerSessions("i1", "t", "n9"), time.Second+limit)
+	s.Await(time.Second, 3, FormerSessions("i0", "t", "n9"), time.Second+limit)
+	expect(t, s, Decision{2, MayStillRun}, Decision{3, NoEffect})
+	s.Await(time.Second+lostPeriod, 4, FormerSessions("i1", "t", "n9"), time.Second+lostPeriod+limit)
+	expect(t, s, Decision{4, NoEffect})
 }
 
-// A login waits for attempts whose abort was confirmed, until its limit.
+// Guards against a login that is confirmed while an attempt of a former session, whose abort was confirmed, may still run.
 func TestLoginWaitsForAbortedAttempts(t *testing.T) {
 	for _, responds := range []bool{true, false} {
-		s := New()
+		s := New(lostPeriod)
 		id := s.Begin(0, command(1, 0, 7))
 		s.AttemptBegan(id)
 		s.End(0, id)
@@ -144,37 +152,69 @@
 		expect(t, s)
 		if responds {
 			s.AbortedAttemptFinished(limit-1, id)
-		} else {
-			s.Expire(limit)
+			expect(t, s, Decision{1, NoEffect})
+			continue
 		}
-		expect(t, s, Decision{1, NoEffect})
+		s.Expire(limit)
+		expect(t, s, Decision{1, MayStillRun})
+		s.Await(lostPeriod, 2, FormerSessions("i1", "t", "n9"), lostPeriod+limit)
+		expect(t, s, Decision{2, NoEffect})
 	}
 }
 
-// Commands beyond the bound count as covered by every function.
-func TestCommandsBeyondTheBound(t *testing.T) {
-	s := New()
-	var last ID
-	for i := range MaxCommands + 1 {
-		last = s.Begin(0, command(1, 0, uint32(i)))
+// fill begins commands of a session until no further one is kept, and returns the first one that is not.
+func fill(s *Set, session int) ID {
+	for i := range MaxCommands {
+		s.Begin(0, command(session, 0, uint32(i)))
 	}
-	if last != 0 || s.Len() != MaxCommands {
-		t.Fatalf("%d commands are kept, the last as %d", s.Len(), last)
+	return s.Begin(0, command(session, 0, MaxCommands))
+}
+
+// Commands beyond the bound count as covered by every function that covers their session.
+func TestCommandsBeyondTheBound(t *testing.T) {
+	s := New(lostPeriod)
+	last := fill(s, 1)
+	if last.IsKept() || s.Len() != MaxCommands {
+		t.Fatalf("%d commands are kept, the last as %+v", s.Len(), last)
 	}
 	s.AttemptBegan(last)
 	s.AttemptLost(0, last)
-	s.Await(0, 1, Task(2, 0, 0), limit)
-	expect(t, s, Decision{1, MayStillRun})
+	s.Await(0, 1, Task(1, 3, 9), limit)
+	s.Await(0, 2, Task(2, 3, 9), limit)
+	s.Await(0, 3, Unit("t", 3), limit)
+	s.Await(0, 4, FormerSessions("i1", "t", "n9"), limit)
+	expect(t, s, Decision{1, MayStillRun}, Decision{2, NoEffect}, Decision{3, MayStillRun}, Decision{4, NoEffect})
+	s.SessionEnded(1)
 	s.End(time.Second, last)
-	s.Await(LostPeriod, 2, Task(2, 0, 0), LostPeriod+limit)
+	s.Await(lostPeriod, 5, Task(1, 3, 9), lostPeriod+limit)
+	s.Await(lostPeriod, 6, FormerSessions("i1", "t", "n9"), lostPeriod+limit)
+	s.Await(lostPeriod, 7, FormerSessions("i0", "t", "n9"), lostPeriod+limit)
+	expect(t, s, Decision{5, MayStillRun}, Decision{6, MayStillRun}, Decision{7, NoEffect})
+	s.Await(time.Second+lostPeriod, 8, Task(1, 3, 9), time.Second+lostPeriod+limit)
+	expect(t, s, Decision{8, NoEffect})
+}
+
+// The commands of further sessions that are not kept count as covered by every function.
+func TestSessionsBeyondTheBound(t *testing.T) {
+	s := New(lostPeriod)
+	fill(s, 1)
+	for session := 2; session <= MaxOverflows; session++ {
+		s.Begin(0, command(session, 0, 1))
+	}
+	s.Await(0, 1, Task(5000, 0, 1), limit)
+	expect(t, s, Decision{1, NoEffect})
+	further := s.Begin(0, command(5000, 0, 1))
+	s.Begin(0, command(5002, 0, 1))
+	s.Await(0, 2, Task(5004, 0, 1), limit)
 	expect(t, s, Decision{2, MayStillRun})
-	s.Await(time.Second+LostPeriod, 3, Task(2, 0, 0), time.Second+LostPeriod+limit)
-	expect(t, s, Decision{3, NoEffect})
+	s.End(0, further)
+	s.Await(lostPeriod, 3, FormerSessions("i1", "t", "n9"), lostPeriod+limit)
+	expect(t, s, Decision{3, MayStillRun})
 }
 
 // A function that is forgotten is not decided, and the end of the program decides all others.
 func TestForgottenAndExpiredFunctions(t *testing.T) {
-	s := New()
+	s := New(lostPeriod)
 	s.Begin(0, command(1, 0, 7))
 	s.Await(0, 1, Session(1), limit)
 	s.Await(0, 2, Session(1), limit)
@@ -209,7 +249,7 @@
 
 func (r *randomEvents) ran(c *modelCommand) {
 	if id, over := r.over[c]; over {
-		r.t.Fatalf("at %v: command %d runs after function %d was decided as NoEffect", r.now, c.id, id)
+		r.t.Fatalf("at %v: command %+v runs after function %d was decided as NoEffect", r.now, c.id, id)
 	}
 }
 
@@ -258,12 +298,12 @@
 		r.set.AttemptFinished(r.now, c.id)
 	case choice == 3 && c.running > 0:
 		c.running--
-		c.lostRuns = append(c.lostRuns, r.now+time.Duration(r.rng.Int63n(int64(LostPeriod))))
+		c.lostRuns = append(c.lostRuns, r.now+time.Duration(r.rng.Int63n(int64(lostPeriod))))
 		r.set.AttemptLost(r.now, c.id)
 	case choice == 4 && c.running > 0:
 		c.running--
 		c.aborted++
-		c.lostRuns = append(c.lostRuns, r.now+time.Duration(r.rng.Int63n(int64(LostPeriod))))
+		c.lostRuns = append(c.lostRuns, r.now+time.Duration(r.rng.Int63n(int64(lostPeriod))))
 		r.set.AttemptAborted(r.now, c.id)
 	case choice == 5 && c.aborted > 0 && len(c.lostRuns) == 1:
 		c.aborted, c.lostRuns = 0, nil
@@ -277,7 +317,7 @@
 func (r *randomEvents) addFunction() {
 	r.last++
 	scope := []Scope{Task(uint64(r.rng.Intn(4)), 0, uint32(r.rng.Intn(6))), SessionUnit(uint64(r.rng.Intn(4)), 1), Session(uint64(r.rng.Intn(4))),
-		Unit("t", 0), Target("t")}[r.rng.Intn(5)]
+		Unit("t", 0), Target("t"), FormerSessions(fmt.Sprint("i", r.rng.Intn(2)), "t", fmt.Sprint("n", r.rng.Intn(3)))}[r.rng.Intn(6)]
 	for _, c := range r.commands {
 		if scope.covers(&commandState{Command: c.Command}) {
 			r.functions[r.last] = append(r.functions[r.last], c)
@@ -315,9 +355,9 @@
 // Guards against a run of a command after a function that promised that there would be none.
 func TestNoRunAfterNoEffect(t *testing.T) {
 	for seed := range int64(50) {
-		r := &randomEvents{t: t, set: New(), rng: rand.New(rand.NewSource(seed)), functions: map[FunctionID][]*modelCommand{},
+		r := &randomEvents{t: t, set: New(lostPeriod), rng: rand.New(rand.NewSource(seed)), functions: map[FunctionID][]*modelCommand{},
 			limits: map[FunctionID]time.Duration{}, over: map[*modelCommand]FunctionID{}}
-		for range 3000 {
+		for range 4500 {
 			r.step()
 		}
 		if r.covered < 20 {
