--- a/internal/iscsi/taskmgmt_test.go
+++ b/internal/iscsi/taskmgmt_test.go
@@ -10,12 +10,18 @@
 	"wheatsaddle/policy"
 )
 
-// requestFunction sends a task management function without waiting for its response.
+// requestFunction sends a task management function for LUN 0 without waiting for its response.
 func (c *fakeInitiator) requestFunction(function byte, itt uint32) {
+	c.t.Helper()
+	c.requestFunctionAt(0, function, itt)
+}
+
+func (c *fakeInitiator) requestFunctionAt(lun uint16, function byte, itt uint32) {
 	c.t.Helper()
 	q := newPDU(opTaskMgmtReq, 9000+itt)
 	q.bhs[0] |= flagImmediate
 	q.bhs[1] = flagFinal | function
+	encodeLUN(q.bhs[8:], lun)
 	q.put32(20, itt)
 	q.put32(24, c.cmdSN)
 	c.send(q)
@@ -325,6 +331,38 @@
 	}
 }
 
+// Guards against a function that cannot be carried out and yet aborts a task: its response says that nothing was done.
+func TestFunctionThatIsNotCarriedOutAbortsNothing(t *testing.T) {
+	const unknownLUN, unknownFunction = 9, 100
+	for name, x := range map[string]struct {
+		function byte
+		lun      uint16
+		want     byte
+	}{
+		"ABORT TASK SET, unknown LUN":     {tmAbortTaskSet, unknownLUN, tmNoLUN},
+		"CLEAR TASK SET, unknown LUN":     {tmClearTaskSet, unknownLUN, tmNoLUN},
+		"LOGICAL UNIT RESET, unknown LUN": {tmLUNReset, unknownLUN, tmNoLUN},
+		"ABORT TASK, unknown LUN":         {tmAbortTask, unknownLUN, tmNoTask},
+		"CLEAR ACA":                       {tmClearACA, 0, tmNotSupported},
+		"TASK REASSIGN":                   {tmReassign, 0, tmNoReassign},
+		"unknown function":                {unknownFunction, 0, tmNotSupported},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t, longObjective, false)
+			client := env.initiator(t)
+			itt, _ := env.startHeldWrite(client)
+			client.requestFunctionAt(x.lun, x.function, itt)
+			if code := client.awaitFunction(); code != x.want {
+				t.Errorf("response %d, want %d", code, x.want)
+			}
+			close(env.hold)
+			if e := client.awaitResponse(itt, nil); e.status != statusGood {
+				t.Errorf("the write ended as %+v", e)
+			}
+		})
+	}
+}
+
 // If a function fails over one write, the other commands that it aborted get a response: they did not run, or are reads.
 func TestFailedFunctionAnswersItsOtherTasks(t *testing.T) {
 	env := newTestEnv(t, longObjective, false)
