--- a/cmd/wheatsaddle/handover.go
+++ b/cmd/wheatsaddle/handover.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"net"
 	"os"
 	"time"
@@ -10,10 +11,12 @@
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/handover"
+	"wheatsaddle/internal/handover/runfile"
 	"wheatsaddle/internal/httpfront"
 	"wheatsaddle/internal/limitshare"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/transport"
+	"wheatsaddle/policy"
 )
 
 // handoverTimes are the intervals of a process whose clients' socket was passed to it.
@@ -31,6 +34,7 @@
 type passedSocket struct {
 	gate            *transport.AcceptGate // blocks accepts until it is opened
 	lock            *transport.AcceptLock // held by the process that accepts
+	socket          string                // its address, the same for all processes
 	machine         *handover.Machine
 	core            *core.Core
 	front           *httpfront.Server
@@ -50,6 +54,7 @@
 	return &passedSocket{
 		gate:        transport.NewAcceptGate(),
 		lock:        transport.NewAcceptLock(os.TempDir(), ln.Addr()),
+		socket:      ln.Addr().String(),
 		machine:     handover.New(handoverTimes),
 		log:         log,
 		startedAt:   time.Now(),
@@ -130,6 +135,7 @@
 	case handover.Accept:
 		s.log.WithField("lock", s.lock.Path).Info("accepting connections on the passed socket")
 		s.limits.setPhase(limitshare.Serving)
+		s.inheritRuns()
 		s.gate.Open()
 	case handover.WarnLongWait:
 		s.log.WithFields(operr.Fields(&handover.LongWaitError{Path: s.lock.Path, Since: s.now().Round(time.Second)})).Warn("still waiting for the lock of the passed socket")
@@ -137,6 +143,7 @@
 		if !s.core.HandOver(notifyTimeout) {
 			return event(handover.ModuleBusy, 0)
 		}
+		s.passRunsOn()
 		return event(handover.ModuleNotified, 0)
 	case handover.CloseListener:
 		s.front.CloseAfterResponses()
@@ -153,3 +160,46 @@
 	}
 	return nil
 }
+
+var errCoreBusy = errors.New("the decision module did not answer in time")
+
+// inheritRuns tells the core the possible runs of the process that this one replaces.
+func (s *passedSocket) inheritRuns() {
+	runs, err := s.readRuns()
+	if err == nil && len(runs) > 0 && !s.core.AddEarlierRuns(runs, notifyTimeout) {
+		err = &runfile.Error{Path: os.TempDir(), Err: errCoreBusy}
+	}
+	if err != nil {
+		s.log.WithFields(operr.Fields(err)).Error("possible runs of the other process are not known")
+		return
+	}
+	s.log.WithField("runs", len(runs)).Info("possible runs of the other process are known")
+}
+
+func (s *passedSocket) readRuns() ([]policy.EarlierRun, error) {
+	file, err := runfile.New(os.TempDir(), s.socket)
+	if err != nil {
+		return nil, err
+	}
+	return file.Read()
+}
+
+// passRunsOn writes the possible runs for the process that replaces this one.
+func (s *passedSocket) passRunsOn() {
+	runs, ok := s.core.EarlierRuns(notifyTimeout)
+	err := error(&runfile.Error{Path: os.TempDir(), Err: errCoreBusy})
+	if ok {
+		err = s.writeRuns(runs)
+	}
+	if err != nil {
+		s.log.WithFields(operr.Fields(err)).Error("possible runs are not passed on")
+	}
+}
+
+func (s *passedSocket) writeRuns(runs []policy.EarlierRun) error {
+	file, err := runfile.New(os.TempDir(), s.socket)
+	if err != nil {
+		return err
+	}
+	return file.Write(runs)
+}
--- a/internal/core/actor.go
+++ b/internal/core/actor.go
@@ -159,11 +159,13 @@
 	for id, n := range c.nodes { // the cutoff timers of draining nodes were just dropped, so their clients are closed now
 		c.clients[id].Drain(c.exclusions.View(now, n.Node).State != policy.NodeUp)
 	}
+	earlierRuns := c.earlierRunsAfterPanic(now)
 	scheduler, err := policy.New(c.options.Settings, c.options.Seed+1)
 	if err != nil {
 		panic(fmt.Sprintf("create decision module with settings that were valid before: %v", err))
 	}
 	c.scheduler = scheduler
+	scheduler.AddEarlierRuns(now, earlierRuns)
 	if c.handedOver {
 		scheduler.HandOver()
 	}
@@ -173,3 +175,14 @@
 	}
 	c.events = []policy.Event{cachedList}
 }
+
+// earlierRunsAfterPanic returns the possible runs that a decision module knows which has panicked; none, if it panics again.
+func (c *Core) earlierRunsAfterPanic(now float64) (runs []policy.EarlierRun) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.options.Log.WithFields(operr.Fields(&PanicError{fmt.Sprint(p)})).Error("possible runs of the decision module are lost")
+			runs = nil
+		}
+	}()
+	return c.scheduler.EarlierRuns(now)
+}
--- a/internal/core/handover_test.go
+++ b/internal/core/handover_test.go
@@ -62,3 +62,24 @@
 		}
 	}
 }
+
+// Guards against a decision module that replaces one that panicked, or that of another process, and does not know what may have run.
+func TestNewModuleKnowsEarlierRuns(t *testing.T) {
+	settings := testSettings()
+	former, next := startCore(t, settings), startCore(t, settings)
+	runs := []policy.EarlierRun{{Class: "c", Volume: "v", Key: "k", Node: policy.Node{ID: "n"}, Age: 100, KeepFor: 60000}}
+	if !former.AddEarlierRuns(runs, time.Minute) {
+		t.Fatal("not added")
+	}
+	former.post(call(func() { former.restart(former.moduleTime(time.Now()), "a fault") }))
+	passed, ok := former.EarlierRuns(time.Minute)
+	if !ok || len(passed) != len(runs) || passed[0].Key != "k" || passed[0].Age < 100 || passed[0].KeepFor > 60000 {
+		t.Fatalf("after the panic: %+v, %v", passed, ok)
+	}
+	if !next.AddEarlierRuns(passed, time.Minute) {
+		t.Fatal("not added")
+	}
+	if known, _ := next.EarlierRuns(time.Minute); len(known) != len(runs) {
+		t.Errorf("the next process knows %+v", known)
+	}
+}
--- a/internal/testkit/errorpage/main.go
+++ b/internal/testkit/errorpage/main.go
@@ -24,6 +24,7 @@
 	_ "wheatsaddle/internal/exclusion/store"
 	_ "wheatsaddle/internal/gossip"
 	_ "wheatsaddle/internal/handover"
+	_ "wheatsaddle/internal/handover/runfile"
 	_ "wheatsaddle/internal/httpfront"
 	_ "wheatsaddle/internal/iscsi"
 	_ "wheatsaddle/internal/limitshare/ledger"
--- a/policy/handover_test.go
+++ b/policy/handover_test.go
@@ -89,3 +89,59 @@
 		t.Errorf("only %v units sent in 4 s", units)
 	}
 }
+
+// Guards against a process that replaces another one and repeats what ran there, after nodes have forgotten the run, or rejects it although
+// they will have when it is repeated.
+func TestRepeatAtTheNextProcessIsBound(t *testing.T) {
+	settings := keyedSettings()
+	settings.MaxAttempts = 1
+	former := newHarness(t, settings)
+	if a := former.endInDoubt(t, keyedRequest("ended", "k", 9000), 1020); a.Kind != Reject {
+		t.Fatalf("ended as %+v", a)
+	}
+	former.s.nodeByID["a"].nextSendAt = 0
+	if actions := former.at(1030, keyedRequest("open", "j", 9000)); !wasSent(actions, "open") {
+		t.Fatalf("not sent: %v", actions)
+	}
+	former.s.HandOver()
+	const runs = 2
+	earlier := former.s.EarlierRuns(1200)
+	if len(earlier) != runs {
+		t.Fatalf("passed on %+v", earlier)
+	}
+	for _, key := range []string{"k", "j"} {
+		next := newHarness(t, settings)
+		next.at(1300)
+		next.s.AddEarlierRuns(1300, earlier)
+		if a := next.endInDoubt(t, keyedRequest("other", "i", 9000), 1310); a.Kind != Reject {
+			t.Errorf("a request that is no repeat ended as %+v", a)
+		}
+		next.s.nodeByID["a"].nextSendAt = 0
+		if actions := next.at(1650, keyedRequest("repeat", key, 9000)); !wasSent(actions, "repeat") {
+			t.Fatalf("the repeat was not sent: %v", actions)
+		}
+		if a := endOf(t, next.at(1750, attemptEnded("repeat", 0, ConnectionReset, false)), "repeat"); a.Kind != Fail {
+			t.Errorf("key %s: ended as %+v", key, a)
+		}
+		if actions := next.at(2200, keyedRequest("late", key, 9000)); wasSent(actions, "late") || endOf(t, actions, "late").Kind != Fail {
+			t.Errorf("key %s: a repeat after the window: %v", key, actions)
+		}
+	}
+}
+
+// Guards against a rejection of what may have run, whose repeat reaches the next process, which does not know the run.
+func TestPossibleRunIsNotRejectedAfterTheHandover(t *testing.T) {
+	settings := keyedSettings()
+	settings.MaxAttempts = 1
+	h := newHarness(t, settings)
+	h.step(keyedRequest("x", "k", 9000))
+	h.s.HandOver()
+	if a := endOf(t, h.at(1020, attemptEnded("x", 0, ConnectionReset, false)), "x"); a.Kind != Fail {
+		t.Errorf("may have run: ended as %+v", a)
+	}
+	h.s.nodeByID["a"].nextSendAt = 0
+	h.at(1100, keyedRequest("y", "j", 9000))
+	if a := endOf(t, h.at(1120, attemptEnded("y", 0, NodeFull, false)), "y"); a.Kind != Reject {
+		t.Errorf("never ran: ended as %+v", a)
+	}
+}
--- a/policy/quota.go
+++ b/policy/quota.go
@@ -116,7 +116,8 @@
 // HandOver notifies the instance that another process of the same instance has taken over, with empty
 // buckets of the rate limits. The buckets of this process are no longer refilled. Their remaining tokens
 // may be used, and a request that would have to wait for more is rejected, because its client can reach
-// the other process. Together the two processes never have more tokens than one instance would.
+// the other process. Together the two processes never have more tokens than one instance would. A request
+// that may have run is rejected no more if its class limits its repeats.
 func (s *Scheduler) HandOver() { s.handedOver = true }
 
 // unusedLimitTokens returns the tokens, over all schedulers, in the rate limit of a volume that has no
--- a/policy/repeats.go
+++ b/policy/repeats.go
@@ -31,6 +31,49 @@
 	maps.DeleteFunc(p, func(_ requestKey, run possibleRun) bool { return now > run.keepUntil })
 }
 
+// EarlierRun is a run under a client's idempotency key that may have happened, as a process tells it to the one that replaces it.
+type EarlierRun struct {
+	Class, Volume, Key string
+	Node               Node    // on which it may have run
+	Age                float64 // time since the first attempt that may have run was sent, ms
+	KeepFor            float64 // time during which the client may repeat the request, ms
+}
+
+// EarlierRuns returns the possible runs under the clients' keys, also of the open requests, for the process that replaces this one.
+func (s *Scheduler) EarlierRuns(now float64) (runs []EarlierRun) {
+	add := func(key requestKey, run possibleRun) {
+		runs = append(runs, EarlierRun{key.class, key.volume, key.key, run.node.Node, now - run.since, run.keepUntil - now})
+	}
+	for key, open := range s.openByKey {
+		for _, r := range open {
+			if since, n := r.firstPossibleRun(); n != nil && r.class.Effect == IdempotentByKey {
+				add(key, possibleRun{n, since, now + r.class.Deadline + r.class.DedupWindow})
+			}
+		}
+	}
+	for key, run := range s.possibleRuns {
+		add(key, run)
+	}
+	return runs
+}
+
+// AddEarlierRuns adds those of the process that this one replaces.
+func (s *Scheduler) AddEarlierRuns(now float64, runs []EarlierRun) {
+	for _, earlier := range runs {
+		key := requestKey{earlier.Class, earlier.Volume, earlier.Key}
+		run := possibleRun{s.nodeByID[earlier.Node.ID], now - earlier.Age, now + earlier.KeepFor}
+		if run.node == nil {
+			run.node = newNode(earlier.Node, now)
+		}
+		known, isKnown := s.possibleRuns[key]
+		if isKnown && known.since <= run.since || !isKnown && len(s.possibleRuns) >= maxPossibleRuns {
+			continue
+		}
+		s.possibleRuns[key] = run
+		s.inheritToRepeats(key)
+	}
+}
+
 // idempotencyKey returns the key under which a client repeats a request, and false if it chose none.
 func (req *Request) idempotencyKey() (requestKey, bool) {
 	return requestKey{req.Class, req.Volume, req.IdempotencyKey}, req.IdempotencyKey != ""
@@ -148,12 +191,13 @@
 	return c != nil && now+wait < s.classRepeatBy(&c.Class, run.since)
 }
 
-// classRepeatBy returns the same for a class and the time of the first attempt that may have run.
+// classRepeatBy returns the same for a class and the time of the first attempt that may have run. After a handover the repeat reaches the
+// other process, which does not know that attempt.
 func (s *Scheduler) classRepeatBy(c *Class, since float64) float64 {
 	switch {
 	case c.Effect == Idempotent:
 		return math.Inf(1)
-	case c.Effect == IdempotentByKey && c.DedupScope == DedupAll && s.settings.ClientsKeepKeys:
+	case c.Effect == IdempotentByKey && c.DedupScope == DedupAll && s.settings.ClientsKeepKeys && !s.handedOver:
 		return since + c.DedupWindow - repeatMarginMs
 	}
 	return math.Inf(-1)
