--- a/cmd/wheatsaddle/handover.go
+++ b/cmd/wheatsaddle/handover.go
@@ -177,7 +177,7 @@
 }
 
 func (s *passedSocket) readRuns() ([]policy.EarlierRun, error) {
-	file, err := runfile.New(os.TempDir(), s.socket)
+	file, err := runfile.NewRuns(os.TempDir(), s.socket)
 	if err != nil {
 		return nil, err
 	}
@@ -197,7 +197,7 @@
 }
 
 func (s *passedSocket) writeRuns(runs []policy.EarlierRun) error {
-	file, err := runfile.New(os.TempDir(), s.socket)
+	file, err := runfile.NewRuns(os.TempDir(), s.socket)
 	if err != nil {
 		return err
 	}
--- a/cmd/wheatsaddle/iscsi.go
+++ b/cmd/wheatsaddle/iscsi.go
@@ -2,16 +2,19 @@
 
 import (
 	"fmt"
+	"os"
 
 	"github.com/sirupsen/logrus"
 
 	"wheatsaddle/internal/config"
 	"wheatsaddle/internal/core"
 	"wheatsaddle/internal/eventlog"
+	"wheatsaddle/internal/handover/runfile"
 	"wheatsaddle/internal/iscsi"
 	"wheatsaddle/internal/memory"
 	"wheatsaddle/internal/operr"
 	"wheatsaddle/internal/requestid"
+	"wheatsaddle/internal/taskset"
 	"wheatsaddle/internal/transport"
 	"wheatsaddle/policy"
 )
@@ -26,7 +29,8 @@
 	dialer  *iscsi.Dialer
 	core    *core.Core
 	target  *iscsi.Target
-	sockets int // maximum number of descriptors in use
+	address string // that it listens on
+	sockets int    // maximum number of descriptors in use
 }
 
 // iscsiOptions are what the iSCSI front takes from the rest of the daemon.
@@ -76,12 +80,14 @@
 		file:    file,
 		text:    text,
 		conf:    mapping,
+		address: ln.Addr().String(),
 		seed:    conf.Seed,
 		dialer:  dialer,
 		core:    co,
 		target:  iscsi.NewTarget(mapping, co, dialer, log),
 		sockets: mapping.Sessions + 2*len(mapping.Storage),
 	}
+	f.inheritWrites(log)
 	f.target.LimitMemory(options.memory)
 	f.target.Events = options.events
 	go func() {
@@ -203,3 +209,39 @@
 		f.core.Finish()
 	}
 }
+
+// inheritWrites tells the front the writes of the process that this one replaces, which may still run.
+func (f *iscsiFront) inheritWrites(log logrus.FieldLogger) {
+	writes, err := f.readWrites()
+	if err != nil {
+		log.WithFields(operr.Fields(err)).Error("possible writes of the former process are not known")
+		return
+	}
+	f.target.AddFormerWrites(writes)
+	log.WithField("initiators_and_units", len(writes)).Debug("possible writes of the former process are known")
+}
+
+func (f *iscsiFront) readWrites() ([]taskset.FormerWrites, error) {
+	file, err := runfile.NewWrites(os.TempDir(), f.address)
+	if err != nil {
+		return nil, err
+	}
+	return file.Read()
+}
+
+// passWritesOn writes those that may still run, for the process that replaces this one. It is called when this one ends.
+func (f *iscsiFront) passWritesOn(log logrus.FieldLogger) {
+	if f == nil {
+		return
+	}
+	writes := f.target.FormerWrites()
+	file, err := runfile.NewWrites(os.TempDir(), f.address)
+	if err == nil {
+		err = file.Write(writes)
+	}
+	if err != nil {
+		log.WithFields(operr.Fields(err)).Error("possible writes are not passed on")
+		return
+	}
+	log.WithField("initiators_and_units", len(writes)).Debug("possible writes are passed on")
+}
--- a/cmd/wheatsaddle/shutdown.go
+++ b/cmd/wheatsaddle/shutdown.go
@@ -59,6 +59,7 @@
 	s.serve()
 	s.drain()
 	s.finish()
+	s.iscsi.passWritesOn(s.log)
 	s.log.Info("stopped")
 }
 
@@ -95,6 +96,7 @@
 	}
 	s.core.Finish()
 	s.iscsi.finish()
+	s.iscsi.passWritesOn(s.log) // the process may be killed before its end
 	s.pollUntil(exitMargin, func() int {
 		s.front.RejectIncoming()
 		return s.closeIdle()
--- a/internal/handover/runfile/runfile.go
+++ b/internal/handover/runfile/runfile.go
@@ -1,5 +1,5 @@
-// Package runfile passes the possible runs under clients' idempotency keys from a process to the one that replaces it, in a file of a
-// folder that both use. The file is replaced as a whole, so a reader finds a complete one or none.
+// Package runfile passes what may have run, and may yet, from a process to the one that replaces it, in files of a folder that both use. A
+// file is replaced as a whole, so a reader finds a complete one or none.
 package runfile
 
 import (
@@ -14,37 +14,36 @@
 
 	"wheatsaddle/internal/machineclock"
 	"wheatsaddle/internal/operr"
-	"wheatsaddle/policy"
 )
 
 // clockDifference is the maximum difference between the clocks of two processes.
 const clockDifference = 20 * time.Millisecond
 
-// File is the file of a clients' socket.
-type File struct {
+// file is one file.
+type file struct {
 	path  string
 	clock func() time.Duration // shared by the processes
 }
 
-// contents is what the file holds.
-type contents struct {
-	WrittenAt time.Duration       `json:"written_at_ns"` // by the clock of the machine
-	Runs      []policy.EarlierRun `json:"runs"`
+// envelope is what a file holds.
+type envelope[T any] struct {
+	WrittenAt time.Duration `json:"written_at_ns"` // by the clock of the machine
+	Contents  T             `json:"contents"`
 }
 
-// New returns the file of a name, such as the address of the clients' socket, in a folder. The error is an *Error.
-func New(folder, name string) (*File, error) {
-	path := filepath.Join(folder, "wheatsaddle-runs-"+url.PathEscape(name)+".json")
+// newFile returns the file of a kind and a name, such as the address of a socket, in a folder.
+func newFile(folder, kind, name string) (*file, error) {
+	path := filepath.Join(folder, "wheatsaddle-"+kind+"-"+url.PathEscape(name)+".json")
 	clock, err := machineclock.New()
 	if err != nil {
 		return nil, &Error{path, err}
 	}
-	return &File{path, clock}, nil
+	return &file{path, clock}, nil
 }
 
-// Write replaces the file. The error is an *Error.
-func (f *File) Write(runs []policy.EarlierRun) error {
-	data, err := json.Marshal(contents{f.clock(), runs})
+// write replaces a file. The error is an *Error.
+func write[T any](f *file, contents T) error {
+	data, err := json.Marshal(envelope[T]{f.clock(), contents})
 	if err != nil {
 		return &Error{f.path, err}
 	}
@@ -63,14 +62,14 @@
 	return nil
 }
 
-// Read returns the runs whose repeats may still come, with their ages at present. A file that does not exist has none. The error is an
-// *Error.
-func (f *File) Read() ([]policy.EarlierRun, error) {
+// read returns the contents of a file, and how long ago it was written at least and at most. A file that does not exist has none. The error
+// is an *Error.
+func read[T any](f *file) (contents T, minAge, maxAge time.Duration, err error) {
 	data, err := os.ReadFile(f.path)
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil
+		return contents, 0, 0, nil
 	}
-	var stored contents
+	var stored envelope[T]
 	if err == nil {
 		err = json.Unmarshal(data, &stored)
 	}
@@ -79,17 +78,9 @@
 		err = fmt.Errorf("written %v in the future", -elapsed)
 	}
 	if err != nil {
-		return nil, &Error{f.path, err}
+		return contents, 0, 0, &Error{f.path, err}
 	}
-	milliseconds := float64(max(elapsed, 0)+clockDifference) / float64(time.Millisecond)
-	var runs []policy.EarlierRun
-	for _, run := range stored.Runs {
-		run.Age += milliseconds
-		if run.KeepFor -= milliseconds; run.KeepFor > 0 {
-			runs = append(runs, run)
-		}
-	}
-	return runs, nil
+	return stored.Contents, max(elapsed-clockDifference, 0), max(elapsed, 0) + clockDifference, nil
 }
 
 // Error reports that possible runs are not passed on.
@@ -109,7 +100,7 @@
 
 // Advice implements operr.Coded.
 func (e *Error) Advice() string {
-	return "Check the permissions and the space of the folder of " + e.Path + ", and that both processes use it. The process that replaces another one may repeat requests that ran there, until their clients repeat them no more."
+	return "Check the permissions and the space of the folder of " + e.Path + ", and that both processes use it. The process that replaces another one may repeat requests that ran there, or confirm that writes of initiators that are still outstanding have no further effect."
 }
 
 func init() {
--- a/internal/iscsi/effects.go
+++ b/internal/iscsi/effects.go
@@ -101,6 +101,17 @@
 	t.update(func(s *taskset.Set, _ time.Duration) { s.SessionEnded(session) })
 }
 
+// FormerWrites returns the writes that may still have an effect, for the process that replaces this one. It is called when this one ends.
+func (t *Target) FormerWrites() (writes []taskset.FormerWrites) {
+	t.effects.update(func(s *taskset.Set, now time.Duration) { writes = s.FormerWrites(now) })
+	return writes
+}
+
+// AddFormerWrites adds the writes of the process that this one replaces. It is called before Serve.
+func (t *Target) AddFormerWrites(writes []taskset.FormerWrites) {
+	t.effects.update(func(s *taskset.Set, now time.Duration) { s.AddFormerWrites(now, writes) })
+}
+
 // writeEffect is what one write may do at the storage targets. Any goroutine may call its methods. A nil writeEffect is that of a command
 // that has no effect.
 type writeEffect struct {
--- a/internal/iscsi/taskmgmt_test.go
+++ b/internal/iscsi/taskmgmt_test.go
@@ -533,6 +533,36 @@
 	}
 }
 
+// Guards against a login or a reset at the process that replaces another one, confirmed over a write of the former one that may still run.
+func TestNextProcessAwaitsWritesOfTheFormerOne(t *testing.T) {
+	const lostPeriod = 500 * time.Millisecond
+	former, next := newTestEnv(t, longObjective, false), newTestEnv(t, longObjective, false)
+	former.target.effects.set = taskset.New(lostPeriod)
+	former.startHeldWrite(former.initiator(t))
+	defer close(former.hold)
+	next.target.effects.limit = lostPeriod / 5
+	next.target.AddFormerWrites(former.target.FormerWrites())
+	login := func(c *fakeInitiator, initiator string) uint16 {
+		return c.login(stageOperational<<2|stageFull, pair{"InitiatorName", initiator}, pair{"TargetName", targetName})
+	}
+	if status := login(connect(t, next.address), "iqn.client"); status != loginBusy {
+		t.Errorf("login ended with status 0x%04x, want 0x%04x", status, loginBusy)
+	}
+	other := connect(t, next.address)
+	if status := login(other, "iqn.other"); status != 0 {
+		t.Errorf("login of another initiator ended with status 0x%04x", status)
+	}
+	other.requestFunction(tmLUNReset, 0)
+	if code := other.awaitFunction(); code != tmRejected {
+		t.Errorf("LOGICAL UNIT RESET: response %d, want %d", code, tmRejected)
+	}
+	for deadline := time.Now().Add(time.Minute); login(connect(t, next.address), "iqn.client") != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no login after the write can have no effect any more")
+		}
+	}
+}
+
 // A write that repeats what a lost session had open runs after it, and the old one does not run after the new one.
 func TestWriteOfAFormerSessionDoesNotOvertake(t *testing.T) {
 	set := testSettings(longObjective)
