--- a/internal/iscsi/command.go
+++ b/internal/iscsi/command.go
@@ -68,8 +68,7 @@
 	if s.tasks[itt] != nil {
 		return s.sendReject(p, 0x07) // task in progress
 	}
-	now := time.Now()
-	task := &scsiTask{initiatorTaskTag: itt, receivedAt: now, lastDataAt: now, expectedLength: p.u32(20), targetTransferTag: noTag}
+	task := &scsiTask{initiatorTaskTag: itt, receivedAt: p.readAt, lastDataAt: time.Now(), expectedLength: p.u32(20), targetTransferTag: noTag}
 	s.tasks[itt] = task
 	cdb := p.bhs[32:48]
 	lun, ok := p.lun()
--- a/internal/iscsi/iscsi_test.go
+++ b/internal/iscsi/iscsi_test.go
@@ -541,6 +541,50 @@
 	}
 }
 
+// Guards against a command that waits until its session can handle it, and is then sent after its time.
+func TestCommandThatWaitsForItsSessionIsNotSentAfterItsTime(t *testing.T) {
+	const objective = 150
+	env := newTestEnv(t, objective, false)
+	client := env.initiator(t)
+	env.target.mu.Lock()
+	var s *session
+	for s = range env.target.sessions {
+	}
+	env.target.mu.Unlock()
+	s.mu.Lock() // the session's goroutine waits after the next PDU
+	nop := newPDU(opNopOut, 77)
+	nop.bhs[0] |= flagImmediate
+	nop.bhs[1] = flagFinal
+	nop.put32(20, noTag)
+	nop.put32(24, client.cmdSN)
+	client.send(nop)
+	read, write := block{lba: 0, blocks: 1}.cdb(), block{lba: 0, blocks: 1, write: true}.cdb()
+	itts := []uint32{client.startCommand(read[:], 0, 0x40, 512), client.startCommand(write[:], 0, 0x20, 512)}
+	time.Sleep(3 * objective * time.Millisecond) // the deadline is two objectives
+	s.mu.Unlock()
+	if p := client.read(); p.op() != opNopIn {
+		t.Fatalf("received %v", p)
+	}
+	data := make([]byte, 512)
+	statuses := map[uint32]byte{}
+	for len(statuses) < len(itts) {
+		switch p := client.read(); p.op() {
+		case opR2T:
+			client.answerR2T(p, data)
+		case opSCSIResponse:
+			statuses[p.tag()] = p.bhs[3]
+		}
+	}
+	for _, itt := range itts {
+		if status := statuses[itt]; status == statusGood {
+			t.Errorf("command %d ended as GOOD after its time", itt)
+		}
+	}
+	if received, _ := env.counts(); received != 0 {
+		t.Errorf("%d commands were sent after their time", received)
+	}
+}
+
 func drawPDU(rt *rapid.T) *pdu {
 	p := &pdu{ahs: rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(rt, "ahs"), data: rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(rt, "data")}
 	p.ahs = p.ahs[:len(p.ahs)&^3]
--- a/internal/iscsi/pdu.go
+++ b/internal/iscsi/pdu.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"time"
 )
 
 // Opcodes (RFC 7143, 11.2.1.2).
@@ -61,6 +62,8 @@
 	bhs  [bhsLen]byte
 	ahs  []byte
 	data []byte
+	// readAt is when a PDU of an initiator was read. It may have waited for its session since.
+	readAt time.Time
 }
 
 var (
--- a/internal/iscsi/session.go
+++ b/internal/iscsi/session.go
@@ -148,6 +148,7 @@
 			failed <- err
 			return
 		}
+		p.readAt = time.Now()
 		select {
 		case pdus <- p:
 		case <-done:
