iscsi: the queues have one way to take entries

Cause: two queues cleared and dropped their first entry, and three lists were emptied under the session's mutex, each in code of its own.

--- a/internal/iscsi/flush.go
+++ b/internal/iscsi/flush.go
@@ -60,10 +60,7 @@
 		return
 	}
 	for len(p.flushes) > 0 && p.current != nil && p.current.windowOpen() {
-		f := p.flushes[0]
-		p.flushes[0] = nil // the array must not refer to it
-		p.flushes = p.flushes[1:]
-		p.current.startFlush(f)
+		p.current.startFlush(takeFirst(&p.flushes))
 	}
 	if p.current != nil {
 		p.current.releaseIfIdle() // the deadlines of all flushes may have passed
--- a/internal/iscsi/initiator.go
+++ b/internal/iscsi/initiator.go
@@ -300,9 +300,7 @@
 		return
 	}
 	for len(p.queue) > 0 && p.current != nil && p.current.windowOpen() {
-		c := p.queue[0]
-		p.queue[0] = nil // the array must not refer to it
-		p.queue = p.queue[1:]
+		c := takeFirst(&p.queue)
 		if c.attempt != nil {
 			p.startOrDrop(c)
 		}
--- a/internal/iscsi/response.go
+++ b/internal/iscsi/response.go
@@ -21,11 +21,7 @@
 
 // sendResponses turns the core's answers into responses. Answers to tasks that were aborted meanwhile are dropped.
 func (s *session) sendResponses() {
-	s.mu.Lock()
-	answers := s.answers
-	s.answers = nil
-	s.mu.Unlock()
-	for _, a := range answers {
+	for _, a := range takeAll(&s.mu, &s.answers) {
 		task := a.task
 		if s.tasks[task.initiatorTaskTag] != task || task.holdsAnswer(a.Answer) {
 			continue
--- a/internal/iscsi/synchronize.go
+++ b/internal/iscsi/synchronize.go
@@ -67,11 +67,7 @@
 
 // sendSyncResponses responds to the SYNCHRONIZE CACHEs that have ended. Those that were aborted meanwhile get no response here.
 func (s *session) sendSyncResponses() {
-	s.mu.Lock()
-	answers := s.syncAnswers
-	s.syncAnswers = nil
-	s.mu.Unlock()
-	for _, a := range answers {
+	for _, a := range takeAll(&s.mu, &s.syncAnswers) {
 		if s.tasks[a.task.initiatorTaskTag] != a.task || a.task.abortedBy != nil {
 			continue
 		}
--- a/internal/iscsi/taskmgmt.go
+++ b/internal/iscsi/taskmgmt.go
@@ -140,11 +140,7 @@
 
 // answerFunctions answers the functions that are decided. It returns errLoggedOut if the session ends.
 func (s *session) answerFunctions() (err error) {
-	s.mu.Lock()
-	decisions := s.decisions
-	s.decisions = nil
-	s.mu.Unlock()
-	for _, d := range decisions {
+	for _, d := range takeAll(&s.mu, &s.decisions) {
 		delete(s.functions, d.id)
 		code := d.onNoEffect
 		for _, task := range d.tasks {
