--- a/cmd/wheatsaddle/daemon_test.go
+++ b/cmd/wheatsaddle/daemon_test.go
@@ -26,7 +26,9 @@
 	t            *testing.T
 	cmd          *exec.Cmd
 	file, listen string
-	admin        string // address of the admin endpoint
+	admin        string   // address of the admin endpoint
+	folder       string   // $TMPDIR; empty: one of its own
+	passedSocket *os.File // nil: it binds its socket
 	mu           sync.Mutex
 	lines        []string
 	lineLogged   chan struct{} // a line was logged
@@ -90,7 +92,14 @@
 // start starts the program; it ends with the test.
 func (d *daemon) start() {
 	d.t.Helper()
-	d.cmd = programCommand([]string{"ROUTER_CONFIG=" + d.file, "TMPDIR=" + d.t.TempDir()})
+	if d.folder == "" {
+		d.folder = d.t.TempDir()
+	}
+	d.cmd = programCommand([]string{"ROUTER_CONFIG=" + d.file, "TMPDIR=" + d.folder})
+	if d.passedSocket != nil {
+		d.cmd.ExtraFiles = []*os.File{d.passedSocket}
+		d.cmd.Env = append(d.cmd.Env, "ROUTER_PASSED_SOCKET=3")
+	}
 	out, err := d.cmd.StderrPipe()
 	d.must(err)
 	d.must(d.cmd.Start())
