--- a/internal/iscsi/cachesync.go
+++ b/internal/iscsi/cachesync.go
@@ -92,11 +92,14 @@
 	return false
 }
 
-// recordWrite records a write that a storage target may have in its cache only.
-func (d *Dialer) recordWrite(u writecache.Unit, blocks writecache.Range, initiator string) {
+// recordWrite records a write that a storage target may have in its cache only, or that may have been lost with a cache.
+func (d *Dialer) recordWrite(u writecache.Unit, blocks writecache.Range, initiator string, mayBeLost bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.caches.Written(u, blocks, initiator)
+	if mayBeLost {
+		d.caches.Lost(u, blocks, initiator)
+	}
 }
 
 // recordNoSession records that a storage target has no session any more, so that a restart would not be noticed.
--- a/internal/iscsi/command.go
+++ b/internal/iscsi/command.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"math"
+	"sync/atomic"
 	"time"
 
 	"wheatsaddle/internal/config"
@@ -50,6 +51,9 @@
 	// buffer is the command's share of the buffer budget, which also covers data.
 	buffer *bufferShare
 	effect *writeEffect // nil: a read
+	// mayBeLost is set once an attempt may have put the data into a cache that was lost since. A repeat that a storage target drops does
+	// not put them there again.
+	mayBeLost atomic.Bool
 }
 
 // Release implements core.Releaser. Core calls it when no attempt can use the transfer any more.
--- a/internal/iscsi/fakes_test.go
+++ b/internal/iscsi/fakes_test.go
@@ -43,6 +43,7 @@
 	cutsLeft      int    // connections still to be closed
 	status        byte
 	sense         []byte
+	restarts      int
 	hold          chan struct{} // not nil: the response to a command is delayed until the channel is closed
 	holding       chan struct{} // receives a value when a response starts to wait
 	dataPause     time.Duration // before each Data-In PDU and each R2T but the first
@@ -92,6 +93,7 @@
 	*fakeTarget
 	conn             net.Conn
 	statSN, expCmdSN uint32
+	restartsAtLogin  int // of the target
 }
 
 func newFakeTarget(t *testing.T) *fakeTarget {
@@ -186,7 +188,7 @@
 	session.mu.Lock()
 	session.statSN, session.expCmdSN = p.u32(28), p.u32(24)
 	session.lastLogin, _ = decodeText(p.data)
-	session.lastSession = session
+	session.lastSession, session.restartsAtLogin = session, session.restarts
 	session.logins++
 	loginStatus := session.loginStatus
 	session.mu.Unlock()
@@ -301,6 +303,9 @@
 
 // execute executes a command, unless it is a repeat that is dropped, and returns the data of a read. The caller holds the mutex.
 func (s *fakeTargetSession) execute(p *pdu, b block, data []byte) []byte {
+	if s.restartsAtLogin != s.restarts {
+		return data
+	}
 	if key := p.idempotencyKey(); !(s.deduplicates && key != "" && s.keys[key]) {
 		s.executed++
 		s.keys[key] = true
@@ -352,10 +357,11 @@
 	return r.ending != cuts
 }
 
-// restart closes the connection and loses the cache.
+// restart closes the connection and loses the cache and the commands that are not executed. The keys of those that were are kept.
 func (s *fakeTarget) restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.restarts++
 	clear(s.cache)
 	if s.lastSession != nil {
 		s.lastSession.conn.Close()
--- a/internal/iscsi/flush.go
+++ b/internal/iscsi/flush.go
@@ -123,13 +123,21 @@
 	return true
 }
 
-// recordWrite records that the storage target has acknowledged a write, which it may have in its cache only.
+// noteCacheLoss notes that a write may have been in a cache that is lost with the connection. Its repeat is not written again where storage
+// targets drop repeats.
+func (x *nexus) noteCacheLoss(transfer *transfer) {
+	if x.peer.dialer.DeduplicatesWrites && transfer.block.write && !transfer.block.forcesUnitAccess() {
+		transfer.mayBeLost.Store(true)
+	}
+}
+
+// recordWrite records that the storage target has a write, or has acknowledged it, which it may have in its cache only.
 func (x *nexus) recordWrite(transfer *transfer) {
 	b := transfer.block
 	if b.forcesUnitAccess() {
 		return
 	}
-	x.peer.dialer.recordWrite(writecache.Unit{Target: x.peer.name, LUN: transfer.lun}, b.blockRange(), transfer.initiator)
+	x.peer.dialer.recordWrite(writecache.Unit{Target: x.peer.name, LUN: transfer.lun}, b.blockRange(), transfer.initiator, transfer.mayBeLost.Load())
 }
 
 // hasSession reports whether the storage target has a session with this initiator.
--- a/internal/iscsi/nexus.go
+++ b/internal/iscsi/nexus.go
@@ -147,6 +147,7 @@
 	for tag, c := range x.commands {
 		delete(x.commands, tag)
 		c.transfer.effect.attemptLost()
+		x.noteCacheLoss(c.transfer)
 		x.peer.reportResult(c, core.Result{Status: policy.ConnectionReset})
 	}
 	x.abandoned = 0
@@ -245,6 +246,9 @@
 		x.peer.reportResult(c, core.Result{Status: policy.ConnectFailed})
 	} else {
 		x.commands[c.itt] = c
+		if x.peer.dialer.DeduplicatesWrites && c.transfer.block.write {
+			x.recordWrite(c.transfer) // it may be in this cache only, if another storage target drops the repeat
+		}
 	}
 	if !ok {
 		x.disconnect()
--- a/internal/iscsi/synchronize_test.go
+++ b/internal/iscsi/synchronize_test.go
@@ -106,6 +106,44 @@
 	}
 }
 
+// Guards against GOOD for a SYNCHRONIZE CACHE after a write that was lost with the cache, and whose repeat the storage target dropped and
+// answered with GOOD.
+func TestSynchronizeReportsTheLossOfADroppedRepeat(t *testing.T) {
+	set := testSettings(longObjective)
+	set.Classes[1].DedupScope = policy.DedupAll
+	env := newTestEnvWithSettings(t, set, true, newCachingTarget(t))
+	client := env.initiator(t)
+	env.mu.Lock()
+	env.cutStage, env.cutsLeft = cutExecuted, 1 // the write is in the cache, and its response is lost
+	env.mu.Unlock()
+	data := pattern(512)
+	itt := client.startWrite(0, data)
+	client.answerR2T(client.read(), data)
+	for deadline := time.Now().Add(testWait); ; time.Sleep(time.Millisecond) {
+		env.mu.Lock()
+		executed := env.executed == 1
+		if executed {
+			clear(env.cache)
+		}
+		env.mu.Unlock()
+		if executed {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the write was not executed")
+		}
+	}
+	if e := client.awaitResponse(itt, data); e.status != statusGood {
+		t.Fatalf("the write ended as %+v", e)
+	}
+	if e := client.synchronize(scsiSyncCache16, 0, 0); e.status != statusCheckCondition || e.senseKey != senseHardware {
+		t.Errorf("SYNCHRONIZE CACHE ended as %+v, though the write is lost", e)
+	}
+	if e := client.synchronize(scsiSyncCache16, 0, 0); e.status != statusGood {
+		t.Errorf("after the loss was reported: %+v", e)
+	}
+}
+
 // Guards against GOOD for SYNCHRONIZE CACHE after the storage target has lost acknowledged writes with its cache.
 func TestSynchronizeReportsALossOnceToEachWriter(t *testing.T) {
 	env := newCachingEnv(t, longObjective)
--- a/internal/writecache/writecache.go
+++ b/internal/writecache/writecache.go
@@ -96,6 +96,17 @@
 	c.writers[initiator] = true
 }
 
+// Lost records that a write which was recorded as written may have been lost with the cache of a storage target, although the unit's storage
+// target has acknowledged it: it has dropped it as a repeat.
+func (t *Tracker) Lost(u Unit, r Range, initiator string) {
+	c := t.unit(u)
+	if !c.writers[initiator] {
+		initiator = anyWriter
+	}
+	c.lost[initiator] = c.lost[initiator].cover(r)
+	c.losses++
+}
+
 // Restarted records that a storage target may have restarted, and so may have lost what was in its cache only.
 // It reports whether there was such a write.
 func (t *Tracker) Restarted(target string) (mayHaveLost bool) {
--- a/internal/writecache/writecache_test.go
+++ b/internal/writecache/writecache_test.go
@@ -165,3 +165,23 @@
 		}
 	}
 }
+
+// Guards against a confirmation after a write that was lost with one cache, and whose repeat another storage target dropped.
+func TestLostWriteIsReportedOnceToItsWriter(t *testing.T) {
+	tracker, unit := New(), Unit{"a", 0}
+	tracker.Written(unit, Range{4, 8}, "i")
+	steps, _ := tracker.Begin("j", []Unit{unit}, wholeUnit)
+	tracker.Lost(unit, Range{4, 8}, "i")
+	if len(steps) != 1 || tracker.Synchronized(steps[0], wholeUnit) {
+		t.Errorf("steps %+v: a confirmation counts that began before the loss", steps)
+	}
+	for _, x := range []struct {
+		initiator string
+		blocks    Range
+		want      bool
+	}{{"j", wholeUnit, false}, {"i", Range{0, 4}, false}, {"i", Range{5, 9}, true}, {"i", Range{5, 9}, false}, {"i", wholeUnit, true}} {
+		if _, mayHaveLost := tracker.Begin(x.initiator, []Unit{unit}, x.blocks); mayHaveLost != x.want {
+			t.Errorf("%+v: loss reported %v", x, mayHaveLost)
+		}
+	}
+}
